--- /dev/null
+++ b/plantainvane/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/plantainvane/asgi.py
@@ -0,0 +1,163 @@
+"""Small helpers for ASGI applications served by hypercorn."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+import urllib.parse
+
+import hypercorn.asyncio
+import hypercorn.config
+import msgspec
+import result
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Application = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
+
+_ENCODER = msgspec.json.Encoder()
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """One HTTP request with its whole body.
+
+    Attributes:
+      method: Upper-case method.
+      path: Decoded path without the query.
+      query: First value of each query parameter.
+      headers: Values by lower-case name; the last one wins.
+      body: The whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class HttpReply:
+    """One HTTP reply with its whole body."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+
+
+def make_json_reply(
+    status: int, value: Any, headers: tuple[tuple[bytes, bytes], ...] = ()
+) -> HttpReply:
+    """Encodes `value` as the JSON body of a reply."""
+    return HttpReply(status, _ENCODER.encode(value), headers=headers)
+
+
+def make_application(handle: Handler, body_limit_bytes: int) -> Application:
+    """Makes an ASGI application that calls `handle` with whole requests.
+
+    A body above `body_limit_bytes` is answered 413 without calling `handle`.
+    """
+
+    async def serve(scope: dict[str, Any], receive: Receive, send: Send):
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive, body_limit_bytes)
+        if body.is_err():
+            await _send_reply(send, body.err_value)
+            return
+        request = HttpRequest(
+            method=scope["method"],
+            path=scope["path"],
+            query=dict(urllib.parse.parse_qsl(scope["query_string"].decode())),
+            headers={
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in scope["headers"]
+            },
+            body=body.ok_value,
+        )
+        await _send_reply(send, await handle(request))
+
+    return serve
+
+
+async def serve_application(
+    application: Application,
+    address: str,
+    shutdown: Callable[[], Awaitable[Any]],
+    graceful_timeout_s: float,
+) -> None:
+    """Serves `application` at `ip:port` until `shutdown` returns.
+
+    Requests in flight then have `graceful_timeout_s` to end.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [address]
+    config.graceful_timeout = graceful_timeout_s
+    config.keep_alive_timeout = 75.0
+    # The default of 1,000 closes a connection under a caller's next request.
+    config.keep_alive_max_requests = 1_000_000_000
+    config.accesslog = None
+    config.errorlog = None
+    await hypercorn.asyncio.serve(
+        application, config, shutdown_trigger=shutdown, mode="asgi"
+    )
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_body(
+    receive: Receive, limit_bytes: int
+) -> result.Result[bytes, HttpReply]:
+    parts: list[bytes] = []
+    length = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return result.Err(HttpReply(400))
+        part = message.get("body", b"")
+        length += len(part)
+        if length > limit_bytes:
+            detail = f"the body exceeds the limit of {limit_bytes} bytes"
+            return result.Err(
+                make_json_reply(
+                    413,
+                    {
+                        "outcome": "not_run",
+                        "reason": "too_large",
+                        "detail": detail,
+                    },
+                )
+            )
+        parts.append(part)
+        if not message.get("more_body", False):
+            return result.Ok(b"".join(parts))
+
+
+async def _send_reply(send: Send, reply: HttpReply) -> None:
+    headers = [
+        (b"content-type", reply.content_type.encode()),
+        (b"content-length", str(len(reply.body)).encode()),
+        *reply.headers,
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": reply.status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": reply.body})
--- /dev/null
+++ b/plantainvane/instances.py
@@ -0,0 +1,80 @@
+"""Client of the platform's instance list; the only module that knows it.
+
+Properties relied on: the list is complete in the end, but lags by seconds and
+may be down. An instance marked leaving never becomes live again under its id.
+
+Dialect, HTTP/1.1 with JSON:
+  GET /instances?domain=NAME
+    200 {"instances": [Instance, ...]}
+"""
+
+import enum
+
+import httpx
+import msgspec
+import result
+
+from plantainvane import documents
+from plantainvane import outcomes
+from plantainvane import settings as settings_module
+
+
+class InstanceKind(enum.StrEnum):
+    """What runs at an instance's address."""
+
+    WORKER = "worker"
+    RUNNER = "runner"
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """A worker, or a runner (target) on a worker.
+
+    Attributes:
+      id: Name that is never used again.
+      address: `ip:port` of its HTTP interface.
+      size: Capacity of a worker; zero for a runner.
+      worker: For a runner, the id of the worker that hosts it.
+      classes: For a runner, the service classes it answers.
+    """
+
+    id: str
+    kind: InstanceKind
+    domain: str
+    rack: str
+    address: str
+    leaving: bool = False
+    size: documents.Size = documents.Size()
+    worker: str = ""
+    classes: tuple[str, ...] = ()
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """Reply of the platform."""
+
+    instances: list[Instance]
+
+
+_DECODER = msgspec.json.Decoder(InstanceList)
+
+
+def make_client(settings: settings_module.Settings) -> httpx.AsyncClient:
+    """Creates the HTTP client for the instance list."""
+    return httpx.AsyncClient(
+        base_url=f"http://{settings.platform.instances}",
+        timeout=settings.log.call_timeout_s,
+        trust_env=False,
+    )
+
+
+async def fetch_instances(
+    client: httpx.AsyncClient, domain: str
+) -> result.Result[list[Instance], outcomes.CallError]:
+    """Fetches the instances of one failure domain."""
+    try:
+        reply = await client.get("/instances", params={"domain": domain})
+        reply.raise_for_status()
+        return result.Ok(_DECODER.decode(reply.content).instances)
+    except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        return result.Err(
+            outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+        )
--- /dev/null
+++ b/plantainvane/outcomes.py
@@ -0,0 +1,60 @@
+"""Outcomes of requests and of calls to outside systems, as values."""
+
+import enum
+
+import msgspec
+
+
+class RequestOutcome(enum.StrEnum):
+    """What is known about a request when the caller is answered."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    DUPLICATE = "duplicate"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Outcome of one request.
+
+    Attributes:
+      outcome: What is known about the request.
+      body: The whole answer of the target; empty unless answered.
+      content_type: Media type of `body`.
+      reason: Short machine-readable cause when not answered.
+      detail: Sentence for a person; carries no request content.
+      retry_after_s: Hint for the caller when not run, else 0.
+      attempts: Exchanges with targets in which a byte was sent.
+    """
+
+    outcome: RequestOutcome
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    reason: str = ""
+    detail: str = ""
+    retry_after_s: float = 0.0
+    attempts: int = 0
+
+
+class CallFailure(enum.StrEnum):
+    """Why a call to an outside system gave no usable reply.
+
+    REFUSED: the other side answered no; the action did not take effect.
+    UNREACHED: no connection; the action did not take effect.
+    LIMITED: refused for now by a rate limit; it did not take effect.
+    LOST: sent, but no whole reply; the action may have taken effect.
+    STALE: refused because the epoch is below the highest one seen.
+    """
+
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+    LIMITED = "limited"
+    LOST = "lost"
+    STALE = "stale"
+
+
+class CallError(msgspec.Struct, frozen=True):
+    """Failure of a call to an outside system, with a sentence of detail."""
+
+    failure: CallFailure
+    detail: str = ""
--- /dev/null
+++ b/plantainvane/settings.py
@@ -0,0 +1,281 @@
+"""Settings of an entry process: types, defaults, loading and checks."""
+
+import ipaddress
+import pathlib
+from typing import Annotated
+
+import msgspec
+import result
+
+from plantainvane import validation
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Fraction = Annotated[float, msgspec.Meta(gt=0, le=1)]
+Name = Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=64)
+]
+
+
+class Struct(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings sections: immutable, no unknown fields."""
+
+
+class Seed(Struct):
+    """An entry process to contact first."""
+
+    id: Name
+    domain: Name
+    peer_address: str
+
+
+class Listen(Struct):
+    """Addresses that the process listens on, each `ip:port`.
+
+    Operators have their own address so that it can be firewalled off from
+    callers.
+    """
+
+    callers: str
+    operators: str
+    peers: str
+
+
+class Platform(Struct):
+    """Addresses of the platform's services, each `ip:port`."""
+
+    log: str
+    instances: str
+
+
+class Log(Struct):
+    """Use of the platform's log."""
+
+    # One append per linger and stream; 9 processes at 20 ms stay below the
+    # several hundred appends a second that the log takes.
+    linger_s: Positive = 0.02
+    linger_max_s: Positive = 1.0
+    batch_records: Count = 500
+    call_timeout_s: Positive = 3.0
+    poll_wait_s: Positive = 2.0
+    # A record absent this long after a lost reply is appended again.
+    append_settle_s: Positive = 2.0
+    # Records a stream may hold after its last snapshot before the next one.
+    snapshot_records: Count = 2000
+    snapshot_age_s: Positive = 600.0
+    # Declared by the platform; snapshots and the key window stay below it.
+    retention_s: Positive = 3600.0
+
+
+class Membership(Struct):
+    """Heartbeats between entry processes."""
+
+    interval_s: Positive = 1.0
+    remote_interval_s: Positive = 2.0
+    # Heartbeat intervals of silence.
+    suspect_intervals: Count = 3
+    drop_intervals: Count = 10
+    connect_timeout_s: Positive = 1.0
+    # Peers held in each other domain; keeps heartbeats within 4 KB/s.
+    remote_peers: Count = 2
+
+
+class Claims(Struct):
+    """Ownership of shards."""
+
+    shards: Count = 3
+    # Takeover after a crash takes ttl + margin; urgent work has 5.3 s to start.
+    ttl_s: Positive = 3.0
+    renew_s: Positive = 1.0
+    margin_s: Positive = 0.5
+
+
+class Tasks(Struct):
+    """Leases, placement, pressure and attempts of batch tasks."""
+
+    lease_s: Positive = 9.0
+    lease_margin_s: Positive = 2.0
+    # Time that attempts are renewed past the claim while the log is down.
+    outage_renewal_s: Positive = 900.0
+    call_timeout_s: Positive = 2.0
+    poll_s: Positive = 0.5
+    max_attempts: Count = 3
+    # Distinct tasks that fail on a worker and run elsewhere.
+    suspect_failures: Count = 2
+    probation_s: Positive = 30.0
+    # Ratio of service latency to its target that starts and ends throttling.
+    throttle_above: Positive = 1.0
+    release_below: Positive = 0.7
+    throttle_share: Fraction = 0.5
+    evict_after_s: Positive = 10.0
+    release_after_s: Positive = 5.0
+    # Weight of the class prior, in samples, in an interference estimate.
+    prior_weight: Positive = 8.0
+    # A task waiting this long is placed before younger ones of its priority.
+    aging_s: Positive = 60.0
+    finished_kept: Count = 2000
+
+
+class Requests(Struct):
+    """Slots, queues, retries and ejection."""
+
+    slots_per_target: Count = 8
+    connections_per_target: Count = 64
+    # Slots of this process that long-running classes may not take, as a
+    # fraction of all slots it holds.
+    reserved_fraction: Fraction = 0.5
+    # Measured run time above which a class counts as long.
+    long_run_s: Positive = 1.0
+    queue_limit: Count = 1000
+    body_limit_bytes: Count = 1_048_576
+    answer_limit_bytes: Count = 16_777_216
+    default_deadline_s: Positive = 10.0
+    connect_timeout_s: Positive = 0.5
+    # Connections idle for longer are closed; state in between may be gone.
+    idle_connection_s: Positive = 30.0
+    # A started exchange silent for this many times the class's slow run time
+    # (99th percentile) is given up and its connection closed.
+    silence_factor: Positive = 4.0
+    silence_floor_s: Positive = 0.25
+    retry_ratio: Fraction = 0.1
+    retry_burst: Count = 20
+    eject_failures: Count = 3
+    eject_base_s: Positive = 1.0
+    eject_max_s: Positive = 30.0
+    ramp_s: Positive = 5.0
+    # Seconds of waiting that raise a request by one priority.
+    aging_s: Positive = 5.0
+    spill_headroom: Fraction = 0.25
+
+
+class Keys(Struct):
+    """Idempotency keys of non-idempotent requests."""
+
+    window_s: Positive = 600.0
+    skew_s: Positive = 5.0
+    claim_timeout_s: Positive = 2.0
+    answer_bytes: Count = 2048
+
+
+class Drain(Struct):
+    """Graceful shutdown."""
+
+    # Time for the balancer to notice before requests are refused.
+    notice_s: Positive = 1.0
+    # Longest time given to requests in flight.
+    limit_s: Positive = 60.0
+
+
+class Settings(Struct):
+    """All settings of one entry process."""
+
+    id: Name
+    domain: Name
+    # All failure domains of the deployment, in a fixed order.
+    domains: Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+    listen: Listen
+    platform: Platform
+    seeds: tuple[Seed, ...] = ()
+    log: Log = Log()
+    membership: Membership = Membership()
+    claims: Claims = Claims()
+    tasks: Tasks = Tasks()
+    requests: Requests = Requests()
+    keys: Keys = Keys()
+    drain: Drain = Drain()
+    log_file: str | None = None
+
+
+def load_settings(
+    path: pathlib.Path,
+) -> result.Result[Settings, list[validation.Fault]]:
+    """Reads and checks a settings file; Err lists every fault."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return result.Err([validation.Fault("$", f"cannot be read: {error}")])
+    return decode_settings(text)
+
+
+def decode_settings(
+    text: bytes,
+) -> result.Result[Settings, list[validation.Fault]]:
+    """Decodes and checks the JSON of a settings file."""
+    decoded = validation.decode_document(text, Settings)
+    if decoded.is_err():
+        return decoded
+    faults = check_settings(decoded.ok_value)
+    return result.Err(faults) if faults else decoded
+
+
+def check_settings(settings: Settings) -> list[validation.Fault]:
+    """Lists faults between settings that are each valid by themselves."""
+    faults = _check_addresses(settings)
+    if settings.domain not in settings.domains:
+        faults.append(
+            validation.Fault("$.domain", "is not listed in $.domains")
+        )
+    if len(set(settings.domains)) != len(settings.domains):
+        faults.append(validation.Fault("$.domains", "lists a domain twice"))
+    claims = settings.claims
+    if claims.renew_s * 2 > claims.ttl_s:
+        faults.append(
+            validation.Fault(
+                "$.claims.renew_s", "must be at most half of $.claims.ttl_s"
+            )
+        )
+    if settings.keys.window_s * 2 > settings.log.retention_s:
+        faults.append(
+            validation.Fault(
+                "$.keys.window_s",
+                "must be at most half of $.log.retention_s",
+            )
+        )
+    if settings.log.snapshot_age_s * 2 > settings.log.retention_s:
+        faults.append(
+            validation.Fault(
+                "$.log.snapshot_age_s",
+                "must be at most half of $.log.retention_s",
+            )
+        )
+    membership = settings.membership
+    if membership.drop_intervals < membership.suspect_intervals:
+        faults.append(
+            validation.Fault(
+                "$.membership.drop_intervals",
+                "must not be below $.membership.suspect_intervals",
+            )
+        )
+    return faults
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits a checked `ip:port` into its parts."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _check_addresses(settings: Settings) -> list[validation.Fault]:
+    named = {
+        "$.listen.callers": settings.listen.callers,
+        "$.listen.operators": settings.listen.operators,
+        "$.listen.peers": settings.listen.peers,
+        "$.platform.log": settings.platform.log,
+        "$.platform.instances": settings.platform.instances,
+    }
+    for index, seed in enumerate(settings.seeds):
+        named[f"$.seeds[{index}].peer_address"] = seed.peer_address
+    return [
+        validation.Fault(path, f"{address!r} is not of the form ip:port")
+        for path, address in named.items()
+        if not _is_address(address)
+    ]
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) < 65536
+    except ValueError:
+        return False
--- /dev/null
+++ b/plantainvane/workers.py
@@ -0,0 +1,255 @@
+"""Client of a worker; the only module that knows its interface.
+
+Properties relied on: a worker refuses a start beyond its capacity (this is how
+"guards on" is read); it refuses every command below the highest epoch it has
+seen; a start is idempotent by (task, attempt), also after the attempt ended; an
+attempt whose lease lapses is stopped; the listing keeps ended attempts for
+10 minutes. Without the refusal of lower epochs, a paused owner is held back
+only by the check of its claim before each command.
+
+Dialect, HTTP/1.1 with JSON:
+  POST /attempts       StartCommand  -> 200; 409 {"reason": "capacity"}
+  POST /renewals       RenewCommand  -> 200 {"renewed": [[task, attempt]...]}
+  POST /stops          AttemptsCommand -> 200 (accepted; see the listing)
+  POST /checkpoints    AttemptsCommand -> 200 (accepted; see the listing)
+  POST /throttles      ThrottleCommand -> 200
+  POST /listing        {"epoch": int} -> 200 Listing (also raises the epoch)
+  GET  /usage          200 UsageReport
+  412 {"epoch": int}   on any command with a lower epoch
+"""
+
+import enum
+from typing import Any
+
+import httpx
+import msgspec
+import result
+
+from plantainvane import documents
+from plantainvane import outcomes
+from plantainvane import settings as settings_module
+
+
+class AttemptState(enum.StrEnum):
+    """State of an attempt as the worker reports it."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+
+
+class AttemptRef(msgspec.Struct, frozen=True, array_like=True):
+    """Names one attempt of one task; encoded as [task, attempt]."""
+
+    task: str
+    attempt: int
+
+
+class StartCommand(msgspec.Struct, frozen=True):
+    """Starts an attempt, from `checkpoint` if one is named."""
+
+    task: str
+    attempt: int
+    epoch: int
+    lease_s: float
+    size: documents.Size
+    batch_class: str
+    work: dict[str, Any]
+    checkpoint: str | None = None
+
+
+class RenewCommand(msgspec.Struct, frozen=True):
+    """Extends the leases of attempts to `lease_s` from now."""
+
+    epoch: int
+    lease_s: float
+    attempts: list[AttemptRef]
+
+
+class RenewReply(msgspec.Struct, frozen=True):
+    """Attempts that run and were renewed."""
+
+    renewed: list[AttemptRef]
+
+
+class AttemptsCommand(msgspec.Struct, frozen=True):
+    """A stop or checkpoint command for several attempts."""
+
+    epoch: int
+    attempts: list[AttemptRef]
+
+
+class ThrottleCommand(msgspec.Struct, frozen=True):
+    """Limits attempts to `share` (0 to 1] of their declared processors."""
+
+    epoch: int
+    share: float
+    attempts: list[AttemptRef]
+
+
+class ListedAttempt(msgspec.Struct, frozen=True):
+    """An attempt in a worker's listing.
+
+    `checkpoint` names the newest complete checkpoint, and `checkpointed` is
+    true once a requested checkpoint is complete.
+    """
+
+    task: str
+    attempt: int
+    epoch: int
+    state: AttemptState
+    batch_class: str
+    size: documents.Size
+    checkpoint: str | None = None
+    checkpointed: bool = False
+    detail: str = ""
+    output: Any = None
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All attempts that the worker knows, running or ended."""
+
+    worker: str
+    size: documents.Size
+    attempts: list[ListedAttempt]
+
+
+class AttemptUsage(msgspec.Struct, frozen=True):
+    """Measured use of one attempt."""
+
+    task: str
+    attempt: int
+    batch_class: str
+    processors: float
+    memory_bytes: int
+
+
+class ServiceUsage(msgspec.Struct, frozen=True):
+    """Measured latency of one service class on the worker."""
+
+    service_class: str
+    p99_ms: float
+    requests: int
+
+
+class UsageSample(msgspec.Struct, frozen=True):
+    """One sample; `age_s` is how long ago it was taken."""
+
+    age_s: float
+    attempts: list[AttemptUsage]
+    services: list[ServiceUsage]
+
+
+class UsageReport(msgspec.Struct, frozen=True):
+    """Samples of the last seconds, oldest first."""
+
+    worker: str
+    samples: list[UsageSample]
+
+
+_ENCODER = msgspec.json.Encoder()
+
+
+def make_client(
+    settings: settings_module.Settings, address: str
+) -> httpx.AsyncClient:
+    """Creates the HTTP client for the worker at `address` (`ip:port`)."""
+    return httpx.AsyncClient(
+        base_url=f"http://{address}",
+        timeout=settings.tasks.call_timeout_s,
+        limits=httpx.Limits(max_connections=2),
+        trust_env=False,
+    )
+
+
+async def start_attempt(
+    client: httpx.AsyncClient, command: StartCommand
+) -> result.Result[None, outcomes.CallError]:
+    """Starts an attempt; Err LOST means that it may be running."""
+    reply = await _post(client, "/attempts", command)
+    return reply.map(lambda _: None)
+
+
+async def renew_attempts(
+    client: httpx.AsyncClient, command: RenewCommand
+) -> result.Result[list[AttemptRef], outcomes.CallError]:
+    """Renews leases and returns the attempts that were renewed."""
+    reply = await _post(client, "/renewals", command)
+    return reply.and_then(lambda body: _decode(body, RenewReply)).map(
+        lambda decoded: decoded.renewed
+    )
+
+
+async def stop_attempts(
+    client: httpx.AsyncClient, command: AttemptsCommand
+) -> result.Result[None, outcomes.CallError]:
+    """Asks the worker to stop attempts; the listing confirms it."""
+    return (await _post(client, "/stops", command)).map(lambda _: None)
+
+
+async def checkpoint_attempts(
+    client: httpx.AsyncClient, command: AttemptsCommand
+) -> result.Result[None, outcomes.CallError]:
+    """Asks the worker to checkpoint attempts; the listing confirms it."""
+    return (await _post(client, "/checkpoints", command)).map(lambda _: None)
+
+
+async def throttle_attempts(
+    client: httpx.AsyncClient, command: ThrottleCommand
+) -> result.Result[None, outcomes.CallError]:
+    """Limits or releases the processors of attempts."""
+    return (await _post(client, "/throttles", command)).map(lambda _: None)
+
+
+async def list_attempts(
+    client: httpx.AsyncClient, epoch: int
+) -> result.Result[Listing, outcomes.CallError]:
+    """Raises the worker's epoch to `epoch` and lists its attempts."""
+    reply = await _post(client, "/listing", {"epoch": epoch})
+    return reply.and_then(lambda body: _decode(body, Listing))
+
+
+async def fetch_usage(
+    client: httpx.AsyncClient,
+) -> result.Result[UsageReport, outcomes.CallError]:
+    """Fetches the lagging usage report."""
+    try:
+        reply = await client.get("/usage")
+        reply.raise_for_status()
+    except httpx.HTTPError as error:
+        return result.Err(
+            outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+        )
+    return _decode(reply.content, UsageReport)
+
+
+async def _post(
+    client: httpx.AsyncClient, path: str, command: Any
+) -> result.Result[bytes, outcomes.CallError]:
+    failure = outcomes.CallFailure
+    try:
+        reply = await client.post(path, content=_ENCODER.encode(command))
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as e:
+        return result.Err(outcomes.CallError(failure.UNREACHED, str(e)))
+    except httpx.HTTPError as error:
+        return result.Err(outcomes.CallError(failure.LOST, str(error)))
+    if reply.status_code == 200:
+        return result.Ok(reply.content)
+    if reply.status_code == 412:
+        return result.Err(outcomes.CallError(failure.STALE, reply.text))
+    if reply.status_code == 409:
+        return result.Err(outcomes.CallError(failure.REFUSED, reply.text))
+    return result.Err(
+        outcomes.CallError(failure.LOST, f"status {reply.status_code}")
+    )
+
+
+def _decode(body: bytes, kind: Any) -> result.Result[Any, outcomes.CallError]:
+    try:
+        return result.Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return result.Err(
+            outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+        )
