--- a/plantainvane/log.py
+++ b/plantainvane/log.py
@@ -12,6 +12,7 @@
          "records": [{"offset": int, "record": {...}}]}
     `earliest` is the first retained offset, `next` the offset of the next
     append. Waits up to `wait_s` for the first record at or after `from`.
+  Every request names its sender's process id in the header `Client-Id`.
 """
 
 import httpx
@@ -56,6 +57,7 @@
     return httpx.AsyncClient(
         base_url=f"http://{settings.platform.log}",
         timeout=settings.log.call_timeout_s,
+        headers={"Client-Id": settings.id},
         trust_env=False,
     )
 
