--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -37,4 +37,16 @@
     )
 
 
+APPEND_LIMITED = Event(101, "append_limited", Level.WARNING)
+APPEND_REPLY_LOST = Event(102, "append_reply_lost", Level.WARNING)
+APPEND_RESOLVED = Event(103, "append_resolved", Level.INFO)
+APPEND_UNRESOLVED = Event(104, "append_unresolved", Level.ERROR)
+APPEND_REFUSED = Event(105, "append_refused", Level.WARNING)
+READ_FAILING = Event(111, "read_failing", Level.WARNING)
+READ_RECOVERED = Event(112, "read_recovered", Level.INFO)
+STREAM_UNREADABLE = Event(113, "stream_unreadable", Level.ERROR)
+STREAM_READABLE = Event(114, "stream_readable", Level.INFO)
+RECORD_UNDECODABLE = Event(115, "record_undecodable", Level.ERROR)
+STREAM_SHORTENED = Event(116, "stream_shortened", Level.ERROR)
+
 PROCESS_STARTED = Event(701, "process_started", Level.INFO)
--- a/plantainvane/log.py
+++ b/plantainvane/log.py
@@ -11,7 +11,8 @@
     200 {"earliest": int, "next": int,
          "records": [{"offset": int, "record": {...}}]}
     `earliest` is the first retained offset, `next` the offset of the next
-    append. Waits up to `wait_s` for the first record at or after `from`.
+    append. Waits up to `wait_s` for the first record at or after `from`; a
+    `from` above `next` is allowed and yields no records.
   Every request names its sender's process id in the header `Client-Id`.
 """
 
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -60,6 +60,8 @@
     poll_wait_s: Positive = 2.0
     # A record absent this long after a lost reply is appended again.
     append_settle_s: Positive = 2.0
+    # An append that is still limited or unresolved after this is given up.
+    append_limit_s: Positive = 10.0
     # Records a stream may hold after its last snapshot before the next one.
     snapshot_records: Count = 2000
     snapshot_age_s: Positive = 600.0
--- /dev/null
+++ b/plantainvane/writers.py
@@ -0,0 +1,343 @@
+"""Group commit to one stream of the platform's log.
+
+At most one append per stream is under way, so the sequences of a writer reach
+the stream in order. A writer is silent until its `run` is running.
+"""
+
+import collections
+import dataclasses
+import random
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+import result
+
+from plantainvane import events
+from plantainvane import log
+from plantainvane import outcomes
+from plantainvane import records
+from plantainvane import settings as settings_module
+
+_ENCODER = msgspec.json.Encoder()
+
+# Offset above every real one; a read from it returns only the stream's end.
+_END_OFFSET = 2**62
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """One run of an entry process.
+
+    Attributes:
+      id: Id of the process, from its settings.
+      incarnation: Start time in milliseconds since the Unix epoch.
+    """
+
+    id: str
+    incarnation: int
+
+
+class _Header(msgspec.Struct, frozen=True):
+    """Common fields of all records, whatever their kind."""
+
+    writer: str
+    incarnation: int
+    sequence: int
+
+
+_HEADER_DECODER = msgspec.json.Decoder(_Header)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Item:
+    """A record that waits for its offset."""
+
+    sequence: int
+    encoded: bytes
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    outcome: result.Result[int, outcomes.CallError] | None = None
+
+    def finish(self, outcome: result.Result[int, outcomes.CallError]) -> None:
+        self.outcome = outcome
+        self.done.set()
+
+
+class Writer:
+    """Appends the records of one process to one stream."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        client: httpx.AsyncClient,
+        identity: Identity,
+        stream: str,
+    ):
+        self.settings = settings
+        self.client = client
+        self.identity = identity
+        self.stream = stream
+        self.linger_s = settings.log.linger_s
+        self._sequence = 0
+        self._queue: collections.deque[_Item] = collections.deque()
+        self._batch: list[_Item] = []
+        self._arrived = anyio.Event()
+        self._stopped = False
+        # Offset that is not above the next append's, and when it was read.
+        self._known_next = 0
+        self._known_at = float("-inf")
+        self._sent_at = float("-inf")
+        self._appends = 0
+        self._appended = 0
+
+    async def append(
+        self, kind: type[records.Record], **fields: Any
+    ) -> result.Result[int, outcomes.CallError]:
+        """Appends a record of `kind` with `fields`.
+
+        A caller that is cancelled before the record was sent withdraws it.
+
+        Returns:
+          Ok with the offset. Err LOST when it could not be found out within
+          `log.append_limit_s` whether the record took effect; it may still do
+          so. After every other error it never does.
+        """
+        if self._stopped:
+            return _fail(
+                outcomes.CallFailure.UNREACHED, "the writer has stopped"
+            )
+        self._sequence += 1
+        record = kind(
+            writer=self.identity.id,
+            incarnation=self.identity.incarnation,
+            sequence=self._sequence,
+            **fields,
+        )
+        item = _Item(self._sequence, _ENCODER.encode(record))
+        self._queue.append(item)
+        self._arrived.set()
+        try:
+            await item.done.wait()
+        finally:
+            if item.outcome is None and item in self._queue:
+                self._queue.remove(item)
+        return item.outcome
+
+    def is_sender(self, record: records.Record) -> bool:
+        """Tells whether this run of this process wrote `record`."""
+        return (record.writer, record.incarnation) == (
+            self.identity.id,
+            self.identity.incarnation,
+        )
+
+    async def run(self) -> None:
+        """Sends what `append` queues, until it is cancelled."""
+        try:
+            while True:
+                await self._arrived.wait()
+                await self._linger()
+                self._take_batch(self.settings.log.batch_records)
+                if self._batch:
+                    await self._send_batch()
+        finally:
+            self._stop()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Describes the queue and the append under way; sizes in records."""
+        return {
+            "stream": self.stream,
+            "queued": len(self._queue),
+            "in_flight": len(self._batch),
+            "in_flight_s": round(now - self._sent_at, 3) if self._batch else 0,
+            "linger_s": self.linger_s,
+            "appends": self._appends,
+            "appended_records": self._appended,
+            "last_sequence": self._sequence,
+        }
+
+    async def _linger(self) -> None:
+        """Waits until `linger_s` after the last append was sent.
+
+        A record that arrives at a quiet writer is thus sent at once, while the
+        appends of a busy one stay `linger_s` apart.
+        """
+        due = self._sent_at + self.linger_s
+        if len(self._queue) < self.settings.log.batch_records:
+            await anyio.sleep(max(0.0, due - anyio.current_time()))
+
+    def _take_batch(self, limit: int) -> None:
+        size = min(len(self._queue), limit)
+        self._batch = [self._queue.popleft() for _ in range(size)]
+        if not self._queue:
+            self._arrived = anyio.Event()
+
+    async def _send_batch(self) -> None:
+        outcome = await self._commit_batch()
+        batch, self._batch = self._batch, []
+        for index, item in enumerate(batch):
+            item.finish(outcome.map(lambda first, index=index: first + index))
+        if outcome.is_ok():
+            self._appended += len(batch)
+            after = outcome.ok_value + len(batch)
+            self._learn_next(max(self._known_next, after))
+            self.linger_s = max(self.settings.log.linger_s, self.linger_s / 2)
+
+    async def _commit_batch(self) -> result.Result[int, outcomes.CallError]:
+        """Brings the batch into the stream; Ok with its first offset."""
+        give_up_at = anyio.current_time() + self.settings.log.append_limit_s
+        known = await self._refresh_next()
+        if known.is_err():
+            return known
+        while True:
+            reply = await self._append_batch()
+            if reply.is_ok():
+                return reply
+            failure = reply.err_value.failure
+            if failure == outcomes.CallFailure.LOST:
+                return await self._resolve_batch(give_up_at)
+            if failure != outcomes.CallFailure.LIMITED:
+                self._log_error(events.APPEND_REFUSED, reply.err_value)
+                return reply
+            if anyio.current_time() + self.linger_s > give_up_at:
+                return reply
+            await self._back_off()
+
+    async def _append_batch(self) -> result.Result[int, outcomes.CallError]:
+        self._sent_at = anyio.current_time()
+        self._appends += 1
+        return await log.append_records(
+            self.client, self.stream, [item.encoded for item in self._batch]
+        )
+
+    async def _resolve_batch(
+        self, give_up_at: float
+    ) -> result.Result[int, outcomes.CallError]:
+        """Finds out by reading whether an append with a lost reply counts.
+
+        The answer to a repeated append is not used: the first copy may have
+        come late, and only the copy with the lowest offset counts.
+        """
+        events.log_event(events.APPEND_REPLY_LOST, stream=self.stream)
+        settle_s = self.settings.log.append_settle_s
+        scan_from = self._known_next
+        failures = 0
+        while anyio.current_time() < give_up_at:
+            settled_at = self._sent_at + settle_s
+            # The wait ends as soon as a late copy takes effect.
+            wait_s = max(0.0, settled_at - anyio.current_time())
+            reply = await log.read_records(
+                self.client, self.stream, scan_from, wait_s
+            )
+            if reply.is_err():
+                failures += 1
+                await anyio.sleep(compute_delay(self.settings.log, failures))
+                continue
+            page = reply.ok_value
+            if page.earliest > scan_from:
+                break
+            offset = self._find_offset(page)
+            if offset is not None:
+                events.log_event(events.APPEND_RESOLVED, stream=self.stream)
+                return result.Ok(offset)
+            if page.records:
+                scan_from = page.records[-1].offset + 1
+            at_end = scan_from >= page.next
+            if at_end and anyio.current_time() >= settled_at:
+                await self._append_batch()
+        error = outcomes.CallError(
+            outcomes.CallFailure.LOST,
+            "it is not known whether the append took effect",
+        )
+        self._log_error(events.APPEND_UNRESOLVED, error)
+        return result.Err(error)
+
+    def _find_offset(self, page: log.Page) -> int | None:
+        """Returns the offset of the batch's first record in `page`."""
+        first = self._batch[0].sequence
+        for entry in page.records:
+            try:
+                header = _HEADER_DECODER.decode(entry.record)
+            except msgspec.MsgspecError:
+                continue
+            if self.is_sender(header) and header.sequence == first:
+                return entry.offset
+        return None
+
+    async def _refresh_next(self) -> result.Result[None, outcomes.CallError]:
+        """Makes sure that `_known_next` is recent enough to read from.
+
+        Older than `log.snapshot_age_s`, it could be past the retention.
+        """
+        age_s = anyio.current_time() - self._known_at
+        if age_s <= self.settings.log.snapshot_age_s:
+            return result.Ok(None)
+        reply = await log.read_records(self.client, self.stream, _END_OFFSET)
+        if reply.is_err():
+            # Nothing was sent, so even a lost reply leaves no doubt.
+            failure = reply.err_value.failure
+            if failure == outcomes.CallFailure.LOST:
+                failure = outcomes.CallFailure.UNREACHED
+            return _fail(failure, reply.err_value.detail)
+        self._learn_next(reply.ok_value.next)
+        return result.Ok(None)
+
+    def _learn_next(self, next_offset: int) -> None:
+        self._known_next = next_offset
+        self._known_at = anyio.current_time()
+
+    async def _back_off(self) -> None:
+        """Waits longer after each refusal, and fills the batch meanwhile."""
+        limit_s = self.settings.log.linger_max_s
+        if self.linger_s == self.settings.log.linger_s:
+            events.log_event(events.APPEND_LIMITED, stream=self.stream)
+        self.linger_s = min(limit_s, self.linger_s * 2)
+        await anyio.sleep(_add_jitter(self.linger_s))
+        batch = self._batch
+        self._take_batch(self.settings.log.batch_records - len(batch))
+        self._batch = batch + self._batch
+
+    def _log_error(
+        self, event: events.Event, error: outcomes.CallError
+    ) -> None:
+        events.log_event(
+            event,
+            stream=self.stream,
+            records=len(self._batch),
+            failure=error.failure.value,
+            detail=error.detail,
+        )
+
+    def _stop(self) -> None:
+        """Ends every wait; the records under way may still take effect."""
+        self._stopped = True
+        detail = "the writer has stopped"
+        for item in self._batch:
+            item.finish(_fail(outcomes.CallFailure.LOST, detail))
+        for item in self._queue:
+            item.finish(_fail(outcomes.CallFailure.UNREACHED, detail))
+        self._queue.clear()
+
+
+def compute_delay(settings: settings_module.Log, failures: int) -> float:
+    """Returns the seconds to wait after the given count of failed calls.
+
+    The delay doubles from `linger_s` up to `linger_max_s` and is jittered.
+    """
+    # Beyond 2**10 the delay is at its limit with any sensible settings.
+    factor = 2 ** min(failures, 10)
+    return _add_jitter(min(settings.linger_max_s, settings.linger_s * factor))
+
+
+def _add_jitter(delay_s: float) -> float:
+    """Spreads a delay over half to one and a half of itself.
+
+    Processes that were refused together would otherwise return together.
+    """
+    return delay_s * random.uniform(0.5, 1.5)
+
+
+def _fail(
+    failure: outcomes.CallFailure, detail: str
+) -> result.Err[outcomes.CallError]:
+    return result.Err(outcomes.CallError(failure, detail))
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,7 +1,7 @@
 """Faults that a stand-in's HTTP interface shows, switched at run time.
 
 `GET /faults` shows what is switched on and `POST /faults` changes the named
-fields; both work while the stand-in is down:
+fields. `/faults` and `/stats` show no faults themselves:
 
     switch = faults.FaultSwitch(faults.Faults())
     application = faults.add_faults(application, switch, is_action)
@@ -96,6 +96,9 @@
         if scope["path"] == "/faults":
             await control(scope, receive, send)
             return
+        if scope["path"] == "/stats":
+            await application(scope, receive, send)
+            return
         if switch.refuses(scope):
             await _send_refusal(send)
             return
--- a/tests/log_server.py
+++ b/tests/log_server.py
@@ -1,8 +1,11 @@
 """Runs the log's stand-in within a test."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import dataclasses
+import json
 import socket
 from typing import Any
 
@@ -79,6 +82,79 @@
                 stopped.set()
 
 
+class ScriptedTransport(httpx.AsyncBaseTransport):
+    """Calls the stand-in without a network; appends follow a script.
+
+    Each entry of `script` handles one append: it is called with the request
+    and the function that forwards a request to the stand-in. Appends beyond
+    the script are forwarded.
+    """
+
+    def __init__(self, state: log_service.LogState):
+        self.script: list[Behaviour] = []
+        self._inner = httpx.ASGITransport(log_service.make_application(state))
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Handles one request."""
+        forward = self._inner.handle_async_request
+        if request.method == "POST" and self.script:
+            return await self.script.pop(0)(request, forward)
+        return await forward(request)
+
+
+Forward = Callable[[httpx.Request], Awaitable[httpx.Response]]
+Behaviour = Callable[[httpx.Request, Forward], Awaitable[httpx.Response]]
+
+
+async def lose_reply(request: httpx.Request, forward: Forward) -> Any:
+    """The append takes effect and its reply is lost."""
+    await forward(request)
+    raise httpx.ReadError("reply lost", request=request)
+
+
+async def lose_request(request: httpx.Request, forward: Forward) -> Any:
+    """The append never takes effect, but the sender cannot know it."""
+    raise httpx.ReadTimeout("request lost", request=request)
+
+
+async def limit_rate(request: httpx.Request, forward: Forward) -> Any:
+    """The append is refused by the rate limit."""
+    return httpx.Response(429, request=request)
+
+
+@dataclasses.dataclass(slots=True)
+class LocalLog:
+    """A stand-in that is called without a network."""
+
+    state: log_service.LogState
+    settings: settings_module.Settings
+    transport: ScriptedTransport
+    client: httpx.AsyncClient
+
+    def list_records(self, stream: str) -> list[dict[str, Any]]:
+        """Returns the retained records of a stream as JSON objects."""
+        page = self.state.read_page(stream, 0, 10**6, now=0.0)
+        return [entry["record"] for entry in json.loads(page)["records"]]
+
+
+def make_local_log(
+    log_fields: dict[str, Any] | None = None, **service_fields: Any
+) -> LocalLog:
+    """Makes a new, empty log that is called without a network."""
+    address = "127.0.0.1:9"
+    state = log_service.LogState(
+        log_service.Settings(address, **service_fields)
+    )
+    transport = ScriptedTransport(state)
+    client = httpx.AsyncClient(
+        base_url=f"http://{address}", transport=transport
+    )
+    settings = make_settings(address, **(log_fields or {}))
+    return LocalLog(state, settings, transport, client)
+
+
 async def _wait_ready(client: httpx.AsyncClient) -> None:
     while True:
         with contextlib.suppress(httpx.HTTPError):
--- /dev/null
+++ b/tests/test_writers.py
@@ -0,0 +1,227 @@
+"""Tests of plantainvane.writers against the log's stand-in."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Any
+
+import anyio
+import pytest
+
+from plantainvane import outcomes
+from plantainvane import readers
+from plantainvane import records
+from plantainvane import writers
+from tests import log_server
+
+pytestmark = pytest.mark.anyio
+
+IDENTITY = writers.Identity("entry-1", 1000)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def run_writer(
+    local: log_server.LocalLog,
+) -> AsyncIterator[writers.Writer]:
+    writer = writers.Writer(
+        local.settings, local.client, IDENTITY, records.KEYS_STREAM
+    )
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as group:
+            group.start_soon(writer.run)
+            yield writer
+            group.cancel_scope.cancel()
+
+
+async def append_key(writer: writers.Writer, key: str) -> Any:
+    return await writer.append(records.KeyClaim, key=key, issued=1.0)
+
+
+def list_keys(local: log_server.LocalLog) -> list[str]:
+    return [record["key"] for record in local.list_records("keys")]
+
+
+async def test_concurrent_records_share_appends():
+    """Guards against one append per record, which the rate limit forbids."""
+    local = log_server.make_local_log()
+    offsets: dict[str, int] = {}
+    async with run_writer(local) as writer:
+
+        async def append(key: str) -> None:
+            offsets[key] = (await append_key(writer, key)).unwrap()
+
+        async with anyio.create_task_group() as group:
+            for index in range(100):
+                group.start_soon(append, f"k{index}")
+    keys = list_keys(local)
+    assert {key: keys.index(key) for key in keys} == offsets
+    assert local.state.make_stats()["appends"] <= 2
+
+
+async def test_lost_reply_takes_effect_once():
+    """Guards against a record appended twice because its reply was lost."""
+    local = log_server.make_local_log()
+    local.transport.script = [log_server.lose_reply]
+    async with run_writer(local) as writer:
+        assert (await append_key(writer, "a")).unwrap() == 0
+        assert (await append_key(writer, "b")).unwrap() == 1
+    assert list_keys(local) == ["a", "b"]
+
+
+async def test_lost_request_is_appended_again():
+    """Guards against a record dropped because its request was lost."""
+    local = log_server.make_local_log()
+    local.transport.script = [log_server.lose_request]
+    async with run_writer(local) as writer:
+        assert (await append_key(writer, "a")).unwrap() == 0
+    assert list_keys(local) == ["a"]
+
+
+async def test_late_copy_is_a_repeat():
+    """Guards against a delayed append that takes effect a second time."""
+    local = log_server.make_local_log()
+    delayed = []
+
+    async def delay(request: Any, forward: log_server.Forward) -> Any:
+        delayed.append(request)
+        return await log_server.lose_request(request, forward)
+
+    async def land_late(request: Any, forward: log_server.Forward) -> Any:
+        await forward(delayed[0])
+        return await forward(request)
+
+    local.transport.script = [delay, land_late]
+    async with run_writer(local) as writer:
+        offset = (await append_key(writer, "a")).unwrap()
+    seen = readers.SeenSequences()
+    copies = [
+        seen.add_record(records.KeyClaim(**fields_of(record)))
+        for record in local.list_records("keys")
+    ]
+    assert copies == [True, False]
+    # The copy that counts is the first one, not the acknowledged one.
+    assert offset == 0
+
+
+def fields_of(record: dict[str, Any]) -> dict[str, Any]:
+    return {name: item for name, item in record.items() if name != "kind"}
+
+
+async def test_rate_limit_backs_off_and_widens_the_batch():
+    """Guards against hammering a log that asked for fewer appends."""
+    local = log_server.make_local_log()
+    local.transport.script = [log_server.limit_rate] * 3
+    async with run_writer(local) as writer:
+        lingers = []
+
+        async def append(key: str) -> None:
+            (await append_key(writer, key)).unwrap()
+            lingers.append(writer.linger_s)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(append, "a")
+            while not writer.dump_state(0.0)["appends"]:
+                await anyio.sleep(0)
+            group.start_soon(append, "b")
+    base_s = local.settings.log.linger_s
+    # Doubled three times, then halved by the append that succeeded.
+    assert lingers == [4 * base_s, 4 * base_s]
+    assert list_keys(local) == ["a", "b"]
+    assert local.state.make_stats()["appends"] == 1
+
+
+async def test_lasting_rate_limit_is_reported():
+    """Guards against callers that wait for ever behind the rate limit."""
+    local = log_server.make_local_log({"append_limit_s": 0.02})
+    local.transport.script = [log_server.limit_rate] * 1000
+    async with run_writer(local) as writer:
+        error = (await append_key(writer, "a")).err_value
+    assert error.failure == outcomes.CallFailure.LIMITED
+    assert list_keys(local) == []
+
+
+async def test_unresolved_append_is_lost():
+    """Guards against a definite answer where the outcome is not known."""
+    async with log_server.run_log({"append_limit_s": 0.1}) as server:
+        writer = writers.Writer(
+            server.settings, server.client, IDENTITY, records.KEYS_STREAM
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(writer.run)
+            (await append_key(writer, "a")).unwrap()
+            await server.switch_faults(lose_replies=True, slow=0.05)
+            outcome = []
+
+            async def append() -> None:
+                outcome.append(await append_key(writer, "b"))
+
+            async with anyio.create_task_group() as appending:
+                appending.start_soon(append)
+                while server.state.make_stats()["records"] < 2:
+                    await anyio.sleep(0.001)
+                await server.switch_faults(down=True)
+            group.cancel_scope.cancel()
+    assert outcome[0].err_value.failure == outcomes.CallFailure.LOST
+
+
+async def test_outage_is_reported_at_once():
+    """Guards against requests that hang while the log is down."""
+    async with log_server.run_log() as server:
+        writer = writers.Writer(
+            server.settings, server.client, IDENTITY, records.KEYS_STREAM
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(writer.run)
+            (await append_key(writer, "a")).unwrap()
+            await server.switch_faults(down=True)
+            error = (await append_key(writer, "b")).err_value
+            await server.switch_faults(down=False)
+            offset = (await append_key(writer, "c")).unwrap()
+            group.cancel_scope.cancel()
+    assert error.failure == outcomes.CallFailure.REFUSED
+    assert offset == 1
+
+
+async def test_cancelled_caller_withdraws_an_unsent_record():
+    """Guards against a claim that is sent after its caller gave up."""
+    local = log_server.make_local_log({"linger_s": 0.05})
+    async with run_writer(local) as writer:
+        (await append_key(writer, "a")).unwrap()
+        with anyio.move_on_after(0.001):
+            await append_key(writer, "withdrawn")
+        (await append_key(writer, "b")).unwrap()
+    assert list_keys(local) == ["a", "b"]
+
+
+async def test_stopping_ends_every_wait():
+    """Guards against callers that hang while the process shuts down."""
+    local = log_server.make_local_log({"linger_s": 0.001})
+    held = anyio.Event()
+
+    async def hold(request: Any, forward: log_server.Forward) -> Any:
+        held.set()
+        await anyio.sleep_forever()
+
+    local.transport.script = [hold]
+    failures = {}
+    async with (
+        anyio.create_task_group() as group,
+        run_writer(local) as writer,
+    ):
+
+        async def append(key: str) -> None:
+            reply = await append_key(writer, key)
+            failures[key] = reply.err_value.failure
+
+        group.start_soon(append, "sent")
+        await held.wait()
+        group.start_soon(append, "queued")
+        await anyio.wait_all_tasks_blocked()
+    assert failures == {
+        "sent": outcomes.CallFailure.LOST,
+        "queued": outcomes.CallFailure.UNREACHED,
+    }
