--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,111 @@
+"""Serving of stand-ins: in a process of their own or inside a test."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import pathlib
+import signal
+import socket
+import sys
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+
+from plantainvane import asgi
+
+# Requests that a fault keeps unanswered must not delay the end of a process.
+GRACEFUL_TIMEOUT_S = 0.2
+BODY_LIMIT_BYTES = 16_777_216
+
+
+def find_free_port(host: str = "127.0.0.1") -> int:
+    """Finds a TCP port of `host` that nothing listens on."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def find_free_address(host: str = "127.0.0.1") -> str:
+    """Finds a free address `ip:port`."""
+    return f"{host}:{find_free_port(host)}"
+
+
+async def serve_until(
+    application: asgi.Application, address: str, stop: anyio.Event
+) -> None:
+    """Serves `application` at `ip:port` until `stop` is set."""
+    await asgi.serve_application(
+        application, address, stop.wait, GRACEFUL_TIMEOUT_S
+    )
+
+
+async def wait_ready(address: str, timeout_s: float = 10.0) -> None:
+    """Waits until `GET /health` of `ip:port` answers 200.
+
+    Raises:
+      TimeoutError: It did not within `timeout_s`.
+    """
+    with anyio.fail_after(timeout_s):
+        async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
+            while not await _is_ready(client, address):
+                await anyio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def open_standin(
+    serve: Callable[[Any, anyio.Event], Awaitable[None]], settings: Any
+) -> AsyncIterator[str]:
+    """Serves a stand-in inside this process; yields its address once ready."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve, settings, stop)
+        await wait_ready(settings.listen)
+        yield settings.listen
+        stop.set()
+
+
+def load_settings(path: pathlib.Path, kind: Any) -> Any:
+    """Decodes a JSON settings file into the struct type `kind`.
+
+    Raises:
+      msgspec.ValidationError: The file does not match `kind`.
+    """
+    return msgspec.json.decode(path.read_bytes(), type=kind)
+
+
+def run_process(
+    kind: Any, serve: Callable[[Any, anyio.Event], Awaitable[None]]
+) -> None:
+    """Runs `serve` with `--settings FILE` until SIGTERM or SIGINT."""
+    if len(sys.argv) != 3 or sys.argv[1] != "--settings":
+        sys.exit("usage: python -m standins.NAME --settings FILE")
+    settings = load_settings(pathlib.Path(sys.argv[2]), kind)
+    anyio.run(_serve_until_signal, settings, serve)
+
+
+async def _serve_until_signal(
+    settings: Any, serve: Callable[[Any, anyio.Event], Awaitable[None]]
+) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_set_on_signal, stop)
+        await serve(settings, stop)
+        group.cancel_scope.cancel()
+
+
+async def _set_on_signal(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+
+
+async def _is_ready(client: httpx.AsyncClient, address: str) -> bool:
+    try:
+        reply = await client.get(f"http://{address}/health")
+    except httpx.HTTPError:
+        return False
+    return reply.status_code == 200
