Share the faults of the log's stand-in and end stand-ins cleanly

The gate now extends standins.faults, so that all stand-ins take the same fields and a POST changes only the named ones.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -201,7 +201,7 @@
 def _find_refusal(
     runner: Runner, run_class: RunClass | None, now: float
 ) -> str:
-    if runner.gate.faults.refuse:
+    if runner.gate.current.refuse:
         return "fault"
     if run_class is None:
         return "class"
@@ -224,7 +224,7 @@
 ) -> float:
     spread = 1 + run_class.spread * runner.random.uniform(-1, 1)
     factor = compute_factor(runner.settings, service_class, runner.pressure)
-    slow = runner.gate.faults.slow_factor
+    slow = runner.gate.current.slow_factor
     return run_class.run_ms / 1000 * spread * factor * slow
 
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -19,6 +19,7 @@
 # Requests that a fault keeps unanswered must not delay the end of a process.
 GRACEFUL_TIMEOUT_S = 0.2
 BODY_LIMIT_BYTES = 16_777_216
+_END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def find_free_port(host: str = "127.0.0.1") -> int:
@@ -92,15 +93,11 @@
 ) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_set_on_signal, stop)
-        await serve(settings, stop)
-        group.cancel_scope.cancel()
-
-
-async def _set_on_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stop.set()
+        group.start_soon(serve, settings, stop)
+        with anyio.open_signal_receiver(*_END_SIGNALS) as signals:
+            async for _ in signals:
+                stop.set()
+                break
 
 
 async def _is_ready(client: httpx.AsyncClient, address: str) -> bool:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -237,7 +237,7 @@
     ref = workers.AttemptRef(command.task, command.attempt)
     if ref in worker.attempts:
         return asgi.make_json_reply(200, {})
-    if worker.gate.faults.refuse or not _fits(worker, command.size):
+    if worker.gate.current.refuse or not _fits(worker, command.size):
         worker.refused.append(
             RefusedStart(command.task, command.attempt, "capacity", now)
         )
@@ -413,7 +413,7 @@
         attempt.checkpoint_at = None
     _do_steps(attempt, until)
     work = attempt.command.work
-    if worker.gate.faults.fail_everything:
+    if worker.gate.current.fail_everything:
         attempt.detail = "this worker fails every attempt"
         _end_attempt(worker, attempt, state.FAILED, until)
     elif attempt.entry.to_step >= work.get("steps", 0):
