--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,58 @@
+"""Tests of the documents and deployments in examples/."""
+
+import pathlib
+
+import msgspec
+import pytest
+
+from plantainvane import documents
+from plantainvane import settings as settings_module
+from plantainvane import validation
+from standins import launcher
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = sorted(EXAMPLES.glob("*.json"))
+
+
+@pytest.mark.parametrize("path", DEPLOYMENTS, ids=lambda path: path.stem)
+def test_documents_can_be_published_in_their_order(path):
+    """Guards against a deployment whose publishing stops half way."""
+    in_force = {}
+    for name in launcher.load_deployment(path).documents:
+        text = (path.parent / name).read_bytes()
+        decoded = validation.decode_document(text, documents.Document)
+        assert decoded.is_ok(), (name, decoded)
+        in_force[documents.get_key(decoded.ok_value)] = decoded.ok_value
+        assert documents.check_set(in_force) == [], name
+
+
+@pytest.mark.parametrize("path", DEPLOYMENTS, ids=lambda path: path.stem)
+def test_classes_of_the_load_are_published(path):
+    """Guards against load of classes that a deployment does not know."""
+    deployment = launcher.load_deployment(path)
+    names = {pathlib.PurePath(name).stem for name in deployment.documents}
+    assert deployment.requests.keys() <= names
+    assert deployment.tasks.keys() <= names
+    assert deployment.runner_classes.keys() == deployment.requests.keys()
+
+
+@pytest.mark.parametrize("path", DEPLOYMENTS, ids=lambda path: path.stem)
+def test_planned_settings_are_accepted(path, tmp_path):
+    """Guards against settings files that an entry process refuses."""
+    deployment = launcher.load_deployment(path)
+    cluster = launcher.plan_cluster(deployment, tmp_path)
+    for process in cluster.list_role("entry"):
+        file = tmp_path / f"{process.id}.json"
+        assert settings_module.load_settings(file).is_ok(), process.id
+    assert len(cluster.list_role("worker")) == deployment.workers
+    assert len(cluster.list_role("runner")) == deployment.workers
+
+
+def test_example_tasks_name_published_classes():
+    """Guards against example tasks that are refused."""
+    names = {path.stem for path in EXAMPLES.glob("*/*.json")}
+    for path in (EXAMPLES / "tasks").glob("*.json"):
+        task = msgspec.json.decode(path.read_bytes())
+        assert task["task"] == path.stem
+        assert task["batch_class"] in names
+        assert task["work"]["steps"] > 0
