--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,40 @@
+"""The catalogue of log events and the code hold each other."""
+
+import collections
+import pathlib
+import re
+
+from plantainvane import events
+
+ROOT = pathlib.Path(__file__).parent.parent
+ROW = re.compile(r"^\| (\d+) \| (\w+) \| (\w+) \| (.+) \| (.+) \|$")
+
+
+def list_events() -> dict[str, events.Event]:
+    return {
+        name: value
+        for name, value in vars(events).items()
+        if isinstance(value, events.Event)
+    }
+
+
+def test_catalogue_and_code_list_the_same_events():
+    # Guards against an alert that the person on call cannot look up, and
+    # against rows of events that no longer exist.
+    lines = (ROOT / "docs" / "events.md").read_text().splitlines()
+    rows = [match.groups() for line in lines if (match := ROW.match(line))]
+    catalogued = [(int(row[0]), row[1], row[2]) for row in rows]
+    in_code = [
+        (e.number, e.name, e.level.value) for e in list_events().values()
+    ]
+    assert catalogued == sorted(in_code)
+
+
+def test_numbers_and_names_are_used_once():
+    found = list_events()
+    for field in ("number", "name"):
+        counts = collections.Counter(getattr(e, field) for e in found.values())
+        assert [value for value, count in counts.items() if count > 1] == []
+    for name, event in found.items():
+        assert name == event.name.upper()
+        assert 101 <= event.number <= 799
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,205 @@
+"""Membership: suspicion, incarnations, peers, headroom, a whole session."""
+
+import time
+import types
+
+from plantainvane import membership
+from plantainvane import messages_pb2
+from plantainvane import settings as settings_module
+
+STARTED = int(time.time() * 1000)
+
+
+def make_settings(id, domain="a", seeds=(), **changes):
+    return settings_module.Settings(
+        id=id,
+        domain=domain,
+        domains=("a", "b", "c"),
+        listen=settings_module.Listen(
+            "127.0.0.1:1", "127.0.0.1:2", f"127.0.0.1:{1000 + len(id)}"
+        ),
+        platform=settings_module.Platform("127.0.0.1:3", "127.0.0.1:4"),
+        seeds=tuple(
+            settings_module.Seed(seed, dom, "127.0.0.1:9")
+            for seed, dom in seeds
+        ),
+        **changes,
+    )
+
+
+def make_member(id, domain="a", incarnation=STARTED, **changes):
+    identity = types.SimpleNamespace(id=id, incarnation=incarnation)
+    return membership.Membership(make_settings(id, domain, **changes), identity)
+
+
+def beat(source, now, ready=True, draining=False, version=0, load=()):
+    return source.make_heartbeat(
+        now,
+        ready=ready,
+        draining=draining,
+        config_version=version,
+        load=list(load),
+        with_heard=True,
+    )
+
+
+def list_ids(members):
+    return [member.id for member in members]
+
+
+def test_only_members_that_take_work_are_live():
+    mine, peer = make_member("e1"), make_member("e2")
+    for changes, live in [
+        ({"ready": False}, ["e1"]),
+        ({}, ["e1", "e2"]),
+        ({"draining": True}, ["e1"]),
+    ]:
+        assert mine.apply_heartbeat(beat(peer, 0.0, **changes), 0.0)
+        assert list_ids(mine.list_live("a", 0.0)) == live
+    assert mine.list_live("b", 0.0) == []
+
+
+def test_silence_suspects_then_drops():
+    # Guards against slots kept for a process that has died.
+    mine, peer = make_member("e1"), make_member("e2")
+    mine.apply_heartbeat(beat(peer, 0.0), 0.0)
+    assert list_ids(mine.list_live("a", 3.0)) == ["e1", "e2"]
+    assert list_ids(mine.list_live("a", 3.1)) == ["e1"]
+    assert mine.is_heard("e2", STARTED, 3.0)
+    assert not mine.is_heard("e2", STARTED, 3.1)
+    mine.review_members(10.0)
+    assert mine.find_member("e2") is not None
+    mine.review_members(10.1)
+    assert mine.find_member("e2") is None
+
+
+def test_late_heartbeats_change_nothing():
+    # Guards against a replaced stream whose old messages arrive last, and
+    # against reports of an incarnation that has ended.
+    mine, peer = make_member("e1"), make_member("e2")
+    first, second = beat(peer, 0.0), beat(peer, 0.0, draining=True)
+    assert mine.apply_heartbeat(second, 1.0)
+    assert not mine.apply_heartbeat(first, 2.0)
+    assert list_ids(mine.list_live("a", 2.0)) == ["e1"]
+    again = make_member("e2", incarnation=STARTED + 5)
+    assert mine.apply_heartbeat(beat(again, 0.0), 2.0)
+    assert not mine.apply_heartbeat(beat(peer, 0.0), 2.0)
+    assert mine.find_member("e2").incarnation == STARTED + 5
+    assert not mine.is_heard("e2", STARTED, 2.0)
+
+
+def test_a_restart_named_by_others_voids_the_old_report():
+    mine, peer, other = (make_member(id) for id in ("e1", "e2", "e3"))
+    mine.apply_heartbeat(beat(peer, 0.0), 0.0)
+    again = make_member("e2", incarnation=STARTED + 5)
+    other.apply_heartbeat(beat(again, 0.0), 0.0)
+    mine.apply_heartbeat(beat(other, 0.0), 0.0)
+    assert list_ids(mine.list_live("a", 0.0)) == ["e1", "e3"]
+
+
+def test_seeds_stay_peers_through_a_long_partition():
+    # Guards against a partition that never heals because both sides forgot.
+    mine = make_member("e1", seeds=[("e2", "a"), ("f1", "b")])
+    for source in (make_member("e2"), make_member("f1", "b")):
+        mine.apply_heartbeat(beat(source, 0.0), 0.0)
+    mine.review_members(1000.0)
+    assert list_ids(mine.list_peers(1000.0)) == ["e2", "f1"]
+
+
+def test_peers_in_other_domains_are_few_and_prefer_the_heard():
+    # Guards against heartbeat traffic that grows with the whole deployment.
+    seeds = [(f"f{index}", "b") for index in range(6)]
+    mine = make_member("e1", seeds=seeds)
+    assert len(mine.list_peers(0.0)) == 2
+    for index in range(5):
+        mine.apply_heartbeat(beat(make_member(f"e9{index}"), 0.0), 0.0)
+    source = make_member("f9", "b")
+    mine.apply_heartbeat(beat(source, 0.0), 0.0)
+    peers = list_ids(mine.list_peers(0.0))
+    assert len(peers) == 7
+    assert "f9" in peers
+    tried = {
+        id
+        for now in range(0, 400, 20)
+        for id in list_ids(mine.list_peers(1000.0 + now))
+    }
+    assert tried >= {id for id, _ in seeds}, "a silent seed is never tried"
+
+
+def test_headroom_is_bounded_between_heartbeats():
+    # Guards against one busy domain that fills another within a heartbeat.
+    mine, remote = make_member("e1"), make_member("f1", "b")
+    near = make_member("e2")
+    mine.apply_heartbeat(beat(near, 0.0, load=[("quick", 0, 50)]), 0.0)
+    assert mine.find_headroom("quick", 0.0) is None
+    for _ in range(2):
+        load = [("quick", 0, 8), ("slow", 3, 8), ("tiny", 0, 3)]
+        mine.apply_heartbeat(beat(remote, 0.0, load=load), 0.0)
+        assert mine.find_headroom("quick", 0.0).id == "f1"
+        assert mine.find_headroom("quick", 0.0).id == "f1"
+        assert mine.find_headroom("quick", 0.0) is None
+        assert mine.find_headroom("slow", 0.0) is None
+        assert mine.find_headroom("tiny", 0.0) is None
+    mine.apply_heartbeat(beat(remote, 0.0, load=load), 0.0)
+    assert mine.find_headroom("quick", 6.1) is None
+
+
+def test_session(snapshot):
+    """Golden session: discovery, partition, drain, restart, headroom."""
+    seeds = [("e1", "a")]
+    e1 = make_member("e1")
+    e2 = make_member("e2", seeds=seeds)
+    f1 = make_member("f1", "b", seeds=seeds)
+    again = make_member("e2", incarnation=STARTED + 900)
+    steps = [
+        ("e2 finds its seed", e1, e2, 0.0, {"ready": False}),
+        ("the seed answers", e2, e1, 0.1, {"version": 3}),
+        ("f1 finds its seed", e1, f1, 0.2, {"load": [("q", 0, 8)]}),
+        ("f1 is named", e2, e1, 1.0, {}),
+        ("f1 drains", e1, f1, 2.0, {"draining": True}),
+        ("e2 is silent", e1, f1, 4.0, {}),
+        ("e2 is dropped", e1, f1, 12.0, {"version": 4}),
+        ("e2 restarts", e1, again, 13.0, {}),
+    ]
+    session = []
+    for title, receiver, sender, now, report in steps:
+        receiver.apply_heartbeat(beat(sender, now, **report), now)
+        receiver.review_members(now)
+        state = receiver.dump_state(now)
+        state["newest"] = receiver.find_newest(now)
+        session.append({"step": title, "now": now, "state": mask(state)})
+    assert session == snapshot
+
+
+def mask(value):
+    """Replaces incarnations, which come from the clock, by their age."""
+    if isinstance(value, dict):
+        return {
+            key: f"<start + {item - STARTED} ms>"
+            if key == "incarnation" and item
+            else mask(item)
+            for key, item in value.items()
+        }
+    if isinstance(value, list):
+        return [mask(item) for item in value]
+    if isinstance(value, tuple):
+        return [mask(item) for item in value]
+    if isinstance(value, membership.Member):
+        return value.id
+    return value
+
+
+def test_heartbeat_stays_small():
+    # Guards against a heartbeat that names every member each second.
+    mine = make_member("e1")
+    for index in range(40):
+        mine.apply_heartbeat(beat(make_member(f"e{100 + index}"), 0.0), 0.0)
+    sizes = [
+        mine.make_heartbeat(
+            0.0, ready=True, draining=False, config_version=1, load=[]
+        ).ByteSize()
+        for _ in range(10)
+    ]
+    assert sum(size < 60 for size in sizes) >= 8
+    assert 60 < max(sizes) < 2000
+    assert isinstance(beat(mine, 0.0), messages_pb2.Heartbeat)
--- /dev/null
+++ b/tests/test_style.py
@@ -0,0 +1,56 @@
+"""Rules of the house style that the linter cannot express."""
+
+import ast
+import importlib.util
+import pathlib
+
+ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = ("plantainvane", "standins", "bench", "tests")
+# Names may come from these; every other import names a module.
+TYPE_MODULES = ("collections.abc", "typing")
+GENERATED = ("messages_pb2.py", "messages_grpc.py")
+
+
+def list_name_imports(source: str) -> list[str]:
+    """Lists imported names that are not modules of our packages."""
+    found = []
+    for node in ast.walk(ast.parse(source)):
+        if not isinstance(node, ast.ImportFrom):
+            continue
+        if node.module in TYPE_MODULES:
+            continue
+        found.extend(
+            f"{node.module}.{alias.name}"
+            for alias in node.names
+            if not is_module(node.module or "", alias.name)
+        )
+    return found
+
+
+def is_module(package: str, name: str) -> bool:
+    if package in PACKAGES:  # Their __init__ modules define nothing.
+        return True
+    try:
+        return importlib.util.find_spec(f"{package}.{name}") is not None
+    except ModuleNotFoundError:  # `package` is a module without submodules.
+        return False
+
+
+def test_modules_are_imported_not_names():
+    # Guards against names whose origin a reader has to look up, and against
+    # tests that replace a name in one module only.
+    found = {
+        str(path.relative_to(ROOT)): names
+        for package in PACKAGES
+        for path in (ROOT / package).rglob("*.py")
+        if path.name not in GENERATED
+        and (names := list_name_imports(path.read_text()))
+    }
+    assert found == {}
+
+
+def test_a_name_import_is_found():
+    assert list_name_imports("from plantainvane.log import Page") == [
+        "plantainvane.log.Page"
+    ]
+    assert list_name_imports("from plantainvane import log") == []
