--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -49,4 +49,9 @@
 RECORD_UNDECODABLE = Event(115, "record_undecodable", Level.ERROR)
 STREAM_SHORTENED = Event(116, "stream_shortened", Level.ERROR)
 
+MEMBER_CHANGED = Event(301, "member_changed", Level.INFO)
+MEMBER_SUSPECTED = Event(302, "member_suspected", Level.WARNING)
+MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
+MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
+
 PROCESS_STARTED = Event(701, "process_started", Level.INFO)
