--- a/plantainvane/documents.py
+++ b/plantainvane/documents.py
@@ -28,9 +28,11 @@
       accelerators: Whole devices.
     """
 
-    processors: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    memory_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
-    accelerators: Annotated[int, msgspec.Meta(ge=0)] = 0
+    # The upper bounds leave room for the quota of a whole region; they keep
+    # out infinity and integers that JSON decoders of 64 bits refuse.
+    processors: Annotated[float, msgspec.Meta(ge=0, le=10_000_000)] = 0.0
+    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**60)] = 0
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
 
 
 class ServiceClass(
@@ -42,10 +44,10 @@
     priority: Priority
     deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=600_000)]
     idempotent: bool = True
-    expected_run_ms: Annotated[int, msgspec.Meta(ge=1)] = 50
-    body_limit_bytes: Annotated[int, msgspec.Meta(ge=1)] = 65536
+    expected_run_ms: Annotated[int, msgspec.Meta(ge=1, le=86_400_000)] = 50
+    body_limit_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 65536
     # Latency that colocated batch work must not break, 99th percentile.
-    latency_target_ms: Annotated[int, msgspec.Meta(ge=1)] = 200
+    latency_target_ms: Annotated[int, msgspec.Meta(ge=1, le=600_000)] = 200
 
 
 class BatchClass(
@@ -59,7 +61,7 @@
     size: Size
     idempotent: bool = True
     checkpoints: bool = True
-    expected_run_s: Annotated[float, msgspec.Meta(gt=0)] = 60.0
+    expected_run_s: Annotated[float, msgspec.Meta(gt=0, le=31_536_000)] = 60.0
     # A task may be evicted to protect a service.
     evictable: bool = True
 
@@ -106,25 +108,62 @@
     The check is deterministic: every process that folds the same records
     reaches the same verdict.
     """
-    faults: list[validation.Fault] = []
-    limits = find_limits(documents)
-    for key in sorted(documents):
-        document = documents[key]
-        if not isinstance(document, BatchClass):
-            continue
-        if DocumentKey("quota", document.team) not in documents:
-            faults.append(
-                validation.Fault(
-                    "$.team",
-                    f"batch class {document.name!r} names team"
-                    f" {document.team!r}, which has no quota",
-                )
+    return [
+        fault
+        for key in sorted(documents)
+        for fault in check_document(documents[key], documents)
+    ]
+
+
+def check_document(
+    document: Document, documents: dict[DocumentKey, Document]
+) -> list[validation.Fault]:
+    """Lists faults of one document within the set that it is part of."""
+    if isinstance(document, ClusterLimits):
+        return _check_limits(document)
+    if not isinstance(document, BatchClass):
+        return []
+    faults = []
+    quota = documents.get(DocumentKey("quota", document.team))
+    if quota is None:
+        faults.append(
+            validation.Fault(
+                "$.team",
+                f"batch class {document.name!r} names team"
+                f" {document.team!r}, which has no quota",
             )
-        if limits is not None:
-            faults.extend(_check_fit(document, limits))
+        )
+    else:
+        faults.extend(_check_quota(document, quota))
+    limits = find_limits(documents)
+    if limits is not None:
+        faults.extend(_check_fit(document, limits))
     return faults
 
 
+def list_dependents(
+    key: DocumentKey, documents: dict[DocumentKey, Document]
+) -> list[DocumentKey]:
+    """Lists the documents that a change of `key` can make faulty, sorted.
+
+    In a set without faults, checking these after a change finds what
+    `check_set` finds; checking all at each of 2,000 records would hold up the
+    start of a process for seconds.
+    """
+    return sorted(
+        other
+        for other, document in documents.items()
+        if other == key
+        or (
+            isinstance(document, BatchClass)
+            and (
+                key.kind == "cluster_limits"
+                or key == DocumentKey("quota", document.team)
+            )
+        )
+    )
+
+
 def find_limits(
     documents: dict[DocumentKey, Document],
 ) -> ClusterLimits | None:
@@ -132,6 +171,41 @@
     return documents.get(DocumentKey("cluster_limits", "cluster"))
 
 
+def _check_limits(limits: ClusterLimits) -> list[validation.Fault]:
+    faults = []
+    if limits.name != "cluster":
+        faults.append(
+            validation.Fault(
+                "$.name",
+                f"is {limits.name!r}, but the limits of the cluster are"
+                " named 'cluster'",
+            )
+        )
+    processors = limits.largest_worker.processors
+    if processors > PROCESSORS_PER_WORKER_LIMIT:
+        faults.append(
+            validation.Fault(
+                "$.largest_worker.processors",
+                f"{processors:g} exceeds {PROCESSORS_PER_WORKER_LIMIT},"
+                " the most that a worker can have",
+            )
+        )
+    return faults
+
+
+def _check_quota(document: BatchClass, quota: Quota) -> list[validation.Fault]:
+    return [
+        validation.Fault(
+            f"$.size.{field}",
+            f"{declared:g} of batch class {document.name!r} exceeds"
+            f" {allowed:g}, the quota of team {quota.name!r}",
+        )
+        for field in Size.__struct_fields__
+        if (declared := getattr(document.size, field))
+        > (allowed := getattr(quota.limit, field))
+    ]
+
+
 def _check_fit(
     document: BatchClass, limits: ClusterLimits
 ) -> list[validation.Fault]:
@@ -146,8 +220,8 @@
             faults.append(
                 validation.Fault(
                     f"$.size.{field}",
-                    f"{declared} of batch class {document.name!r} exceeds"
-                    f" {available}, the most that a worker offers",
+                    f"{declared:g} of batch class {document.name!r} exceeds"
+                    f" {available:g}, the most that a worker offers",
                 )
             )
     return faults
--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -49,6 +49,13 @@
 RECORD_UNDECODABLE = Event(115, "record_undecodable", Level.ERROR)
 STREAM_SHORTENED = Event(116, "stream_shortened", Level.ERROR)
 
+CONFIGURATION_CHANGED = Event(201, "configuration_changed", Level.INFO)
+CHANGE_VOID = Event(202, "change_void", Level.WARNING)
+SNAPSHOT_LOADED = Event(203, "snapshot_loaded", Level.INFO)
+SNAPSHOT_REFUSED = Event(204, "snapshot_refused", Level.ERROR)
+SNAPSHOT_WRITTEN = Event(205, "snapshot_written", Level.INFO)
+SNAPSHOT_FAILED = Event(206, "snapshot_failed", Level.WARNING)
+
 MEMBER_CHANGED = Event(301, "member_changed", Level.INFO)
 MEMBER_SUSPECTED = Event(302, "member_suspected", Level.WARNING)
 MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
--- a/plantainvane/records.py
+++ b/plantainvane/records.py
@@ -44,6 +44,8 @@
     target_kind: str
     target_name: str
     author: str = ""
+    # Seconds since the Unix epoch; for people only, decides nothing.
+    published: float = 0.0
 
 
 class StoredDocument(msgspec.Struct, frozen=True):
@@ -57,13 +59,15 @@
     """State of the config fold through `through_offset`, inclusive.
 
     `revisions` holds the revisions of deleted documents too, as
-    [kind, name, revision], so that a stale change stays void.
+    [kind, name, revision], so that a stale change stays void. `sequences` are
+    the rows of readers.SeenSequences, so that a repeat stays void.
     """
 
     through_offset: int
     version: int
     documents: list[StoredDocument]
     revisions: list[tuple[str, str, int]]
+    sequences: list[tuple[str, int, int]] = []
 
 
 class ShardClaim(msgspec.Struct, frozen=True):
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -159,6 +159,16 @@
     answer_bytes: Count = 2048
 
 
+class Operators(Struct):
+    """Operators' address and configuration changes."""
+
+    # Changes, valid and void, that a process remembers for operators.
+    history_kept: Count = 1000
+    # Time for a published change to come back through the log.
+    confirm_s: Positive = 5.0
+    body_limit_bytes: Count = 1_048_576
+
+
 class Drain(Struct):
     """Graceful shutdown."""
 
@@ -184,6 +194,7 @@
     tasks: Tasks = Tasks()
     requests: Requests = Requests()
     keys: Keys = Keys()
+    operators: Operators = Operators()
     drain: Drain = Drain()
     log_file: str | None = None
 
--- a/plantainvane/validation.py
+++ b/plantainvane/validation.py
@@ -49,7 +49,11 @@
         return fields
 
     try:
-        value = json.loads(text, object_pairs_hook=collect_pairs)
+        value = json.loads(
+            text,
+            object_pairs_hook=collect_pairs,
+            parse_constant=_refuse_constant,
+        )
     except (ValueError, RecursionError) as error:
         return result.Err([Fault("$", f"is not valid JSON: {error}")])
     if duplicates:
@@ -68,6 +72,11 @@
         return result.Err(faults or [Fault("$", str(error))])
 
 
+def _refuse_constant(name: str) -> None:
+    """Refuses NaN and Infinity, which JSON lacks and `json` would accept."""
+    raise ValueError(f"{name} is not a JSON number")
+
+
 def _list_faults(value: Any, kind: Any, path: str) -> list[Fault]:
     struct = _find_struct(value, kind)
     if struct is not None and isinstance(value, dict):
