Add the request path: targets, queues, routing, dispatcher, callers

Callers had no way in. One exchange is a value that tells whether a byte was sent; one anyio task owns each slot's connection and takes work from an idle hand-over or the queues; an outcome after a lost reply is never "not run". Slots are divided by rendezvous hashing, and a share grows only after the view that allows it has stood for 1.5 s.

--- /dev/null
+++ b/plantainvane/connections.py
@@ -0,0 +1,183 @@
+"""The anyio task of one slot: one connection at a time, sequential code."""
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+
+import anyio
+
+from plantainvane import ejection
+from plantainvane import jobs
+from plantainvane import routing
+from plantainvane import settings as settings_module
+from plantainvane import targets
+
+_FAILURE_IDS = itertools.count(-1, -1)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Slot:
+    """One slot of a target.
+
+    Attributes:
+      target: The target.
+      number: Place among the target's slots here; a share of n slots keeps
+        those below n.
+      wake: Set to hand over `job`, or without one to end the connection.
+      job: The request to run next.
+      connection: The open connection, if any.
+      idle_since: Monotonic time since the last use of the connection.
+      probe_due: The next wake asks for a probe instead of the end.
+    """
+
+    target: routing.Target
+    number: int
+    wake: anyio.Event
+    job: jobs.Job | None = None
+    connection: targets.Connection | None = None
+    idle_since: float = 0.0
+    probe_due: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Calls:
+    """What a slot's task asks of the dispatcher.
+
+    Attributes:
+      clock: Returns the monotonic time in seconds.
+      keep_slot: Tells whether the process still holds this slot.
+      take_job: Returns queued work, or None after adding the slot to the
+        idle ones.
+      get_timeout: Returns the longest wait for the reply to a job.
+      settle_job: Takes the reply to a job, always called exactly once.
+      note_reply: Takes the reply to a probe.
+      note_failure: Takes a failure, with the id that makes it distinct.
+      count_open: Counts a connection that starts (1) or stops (-1) working.
+      remove_slot: Called once when the task ends.
+    """
+
+    clock: Callable[[], float]
+    keep_slot: Callable[[Slot], bool]
+    take_job: Callable[[Slot], jobs.Job | None]
+    get_timeout: Callable[[jobs.Job, float], float]
+    settle_job: Callable[[Slot, jobs.Job, targets.Reply, float], None]
+    note_reply: Callable[[Slot, targets.Reply], None]
+    note_failure: Callable[[Slot, int], None]
+    count_open: Callable[[Slot, int], None]
+    remove_slot: Callable[[Slot], None]
+
+
+def make_failure_id() -> int:
+    """Returns an id, unlike any connection's, for a failure without one."""
+    return next(_FAILURE_IDS)
+
+
+async def run_slot(
+    settings: settings_module.Settings, slot: Slot, calls: Calls
+) -> None:
+    """Connects, serves and reconnects until the slot is no longer held."""
+    try:
+        await _connect_repeatedly(settings, slot, calls)
+    finally:
+        if slot.job is not None:
+            # Cancelled between the handover and the wake-up.
+            reply = targets.Reply(targets.ReplyKind.NOT_SENT)
+            job, slot.job = slot.job, None
+            calls.settle_job(slot, job, reply, calls.clock())
+        calls.remove_slot(slot)
+
+
+async def _connect_repeatedly(
+    settings: settings_module.Settings, slot: Slot, calls: Calls
+) -> None:
+    target = slot.target
+    while calls.keep_slot(slot):
+        now = calls.clock()
+        if ejection.is_ejected(target.health, now):
+            await anyio.sleep(target.health.ejected_until - now)
+            continue
+        opened = await targets.open_connection(
+            settings, target.instance.address
+        )
+        if opened.is_err():
+            calls.note_failure(slot, make_failure_id())
+            await anyio.sleep(settings.requests.reconnect_s)
+            continue
+        slot.connection = opened.ok_value
+        try:
+            worked = await _use_connection(settings, slot, calls)
+        finally:
+            await targets.close_connection(slot.connection)
+            slot.connection = None
+        if not worked:
+            await anyio.sleep(settings.requests.reconnect_s)
+
+
+async def _use_connection(
+    settings: settings_module.Settings, slot: Slot, calls: Calls
+) -> bool:
+    """Probes the new connection and serves on it; False if the probe failed.
+
+    A new connection may be silent, which must not cost a request.
+    """
+    if not await _probe(settings, slot, calls):
+        return False
+    calls.count_open(slot, 1)
+    try:
+        await _serve_jobs(settings, slot, calls)
+    finally:
+        calls.count_open(slot, -1)
+    return True
+
+
+async def _serve_jobs(
+    settings: settings_module.Settings, slot: Slot, calls: Calls
+) -> None:
+    connection = slot.connection
+    while connection.usable and calls.keep_slot(slot):
+        job = calls.take_job(slot)
+        if job is None:
+            await slot.wake.wait()
+            slot.wake = anyio.Event()
+            job, slot.job = slot.job, None
+        if job is not None:
+            await _run_job(settings, slot, calls, job)
+        elif not slot.probe_due or not await _probe(settings, slot, calls):
+            return
+
+
+async def _run_job(
+    settings: settings_module.Settings,
+    slot: Slot,
+    calls: Calls,
+    job: jobs.Job,
+) -> None:
+    connection = slot.connection
+    began = calls.clock()
+    reply = None
+    try:
+        reply = await targets.exchange(
+            connection,
+            job.path,
+            job.wire_id,
+            job.request.body,
+            calls.get_timeout(job, began),
+            settings.requests.answer_limit_bytes,
+        )
+    finally:
+        if reply is None:
+            reply = targets.make_cancelled_reply(connection)
+        calls.settle_job(slot, job, reply, began)
+
+
+async def _probe(
+    settings: settings_module.Settings, slot: Slot, calls: Calls
+) -> bool:
+    slot.probe_due = False
+    connection = slot.connection
+    reply = await targets.probe(connection, settings.requests.probe_timeout_s)
+    if reply.kind is targets.ReplyKind.ANSWERED:
+        calls.note_reply(slot, reply)
+    elif reply.kind is targets.ReplyKind.UNKNOWN:
+        calls.note_failure(slot, connection.id)
+    return connection.usable
--- /dev/null
+++ b/plantainvane/ejection.py
@@ -0,0 +1,122 @@
+"""Ejection of failing and slow targets, their return and ramp-up."""
+
+from collections.abc import Callable
+import dataclasses
+
+from plantainvane import settings as settings_module
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What exchanges with one target have shown.
+
+    Attributes:
+      failed: Ids of connections that failed since the last success.
+      ratio: Moving average of run time over the class's median run time.
+      samples: Run times in `ratio` since it was last reset.
+      level: Ejections in a row; doubles the next delay.
+      ejected_until: Monotonic time of the return; 0 when not ejected.
+      returned_at: Monotonic time of the last return; -inf before.
+    """
+
+    failed: set[int] = dataclasses.field(default_factory=set)
+    ratio: float = 1.0
+    samples: int = 0
+    level: int = 0
+    ejected_until: float = 0.0
+    returned_at: float = float("-inf")
+
+    def dump_state(self, now: float) -> dict[str, float]:
+        """Returns the state for operators."""
+        return {
+            "failed_connections": len(self.failed),
+            "run_time_ratio": round(self.ratio, 3),
+            "ejections_in_a_row": self.level,
+            "returns_in_s": round(max(0.0, self.ejected_until - now), 3),
+        }
+
+
+def note_success(
+    settings: settings_module.Settings,
+    health: Health,
+    ratio: float,
+    now: float,
+) -> None:
+    """Records an answer whose run time was `ratio` of the class's median."""
+    requests = settings.requests
+    health.failed.clear()
+    # The clip keeps one very long job from ejecting a healthy target.
+    clipped = min(ratio, 2 * requests.slow_ratio)
+    health.ratio += requests.latency_weight * (clipped - health.ratio)
+    health.samples += 1
+    if now - health.returned_at > requests.ramp_s and not is_slow(
+        settings, health
+    ):
+        health.level = 0
+
+
+def note_failure(health: Health, connection: int) -> None:
+    """Records that the connection with id `connection` failed.
+
+    Each id counts once: a silent connection says nothing about the target.
+    """
+    health.failed.add(connection)
+
+
+def is_slow(settings: settings_module.Settings, health: Health) -> bool:
+    """Tells whether the target answers far slower than its class does."""
+    requests = settings.requests
+    return (
+        health.samples >= requests.slow_samples
+        and health.ratio > requests.slow_ratio
+    )
+
+
+def should_eject(settings: settings_module.Settings, health: Health) -> bool:
+    """Tells whether enough distinct connections failed, or it is slow."""
+    return len(health.failed) >= settings.requests.eject_failures or is_slow(
+        settings, health
+    )
+
+
+def eject_target(
+    settings: settings_module.Settings,
+    health: Health,
+    now: float,
+    draw: Callable[[], float],
+) -> None:
+    """Ejects the target for an exponential, jittered delay.
+
+    Args:
+      settings: The settings.
+      health: Changed in place.
+      now: Monotonic time in seconds.
+      draw: Returns a random number in [0, 1).
+    """
+    requests = settings.requests
+    delay = min(requests.eject_max_s, requests.eject_base_s * 2**health.level)
+    # Jitter keeps processes from returning to a target at the same moment.
+    delay *= 1.0 + requests.eject_jitter * (2.0 * draw() - 1.0)
+    health.ejected_until = now + delay
+    health.level = min(health.level + 1, 16)
+    health.failed.clear()
+    health.ratio, health.samples = 1.0, 0
+
+
+def is_ejected(health: Health, now: float) -> bool:
+    """Tells whether the target is ejected; starts the ramp on return."""
+    if not health.ejected_until:
+        return False
+    if now < health.ejected_until:
+        return True
+    health.returned_at = health.ejected_until
+    health.ejected_until = 0.0
+    return False
+
+
+def get_weight(
+    settings: settings_module.Settings, health: Health, now: float
+) -> float:
+    """Returns the share of normal work, 0.1 at the return, 1 after the ramp."""
+    part = (now - health.returned_at) / settings.requests.ramp_s
+    return min(1.0, max(0.1, part))
--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -42,4 +42,11 @@
 MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
 MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
 
+TARGET_LIST_EMPTY = Event(601, "target_list_empty", Level.WARNING)
+TARGET_RETIRED = Event(602, "target_retired", Level.INFO)
+TARGET_EJECTED = Event(603, "target_ejected", Level.WARNING)
+REQUESTS_SHED = Event(604, "requests_shed", Level.WARNING)
+RETRIES_SPENT = Event(605, "retries_spent", Level.WARNING)
+REQUESTS_DRAINING = Event(606, "requests_draining", Level.INFO)
+
 PROCESS_STARTED = Event(701, "process_started", Level.INFO)
--- /dev/null
+++ b/plantainvane/fleet.py
@@ -0,0 +1,198 @@
+"""Aggregate of the domain's targets: listed, leaving, ejected, free slots."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+from plantainvane import ejection
+from plantainvane import events
+from plantainvane import instances
+from plantainvane import metrics
+from plantainvane import routing
+from plantainvane import settings as settings_module
+from plantainvane import slots
+
+# Ids of targets that left, so that a list which contradicts them is ignored.
+_LEFT_LIMIT = 10_000
+_DUMP_LIMIT = 500
+
+
+class Fleet:
+    """Targets of this domain and the slots this process holds of them."""
+
+    def __init__(
+        self, settings: settings_module.Settings, draw: Callable[[], float]
+    ):
+        self._settings = settings
+        self._draw = draw
+        self._left: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.targets: dict[str, routing.Target] = {}
+        self.free = routing.FreeTargets()
+        # Slots with a working connection, in all and by class.
+        self.open_slots = 0
+        self.open_by_class: collections.Counter[str] = collections.Counter()
+        self.targets_by_class: collections.Counter[str] = collections.Counter()
+
+    def update_targets(
+        self, listed: list[instances.Instance], now: float
+    ) -> None:
+        """Takes over the platform's list.
+
+        An empty list is ignored: cutting off all service would be worse than
+        using targets that refuse. A target missing from the list for
+        `absence_grace_s` gets no new work.
+        """
+        runners = {
+            instance.id: instance
+            for instance in listed
+            if instance.kind is instances.InstanceKind.RUNNER
+            and instance.domain == self._settings.domain
+        }
+        if not runners and self.targets:
+            events.log_event(events.TARGET_LIST_EMPTY, known=len(self.targets))
+            return
+        for id_, instance in runners.items():
+            self._update_listed(id_, instance)
+        for id_, target in list(self.targets.items()):
+            if id_ not in runners:
+                self._update_missing(target, now)
+
+    def mark_leaving(self, target: routing.Target, cause: str) -> None:
+        """Gives the target no new work from now on, whatever the list says."""
+        self._left[target.instance.id] = None
+        if len(self._left) > _LEFT_LIMIT:
+            self._left.popitem(last=False)
+        self._retire_target(target, cause)
+
+    def eject_if_due(self, target: routing.Target, now: float) -> None:
+        """Ejects the target when its failures or run times call for it."""
+        health = target.health
+        if health.ejected_until or not ejection.should_eject(
+            self._settings, health
+        ):
+            return
+        failing = len(health.failed) >= self._settings.requests.eject_failures
+        if not failing and not self._may_eject_slow():
+            return
+        reason = "failures" if failing else "slow"
+        ratio = health.ratio
+        ejection.eject_target(self._settings, health, now, self._draw)
+        metrics.EJECTIONS.labels(reason).inc()
+        events.log_event(
+            events.TARGET_EJECTED,
+            target=target.instance.id,
+            reason=reason,
+            run_time_ratio=round(ratio, 2),
+            seconds=round(health.ejected_until - now, 3),
+        )
+        self.wake_free(target)
+
+    def add_free(self, target: routing.Target, slot: Any) -> None:
+        """Adds an idle slot; its target may now be picked."""
+        target.free.append(slot)
+        if len(target.free) == 1:
+            self.free.add_target(target)
+
+    def take_free(self, target: routing.Target) -> Any:
+        """Takes the most recently used idle slot of a target."""
+        slot = target.free.pop()
+        if not target.free:
+            self.free.remove_target(target)
+        return slot
+
+    def remove_free(self, target: routing.Target, slot: Any) -> None:
+        """Takes out one idle slot, for example one that must reconnect."""
+        target.free.remove(slot)
+        if not target.free:
+            self.free.remove_target(target)
+
+    def wake_free(self, target: routing.Target) -> None:
+        """Wakes all idle slots of a target without work, so they close."""
+        while target.free:
+            self.take_free(target).wake.set()
+
+    def count_open(self, target: routing.Target, change: int) -> None:
+        """Counts a connection that starts (1) or stops (-1) working."""
+        target.open += change
+        self.open_slots += change
+        for name in target.instance.classes:
+            self.open_by_class[name] += change
+
+    def remove_ended(self) -> None:
+        """Forgets targets that take no work and have no slot left."""
+        for id_, target in list(self.targets.items()):
+            if target.leaving and not target.slots:
+                del self.targets[id_]
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns the first targets by id, and totals."""
+        return {
+            "targets": {
+                id_: self.targets[id_].dump_state(now)
+                for id_ in sorted(self.targets)[:_DUMP_LIMIT]
+            },
+            "target_count": len(self.targets),
+            "open_slots": self.open_slots,
+            "left": len(self._left),
+        }
+
+    def _update_listed(self, id_: str, instance: instances.Instance) -> None:
+        target = self.targets.get(id_)
+        if target is None:
+            if instance.leaving or id_ in self._left:
+                return
+            target = routing.Target(instance, ejection.Health(), slots.Share())
+            self.targets[id_] = target
+            self._count_target(target, 1)
+            return
+        target.missing_since = None
+        if target.leaving:
+            return
+        if instance.leaving:
+            self.mark_leaving(target, "list")
+        elif instance.classes != target.instance.classes:
+            self._replace_instance(target, instance)
+
+    def _replace_instance(
+        self, target: routing.Target, instance: instances.Instance
+    ) -> None:
+        if target.free:
+            self.free.remove_target(target)
+        self._count_target(target, -1)
+        working = target.open
+        self.count_open(target, -working)
+        target.instance = instance
+        self.count_open(target, working)
+        self._count_target(target, 1)
+        if target.free:
+            self.free.add_target(target)
+
+    def _update_missing(self, target: routing.Target, now: float) -> None:
+        if target.missing_since is None:
+            target.missing_since = now
+        grace = self._settings.requests.absence_grace_s
+        if not target.leaving and now - target.missing_since >= grace:
+            self._retire_target(target, "missing")
+
+    def _retire_target(self, target: routing.Target, cause: str) -> None:
+        if target.leaving:
+            return
+        target.leaving = True
+        self._count_target(target, -1)
+        events.log_event(
+            events.TARGET_RETIRED, target=target.instance.id, cause=cause
+        )
+        self.wake_free(target)
+
+    def _count_target(self, target: routing.Target, change: int) -> None:
+        for name in target.instance.classes:
+            self.targets_by_class[name] += change
+
+    def _may_eject_slow(self) -> bool:
+        ejected = sum(
+            1 for other in self.targets.values() if other.health.ejected_until
+        )
+        allowed = self._settings.requests.eject_share * len(self.targets)
+        return ejected + 1 <= allowed
--- a/plantainvane/metrics.py
+++ b/plantainvane/metrics.py
@@ -12,6 +12,74 @@
     "Time from arrival to answer, by service class.",
     ["service_class"],
 )
+QUEUED = prometheus_client.Gauge(
+    "plantainvane_queued_requests",
+    "Requests waiting, by service class.",
+    ["service_class"],
+)
+SLOTS = prometheus_client.Gauge(
+    "plantainvane_slots",
+    "Slots of this process by state: open, running, long (running).",
+    ["state"],
+)
+RETRIES = prometheus_client.Counter(
+    "plantainvane_retries_total",
+    "Attempts after the first one, by what went wrong before.",
+    ["reason"],
+)
+BAD_REPLIES = prometheus_client.Counter(
+    "plantainvane_bad_replies_total",
+    "Exchanges that gave no answer, by reason.",
+    ["reason"],
+)
+EJECTIONS = prometheus_client.Counter(
+    "plantainvane_ejections_total",
+    "Ejections of targets, by reason.",
+    ["reason"],
+)
+SHEDS = prometheus_client.Counter(
+    "plantainvane_sheds_total",
+    "Requests shed, by service class and reason.",
+    ["service_class", "reason"],
+)
+SPILLS = prometheus_client.Counter(
+    "plantainvane_spills_total",
+    "Requests sent to another domain, by outcome there.",
+    ["outcome"],
+)
+# Every reason that is a label of its own; all others count as `connection`.
+REPLY_REASONS = frozenset(
+    {
+        "refused",
+        "timeout",
+        "framing",
+        "wrong_id",
+        "no_length",
+        "answer_too_large",
+        "cancelled",
+        "status_2xx",
+        "status_3xx",
+        "status_4xx",
+        "status_5xx",
+    }
+)
+# Looking up a child by labels takes a lock, too slow for each request.
+_COUNTERS: dict[tuple[str, str], prometheus_client.Counter] = {}
+_HISTOGRAMS: dict[str, prometheus_client.Histogram] = {}
+
+
+def count_request(service_class: str, outcome: str, seconds: float) -> None:
+    """Counts a request and the time from its arrival to its answer."""
+    counter = _COUNTERS.get((service_class, outcome))
+    if counter is None:
+        counter = REQUESTS.labels(service_class, outcome)
+        _COUNTERS[service_class, outcome] = counter
+    counter.inc()
+    histogram = _HISTOGRAMS.get(service_class)
+    if histogram is None:
+        histogram = REQUEST_SECONDS.labels(service_class)
+        _HISTOGRAMS[service_class] = histogram
+    histogram.observe(seconds)
 
 
 def encode_metrics() -> bytes:
--- /dev/null
+++ b/plantainvane/runtimes.py
@@ -0,0 +1,104 @@
+"""Measured run times of service classes; declared ones are only the prior."""
+
+import collections
+from collections.abc import Mapping
+import dataclasses
+
+from plantainvane import documents
+from plantainvane import settings as settings_module
+
+# Samples between two sorts of the window; sorting on each costs 15 us.
+_REFRESH = 16
+
+
+@dataclasses.dataclass(slots=True)
+class RunTime:
+    """Estimates for one class, in seconds.
+
+    Attributes:
+      median_s: Median of the window.
+      slow_s: 99th percentile of the window.
+      mean_s: Mean of the window.
+      samples: Run times measured so far.
+      overdue: Exchanges in flight for longer than `long_run_s`.
+    """
+
+    median_s: float
+    slow_s: float
+    mean_s: float
+    window: collections.deque[float]
+    samples: int = 0
+    overdue: int = 0
+
+
+class RunTimes:
+    """Run times of all classes, from the newest exchanges of each."""
+
+    def __init__(self, settings: settings_module.Settings):
+        self._settings = settings
+        self._classes: dict[str, RunTime] = {}
+
+    def get_run_time(self, service_class: documents.ServiceClass) -> RunTime:
+        """Returns the estimates of a class; the declared time at first."""
+        found = self._classes.get(service_class.name)
+        if found is None:
+            declared = service_class.expected_run_ms / 1000
+            window = collections.deque(
+                maxlen=self._settings.requests.run_window
+            )
+            found = RunTime(declared, declared, declared, window)
+            self._classes[service_class.name] = found
+        return found
+
+    def add_sample(self, run_time: RunTime, seconds: float) -> None:
+        """Adds a run time, or the age of an exchange that was given up."""
+        run_time.window.append(seconds)
+        run_time.samples += 1
+        if run_time.samples % _REFRESH == 0 or run_time.samples < _REFRESH:
+            ordered = sorted(run_time.window)
+            run_time.median_s = ordered[len(ordered) // 2]
+            run_time.slow_s = ordered[int(len(ordered) * 0.99)]
+            run_time.mean_s = sum(ordered) / len(ordered)
+
+    def is_long(self, run_time: RunTime) -> bool:
+        """Tells whether the class holds slots for long.
+
+        Before enough samples exist, one overdue exchange is enough, because
+        declared run times are far off.
+        """
+        requests = self._settings.requests
+        if run_time.mean_s >= requests.long_run_s:
+            return True
+        return run_time.overdue > 0 and not self.is_known(run_time)
+
+    def set_overdue(self, overdue: Mapping[str, int]) -> None:
+        """Takes over how many exchanges of each class are overdue."""
+        for name, run_time in self._classes.items():
+            run_time.overdue = overdue.get(name, 0)
+
+    def is_known(self, run_time: RunTime) -> bool:
+        """Tells whether enough run times have been measured."""
+        return run_time.samples >= self._settings.requests.run_samples
+
+    def get_silence_limit(self, run_time: RunTime) -> float | None:
+        """Returns the age at which an exchange is given up; None if unknown."""
+        requests = self._settings.requests
+        if not self.is_known(run_time):
+            return None
+        return max(
+            requests.silence_floor_s, requests.silence_factor * run_time.slow_s
+        )
+
+    def dump_state(self, now: float) -> dict[str, dict[str, float]]:
+        """Returns the estimates for operators."""
+        del now
+        return {
+            name: {
+                "median_s": round(run_time.median_s, 6),
+                "slow_s": round(run_time.slow_s, 6),
+                "mean_s": round(run_time.mean_s, 6),
+                "samples": run_time.samples,
+                "overdue": run_time.overdue,
+            }
+            for name, run_time in sorted(self._classes.items())
+        }
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -139,10 +139,52 @@
     silence_floor_s: Positive = 0.25
     retry_ratio: Fraction = 0.1
     retry_burst: Count = 20
+    # Exchanges of one request in which a byte was sent.
+    attempt_limit: Count = 3
+    # Distinct connections that fail without a success in between.
     eject_failures: Count = 3
     eject_base_s: Positive = 1.0
     eject_max_s: Positive = 30.0
+    # Part by which a delay varies both ways, so that processes spread out.
+    eject_jitter: Fraction = 0.3
+    # Part of a class's targets that may be ejected for slowness; if more
+    # are slow, the load is the cause and not the targets.
+    eject_share: Fraction = 0.5
+    # A target is slow when its average run time exceeds this many medians.
+    slow_ratio: Positive = 5.0
+    # Fewer samples say too little about a target.
+    slow_samples: Count = 3
+    # Weight of the newest run time in a target's moving average.
+    latency_weight: Fraction = 0.2
     ramp_s: Positive = 5.0
+    # Free targets compared for one request; more cost time and gain little.
+    routing_choices: Count = 4
+    # Run times kept per class; 256 hold two above the 99th percentile.
+    run_window: Count = 256
+    # Run times needed before a class's percentile limits its exchanges.
+    run_samples: Count = 20
+    # Pause of a slot after its connection failed, against tight loops.
+    reconnect_s: Positive = 0.1
+    # A target silent for longer is probed, so that one that leaves is noticed
+    # within seconds although the instance list lags.
+    probe_interval_s: Positive = 2.0
+    probe_timeout_s: Positive = 0.5
+    # A target missing from the list for longer gets no new work; shorter gaps
+    # are faults of the list.
+    absence_grace_s: Positive = 5.0
+    # A larger share of a target's slots must stand this long before it is
+    # used: longer than a heartbeat interval, so that a new process has heard
+    # its peers.
+    slot_settle_s: Positive = 1.5
+    # Period of the checks for expired requests and idle connections.
+    sweep_s: Positive = 0.05
+    # Bounds of the retry hint; the upper one keeps callers from waiting past
+    # the end of a short peak.
+    hint_min_s: Positive = 0.1
+    hint_max_s: Positive = 30.0
+    # Request ids remembered to tell apart requests for which callers chose
+    # the same id; 4096 take about 0.5 MB.
+    recent_ids: Count = 4096
     # Seconds of waiting that raise a request by one priority.
     aging_s: Positive = 5.0
     spill_headroom: Fraction = 0.25
@@ -238,6 +280,7 @@
                 "must be at most half of $.log.retention_s",
             )
         )
+    faults.extend(_check_requests(settings.requests))
     membership = settings.membership
     if membership.drop_intervals < membership.suspect_intervals:
         faults.append(
@@ -249,6 +292,23 @@
     return faults
 
 
+def _check_requests(requests: Requests) -> list[validation.Fault]:
+    pairs = (
+        ("slots_per_target", "connections_per_target"),
+        ("eject_base_s", "eject_max_s"),
+        ("hint_min_s", "hint_max_s"),
+        ("run_samples", "run_window"),
+        ("sweep_s", "probe_interval_s"),
+    )
+    return [
+        validation.Fault(
+            f"$.requests.{low}", f"must not exceed $.requests.{high}"
+        )
+        for low, high in pairs
+        if getattr(requests, low) > getattr(requests, high)
+    ]
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits a checked `ip:port` into its parts."""
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/plantainvane/targets.py
@@ -0,0 +1,315 @@
+"""One exchange with a runner; the only module that knows its interface.
+
+Properties relied on: a runner that refuses a request before running it
+answers 503 with `Not-Run: 1`; every answer echoes `Request-Id`; every reply
+has a length.
+`Leaving: 1` on any reply says that the runner takes no new work.
+
+Dialect, HTTP/1.1:
+  POST /run/{class}  200 with Content-Length and the same Request-Id;
+                     503 with Not-Run: 1 when it refused before running
+  GET /health        any whole reply shows that the connection works
+
+A connection belongs to one anyio task. After a timeout, a cancellation, a
+framing error or a wrong id it is closed: what arrives on it later belongs to
+no request that is still waited for.
+"""
+
+import dataclasses
+import enum
+import itertools
+import select
+import socket
+
+import anyio
+import anyio.abc
+import h11
+import result
+
+from plantainvane import outcomes
+from plantainvane import settings as settings_module
+
+# asyncio's own read size; a smaller one would split its chunks.
+_READ_BYTES = 262_144
+_CONNECTION_IDS = itertools.count(1)
+_LOST = (anyio.EndOfStream, anyio.BrokenResourceError, OSError)
+_CLOSED = (anyio.ClosedResourceError,)
+
+
+class ReplyKind(enum.Enum):
+    """What is known after an exchange.
+
+    NOT_SENT: no byte of the request was sent.
+    REFUSED: the target refused it before running.
+    ANSWERED: the whole answer to this request came.
+    UNKNOWN: bytes were sent and none of the above is certain.
+    """
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """Result of one exchange.
+
+    Attributes:
+      kind: What is known.
+      body: The whole answer when `kind` is ANSWERED, else empty.
+      content_type: Media type of `body`.
+      leaving: The target said that it is leaving.
+      reason: Short machine-readable cause unless answered.
+    """
+
+    kind: ReplyKind
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    leaving: bool = False
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Connection:
+    """One TCP connection to a runner.
+
+    Attributes:
+      id: Unique within the process.
+      sent: A byte of the present request may have been sent.
+      usable: False once the connection must not carry another request.
+    """
+
+    id: int
+    host: bytes
+    stream: anyio.abc.SocketStream
+    poll: select.poll
+    protocol: h11.Connection
+    sent: bool = False
+    usable: bool = True
+
+
+async def open_connection(
+    settings: settings_module.Settings, address: str
+) -> result.Result[Connection, outcomes.CallError]:
+    """Connects to the runner at `address` (`ip:port`)."""
+    host, port = settings_module.split_address(address)
+    try:
+        with anyio.fail_after(settings.requests.connect_timeout_s):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as error:
+        return result.Err(
+            outcomes.CallError(
+                outcomes.CallFailure.UNREACHED,
+                str(error) or type(error).__name__,
+            )
+        )
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    # Nagle's algorithm would hold a small request back for a delayed ACK.
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return result.Ok(
+        Connection(
+            id=next(_CONNECTION_IDS),
+            host=address.encode(),
+            stream=stream,
+            poll=poll,
+            protocol=h11.Connection(h11.CLIENT),
+        )
+    )
+
+
+async def close_connection(connection: Connection) -> None:
+    """Closes the connection at once, also within a cancelled scope."""
+    connection.usable = False
+    with anyio.CancelScope(shield=True):
+        await connection.stream.aclose()
+
+
+def is_stale(connection: Connection) -> bool:
+    """Tells whether an idle connection was closed or has unexpected data.
+
+    The stream does not read while idle, so the socket itself is asked.
+    """
+    return not connection.usable or bool(connection.poll.poll(0))
+
+
+async def exchange(
+    connection: Connection,
+    target_path: bytes,
+    request_id: str,
+    body: bytes,
+    timeout_s: float,
+    answer_limit_bytes: int,
+) -> Reply:
+    """Sends one request and reads its reply.
+
+    Args:
+      connection: An idle connection; unusable afterwards unless a whole reply
+        to this request came.
+      target_path: Encoded path, for example b"/run/preview".
+      request_id: Must come back in the reply.
+      body: Body of the request.
+      timeout_s: Longest wait for the whole reply.
+      answer_limit_bytes: Longest body that is accepted.
+
+    Raises:
+      anyio cancellation only; `connection.sent` then tells whether a byte may
+      have been sent.
+    """
+    connection.sent = False
+    if is_stale(connection):
+        connection.usable = False
+        return Reply(ReplyKind.NOT_SENT, reason="connection_closed")
+    if timeout_s <= 0.0:
+        return Reply(ReplyKind.NOT_SENT, reason="late")
+    # Any way out other than a whole reply leaves the connection unusable.
+    connection.usable = False
+    identity = request_id.encode()
+    data = _encode_request(connection, target_path, identity, body)
+    with anyio.move_on_after(timeout_s):
+        connection.sent = True
+        try:
+            await connection.stream.send(data)
+            return await _read_reply(connection, identity, answer_limit_bytes)
+        except _LOST as error:
+            return _fail(type(error).__name__)
+        except _CLOSED:
+            return _fail("closed")
+        except h11.RemoteProtocolError:
+            return _fail("framing")
+    return _fail("timeout")
+
+
+async def probe(connection: Connection, timeout_s: float) -> Reply:
+    """Asks for the runner's health; any whole reply is ANSWERED."""
+    connection.sent = False
+    if is_stale(connection):
+        connection.usable = False
+        return Reply(ReplyKind.NOT_SENT, reason="connection_closed")
+    connection.usable = False
+    request = h11.Request(
+        method="GET", target="/health", headers=[("Host", connection.host)]
+    )
+    protocol = connection.protocol
+    data = protocol.send(request) + protocol.send(h11.EndOfMessage())
+    with anyio.move_on_after(timeout_s):
+        try:
+            await connection.stream.send(data)
+            head = await _next_event(connection)
+            if not isinstance(head, h11.Response):
+                return _fail("framing")
+            await _read_body(connection, 65536)
+            _finish_cycle(connection)
+            return Reply(
+                ReplyKind.ANSWERED, leaving=_is_leaving(dict(head.headers))
+            )
+        except _LOST as error:
+            return _fail(type(error).__name__)
+        except _CLOSED:
+            return _fail("closed")
+        except h11.RemoteProtocolError:
+            return _fail("framing")
+    return _fail("timeout")
+
+
+def make_cancelled_reply(connection: Connection) -> Reply:
+    """Returns what is known after an exchange that was cancelled."""
+    if connection.sent:
+        return _fail("cancelled")
+    return Reply(ReplyKind.NOT_SENT, reason="cancelled")
+
+
+def _encode_request(
+    connection: Connection, target_path: bytes, identity: bytes, body: bytes
+) -> bytes:
+    protocol = connection.protocol
+    request = h11.Request(
+        method=b"POST",
+        target=target_path,
+        headers=[
+            (b"Host", connection.host),
+            (b"Request-Id", identity),
+            (b"Content-Length", b"%d" % len(body)),
+        ],
+    )
+    head = protocol.send(request)
+    content = protocol.send(h11.Data(data=body)) if body else b""
+    return head + content + protocol.send(h11.EndOfMessage())
+
+
+async def _read_reply(
+    connection: Connection, identity: bytes, limit: int
+) -> Reply:
+    head = await _next_event(connection)
+    if not isinstance(head, h11.Response):
+        return _fail("framing")
+    headers = dict(head.headers)
+    leaving = _is_leaving(headers)
+    refused = head.status_code == 503 and headers.get(b"not-run") == b"1"
+    named = headers.get(b"request-id")
+    if named != identity and not (refused and named is None):
+        return _fail("wrong_id", leaving)
+    length = headers.get(b"content-length")
+    if length is None:
+        return _fail("no_length", leaving)
+    if int(length) > limit:
+        return _fail("answer_too_large", leaving)
+    body = await _read_body(connection, limit)
+    if len(body) != int(length):
+        return _fail("truncated", leaving)
+    if refused and named is None:
+        # Without an id, a late repeat of this refusal could be taken for the
+        # refusal of the next request, so the connection is not reused.
+        return Reply(ReplyKind.REFUSED, leaving=leaving, reason="refused")
+    _finish_cycle(connection)
+    if head.status_code == 200:
+        kind = headers.get(b"content-type", b"application/octet-stream")
+        return Reply(ReplyKind.ANSWERED, body, kind.decode("latin-1"), leaving)
+    if refused:
+        return Reply(ReplyKind.REFUSED, leaving=leaving, reason="refused")
+    return _fail(f"status_{head.status_code // 100}xx", leaving)
+
+
+async def _read_body(connection: Connection, limit: int) -> bytes:
+    parts: list[bytes] = []
+    length = 0
+    while True:
+        event = await _next_event(connection)
+        if not isinstance(event, h11.Data):
+            return parts[0] if len(parts) == 1 else b"".join(parts)
+        length += len(event.data)
+        if length > limit:
+            raise h11.RemoteProtocolError("the body exceeds the limit")
+        parts.append(bytes(event.data))
+
+
+async def _next_event(connection: Connection) -> object:
+    protocol = connection.protocol
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            data = await connection.stream.receive(_READ_BYTES)
+        except anyio.EndOfStream:
+            data = b""
+        protocol.receive_data(data)
+
+
+def _finish_cycle(connection: Connection) -> None:
+    """Makes the connection usable again if it is clean and kept alive."""
+    protocol = connection.protocol
+    clean = not protocol.trailing_data[0]
+    if clean and protocol.their_state is h11.DONE is protocol.our_state:
+        protocol.start_next_cycle()
+        connection.usable = True
+
+
+def _is_leaving(headers: dict[bytes, bytes]) -> bool:
+    return headers.get(b"leaving") == b"1"
+
+
+def _fail(reason: str, leaving: bool = False) -> Reply:
+    return Reply(ReplyKind.UNKNOWN, leaving=leaving, reason=reason)
