--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -63,6 +63,9 @@
     # Records a stream may hold after its last snapshot before the next one.
     snapshot_records: Count = 2000
     snapshot_age_s: Positive = 600.0
+    # Writers whose last sequence a fold remembers to void repeats. A repeat
+    # follows within seconds; a deployment has tens of processes.
+    writers_kept: Count = 256
     # Declared by the platform; snapshots and the key window stay below it.
     retention_s: Positive = 3600.0
 
@@ -88,6 +91,12 @@
     ttl_s: Positive = 3.0
     renew_s: Positive = 1.0
     margin_s: Positive = 0.5
+    # Each further member in rendezvous order waits this much longer; three
+    # members without access to the log still leave urgent work 0.8 s.
+    fallback_s: Positive = 0.25
+    # A preference for another holder must last this long before a handover:
+    # longer than a restart's flapping, which heartbeats show for 3 s to 10 s.
+    handover_after_s: Positive = 15.0
 
 
 class Tasks(Struct):
--- /dev/null
+++ b/plantainvane/tasks.py
@@ -0,0 +1,305 @@
+"""Aggregate of one shard's tasks: the fold of its task stream.
+
+The fold depends on the records and the settings only, never on time, so every
+reader reaches the same state. Times in `seen_at` belong to this reader and are
+not part of a snapshot.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+
+from plantainvane import documents
+from plantainvane import records
+from plantainvane import settings as settings_module
+
+
+class TaskPhase(enum.StrEnum):
+    """Where a task is; what a started attempt does is the owner's view."""
+
+    PENDING = "pending"
+    STARTED = "started"
+    FINISHED = "finished"
+
+
+class TaskOutcome(enum.StrEnum):
+    """How a task ended.
+
+    UNKNOWN: the attempt may have run, wholly or partly, and must not be
+      repeated. IMPOSSIBLE: it was never started, because it fits nowhere.
+    """
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+    IMPOSSIBLE = "impossible"
+
+
+class RequeueCause(enum.StrEnum):
+    """Why an attempt ended without ending its task."""
+
+    EVICTED = "evicted"
+    FAILED = "failed"
+    LAPSED = "lapsed"
+    NOT_STARTED = "not_started"
+
+
+class Task(msgspec.Struct):
+    """One task.
+
+    Attributes:
+      offset: Offset of the submit record; gives the order of submission.
+      attempt: Number of the newest attempt; 0 before the first start.
+      worker: Worker of the newest attempt.
+      checkpoint: Name of the newest confirmed checkpoint.
+      failed_on: Distinct workers on which an attempt failed, oldest first.
+      cancelled: Somebody asked for the task to end.
+    """
+
+    id: str
+    batch_class: str
+    submitted: float
+    work: dict[str, Any]
+    size: documents.Size | None
+    offset: int
+    phase: TaskPhase = TaskPhase.PENDING
+    attempt: int = 0
+    worker: str = ""
+    checkpoint: str | None = None
+    failed_on: list[str] = []
+    evictions: int = 0
+    cancelled: bool = False
+    outcome: TaskOutcome | None = None
+    detail: str = ""
+    output: Any = None
+
+
+class WriterMark(msgspec.Struct, frozen=True, array_like=True):
+    """Highest sequence folded from one incarnation of a writer."""
+
+    writer: str
+    incarnation: int
+    sequence: int
+
+
+class ShardState(msgspec.Struct):
+    """The state carried by a snapshot record."""
+
+    epoch: int
+    tasks: list[Task]
+    finished: list[Task]
+    writers: list[WriterMark]
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(ShardState)
+
+
+class TaskBook:
+    """State of one shard's tasks.
+
+    Attributes:
+      next_offset: Offset after the newest record folded.
+      epoch: Highest epoch opened; records of other epochs are void.
+      pending: Tasks waiting for a start, by id, in order of becoming so.
+      started: Tasks with an attempt that is not known to have ended, by
+        worker and id. Their sizes count as committed.
+      finished: Ended tasks by id, oldest first, at most `finished_kept`.
+      seen_at: For pending tasks, when this reader learned that they wait.
+    """
+
+    def __init__(self, settings: settings_module.Settings):
+        self._settings = settings
+        self._writers: dict[tuple[str, int], int] = {}
+        self.next_offset = 0
+        self.epoch = 0
+        self.pending: dict[str, Task] = {}
+        self.started: dict[str, dict[str, Task]] = {}
+        self.finished: dict[str, Task] = {}
+        self.seen_at: dict[str, float] = {}
+        self.records_since_snapshot = 0
+        self._live: dict[str, Task] = {}
+
+    def apply_records(
+        self, entries: list[tuple[int, records.TaskRecord]], now: float
+    ) -> None:
+        """Folds records in offset order, ignoring those already folded."""
+        for offset, record in entries:
+            if isinstance(record, records.ShardSnapshot):
+                self.records_since_snapshot = 0
+                if record.through_offset >= self.next_offset:
+                    # The records after it may follow, also those stored
+                    # before the snapshot itself.
+                    self._load_snapshot(record, now)
+                    continue
+            if offset < self.next_offset:
+                continue
+            self.next_offset = offset + 1
+            self.records_since_snapshot += 1
+            if not self._is_repeat(record):
+                self._apply_record(offset, record, now)
+
+    def find_task(self, task: str) -> Task | None:
+        """Returns a task that is live or among the ended ones kept."""
+        return self._live.get(task) or self.finished.get(task)
+
+    def list_live(self) -> list[Task]:
+        """Lists pending and started tasks in order of submission."""
+        return sorted(self._live.values(), key=lambda task: task.offset)
+
+    def encode_state(self) -> tuple[int, msgspec.Raw]:
+        """Returns the last folded offset and the state through it."""
+        state = ShardState(
+            epoch=self.epoch,
+            tasks=self.list_live(),
+            finished=list(self.finished.values()),
+            writers=[
+                WriterMark(writer, incarnation, sequence)
+                for (writer, incarnation), sequence in self._writers.items()
+            ],
+        )
+        return self.next_offset - 1, msgspec.Raw(_ENCODER.encode(state))
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns counts and the longest wait, JSON-ready."""
+        waits = [now - seen for seen in self.seen_at.values()]
+        return {
+            "epoch": self.epoch,
+            "next_offset": self.next_offset,
+            "pending": len(self.pending),
+            "started": sum(len(tasks) for tasks in self.started.values()),
+            "finished_kept": len(self.finished),
+            "longest_wait_s": round(max(waits, default=0.0), 3),
+        }
+
+    def _load_snapshot(self, record: records.ShardSnapshot, now: float) -> None:
+        state = _DECODER.decode(record.state)
+        self._writers = {
+            (mark.writer, mark.incarnation): mark.sequence
+            for mark in state.writers
+        }
+        self.epoch = state.epoch
+        self._live = {}
+        self.pending, self.started, self.seen_at = {}, {}, {}
+        self.finished = {task.id: task for task in state.finished}
+        for task in state.tasks:
+            self._live[task.id] = task
+            if task.phase == TaskPhase.PENDING:
+                self._mark_pending(task, now)
+            else:
+                self.started.setdefault(task.worker, {})[task.id] = task
+        self.next_offset = record.through_offset + 1
+
+    def _is_repeat(self, record: records.TaskRecord) -> bool:
+        key = (record.writer, record.incarnation)
+        if record.sequence <= self._writers.get(key, -1):
+            return True
+        # The newest writer goes last, so that the oldest is dropped first.
+        self._writers.pop(key, None)
+        self._writers[key] = record.sequence
+        if len(self._writers) > self._settings.log.writers_kept:
+            del self._writers[next(iter(self._writers))]
+        return False
+
+    def _apply_record(
+        self, offset: int, record: records.TaskRecord, now: float
+    ) -> None:
+        match record:
+            case records.TaskSubmit():
+                self._apply_submit(offset, record, now)
+            case records.ShardOpen():
+                self.epoch = max(self.epoch, record.epoch)
+            case records.TaskStart():
+                self._apply_start(record)
+            case records.TaskRequeue():
+                self._apply_requeue(record, now)
+            case records.TaskFinish():
+                self._apply_finish(record)
+            case records.TaskCancel():
+                task = self._live.get(record.task)
+                if task is not None:
+                    task.cancelled = True
+
+    def _apply_submit(
+        self, offset: int, record: records.TaskSubmit, now: float
+    ) -> None:
+        if self.find_task(record.task) is not None:
+            return
+        task = Task(
+            id=record.task,
+            batch_class=record.batch_class,
+            submitted=record.submitted,
+            work=record.work,
+            size=record.size,
+            offset=offset,
+        )
+        self._live[task.id] = task
+        self._mark_pending(task, now)
+
+    def _apply_start(self, record: records.TaskStart) -> None:
+        task = self.pending.get(record.task)
+        if task is None or record.epoch != self.epoch:
+            return
+        if record.attempt != task.attempt + 1:
+            return
+        self._unmark_pending(task)
+        task.phase = TaskPhase.STARTED
+        task.attempt = record.attempt
+        task.worker = record.worker
+        self.started.setdefault(task.worker, {})[task.id] = task
+
+    def _apply_requeue(self, record: records.TaskRequeue, now: float) -> None:
+        task = self._live.get(record.task)
+        if task is None or not self._is_current(record, task):
+            return
+        if task.phase != TaskPhase.STARTED:
+            return
+        self._unmark_started(task)
+        task.phase = TaskPhase.PENDING
+        task.checkpoint = record.checkpoint or task.checkpoint
+        if record.cause == RequeueCause.FAILED:
+            if task.worker not in task.failed_on:
+                task.failed_on.append(task.worker)
+        elif record.cause == RequeueCause.EVICTED:
+            task.evictions += 1
+        self._mark_pending(task, now)
+
+    def _apply_finish(self, record: records.TaskFinish) -> None:
+        task = self._live.get(record.task)
+        if task is None or not self._is_current(record, task):
+            return
+        if task.phase == TaskPhase.STARTED:
+            self._unmark_started(task)
+        else:
+            self._unmark_pending(task)
+        del self._live[task.id]
+        task.phase = TaskPhase.FINISHED
+        task.outcome = TaskOutcome(record.outcome)
+        task.detail = record.detail
+        task.output = record.output
+        # Not needed any more, and the largest part of a snapshot.
+        task.work = {}
+        self.finished[task.id] = task
+        if len(self.finished) > self._settings.tasks.finished_kept:
+            del self.finished[next(iter(self.finished))]
+
+    def _is_current(
+        self, record: records.TaskRequeue | records.TaskFinish, task: Task
+    ) -> bool:
+        return record.epoch == self.epoch and record.attempt == task.attempt
+
+    def _mark_pending(self, task: Task, now: float) -> None:
+        self.pending[task.id] = task
+        self.seen_at[task.id] = now
+
+    def _unmark_pending(self, task: Task) -> None:
+        del self.pending[task.id]
+        del self.seen_at[task.id]
+
+    def _unmark_started(self, task: Task) -> None:
+        started = self.started[task.worker]
+        del started[task.id]
+        if not started:
+            del self.started[task.worker]
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,167 @@
+"""Tests of plantainvane.tasks."""
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from plantainvane import records
+from plantainvane import settings as settings_module
+from plantainvane import tasks
+from tests import test_claims
+
+SETTINGS = test_claims.make_settings()
+
+
+def make_record(kind, sequence, **fields):
+    return kind(writer="w", incarnation=1, sequence=sequence, **fields)
+
+
+def make_book(*parts, settings=SETTINGS) -> tasks.TaskBook:
+    """Folds (kind, fields) pairs with rising offsets and sequences."""
+    book = tasks.TaskBook(settings)
+    book.apply_records(
+        [
+            (offset, make_record(kind, offset, **fields))
+            for offset, (kind, fields) in enumerate(parts)
+        ],
+        now=10.0,
+    )
+    return book
+
+
+def submit(task="t"):
+    fields = {"batch_class": "c", "submitted": 0.0, "work": {"n": 1}}
+    return records.TaskSubmit, {"task": task, **fields}
+
+
+def opened(epoch):
+    return records.ShardOpen, {"epoch": epoch}
+
+
+def start(attempt, epoch=1, task="t", worker="w1"):
+    fields = {"task": task, "attempt": attempt, "epoch": epoch}
+    return records.TaskStart, {"worker": worker, **fields}
+
+
+def requeue(attempt, epoch=1, task="t", **fields):
+    fields = {"cause": "evicted", "attempt": attempt, **fields}
+    return records.TaskRequeue, {"task": task, "epoch": epoch, **fields}
+
+
+def finish(attempt, epoch=1, task="t"):
+    fields = {"task": task, "attempt": attempt, "epoch": epoch}
+    return records.TaskFinish, {"outcome": "succeeded", **fields}
+
+
+def test_records_of_a_superseded_epoch_are_void():
+    # Guards against a start that a paused owner appends after a takeover.
+    book = make_book(submit(), opened(1), opened(2), start(1, epoch=1))
+    assert list(book.pending) == ["t"]
+
+
+def test_a_requeue_counts_once():
+    # Guards against two successors of one evicted attempt.
+    book = make_book(
+        submit(),
+        opened(1),
+        start(1),
+        requeue(1, checkpoint="c1"),
+        start(2, worker="w2"),
+        requeue(1, checkpoint="c1"),
+    )
+    task = book.find_task("t")
+    assert (task.phase, task.attempt, task.worker) == ("started", 2, "w2")
+    assert (task.checkpoint, task.evictions) == ("c1", 1)
+
+
+def test_a_second_start_of_a_started_task_is_void():
+    # Guards against one attempt in two places.
+    book = make_book(submit(), opened(1), start(1), start(2, worker="w2"))
+    assert book.find_task("t").worker == "w1"
+
+
+def test_a_finish_of_a_stale_attempt_is_void():
+    # Guards against a late result of an attempt that was replaced.
+    book = make_book(
+        submit(), opened(1), start(1), requeue(1), start(2), finish(1)
+    )
+    assert book.find_task("t").phase == "started"
+
+
+def test_a_repeated_submission_changes_nothing():
+    # Guards against a catalogue sync that runs twice after a caller's retry.
+    book = make_book(submit(), opened(1), start(1), finish(1), submit())
+    assert book.pending == {}
+    assert book.find_task("t").outcome == "succeeded"
+
+
+def test_a_repeated_record_is_void():
+    # Guards against the second copy of an append whose reply was lost.
+    book = make_book(submit(), opened(1), start(1), requeue(1))
+    repeat = make_record(start(2)[0], 2, **start(2)[1])
+    book.apply_records([(4, repeat)], now=0.0)
+    assert list(book.pending) == ["t"]
+
+
+def test_ended_tasks_are_bounded():
+    # Guards against memory and snapshots that grow with every task.
+    limited = msgspec.structs.replace(
+        SETTINGS, tasks=settings_module.Tasks(finished_kept=2)
+    )
+    parts = [opened(1)]
+    for task in ("t1", "t2", "t3"):
+        parts += [submit(task), start(1, task=task), finish(1, task=task)]
+    book = make_book(*parts, settings=limited)
+    assert list(book.finished) == ["t2", "t3"]
+
+
+NAMES = strategies.sampled_from(["t1", "t2"])
+SMALL = strategies.integers(1, 3)
+PARTS = strategies.one_of(
+    strategies.builds(submit, NAMES),
+    strategies.builds(opened, SMALL),
+    strategies.builds(start, SMALL, SMALL, NAMES),
+    strategies.builds(requeue, SMALL, SMALL, NAMES),
+    strategies.builds(finish, SMALL, SMALL, NAMES),
+)
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(
+    strategies.lists(PARTS, min_size=1, max_size=25), strategies.data()
+)
+def test_a_snapshot_replaces_the_records_before_it(parts, data):
+    # Guards against a reader that joins later and disagrees with the others.
+    cut = data.draw(strategies.integers(1, len(parts)))
+    whole, before = make_book(*parts), make_book(*parts[:cut])
+    through, state = before.encode_state()
+    snapshot = make_record(
+        records.ShardSnapshot,
+        1000,
+        epoch=before.epoch,
+        through_offset=through,
+        state=state,
+    )
+    joined = tasks.TaskBook(SETTINGS)
+    entries = [
+        (offset, make_record(kind, offset, **fields))
+        for offset, (kind, fields) in enumerate(parts)
+    ]
+    # The snapshot itself is stored after records that it does not cover.
+    joined.apply_records([(len(parts), snapshot)], now=0.0)
+    joined.apply_records(entries, now=0.0)
+    assert joined.encode_state() == whole.encode_state()
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(strategies.lists(PARTS, max_size=40))
+def test_every_task_is_in_exactly_one_place(parts):
+    # Guards against an index that shows a task both waiting and started.
+    book = make_book(*parts)
+    places = [*book.pending, *book.finished]
+    for worker, started in book.started.items():
+        places += started
+        assert all(task.worker == worker for task in started.values())
+    assert sorted(places) == sorted(set(places))
+    live = {task.id for task in book.list_live()} | set(book.finished)
+    assert live == set(places)
