--- /dev/null
+++ b/standins/audit.py
@@ -0,0 +1,233 @@
+"""Checks a run against the guarantees of docs/design.md, section 1.
+
+Works on records that the product had no hand in: those of runners, workers,
+callers and submitters. A violation is a sentence, filed under the number of
+its guarantee.
+"""
+
+import collections
+import pathlib
+from typing import Any
+
+import msgspec
+
+from plantainvane import documents
+from plantainvane import workers
+from standins import load as load_module
+from standins import runner as runner_module
+from standins import tasks as tasks_module
+from standins import worker as worker_module
+
+GUARANTEES = range(1, 10)
+# Two processes of one machine read its clock this much apart, at most.
+CLOCK_SLACK_S = 0.005
+Violations = dict[int, list[str]]
+
+
+def make_violations() -> Violations:
+    """Makes an empty list for each guarantee."""
+    return {number: [] for number in GUARANTEES}
+
+
+def read_attempts(path: pathlib.Path) -> list[worker_module.AttemptEntry]:
+    """Reads a worker's audit file; the last line of an attempt counts."""
+    kind = worker_module.AttemptEntry
+    entries: dict[tuple[str, int], worker_module.AttemptEntry] = {}
+    for entry in _read_lines(path, kind):
+        entries[entry.task, entry.attempt] = entry
+    return list(entries.values())
+
+
+def read_runs(path: pathlib.Path) -> list[runner_module.RunEntry]:
+    """Reads a runner's audit file; each run is one entry.
+
+    A run is told from a retry of the same request by the time it began.
+    """
+    entries: dict[tuple[str, float], runner_module.RunEntry] = {}
+    for entry in _read_lines(path, runner_module.RunEntry):
+        entries[entry.request_id, entry.began] = entry
+    return list(entries.values())
+
+
+def check_requests(
+    violations: Violations,
+    records: list[load_module.Record],
+    runs: dict[str, list[runner_module.RunEntry]],
+) -> None:
+    """Checks guarantees 4, 5 and 6 for requests.
+
+    Args:
+      violations: Receives what is found.
+      records: What the callers saw.
+      runs: What each runner ran, by the id of the runner.
+    """
+    by_id = collections.Counter()
+    by_key = collections.Counter()
+    for entries in runs.values():
+        by_id.update(entry.request_id for entry in entries)
+        by_key.update(entry.key for entry in entries)
+    ended = {
+        entry.request_id
+        for entries in runs.values()
+        for entry in entries
+        if entry.ended is not None
+    }
+    for record in records:
+        name = f"{record.service_class} {record.request_id}"
+        if record.outcome == "wrong":
+            violations[4].append(f"{name}: {record.detail}")
+        if (
+            record.outcome == "answered"
+            and not record.key
+            and record.request_id not in ended
+        ):
+            violations[4].append(f"{name}: answered, but no run ended")
+        if record.outcome == "not_run" and by_id[record.request_id]:
+            violations[5].append(f"{name}: reported not run, but it ran")
+    for key in {record.key for record in records if record.key}:
+        if by_key[key] > 1:
+            violations[6].append(f"key {key} ran {by_key[key]} times")
+
+
+def check_attempts(
+    violations: Violations,
+    sizes: dict[str, documents.Size],
+    attempts: dict[str, list[worker_module.AttemptEntry]],
+    ended: dict[str, float],
+    now: float,
+) -> None:
+    """Checks guarantees 1 and 2, and that each attempt number is used once.
+
+    Args:
+      violations: Receives what is found.
+      sizes: Capacity by worker.
+      attempts: What each worker ran, by the id of the worker.
+      ended: When workers were killed; their attempts ended then.
+      now: Time of the audit; attempts without an end still run.
+    """
+    places: dict[str, list[tuple[float, float, str, int]]] = {}
+    for worker, entries in attempts.items():
+        for entry in entries:
+            end = entry.ended or ended.get(worker, now)
+            place = (entry.began, end, worker, entry.attempt)
+            places.setdefault(entry.task, []).append(place)
+        highest = find_highest(entries, ended.get(worker, now))
+        for field in documents.Size.__struct_fields__:
+            most, limit = getattr(highest, field), getattr(sizes[worker], field)
+            if most > limit + 1e-6:
+                text = f"{worker}: {most} of {limit} {field} committed"
+                violations[1].append(text)
+    for task, spans in places.items():
+        _check_places(violations, task, sorted(spans))
+
+
+def check_tasks(
+    violations: Violations,
+    records: list[tasks_module.TaskRecord],
+    attempts: dict[str, list[worker_module.AttemptEntry]],
+) -> None:
+    """Checks guarantees 3 and 6 for tasks.
+
+    Args:
+      violations: Receives what is found.
+      records: What the submitters saw.
+      attempts: What each worker ran, by the id of the worker.
+    """
+    by_task: dict[str, list[worker_module.AttemptEntry]] = {}
+    for entries in attempts.values():
+        for entry in entries:
+            by_task.setdefault(entry.task, []).append(entry)
+    for record in records:
+        entries = sorted(
+            by_task.get(record.task, []), key=lambda entry: entry.attempt
+        )
+        if record.wrong:
+            violations[3].append(f"{record.task}: {record.wrong}")
+        _check_success(violations, record, entries)
+        if not record.idempotent:
+            _check_steps_once(violations, record, entries)
+
+
+def count_ran_twice(violations: Violations) -> int:
+    """Counts requests and tasks that ran twice or in two places."""
+    return len(violations[2]) + len(violations[6])
+
+
+def count_violations(violations: Violations) -> dict[str, int]:
+    """Counts the violations of each guarantee."""
+    return {str(number): len(violations[number]) for number in GUARANTEES}
+
+
+def find_highest(
+    entries: list[worker_module.AttemptEntry], now: float
+) -> documents.Size:
+    """Finds the highest sum of declared sizes that ran at the same time."""
+    changes: list[tuple[float, int, documents.Size]] = []
+    for entry in entries:
+        # At the same time, ends count before beginnings.
+        changes.append((entry.began, 1, entry.size))
+        changes.append((entry.ended or now, -1, entry.size))
+    changes.sort(key=lambda change: change[:2])
+    fields = documents.Size.__struct_fields__
+    current = dict.fromkeys(fields, 0)
+    highest = dict.fromkeys(fields, 0)
+    for _, sign, size in changes:
+        for field in fields:
+            current[field] += sign * getattr(size, field)
+            highest[field] = max(highest[field], current[field])
+    return documents.Size(**highest)
+
+
+def _read_lines(path: pathlib.Path, kind: Any) -> list[Any]:
+    if not path.exists():
+        return []
+    lines = path.read_bytes().split(b"\n")
+    # A killed process may leave its last line incomplete.
+    return [msgspec.json.decode(line, type=kind) for line in lines[:-1]]
+
+
+def _check_places(
+    violations: Violations,
+    task: str,
+    spans: list[tuple[float, float, str, int]],
+) -> None:
+    for before, after in zip(spans, spans[1:], strict=False):
+        if after[0] < before[1] - CLOCK_SLACK_S:
+            violations[2].append(
+                f"{task}: attempt {after[3]} on {after[2]} began"
+                f" {before[1] - after[0]:.3f} s before attempt {before[3]}"
+                f" on {before[2]} ended"
+            )
+    numbers = [span[3] for span in spans]
+    if len(set(numbers)) != len(numbers):
+        violations[2].append(f"{task}: attempt numbers {numbers} repeat")
+
+
+def _check_success(
+    violations: Violations,
+    record: tasks_module.TaskRecord,
+    entries: list[worker_module.AttemptEntry],
+) -> None:
+    succeeded = [
+        entry
+        for entry in entries
+        if entry.state == workers.AttemptState.SUCCEEDED
+    ]
+    if len(succeeded) > 1:
+        violations[3].append(f"{record.task}: {len(succeeded)} attempts ended")
+    if record.outcome == "succeeded" and not succeeded:
+        violations[3].append(f"{record.task}: no attempt did the last step")
+
+
+def _check_steps_once(
+    violations: Violations,
+    record: tasks_module.TaskRecord,
+    entries: list[worker_module.AttemptEntry],
+) -> None:
+    """Checks that no attempt follows one that may have done later steps."""
+    for before, after in zip(entries, entries[1:], strict=False):
+        name = f"{record.task}: attempt {after.attempt}"
+        if before.state != workers.AttemptState.STOPPED:
+            violations[6].append(f"{name} follows one that {before.state}")
+        elif after.from_step == 0 and before.to_step > 0:
+            violations[6].append(f"{name} repeats {before.to_step} steps")
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -145,6 +145,22 @@
     return msgspec.json.decode(path.read_bytes(), type=Deployment)
 
 
+def read_documents(
+    deployment: Deployment, directory: pathlib.Path
+) -> list[documents.Document]:
+    """Reads the operator documents; `directory` holds the deployment file.
+
+    Raises:
+      msgspec.ValidationError: A file is not an operator document.
+    """
+    return [
+        msgspec.json.decode(
+            (directory / name).read_bytes(), type=documents.Document
+        )
+        for name in deployment.documents
+    ]
+
+
 def plan_cluster(deployment: Deployment, directory: pathlib.Path) -> Cluster:
     """Writes the settings of every process into `directory`."""
     directory.mkdir(parents=True, exist_ok=True)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -75,7 +75,13 @@
 
 
 class Audit(msgspec.Struct):
-    """What a runner did, in its own words."""
+    """What a runner did, in its own words.
+
+    Attributes:
+      most_at_once: Highest number of requests that ran at the same time.
+      leaving_at: Time from which it refused work, if it was told to leave.
+      last_refused_leaving: When it last refused a request for that reason.
+    """
 
     runner: str
     began: int
@@ -83,6 +89,8 @@
     refused: int
     most_at_once: int
     runs: list[RunEntry]
+    leaving_at: float | None
+    last_refused_leaving: float | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,6 +117,7 @@
         default_factory=lambda: collections.defaultdict(list)
     )
     leaving_at: float | None = None
+    last_refused_leaving: float | None = None
 
 
 async def serve_runner(settings: RunnerSettings, stop: anyio.Event) -> None:
@@ -145,6 +154,15 @@
 
 async def _handle_request(
     runner: Runner, request: asgi.HttpRequest
+) -> asgi.HttpReply:
+    reply = await _make_reply(runner, request)
+    if runner.leaving_at is not None:
+        reply.headers = (*reply.headers, (b"leaving", b"1"))
+    return reply
+
+
+async def _make_reply(
+    runner: Runner, request: asgi.HttpRequest
 ) -> asgi.HttpReply:
     if request.path == "/health":
         return asgi.make_json_reply(200, {"id": runner.settings.id})
@@ -155,10 +173,7 @@
     prefix, _, service_class = request.path.rpartition("/")
     if prefix != "/run" or request.method != "POST":
         return asgi.make_json_reply(404, {"reason": "no such path"})
-    reply = await _handle_run(runner, service_class, request)
-    if runner.leaving_at is not None:
-        reply.headers = (*reply.headers, (b"leaving", b"1"))
-    return reply
+    return await _handle_run(runner, service_class, request)
 
 
 def _handle_leave(runner: Runner, request: asgi.HttpRequest) -> asgi.HttpReply:
@@ -173,9 +188,12 @@
     runner: Runner, service_class: str, request: asgi.HttpRequest
 ) -> asgi.HttpReply:
     run_class = runner.settings.classes.get(service_class)
-    reason = _find_refusal(runner, run_class, time.monotonic())
+    now = time.monotonic()
+    reason = _find_refusal(runner, run_class, now)
     if reason:
         runner.refused += 1
+        if reason == "leaving":
+            runner.last_refused_leaving = now
         return asgi.make_json_reply(
             503, {"reason": reason}, ((b"not-run", b"1"),)
         )
@@ -266,6 +284,8 @@
         ended=runner.ended,
         refused=runner.refused,
         most_at_once=runner.most_at_once,
+        leaving_at=runner.leaving_at,
+        last_refused_leaving=runner.last_refused_leaving,
         runs=runner.runs,
     )
 
--- /dev/null
+++ b/standins/tasks.py
@@ -0,0 +1,157 @@
+"""Submits a deployment's tasks and follows each to its end."""
+
+import dataclasses
+import random
+import time
+from typing import Any
+
+import anyio
+import msgspec
+
+from plantainvane import documents
+from standins import answers
+from standins import balancer as balancer_module
+from standins import connection as connection_module
+from standins import launcher
+
+POLL_S = 0.25
+RETRY_S = 0.5
+CALL_TIMEOUT_S = 10.0
+
+
+class TaskRecord(msgspec.Struct, kw_only=True):
+    """One task as its submitter saw it; times are of the machine's clock.
+
+    Attributes:
+      outcome: Outcome that the product reported; empty until it did.
+      wrong: What is wrong with the output of a task that succeeded.
+    """
+
+    task: str
+    batch_class: str
+    work: dict[str, Any]
+    idempotent: bool = True
+    submitted: float | None = None
+    ended: float | None = None
+    outcome: str = ""
+    detail: str = ""
+    wrong: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRun:
+    """The tasks of one run, in the order of submission."""
+
+    deployment: launcher.Deployment
+    balancer: balancer_module.Balancer
+    records: list[TaskRecord] = dataclasses.field(default_factory=list)
+
+
+def plan_tasks(
+    deployment: launcher.Deployment,
+    published: list[documents.Document],
+    seed: int,
+    prefix: str,
+) -> list[TaskRecord]:
+    """Plans the tasks of every batch class; the order depends on `seed`."""
+    seeded = random.Random(seed)
+    classes = {
+        document.name: document
+        for document in published
+        if isinstance(document, documents.BatchClass)
+    }
+    planned = []
+    for name, load in deployment.tasks.items():
+        for number in range(load.count):
+            work = {
+                "steps": load.steps,
+                "step_ms": load.step_ms,
+                "seed": seeded.randrange(1_000_000),
+                "fails": number < load.failing,
+                "use": _make_use(classes[name].size, load.use_factor),
+            }
+            planned.append(
+                TaskRecord(
+                    task=f"{prefix}-{name}-{number + 1}",
+                    batch_class=name,
+                    work=work,
+                    idempotent=classes[name].idempotent,
+                )
+            )
+    seeded.shuffle(planned)
+    return planned
+
+
+def _make_use(size: documents.Size, factor: float) -> dict[str, Any]:
+    return {
+        "processors": size.processors * factor,
+        "memory_bytes": round(size.memory_bytes * factor),
+    }
+
+
+async def run_tasks(run: TaskRun, over_s: float) -> None:
+    """Submits all tasks spread over `over_s` and follows each to its end."""
+    start = anyio.current_time()
+    gap_s = over_s / max(1, len(run.records))
+    async with anyio.create_task_group() as group:
+        for index, record in enumerate(run.records):
+            await anyio.sleep_until(start + index * gap_s)
+            group.start_soon(_run_task, run, record)
+
+
+def count_outcomes(records: list[TaskRecord]) -> dict[str, int]:
+    """Counts tasks by outcome; "" counts those without one."""
+    counts: dict[str, int] = {}
+    for record in records:
+        counts[record.outcome] = counts.get(record.outcome, 0) + 1
+    return counts
+
+
+async def _run_task(run: TaskRun, record: TaskRecord) -> None:
+    await _submit_task(run, record)
+    while not record.outcome:
+        await anyio.sleep(POLL_S)
+        await _poll_task(run, record)
+    record.ended = time.monotonic()
+
+
+async def _submit_task(run: TaskRun, record: TaskRecord) -> None:
+    """Submits until accepted; a repeat of the same id is void."""
+    body = msgspec.json.encode(
+        {
+            "task": record.task,
+            "batch_class": record.batch_class,
+            "work": record.work,
+        }
+    )
+    while True:
+        reply = await _call(run, "POST", "/tasks", body)
+        if reply is not None and reply.status == 202:
+            record.submitted = time.monotonic()
+            return
+        if reply is not None and reply.status in (400, 404, 422):
+            record.outcome = "refused"
+            record.detail = reply.body[:200].decode("utf-8", "replace")
+            return
+        await anyio.sleep(RETRY_S)
+
+
+async def _poll_task(run: TaskRun, record: TaskRecord) -> None:
+    reply = await _call(run, "GET", f"/tasks/{record.task}", b"")
+    if reply is None or reply.status != 200:
+        return
+    status = msgspec.json.decode(reply.body)
+    record.outcome = status.get("outcome") or ""
+    record.detail = status.get("detail") or ""
+    if record.outcome == "succeeded":
+        record.wrong = answers.check_output(record.work, status.get("output"))
+
+
+async def _call(
+    run: TaskRun, method: str, path: str, body: bytes
+) -> connection_module.Reply | None:
+    headers = {"Content-Type": "application/json"}
+    _, reply = await balancer_module.send_request(
+        run.balancer, method, path, headers, body, CALL_TIMEOUT_S
+    )
+    return reply if isinstance(reply, connection_module.Reply) else None
