Add the streams between entry processes

Membership needs heartbeats, and configuration, tasks and spillover need calls between processes. One anyio task per peer holds one Exchange stream; each heartbeat is answered by one, so an unanswered one closes and replaces the stream. grpclib ends a broken call by cancelling the calling asyncio task, which made a later anyio scope of that task leak its cancellation and end the whole server in silence (seen in the partition test); calls now run in tasks of their own.

--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -41,5 +41,6 @@
 MEMBER_SUSPECTED = Event(302, "member_suspected", Level.WARNING)
 MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
 MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
+PEER_FAILED = Event(305, "peer_failed", Level.WARNING)
 
 PROCESS_STARTED = Event(701, "process_started", Level.INFO)
--- /dev/null
+++ b/plantainvane/peers.py
@@ -0,0 +1,411 @@
+"""Connections between entry processes: grpclib server and one task per peer.
+
+The task of a peer holds one `Exchange` stream. Each side's heartbeat answers
+the other's, so an unanswered one shows that the connection has gone silent.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+import socket
+from typing import Any
+
+import anyio
+import anyio.abc
+import grpclib.client
+import grpclib.exceptions
+import grpclib.server
+import result
+
+from plantainvane import events
+from plantainvane import membership as membership_module
+from plantainvane import messages_grpc
+from plantainvane import messages_pb2
+from plantainvane import outcomes
+from plantainvane import settings as settings_module
+
+BACKOFF_BASE_S = 0.1
+REVIEW_S = 0.5
+# A connection whose other end is unreachable is closed by the kernel after
+# 10 + 3 * 5 s; otherwise a partition would leave it open for hours.
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_COUNT = 3
+
+_FAILURES = (
+    OSError,
+    TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.ProtocolError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Services:
+    """What this process offers its peers.
+
+    Attributes:
+      make_heartbeat: (now, whether to name the members heard) -> heartbeat.
+      fetch_configuration: Answers with a snapshot if it is above the version
+        asked for, else with the version alone.
+      fetch_task: Answers for a task of a shard that this process owns.
+      run_request: Runs a forwarded request; never forwards it again.
+    """
+
+    make_heartbeat: Callable[[float, bool], messages_pb2.Heartbeat]
+    fetch_configuration: Callable[
+        [messages_pb2.FetchRequest], messages_pb2.ConfigurationState
+    ]
+    fetch_task: Callable[
+        [messages_pb2.TaskQuery], Awaitable[messages_pb2.TaskStatus]
+    ]
+    run_request: Callable[
+        [messages_pb2.ForwardedRequest],
+        Awaitable[messages_pb2.ForwardedOutcome],
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """The task of one peer and its channel while connected."""
+
+    member: membership_module.Member
+    scope: anyio.CancelScope
+    channel: grpclib.client.Channel | None = None
+    failures: int = 0
+    failed_at: float | None = None
+
+
+class Peers:
+    """Serves peers and holds a stream to each of them."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        membership: membership_module.Membership,
+        services: Services,
+    ):
+        self._settings = settings
+        self._membership = membership
+        self._services = services
+        self._links: dict[str, _Link] = {}
+        self._announcement = anyio.Event()
+        self.forwarded = 0
+
+    async def run(self) -> None:
+        """Serves and connects until cancelled."""
+        server = grpclib.server.Server([_Service(self)])
+        await server.start(sock=_listen(self._settings.listen.peers))
+        try:
+            async with anyio.create_task_group() as group:
+                while True:
+                    now = anyio.current_time()
+                    self._membership.review_members(now)
+                    self._update_links(group, now)
+                    await anyio.sleep(REVIEW_S)
+        finally:
+            server.close()
+
+    def announce(self) -> None:
+        """Sends a heartbeat on every stream at once."""
+        self._announcement.set()
+        self._announcement = anyio.Event()
+
+    async def fetch_configuration(
+        self, member: membership_module.Member, above_version: int
+    ) -> result.Result[messages_pb2.ConfigurationState, outcomes.CallError]:
+        """Asks a peer for its configuration if it is above a version."""
+        request = messages_pb2.FetchRequest(above_version=above_version)
+        return await self._call(
+            member,
+            lambda stub: stub.FetchConfiguration,
+            request,
+            self._settings.log.call_timeout_s,
+        )
+
+    async def fetch_task(
+        self, member: membership_module.Member, task: str
+    ) -> result.Result[messages_pb2.TaskStatus, outcomes.CallError]:
+        """Asks the owner of a task's shard for the task."""
+        return await self._call(
+            member,
+            lambda stub: stub.FetchTask,
+            messages_pb2.TaskQuery(task=task),
+            self._settings.tasks.call_timeout_s,
+        )
+
+    async def forward_request(
+        self,
+        member: membership_module.Member,
+        request: messages_pb2.ForwardedRequest,
+    ) -> result.Result[messages_pb2.ForwardedOutcome, outcomes.CallError]:
+        """Sends a request to a peer, which has the request's deadline.
+
+        Returns:
+          Err UNREACHED when no byte was sent; Err LOST when the peer may have
+          run the request.
+        """
+        return await self._call(
+            member,
+            lambda stub: stub.ForwardRequest,
+            request,
+            request.deadline_ms / 1000,
+        )
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns the state of each peer's connection."""
+        return {
+            "forwarded_in_flight": self.forwarded,
+            "links": {
+                id: {
+                    "address": link.member.peer_address,
+                    "connected": link.channel is not None,
+                    "failures": link.failures,
+                    "failing_s": None
+                    if link.failed_at is None
+                    else round(now - link.failed_at, 3),
+                }
+                for id, link in sorted(self._links.items())
+            },
+        }
+
+    def _update_links(self, group: anyio.abc.TaskGroup, now: float) -> None:
+        """Starts and ends the tasks of peers after a change."""
+        wanted = {peer.id: peer for peer in self._membership.list_peers(now)}
+        for id, link in list(self._links.items()):
+            peer = wanted.get(id)
+            if peer is None or peer.peer_address != link.member.peer_address:
+                link.scope.cancel()
+                del self._links[id]
+        for id, peer in wanted.items():
+            if id not in self._links:
+                link = _Link(peer, anyio.CancelScope())
+                self._links[id] = link
+                group.start_soon(self._hold_link, link)
+
+    async def _hold_link(self, link: _Link) -> None:
+        with link.scope:
+            while True:
+                ended = await _isolate(self._exchange_heartbeats, link)
+                if ended.is_err():
+                    self._report_failure(link, ended.err_value)
+                await anyio.sleep(self._choose_backoff(link))
+
+    async def _exchange_heartbeats(self, link: _Link) -> None:
+        """Exchanges heartbeats until the stream ends, fails or is silent."""
+        interval = self._membership.get_interval(link.member.domain)
+        async with self._open_channel(link.member) as channel:
+            stub = messages_grpc.PeerStub(channel)
+            async with stub.Exchange.open() as stream:
+                first = True
+                while True:
+                    now = anyio.current_time()
+                    beat = self._services.make_heartbeat(now, first)
+                    # Below the suspicion limit: a silent connection is
+                    # replaced before the peer behind it is suspected.
+                    with anyio.fail_after(interval):
+                        await stream.send_message(beat)
+                        reply = await stream.recv_message()
+                    if reply is None:
+                        return
+                    self._membership.apply_heartbeat(
+                        reply, anyio.current_time()
+                    )
+                    link.channel, link.failures = channel, 0
+                    link.failed_at = None
+                    first = False
+                    with anyio.move_on_after(interval * _draw(0.9, 1.0)):
+                        await self._announcement.wait()
+
+    @contextlib.asynccontextmanager
+    async def _open_channel(
+        self, member: membership_module.Member
+    ) -> AsyncIterator[grpclib.client.Channel]:
+        """Connects to a member; the channel is closed at the end."""
+        host, port = settings_module.split_address(member.peer_address)
+        channel = grpclib.client.Channel(host, port)
+        try:
+            with anyio.fail_after(self._settings.membership.connect_timeout_s):
+                await channel.__connect__()
+            yield channel
+        finally:
+            link = self._links.get(member.id)
+            if link is not None and link.channel is channel:
+                link.channel = None
+            channel.close()
+
+    async def _call(
+        self,
+        member: membership_module.Member,
+        pick_method: Callable[[messages_grpc.PeerStub], Any],
+        request: Any,
+        timeout_s: float,
+    ) -> result.Result[Any, outcomes.CallError]:
+        """Makes a unary call on the held connection or on one of its own."""
+        sending = False
+
+        async def work() -> Any:
+            nonlocal sending
+            async with contextlib.AsyncExitStack() as stack:
+                link = self._links.get(member.id)
+                channel = link.channel if link is not None else None
+                if channel is None:
+                    channel = await stack.enter_async_context(
+                        self._open_channel(member)
+                    )
+                method = pick_method(messages_grpc.PeerStub(channel))
+                sending = True
+                return await method(request)
+
+        reply = result.Err(TimeoutError(f"no reply in {timeout_s} s"))
+        with anyio.move_on_after(timeout_s):
+            reply = await _isolate(work)
+        failure = outcomes.CallFailure
+        return reply.map_err(
+            lambda error: outcomes.CallError(
+                failure.LOST if sending else failure.UNREACHED,
+                f"{type(error).__name__}: {error}",
+            )
+        )
+
+    def _choose_backoff(self, link: _Link) -> float:
+        """Returns the jittered pause before the next connection, in s."""
+        interval = self._membership.get_interval(link.member.domain)
+        pause = min(BACKOFF_BASE_S * 2 ** min(link.failures, 10), interval)
+        return pause * _draw(0.5, 1.0)
+
+    def _report_failure(self, link: _Link, error: Exception) -> None:
+        link.failures += 1
+        if link.failures == 1:
+            link.failed_at = anyio.current_time()
+            events.log_event(
+                events.PEER_FAILED,
+                member=link.member.id,
+                address=link.member.peer_address,
+                error=f"{type(error).__name__}: {error}",
+            )
+
+
+class _Service(messages_grpc.PeerBase):
+    """Server side; method names are those of messages.proto."""
+
+    def __init__(self, peers: Peers):
+        self._peers = peers
+
+    async def Exchange(self, stream: grpclib.server.Stream) -> None:  # noqa: N802
+        """Answers each heartbeat with one until the peer ends the stream."""
+        first = True
+        async for heartbeat in stream:
+            now = anyio.current_time()
+            self._peers._membership.apply_heartbeat(heartbeat, now)
+            reply = self._peers._services.make_heartbeat(now, first)
+            await stream.send_message(reply)
+            first = False
+
+    async def FetchConfiguration(  # noqa: N802
+        self, stream: grpclib.server.Stream
+    ) -> None:
+        """Answers with the configuration in force."""
+        request = await stream.recv_message()
+        await stream.send_message(
+            self._peers._services.fetch_configuration(request)
+        )
+
+    async def FetchTask(self, stream: grpclib.server.Stream) -> None:  # noqa: N802
+        """Answers for a task of an owned shard."""
+        query = await stream.recv_message()
+        await stream.send_message(await self._peers._services.fetch_task(query))
+
+    async def ForwardRequest(  # noqa: N802
+        self, stream: grpclib.server.Stream
+    ) -> None:
+        """Runs a request of a caller of another domain."""
+        request = await stream.recv_message()
+        self._peers.forwarded += 1
+        try:
+            outcome = await self._peers._services.run_request(request)
+            await stream.send_message(outcome)
+        finally:
+            self._peers.forwarded -= 1
+
+
+def encode_answer(answer: outcomes.Answer) -> messages_pb2.ForwardedOutcome:
+    """Encodes the outcome of a forwarded request."""
+    return messages_pb2.ForwardedOutcome(
+        outcome=answer.outcome.value,
+        body=answer.body,
+        content_type=answer.content_type,
+        reason=answer.reason,
+        detail=answer.detail,
+        retry_after_ms=round(answer.retry_after_s * 1000),
+        attempts=answer.attempts,
+    )
+
+
+def decode_answer(message: messages_pb2.ForwardedOutcome) -> outcomes.Answer:
+    """Decodes the outcome of a forwarded request.
+
+    An outcome that this release does not know counts as unknown.
+    """
+    try:
+        outcome = outcomes.RequestOutcome(message.outcome)
+    except ValueError:
+        outcome = outcomes.RequestOutcome.UNKNOWN
+    return outcomes.Answer(
+        outcome,
+        body=message.body,
+        content_type=message.content_type,
+        reason=message.reason,
+        detail=message.detail,
+        retry_after_s=message.retry_after_ms / 1000,
+        attempts=message.attempts,
+    )
+
+
+def _listen(address: str) -> socket.socket:
+    """Binds the server's address; accepted sockets inherit the keepalive."""
+    host, port = settings_module.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+    ):
+        listener.setsockopt(socket.IPPROTO_TCP, option, value)
+    listener.setblocking(False)
+    return listener
+
+
+def _draw(low: float, high: float) -> float:
+    return random.uniform(low, high)
+
+
+async def _isolate(
+    work: Callable[..., Awaitable[Any]], *args: Any
+) -> result.Result[Any, Exception]:
+    """Runs a call of grpclib in an asyncio task of its own.
+
+    grpclib ends a broken call by cancelling the task that makes it. asyncio
+    counts that against the task from then on, and an anyio scope of a task so
+    counted lets its own cancellation escape to the task group, which then
+    ends in silence.
+    """
+    outcome: list[result.Result[Any, Exception]] = []
+
+    async def run_work() -> None:
+        try:
+            outcome.append(result.Ok(await work(*args)))
+        except _FAILURES as error:
+            outcome.append(result.Err(error))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_work)
+    if not outcome:
+        return result.Err(ConnectionError("cancelled by grpclib"))
+    return outcome[0]
