--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -145,6 +145,10 @@
             )
         )
 
+    def is_connected(self, id):
+        links = self.peers.dump_state(anyio.current_time())["links"]
+        return id in links and links[id]["connected"]
+
     def sees(self, *ids):
         live = self.membership.list_live(None, anyio.current_time())
         return [member.id for member in live] == sorted(ids)
@@ -216,7 +220,8 @@
     target = Process("e1", "a", [], 30.0)
     process = Process("e2", "a", [target], 30.0)
     async with run_processes(target, process):
-        await wait_until(lambda: target.sees("e1", "e2"))
+        for side, id in ((process, "e1"), (target, "e2")):
+            await wait_until(lambda p=side, i=id: p.is_connected(i))
         process.draining = True
         process.peers.announce()
         await wait_until(lambda: target.sees("e1"))
