Add the deciding functions of batch work

Resources are summed as whole numbers: sums of fractions of a processor drift past a worker's capacity.

--- /dev/null
+++ b/plantainvane/estimates.py
@@ -0,0 +1,77 @@
+"""Run time and use of batch classes, measured, against what was declared.
+
+Commitment uses declared sizes only; these estimates rank workers and tasks.
+"""
+
+import dataclasses
+
+from plantainvane import amounts
+from plantainvane import documents
+from plantainvane import settings as settings_module
+
+
+@dataclasses.dataclass(slots=True)
+class ClassEstimate:
+    """Running means of one batch class, with the number of samples.
+
+    Ratios are measured over declared, so that tasks of other sizes count.
+    """
+
+    runs: float = 0.0
+    run_ratio: float = 1.0
+    samples: float = 0.0
+    processors_ratio: float = 1.0
+    memory_ratio: float = 1.0
+
+
+def note_run(
+    settings: settings_module.Settings,
+    estimate: ClassEstimate,
+    declared_s: float,
+    run_s: float,
+) -> None:
+    """Learns from a task that succeeded after `run_s` seconds."""
+    weight = _find_weight(settings, estimate.runs)
+    estimate.runs += 1
+    ratio = run_s / declared_s
+    estimate.run_ratio += weight * (ratio - estimate.run_ratio)
+
+
+def note_usage(
+    settings: settings_module.Settings,
+    estimate: ClassEstimate,
+    declared: amounts.Amount,
+    processors: float,
+    memory_bytes: int,
+) -> None:
+    """Learns from one usage sample of one attempt."""
+    weight = _find_weight(settings, estimate.samples)
+    estimate.samples += 1
+    used = processors * 1000 / max(declared.millis, 1)
+    estimate.processors_ratio += weight * (used - estimate.processors_ratio)
+    used = memory_bytes / max(declared.memory, 1)
+    estimate.memory_ratio += weight * (used - estimate.memory_ratio)
+
+
+def predict_run(
+    estimate: ClassEstimate, batch_class: documents.BatchClass
+) -> float:
+    """Returns the expected run time in seconds."""
+    return batch_class.expected_run_s * estimate.run_ratio
+
+
+def predict_use(
+    estimate: ClassEstimate, declared: amounts.Amount
+) -> amounts.Amount:
+    """Returns what a task of this declared size will really use."""
+    return amounts.Amount(
+        round(declared.millis * estimate.processors_ratio),
+        round(declared.memory * estimate.memory_ratio),
+        declared.accelerators,
+    )
+
+
+def _find_weight(settings: settings_module.Settings, count: float) -> float:
+    """Weight of a new sample: the declaration counts as `prior_weight`."""
+    tasks = settings.tasks
+    return 1 / (1 + min(count + tasks.prior_weight, tasks.memory_samples))
--- /dev/null
+++ b/plantainvane/placement.py
@@ -0,0 +1,328 @@
+"""Placement of pending tasks on the workers of one shard.
+
+Tasks that are alike (class, size, workers they failed on) wait in one group;
+a decision looks at the head of each group, not at each task, and at a bounded
+sample of the workers, so its cost grows with neither.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+
+from plantainvane import amounts
+from plantainvane import documents
+from plantainvane import settings as settings_module
+
+RANKS = {
+    documents.Priority.URGENT: 0,
+    documents.Priority.NORMAL: 1,
+    documents.Priority.BULK: 2,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerState:
+    """A worker as placement sees it.
+
+    Attributes:
+      capacity: What batch work may commit here.
+      committed: Declared sizes of all attempts that are not known to have
+        ended, those in an unknown state included.
+      used: Estimated real use of the same attempts.
+      running: The same attempts by batch class.
+      services: Service classes whose runners share the worker.
+      open_starts: How many more attempts it may get in this round.
+      throttled: Its services are slowed now; urgent tasks only.
+    """
+
+    id: str
+    rack: str
+    capacity: amounts.Amount
+    committed: amounts.Amount = amounts.Amount()
+    used: amounts.Amount = amounts.Amount()
+    running: dict[str, int] = dataclasses.field(default_factory=dict)
+    services: tuple[str, ...] = ()
+    open_starts: int = 0
+    throttled: bool = False
+
+    def fits(self, amount: amounts.Amount) -> bool:
+        """Says whether `amount` keeps the commitment within capacity."""
+        return (self.committed + amount).fits(self.capacity)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GroupKey:
+    """What tasks of one group have in common."""
+
+    batch_class: str
+    priority: documents.Priority
+    team: str
+    amount: amounts.Amount
+    failed_on: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Waiting:
+    """A pending task: its place in the order, and since when it waits."""
+
+    task: str
+    order: int
+    since: float
+
+
+class Queue:
+    """Pending tasks in groups; each group in order of arrival."""
+
+    def __init__(self):
+        self.groups: dict[GroupKey, dict[str, Waiting]] = {}
+        self._keys: dict[str, GroupKey] = {}
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def __contains__(self, task: str) -> bool:
+        return task in self._keys
+
+    def add(self, key: GroupKey, waiting: Waiting) -> None:
+        """Adds a task at the end of its group."""
+        self.groups.setdefault(key, {})[waiting.task] = waiting
+        self._keys[waiting.task] = key
+
+    def remove(self, task: str) -> None:
+        """Removes a task; unknown tasks are ignored."""
+        key = self._keys.pop(task, None)
+        if key is None:
+            return
+        group = self.groups[key]
+        del group[task]
+        if not group:
+            del self.groups[key]
+
+    def find_key(self, task: str) -> GroupKey | None:
+        """Returns the group of a pending task."""
+        return self._keys.get(task)
+
+    def peek(self, key: GroupKey) -> Waiting:
+        """Returns the oldest task of a group."""
+        return next(iter(self.groups[key].values()))
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """What one shard's placement works on.
+
+    Attributes:
+      workers: By id; `committed` and the others are kept by the caller
+        between rounds and by `place_tasks` within one.
+      cursor: Where the next sample of workers begins.
+    """
+
+    workers: dict[str, WorkerState]
+    queue: Queue
+    cursor: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Decision:
+    """Start `task` on `worker`."""
+
+    task: str
+    worker: str
+    key: GroupKey
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Judgement:
+    """Functions that the placement takes from its surroundings.
+
+    Attributes:
+      allows: Whether the team's quota admits one more task of the group.
+      admit: Called when a task of the group is placed, to charge the quota.
+      predict_ratio: Highest predicted ratio of p99 to target among the
+        services of a worker after one more attempt of the batch class.
+      predict_use: Estimated real use of a task of the group.
+    """
+
+    allows: Callable[[GroupKey], bool]
+    admit: Callable[[GroupKey], None]
+    predict_ratio: Callable[[WorkerState, str], float]
+    predict_use: Callable[[GroupKey], amounts.Amount]
+
+
+def place_tasks(
+    settings: settings_module.Settings,
+    state: State,
+    judgement: Judgement,
+    now: float,
+) -> list[Decision]:
+    """Places as many tasks as fit, most urgent first, and charges them.
+
+    Placed tasks leave the queue; their sizes are committed in `state`.
+    """
+    decisions: list[Decision] = []
+    blocked: set[GroupKey] = set()
+    kept: dict[str, GroupKey] = {}
+    order = list(state.workers.values())
+    racks = _count_racks(state)
+    while len(decisions) < settings.tasks.placements_per_round:
+        key = _pick_group(settings, state.queue, blocked, now)
+        if key is None:
+            break
+        if not judgement.allows(key):
+            blocked.add(key)
+            continue
+        worker = _pick_worker(
+            settings, state, order, racks, judgement, key, kept
+        )
+        if worker is None:
+            blocked.add(key)
+            waited = now - state.queue.peek(key).since
+            if waited >= settings.tasks.aging_s:
+                _keep_worker(order, key, kept)
+            continue
+        task = state.queue.peek(key).task
+        state.queue.remove(task)
+        charge(worker, key, judgement.predict_use(key))
+        judgement.admit(key)
+        counts = racks.setdefault(key.batch_class, {})
+        counts[worker.rack] = counts.get(worker.rack, 0) + 1
+        decisions.append(Decision(task, worker.id, key))
+    return decisions
+
+
+def charge(worker: WorkerState, key: GroupKey, use: amounts.Amount) -> None:
+    """Commits one attempt of a group to a worker."""
+    worker.committed += key.amount
+    worker.used += use
+    worker.open_starts -= 1
+    running = worker.running
+    running[key.batch_class] = running.get(key.batch_class, 0) + 1
+
+
+def find_misfit(state: State, key: GroupKey, all_listed: bool) -> str | None:
+    """Returns why a group can never run on the known workers, if so.
+
+    Args:
+      state: Workers of the shard.
+      key: The group.
+      all_listed: Whether every worker of the shard has been listed; before,
+        nothing is known to be impossible.
+    """
+    if not all_listed or not state.workers:
+        return None
+    fitting = [
+        worker.id
+        for worker in state.workers.values()
+        if key.amount.fits(worker.capacity)
+    ]
+    if not fitting:
+        return "the declared size fits no worker of the shard"
+    if key.failed_on.issuperset(fitting):
+        return "failed on every worker that it fits"
+    return None
+
+
+def _pick_group(
+    settings: settings_module.Settings,
+    queue: Queue,
+    blocked: set[GroupKey],
+    now: float,
+) -> GroupKey | None:
+    best, best_order = None, (math.inf, math.inf)
+    for key, group in queue.groups.items():
+        if key in blocked:
+            continue
+        head = next(iter(group.values()))
+        order = (_find_level(settings, key, now - head.since), head.order)
+        if order < best_order:
+            best, best_order = key, order
+    return best
+
+
+def _find_level(
+    settings: settings_module.Settings, key: GroupKey, waited: float
+) -> int:
+    rank = RANKS[key.priority]
+    if rank == 0:
+        return 0
+    return max(1, rank - int(waited / settings.tasks.aging_s))
+
+
+def _pick_worker(
+    settings: settings_module.Settings,
+    state: State,
+    order: list[WorkerState],
+    racks: dict[str, dict[str, int]],
+    judgement: Judgement,
+    key: GroupKey,
+    kept: dict[str, GroupKey],
+) -> WorkerState | None:
+    """Returns the worker with the lowest score in a sample that fits."""
+    best, best_score = None, math.inf
+    counts = racks.get(key.batch_class, {})
+    total = sum(counts.values())
+    left = settings.tasks.candidates
+    for step in range(len(order)):
+        worker = order[(state.cursor + step) % len(order)]
+        if not _admits(worker, key, kept):
+            continue
+        score = judgement.predict_ratio(worker, key.batch_class)
+        score *= settings.tasks.interference_weight
+        if total:
+            share = counts.get(worker.rack, 0) / total
+            score += settings.tasks.rack_weight * share
+        load = worker.used.divide_by(worker.capacity)
+        score += settings.tasks.load_weight * load
+        if score < best_score:
+            best, best_score = worker, score
+        left -= 1
+        if left == 0:
+            break
+    state.cursor += settings.tasks.candidates
+    return best
+
+
+def _admits(
+    worker: WorkerState, key: GroupKey, kept: dict[str, GroupKey]
+) -> bool:
+    if worker.open_starts <= 0 or not worker.fits(key.amount):
+        return False
+    urgent = key.priority == documents.Priority.URGENT
+    if worker.throttled and not urgent:
+        return False
+    if worker.id in key.failed_on:
+        return False
+    return urgent or kept.get(worker.id, key) == key
+
+
+def _keep_worker(
+    order: list[WorkerState], key: GroupKey, kept: dict[str, GroupKey]
+) -> None:
+    """Keeps the emptiest fitting worker free for a task that waits long.
+
+    Without it, small tasks would take each freed part of every worker and a
+    large one would wait for ever.
+    """
+    fitting = [
+        worker
+        for worker in order
+        if key.amount.fits(worker.capacity)
+        and worker.id not in key.failed_on
+        and worker.id not in kept
+    ]
+    if fitting:
+        emptiest = min(
+            fitting,
+            key=lambda worker: worker.committed.divide_by(worker.capacity),
+        )
+        kept[emptiest.id] = key
+
+
+def _count_racks(state: State) -> dict[str, dict[str, int]]:
+    """Counts running attempts by batch class and rack."""
+    racks: dict[str, dict[str, int]] = {}
+    for worker in state.workers.values():
+        for batch_class, count in worker.running.items():
+            counts = racks.setdefault(batch_class, {})
+            counts[worker.rack] = counts.get(worker.rack, 0) + count
+    return racks
--- /dev/null
+++ b/plantainvane/pressure.py
@@ -0,0 +1,122 @@
+"""Reaction to batch work that slows a service: throttle, then evict.
+
+Thresholds for starting and ending differ, and each step takes a minimum time,
+because the measurements lag and every step needs time to show.
+"""
+
+import dataclasses
+import enum
+
+from plantainvane import settings as settings_module
+
+
+class Step(enum.StrEnum):
+    """What to do about the batch work of one worker now."""
+
+    NONE = "none"
+    THROTTLE = "throttle"
+    EVICT = "evict"
+    RELEASE = "release"
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerPressure:
+    """State of one worker.
+
+    Attributes:
+      throttled: Its batch work is limited.
+      since: When the last step was taken.
+      calm_since: Since when every sample was below `release_below`.
+      sample_at: When the newest sample used was taken.
+    """
+
+    throttled: bool = False
+    since: float = 0.0
+    calm_since: float | None = None
+    sample_at: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Victim:
+    """An attempt that may be evicted.
+
+    Attributes:
+      key: Task id.
+      rank: Priority, 0 for urgent; a larger one goes first.
+      effect: Predicted relief of the service that is slowed most.
+      lost_s: Work that an eviction would lose, in seconds.
+    """
+
+    key: str
+    rank: int
+    effect: float
+    lost_s: float
+
+
+def decide_step(
+    settings: settings_module.Settings,
+    state: WorkerPressure,
+    ratio: float,
+    sample_at: float,
+    now: float,
+) -> Step:
+    """Decides on the step for a worker and notes it in `state`.
+
+    Args:
+      settings: Settings of the process.
+      state: Updated in place.
+      ratio: Highest ratio of p99 to target among the worker's services.
+      sample_at: When the sample was taken; one sample leads to one step, and
+        a sample from before the last step says nothing about its effect.
+      now: Monotonic time.
+    """
+    tasks = settings.tasks
+    if sample_at <= state.sample_at or sample_at <= state.since:
+        return Step.NONE
+    state.sample_at = sample_at
+    if ratio >= tasks.release_below:
+        state.calm_since = None
+    elif state.calm_since is None:
+        state.calm_since = sample_at
+    if ratio > tasks.throttle_above:
+        return _tighten(settings, state, now)
+    calm = state.calm_since is not None
+    if (
+        state.throttled
+        and calm
+        and (sample_at - state.calm_since >= tasks.release_after_s)
+    ):
+        state.throttled = False
+        state.since = now
+        return Step.RELEASE
+    return Step.NONE
+
+
+def pick_victim(victims: list[Victim]) -> Victim | None:
+    """Picks the least urgent attempt that slows the service noticeably most.
+
+    Among equals, the one that loses the least work.
+    """
+    return max(
+        victims,
+        key=lambda victim: (
+            victim.rank,
+            round(victim.effect, 2),
+            -victim.lost_s,
+            victim.key,
+        ),
+        default=None,
+    )
+
+
+def _tighten(
+    settings: settings_module.Settings, state: WorkerPressure, now: float
+) -> Step:
+    if not state.throttled:
+        state.throttled = True
+        state.since = now
+        return Step.THROTTLE
+    if now - state.since >= settings.tasks.evict_after_s:
+        state.since = now
+        return Step.EVICT
+    return Step.NONE
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -120,9 +120,44 @@
     release_after_s: Positive = 5.0
     # Weight of the class prior, in samples, in an interference estimate.
     prior_weight: Positive = 8.0
-    # A task waiting this long is placed before younger ones of its priority.
+    # Waiting that raises a task by one priority, up to just below urgent, and
+    # after which a task that fits nowhere keeps a worker free for itself.
     aging_s: Positive = 60.0
     finished_kept: Count = 2000
+    # Samples that an estimate remembers; at one a second, some minutes.
+    memory_samples: Count = 200
+    # Part of a worker open to batch work without a cluster_limits document;
+    # equal to the default of that document.
+    batch_fraction: Fraction = 0.75
+    # Attempts at once on a worker that has not yet shown that it runs
+    # anything: the number of tasks that a worker that fails all may cost.
+    unproven_attempts: Count = 3
+    # A run this long shows that a worker starts tasks properly.
+    proven_s: Positive = 2.0
+    # Failures count against a worker for this long.
+    evidence_s: Positive = 600.0
+    # Starts handed to one worker, and to all of a shard, in one round.
+    starts_per_round: Count = 16
+    placements_per_round: Count = 200
+    # Workers compared for one placement; with 48 the best of a sample is on
+    # average within the best 2%, and the cost does not grow with the cluster.
+    candidates: Count = 48
+    # Weights in a worker's score, in units of one service's ratio of p99 to
+    # target: interference, share of a class in one rack, estimated load.
+    interference_weight: Positive = 1.0
+    rack_weight: Positive = 0.2
+    load_weight: Positive = 0.1
+    # A task that fits no listed worker ends after this time; instance lists
+    # lag by seconds.
+    impossible_after_s: Positive = 30.0
+    # Usage is sampled about once a second; one fetch brings all samples.
+    usage_s: Positive = 2.0
+    # A checkpoint that takes longer is given up.
+    checkpoint_limit_s: Positive = 30.0
+    # Time that a stream read for one question is followed afterwards.
+    follow_idle_s: Positive = 60.0
+    # Longest wait until the own reader shows a record that was appended.
+    fold_wait_s: Positive = 3.0
 
 
 class Requests(Struct):
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,197 @@
+"""Tests of plantainvane.placement and plantainvane.quotas."""
+
+import hypothesis
+from hypothesis import strategies
+
+from plantainvane import amounts
+from plantainvane import documents
+from plantainvane import placement
+from plantainvane import quotas
+from tests import test_claims
+
+SETTINGS = test_claims.make_settings()
+URGENT = documents.Priority.URGENT
+NORMAL = documents.Priority.NORMAL
+BULK = documents.Priority.BULK
+
+
+def make_worker(id="w1", rack="r1", cores=4, **fields):
+    return placement.WorkerState(
+        id, rack, amounts.Amount(cores * 1000, 1 << 30, 1), **fields
+    )
+
+
+def make_key(priority=NORMAL, cores=1.0, **fields):
+    size = documents.Size(processors=cores)
+    fields = {"batch_class": "c", "team": "t", **fields}
+    amount = amounts.measure_size(size)
+    return placement.GroupKey(priority=priority, amount=amount, **fields)
+
+
+def make_state(workers, *waiting):
+    """`waiting` holds (task, key) or (task, key, since) in order."""
+    state = placement.State({w.id: w for w in workers}, placement.Queue())
+    for order, (task, key, *since) in enumerate(waiting):
+        state.queue.add(
+            key, placement.Waiting(task, order, since[0] if since else 0.0)
+        )
+    for worker in workers:
+        worker.open_starts = 100
+    return state
+
+
+def judge(ratio=lambda worker, batch_class: 0.0, allows=lambda key: True):
+    return placement.Judgement(
+        allows=allows,
+        admit=lambda key: None,
+        predict_ratio=ratio,
+        predict_use=lambda key: key.amount,
+    )
+
+
+def place(state, now=0.0, **judgement):
+    decisions = placement.place_tasks(SETTINGS, state, judge(**judgement), now)
+    return [(decision.task, decision.worker) for decision in decisions]
+
+
+SIZES = strategies.tuples(
+    strategies.floats(0, 6),
+    strategies.integers(0, 2**30),
+    strategies.integers(0, 2),
+)
+
+
+@hypothesis.settings(max_examples=80, deadline=None, derandomize=True)
+@hypothesis.given(strategies.lists(SIZES, max_size=30))
+def test_no_worker_is_committed_beyond_any_resource(sizes):
+    # Guards against a sum beyond processors, memory or accelerators.
+    waiting = []
+    for number, (cores, memory, accelerators) in enumerate(sizes):
+        size = documents.Size(cores, memory, accelerators)
+        key = placement.GroupKey("c", NORMAL, "t", amounts.measure_size(size))
+        waiting.append((str(number), key))
+    state = make_state([make_worker("w1"), make_worker("w2")], *waiting)
+    place(state)
+    for worker in state.workers.values():
+        assert worker.committed.fits(worker.capacity)
+
+
+def test_fractions_are_charged_rounded_up():
+    # Guards against sums of fractions that drift past a worker's capacity.
+    key = make_key(cores=0.0333)
+    tasks = [(str(number), key) for number in range(150)]
+    state = make_state([make_worker(cores=4)], *tasks)
+    assert len(place(state)) == 4000 // 34
+
+
+def test_urgent_goes_first_and_waiting_raises_up_to_below_urgent():
+    # Guards against starved bulk work, and against bulk before urgent.
+    waiting = [
+        ("bulk", make_key(BULK), 0.0),
+        ("normal", make_key(NORMAL), 50.0),
+        ("urgent", make_key(URGENT), 50.0),
+    ]
+    young = make_state([make_worker()], *waiting)
+    assert [task for task, _ in place(young, now=59.0)] == [
+        "urgent",
+        "normal",
+        "bulk",
+    ]
+    old = make_state([make_worker()], *waiting)
+    assert [task for task, _ in place(old, now=120.0)] == [
+        "urgent",
+        "bulk",
+        "normal",
+    ]
+
+
+def test_a_large_task_that_waits_long_keeps_a_worker():
+    # Guards against small tasks that take every freed part of a worker.
+    large, small = make_key(cores=4.0), make_key(cores=1.0)
+    worker = make_worker(committed=amounts.Amount(1000))
+    state = make_state([worker], ("large", large, 0.0), ("small", small, 61.0))
+    assert place(state, now=61.0) == []
+    worker.committed = amounts.Amount()
+    assert place(state, now=62.0) == [("large", "w1")]
+
+
+def test_a_class_spreads_over_racks():
+    # Guards against one rack's failure that ends all tasks of a class.
+    workers = [make_worker(f"w{n}", f"r{n // 2}") for n in range(4)]
+    state = make_state(workers, *[(str(n), make_key()) for n in range(4)])
+    racks = [state.workers[worker].rack for _, worker in place(state)]
+    assert sorted(racks) == ["r0", "r0", "r1", "r1"]
+    assert racks[0] != racks[1]
+
+
+def test_the_least_predicted_interference_wins():
+    # Guards against placing by load when a service would suffer.
+    busy = make_worker("busy", used=amounts.Amount(3000))
+    idle = make_worker("idle", services=("ring",))
+    state = make_state([idle, busy], ("t", make_key()))
+    ratios = {"idle": 0.9, "busy": 0.1}
+    assert place(state, ratio=lambda worker, _: ratios[worker.id]) == [
+        ("t", "busy")
+    ]
+
+
+def test_a_throttled_worker_takes_urgent_work_only():
+    # Guards against more batch work beside a service that is slowed now.
+    state = make_state(
+        [make_worker(throttled=True)],
+        ("normal", make_key()),
+        ("urgent", make_key(URGENT)),
+    )
+    assert [task for task, _ in place(state)] == ["urgent"]
+
+
+def test_a_task_avoids_workers_it_failed_on_and_ends_after_all():
+    # Guards against a task that fails for ever on one worker.
+    key = make_key(failed_on=frozenset({"w1"}))
+    state = make_state([make_worker("w1"), make_worker("w2")], ("t", key))
+    assert placement.find_misfit(state, key, all_listed=True) is None
+    assert place(state) == [("t", "w2")]
+    key = make_key(failed_on=frozenset({"w1", "w2"}))
+    assert "failed on every" in placement.find_misfit(state, key, True)
+
+
+def test_a_task_that_fits_no_worker_is_named_once_all_are_listed():
+    # Guards against work that waits for ever, and against a hasty end.
+    state, key = make_state([make_worker(cores=4)]), make_key(cores=5.0)
+    assert placement.find_misfit(state, key, all_listed=False) is None
+    assert "fits no worker" in placement.find_misfit(state, key, True)
+
+
+def test_a_blocked_team_does_not_block_others():
+    # Guards against head-of-line blocking by a used-up quota.
+    state = make_state(
+        [make_worker()],
+        ("first", make_key(team="full")),
+        ("second", make_key(team="free")),
+    )
+    assert place(state, allows=lambda key: key.team == "free") == [
+        ("second", "w1")
+    ]
+
+
+def test_a_quota_is_divided_among_the_shards():
+    # Guards against a team that runs its whole quota in every shard.
+    quota = documents.Quota(name="t", limit=documents.Size(processors=8))
+    used, one = amounts.Amount(3000), amounts.Amount(1000)
+    # Two domains with one shard each: 4 processors here.
+    assert quotas.allows_start(SETTINGS, quota, used, one)
+    assert not quotas.allows_start(
+        SETTINGS, quota, used + one, amounts.Amount(1)
+    )
+    assert not quotas.allows_start(SETTINGS, None, amounts.Amount(), one)
+
+
+def test_a_task_above_the_share_but_within_the_quota_runs_alone():
+    # Guards against a small quota under which nothing ever runs.
+    quota = documents.Quota(name="t", limit=documents.Size(processors=2))
+    two = amounts.Amount(2000)
+    assert quotas.allows_start(SETTINGS, quota, amounts.Amount(), two)
+    assert not quotas.allows_start(SETTINGS, quota, two, two)
+    assert not quotas.allows_start(
+        SETTINGS, quota, amounts.Amount(), amounts.Amount(2001)
+    )
