--- /dev/null
+++ b/tests/log_server.py
@@ -0,0 +1,163 @@
+"""Runs the log's stand-in within a test."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import json
+import socket
+from typing import Any
+
+import anyio
+import httpx
+
+from plantainvane import log
+from plantainvane import settings as settings_module
+from standins import log_service
+
+
+@dataclasses.dataclass(slots=True)
+class LogServer:
+    """A running stand-in and the settings of a process that uses it."""
+
+    state: log_service.LogState
+    settings: settings_module.Settings
+    client: httpx.AsyncClient
+
+    async def switch_faults(self, **fields: Any) -> None:
+        """Changes the faults that the stand-in shows."""
+        reply = await self.client.post("/faults", json=fields)
+        reply.raise_for_status()
+
+
+def find_address() -> str:
+    """Finds a free port on the loopback interface."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_settings(
+    log_address: str, **log_fields: Any
+) -> settings_module.Settings:
+    """Makes settings of the process `entry-1` with short waits."""
+    fields = {
+        "linger_s": 0.002,
+        "linger_max_s": 0.05,
+        "call_timeout_s": 0.5,
+        "poll_wait_s": 0.5,
+        "append_settle_s": 0.05,
+    }
+    return settings_module.Settings(
+        id="entry-1",
+        domain="east",
+        domains=("east",),
+        listen=settings_module.Listen(
+            "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+        ),
+        platform=settings_module.Platform(log_address, "127.0.0.1:4"),
+        log=settings_module.Log(**(fields | log_fields)),
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_log(
+    log_fields: dict[str, Any] | None = None, **service_fields: Any
+) -> AsyncIterator[LogServer]:
+    """Serves a new log on a free port until the block ends."""
+    address = find_address()
+    state = log_service.LogState(
+        log_service.Settings(address, **service_fields)
+    )
+    settings = make_settings(address, **(log_fields or {}))
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(log_service.serve_state, state, address, stopped.wait)
+        async with log.make_client(settings) as client:
+            await _wait_ready(client)
+            try:
+                yield LogServer(state, settings, client)
+            finally:
+                stopped.set()
+
+
+class ScriptedTransport(httpx.AsyncBaseTransport):
+    """Calls the stand-in without a network; appends follow a script.
+
+    Each entry of `script` handles one append: it is called with the request
+    and the function that forwards a request to the stand-in. Appends beyond
+    the script are forwarded.
+    """
+
+    def __init__(self, state: log_service.LogState):
+        self.script: list[Behaviour] = []
+        self._inner = httpx.ASGITransport(log_service.make_application(state))
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Handles one request."""
+        forward = self._inner.handle_async_request
+        if request.method == "POST" and self.script:
+            return await self.script.pop(0)(request, forward)
+        return await forward(request)
+
+
+Forward = Callable[[httpx.Request], Awaitable[httpx.Response]]
+Behaviour = Callable[[httpx.Request, Forward], Awaitable[httpx.Response]]
+
+
+async def lose_reply(request: httpx.Request, forward: Forward) -> Any:
+    """The append takes effect and its reply is lost."""
+    await forward(request)
+    raise httpx.ReadError("reply lost", request=request)
+
+
+async def lose_request(request: httpx.Request, forward: Forward) -> Any:
+    """The append never takes effect, but the sender cannot know it."""
+    raise httpx.ReadTimeout("request lost", request=request)
+
+
+async def limit_rate(request: httpx.Request, forward: Forward) -> Any:
+    """The append is refused by the rate limit."""
+    return httpx.Response(429, request=request)
+
+
+@dataclasses.dataclass(slots=True)
+class LocalLog:
+    """A stand-in that is called without a network."""
+
+    state: log_service.LogState
+    settings: settings_module.Settings
+    transport: ScriptedTransport
+    client: httpx.AsyncClient
+
+    def list_records(self, stream: str) -> list[dict[str, Any]]:
+        """Returns the retained records of a stream as JSON objects."""
+        page = self.state.read_page(stream, 0, 10**6, now=0.0)
+        return [entry["record"] for entry in json.loads(page)["records"]]
+
+
+def make_local_log(
+    log_fields: dict[str, Any] | None = None, **service_fields: Any
+) -> LocalLog:
+    """Makes a new, empty log that is called without a network."""
+    address = "127.0.0.1:9"
+    state = log_service.LogState(
+        log_service.Settings(address, **service_fields)
+    )
+    transport = ScriptedTransport(state)
+    client = httpx.AsyncClient(
+        base_url=f"http://{address}", transport=transport
+    )
+    settings = make_settings(address, **(log_fields or {}))
+    return LocalLog(state, settings, transport, client)
+
+
+async def _wait_ready(client: httpx.AsyncClient) -> None:
+    while True:
+        with contextlib.suppress(httpx.HTTPError):
+            await client.get("/faults")
+            return
+        await anyio.sleep(0.002)
