Add the demo and the chaos run, not yet run against the product

Calls to the list and to workers now carry Client-Id, as those to the log do, so that a domain can be cut off from them.

--- a/plantainvane/instances.py
+++ b/plantainvane/instances.py
@@ -6,6 +6,7 @@
 Dialect, HTTP/1.1 with JSON:
   GET /instances?domain=NAME
     200 {"instances": [Instance, ...]}
+  Every request names its sender's process id in the header `Client-Id`.
 """
 
 import enum
@@ -61,6 +62,7 @@
     """Creates the HTTP client for the instance list."""
     return httpx.AsyncClient(
         base_url=f"http://{settings.platform.instances}",
+        headers={"Client-Id": settings.id},
         timeout=settings.log.call_timeout_s,
         trust_env=False,
     )
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -120,7 +120,7 @@
     """The processes of a deployment, by id, and those that run.
 
     `ended` holds when a process was killed or ended, by id, as the machine's
-    monotonic clock has it.
+    monotonic clock has it; `statuses` the exit status of those ended.
     """
 
     deployment: Deployment
@@ -130,6 +130,7 @@
         default_factory=dict
     )
     ended: dict[str, float] = dataclasses.field(default_factory=dict)
+    statuses: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def list_role(self, role: str) -> list[Process]:
         """Lists the processes of one role, in the order of their ids."""
@@ -225,12 +226,12 @@
         process.send_signal(signal.SIGCONT)
         process.terminate()
     with anyio.move_on_after(END_TIMEOUT_S):
-        status = await process.wait()
-        cluster.ended[process_id] = time.monotonic()
-        return status
-    process.kill()
+        await process.wait()
+    if process.returncode is None:
+        process.kill()
     status = await process.wait()
     cluster.ended[process_id] = time.monotonic()
+    cluster.statuses[process_id] = status
     return status
 
 
@@ -242,6 +243,17 @@
     cluster.ended[process_id] = time.monotonic()
 
 
+def pause_process(cluster: Cluster, process_id: str) -> None:
+    """Stops one process with SIGSTOP until it is resumed."""
+    cluster.running[process_id].send_signal(signal.SIGSTOP)
+
+
+def resume_process(cluster: Cluster, process_id: str) -> None:
+    """Continues a process with SIGCONT; it may have been killed since."""
+    if process_id in cluster.running:
+        cluster.running[process_id].send_signal(signal.SIGCONT)
+
+
 @contextlib.asynccontextmanager
 async def run_cluster(cluster: Cluster) -> AsyncIterator[Cluster]:
     """Runs all processes of a cluster; ends them on leaving the context."""
@@ -250,9 +262,28 @@
         yield cluster
     finally:
         with anyio.CancelScope(shield=True):
-            async with anyio.create_task_group() as group:
-                for process_id in list(cluster.running):
-                    group.start_soon(end_process, cluster, process_id)
+            # Entry processes drain and release their claims, so they go first.
+            entries = {process.id for process in cluster.list_role("entry")}
+            await _end_processes(cluster, entries & cluster.running.keys())
+            await _end_processes(cluster, set(cluster.running))
+
+
+def plan_machine(cluster: Cluster, domain: str) -> list[instances.Instance]:
+    """Plans one more worker and runner in `domain`, with ids of their own.
+
+    Returns:
+      Their entries in the instance list; neither is started or registered.
+    """
+    deployment = cluster.deployment
+    taken = {
+        address
+        for process in cluster.processes.values()
+        for address in process.addresses.values()
+    }
+    offset = deployment.domains.index(domain)
+    count = sum(p.domain == domain for p in cluster.list_role("worker"))
+    index = count * len(deployment.domains) + offset
+    return _plan_worker(cluster, taken, index)
 
 
 def describe_cluster(cluster: Cluster) -> dict[str, Any]:
@@ -273,6 +304,12 @@
     }
 
 
+async def _end_processes(cluster: Cluster, names: set[str]) -> None:
+    async with anyio.create_task_group() as group:
+        for name in names:
+            group.start_soon(end_process, cluster, name)
+
+
 async def _start_processes(cluster: Cluster) -> None:
     """Starts the platform and the targets first, then entry processes."""
     entries = {process.id for process in cluster.list_role("entry")}
--- /dev/null
+++ b/standins/operators.py
@@ -0,0 +1,207 @@
+"""Operators who change one document at the same time, and their witness.
+
+Every change sets a deadline that no other change sets, so the document in force
+at a process tells which changes it knows.
+"""
+
+import collections
+import dataclasses
+import time
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+
+from standins import audit as audit_module
+from standins import injections
+from standins import launcher
+from standins import session as session_module
+
+WATCH_INTERVAL_S = 0.25
+CALL_TIMEOUT_S = 4.0
+
+
+class Change(msgspec.Struct, kw_only=True):
+    """One accepted change; `at` is when the operator was told."""
+
+    base_revision: int
+    revision: int
+    version: int
+    at: float
+
+
+class Sighting(msgspec.Struct, frozen=True):
+    """Version in force at a process at a time, between two of its starts."""
+
+    process: str
+    pid: int
+    at: float
+    version: int
+
+
+@dataclasses.dataclass(slots=True)
+class Operators:
+    """Accepted changes and the versions seen.
+
+    `deadline_ms` is the value of the last change that was tried.
+    """
+
+    cluster: launcher.Cluster
+    changes: list[Change] = dataclasses.field(default_factory=list)
+    sightings: list[Sighting] = dataclasses.field(default_factory=list)
+    deadline_ms: int = 2000
+    refused: int = 0
+
+
+async def race_operators(operators: Operators, rivals: int = 2) -> None:
+    """Lets rivals publish the same document on the same base at once."""
+    entries = [
+        entry
+        for entry in operators.cluster.list_role("entry")
+        if entry.id in operators.cluster.running
+    ]
+    stored = await _fetch_document(entries)
+    if stored is None:
+        return
+    async with anyio.create_task_group() as group:
+        for number in range(rivals):
+            operators.deadline_ms += 1
+            document = stored["document"] | {
+                "deadline_ms": operators.deadline_ms
+            }
+            entry = entries[number % len(entries)]
+            group.start_soon(
+                _publish, operators, entry, document, stored["revision"]
+            )
+
+
+async def watch_versions(operators: Operators) -> None:
+    """Notes the version in force at every entry process until cancelled."""
+    async with anyio.create_task_group() as group:
+        for entry in operators.cluster.list_role("entry"):
+            group.start_soon(_watch_process, operators, entry)
+
+
+def check_configuration(
+    violations: audit_module.Violations,
+    operators: Operators,
+    injector: injections.Injector,
+) -> None:
+    """Checks guarantee 9.
+
+    A process that was paused, dead or restarted within the 5 s is not judged;
+    one that was only cut off from the log is, because its peers can tell it.
+    """
+    bases = collections.Counter(c.base_revision for c in operators.changes)
+    for base, count in bases.items():
+        if count > 1:
+            violations[9].append(f"{count} changes of revision {base} accepted")
+    by_process: dict[tuple[str, int], list[Sighting]] = {}
+    for sighting in operators.sightings:
+        key = (sighting.process, sighting.pid)
+        by_process.setdefault(key, []).append(sighting)
+    for (process, _), sightings in by_process.items():
+        _check_reverts(violations, process, sightings)
+        for change in operators.changes:
+            _check_arrival(violations, injector, process, change, sightings)
+
+
+def _check_reverts(
+    violations: audit_module.Violations,
+    process: str,
+    sightings: list[Sighting],
+) -> None:
+    for before, after in zip(sightings, sightings[1:], strict=False):
+        if after.version < before.version:
+            violations[9].append(
+                f"{process} went back from version {before.version} to"
+                f" {after.version}"
+            )
+
+
+def _check_arrival(
+    violations: audit_module.Violations,
+    injector: injections.Injector,
+    process: str,
+    change: Change,
+    sightings: list[Sighting],
+) -> None:
+    due = change.at + session_module.IN_FORCE_S
+    if injections.was_disturbed(
+        injector, process, change.at, due, ("kill", "restart", "pause")
+    ):
+        return
+    late = [s for s in sightings if s.at >= due]
+    if late and late[0].version < change.version:
+        violations[9].append(
+            f"{process} had version {late[0].version} in force"
+            f" {late[0].at - change.at:.1f} s after {change.version}"
+            " was accepted"
+        )
+
+
+async def _fetch_document(
+    entries: list[launcher.Process],
+) -> dict[str, Any] | None:
+    async with httpx.AsyncClient(
+        trust_env=False, timeout=CALL_TIMEOUT_S
+    ) as client:
+        for entry in entries:
+            url = f"http://{entry.addresses['operators']}/documents"
+            try:
+                reply = await client.get(url)
+            except httpx.HTTPError:
+                continue
+            if reply.status_code != 200:
+                continue
+            for stored in reply.json()["documents"]:
+                if stored["document"]["name"] == "forecast":
+                    return stored
+    return None
+
+
+async def _publish(
+    operators: Operators,
+    entry: launcher.Process,
+    document: dict[str, Any],
+    base_revision: int,
+) -> None:
+    url = f"http://{entry.addresses['operators']}/documents"
+    change = {
+        "document": document,
+        "base_revision": base_revision,
+        "author": f"operator-at-{entry.id}",
+    }
+    try:
+        async with httpx.AsyncClient(
+            trust_env=False, timeout=CALL_TIMEOUT_S
+        ) as client:
+            reply = await client.post(url, json=change)
+    except httpx.HTTPError:
+        return
+    if reply.status_code != 200:
+        operators.refused += 1
+        return
+    accepted = reply.json()
+    operators.changes.append(
+        Change(
+            base_revision=base_revision,
+            revision=accepted["revision"],
+            version=accepted["version"],
+            at=time.monotonic(),
+        )
+    )
+
+
+async def _watch_process(operators: Operators, entry: launcher.Process) -> None:
+    async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
+        while True:
+            pid = entry.pid
+            version = await session_module.fetch_version(client, entry)
+            # A reply from another incarnation must not be filed under this.
+            if version is not None and entry.pid == pid:
+                operators.sightings.append(
+                    Sighting(entry.id, pid, time.monotonic(), version)
+                )
+            await anyio.sleep(WATCH_INTERVAL_S)
