--- a/plantainvane/configuration.py
+++ b/plantainvane/configuration.py
@@ -19,7 +19,8 @@
 from plantainvane import validation
 from plantainvane import writers
 
-_BASE_PATH = "$.base_revision"
+# Path of the fault of a stale change; all others are paths in a document.
+BASE_PATH = "$.base_revision"
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -166,6 +167,13 @@
         while self.through_offset < offset:
             await self._moved.wait()
 
+    async def wait_revision(
+        self, key: documents_module.DocumentKey, revision: int
+    ) -> None:
+        """Waits until `revision` of a document, or a later one, is folded."""
+        while self.revisions.get(key, 0) < revision:
+            await self._moved.wait()
+
     async def wait_change(self) -> None:
         """Waits until something was folded or the end was reached."""
         await self._moved.wait()
@@ -201,6 +209,27 @@
         self._announce()
         return taken
 
+    def make_scratch(self) -> "Configuration":
+        """Copies the documents in force, to try changes on."""
+        scratch = Configuration(self.settings)
+        scratch.version = self.version
+        scratch.documents = dict(self.documents)
+        scratch.revisions = dict(self.revisions)
+        return scratch
+
+    def put_in_force(
+        self,
+        key: documents_module.DocumentKey,
+        document: documents_module.Document | None,
+    ) -> None:
+        """Puts a checked document in force, or deletes it."""
+        self.version += 1
+        self.revisions[key] = self.revisions.get(key, 0) + 1
+        if document is None:
+            del self.documents[key]
+        else:
+            self.documents[key] = document
+
     def is_snapshot_due(self, now: float) -> bool:
         """Tells whether the stream needs a new snapshot.
 
@@ -256,7 +285,7 @@
         )
         faults = self.check_change(record.document, record.base_revision, key)
         if not faults:
-            self._put_in_force(key, record.document)
+            self.put_in_force(key, record.document)
         change = Change(
             offset=offset,
             version=self.version,
@@ -281,18 +310,6 @@
             faults=msgspec.to_builtins(faults),
         )
 
-    def _put_in_force(
-        self,
-        key: documents_module.DocumentKey,
-        document: documents_module.Document | None,
-    ) -> None:
-        self.version += 1
-        self.revisions[key] = self.revisions.get(key, 0) + 1
-        if document is None:
-            del self.documents[key]
-        else:
-            self.documents[key] = document
-
     def _take_snapshot(self, snapshot: records.ConfigSnapshot) -> bool:
         if snapshot.through_offset <= self.through_offset:
             return False
@@ -330,7 +347,7 @@
             return []
         revision = self.revisions.get(key, 0)
         reason = f"is {base_revision}, but revision {revision} is in force"
-        return [validation.Fault(_BASE_PATH, reason)]
+        return [validation.Fault(BASE_PATH, reason)]
 
     def _check_deletion(
         self, key: documents_module.DocumentKey
--- a/plantainvane/documents.py
+++ b/plantainvane/documents.py
@@ -116,16 +116,21 @@
 
 
 def check_document(
-    document: Document, documents: dict[DocumentKey, Document]
+    document: Document,
+    documents: dict[DocumentKey, Document],
+    complete: bool = True,
 ) -> list[validation.Fault]:
-    """Lists faults of one document within the set that it is part of."""
+    """Lists faults of one document within the set that it is part of.
+
+    With `complete` false, what the set lacks may be in force elsewhere.
+    """
     if isinstance(document, ClusterLimits):
         return _check_limits(document)
     if not isinstance(document, BatchClass):
         return []
     faults = []
     quota = documents.get(DocumentKey("quota", document.team))
-    if quota is None:
+    if quota is None and complete:
         faults.append(
             validation.Fault(
                 "$.team",
@@ -133,7 +138,7 @@
                 f" {document.team!r}, which has no quota",
             )
         )
-    else:
+    if quota is not None:
         faults.extend(_check_quota(document, quota))
     limits = find_limits(documents)
     if limits is not None:
@@ -197,7 +202,7 @@
     return [
         validation.Fault(
             f"$.size.{field}",
-            f"{declared:g} of batch class {document.name!r} exceeds"
+            f"{declared:g} {field} of batch class {document.name!r} exceed"
             f" {allowed:g}, the quota of team {quota.name!r}",
         )
         for field in Size.__struct_fields__
@@ -220,8 +225,9 @@
             faults.append(
                 validation.Fault(
                     f"$.size.{field}",
-                    f"{declared:g} of batch class {document.name!r} exceeds"
-                    f" {available:g}, the most that a worker offers",
+                    f"{declared:g} {field} of batch class"
+                    f" {document.name!r} exceed {available:g}, the most that"
+                    " a worker offers",
                 )
             )
     return faults
--- a/plantainvane/readers.py
+++ b/plantainvane/readers.py
@@ -46,7 +46,7 @@
     unreadable: bool = False
 
     def resume_at(self, next_offset: int) -> None:
-        """Moves on after state through `next_offset` - 1 came from a peer."""
+        """Moves on, never back, after state through `next_offset` - 1."""
         self.next_offset = max(self.next_offset, next_offset)
         if self.next_offset >= self.earliest:
             self.unreadable = False
@@ -120,9 +120,11 @@
     """
     reader = _Reader(settings, client, position, kind, apply)
     while True:
-        page = await reader.read_page(position.next_offset)
+        # A peer's state may move the position on while the read is under way.
+        from_offset = position.next_offset
+        page = await reader.read_page(from_offset)
         position.earliest = page.earliest
-        if page.next < position.next_offset:
+        if page.next < from_offset:
             reader.note_shortened(page)
             await anyio.sleep(settings.log.poll_wait_s)
         elif page.earliest > position.next_offset:
@@ -167,7 +169,7 @@
         now = anyio.current_time()
         entries = self._decode_page(page)
         if page.records:
-            position.next_offset = page.records[-1].offset + 1
+            position.resume_at(page.records[-1].offset + 1)
         if entries:
             self.apply(entries, now)
         self.caught_up = position.next_offset >= page.next
@@ -183,7 +185,7 @@
         """
         position = self.position
         if not _has_snapshots(self.kind):
-            position.next_offset = earliest
+            position.resume_at(earliest)
             return
         newest: tuple[int, Any] | None = None
         scan_from = earliest
@@ -203,7 +205,7 @@
                 continue
             if newest and newest[1].through_offset + 1 >= page.earliest:
                 self.apply([newest], anyio.current_time())
-                position.next_offset = newest[1].through_offset + 1
+                position.resume_at(newest[1].through_offset + 1)
                 return
             self._mark_unreadable()
 
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -12,8 +12,9 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, le=1)]
+# In Python, `$` alone also matches before a newline at the end.
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$(?!\n)", max_length=64)
 ]
 
 
@@ -382,11 +383,12 @@
     return [
         validation.Fault(path, f"{address!r} is not of the form ip:port")
         for path, address in named.items()
-        if not _is_address(address)
+        if not is_address(address)
     ]
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
+    """Tells whether `address` is of the form ip:port."""
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
--- a/plantainvane/validation.py
+++ b/plantainvane/validation.py
@@ -72,6 +72,14 @@
         return result.Err(faults or [Fault("$", str(error))])
 
 
+def move_faults(faults: list[Fault], path: str) -> list[Fault]:
+    """Turns paths in the value at `path` into paths in the whole."""
+    return [
+        Fault(path + fault.path.removeprefix("$"), fault.reason)
+        for fault in faults
+    ]
+
+
 def _refuse_constant(name: str) -> None:
     """Refuses NaN and Infinity, which JSON lacks and `json` would accept."""
     raise ValueError(f"{name} is not a JSON number")
--- a/tests/log_server.py
+++ b/tests/log_server.py
@@ -11,6 +11,7 @@
 
 import anyio
 import httpx
+import msgspec
 
 from plantainvane import log
 from plantainvane import settings as settings_module
@@ -75,7 +76,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(log_service.serve_state, state, address, stopped.wait)
         async with log.make_client(settings) as client:
-            await _wait_ready(client)
+            await wait_listening(address)
             try:
                 yield LogServer(state, settings, client)
             finally:
@@ -155,9 +156,22 @@
     return LocalLog(state, settings, transport, client)
 
 
-async def _wait_ready(client: httpx.AsyncClient) -> None:
-    while True:
-        with contextlib.suppress(httpx.HTTPError):
-            await client.get("/faults")
-            return
-        await anyio.sleep(0.002)
+def share_log(local: LocalLog, **fields: Any) -> LocalLog:
+    """Makes another process, with other settings, that uses the same log."""
+    settings = msgspec.structs.replace(local.settings, **fields)
+    transport = ScriptedTransport(local.state)
+    client = httpx.AsyncClient(
+        base_url=local.client.base_url, transport=transport
+    )
+    return LocalLog(local.state, settings, transport, client)
+
+
+async def wait_listening(*addresses: str) -> None:
+    """Waits until every address accepts connections."""
+    for address in addresses:
+        host, port = settings_module.split_address(address)
+        while True:
+            with contextlib.suppress(OSError):
+                await (await anyio.connect_tcp(host, port)).aclose()
+                break
+            await anyio.sleep(0.002)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -137,15 +137,15 @@
 @pytest.mark.parametrize(
     ("change", "reason"),
     [
-        (make_class(13.0), "exceeds 12, the most that a worker offers"),
+        (make_class(13.0), "exceed 12, the most that a worker offers"),
         (make_class(1.0, team="nobody"), "which has no quota"),
         (
             documents.Quota(name="outlooks", limit=documents.Size(1.0)),
-            "exceeds 1, the quota of team 'outlooks'",
+            "exceed 1, the quota of team 'outlooks'",
         ),
         (
             documents.ClusterLimits(largest_worker=documents.Size(2.0)),
-            "exceeds 1.5, the most that a worker offers",
+            "exceed 1.5, the most that a worker offers",
         ),
         (
             documents.ClusterLimits(
