--- a/plantainvane/console.js
+++ b/plantainvane/console.js
@@ -0,0 +1,297 @@
+"use strict";
+
+// Milliseconds between looks at the processes after a change was published,
+// and how long to look: three times the time promised for a change.
+const WATCH_EVERY_MS = 500;
+const WATCH_LIMIT_MS = 15000;
+
+let schemas = {};
+// The change that the form edits: {read, base, isNew}, where `read` returns the
+// document, or {target, base} to delete.
+let draft = null;
+// Revisions of deleted documents by "kind name". Such a document is created
+// again on the revision that deleted it.
+let deleted = new Map();
+
+const find = (id) => document.getElementById(id);
+
+function makeElement(tag, text, attributes = {}) {
+  const element = document.createElement(tag);
+  element.textContent = text;
+  for (const [name, value] of Object.entries(attributes)) {
+    if (value !== undefined) element.setAttribute(name, value);
+  }
+  return element;
+}
+
+function makeButton(text, action) {
+  const button = makeElement("button", text, { type: "button" });
+  button.addEventListener("click", action);
+  return button;
+}
+
+async function call(method, path, body) {
+  const options = { method };
+  if (body !== undefined) options.body = JSON.stringify(body);
+  try {
+    const reply = await fetch(path, options);
+    return { status: reply.status, body: await reply.json() };
+  } catch (error) {
+    const unknown = method === "POST" ? "unknown" : "refused";
+    const detail = `no whole reply: ${error.message}`;
+    return { status: 0, body: { outcome: unknown, detail } };
+  }
+}
+
+function resolve(schema, whole) {
+  if (!schema.$ref) return schema;
+  return whole.$defs[schema.$ref.split("/").pop()];
+}
+
+// Makes the inputs of an object schema. `read` of the result returns the JSON
+// object that the inputs describe.
+function makeFields(parent, schema, whole, value) {
+  const readers = {};
+  for (const [name, property] of Object.entries(schema.properties)) {
+    const kind = resolve(property, whole);
+    const given = value[name] ?? property.default;
+    const required = schema.required.includes(name);
+    readers[name] = kind.properties
+      ? makeGroup(parent, name, kind, whole, given ?? {})
+      : makeField(parent, name, kind, given, required);
+  }
+  return () => {
+    const entries = Object.entries(readers).map(([n, read]) => [n, read()]);
+    return Object.fromEntries(entries.filter(([, v]) => v !== undefined));
+  };
+}
+
+function makeGroup(parent, name, kind, whole, value) {
+  const group = makeElement("fieldset", "");
+  group.append(makeElement("legend", name));
+  parent.append(group);
+  return makeFields(group, kind, whole, value);
+}
+
+function makeField(parent, name, kind, given, required) {
+  const label = makeElement("label", "", { class: "field" });
+  label.append(makeElement("span", required ? `${name} (required)` : name));
+  const input = makeInput(kind, given, required);
+  label.append(input, makeElement("span", describe(kind), { class: "hint" }));
+  parent.append(label);
+  if (kind.type === "boolean") return () => input.checked;
+  if (kind.type === "integer" || kind.type === "number") {
+    return () => (input.value === "" ? undefined : Number(input.value));
+  }
+  return () => (input.value === "" ? undefined : input.value);
+}
+
+function makeInput(kind, given, required) {
+  if (kind.enum) {
+    const select = makeElement("select", "");
+    for (const option of kind.enum) {
+      select.append(makeElement("option", option, { value: option }));
+    }
+    select.value = given ?? kind.enum[0];
+    return select;
+  }
+  const types = { boolean: "checkbox", integer: "number", number: "number" };
+  const input = makeElement("input", "", {
+    type: types[kind.type] ?? "text",
+    min: kind.minimum ?? kind.exclusiveMinimum,
+    max: kind.maximum,
+    step: kind.type === "number" ? "any" : undefined,
+    pattern: kind.pattern,
+    maxlength: kind.maxLength,
+  });
+  input.required = required;
+  if (kind.type === "boolean") input.checked = Boolean(given);
+  else input.value = given ?? "";
+  return input;
+}
+
+function describe(kind) {
+  const parts = [];
+  if (kind.type) parts.push(kind.type);
+  if (kind.minimum !== undefined) parts.push(`at least ${kind.minimum}`);
+  if (kind.exclusiveMinimum !== undefined) {
+    parts.push(`above ${kind.exclusiveMinimum}`);
+  }
+  if (kind.maximum !== undefined) parts.push(`at most ${kind.maximum}`);
+  if (kind.pattern) parts.push("lower-case letters, digits and hyphens");
+  return parts.join(", ");
+}
+
+function openForm(kind, value, base) {
+  const whole = schemas[kind];
+  const form = find("form");
+  form.replaceChildren();
+  const read = makeFields(form, resolve(whole, whole), whole, value);
+  draft = { base, read, isNew: !base };
+  const state = base ? `on revision ${base}` : "new";
+  find("form-title").textContent = `${kind} ${value.name ?? ""} (${state})`;
+  showDraft();
+}
+
+function openDeletion(kind, name, base) {
+  find("form").replaceChildren();
+  find("form-title").textContent = `Delete ${kind} ${name} (revision ${base})`;
+  draft = { base, target: { kind, name } };
+  showDraft();
+}
+
+function makeChange() {
+  const change = { base_revision: draft.base, author: find("author").value };
+  if (draft.target) return { target: draft.target, ...change };
+  return { document: draft.read(), ...change };
+}
+
+function showDraft() {
+  find("buttons").hidden = draft === null;
+  if (draft) {
+    find("preview").textContent = JSON.stringify(makeChange(), null, 2);
+  }
+}
+
+async function checkDraft() {
+  const change = makeChange();
+  const reply = await call("POST", "documents/check", { changes: [change] });
+  if (reply.status === 200) showDone("No faults. Nothing was published.");
+  else showRefusal(reply.body.verdicts?.[0] ?? reply.body);
+}
+
+async function publishDraft() {
+  // What is sent is what the preview shows.
+  const change = JSON.parse(find("preview").textContent);
+  find("publish").disabled = true;
+  const reply = await call("POST", "documents", change);
+  find("publish").disabled = false;
+  if (reply.status !== 200) {
+    showRefusal(reply.body);
+    return;
+  }
+  const { kind, name, revision, version } = reply.body;
+  draft = null;
+  showDraft();
+  find("form").replaceChildren();
+  find("form-title").textContent = "No document chosen";
+  showDone(`${kind} ${name}: revision ${revision}, version ${version}.`);
+  await showDocuments();
+  await watchVersions(version);
+}
+
+function showDone(text) {
+  const line = makeElement("p", text, { class: "done" });
+  find("result").replaceChildren(line);
+}
+
+function showRefusal(body) {
+  const unknown = body.outcome === "unknown";
+  const title = unknown ? "It is not known whether this took effect." :
+    "Refused; nothing was changed.";
+  const list = makeElement("ul", "");
+  const lines = (body.faults ?? []).map((f) => `${f.path} ${f.reason}`);
+  if (!lines.length) lines.push(body.detail);
+  for (const line of lines) list.append(makeElement("li", line));
+  const parts = [makeElement("p", title, { class: "refused" }), list];
+  if (body.reason === "stale") parts.push(...makeStale(body));
+  find("result").replaceChildren(...parts);
+}
+
+function makeStale(body) {
+  const list = makeElement("ul", "");
+  for (const change of body.changes) {
+    const author = change.author || "unknown";
+    const text = `revision ${change.revision} by ${author}: ` +
+      JSON.stringify(change.document);
+    list.append(makeElement("li", text));
+  }
+  const parts = [makeElement("p", "Changed in between:"), list];
+  if (body.document) {
+    parts.push(makeButton("Edit the revision in force", () =>
+      openForm(body.kind, body.document, body.revision)));
+  }
+  return parts;
+}
+
+async function showDocuments() {
+  const reply = await call("GET", "documents");
+  if (reply.status !== 200) {
+    showRefusal(reply.body);
+    return;
+  }
+  find("version").textContent = reply.body.version;
+  const rows = reply.body.documents.map(({ revision, document: value }) => {
+    const row = makeElement("tr", "");
+    for (const text of [value.kind, value.name, revision]) {
+      row.append(makeElement("td", text));
+    }
+    const cell = makeElement("td", "");
+    cell.append(
+      makeButton("Edit", () => openForm(value.kind, value, revision)),
+      makeButton("Delete", () =>
+        openDeletion(value.kind, value.name, revision)),
+    );
+    row.append(cell);
+    return row;
+  });
+  find("documents").replaceChildren(...rows);
+  deleted = new Map(reply.body.deleted.map(
+    (d) => [`${d.kind} ${d.name}`, d.revision]));
+}
+
+async function showVersions(wanted) {
+  const reply = await call("GET", "versions");
+  if (reply.status !== 200) return false;
+  const rows = reply.body.processes.map((process) => {
+    const row = makeElement("tr", "");
+    let state = process.ready ? "ready" : "not ready";
+    if (process.heard_s > 0) {
+      state += `, heard ${process.heard_s.toFixed(1)} s ago`;
+    }
+    if (wanted !== undefined) {
+      state = `${process.version >= wanted ? "in force" : "waiting"}, ${state}`;
+    }
+    for (const text of [process.id, process.domain, process.version, state]) {
+      row.append(makeElement("td", text));
+    }
+    return row;
+  });
+  find("processes").replaceChildren(...rows);
+  return reply.body.processes.every((p) => p.version >= (wanted ?? 0));
+}
+
+async function watchVersions(version) {
+  const end = Date.now() + WATCH_LIMIT_MS;
+  while (!(await showVersions(version)) && Date.now() < end) {
+    await new Promise((wake) => setTimeout(wake, WATCH_EVERY_MS));
+  }
+}
+
+function updateBase() {
+  if (draft && draft.isNew) {
+    const { kind, name } = draft.read();
+    draft.base = deleted.get(`${kind} ${name}`) ?? 0;
+  }
+}
+
+async function start() {
+  schemas = (await call("GET", "schemas")).body;
+  for (const kind of Object.keys(schemas)) {
+    if (kind === "settings") continue;
+    find("kinds").append(
+      makeButton(`New ${kind}`, () => openForm(kind, {}, 0)));
+  }
+  find("form").addEventListener("input", () => {
+    updateBase();
+    showDraft();
+  });
+  find("form").addEventListener("submit", (event) => event.preventDefault());
+  find("author").addEventListener("input", showDraft);
+  find("check").addEventListener("click", checkDraft);
+  find("publish").addEventListener("click", publishDraft);
+  await showDocuments();
+  await showVersions();
+}
+
+start();
