Test that publishing and reading wait for what they depend on

Cause: on a scratch copy, two mechanisms could be removed without a failing test: waiting for the own fold before a publish is answered, and comparing a page with the position at the start of its read. Change: tests in which the fold lags and in which a peer's state comes during a read. Measured: both now fail without their mechanism.

--- a/tests/log_server.py
+++ b/tests/log_server.py
@@ -93,6 +93,8 @@
 
     def __init__(self, state: log_service.LogState):
         self.script: list[Behaviour] = []
+        # Called once, after the next read and before its reply.
+        self.after_read: Callable[[], None] | None = None
         self._inner = httpx.ASGITransport(log_service.make_application(state))
 
     async def handle_async_request(
@@ -102,7 +104,11 @@
         forward = self._inner.handle_async_request
         if request.method == "POST" and self.script:
             return await self.script.pop(0)(request, forward)
-        return await forward(request)
+        reply = await forward(request)
+        if request.method == "GET" and self.after_read:
+            action, self.after_read = self.after_read, None
+            action()
+        return reply
 
 
 Forward = Callable[[httpx.Request], Awaitable[httpx.Response]]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -251,8 +251,12 @@
     assert "\n".join(session) == snapshot
 
 
-async def test_publishing_waits_for_a_revision_seen_elsewhere():
-    """Guards against a refusal as stale at a process that lags behind."""
+async def test_publishing_waits_for_the_own_fold():
+    """Guards against wrong answers of a process that lags behind.
+
+    It must neither call a revision seen elsewhere stale, nor answer for its
+    own change before it knows whether that is valid.
+    """
     local = log_server.make_local_log()
     configuration = configuration_module.Configuration(local.settings)
     configuration.apply_records([], now=0.0)
@@ -273,7 +277,6 @@
         configuration.apply_records([(offset, record)], now=0.0)
 
     async def append(*_: Any, **__: Any) -> Any:
-        fold(1, 1)
         return result.Ok(1)
 
     async def publish() -> None:
@@ -285,8 +288,9 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(publish)
-        await anyio.wait_all_tasks_blocked()
-        fold(0, 0)
+        for offset in (0, 1):
+            await anyio.wait_all_tasks_blocked()
+            fold(offset, offset)
     assert replies[0].status == 200
 
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -219,3 +219,18 @@
         follower.position.resume_at(7)
         await follower.wait_until(lambda: follower.position.unreadable)
     assert follower.applied == []
+
+
+async def test_state_of_a_peer_during_a_read_shortens_nothing():
+    """Guards against an old page taken for a log that lost records."""
+    local = log_server.make_local_log({"poll_wait_s": 60.0})
+    append(local, make_change(1))
+    async with follow(local) as follower:
+
+        def move_on() -> None:
+            append(local, *(make_change(n) for n in range(2, 8)))
+            follower.position.resume_at(7)
+
+        local.transport.after_read = move_on
+        await follower.wait_until(lambda: follower.ends)
+    assert follower.position.next_offset == 7
