Correct the page after a look in a browser

Cause: headless Chromium refused the pattern of names (an unescaped hyphen is invalid in its pattern syntax), so the page checked no names; memory limits above 2**53 lost digits; long lines widened the page; the list of documents stayed old after a stale change.

--- a/plantainvane/console.js
+++ b/plantainvane/console.js
@@ -168,6 +168,7 @@
   find("publish").disabled = false;
   if (reply.status !== 200) {
     showRefusal(reply.body);
+    if (reply.status === 409) await showDocuments();
     return;
   }
   const { kind, name, revision, version } = reply.body;
--- a/plantainvane/console.py
+++ b/plantainvane/console.py
@@ -13,7 +13,10 @@
 
 # The browser loads and contacts nothing but this address.
 _HEADERS = (
-    (b"content-security-policy", b"default-src 'self'; form-action 'none'"),
+    (
+        b"content-security-policy",
+        b"default-src 'self'; img-src 'self' data:; form-action 'none'",
+    ),
     (b"x-frame-options", b"DENY"),
     (b"cache-control", b"no-cache"),
 )
--- a/plantainvane/documents.py
+++ b/plantainvane/documents.py
@@ -29,9 +29,9 @@
     """
 
     # The upper bounds leave room for the quota of a whole region; they keep
-    # out infinity and integers that JSON decoders of 64 bits refuse.
+    # out infinity, and integers above 2**53, which lose digits in browsers.
     processors: Annotated[float, msgspec.Meta(ge=0, le=10_000_000)] = 0.0
-    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**60)] = 0
+    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 0
     accelerators: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
 
 
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -12,9 +12,10 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, le=1)]
-# In Python, `$` alone also matches before a newline at the end.
+# In Python, `$` alone also matches before a newline at the end. Browsers, which
+# get the pattern with the schemas, want the hyphen escaped.
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$(?!\n)", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9\-]*$(?!\n)", max_length=64)
 ]
 
 
