--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -37,10 +37,30 @@
     )
 
 
+APPEND_LIMITED = Event(101, "append_limited", Level.WARNING)
+APPEND_REPLY_LOST = Event(102, "append_reply_lost", Level.WARNING)
+APPEND_RESOLVED = Event(103, "append_resolved", Level.INFO)
+APPEND_UNRESOLVED = Event(104, "append_unresolved", Level.ERROR)
+APPEND_REFUSED = Event(105, "append_refused", Level.WARNING)
+READ_FAILING = Event(111, "read_failing", Level.WARNING)
+READ_RECOVERED = Event(112, "read_recovered", Level.INFO)
+STREAM_UNREADABLE = Event(113, "stream_unreadable", Level.ERROR)
+STREAM_READABLE = Event(114, "stream_readable", Level.INFO)
+RECORD_UNDECODABLE = Event(115, "record_undecodable", Level.ERROR)
+STREAM_SHORTENED = Event(116, "stream_shortened", Level.ERROR)
+
+CONFIGURATION_CHANGED = Event(201, "configuration_changed", Level.INFO)
+CHANGE_VOID = Event(202, "change_void", Level.WARNING)
+SNAPSHOT_LOADED = Event(203, "snapshot_loaded", Level.INFO)
+SNAPSHOT_REFUSED = Event(204, "snapshot_refused", Level.ERROR)
+SNAPSHOT_WRITTEN = Event(205, "snapshot_written", Level.INFO)
+SNAPSHOT_FAILED = Event(206, "snapshot_failed", Level.WARNING)
+
 MEMBER_CHANGED = Event(301, "member_changed", Level.INFO)
 MEMBER_SUSPECTED = Event(302, "member_suspected", Level.WARNING)
 MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
 MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
+PEER_FAILED = Event(305, "peer_failed", Level.WARNING)
 
 TARGET_LIST_EMPTY = Event(601, "target_list_empty", Level.WARNING)
 TARGET_RETIRED = Event(602, "target_retired", Level.INFO)
