Add the scheduler: claims, open, fence, place, start, renew, evict, finish

A first working version: one task per owned shard and one per worker. Start records are folded before the worker is called, every command is preceded by a check of the claim, and unknown attempts stay charged until a listing or the expiry of their lease.

--- /dev/null
+++ b/plantainvane/attempts.py
@@ -0,0 +1,314 @@
+"""One task per worker: list, settle, start, renew, evict, measure.
+
+Every command is preceded by a check of the claim. Nothing is concluded from
+silence but the expiry of leases.
+"""
+
+import contextlib
+
+import anyio
+
+from plantainvane import amounts
+from plantainvane import documents
+from plantainvane import events
+from plantainvane import evictions
+from plantainvane import metrics
+from plantainvane import outcomes
+from plantainvane import settlement
+from plantainvane import shards
+from plantainvane import tasks
+from plantainvane import usage
+from plantainvane import workers
+
+# Waits of a worker's task are this much shorter with work under way.
+_STATES = workers.AttemptState
+
+
+async def run_worker(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Looks after one worker until cancelled."""
+    with view.scope:
+        try:
+            while True:
+                view.wake = anyio.Event()
+                await _visit_worker(shard, view)
+                with anyio.move_on_after(_find_pause(shard, view)):
+                    await view.wake.wait()
+        finally:
+            if view.client is not None:
+                with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                    await view.client.aclose()
+
+
+def _find_pause(shard: shards.Shard, view: shards.WorkerView) -> float:
+    """Returns how long the worker may be left alone."""
+    busy = view.id in shard.view.book.started or not view.reachable
+    lease_s = shard.settings.tasks.lease_s
+    return shard.settings.tasks.poll_s if busy else lease_s / 3
+
+
+async def _visit_worker(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """One round: contact the worker, then act on what it showed."""
+    listed = await _list_worker(shard, view)
+    if listed:
+        await _renew_leases(shard, view)
+    if not shards.may_act(shard):
+        return
+    _adopt_calls(shard, view)
+    if listed:
+        await settlement.settle_listed(shard, view)
+        await _stop_foreign(shard, view)
+        await evictions.advance_evictions(shard, view)
+        await _send_starts(shard, view)
+        await usage.review_usage(shard, view)
+    else:
+        await settlement.settle_silent(shard, view)
+    _forget_ended(shard, view)
+
+
+async def _list_worker(shard: shards.Shard, view: shards.WorkerView) -> bool:
+    """Fences and lists the worker; False when it could not be reached."""
+    now = anyio.current_time()
+    allowed = shard.claims.may_renew_leases(shard.number, shard.epoch, now)
+    if view.client is None or not allowed:
+        return False
+    listed = await workers.list_attempts(view.client, shard.epoch)
+    if listed.is_err():
+        _note_silence(shard, view, listed.err_value)
+        return False
+    listing = listed.ok_value
+    if listing.worker != view.id:
+        # Another instance has taken over the address.
+        detail = f"the address belongs to {listing.worker}"
+        _note_silence(
+            shard,
+            view,
+            outcomes.CallError(outcomes.CallFailure.REFUSED, detail),
+        )
+        return False
+    _apply_listing(shard, view, listing, now)
+    return True
+
+
+def _apply_listing(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    listing: workers.Listing,
+    now: float,
+) -> None:
+    first = not view.fenced
+    view.listed_at = now
+    view.listing = {
+        workers.AttemptRef(listed.task, listed.attempt): listed
+        for listed in listing.attempts
+    }
+    limits = shard.configuration.find_limits()
+    fraction = (
+        limits.batch_fraction
+        if limits is not None
+        else shard.settings.tasks.batch_fraction
+    )
+    view.capacity = amounts.measure_capacity(listing.size, fraction)
+    if not view.reachable or first:
+        view.reachable = True
+        shards.wake_shard(shard)
+    if first:
+        view.fenced = True
+        # Older owners are refused from now on, so no lease lasts longer.
+        lease_s = shard.settings.tasks.lease_s
+        view.default_lease_until = anyio.current_time() + lease_s
+        settlement.adopt_running(shard, view)
+        events.log_event(
+            events.WORKER_FENCED,
+            shard=shard.number,
+            worker=view.id,
+            epoch=shard.epoch,
+            attempts=len(listing.attempts),
+        )
+
+
+def _note_silence(
+    shard: shards.Shard, view: shards.WorkerView, error: outcomes.CallError
+) -> None:
+    if error.failure == outcomes.CallFailure.STALE:
+        events.log_event(
+            events.WORKER_SUPERSEDED,
+            shard=shard.number,
+            worker=view.id,
+            epoch=shard.epoch,
+            detail=error.detail,
+        )
+    elif view.reachable:
+        events.log_event(
+            events.WORKER_UNREACHABLE,
+            shard=shard.number,
+            worker=view.id,
+            detail=error.detail,
+        )
+    view.reachable = False
+
+
+async def _renew_leases(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Renews the leases of all attempts that should run, in one call."""
+    settings = shard.settings.tasks
+    now = anyio.current_time()
+    if now - view.renewed_at < settings.lease_s / 3:
+        return
+    refs = [ref for ref in view.listing if _should_run(shard, view, ref)]
+    if not refs:
+        return
+    if not shard.claims.may_renew_leases(shard.number, shard.epoch, now):
+        return
+    view.renewed_at = now
+    command = workers.RenewCommand(shard.epoch, settings.lease_s, refs)
+    renewed = await workers.renew_attempts(view.client, command)
+    lost = renewed.is_err() and (
+        renewed.err_value.failure == outcomes.CallFailure.LOST
+    )
+    if renewed.is_ok() or lost:
+        for ref in refs:
+            view.lease_until[ref] = anyio.current_time() + settings.lease_s
+
+
+def _should_run(
+    shard: shards.Shard, view: shards.WorkerView, ref: workers.AttemptRef
+) -> bool:
+    task = shard.view.book.started.get(view.id, {}).get(ref.task)
+    running = view.listing[ref].state == _STATES.RUNNING
+    return running and task is not None and task.attempt == ref.attempt
+
+
+def _adopt_calls(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Notes the starts that were recorded in this owner's epoch."""
+    now = anyio.current_time()
+    for task in shard.view.book.started.get(view.id, {}).values():
+        ref = workers.AttemptRef(task.id, task.attempt)
+        if task.epoch == shard.epoch and ref not in view.calls:
+            view.calls[ref] = shards.Call(created=now)
+
+
+async def _stop_foreign(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Stops attempts that the stream does not allow to run here."""
+    refs = [
+        ref
+        for ref, listed in view.listing.items()
+        if listed.state == _STATES.RUNNING and not _should_run(shard, view, ref)
+    ]
+    # The stream may have moved on since the listing, but never back: an
+    # attempt that was requeued or finished is not started again.
+    if not refs or not shards.may_act(shard):
+        return
+    for ref in refs:
+        events.log_event(
+            events.ATTEMPT_FOREIGN,
+            shard=shard.number,
+            worker=view.id,
+            task=ref.task,
+            attempt=ref.attempt,
+        )
+    command = workers.AttemptsCommand(shard.epoch, refs)
+    await workers.stop_attempts(view.client, command)
+
+
+async def _send_starts(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Sends the starts that are recorded and not yet confirmed."""
+    started = shard.view.book.started.get(view.id, {})
+    for task in sorted(started.values(), key=lambda task: task.offset):
+        ref = workers.AttemptRef(task.id, task.attempt)
+        call = view.calls.get(ref)
+        if call is None or call.started_at is not None:
+            continue
+        if ref in view.listing or task.id in shard.ending:
+            continue
+        if task.cancelled and not call.sent:
+            await shards.finish_task(shard, task, tasks.TaskOutcome.CANCELLED)
+        elif not _is_within_capacity(shard, view) and not call.sent:
+            await _withhold_start(shard, view, task)
+        elif not await _send_start(shard, view, task, call):
+            return
+
+
+def _is_within_capacity(shard: shards.Shard, view: shards.WorkerView) -> bool:
+    return shards.measure_commitment(shard, view).fits(view.capacity)
+
+
+async def _withhold_start(
+    shard: shards.Shard, view: shards.WorkerView, task: tasks.Task
+) -> None:
+    """Takes back a start that a late record or a new limit made too large."""
+    events.log_event(
+        events.START_WITHHELD,
+        shard=shard.number,
+        worker=view.id,
+        task=task.id,
+    )
+    cause = tasks.RequeueCause.NOT_STARTED
+    await shards.requeue_task(shard, task, cause)
+
+
+async def _send_start(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    task: tasks.Task,
+    call: shards.Call,
+) -> bool:
+    """Sends one start; False when the worker cannot be reached now."""
+    batch_class = shards.find_class(shard, task)
+    size = task.size
+    if size is None:
+        size = batch_class.size if batch_class else documents.Size()
+    settings = shard.settings.tasks
+    command = workers.StartCommand(
+        task=task.id,
+        attempt=task.attempt,
+        epoch=shard.epoch,
+        lease_s=settings.lease_s,
+        size=size,
+        batch_class=task.batch_class,
+        work=task.work,
+        checkpoint=task.checkpoint,
+    )
+    # The last check before the command; no await may come in between.
+    if not shards.may_act(shard):
+        return False
+    reply = await workers.start_attempt(view.client, command)
+    now = anyio.current_time()
+    ref = workers.AttemptRef(task.id, task.attempt)
+    if reply.is_ok():
+        call.sent, call.started_at = True, now
+        view.running_since.setdefault(ref, now)
+        view.lease_until[ref] = now + settings.lease_s
+        metrics.TASK_STARTS.labels("started").inc()
+        return True
+    failure = reply.err_value.failure
+    metrics.TASK_STARTS.labels(failure.value).inc()
+    if failure == outcomes.CallFailure.LOST:
+        call.sent, call.lost_at = True, now
+        view.lease_until[ref] = now + settings.lease_s
+        view.wake.set()
+        return False
+    if failure == outcomes.CallFailure.REFUSED and not call.sent:
+        cause = tasks.RequeueCause.NOT_STARTED
+        await shards.requeue_task(shard, task, cause)
+    elif failure == outcomes.CallFailure.REFUSED:
+        # An earlier copy of the command may still be on its way.
+        command = workers.AttemptsCommand(shard.epoch, [ref])
+        if shards.may_act(shard):
+            await workers.stop_attempts(view.client, command)
+    return failure == outcomes.CallFailure.REFUSED
+
+
+def _forget_ended(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Drops what is kept about attempts that are no longer started here."""
+    started = shard.view.book.started.get(view.id, {})
+    current = {
+        workers.AttemptRef(task.id, task.attempt) for task in started.values()
+    }
+    for kept in (
+        view.calls,
+        view.lease_until,
+        view.running_since,
+        view.evictions,
+    ):
+        for ref in kept.keys() - current:
+            with contextlib.suppress(KeyError):
+                del kept[ref]
--- a/plantainvane/claims.py
+++ b/plantainvane/claims.py
@@ -75,6 +75,8 @@
         self._folded_own: dict[int, list[records.ShardClaim]] = {}
         # Since when another member is preferred for a shard held here.
         self._unwanted_since: dict[int, float] = {}
+        # Epochs that are known from elsewhere to be taken.
+        self._floors: dict[int, int] = {}
         # First look at shards that never had an owner.
         self._looked_at: float | None = None
         self.next_offset = 0
@@ -159,11 +161,17 @@
             if rank is None or self.is_own(shard, owner.epoch):
                 continue
             if now >= since + rank * self._settings.claims.fallback_s:
-                claims.append(
-                    records.ShardClaim(shard, owner.epoch + 1, owner.offset)
-                )
+                claims.append(self._make_takeover(shard, owner))
         return claims
 
+    def raise_floor(self, shard: int, epoch: int) -> None:
+        """Notes that `epoch` was taken before the stream's retained start.
+
+        Claims of a shard are retained while it has an owner; one that nobody
+        owned for longer than the retention begins again above `epoch`.
+        """
+        self._floors[shard] = max(epoch, self._floors.get(shard, 0))
+
     def propose_handover(self, members: list[str], now: float) -> int | None:
         """Returns a held shard to hand over to a preferred member, if any.
 
@@ -242,6 +250,12 @@
             if self.is_own(claim.shard, claim.epoch):
                 owner.granted_from = max(owner.granted_from, sent_at)
 
+    def _make_takeover(self, shard: int, owner: Owner) -> records.ShardClaim:
+        floor = self._floors.get(shard, 0)
+        if owner.inferred and floor > owner.epoch:
+            return records.ShardClaim(shard, floor + 1)
+        return records.ShardClaim(shard, owner.epoch + 1, owner.offset)
+
     def _find_free_since(self, owner: Owner, looked_at: float) -> float:
         if owner.epoch == 0:
             return looked_at
--- /dev/null
+++ b/plantainvane/evictions.py
@@ -0,0 +1,116 @@
+"""Evictions and cancellations: checkpoint, confirm, stop, confirm.
+
+The last confirmation, and with it the one requeue record, is settlement's:
+a stopped attempt in the listing. Each step is repeated until the listing
+confirms it, so any process can go on from what the listing shows.
+"""
+
+import anyio
+
+from plantainvane import documents
+from plantainvane import events
+from plantainvane import metrics
+from plantainvane import shards
+from plantainvane import tasks
+from plantainvane import workers
+
+_STATES = workers.AttemptState
+
+
+def may_evict(shard: shards.Shard, task: tasks.Task) -> bool:
+    """Says whether the task's class allows an eviction."""
+    batch_class = shards.find_class(shard, task)
+    if batch_class is None or not batch_class.evictable:
+        return False
+    return batch_class.idempotent or batch_class.checkpoints
+
+
+def start_eviction(
+    shard: shards.Shard, view: shards.WorkerView, task: tasks.Task
+) -> None:
+    """Begins to evict an attempt of the worker."""
+    batch_class = shards.find_class(shard, task)
+    ref = workers.AttemptRef(task.id, task.attempt)
+    view.evictions[ref] = shards.Eviction(
+        since=anyio.current_time(),
+        stopping=not _has_checkpoints(batch_class),
+    )
+    metrics.EVICTIONS.labels("started").inc()
+    events.log_event(
+        events.EVICTION_STARTED,
+        shard=shard.number,
+        worker=view.id,
+        task=task.id,
+        attempt=task.attempt,
+    )
+
+
+async def advance_evictions(
+    shard: shards.Shard, view: shards.WorkerView
+) -> None:
+    """Takes the next step of each eviction and cancellation on the worker."""
+    to_checkpoint: list[workers.AttemptRef] = []
+    to_stop: list[workers.AttemptRef] = []
+    for task in shard.view.book.started.get(view.id, {}).values():
+        ref = workers.AttemptRef(task.id, task.attempt)
+        listed = view.listing.get(ref)
+        if listed is None or listed.state != _STATES.RUNNING:
+            continue
+        if task.cancelled:
+            to_stop.append(ref)
+            continue
+        _advance_step(shard, view, task, listed)
+        eviction = view.evictions.get(ref)
+        if eviction is None:
+            continue
+        if eviction.stopping:
+            to_stop.append(ref)
+        elif eviction.asked_at is None:
+            to_checkpoint.append(ref)
+    if to_checkpoint and shards.may_act(shard):
+        command = workers.AttemptsCommand(shard.epoch, to_checkpoint)
+        asked = await workers.checkpoint_attempts(view.client, command)
+        if asked.is_ok():
+            for ref in to_checkpoint:
+                view.evictions[ref].asked_at = anyio.current_time()
+    if to_stop and shards.may_act(shard):
+        command = workers.AttemptsCommand(shard.epoch, to_stop)
+        await workers.stop_attempts(view.client, command)
+
+
+def _advance_step(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    task: tasks.Task,
+    listed: workers.ListedAttempt,
+) -> None:
+    ref = workers.AttemptRef(listed.task, listed.attempt)
+    eviction = view.evictions.get(ref)
+    now = anyio.current_time()
+    if eviction is None:
+        # A requested checkpoint is complete, but this process did not ask:
+        # an earlier owner was evicting the attempt.
+        if listed.checkpointed and listed.epoch < shard.epoch:
+            view.evictions[ref] = shards.Eviction(since=now, stopping=True)
+        return
+    if eviction.stopping:
+        return
+    asked_at = eviction.asked_at
+    if asked_at is not None and listed.checkpointed:
+        # Only a listing asked for after the command shows its effect.
+        eviction.stopping = view.listed_at > asked_at
+    limit_s = shard.settings.tasks.checkpoint_limit_s
+    if not eviction.stopping and now - eviction.since > limit_s:
+        del view.evictions[ref]
+        metrics.EVICTIONS.labels("abandoned").inc()
+        events.log_event(
+            events.EVICTION_ABANDONED,
+            shard=shard.number,
+            worker=view.id,
+            task=task.id,
+            attempt=task.attempt,
+        )
+
+
+def _has_checkpoints(batch_class: documents.BatchClass | None) -> bool:
+    return batch_class is not None and batch_class.checkpoints
--- a/plantainvane/metrics.py
+++ b/plantainvane/metrics.py
@@ -47,6 +47,45 @@
     "Requests sent to another domain, by outcome there.",
     ["outcome"],
 )
+CLAIMS = prometheus_client.Gauge(
+    "plantainvane_claims_held", "Shards that this process owns."
+)
+ATTEMPTS = prometheus_client.Gauge(
+    "plantainvane_attempts",
+    "Attempts of the owned shards by state: starting, running, evicting,"
+    " unreachable.",
+    ["state"],
+)
+PENDING_TASKS = prometheus_client.Gauge(
+    "plantainvane_pending_tasks",
+    "Tasks of the owned shards that wait for a start, by priority.",
+    ["priority"],
+)
+TASK_STARTS = prometheus_client.Counter(
+    "plantainvane_task_starts_total",
+    "Start commands by result: started, refused, unreached, lost, stale.",
+    ["result"],
+)
+TASK_ENDS = prometheus_client.Counter(
+    "plantainvane_task_ends_total", "Ended tasks by outcome.", ["outcome"]
+)
+REQUEUES = prometheus_client.Counter(
+    "plantainvane_requeues_total", "Requeued attempts by cause.", ["cause"]
+)
+EVICTIONS = prometheus_client.Counter(
+    "plantainvane_evictions_total",
+    "Evictions by step: started, completed, abandoned.",
+    ["step"],
+)
+THROTTLES = prometheus_client.Counter(
+    "plantainvane_throttles_total",
+    "Changes of a worker's limit by step: throttle, release.",
+    ["step"],
+)
+SUSPECTED_WORKERS = prometheus_client.Gauge(
+    "plantainvane_suspected_workers",
+    "Workers of the owned shards that get canaries only.",
+)
 # Every reason that is a label of its own; all others count as `connection`.
 REPLY_REASONS = frozenset(
     {
--- /dev/null
+++ b/plantainvane/scheduler.py
@@ -0,0 +1,431 @@
+"""Batch tasks of this process: submit, find, cancel, and owned shards."""
+
+import functools
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+import result
+
+from plantainvane import attempts
+from plantainvane import claims as claims_module
+from plantainvane import documents
+from plantainvane import events
+from plantainvane import instances
+from plantainvane import metrics
+from plantainvane import outcomes
+from plantainvane import readers
+from plantainvane import records
+from plantainvane import settings as settings_module
+from plantainvane import shards
+from plantainvane import tasks
+from plantainvane import views
+from plantainvane import workers
+from plantainvane import writers
+
+
+class Submission(msgspec.Struct, frozen=True, kw_only=True):
+    """A task to submit; callers.TaskRequest has the same fields."""
+
+    task: str
+    batch_class: str
+    work: dict[str, Any]
+    domain: str | None = None
+    size: documents.Size | None = None
+
+
+class Scheduler:
+    """Owner of some shards of its domain, and submitter to all.
+
+    Attributes:
+      claims: Owners of the domain's shards.
+      shards: Shards that this process owns, by number.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        configuration: Any,
+        membership: Any,
+        client: httpx.AsyncClient,
+        identity: writers.Identity,
+        make_worker_client: Any = workers.make_client,
+    ):
+        self._settings = settings
+        self._configuration = configuration
+        self._membership = membership
+        self._client = client
+        self._identity = identity
+        self._make_worker_client = make_worker_client
+        self._instances: dict[str, instances.Instance] = {}
+        self._views: dict[tuple[str, int], views.View] = {}
+        self._view_scopes: dict[tuple[str, int], anyio.CancelScope] = {}
+        self._writers: dict[str, writers.Writer] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+        self._releasing = False
+        self._claim_failing = False
+        self._claims_changed = anyio.Event()
+        self._lapsed: set[int] = set()
+        stream = records.name_claims_stream(settings.domain)
+        self._claims_position = readers.Position(stream)
+        self.claims = claims_module.Claims(settings, identity)
+        self.shards: dict[int, shards.Shard] = {}
+
+    def update_workers(
+        self, listed: list[instances.Instance], now: float
+    ) -> None:
+        """Takes over the newest instance list; other kinds are ignored."""
+        self._instances = {
+            instance.id: instance
+            for instance in listed
+            if instance.kind == instances.InstanceKind.WORKER
+            and instance.domain == self._settings.domain
+        }
+        for shard in self.shards.values():
+            shards.wake_shard(shard)
+
+    async def submit_task(
+        self, submission: Any
+    ) -> result.Result[str, outcomes.CallError]:
+        """Records a task; Ok once the log has it.
+
+        Args:
+          submission: A Submission, or anything with the same fields.
+
+        Returns:
+          Ok with the id. Err REFUSED when the class or the domain is not
+          known; LOST when the record may have taken effect: submitting again
+          under the same id is safe.
+        """
+        if self._configuration.find_batch_class(submission.batch_class) is None:
+            return _refuse(
+                f"batch class {submission.batch_class!r} is not in force"
+            )
+        if self._group is None:
+            return _fail(outcomes.CallFailure.UNREACHED, "not running yet")
+        domain, shard = claims_module.find_home(
+            self._settings, submission.task, submission.domain
+        )
+        if domain not in self._settings.domains:
+            return _refuse(f"domain {domain!r} does not exist")
+        writer = self._get_writer(records.name_tasks_stream(domain, shard))
+        appended = await writer.append(
+            records.TaskSubmit,
+            task=submission.task,
+            batch_class=submission.batch_class,
+            submitted=time.time(),
+            work=submission.work,
+            size=submission.size,
+        )
+        return appended.map(lambda _: submission.task)
+
+    async def find_task(self, task: str) -> dict[str, Any] | None:
+        """Returns a task JSON-ready, or None if it is not known.
+
+        Reads the stream of the home domain first, then those of the others:
+        a submission may have named another domain.
+        """
+        found = await self._locate_task(task)
+        return None if found is None else _describe_task(found[1])
+
+    async def cancel_task(
+        self, task: str
+    ) -> result.Result[str, outcomes.CallError]:
+        """Records that a task should end; Ok once the log has it.
+
+        Returns:
+          Ok with the id, also for a task that has ended. Err REFUSED when it
+          is not known.
+        """
+        found = await self._locate_task(task)
+        if found is None:
+            return _refuse(f"task {task!r} is not known")
+        view, state = found
+        if state.phase == tasks.TaskPhase.FINISHED:
+            return result.Ok(task)
+        writer = self._get_writer(view.position.stream)
+        appended = await writer.append(records.TaskCancel, task=task)
+        return appended.map(lambda _: task)
+
+    async def release_claims(self) -> None:
+        """Gives up all shards, after the commands under way; for shutdown."""
+        self._releasing = True
+        for number in list(self.shards):
+            await self._release_shard(number)
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._follow_claims)
+            group.start_soon(self._keep_views)
+            try:
+                await self._keep_claims()
+            finally:
+                group.cancel_scope.cancel()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns claims, owned shards, streams and writers, JSON-ready."""
+        return {
+            "claims": self.claims.dump_state(now),
+            "claims_stream": self._claims_position.dump_state(now),
+            "releasing": self._releasing,
+            "workers_listed": len(self._instances),
+            "shards": {
+                str(number): shards.dump_shard(shard, now)
+                for number, shard in sorted(self.shards.items())
+            },
+            "streams": [
+                view.position.dump_state(now)
+                for view in list(self._views.values())[: shards.DUMP_LIMIT]
+            ],
+            "writers": [
+                writer.dump_state(now)
+                for writer in list(self._writers.values())[: shards.DUMP_LIMIT]
+            ],
+        }
+
+    async def _follow_claims(self) -> None:
+        def apply(entries: readers.Entries, now: float) -> None:
+            self.claims.apply_records(entries, now)
+            changed, self._claims_changed = self._claims_changed, anyio.Event()
+            changed.set()
+            # At once: a superseded owner must not renew another lease.
+            self._sync_shards()
+
+        await readers.follow_stream(
+            self._settings,
+            self._client,
+            self._claims_position,
+            records.ClaimRecord,
+            apply,
+        )
+
+    async def _keep_claims(self) -> None:
+        """Renews the own claims and takes over free shards."""
+        renewed_at = float("-inf")
+        settings = self._settings.claims
+        while True:
+            now = anyio.current_time()
+            members = self._list_members(now)
+            proposed = self._propose_claims(members, now)
+            own = self.claims.list_own()
+            due = now - renewed_at >= settings.renew_s and own
+            if (due or proposed) and not self._releasing:
+                renewed_at = now
+                await self._append_claims(own + proposed, now)
+            self._sync_shards()
+            await self._hand_over(members, now)
+            await anyio.sleep(settings.check_s)
+
+    async def _hand_over(self, members: list[str], now: float) -> None:
+        number = self.claims.propose_handover(members, now)
+        for shard in list(self.shards.values()):
+            if shard.stale or (shard.number == number and shard.opened_at):
+                await self._release_shard(shard.number)
+
+    def _list_members(self, now: float) -> list[str]:
+        domain = self._settings.domain
+        return [member.id for member in self._membership.list_live(domain, now)]
+
+    def _propose_claims(
+        self, members: list[str], now: float
+    ) -> list[records.ShardClaim]:
+        log = self._settings.log
+        slack = log.poll_wait_s + log.call_timeout_s
+        if now - self._claims_position.current_at > slack:
+            return []
+        return self.claims.propose_claims(members, now)
+
+    async def _append_claims(
+        self, claimed: list[records.ShardClaim], sent_at: float
+    ) -> None:
+        writer = self._get_writer(self._claims_position.stream)
+        appended = await writer.append(
+            records.Claim, shards=claimed, ttl_s=self._settings.claims.ttl_s
+        )
+        if appended.is_ok():
+            self._claim_failing = False
+            self.claims.note_append(appended.ok_value, sent_at)
+            with anyio.move_on_after(self._settings.tasks.fold_wait_s):
+                while self.claims.next_offset <= appended.ok_value:
+                    await self._claims_changed.wait()
+        elif not self._claim_failing:
+            self._claim_failing = True
+            events.log_event(
+                events.CLAIM_FAILING, detail=appended.err_value.detail
+            )
+
+    def _sync_shards(self) -> None:
+        """Starts and stops the tasks of shards as the claims change."""
+        now = anyio.current_time()
+        for number, shard in list(self.shards.items()):
+            if not self.claims.is_own(number, shard.epoch):
+                events.log_event(
+                    events.CLAIM_LOST, shard=number, epoch=shard.epoch
+                )
+                self._drop_shard(number)
+            else:
+                self._note_validity(number, shard, now)
+        for claim in self.claims.list_own():
+            number, epoch = claim.shard, claim.epoch
+            known = number in self.shards
+            if known or not self.claims.holds_shard(number, epoch, now):
+                continue
+            if self._group is not None and not self._releasing:
+                self._start_shard(number, epoch)
+        metrics.CLAIMS.set(len(self.shards))
+
+    def _note_validity(
+        self, number: int, shard: shards.Shard, now: float
+    ) -> None:
+        if self.claims.holds_shard(number, shard.epoch, now):
+            self._lapsed.discard(number)
+        elif number not in self._lapsed:
+            self._lapsed.add(number)
+            events.log_event(
+                events.CLAIM_LAPSED, shard=number, epoch=shard.epoch
+            )
+
+    def _start_shard(self, number: int, epoch: int) -> None:
+        view = self._get_view(self._settings.domain, number)
+        view.owned = True
+        shard = shards.Shard(
+            settings=self._settings,
+            number=number,
+            epoch=epoch,
+            claims=self.claims,
+            configuration=self._configuration,
+            view=view,
+            writer=self._get_writer(view.position.stream),
+            list_instances=functools.partial(self._list_workers, number),
+            make_client=self._connect_worker,
+            run_worker=attempts.run_worker,
+        )
+        self.shards[number] = shard
+        events.log_event(events.CLAIM_WON, shard=number, epoch=epoch)
+        self._group.start_soon(shards.run_shard, shard)
+
+    def _drop_shard(self, number: int) -> None:
+        shard = self.shards.pop(number)
+        shard.scope.cancel()
+        shard.view.owned = False
+        shard.view.book.touched = None
+        shard.view.used_at = anyio.current_time()
+        self._lapsed.discard(number)
+
+    async def _release_shard(self, number: int) -> None:
+        shard = self.shards.get(number)
+        if shard is None:
+            return
+        shard.draining = True
+        with anyio.move_on_after(self._settings.claims.release_wait_s):
+            while shard.placing or shard.ending:
+                await anyio.sleep(self._settings.claims.check_s / 10)
+        if self.shards.get(number) is not shard:
+            return
+        self._drop_shard(number)
+        writer = self._get_writer(self._claims_position.stream)
+        claim = records.ShardClaim(number, shard.epoch)
+        await writer.append(records.Release, shards=[claim])
+        events.log_event(events.CLAIM_RELEASED, shard=number, epoch=shard.epoch)
+
+    def _list_workers(self, number: int) -> dict[str, instances.Instance]:
+        return {
+            id: instance
+            for id, instance in self._instances.items()
+            if claims_module.hash_shard(self._settings, id) == number
+        }
+
+    def _connect_worker(
+        self, instance: instances.Instance
+    ) -> httpx.AsyncClient:
+        return self._make_worker_client(self._settings, instance.address)
+
+    def _get_writer(self, stream: str) -> writers.Writer:
+        """Returns the one writer of a stream; two would mix sequences."""
+        writer = self._writers.get(stream)
+        if writer is None:
+            writer = writers.Writer(
+                self._settings, self._client, self._identity, stream
+            )
+            self._writers[stream] = writer
+            self._group.start_soon(writer.run)
+        return writer
+
+    def _get_view(self, domain: str, shard: int) -> views.View:
+        now = anyio.current_time()
+        view = self._views.get((domain, shard))
+        if view is None:
+            view = views.make_view(self._settings, domain, shard, now)
+            self._views[domain, shard] = view
+            self._group.start_soon(self._follow_view, view)
+        view.used_at = now
+        return view
+
+    async def _follow_view(self, view: views.View) -> None:
+        with anyio.CancelScope() as scope:
+            self._view_scopes[view.domain, view.shard] = scope
+            await views.follow_view(self._settings, self._client, view)
+
+    async def _keep_views(self) -> None:
+        """Stops following streams that nobody asked about for a while.
+
+        The streams of the own domain stay, so that a takeover is quick.
+        """
+        idle_s = self._settings.tasks.follow_idle_s
+        for shard in range(self._settings.claims.shards):
+            self._get_view(self._settings.domain, shard)
+        while True:
+            await anyio.sleep(idle_s / 10)
+            now = anyio.current_time()
+            for key, view in list(self._views.items()):
+                idle = now - view.used_at > idle_s and not view.owned
+                if idle and view.domain != self._settings.domain:
+                    del self._views[key]
+                    self._view_scopes.pop(key).cancel()
+
+    async def _locate_task(
+        self, task: str
+    ) -> tuple[views.View, tasks.Task] | None:
+        if self._group is None:
+            return None
+        home, shard = claims_module.find_home(self._settings, task)
+        others = [name for name in self._settings.domains if name != home]
+        for domain in [home, *others]:
+            view = self._get_view(domain, shard)
+            limit_s = self._settings.tasks.fold_wait_s
+            await views.wait_current(self._settings, view, limit_s)
+            found = view.book.find_task(task)
+            if found is not None:
+                return view, found
+        return None
+
+
+def _describe_task(task: tasks.Task) -> dict[str, Any]:
+    """Describes a task for its submitter, JSON-ready."""
+    return {
+        "task": task.id,
+        "batch_class": task.batch_class,
+        "state": task.phase.value,
+        "attempt": task.attempt,
+        "worker": task.worker,
+        "evictions": task.evictions,
+        "cancelled": task.cancelled,
+        "outcome": task.outcome.value if task.outcome else None,
+        "detail": task.detail,
+        "output": task.output,
+    }
+
+
+def _refuse(detail: str) -> result.Err[outcomes.CallError]:
+    return _fail(outcomes.CallFailure.REFUSED, detail)
+
+
+def _fail(
+    failure: outcomes.CallFailure, detail: str
+) -> result.Err[outcomes.CallError]:
+    return result.Err(outcomes.CallError(failure, detail))
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -96,6 +96,10 @@
     # A preference for another holder must last this long before a handover:
     # longer than a restart's flapping, which heartbeats show for 3 s to 10 s.
     handover_after_s: Positive = 15.0
+    # Period of the look at claims; its delay is part of the 5.3 s above.
+    check_s: Positive = 0.1
+    # Longest wait for commands under way before a shard is released.
+    release_wait_s: Positive = 2.0
 
 
 class Tasks(Struct):
@@ -151,10 +155,15 @@
     impossible_after_s: Positive = 30.0
     # Usage is sampled about once a second; one fetch brings all samples.
     usage_s: Positive = 2.0
+    # Two samples closer than this are the same one, seen in two reports; it
+    # covers the delay of a reply and is below the sampling interval.
+    sample_gap_s: Positive = 0.2
     # A checkpoint that takes longer is given up.
     checkpoint_limit_s: Positive = 30.0
     # Time that a stream read for one question is followed afterwards.
     follow_idle_s: Positive = 60.0
+    # An unreachable worker keeps a task that was not yet started this long.
+    start_retry_s: Positive = 1.0
     # Longest wait until the own reader shows a record that was appended.
     fold_wait_s: Positive = 3.0
 
--- a/plantainvane/tasks.py
+++ b/plantainvane/tasks.py
@@ -54,6 +54,7 @@
       offset: Offset of the submit record; gives the order of submission.
       attempt: Number of the newest attempt; 0 before the first start.
       worker: Worker of the newest attempt.
+      epoch: Epoch of the owner that started it.
       checkpoint: Name of the newest confirmed checkpoint.
       failed_on: Distinct workers on which an attempt failed, oldest first.
       cancelled: Somebody asked for the task to end.
@@ -68,6 +69,7 @@
     phase: TaskPhase = TaskPhase.PENDING
     attempt: int = 0
     worker: str = ""
+    epoch: int = 0
     checkpoint: str | None = None
     failed_on: list[str] = []
     evictions: int = 0
@@ -101,6 +103,8 @@
         worker and id. Their sizes count as committed.
       finished: Ended tasks by id, oldest first, at most `finished_kept`.
       seen_at: For pending tasks, when this reader learned that they wait.
+      touched: Ids of tasks changed since the owner last emptied the set; None
+        when nobody does.
     """
 
     def __init__(self, settings: settings_module.Settings):
@@ -113,6 +117,7 @@
         self.finished: dict[str, Task] = {}
         self.seen_at: dict[str, float] = {}
         self.records_since_snapshot = 0
+        self.touched: set[str] | None = None
         self._live: dict[str, Task] = {}
 
     def apply_records(
@@ -182,6 +187,8 @@
     def _apply_record(
         self, offset: int, record: records.TaskRecord, now: float
     ) -> None:
+        if self.touched is not None and hasattr(record, "task"):
+            self.touched.add(record.task)
         match record:
             case records.TaskSubmit():
                 self._apply_submit(offset, record, now)
@@ -224,6 +231,7 @@
         task.phase = TaskPhase.STARTED
         task.attempt = record.attempt
         task.worker = record.worker
+        task.epoch = record.epoch
         self.started.setdefault(task.worker, {})[task.id] = task
 
     def _apply_requeue(self, record: records.TaskRequeue, now: float) -> None:
--- /dev/null
+++ b/plantainvane/usage.py
@@ -0,0 +1,171 @@
+"""Learns from a worker's usage reports and relieves slowed services."""
+
+import collections
+
+import anyio
+
+from plantainvane import estimates
+from plantainvane import events
+from plantainvane import evictions
+from plantainvane import interference
+from plantainvane import metrics
+from plantainvane import placement
+from plantainvane import pressure
+from plantainvane import shards
+from plantainvane import workers
+
+_STATES = workers.AttemptState
+
+
+async def review_usage(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Fetches the usage report when it is due, and acts on it."""
+    now = anyio.current_time()
+    if now - view.usage_at < shard.settings.tasks.usage_s:
+        return
+    view.usage_at = now
+    if not view.unthrottled:
+        # An earlier owner may have left attempts throttled.
+        view.unthrottled = await _throttle_worker(shard, view, 1.0)
+    fetched = await workers.fetch_usage(view.client)
+    if fetched.is_err():
+        return
+    received = anyio.current_time()
+    gap_s = shard.settings.tasks.sample_gap_s
+    for sample in fetched.ok_value.samples:
+        taken_at = received - sample.age_s
+        if taken_at <= view.sampled_at + gap_s:
+            continue
+        view.sampled_at = taken_at
+        learn_sample(shard, view, sample)
+    if view.ratios:
+        await _relieve_services(shard, view, now)
+
+
+def learn_sample(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    sample: workers.UsageSample,
+) -> None:
+    """Attributes one sample to what ran when it was taken."""
+    running = collections.Counter(
+        attempt.batch_class for attempt in sample.attempts
+    )
+    ratios = {}
+    for service in sample.services:
+        found = shard.configuration.find_service_class(service.service_class)
+        if found is None or service.requests == 0:
+            continue
+        ratio = service.p99_ms / found.latency_target_ms
+        ratios[service.service_class] = ratio
+        # A throttled attempt does not show its whole effect.
+        if not view.relief.throttled:
+            interference.note_sample(
+                shard.settings,
+                shard.model,
+                service.service_class,
+                ratio,
+                running,
+            )
+    if ratios:
+        view.ratios = ratios
+    _learn_use(shard, view, sample)
+
+
+def _learn_use(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    sample: workers.UsageSample,
+) -> None:
+    started = shard.view.book.started.get(view.id, {})
+    for used in sample.attempts:
+        task = started.get(used.task)
+        if task is None or task.attempt != used.attempt:
+            continue
+        estimate = shard.learned.setdefault(
+            task.batch_class, estimates.ClassEstimate()
+        )
+        estimates.note_usage(
+            shard.settings,
+            estimate,
+            shards.measure_task(shard, task),
+            used.processors,
+            used.memory_bytes,
+        )
+
+
+async def _relieve_services(
+    shard: shards.Shard, view: shards.WorkerView, now: float
+) -> None:
+    """Throttles, evicts or releases the batch work of the worker."""
+    service, ratio = max(view.ratios.items(), key=lambda item: item[1])
+    step = pressure.decide_step(
+        shard.settings, view.relief, ratio, view.sampled_at, now
+    )
+    fields = {"shard": shard.number, "worker": view.id, "ratio": ratio}
+    if step == pressure.Step.THROTTLE:
+        events.log_event(events.WORKER_THROTTLED, **fields)
+        metrics.THROTTLES.labels("throttle").inc()
+        share = shard.settings.tasks.throttle_share
+        await _throttle_worker(shard, view, share)
+    elif step == pressure.Step.RELEASE:
+        events.log_event(events.WORKER_RELEASED, **fields)
+        metrics.THROTTLES.labels("release").inc()
+        await _throttle_worker(shard, view, 1.0)
+        shards.wake_shard(shard)
+    elif step == pressure.Step.EVICT:
+        _evict_one(shard, view, service, now)
+
+
+async def _throttle_worker(
+    shard: shards.Shard, view: shards.WorkerView, share: float
+) -> bool:
+    """Limits every attempt that runs; True unless the call failed."""
+    refs = [
+        ref
+        for ref, listed in view.listing.items()
+        if listed.state == _STATES.RUNNING
+    ]
+    if not refs:
+        return True
+    if not shards.may_act(shard):
+        return False
+    command = workers.ThrottleCommand(shard.epoch, share, refs)
+    return (await workers.throttle_attempts(view.client, command)).is_ok()
+
+
+def _evict_one(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    service: str,
+    now: float,
+) -> None:
+    if view.evictions:
+        return
+    victims = []
+    started = shard.view.book.started.get(view.id, {})
+    for task in started.values():
+        ref = workers.AttemptRef(task.id, task.attempt)
+        listed = view.listing.get(ref)
+        running = listed is not None and listed.state == _STATES.RUNNING
+        if not running or not evictions.may_evict(shard, task):
+            continue
+        batch_class = shards.find_class(shard, task)
+        rank = placement.RANKS[batch_class.priority]
+        ran_s = now - view.running_since.get(ref, now)
+        victims.append(
+            pressure.Victim(
+                key=task.id,
+                rank=rank,
+                effect=interference.predict_effect(
+                    shard.settings, shard.model, service, task.batch_class
+                ),
+                # A checkpoint saves what was done so far.
+                lost_s=0.0 if batch_class.checkpoints else ran_s,
+            )
+        )
+    # Urgent work stays; it is what the machines are shared for.
+    victims = [victim for victim in victims if victim.rank > 0]
+    victim = pressure.pick_victim(victims)
+    if victim is not None:
+        evictions.start_eviction(shard, view, started[victim.key])
+        view.wake.set()
--- /dev/null
+++ b/plantainvane/views.py
@@ -0,0 +1,73 @@
+"""A task stream as followed by this process, owner or not."""
+
+import dataclasses
+
+import anyio
+import httpx
+
+from plantainvane import readers
+from plantainvane import records
+from plantainvane import settings as settings_module
+from plantainvane import tasks
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """Fold of one shard's task stream.
+
+    Attributes:
+      used_at: Monotonic time of the last question; an owned view is kept
+        whatever its age.
+      changed: Set at the next change, then replaced.
+    """
+
+    domain: str
+    shard: int
+    book: tasks.TaskBook
+    position: readers.Position
+    used_at: float
+    owned: bool = False
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+def make_view(
+    settings: settings_module.Settings, domain: str, shard: int, now: float
+) -> View:
+    """Makes the view of a stream that is not followed yet."""
+    stream = records.name_tasks_stream(domain, shard)
+    book = tasks.TaskBook(settings)
+    return View(domain, shard, book, readers.Position(stream), now)
+
+
+async def follow_view(
+    settings: settings_module.Settings, client: httpx.AsyncClient, view: View
+) -> None:
+    """Follows the stream until cancelled."""
+
+    def apply(entries: readers.Entries, now: float) -> None:
+        view.book.apply_records(entries, now)
+        changed, view.changed = view.changed, anyio.Event()
+        changed.set()
+
+    await readers.follow_stream(
+        settings, client, view.position, records.TaskRecord, apply
+    )
+
+
+async def wait_folded(view: View, offset: int, limit_s: float) -> bool:
+    """Waits until the record at `offset` is folded; False after `limit_s`."""
+    with anyio.move_on_after(limit_s):
+        while view.book.next_offset <= offset:
+            await view.changed.wait()
+    return view.book.next_offset > offset
+
+
+async def wait_current(
+    settings: settings_module.Settings, view: View, limit_s: float
+) -> bool:
+    """Waits until the view is as new as a long poll keeps it."""
+    slack = settings.log.poll_wait_s + settings.log.call_timeout_s
+    with anyio.move_on_after(limit_s):
+        while anyio.current_time() - view.position.current_at > slack:
+            await view.changed.wait()
+    return anyio.current_time() - view.position.current_at <= slack
--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -7,7 +7,8 @@
 10 minutes. Without the refusal of lower epochs, a paused owner is held back
 only by the check of its claim before each command.
 
-Dialect, HTTP/1.1 with JSON:
+Dialect, HTTP/1.1 with JSON; every request names its sender's process id in
+the header `Client-Id`:
   POST /attempts       StartCommand  -> 200; 409 {"reason": "capacity"}
   POST /renewals       RenewCommand  -> 200 {"renewed": [[task, attempt]...]}
   POST /stops          AttemptsCommand -> 200 (accepted; see the listing)
@@ -159,6 +160,7 @@
     return httpx.AsyncClient(
         base_url=f"http://{address}",
         timeout=settings.tasks.call_timeout_s,
+        headers={"Client-Id": settings.id},
         limits=httpx.Limits(max_connections=2),
         trust_env=False,
     )
