Add the key book

A non-idempotent request must run at most once, over any number of entry processes, lost replies and late appends. The first claim in offset order holds a key; a process dispatches only when it has read its own claim as the holder. KeyFinish gains claim_offset: without it a finish that arrives late frees a key that was claimed again. A claim that was not confirmed in time is not run and is freed when it turns up, so that a repeat can run.

--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -44,3 +44,4 @@
 PEER_FAILED = Event(305, "peer_failed", Level.WARNING)
 
 PROCESS_STARTED = Event(701, "process_started", Level.INFO)
+KEY_CLAIM_FAILED = Event(702, "key_claim_failed", Level.WARNING)
--- /dev/null
+++ b/plantainvane/keys.py
@@ -0,0 +1,391 @@
+"""Idempotency keys: a non-idempotent request runs at most once.
+
+The first claim of a key in offset order holds it. A finish counts only from
+the holder and for that very claim, so that one which arrives late cannot free
+a key that was claimed again. Everything a process has not seen in the stream
+counts against running the request.
+"""
+
+import collections
+import dataclasses
+import enum
+import time
+from typing import Any
+
+import anyio
+
+from plantainvane import events
+from plantainvane import metrics
+from plantainvane import outcomes
+from plantainvane import records
+from plantainvane import settings as settings_module
+
+REVIEW_S = 5.0
+RETRY_S = 0.5
+# Appends of finishes that run at once; they share group commits.
+FINISH_TASKS = 100
+
+
+class Progress(enum.StrEnum):
+    """What the stream says about a key."""
+
+    FREE = "free"
+    HELD = "held"
+    FINISHED = "finished"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether this process may dispatch the request.
+
+    Attributes:
+      won: The key is held for this request.
+      answer: What the caller gets if it is not: not run, duplicate, or the
+        recorded answer of the first request.
+    """
+
+    won: bool
+    answer: outcomes.Answer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Key:
+    """State of one key as the stream has it.
+
+    `seen` holds the (writer, incarnation, sequence) of its claims; a repeat
+    of one is void.
+    """
+
+    issued: float
+    seen: set[tuple[str, int, int]] = dataclasses.field(default_factory=set)
+    progress: Progress = Progress.FREE
+    holder: tuple[str, int] = ("", 0)
+    claim_offset: int = -1
+    finish: records.KeyFinish | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    """A claim that this process works on.
+
+    `offset` is known once the append has returned; `reached` is set when the
+    stream has been read through it.
+    """
+
+    issued: float
+    offset: int | None = None
+    reached: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@dataclasses.dataclass(slots=True)
+class _Finish:
+    """A finish that has not been read back; `appended` if the log has it."""
+
+    claim_offset: int
+    issued: float
+    answer: outcomes.Answer
+    appended: bool = False
+
+
+class KeyBook:
+    """The fold of the key stream and the claims of this process."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        identity: Any,
+        writer: Any,
+    ):
+        self._settings = settings
+        self._myself = (identity.id, identity.incarnation)
+        self._writer = writer
+        self._keys: dict[str, _Key] = {}
+        self._claims: dict[str, _Claim] = {}
+        self._finishes: dict[str, _Finish] = {}
+        self._applied = -1
+        # Claims issued before this may have been forgotten.
+        self._floor = float("-inf")
+        self._work = anyio.Event()
+
+    def apply_records(
+        self, entries: list[tuple[int, records.KeyRecord]], now: float
+    ) -> None:
+        """Folds records of the key stream; `entries` are (offset, record)."""
+        del now
+        for offset, record in entries:
+            if isinstance(record, records.KeyClaim):
+                self._fold_claim(offset, record)
+            elif isinstance(record, records.KeyFinish):
+                self._fold_finish(record)
+            self._applied = offset
+        for claim in self._claims.values():
+            if claim.offset is not None and claim.offset <= self._applied:
+                claim.reached.set()
+        for _, record in entries:
+            self._release_orphan(record.key)
+
+    async def claim_key(
+        self, key: str, issued: float, wall_now: float
+    ) -> Verdict:
+        """Claims a key for a request that is about to be dispatched.
+
+        Args:
+          key: The caller's idempotency key.
+          issued: When the caller issued it, in seconds since the Unix epoch.
+          wall_now: Present time on the same clock.
+
+        Returns:
+          A won verdict only when the stream shows that this claim holds the
+          key. Without that within `claim_timeout_s` the request is not run,
+          and the key is freed once the claim turns up after all.
+        """
+        answer = self._find_refusal(key, issued, wall_now)
+        if answer is None:
+            answer = await self._append_claim(key, issued)
+        outcome = "won" if answer is None else answer.outcome.value
+        metrics.KEY_CLAIMS.labels(outcome).inc()
+        return Verdict(answer is None, answer)
+
+    async def finish_key(self, key: str, answer: outcomes.Answer) -> None:
+        """Records the outcome of the request that holds a key.
+
+        Returns when the record is in the log or one append has failed; `run`
+        then repeats it. Not run frees the key.
+        """
+        claim = self._claims.get(key)
+        if claim is None or claim.offset is None or key in self._finishes:
+            return
+        self._finishes[key] = _Finish(claim.offset, claim.issued, answer)
+        if not await self._append_finish(key):
+            self._work.set()
+
+    async def run(self) -> None:
+        """Appends finishes that failed and forgets old keys."""
+        while True:
+            with anyio.move_on_after(REVIEW_S):
+                await self._work.wait()
+            self._work = anyio.Event()
+            self.prune_keys(time.time())
+            await self._append_finishes()
+
+    def prune_keys(self, wall_now: float) -> None:
+        """Forgets keys whose requests would be refused as too old."""
+        limit = self._settings.keys.window_s + self._settings.keys.skew_s
+        floor = wall_now - limit
+        self._floor = max(self._floor, floor)
+        for key, state in list(self._keys.items()):
+            if state.issued < floor and key not in self._claims:
+                del self._keys[key]
+        for key, finish in list(self._finishes.items()):
+            if finish.issued < floor:
+                del self._finishes[key]
+                self._claims.pop(key, None)
+        self._count_keys()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns counts only; keys may identify callers."""
+        del now
+        counts = collections.Counter(
+            state.progress.value for state in self._keys.values()
+        )
+        return {
+            "keys": dict(sorted(counts.items())),
+            "claims": len(self._claims),
+            "unrecorded_finishes": len(self._finishes),
+            "applied_offset": self._applied,
+        }
+
+    def _fold_claim(self, offset: int, record: records.KeyClaim) -> None:
+        state = self._keys.setdefault(record.key, _Key(record.issued))
+        identity = (record.writer, record.incarnation, record.sequence)
+        if identity in state.seen:
+            return
+        state.seen.add(identity)
+        if state.progress is not Progress.FREE:
+            return
+        state.progress = Progress.HELD
+        state.holder = (record.writer, record.incarnation)
+        state.claim_offset = offset
+        state.issued = max(state.issued, record.issued)
+
+    def _fold_finish(self, record: records.KeyFinish) -> None:
+        state = self._keys.get(record.key)
+        if (
+            state is None
+            or state.progress is not Progress.HELD
+            or state.holder != (record.writer, record.incarnation)
+            or state.claim_offset != record.claim_offset
+        ):
+            return
+        if state.holder == self._myself:
+            self._forget_claim(record.key, state.claim_offset)
+        if record.outcome == outcomes.RequestOutcome.NOT_RUN:
+            state.progress = Progress.FREE
+            return
+        state.progress = Progress.FINISHED
+        state.finish = record
+
+    def _forget_claim(self, key: str, offset: int) -> None:
+        claim = self._claims.get(key)
+        if claim is not None and claim.offset == offset:
+            del self._claims[key]
+        finish = self._finishes.get(key)
+        if finish is not None and finish.claim_offset == offset:
+            del self._finishes[key]
+
+    def _find_refusal(
+        self, key: str, issued: float, wall_now: float
+    ) -> outcomes.Answer | None:
+        """Returns the answer to a request that needs no claim, if any."""
+        keys = self._settings.keys
+        if issued > wall_now + keys.skew_s:
+            return _refuse("issued_in_future", "Plantainvane-Issued lies ahead")
+        if issued < max(wall_now - keys.window_s, self._floor):
+            detail = f"the key was issued more than {keys.window_s:.0f} s ago"
+            return _refuse("key_expired", detail)
+        state = self._keys.get(key)
+        if state is not None and state.progress is not Progress.FREE:
+            return self._describe_held(key, state)
+        if key in self._claims:
+            return _find_duplicate("a request with this key is in progress")
+        return None
+
+    async def _append_claim(
+        self, key: str, issued: float
+    ) -> outcomes.Answer | None:
+        """Appends a claim and waits for the stream; None when it won."""
+        claim = self._claims[key] = _Claim(issued)
+        answer: outcomes.Answer | None = _refuse(
+            "log_unavailable", "the claim of the key is not confirmed"
+        )
+        try:
+            with anyio.move_on_after(self._settings.keys.claim_timeout_s):
+                appended = await self._writer.append(
+                    records.KeyClaim, key=key, issued=issued
+                )
+                if appended.is_ok():
+                    claim.offset = appended.ok_value
+                    if claim.offset > self._applied:
+                        await claim.reached.wait()
+                    answer = self._settle_claim(key, claim)
+        finally:
+            if answer is not None:
+                # Should the claim turn up in the stream, it is an orphan.
+                del self._claims[key]
+                self._release_orphan(key)
+        if answer is not None and answer.reason == "log_unavailable":
+            events.log_event(events.KEY_CLAIM_FAILED)
+        return answer
+
+    def _settle_claim(self, key: str, claim: _Claim) -> outcomes.Answer | None:
+        if self._holds_key(key, claim):
+            return None
+        state = self._keys.get(key)
+        if state is None or state.progress is Progress.FREE:
+            return _refuse("key_contended", "the key was claimed and freed")
+        return self._describe_held(key, state)
+
+    def _holds_key(self, key: str, claim: _Claim) -> bool:
+        """Tells whether the stream shows that `claim` holds the key."""
+        state = self._keys.get(key)
+        return (
+            state is not None
+            and state.progress is Progress.HELD
+            and state.holder == self._myself
+            and state.claim_offset == claim.offset
+        )
+
+    def _describe_held(self, key: str, state: _Key) -> outcomes.Answer:
+        """Tells a repeat what is known of the request that holds the key."""
+        finish = state.finish
+        if state.progress is Progress.HELD:
+            if state.holder == self._myself and key not in self._claims:
+                return _refuse(
+                    "key_unsettled", "an unconfirmed claim is being freed"
+                )
+            return _find_duplicate(
+                "the first request is in progress or its outcome is unknown"
+            )
+        if finish is not None and finish.answer is not None:
+            return outcomes.Answer(
+                outcomes.RequestOutcome.ANSWERED,
+                finish.answer,
+                finish.content_type,
+                reason="replayed",
+            )
+        outcome = finish.outcome if finish is not None else "unknown"
+        return _find_duplicate(f"the first request ended as {outcome}")
+
+    def _release_orphan(self, key: str) -> None:
+        """Frees a key held by a claim of this process that nobody awaits.
+
+        Its caller has been told that the request was not run, so a repeat
+        must be able to run.
+        """
+        state = self._keys.get(key)
+        if (
+            state is None
+            or state.progress is not Progress.HELD
+            or state.holder != self._myself
+            or key in self._finishes
+        ):
+            return
+        claim = self._claims.get(key)
+        if claim is not None and claim.offset in (None, state.claim_offset):
+            return
+        self._finishes[key] = _Finish(
+            state.claim_offset,
+            state.issued,
+            _refuse("log_unavailable", "the claim was not confirmed in time"),
+        )
+        self._work.set()
+
+    async def _append_finishes(self) -> None:
+        waiting = [
+            key for key, finish in self._finishes.items() if not finish.appended
+        ]
+        async with anyio.create_task_group() as group:
+            for key in waiting[:FINISH_TASKS]:
+                group.start_soon(self._append_finish, key)
+        if any(not finish.appended for finish in self._finishes.values()):
+            await anyio.sleep(RETRY_S)
+            self._work.set()
+
+    async def _append_finish(self, key: str) -> bool:
+        """Appends one finish; True when the log has it."""
+        finish = self._finishes.get(key)
+        if finish is None:
+            return True
+        answer = finish.answer
+        answered = answer.outcome is outcomes.RequestOutcome.ANSWERED
+        small = len(answer.body) <= self._settings.keys.answer_bytes
+        appended = await self._writer.append(
+            records.KeyFinish,
+            key=key,
+            claim_offset=finish.claim_offset,
+            outcome=answer.outcome.value,
+            content_type=answer.content_type if answered else "",
+            answer=answer.body if answered and small else None,
+        )
+        finish.appended = appended.is_ok()
+        return finish.appended
+
+    def _count_keys(self) -> None:
+        counts = collections.Counter(s.progress for s in self._keys.values())
+        for progress in Progress:
+            metrics.KEYS.labels(progress.value).set(counts[progress])
+
+
+def _refuse(reason: str, detail: str) -> outcomes.Answer:
+    return outcomes.Answer(
+        outcomes.RequestOutcome.NOT_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_s=1.0,
+    )
+
+
+def _find_duplicate(detail: str) -> outcomes.Answer:
+    return outcomes.Answer(
+        outcomes.RequestOutcome.DUPLICATE, reason="duplicate", detail=detail
+    )
--- a/plantainvane/records.py
+++ b/plantainvane/records.py
@@ -97,9 +97,14 @@
 
 
 class KeyFinish(Record, tag="key_finish"):
-    """Outcome of the request that holds a key."""
+    """Outcome of the request that holds a key.
+
+    `claim_offset` is the offset of the claim that it ends; one for another
+    claim is void, so that a late repeat cannot free a key claimed again.
+    """
 
     key: str
+    claim_offset: int
     outcome: str
     content_type: str = ""
     answer: bytes | None = None
