--- a/plantainvane/keys.py
+++ b/plantainvane/keys.py
@@ -19,6 +19,7 @@
 from plantainvane import outcomes
 from plantainvane import records
 from plantainvane import settings as settings_module
+from plantainvane import writers
 
 REVIEW_S = 5.0
 RETRY_S = 0.5
@@ -93,8 +94,8 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        identity: Any,
-        writer: Any,
+        identity: writers.Identity,
+        writer: writers.Writer,
     ):
         self._settings = settings
         self._myself = (identity.id, identity.incarnation)
