Prove the dispatcher's outcomes with runners scripted byte by byte

Scripted runners answer late, doubled, truncated, refused or not at all; their own records are the witness that "not run" means not run, and that a non-idempotent request runs at most once. A failed connection is held against a target for one ejection delay only, since one that is passed over never shows that it works again.

--- a/plantainvane/callers.py
+++ b/plantainvane/callers.py
@@ -32,6 +32,9 @@
     "too_large": 413,
     "key_required": 400,
     "bad_header": 400,
+    # The same request can never run, so a retry hint would mislead.
+    "key_expired": 400,
+    "issued_in_future": 400,
 }
 
 
--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -36,7 +36,7 @@
 # forward(member, request, deadline_s) sends a request to a peer.
 Forward = Callable[[Any, jobs.Request, float], Awaitable[outcomes.Answer]]
 
-_HOUSEKEEPING_S = 1.0  # Period of the checks that go over all targets.
+_HOUSEKEEPING_S = 1.0  # Longest period of the checks of all targets.
 _DUMP_LIMIT = 100
 _LOG_PAUSE_S = 10.0  # One line of a flood is enough for the person on call.
 
@@ -172,6 +172,14 @@
             for name in sorted(names)
         ]
 
+    def count_queued(self) -> int:
+        """Returns the number of waiting requests."""
+        return self._queues.total
+
+    def is_serving(self) -> bool:
+        """Tells whether new requests are accepted."""
+        return not (self._draining or self._closing or self._group is None)
+
     def start_drain(self) -> None:
         """Refuses new requests; those accepted before run to their end."""
         if not self._draining:
@@ -274,7 +282,7 @@
     def _find_refusal(self, job: jobs.Job) -> outcomes.Answer | None:
         request = job.request
         limit = job.service_class.body_limit_bytes
-        if self._draining or self._closing or self._group is None:
+        if not self.is_serving():
             hint = self._settings.requests.hint_min_s
             detail = "this process is starting or shutting down"
             return _make_not_run("not_serving", detail, hint)
@@ -560,6 +568,7 @@
             target.health,
             # Each refusal is the target's own statement.
             connections.make_failure_id() if refused else slot.connection.id,
+            now,
         )
         self.fleet.eject_if_due(target, now)
         if job.avoid is None:
@@ -699,7 +708,9 @@
             self._shed_late(now)
             self._match_queued(now)
         if now >= self._housekeeping_due:
-            self._housekeeping_due = now + _HOUSEKEEPING_S
+            self._housekeeping_due = now + min(
+                _HOUSEKEEPING_S, self._settings.requests.probe_interval_s
+            )
             self._update_slots(now)
             self._check_idle(now)
             self._update_gauges()
@@ -797,8 +808,9 @@
 
     def _note_failure(self, slot: connections.Slot, number: int) -> None:
         target = slot.target
-        ejection.note_failure(target.health, number)
-        self.fleet.eject_if_due(target, self._clock())
+        now = self._clock()
+        ejection.note_failure(target.health, number, now)
+        self.fleet.eject_if_due(target, now)
 
     def _log_rarely(
         self, event: events.Event, now: float, **fields: Any
--- a/plantainvane/ejection.py
+++ b/plantainvane/ejection.py
@@ -12,6 +12,7 @@
 
     Attributes:
       failed: Ids of connections that failed since the last success.
+      failed_at: Monotonic time of the last failure; -inf before.
       ratio: Moving average of run time over the class's median run time.
       samples: Run times in `ratio` since it was last reset.
       level: Ejections in a row; doubles the next delay.
@@ -20,6 +21,7 @@
     """
 
     failed: set[int] = dataclasses.field(default_factory=set)
+    failed_at: float = float("-inf")
     ratio: float = 1.0
     samples: int = 0
     level: int = 0
@@ -55,12 +57,13 @@
         health.level = 0
 
 
-def note_failure(health: Health, connection: int) -> None:
+def note_failure(health: Health, connection: int, now: float) -> None:
     """Records that the connection with id `connection` failed.
 
     Each id counts once: a silent connection says nothing about the target.
     """
     health.failed.add(connection)
+    health.failed_at = now
 
 
 def is_slow(settings: settings_module.Settings, health: Health) -> bool:
@@ -114,6 +117,19 @@
     return False
 
 
+def count_recent(
+    settings: settings_module.Settings, health: Health, now: float
+) -> int:
+    """Returns the failed connections, 0 once the last failure is old.
+
+    A target that is passed over for its failures would never show that it
+    works again.
+    """
+    if now - health.failed_at >= settings.requests.eject_base_s:
+        return 0
+    return len(health.failed)
+
+
 def get_weight(
     settings: settings_module.Settings, health: Health, now: float
 ) -> float:
--- a/plantainvane/routing.py
+++ b/plantainvane/routing.py
@@ -96,7 +96,7 @@
     """
     health = target.health
     weight = ejection.get_weight(settings, health, now)
-    failures = 1 + len(health.failed)
+    failures = 1 + ejection.count_recent(settings, health, now)
     return health.ratio * (1 + target.in_flight) * failures / weight
 
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -142,7 +142,12 @@
     """Runs a dispatcher; the block starts once `open_slots` are connected."""
     async with anyio.create_task_group() as group:
         group.start_soon(dispatcher.run)
-        await wait_until(lambda: dispatcher.fleet.open_slots >= open_slots)
+        await wait_until(
+            lambda: (
+                dispatcher.is_serving()
+                and dispatcher.fleet.open_slots >= open_slots
+            )
+        )
         try:
             yield dispatcher
         finally:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,12 +1,15 @@
 """Tests of plantainvane.dispatcher with runners in the same process."""
 
+import collections
 import contextlib
+import random
 import time
 
 import anyio
 import pytest
 
 from plantainvane import dispatcher as dispatcher_module
+from plantainvane import documents
 from plantainvane import outcomes
 from tests import fake_runner
 from tests import request_fakes
@@ -76,3 +79,476 @@
     assert [answers[n].body for n in range(100)] == [
         b"answer to %d" % n for n in range(100)
     ]
+
+
+async def test_equal_ids_of_two_callers_stay_apart():
+    # Guards against a late answer to one caller matching the other's id.
+    async with serve(fake_runner.echo) as (dispatcher, (runner,)):
+        first = await send(dispatcher, "same", b"1")
+        second = await send(dispatcher, "same", b"2")
+    assert (first.body, second.body) == (b"answer to 1", b"answer to 2")
+    assert len(set(runner.runs)) == 2
+
+
+def make_faulty_answer(seed):
+    """Answers well half of the time, else with one of the known faults."""
+    draw = random.Random(seed)
+
+    async def answer(runner, seen):
+        fault = draw.choice(["good"] * 5 + FAULTS)
+        if fault == "refused":
+            await fake_runner.refuse(runner, seen)
+            return
+        runner.runs.append(seen.request_id)
+        reply = fake_runner.make_reply(
+            seen.request_id, fake_runner.make_answer(seen)
+        )
+        await anyio.sleep(draw.random() / 500)
+        if fault == "truncated":
+            await seen.stream.send(reply[:-3])
+        elif fault == "doubled":
+            await seen.stream.send(reply + reply)
+        elif fault == "late":
+            await anyio.sleep(0.15)
+            await seen.stream.send(reply)
+        elif fault == "good":
+            await seen.stream.send(reply)
+        if fault in ("truncated", "lost"):
+            await seen.stream.aclose()
+
+    return answer
+
+
+FAULTS = ["truncated", "doubled", "late", "lost", "refused"]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_faulty_runners_never_mislead_a_caller(seed):
+    # Guards against foreign or partial answers, and against "not run" for a
+    # request that a runner's own record shows.
+    quick = request_fakes.make_requests(
+        run_samples=5, silence_floor_s=0.05, eject_failures=30
+    )
+    dispatcher = make_dispatcher(requests=quick)
+    answers = {}
+    async with serve(
+        *(make_faulty_answer(seed * 10 + n) for n in range(3)),
+        dispatcher=dispatcher,
+        open_slots=24,
+    ) as (_, runners):
+
+        async def call(caller):
+            for number in range(10):
+                id_ = f"r{caller}-{number}"
+                answers[id_] = await send(dispatcher, id_, id_.encode())
+
+        async def give_up(number):
+            with anyio.move_on_after(0.001):
+                await send(dispatcher, f"given-up-{number}", b"nobody's")
+
+        async with anyio.create_task_group() as group:
+            for caller in range(12):
+                group.start_soon(call, caller)
+                group.start_soon(give_up, caller)
+        ran = {id_ for runner in runners for id_ in runner.runs}
+    counted = collections.Counter(a.outcome for a in answers.values())
+    assert counted[OUTCOME.ANSWERED] > 60
+    for id_, answer in answers.items():
+        if answer.outcome is OUTCOME.ANSWERED:
+            assert answer.body == b"answer to " + id_.encode()
+        elif answer.outcome is OUTCOME.NOT_RUN:
+            assert id_ not in ran
+
+
+@pytest.mark.parametrize(
+    ("stage", "outcome"),
+    [
+        ("before reading", OUTCOME.UNKNOWN),
+        ("after the action", OUTCOME.UNKNOWN),
+        ("within the head", OUTCOME.UNKNOWN),
+        ("within the body", OUTCOME.UNKNOWN),
+        ("refused", OUTCOME.NOT_RUN),
+    ],
+)
+async def test_non_idempotent_request_runs_at_most_once(stage, outcome):
+    # Guards against a second run after a lost reply, and against "not run"
+    # for a connection that died after the first byte.
+    async def answer(runner, seen):
+        if stage == "refused":
+            await fake_runner.refuse(runner, seen)
+            return
+        if stage != "before reading":
+            runner.runs.append(seen.request_id)
+        reply = fake_runner.make_reply(seen.request_id, b"warned")
+        if stage == "within the head":
+            await seen.stream.send(reply[:20])
+        elif stage == "within the body":
+            await seen.stream.send(reply[:-1])
+        await seen.stream.aclose()
+
+    book = request_fakes.KeyBook()
+    dispatcher = make_dispatcher(
+        request_fakes.make_class("preview", idempotent=False), key_book=book
+    )
+    async with serve(answer, answer, dispatcher=dispatcher, open_slots=16) as (
+        _,
+        runners,
+    ):
+        got = await send(dispatcher, "w1", key="k", issued=1.0)
+        runs = [id_ for runner in runners for id_ in runner.runs]
+        await request_fakes.wait_until(lambda: book.finished)
+    assert got.outcome is outcome
+    assert len(runs) <= 1
+    assert book.finished == [("k", outcome.value)]
+
+
+async def test_repeated_key_is_a_duplicate():
+    # Guards against the pharmacy's second wormwood warning.
+    dispatcher = make_dispatcher(
+        request_fakes.make_class("preview", idempotent=False)
+    )
+    async with serve(fake_runner.echo, dispatcher=dispatcher) as (
+        _,
+        (runner,),
+    ):
+        first = await send(dispatcher, "a", key="k", issued=1.0)
+        second = await send(dispatcher, "b", key="k", issued=1.0)
+        third = await send(dispatcher, "c")
+    assert first.outcome is OUTCOME.ANSWERED
+    assert second.outcome is OUTCOME.DUPLICATE
+    assert (third.outcome, third.reason) == (OUTCOME.NOT_RUN, "key_required")
+    assert runner.runs == ["a"]
+
+
+async def test_refusal_after_an_unknown_attempt_is_not_called_not_run():
+    # Guards against a later refusal hiding that the first attempt ran.
+    async def answer(runner, seen):
+        if runner.runs:
+            await fake_runner.refuse(runner, seen)
+            return
+        runner.runs.append(seen.request_id)
+        await seen.stream.aclose()
+
+    async with serve(answer) as (dispatcher, (runner,)):
+        got = await send(dispatcher, "r1")
+    assert got.outcome is OUTCOME.UNKNOWN
+    assert runner.runs == ["r1"]
+
+
+async def test_shutdown_tells_waiting_from_running():
+    # Guards against "not run" for requests in flight when the process ends.
+    reached = anyio.Event()
+
+    async def hold(runner, seen):
+        runner.runs.append(seen.request_id)
+        if len(runner.runs) == 8:
+            reached.set()
+        await anyio.sleep_forever()
+
+    dispatcher = make_dispatcher()
+    answers = {}
+
+    async def call(number):
+        answers[f"r{number}"] = await send(dispatcher, f"r{number}")
+
+    async with (
+        anyio.create_task_group() as group,
+        fake_runner.serve_runner(hold) as runner,
+    ):
+        listed = request_fakes.make_runner("t", runner.address, ("preview",))
+        dispatcher.update_targets([listed], time.monotonic())
+        async with request_fakes.run_dispatcher(dispatcher, 8):
+            for number in range(12):
+                group.start_soon(call, number)
+            await reached.wait()
+    for id_, answer in answers.items():
+        ran = id_ in runner.runs
+        wanted = OUTCOME.UNKNOWN if ran else OUTCOME.NOT_RUN
+        assert answer.outcome is wanted
+    assert len(answers) == 12
+
+
+async def test_drain_lets_accepted_requests_end():
+    # Guards against a graceful shutdown that cuts off work in flight, and
+    # against accepting work meanwhile.
+    release = anyio.Event()
+
+    async def hold(runner, seen):
+        await release.wait()
+        await fake_runner.echo(runner, seen)
+
+    answers = []
+    drained = []
+    async with (
+        serve(hold) as (dispatcher, (runner,)),
+        anyio.create_task_group() as group,
+    ):
+
+        async def call(number):
+            answers.append(await send(dispatcher, f"r{number}"))
+
+        async def wait_drained():
+            await dispatcher.wait_drained()
+            drained.append(len(answers))
+
+        for number in range(20):
+            group.start_soon(call, number)
+        await request_fakes.wait_until(lambda: runner.running == 8)
+        dispatcher.start_drain()
+        group.start_soon(wait_drained)
+        late = await send(dispatcher, "late")
+        assert not drained
+        release.set()
+    assert (late.outcome, late.reason) == (OUTCOME.NOT_RUN, "not_serving")
+    assert [answer.outcome for answer in answers] == [OUTCOME.ANSWERED] * 20
+    assert drained == [20]
+
+
+@pytest.mark.parametrize("sign", ["reply", "probe", "list", "missing"])
+async def test_leaving_target_gets_no_new_work(sign):
+    # Guards against work for a target that leaves while the list lags (both
+    # signs of its own), contradicts it, or no longer names it.
+    leaving = "Leaving: 1\r\n"
+
+    async def answer(runner, seen):
+        extra = leaving if sign == "reply" else ""
+        body = fake_runner.make_answer(seen)
+        runner.runs.append(seen.request_id)
+        reply = fake_runner.make_reply(seen.request_id, body, extra=extra)
+        await seen.stream.send(reply)
+
+    async with serve(answer, fake_runner.echo, open_slots=16) as (
+        dispatcher,
+        (leaver, stayer),
+    ):
+        target = dispatcher.fleet.targets["t0"]
+        listed = [
+            request_fakes.make_runner("t0", leaver.address, ("preview",)),
+            request_fakes.make_runner("t1", stayer.address, ("preview",)),
+        ]
+        if sign == "probe":
+            leaver.health = fake_runner.make_reply("", b"", extra=leaving)
+        elif sign == "list":
+            gone = request_fakes.make_runner(
+                "t0", leaver.address, ("preview",), leaving=True
+            )
+            dispatcher.update_targets([gone, listed[1]], time.monotonic())
+        elif sign == "missing":
+            now = time.monotonic()
+            dispatcher.update_targets(listed[1:], now)
+            assert not target.leaving
+            dispatcher.update_targets(listed[1:], now + 1.0)
+        for number in range(50 if sign == "reply" else 0):
+            if not target.leaving:
+                await send(dispatcher, f"before{number}")
+        await request_fakes.wait_until(lambda: target.leaving)
+        before = len(leaver.runs)
+        if sign != "missing":
+            # A list that lags names the target as live again.
+            dispatcher.update_targets(listed, time.monotonic())
+        for number in range(40):
+            got = await send(dispatcher, f"after{number}")
+            assert got.outcome is OUTCOME.ANSWERED
+    assert len(leaver.runs) == before
+
+
+async def test_refusals_of_a_leaving_target_cost_no_retry_token():
+    # Guards against a rolling restart that spends the retry budget.
+    async def answer(runner, seen):
+        extra = "Not-Run: 1\r\nLeaving: 1\r\n"
+        reply = fake_runner.make_reply(seen.request_id, b"", "503 No", extra)
+        await seen.stream.send(reply)
+
+    async with serve(answer, fake_runner.echo, open_slots=16) as (
+        dispatcher,
+        _,
+    ):
+        for number in range(20):
+            got = await send(dispatcher, f"r{number}")
+            assert got.outcome is OUTCOME.ANSWERED
+        budget = dispatcher.dump_state(0.0)["retry_budget"]
+    assert budget["tokens"] == 20
+
+
+async def test_silent_connection_does_not_eject_its_target():
+    # Guards against one silent connection taking a healthy target away.
+    silent = []
+
+    async def answer(runner, seen):
+        if not silent:
+            silent.append(seen.connection)
+        if seen.connection in silent:
+            await anyio.sleep_forever()
+        await fake_runner.echo(runner, seen)
+
+    quick = request_fakes.make_requests(run_samples=1, silence_floor_s=0.03)
+    dispatcher = make_dispatcher(
+        request_fakes.make_class("preview", expected_run_ms=1), requests=quick
+    )
+    async with serve(answer, dispatcher=dispatcher) as (_, (runner,)):
+        silent.append(-1)  # The first request measures the run time.
+        await send(dispatcher, "r0")
+        silent.clear()
+        got = [await send(dispatcher, f"r{n}") for n in range(1, 20)]
+        target = dispatcher.fleet.targets["t0"]
+        assert target.health.level == 0
+    assert {answer.outcome for answer in got} == {OUTCOME.ANSWERED}
+    assert [answer.attempts for answer in got] == [2] + [1] * 18
+
+
+async def test_dead_target_is_ejected_and_returns():
+    # Guards against requests waiting for a dead target, and against one
+    # that recovered staying out.
+    broken = True
+
+    async def answer(runner, seen):
+        if broken:
+            await seen.stream.aclose()
+        else:
+            await fake_runner.echo(runner, seen)
+
+    requests = request_fakes.make_requests(attempt_limit=3)
+    dispatcher = make_dispatcher(requests=requests)
+    async with serve(
+        answer, fake_runner.echo, dispatcher=dispatcher, open_slots=16
+    ) as (_, (runner, _)):
+        health = dispatcher.fleet.targets["t0"].health
+        with anyio.fail_after(5.0):
+            while not health.level:
+                got = await send(dispatcher, "r")
+                assert got.outcome is OUTCOME.ANSWERED
+        assert len(runner.requests) == 3
+        broken = False
+        await request_fakes.wait_until(
+            lambda: dispatcher.fleet.open_slots == 16
+        )
+        assert not health.ejected_until
+
+
+async def test_queue_full_sheds_the_least_urgent_first():
+    # Guards against an urgent request refused while bulk work waits.
+    release = anyio.Event()
+
+    async def hold(runner, seen):
+        await release.wait()
+        await fake_runner.echo(runner, seen)
+
+    bulk = request_fakes.make_class(
+        "sync", priority=documents.Priority.BULK, deadline_ms=60_000
+    )
+    dispatcher = make_dispatcher(
+        request_fakes.make_class(),
+        bulk,
+        requests=request_fakes.make_requests(queue_limit=4),
+    )
+    answers = {}
+    async with (
+        serve(hold, dispatcher=dispatcher, classes=("preview", "sync")) as (
+            _,
+            (runner,),
+        ),
+        anyio.create_task_group() as group,
+    ):
+
+        async def call(name, number):
+            id_ = f"{name}{number}"
+            answers[id_] = await send(dispatcher, id_, service_class=name)
+
+        for number in range(12):
+            group.start_soon(call, "sync", number)
+        await request_fakes.wait_until(lambda: dispatcher.count_queued() == 4)
+        for number in range(4):
+            group.start_soon(call, "preview", number)
+        await request_fakes.wait_until(lambda: len(answers) == 4)
+        release.set()
+    shed = {id_ for id_, a in answers.items() if a.reason == "queue_full"}
+    assert shed == {f"sync{number}" for number in range(8, 12)}
+    assert all(answers[id_].retry_after_s > 0 for id_ in shed)
+    assert shed.isdisjoint(runner.runs)
+
+
+async def test_overload_goes_to_another_domain_once():
+    # Guards against refusing work that another domain has room for, and
+    # against forwarding in circles.
+    sent = []
+
+    async def forward(member, request, deadline_s):
+        sent.append((member.id, request.request_id))
+        return outcomes.Answer(OUTCOME.ANSWERED, b"from afar", attempts=1)
+
+    dispatcher = make_dispatcher(forward=forward)
+    membership = dispatcher._membership
+    membership.headroom = request_fakes.Member("e9")
+    async with request_fakes.run_dispatcher(dispatcher, 0):
+        got = await send(dispatcher, "r1")
+        forwarded = await send(dispatcher, "r2", forwarded=True)
+        membership.headroom = None
+        shed = await send(dispatcher, "r3")
+    assert got.body == b"from afar"
+    assert sent == [("e9", "r1")]
+    assert (forwarded.outcome, forwarded.reason) == (
+        OUTCOME.NOT_RUN,
+        "no_free_slot",
+    )
+    assert (shed.outcome, shed.reason) == (OUTCOME.NOT_RUN, "overload")
+
+
+async def test_long_work_leaves_the_reserved_slots_to_short_work():
+    # Guards against previews waiting behind a catalogue sync.
+    release = anyio.Event()
+
+    async def answer(runner, seen):
+        if seen.path.endswith("/sync"):
+            await release.wait()
+        await fake_runner.echo(runner, seen)
+
+    sync = request_fakes.make_class(
+        "sync", expected_run_ms=60_000, deadline_ms=600_000
+    )
+    dispatcher = make_dispatcher(request_fakes.make_class(), sync)
+    async with (
+        serve(answer, dispatcher=dispatcher, classes=("preview", "sync")) as (
+            _,
+            (runner,),
+        ),
+        anyio.create_task_group() as group,
+    ):
+        for number in range(10):
+
+            async def call(number=number):
+                await send(dispatcher, f"s{number}", service_class="sync")
+
+            group.start_soon(call)
+        await request_fakes.wait_until(lambda: runner.running == 4)
+        got = [await send(dispatcher, f"p{n}") for n in range(20)]
+        assert runner.most_running <= 5
+        release.set()
+    assert {answer.outcome for answer in got} == {OUTCOME.ANSWERED}
+
+
+async def test_share_shrinks_at_once_and_grows_later():
+    # Guards against more exchanges at a runner than its slots when an entry
+    # process joins.
+    dispatcher = make_dispatcher(
+        requests=request_fakes.make_requests(slot_settle_s=0.2)
+    )
+    async with serve(fake_runner.echo, dispatcher=dispatcher) as (_, _):
+        dispatcher._membership.members.append(request_fakes.Member("e2"))
+        dispatcher.update_targets(
+            [dispatcher.fleet.targets["t0"].instance], time.monotonic()
+        )
+        await request_fakes.wait_until(lambda: dispatcher.fleet.open_slots == 4)
+        dispatcher._membership.members.pop()
+        dispatcher.update_targets(
+            [dispatcher.fleet.targets["t0"].instance], time.monotonic()
+        )
+        assert dispatcher.fleet.targets["t0"].share.slots == 4
+        await request_fakes.wait_until(lambda: dispatcher.fleet.open_slots == 8)
+
+
+async def test_empty_list_keeps_the_known_targets():
+    # Guards against a fault of the list ending all service.
+    async with serve(fake_runner.echo) as (dispatcher, _):
+        dispatcher.update_targets([], time.monotonic() + 100.0)
+        got = await send(dispatcher, "r1")
+    assert got.outcome is OUTCOME.ANSWERED
