--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -6,10 +6,14 @@
 
 import dataclasses
 import enum
+import logging
+import sys
 from typing import Any
 
 import eliot
 
+from plantainvane import settings as settings_module
+
 
 class Level(enum.StrEnum):
     """How urgent an event is for the person on call."""
@@ -49,21 +53,19 @@
 RECORD_UNDECODABLE = Event(115, "record_undecodable", Level.ERROR)
 STREAM_SHORTENED = Event(116, "stream_shortened", Level.ERROR)
 
+CONFIGURATION_CHANGED = Event(201, "configuration_changed", Level.INFO)
+CHANGE_VOID = Event(202, "change_void", Level.WARNING)
+SNAPSHOT_LOADED = Event(203, "snapshot_loaded", Level.INFO)
+SNAPSHOT_REFUSED = Event(204, "snapshot_refused", Level.ERROR)
+SNAPSHOT_WRITTEN = Event(205, "snapshot_written", Level.INFO)
+SNAPSHOT_FAILED = Event(206, "snapshot_failed", Level.WARNING)
+
 MEMBER_CHANGED = Event(301, "member_changed", Level.INFO)
 MEMBER_SUSPECTED = Event(302, "member_suspected", Level.WARNING)
 MEMBER_RESTARTED = Event(303, "member_restarted", Level.INFO)
 MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
 PEER_FAILED = Event(305, "peer_failed", Level.WARNING)
 
-TARGET_LIST_EMPTY = Event(601, "target_list_empty", Level.WARNING)
-TARGET_RETIRED = Event(602, "target_retired", Level.INFO)
-TARGET_EJECTED = Event(603, "target_ejected", Level.WARNING)
-REQUESTS_SHED = Event(604, "requests_shed", Level.WARNING)
-RETRIES_SPENT = Event(605, "retries_spent", Level.WARNING)
-REQUESTS_DRAINING = Event(606, "requests_draining", Level.INFO)
-
-PROCESS_STARTED = Event(701, "process_started", Level.INFO)
-
 CLAIM_WON = Event(401, "claim_won", Level.INFO)
 CLAIM_LOST = Event(402, "claim_lost", Level.WARNING)
 CLAIM_LAPSED = Event(403, "claim_lapsed", Level.WARNING)
@@ -85,3 +87,45 @@
 TASK_FAILED = Event(513, "task_failed", Level.WARNING)
 TASK_IMPOSSIBLE = Event(514, "task_impossible", Level.WARNING)
 START_WITHHELD = Event(515, "start_withheld", Level.WARNING)
+
+TARGET_LIST_EMPTY = Event(601, "target_list_empty", Level.WARNING)
+TARGET_RETIRED = Event(602, "target_retired", Level.INFO)
+TARGET_EJECTED = Event(603, "target_ejected", Level.WARNING)
+REQUESTS_SHED = Event(604, "requests_shed", Level.WARNING)
+RETRIES_SPENT = Event(605, "retries_spent", Level.WARNING)
+REQUESTS_DRAINING = Event(606, "requests_draining", Level.INFO)
+
+PROCESS_STARTED = Event(701, "process_started", Level.INFO)
+KEY_CLAIM_FAILED = Event(702, "key_claim_failed", Level.WARNING)
+PROCESS_READY = Event(703, "process_ready", Level.INFO)
+PROCESS_NOT_READY = Event(704, "process_not_ready", Level.WARNING)
+DRAIN_STARTED = Event(705, "drain_started", Level.INFO)
+DRAIN_ENDED = Event(706, "drain_ended", Level.INFO)
+PROCESS_STOPPED = Event(707, "process_stopped", Level.INFO)
+LIST_FAILING = Event(708, "list_failing", Level.WARNING)
+LIST_RECOVERED = Event(709, "list_recovered", Level.INFO)
+CONFIG_FETCHED = Event(710, "config_fetched", Level.INFO)
+CONFIG_FETCH_INVALID = Event(711, "config_fetch_invalid", Level.ERROR)
+LIBRARY_MESSAGE = Event(712, "library_message", Level.WARNING)
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes on what libraries report through `logging`."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        log_event(
+            LIBRARY_MESSAGE,
+            logger=record.name,
+            text=record.getMessage()[:1000],
+            error=f"{type(error).__name__}: {error}" if error else "",
+        )
+
+
+def start_logging(settings: settings_module.Settings) -> None:
+    """Sends events to `settings.log_file`, or to stderr without one."""
+    output = sys.stderr
+    if settings.log_file is not None:
+        output = open(settings.log_file, "a", buffering=1)  # noqa: SIM115
+    eliot.to_file(output)
+    logging.getLogger().addHandler(_LibraryHandler(logging.WARNING))
--- a/plantainvane/membership.py
+++ b/plantainvane/membership.py
@@ -13,6 +13,7 @@
 from plantainvane import messages_pb2
 from plantainvane import rendezvous
 from plantainvane import settings as settings_module
+from plantainvane import writers
 
 # A heartbeat names the members heard in every so many heartbeats only: the
 # names are most of its bytes and serve discovery, which may take seconds.
@@ -82,7 +83,7 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        identity: Any,
+        identity: writers.Identity,
     ):
         self._settings = settings
         self.myself = Member(
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -12,8 +12,9 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, le=1)]
+# In Python, `$` alone also matches before a newline at the end.
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$(?!\n)", max_length=64)
 ]
 
 
@@ -46,6 +47,8 @@
 
     log: str
     instances: str
+    # Leaving targets must get no new work after a few seconds.
+    poll_s: Positive = 1.0
 
 
 class Log(Struct):
@@ -251,6 +254,16 @@
     answer_bytes: Count = 2048
 
 
+class Operators(Struct):
+    """Operators' address and configuration changes."""
+
+    # Changes, valid and void, that a process remembers for operators.
+    history_kept: Count = 1000
+    # Time for a published change to come back through the log.
+    confirm_s: Positive = 5.0
+    body_limit_bytes: Count = 1_048_576
+
+
 class Drain(Struct):
     """Graceful shutdown."""
 
@@ -276,6 +289,7 @@
     tasks: Tasks = Tasks()
     requests: Requests = Requests()
     keys: Keys = Keys()
+    operators: Operators = Operators()
     drain: Drain = Drain()
     log_file: str | None = None
 
@@ -380,11 +394,12 @@
     return [
         validation.Fault(path, f"{address!r} is not of the form ip:port")
         for path, address in named.items()
-        if not _is_address(address)
+        if not is_address(address)
     ]
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
+    """Tells whether `address` is of the form ip:port."""
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
