Keep signals caught during the drain

A second SIGTERM during the drain killed the process with status -15, as the receiver had been left after the first. Seen when profiling by hand; with the receiver open until the end the same run exits 0.

--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -92,8 +92,7 @@
             _start_parts(parts, entry, log_client, list_client)
             async with anyio.create_task_group() as servers:
                 _start_servers(servers, entry)
-                await _wait_signal()
-                await drain_entry(entry)
+                await _drain_on_signal(entry)
             parts.cancel_scope.cancel()
     events.log_event(events.PROCESS_STOPPED, process=settings.id)
 
@@ -297,9 +296,11 @@
         )
 
 
-async def _wait_signal() -> None:
+async def _drain_on_signal(entry: Entry) -> None:
+    # Signals stay caught during the drain: a second SIGTERM must not end it.
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
+            await drain_entry(entry)
             return
 
 
