--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -66,6 +66,28 @@
 MEMBER_DROPPED = Event(304, "member_dropped", Level.WARNING)
 PEER_FAILED = Event(305, "peer_failed", Level.WARNING)
 
+CLAIM_WON = Event(401, "claim_won", Level.INFO)
+CLAIM_LOST = Event(402, "claim_lost", Level.WARNING)
+CLAIM_LAPSED = Event(403, "claim_lapsed", Level.WARNING)
+CLAIM_RELEASED = Event(404, "claim_released", Level.INFO)
+CLAIM_FAILING = Event(405, "claim_failing", Level.WARNING)
+
+SHARD_OPENED = Event(501, "shard_opened", Level.INFO)
+WORKER_FENCED = Event(502, "worker_fenced", Level.INFO)
+WORKER_UNREACHABLE = Event(503, "worker_unreachable", Level.WARNING)
+WORKER_SUPERSEDED = Event(504, "worker_superseded", Level.WARNING)
+WORKER_SUSPECTED = Event(505, "worker_suspected", Level.WARNING)
+WORKER_THROTTLED = Event(506, "worker_throttled", Level.INFO)
+WORKER_RELEASED = Event(507, "worker_released", Level.INFO)
+EVICTION_STARTED = Event(508, "eviction_started", Level.INFO)
+EVICTION_ABANDONED = Event(509, "eviction_abandoned", Level.WARNING)
+ATTEMPT_FOREIGN = Event(510, "attempt_foreign", Level.WARNING)
+ATTEMPT_EXPIRED = Event(511, "attempt_expired", Level.WARNING)
+TASK_UNKNOWN = Event(512, "task_unknown", Level.ERROR)
+TASK_FAILED = Event(513, "task_failed", Level.WARNING)
+TASK_IMPOSSIBLE = Event(514, "task_impossible", Level.WARNING)
+START_WITHHELD = Event(515, "start_withheld", Level.WARNING)
+
 TARGET_LIST_EMPTY = Event(601, "target_list_empty", Level.WARNING)
 TARGET_RETIRED = Event(602, "target_retired", Level.INFO)
 TARGET_EJECTED = Event(603, "target_ejected", Level.WARNING)
@@ -85,25 +107,3 @@
 CONFIG_FETCHED = Event(710, "config_fetched", Level.INFO)
 CONFIG_FETCH_INVALID = Event(711, "config_fetch_invalid", Level.ERROR)
 LIBRARY_MESSAGE = Event(712, "library_message", Level.WARNING)
-
-
-class _LibraryHandler(logging.Handler):
-    """Passes on what libraries report through `logging`."""
-
-    def emit(self, record: logging.LogRecord) -> None:
-        error = record.exc_info[1] if record.exc_info else None
-        log_event(
-            LIBRARY_MESSAGE,
-            logger=record.name,
-            text=record.getMessage()[:1000],
-            error=f"{type(error).__name__}: {error}" if error else "",
-        )
-
-
-def start_logging(settings: settings_module.Settings) -> None:
-    """Sends events to `settings.log_file`, or to stderr without one."""
-    output = sys.stderr
-    if settings.log_file is not None:
-        output = open(settings.log_file, "a", buffering=1)  # noqa: SIM115
-    eliot.to_file(output)
-    logging.getLogger().addHandler(_LibraryHandler(logging.WARNING))
