Wire the scheduler and the operators' server into the entry process

The daemon lacked batch work and the operators' address. The scheduler starts once the process is ready; its claims are released beside the requests' drain, so shards do not wait for the longest request. GET /versions lists what each member heard last reported.

--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -22,11 +22,13 @@
 from plantainvane import membership as membership_module
 from plantainvane import messages_pb2
 from plantainvane import metrics
+from plantainvane import operators
 from plantainvane import outcomes
 from plantainvane import peers as peers_module
 from plantainvane import readers
 from plantainvane import records
 from plantainvane import rendezvous
+from plantainvane import scheduler as scheduler_module
 from plantainvane import settings as settings_module
 from plantainvane import writers
 
@@ -64,6 +66,7 @@
     key_book: keys.KeyBook
     membership: membership_module.Membership
     dispatcher: dispatcher_module.Dispatcher
+    scheduler: scheduler_module.Scheduler
     peers: peers_module.Peers
     listed: bool = False
     opened: bool = False
@@ -126,7 +129,7 @@
     async def fetch_task(
         query: messages_pb2.TaskQuery,
     ) -> messages_pb2.TaskStatus:
-        return messages_pb2.TaskStatus(owned=False)
+        return await _find_task(entry.scheduler, query)
 
     services = peers_module.Services(
         lambda now, with_heard: _make_heartbeat(entry, now, with_heard),
@@ -148,6 +151,9 @@
         dispatcher=dispatcher_module.Dispatcher(
             settings, configuration, membership, key_book, forward
         ),
+        scheduler=scheduler_module.Scheduler(
+            settings, configuration, membership, log_client, identity
+        ),
         peers=peers_module.Peers(settings, membership, services),
     )
     return entry
@@ -184,11 +190,14 @@
     await anyio.sleep(drain.notice_s)
     entry.dispatcher.start_drain()
     finished = False
-    with anyio.move_on_after(drain.limit_s):
-        await entry.dispatcher.wait_drained()
-        while entry.peers.forwarded:
-            await anyio.sleep(0.02)
-        finished = True
+    async with anyio.create_task_group() as group:
+        # Shards need not wait for the longest request.
+        group.start_soon(_release_claims, entry)
+        with anyio.move_on_after(drain.limit_s):
+            await entry.dispatcher.wait_drained()
+            while entry.peers.forwarded:
+                await anyio.sleep(0.02)
+            finished = True
     with anyio.move_on_after(RELEASE_LIMIT_S):
         while entry.key_book.count_unrecorded():
             await anyio.sleep(0.02)
@@ -227,6 +236,7 @@
         "peers": entry.peers.dump_state(now),
         "keys": entry.key_book.dump_state(now),
         "requests": entry.dispatcher.dump_state(now),
+        "tasks": entry.scheduler.dump_state(now),
     }
 
 
@@ -266,6 +276,7 @@
         entry.config_writer,
         lambda: _is_snapshot_writer(entry, anyio.current_time()),
     )
+    group.start_soon(_run_scheduler, entry)
     group.start_soon(_poll_instances, entry, list_client)
     group.start_soon(_review_entry, entry)
     group.start_soon(_fetch_configuration, entry)
@@ -277,15 +288,31 @@
     handle_callers = callers.make_handler(
         settings,
         entry.dispatcher.handle_request,
-        None,
+        callers.TaskCalls(
+            entry.scheduler.submit_task,
+            entry.scheduler.find_task,
+            entry.scheduler.cancel_task,
+        ),
         lambda: entry.ready,
     )
+    handle_operators = operators.make_handler(
+        settings,
+        entry.configuration,
+        entry.config_writer.append,
+        lambda: _list_versions(entry, anyio.current_time()),
+        lambda: dump_state(entry, anyio.current_time()),
+    )
     for handle, address, limit in (
         (
             handle_callers,
             settings.listen.callers,
             settings.requests.body_limit_bytes,
         ),
+        (
+            handle_operators,
+            settings.listen.operators,
+            settings.operators.body_limit_bytes,
+        ),
     ):
         group.start_soon(
             asgi.serve_application,
@@ -332,6 +359,7 @@
         if reply.is_ok():
             now = anyio.current_time()
             entry.dispatcher.update_targets(reply.ok_value, now)
+            entry.scheduler.update_workers(reply.ok_value, now)
             entry.listed = True
         if reply.is_err() != failing:
             failing = reply.is_err()
@@ -343,6 +371,19 @@
         await anyio.sleep(poll_s * random.uniform(0.9, 1.1))
 
 
+async def _run_scheduler(entry: Entry) -> None:
+    """Runs the scheduler once the process knows classes and workers."""
+    await entry.was_ready.wait()
+    await entry.scheduler.run()
+
+
+async def _release_claims(entry: Entry) -> None:
+    with anyio.move_on_after(RELEASE_LIMIT_S) as scope:
+        await entry.scheduler.release_claims()
+    if scope.cancelled_caught:
+        events.log_event(events.RELEASE_FAILED, process=entry.settings.id)
+
+
 async def _fetch_configuration(entry: Entry) -> None:
     """Takes the configuration from a peer while the log does not bring it."""
     behind_since: float | None = None
@@ -410,6 +451,27 @@
         await anyio.sleep(METRICS_S)
 
 
+def _list_versions(entry: Entry, now: float) -> list[operators.ProcessVersion]:
+    own = operators.ProcessVersion(
+        entry.settings.id,
+        entry.settings.domain,
+        entry.configuration.version,
+        entry.ready,
+        0.0,
+    )
+    others = [
+        operators.ProcessVersion(
+            status.member.id,
+            status.member.domain,
+            status.config_version,
+            status.ready,
+            round(status.silent_s, 3),
+        )
+        for status in entry.membership.list_heard(now)
+    ]
+    return sorted([own, *others], key=lambda process: process.id)
+
+
 def _make_heartbeat(
     entry: Entry, now: float, with_heard: bool
 ) -> messages_pb2.Heartbeat:
@@ -449,6 +511,15 @@
     )
 
 
+async def _find_task(
+    scheduler: scheduler_module.Scheduler, query: messages_pb2.TaskQuery
+) -> messages_pb2.TaskStatus:
+    found = await scheduler.find_task(query.task)
+    if found is None:
+        return messages_pb2.TaskStatus()
+    return messages_pb2.TaskStatus(owned=True, task=msgspec.json.encode(found))
+
+
 async def _forward_request(
     peers: peers_module.Peers,
     member: membership_module.Member,
--- a/plantainvane/membership.py
+++ b/plantainvane/membership.py
@@ -41,6 +41,16 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """What a member reported `silent_s` seconds ago."""
+
+    member: Member
+    ready: bool
+    config_version: int
+    silent_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Load:
     """Load of one service class at a member.
@@ -226,13 +236,18 @@
         newest = max(heard, key=lambda e: (e.config_version, e.member.id))
         return newest.member, newest.config_version
 
-    def list_versions(self, now: float) -> dict[str, int]:
-        """Lists the configuration version of each member heard, by id."""
-        return {
-            id: entry.config_version
-            for id, entry in sorted(self._entries.items())
+    def list_heard(self, now: float) -> list[Status]:
+        """Lists what each member not silent last reported, by id."""
+        return [
+            Status(
+                entry.member,
+                entry.ready,
+                entry.config_version,
+                now - entry.heard_at,
+            )
+            for _, entry in sorted(self._entries.items())
             if not self._is_silent(entry, now)
-        }
+        ]
 
     def list_peers(self, now: float) -> list[Member]:
         """Lists the members to hold a stream to, sorted by id.
--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -162,7 +162,6 @@
         base_url=f"http://{address}",
         headers={"Client-Id": settings.id},
         timeout=settings.tasks.call_timeout_s,
-        headers={"Client-Id": settings.id},
         limits=httpx.Limits(max_connections=2),
         trust_env=False,
     )
