--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -107,3 +107,25 @@
 CONFIG_FETCHED = Event(710, "config_fetched", Level.INFO)
 CONFIG_FETCH_INVALID = Event(711, "config_fetch_invalid", Level.ERROR)
 LIBRARY_MESSAGE = Event(712, "library_message", Level.WARNING)
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes on what libraries report through `logging`."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        log_event(
+            LIBRARY_MESSAGE,
+            logger=record.name,
+            text=record.getMessage()[:1000],
+            error=f"{type(error).__name__}: {error}" if error else "",
+        )
+
+
+def start_logging(settings: settings_module.Settings) -> None:
+    """Sends events to `settings.log_file`, or to stderr without one."""
+    output = sys.stderr
+    if settings.log_file is not None:
+        output = open(settings.log_file, "a", buffering=1)  # noqa: SIM115
+    eliot.to_file(output)
+    logging.getLogger().addHandler(_LibraryHandler(logging.WARNING))
