Publish the documents of a demo in one call

Starting the command line once for each of 12 documents would take longer than the load, and its tracebacks were drawn as boxes.

--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -253,4 +253,6 @@
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(main)
+    app()
--- a/standins/session.py
+++ b/standins/session.py
@@ -78,26 +78,25 @@
       RuntimeError: The command line refused a document.
     """
     entry = session.cluster.list_role("entry")[0]
-    for name in session.cluster.deployment.documents:
-        finished = await anyio.run_process(
-            [
-                sys.executable,
-                "-m",
-                "plantainvane",
-                "publish",
-                str(session.base / name),
-                "--operators",
-                entry.addresses["operators"],
-                "--author",
-                "standins",
-            ],
-            stderr=subprocess.STDOUT,
-            check=False,
-            cwd=launcher.ROOT,
-        )
-        if finished.returncode:
-            output = finished.stdout.decode("utf-8", "replace")
-            raise RuntimeError(f"publishing {name} failed: {output}")
+    path = session.cluster.directory / "documents.json"
+    encoded = msgspec.json.encode(session.published)
+    path.write_bytes(msgspec.json.format(encoded, indent=2) + b"\n")
+    command = ["-m", "plantainvane", "publish", str(path)]
+    options = [
+        "--operators",
+        entry.addresses["operators"],
+        "--author",
+        "standins",
+    ]
+    finished = await anyio.run_process(
+        [sys.executable, *command, *options],
+        stderr=subprocess.STDOUT,
+        check=False,
+        cwd=launcher.ROOT,
+    )
+    if finished.returncode:
+        output = finished.stdout.decode("utf-8", "replace")
+        raise RuntimeError(f"publishing failed: {output}")
 
 
 async def fetch_version(
