--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -160,7 +160,6 @@
     return httpx.AsyncClient(
         base_url=f"http://{address}",
         timeout=settings.tasks.call_timeout_s,
-        headers={"Client-Id": settings.id},
         limits=httpx.Limits(max_connections=2),
         trust_env=False,
     )
