--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -17,6 +17,7 @@
   POST /listing        {"epoch": int} -> 200 Listing (also raises the epoch)
   GET  /usage          200 UsageReport
   412 {"epoch": int}   on any command with a lower epoch
+  Every request names its sender's process id in the header `Client-Id`.
 """
 
 import enum
@@ -159,6 +160,7 @@
     """Creates the HTTP client for the worker at `address` (`ip:port`)."""
     return httpx.AsyncClient(
         base_url=f"http://{address}",
+        headers={"Client-Id": settings.id},
         timeout=settings.tasks.call_timeout_s,
         limits=httpx.Limits(max_connections=2),
         trust_env=False,
--- a/tests/test_standin_list.py
+++ b/tests/test_standin_list.py
@@ -3,7 +3,9 @@
 import anyio
 
 from plantainvane import instances
+from plantainvane import log
 from plantainvane import settings as settings_module
+from plantainvane import workers
 from standins import gate as gate_module
 from standins import instance_list
 from standins import serving
@@ -71,3 +73,20 @@
         assert fetched.ok_value == [RUNNER]
 
     anyio.run(run)
+
+
+def test_every_platform_client_names_its_process():
+    """Guards against a process that a partition cannot cut off."""
+    product = settings_module.Settings(
+        id="e1",
+        domain="d1",
+        domains=("d1",),
+        listen=settings_module.Listen("", "", ""),
+        platform=settings_module.Platform("127.0.0.1:1", "127.0.0.1:2"),
+    )
+    for client in (
+        log.make_client(product),
+        instances.make_client(product),
+        workers.make_client(product, "127.0.0.1:3"),
+    ):
+        assert client.headers["Client-Id"] == "e1"
