Log an outage of appends once per stream

Cause: in a trial with six entry processes and the log down for 3 s, every refused append wrote a warning, 41 of them for the stream `keys` alone.

--- a/plantainvane/writers.py
+++ b/plantainvane/writers.py
@@ -88,6 +88,8 @@
         self._known_next = 0
         self._known_at = float("-inf")
         self._sent_at = float("-inf")
+        # Batches refused since the last one that was appended.
+        self._refused = 0
         self._appends = 0
         self._appended = 0
 
@@ -177,6 +179,7 @@
         batch, self._batch = self._batch, []
         for index, item in enumerate(batch):
             item.finish(outcome.map(lambda first, index=index: first + index))
+        self._note_outcome(outcome)
         if outcome.is_ok():
             self._appended += len(batch)
             after = outcome.ok_value + len(batch)
@@ -197,7 +200,6 @@
             if failure == outcomes.CallFailure.LOST:
                 return await self._resolve_batch(give_up_at)
             if failure != outcomes.CallFailure.LIMITED:
-                self._log_error(events.APPEND_REFUSED, reply.err_value)
                 return reply
             if anyio.current_time() + self.linger_s > give_up_at:
                 return reply
@@ -303,11 +305,27 @@
         events.log_event(
             event,
             stream=self.stream,
-            records=len(self._batch),
             failure=error.failure.value,
             detail=error.detail,
         )
 
+    def _note_outcome(
+        self, outcome: result.Result[int, outcomes.CallError]
+    ) -> None:
+        """Logs the start and the end of an outage, not each refusal in it."""
+        if outcome.is_ok():
+            if self._refused:
+                events.log_event(
+                    events.APPEND_RECOVERED,
+                    stream=self.stream,
+                    refused=self._refused,
+                )
+            self._refused = 0
+        elif outcome.err_value.failure != outcomes.CallFailure.LOST:
+            if not self._refused:
+                self._log_error(events.APPEND_REFUSED, outcome.err_value)
+            self._refused += 1
+
     def _stop(self) -> None:
         """Ends every wait; the records under way may still take effect."""
         self._stopped = True
--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import anyio
+import eliot
+import httpx
 import pytest
 
 from plantainvane import outcomes
@@ -225,3 +227,24 @@
         "sent": outcomes.CallFailure.LOST,
         "queued": outcomes.CallFailure.UNREACHED,
     }
+
+
+async def test_an_outage_is_logged_once():
+    """Guards against a log file that fills with one line per request."""
+    local = log_server.make_local_log()
+
+    async def refuse(request: Any, forward: log_server.Forward) -> Any:
+        return httpx.Response(503, request=request)
+
+    local.transport.script = [refuse] * 5
+    logged: list[dict[str, Any]] = []
+    eliot.add_destinations(logged.append)
+    logged.clear()  # eliot hands what came before to the first destination.
+    try:
+        async with run_writer(local) as writer:
+            for number in range(6):
+                await append_key(writer, str(number))
+    finally:
+        eliot.remove_destination(logged.append)
+    names = [line["message_type"].rpartition(":")[2] for line in logged]
+    assert names == ["append_refused", "append_recovered"]
