Refuse to show the configuration before it is known

Change: GET /documents and GET /history answer 503 until the process knows the configuration, as publishing does.

--- a/plantainvane/operators.py
+++ b/plantainvane/operators.py
@@ -122,9 +122,13 @@
         return _check_changes(configuration, request.body)
 
     async def list_documents(request: asgi.HttpRequest) -> asgi.HttpReply:
+        if not configuration.ready:
+            return _refuse_early()
         return asgi.make_json_reply(200, describe_documents(configuration))
 
     async def list_history(request: asgi.HttpRequest) -> asgi.HttpReply:
+        if not configuration.ready:
+            return _refuse_early()
         body = describe_history(configuration, request.query)
         return asgi.make_json_reply(200, body)
 
@@ -176,8 +180,7 @@
 ) -> asgi.HttpReply:
     """Publishes one change and waits until it is known whether it is valid."""
     if not configuration.ready:
-        detail = "this process does not know the configuration yet"
-        return _refuse(503, "refused", "not_ready", detail)
+        return _refuse_early()
     key = find_key(change)
     with anyio.move_on_after(settings.operators.confirm_s):
         # The operator may have seen a revision at a process that is ahead.
@@ -310,8 +313,7 @@
     if decoded.is_err():
         return _refuse_faults(decoded.err_value)
     if not configuration.ready:
-        detail = "this process does not know the configuration yet"
-        return _refuse(503, "refused", "not_ready", detail)
+        return _refuse_early()
     scratch = configuration.make_scratch()
     verdicts = []
     for index, change in enumerate(decoded.ok_value.changes):
@@ -394,6 +396,16 @@
     return asgi.make_json_reply(422, body)
 
 
+def _refuse_early() -> asgi.HttpReply:
+    """Refuses what needs the configuration before it is known.
+
+    Version 0 of a process that starts would look like a configuration that
+    was reverted.
+    """
+    detail = "this process does not know the configuration yet"
+    return _refuse(503, "refused", "not_ready", detail)
+
+
 def _refuse_append(error: outcomes.CallError) -> asgi.HttpReply:
     if error.failure == outcomes.CallFailure.LOST:
         detail = f"{error.detail}; see /history before you publish it again"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -294,17 +294,28 @@
     assert replies[0].status == 200
 
 
-async def test_not_ready_process_takes_no_change():
-    """Guards against changes checked against a state that is not known."""
-    local = log_server.make_local_log()
-    configuration = configuration_module.Configuration(local.settings)
-    change = operators.ChangeRequest(
-        target=operators.Target("quota", "outlooks"), base_revision=1
-    )
-    reply = await operators.publish_change(
-        local.settings, configuration, None, change, 0.0
-    )
-    assert reply.status == 503
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("GET", "/documents", b""),
+        ("GET", "/history", b""),
+        (
+            "POST",
+            "/documents",
+            b'{"base_revision": 1, "target": {"kind": "quota", "name": "a"}}',
+        ),
+        ("POST", "/documents/check", b'{"changes": []}'),
+    ],
+)
+async def test_not_ready_process_knows_no_configuration(method, path, body):
+    """Guards against the empty state of a start taken for what is in force."""
+    settings = log_server.make_settings("127.0.0.1:9")
+    configuration = configuration_module.Configuration(settings)
+    handle = operators.make_handler(settings, configuration, None, list, dict)
+    request = asgi.HttpRequest(method, path, {}, {}, body)
+    assert (await handle(request)).status == 503
+    configuration.apply_records([], now=0.0)
+    assert (await handle(request)).status != 503
 
 
 async def test_console_loads_nothing_from_elsewhere():
