--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -12,9 +12,10 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Fraction = Annotated[float, msgspec.Meta(gt=0, le=1)]
-# In Python, `$` alone also matches before a newline at the end.
+# In Python, `$` alone also matches before a newline at the end. Browsers, which
+# get the pattern with the schemas, want the hyphen escaped.
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]*$(?!\n)", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9\-]*$(?!\n)", max_length=64)
 ]
 
 
@@ -88,7 +89,9 @@
 class Claims(Struct):
     """Ownership of shards."""
 
-    shards: Count = 3
+    # Each shard has one owner. Workers are divided by a hash, so that with fewer
+    # than about 20 workers a shard some shard may have too few or none.
+    shards: Count = 1
     # Takeover after a crash takes ttl + margin; urgent work has 5.3 s to start.
     ttl_s: Positive = 3.0
     renew_s: Positive = 1.0
