Measure the request policy and test its decision functions

A class whose run time is not known yet may now hold a quarter of the slots at most: declared times are far off, and the first syncs declared as short took every slot for a second.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -1,8 +1,14 @@
 """Small fakes that the measurements of the request path share."""
 
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Any
 
+import anyio
+import anyio.abc
+
 from plantainvane import documents
 from plantainvane import instances
 from plantainvane import settings as settings_module
@@ -86,3 +92,105 @@
 
     def find_headroom(self, service_class: str, now: float) -> None:
         """Returns no other domain."""
+
+
+@dataclasses.dataclass(slots=True)
+class Runner:
+    """A runner in this process; the body of a request is its run time in s.
+
+    Attributes:
+      runs: Ids of the requests it ran, its own record.
+      slots: Requests that run at once; more are refused.
+      slow_factor: Multiplies run times.
+      is_silent: Tells whether a connection, by its number, answers nothing.
+    """
+
+    slots: int = 8
+    address: str = ""
+    runs: list[str] = dataclasses.field(default_factory=list)
+    running: int = 0
+    connections: int = 0
+    slow_factor: float = 1.0
+    is_silent: Callable[[int], bool] = lambda number: False
+    scope: anyio.CancelScope | None = None
+
+    def die(self) -> None:
+        """Closes all connections and refuses new ones from now on."""
+        self.scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def serve_runners(count: int) -> AsyncIterator[list[Runner]]:
+    """Serves `count` runners on free loopback ports until the block ends."""
+    runners = [Runner() for _ in range(count)]
+    async with anyio.create_task_group() as group:
+        for runner in runners:
+            await group.start(_serve_runner, runner)
+        try:
+            yield runners
+        finally:
+            group.cancel_scope.cancel()
+
+
+async def _serve_runner(
+    runner: Runner, *, task_status: anyio.abc.TaskStatus
+) -> None:
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    runner.address = f"127.0.0.1:{port}"
+    task_status.started()
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        runner.connections += 1
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                await _serve_stream(runner, stream, runner.connections)
+
+    async with listener, anyio.create_task_group() as group:
+        runner.scope = group.cancel_scope
+        await listener.serve(handle, group)
+
+
+async def _serve_stream(
+    runner: Runner, stream: anyio.abc.SocketStream, number: int
+) -> None:
+    """Answers requests; one request is one chunk, as `targets` sends it."""
+    while True:
+        data = await stream.receive()
+        if runner.is_silent(number):
+            await anyio.sleep_forever()
+        head, _, body = data.partition(b"\r\n\r\n")
+        if head.startswith(b"GET"):
+            await stream.send(_encode_reply("200 OK", "", b"{}"))
+            continue
+        line = next(
+            line for line in head.split(b"\r\n") if b"equest-" in line[:9]
+        )
+        identity = line.partition(b": ")[2].decode()
+        await stream.send(await _run_request(runner, identity, body))
+
+
+async def _run_request(runner: Runner, identity: str, body: bytes) -> bytes:
+    if runner.running >= runner.slots:
+        return _encode_reply("503 Full", identity, b"", "Not-Run: 1\r\n")
+    runner.runs.append(identity)
+    runner.running += 1
+    try:
+        await anyio.sleep(float(body) * runner.slow_factor)
+    finally:
+        runner.running -= 1
+    return _encode_reply("200 OK", identity, b"answer to " + identity.encode())
+
+
+def _encode_reply(
+    status: str, identity: str, body: bytes, extra: str = ""
+) -> bytes:
+    head = (
+        f"HTTP/1.1 {status}\r\nRequest-Id: {identity}\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -441,9 +441,14 @@
         )
 
     def _may_run(self, job: jobs.Job) -> bool:
-        if not self._run_times.is_long(job.run_time):
+        run_time = job.run_time
+        if self._run_times.is_long(run_time):
+            return self._long_running < self._get_long_limit()
+        if self._run_times.is_known(run_time):
             return True
-        return self._long_running < self._get_long_limit()
+        fraction = self._settings.requests.unmeasured_fraction
+        limit = max(1, int(self.fleet.open_slots * fraction))
+        return run_time.running < limit
 
     def _get_long_limit(self) -> int:
         """Returns how many slots long-running work may hold, at least one."""
@@ -461,6 +466,7 @@
         job.began = now
         job.long = self._run_times.is_long(job.run_time)
         self._long_running += job.long
+        job.run_time.running += 1
         slot.target.in_flight += 1
         self._running.add(job)
 
@@ -468,6 +474,7 @@
         slot.target.in_flight -= 1
         self._running.discard(job)
         self._long_running -= job.long
+        job.run_time.running -= 1
         job.long = False
 
     def _keep_slot(self, slot: connections.Slot) -> bool:
--- a/plantainvane/runtimes.py
+++ b/plantainvane/runtimes.py
@@ -21,6 +21,7 @@
       mean_s: Mean of the window.
       samples: Run times measured so far.
       overdue: Exchanges in flight for longer than `long_run_s`.
+      running: Exchanges in flight.
     """
 
     median_s: float
@@ -29,6 +30,7 @@
     window: collections.deque[float]
     samples: int = 0
     overdue: int = 0
+    running: int = 0
 
 
 class RunTimes:
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -169,6 +169,9 @@
     reserved_fraction: Fraction = 0.5
     # Measured run time above which a class counts as long.
     long_run_s: Positive = 1.0
+    # Part of all slots that a class may hold until its run time is known,
+    # so that a wrongly declared one cannot take them all.
+    unmeasured_fraction: Fraction = 0.25
     queue_limit: Count = 1000
     body_limit_bytes: Count = 1_048_576
     answer_limit_bytes: Count = 16_777_216
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -41,6 +41,7 @@
         "probe_interval_s": 0.05,
         "absence_grace_s": 0.05,
         "eject_base_s": 0.05,
+        "unmeasured_fraction": 1.0,
     }
     return settings_module.Requests(**(fields | changes))
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -345,6 +345,9 @@
         before = len(leaver.runs)
         if sign != "missing":
             # A list that lags names the target as live again.
+            await request_fakes.wait_until(
+                lambda: "t0" not in dispatcher.fleet.targets
+            )
             dispatcher.update_targets(listed, time.monotonic())
         for number in range(40):
             got = await send(dispatcher, f"after{number}")
@@ -361,11 +364,12 @@
 
     async with serve(answer, fake_runner.echo, open_slots=16) as (
         dispatcher,
-        _,
+        (leaver, _),
     ):
-        for number in range(20):
-            got = await send(dispatcher, f"r{number}")
-            assert got.outcome is OUTCOME.ANSWERED
+        with anyio.fail_after(5.0):
+            while not leaver.requests:
+                got = await send(dispatcher, "r")
+                assert got.outcome is OUTCOME.ANSWERED
         budget = dispatcher.dump_state(0.0)["retry_budget"]
     assert budget["tokens"] == 20
 
@@ -550,5 +554,6 @@
     # Guards against a fault of the list ending all service.
     async with serve(fake_runner.echo) as (dispatcher, _):
         dispatcher.update_targets([], time.monotonic() + 100.0)
+        dispatcher.update_targets([], time.monotonic() + 200.0)
         got = await send(dispatcher, "r1")
     assert got.outcome is OUTCOME.ANSWERED
