--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -298,7 +298,8 @@
             return _make_not_run("key_required", detail)
         # Checked before the key is claimed, which costs an append.
         if self._find_overload(job, job.arrived) is not None:
-            return self._make_shed_answer(job, "overload", job.arrived)
+            reason = self._name_overload(job)
+            return self._make_shed_answer(job, reason, job.arrived)
         return None
 
     async def _claim_key(self, job: jobs.Job) -> None:
@@ -329,7 +330,7 @@
         if wait_s is not None:
             member = self._find_headroom(job, now)
             if member is None:
-                self._shed_job(job, "overload", now)
+                self._shed_job(job, self._name_overload(job), now)
             return member
         if self._queues.total >= self._settings.requests.queue_limit:
             victim = self._queues.pop_less_urgent(job.rank)
@@ -391,6 +392,10 @@
         )
         return (ahead_s + job.run_time.mean_s) / usable
 
+    def _name_overload(self, job: jobs.Job) -> str:
+        known = self.fleet.targets_by_class[job.service_class.name]
+        return "overload" if known else "no_target"
+
     def _find_headroom(self, job: jobs.Job, now: float) -> Any | None:
         if self._forward is None or job.deadline <= now:
             return None
@@ -409,7 +414,7 @@
             return
         now = self._clock()
         if not self._place_job(job, now):
-            self._shed_job(job, "overload", now)
+            self._shed_job(job, self._name_overload(job), now)
 
     # Slots.
 
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -175,6 +175,7 @@
 class Requests(Struct):
     """Slots, queues, retries and ejection."""
 
+    # Properties of a runner, which refuses what exceeds them.
     slots_per_target: Count = 8
     connections_per_target: Count = 64
     # Slots of this process that long-running classes may not take, as a
@@ -185,23 +186,31 @@
     # Part of all slots that a class may hold until its run time is known,
     # so that a wrongly declared one cannot take them all.
     unmeasured_fraction: Fraction = 0.25
+    # Waiting requests of all classes; bounds memory with `body_limit_bytes`.
     queue_limit: Count = 1000
+    # Largest body read from a caller; a class may set less.
     body_limit_bytes: Count = 1_048_576
+    # Largest answer taken from a runner, which is held in memory whole.
     answer_limit_bytes: Count = 16_777_216
     default_deadline_s: Positive = 10.0
+    # Callers, entries and runners are about 1 ms apart.
     connect_timeout_s: Positive = 0.5
     # Connections idle for longer are closed; state in between may be gone.
     idle_connection_s: Positive = 30.0
     # A started exchange silent for this many times the class's slow run time
     # (99th percentile) is given up and its connection closed.
     silence_factor: Positive = 4.0
+    # Shortest such limit in seconds; pauses of a busy machine stay below it.
     silence_floor_s: Positive = 0.25
+    # Retries per answered exchange; bounds the load that retries add.
     retry_ratio: Fraction = 0.1
+    # Retries that one short fault may take at once.
     retry_burst: Count = 20
     # Exchanges of one request in which a byte was sent.
     attempt_limit: Count = 3
     # Distinct connections that fail without a success in between.
     eject_failures: Count = 3
+    # First delay of an ejected target; it doubles up to the longest.
     eject_base_s: Positive = 1.0
     eject_max_s: Positive = 30.0
     # Part by which a delay varies both ways, so that processes spread out.
@@ -215,6 +224,7 @@
     slow_samples: Count = 3
     # Weight of the newest run time in a target's moving average.
     latency_weight: Fraction = 0.2
+    # Time in which a returned target goes from a tenth to its full work.
     ramp_s: Positive = 5.0
     # Free targets compared for one request; more cost time and gain little.
     routing_choices: Count = 4
@@ -227,6 +237,7 @@
     # A target silent for longer is probed, so that one that leaves is noticed
     # within seconds although the instance list lags.
     probe_interval_s: Positive = 2.0
+    # Longest wait for the reply to a probe, which takes a runner no work.
     probe_timeout_s: Positive = 0.5
     # A target missing from the list for longer gets no new work; shorter gaps
     # are faults of the list.
