--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,6 +1,7 @@
 """Tests of the documents and deployments in examples/."""
 
 import pathlib
+import zlib
 
 import msgspec
 import pytest
@@ -56,3 +57,20 @@
         assert task["task"] == path.stem
         assert task["batch_class"] in names
         assert task["work"]["steps"] > 0
+
+
+@pytest.mark.parametrize("path", DEPLOYMENTS, ids=lambda path: path.stem)
+def test_every_shard_has_a_worker(path, tmp_path):
+    """Guards against tasks whose home shard owns no worker to run them."""
+    deployment = launcher.load_deployment(path)
+    cluster = launcher.plan_cluster(deployment, tmp_path)
+    entry = cluster.list_role("entry")[0]
+    settings = settings_module.load_settings(tmp_path / f"{entry.id}.json")
+    shards = settings.ok_value.claims.shards
+    for domain in deployment.domains:
+        owned = {
+            zlib.crc32(worker.id.encode()) % shards
+            for worker in cluster.list_role("worker")
+            if worker.domain == domain
+        }
+        assert owned == set(range(shards)), domain
