--- a/standins/load.py
+++ b/standins/load.py
@@ -30,6 +30,8 @@
 # part of those that it does not wait for the first answer with.
 REPEAT_SHARE = 0.2
 OVERLAP_SHARE = 0.5
+# An answer is recorded after it was given, so a repeat finds it only later.
+REPEAT_PAUSE_S = 0.5
 
 
 class Record(msgspec.Struct, kw_only=True):
@@ -298,6 +300,8 @@
             group.start_soon(send)
     else:
         await send()
+        spread = (overlap - OVERLAP_SHARE) / (1 - OVERLAP_SHARE)
+        await anyio.sleep(REPEAT_PAUSE_S * spread)
         await send()
 
 
