Report a log outage as such to those who submit tasks

With the log down, POST /tasks answered 404 'refused', the answer to an unknown class, because the log's refusal kept its kind on the way through the writer. It is 503 now.

--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -120,7 +120,7 @@
             work=submission.work,
             size=submission.size,
         )
-        return appended.map(lambda _: submission.task)
+        return appended.map(lambda _: submission.task).map_err(_blame_log)
 
     async def find_task(self, task: str) -> dict[str, Any] | None:
         """Returns a task JSON-ready, or None if it is not known.
@@ -149,7 +149,7 @@
             return result.Ok(task)
         writer = self._get_writer(view.position.stream)
         appended = await writer.append(records.TaskCancel, task=task)
-        return appended.map(lambda _: task)
+        return appended.map(lambda _: task).map_err(_blame_log)
 
     async def release_claims(self) -> None:
         """Gives up all shards, after the commands under way; for shutdown."""
@@ -433,6 +433,13 @@
     }
 
 
+def _blame_log(error: outcomes.CallError) -> outcomes.CallError:
+    """Tells a refusal by the log from one of the submission itself."""
+    if error.failure is not outcomes.CallFailure.REFUSED:
+        return error
+    return outcomes.CallError(outcomes.CallFailure.UNREACHED, error.detail)
+
+
 def _refuse(detail: str) -> result.Err[outcomes.CallError]:
     return _fail(outcomes.CallFailure.REFUSED, detail)
 
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,39 @@
+"""One short chaos run with a fixed seed, as `make chaos` does longer ones."""
+
+import json
+import subprocess
+import sys
+
+from standins import chaos
+from standins import launcher
+
+SECONDS = 12.0
+
+
+def test_short_chaos_run_breaks_no_guarantee(tmp_path):
+    """Guards against faults of whole processes that no other test sees."""
+    finished = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "standins.chaos",
+            "--seed",
+            "1",
+            "--seconds",
+            str(SECONDS),
+            "--directory",
+            str(tmp_path),
+        ],
+        capture_output=True,
+        text=True,
+        cwd=launcher.ROOT,
+        check=False,
+    )
+    output = finished.stdout + finished.stderr
+    assert finished.returncode == 0, output
+    line = json.loads(finished.stdout.splitlines()[-1])
+    assert set(line["violations"].values()) == {0}
+    # A run in which nothing happened would pass as well.
+    assert sum(line["faults"].values()) == len(chaos.plan_faults(1, SECONDS))
+    assert line["requests"]["answered"] > 400
+    assert line["tasks"]["outcomes"]["succeeded"] > 0
