Never eject more than half of the targets that take connections

A pause of the machine longer than the silence floor fails exchanges at every target at once, and then all of them were left out for a second or more. The limit that held for slow targets now holds for failing ones too, unless no connection to the target works.

--- a/plantainvane/fleet.py
+++ b/plantainvane/fleet.py
@@ -74,7 +74,8 @@
         ):
             return
         failing = len(health.failed) >= self._settings.requests.eject_failures
-        if not failing and not self._may_eject_slow():
+        # Without a working connection the target is out already.
+        if target.open and not self._may_eject_more():
             return
         reason = "failures" if failing else "slow"
         ratio = health.ratio
@@ -190,7 +191,12 @@
         for name in target.instance.classes:
             self.targets_by_class[name] += change
 
-    def _may_eject_slow(self) -> bool:
+    def _may_eject_more(self) -> bool:
+        """Tells whether enough targets stay in use without one more.
+
+        When many fail or slow down together, the load or a pause of the
+        machine is the cause, and leaving them all out would end the service.
+        """
         ejected = sum(
             1 for other in self.targets.values() if other.health.ejected_until
         )
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -217,8 +217,8 @@
     eject_max_s: Positive = 30.0
     # Part by which a delay varies both ways, so that processes spread out.
     eject_jitter: Fraction = 0.3
-    # Part of a class's targets that may be ejected for slowness; if more
-    # are slow, the load is the cause and not the targets.
+    # Part of the targets that may be ejected while they take connections; if
+    # more fail together, the load is the cause and not the targets.
     eject_share: Fraction = 0.5
     # A target is slow when its average run time exceeds this many medians.
     slow_ratio: Positive = 5.0
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -434,6 +434,36 @@
         assert not health.ejected_until
 
 
+async def test_pause_of_all_targets_does_not_eject_them_all():
+    # Guards against an outage of seconds after a pause of the machine.
+    paused = True
+
+    async def answer(runner, seen):
+        if paused:
+            await anyio.sleep_forever()
+        await fake_runner.echo(runner, seen)
+
+    requests = request_fakes.make_requests(
+        run_samples=1, silence_floor_s=0.03, eject_base_s=1.0, attempt_limit=9
+    )
+    dispatcher = make_dispatcher(requests=requests)
+    async with (
+        serve(answer, answer, dispatcher=dispatcher, open_slots=16) as (_, _),
+        anyio.create_task_group() as group,
+    ):
+        paused = False
+        await send(dispatcher, "first")
+        paused = True
+        for number in range(16):
+            group.start_soon(send, dispatcher, f"r{number}")
+        healths = [t.health for t in dispatcher.fleet.targets.values()]
+        await request_fakes.wait_until(
+            lambda: sum(len(h.failed) for h in healths) >= 6
+        )
+        paused = False
+        assert sum(health.level > 0 for health in healths) <= 1
+
+
 async def test_queue_full_sheds_the_least_urgent_first():
     # Guards against an urgent request refused while bulk work waits.
     release = anyio.Event()
