--- /dev/null
+++ b/plantainvane/admission.py
@@ -0,0 +1,158 @@
+"""Aggregate of the running requests: which may run, which wait too long."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+from plantainvane import fleet as fleet_module
+from plantainvane import jobs
+from plantainvane import queues as queues_module
+from plantainvane import routing
+from plantainvane import runtimes
+from plantainvane import settings as settings_module
+
+_DUMP_LIMIT = 100
+
+
+class Admission:
+    """Limits of long and unmeasured classes, and the expected wait."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        configuration: Any,
+        fleet: fleet_module.Fleet,
+        queues: queues_module.Queues,
+        run_times: runtimes.RunTimes,
+    ):
+        """Starts without running requests.
+
+        Args:
+          settings: The settings.
+          configuration: Has `find_limits`.
+          fleet: The targets.
+          queues: The waiting requests.
+          run_times: The measured run times.
+        """
+        self._settings = settings
+        self._configuration = configuration
+        self._fleet = fleet
+        self._queues = queues
+        self._run_times = run_times
+        self.running: set[jobs.Job] = set()
+        self.long_running = 0
+
+    def begin_job(
+        self, target: routing.Target, job: jobs.Job, now: float
+    ) -> None:
+        """Counts a job that a slot of `target` takes."""
+        job.began = now
+        job.long = self._run_times.is_long(job.run_time)
+        self.long_running += job.long
+        job.run_time.running += 1
+        target.in_flight += 1
+        self.running.add(job)
+
+    def end_job(self, target: routing.Target, job: jobs.Job) -> None:
+        """Counts a job whose exchange ended."""
+        target.in_flight -= 1
+        self.running.discard(job)
+        self.long_running -= job.long
+        job.run_time.running -= 1
+        job.long = False
+
+    def may_run(self, job: jobs.Job) -> bool:
+        """Tells whether the limits of the job's class leave it a slot."""
+        run_time = job.run_time
+        if self._run_times.is_long(run_time):
+            return self.long_running < self.get_long_limit()
+        if self._run_times.is_known(run_time):
+            return True
+        fraction = self._settings.requests.unmeasured_fraction
+        limit = max(1, int(self._fleet.open_slots * fraction))
+        return run_time.running < limit
+
+    def get_long_limit(self) -> int:
+        """Returns how many slots long-running work may hold, at least one."""
+        limits = self._configuration.find_limits()
+        reserved = (
+            self._settings.requests.reserved_fraction
+            if limits is None
+            else limits.reserved_fraction
+        )
+        return max(1, int(self._fleet.open_slots * (1.0 - reserved)))
+
+    def find_overload(self, job: jobs.Job, now: float) -> str:
+        """Returns why `job` would miss its deadline; empty if it would not."""
+        name = job.service_class.name
+        if not self._fleet.targets_by_class[name]:
+            return "no_target"
+        left_s = job.deadline - now
+        if left_s <= 0.0:
+            return "late"
+        if self._fleet.free.list_targets(name) and self.may_run(job):
+            return ""
+        needed_s = queues_module.get_needed_time(job)
+        return "overload" if self.estimate_wait(job) + needed_s > left_s else ""
+
+    def estimate_wait(self, job: jobs.Job) -> float:
+        """Returns the expected wait in the queue in seconds.
+
+        Long-running classes wait for their part of the slots, the others for
+        the rest. Without an open slot nothing is known, and the request may
+        wait for a connection until its deadline.
+        """
+        open_slots = self._fleet.open_by_class[job.service_class.name]
+        if not open_slots:
+            return 0.0
+        is_long = self._run_times.is_long
+        mine = is_long(job.run_time)
+        if mine:
+            usable = min(open_slots, self.get_long_limit())
+        else:
+            usable = max(1, open_slots - self.long_running)
+        ahead_s = self._queues.estimate_work(
+            job, lambda other: is_long(other) == mine
+        )
+        return (ahead_s + job.run_time.mean_s) / usable
+
+    def make_hint(
+        self, job: jobs.Job, now: float, draw: Callable[[], float]
+    ) -> float:
+        """Returns the seconds after which the queue should have room.
+
+        Jitter keeps the refused callers from coming back together.
+        """
+        requests = self._settings.requests
+        excess_s = self.estimate_wait(job) - max(0.0, job.deadline - now) / 2
+        hint_s = max(requests.hint_min_s, min(requests.hint_max_s, excess_s))
+        return hint_s * (1.0 + draw() / 2)
+
+    def count_overdue(self, now: float) -> None:
+        """Notices requests that run for long although their class is short."""
+        limit_s = self._settings.requests.long_run_s
+        overdue: collections.Counter[str] = collections.Counter()
+        for job in self.running:
+            if now - job.began >= limit_s:
+                overdue[job.service_class.name] += 1
+                if not job.long:
+                    job.long = True
+                    self.long_running += 1
+        self._run_times.set_overdue(overdue)
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns counts and the oldest running requests."""
+        oldest = sorted(self.running, key=lambda job: job.arrived)
+        return {
+            "running": len(self.running),
+            "long_running": self.long_running,
+            "long_limit": self.get_long_limit(),
+            "oldest": [
+                {
+                    "class": job.service_class.name,
+                    "age_s": round(now - job.arrived, 3),
+                    "attempts": job.attempts,
+                }
+                for job in oldest[:_DUMP_LIMIT]
+            ],
+        }
--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -15,6 +15,7 @@
 import anyio
 import anyio.abc
 
+from plantainvane import admission
 from plantainvane import connections
 from plantainvane import documents
 from plantainvane import ejection
@@ -37,7 +38,6 @@
 Forward = Callable[[Any, jobs.Request, float], Awaitable[outcomes.Answer]]
 
 _HOUSEKEEPING_S = 1.0  # Longest period of the checks of all targets.
-_DUMP_LIMIT = 100
 _LOG_PAUSE_S = 10.0  # One line of a flood is enough for the person on call.
 
 
@@ -80,8 +80,9 @@
         self._run_times = runtimes.RunTimes(settings)
         self._budget = retries.make_budget(settings)
         self._views = slots.make_views(clock())
-        self._running: set[jobs.Job] = set()
-        self._long_running = 0
+        self._admission = admission.Admission(
+            settings, configuration, self.fleet, self._queues, self._run_times
+        )
         self._recent_ids: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -187,7 +188,7 @@
             events.log_event(
                 events.REQUESTS_DRAINING,
                 queued=self._queues.total,
-                running=len(self._running),
+                running=len(self._admission.running),
             )
             self._check_drained()
 
@@ -199,19 +200,7 @@
         """Returns the state of all parts, bounded in size."""
         return {
             "draining": self._draining,
-            "running": len(self._running),
-            "long_running": self._long_running,
-            "long_limit": self._get_long_limit(),
-            "oldest": [
-                {
-                    "class": job.service_class.name,
-                    "age_s": round(now - job.arrived, 3),
-                    "attempts": job.attempts,
-                }
-                for job in sorted(self._running, key=lambda job: job.arrived)[
-                    :_DUMP_LIMIT
-                ]
-            ],
+            **self._admission.dump_state(now),
             "queues": self._queues.dump_state(now),
             "run_times": self._run_times.dump_state(now),
             "retry_budget": self._budget.dump_state(now),
@@ -297,8 +286,8 @@
             detail = "the class needs Idempotency-Key and Plantainvane-Issued"
             return _make_not_run("key_required", detail)
         # Checked before the key is claimed, which costs an append.
-        if self._find_overload(job, job.arrived) is not None:
-            reason = self._name_overload(job)
+        reason = self._admission.find_overload(job, job.arrived)
+        if reason:
             return self._make_shed_answer(job, reason, job.arrived)
         return None
 
@@ -326,11 +315,11 @@
         if job.request.forwarded:
             self._shed_job(job, "no_free_slot", now)
             return None
-        wait_s = self._find_overload(job, now)
-        if wait_s is not None:
+        reason = self._admission.find_overload(job, now)
+        if reason:
             member = self._find_headroom(job, now)
             if member is None:
-                self._shed_job(job, self._name_overload(job), now)
+                self._shed_job(job, reason, now)
             return member
         if self._queues.total >= self._settings.requests.queue_limit:
             victim = self._queues.pop_less_urgent(job.rank)
@@ -346,56 +335,17 @@
         candidates = self.fleet.free.list_targets(name)
         if not candidates or self._queues.count_queued(name):
             return False
-        if not self._may_run(job):
+        if not self._admission.may_run(job):
             return False
         target = routing.pick_target(
             self._settings, candidates, job.avoid, now, self._draw
         )
         slot = self.fleet.take_free(target)
-        self._begin_job(slot, job, now)
+        self._admission.begin_job(slot.target, job, now)
         slot.job = job
         slot.wake.set()
         return True
 
-    def _find_overload(self, job: jobs.Job, now: float) -> float | None:
-        """Returns the expected wait when the deadline would be missed."""
-        left_s = job.deadline - now
-        if left_s <= 0.0:
-            return 0.0
-        name = job.service_class.name
-        if not self.fleet.targets_by_class[name]:
-            return left_s
-        if self.fleet.free.list_targets(name) and self._may_run(job):
-            return None
-        wait_s = self._estimate_wait(job)
-        needed_s = queues_module.get_needed_time(job)
-        return wait_s if wait_s + needed_s > left_s else None
-
-    def _estimate_wait(self, job: jobs.Job) -> float:
-        """Returns the expected wait in the queue in seconds.
-
-        Long-running classes wait for their part of the slots, the others for
-        the rest. Without an open slot nothing is known, and the request may
-        wait for a connection until its deadline.
-        """
-        open_slots = self.fleet.open_by_class[job.service_class.name]
-        if not open_slots:
-            return 0.0
-        is_long = self._run_times.is_long
-        mine = is_long(job.run_time)
-        if mine:
-            usable = min(open_slots, self._get_long_limit())
-        else:
-            usable = max(1, open_slots - self._long_running)
-        ahead_s = self._queues.estimate_work(
-            job, lambda other: is_long(other) == mine
-        )
-        return (ahead_s + job.run_time.mean_s) / usable
-
-    def _name_overload(self, job: jobs.Job) -> str:
-        known = self.fleet.targets_by_class[job.service_class.name]
-        return "overload" if known else "no_target"
-
     def _find_headroom(self, job: jobs.Job, now: float) -> Any | None:
         if self._forward is None or job.deadline <= now:
             return None
@@ -414,7 +364,8 @@
             return
         now = self._clock()
         if not self._place_job(job, now):
-            self._shed_job(job, self._name_overload(job), now)
+            reason = self._admission.find_overload(job, now) or "overload"
+            self._shed_job(job, reason, now)
 
     # Slots.
 
@@ -428,7 +379,7 @@
                     now, lambda job: self._suits_target(job, target)
                 )
                 if job is not None:
-                    self._begin_job(slot, job, now)
+                    self._admission.begin_job(slot.target, job, now)
                     return job
         slot.idle_since = now
         self.fleet.add_free(slot.target, slot)
@@ -436,7 +387,9 @@
 
     def _suits_target(self, job: jobs.Job, target: routing.Target) -> bool:
         name = job.service_class.name
-        if name not in target.instance.classes or not self._may_run(job):
+        if name not in target.instance.classes or not self._admission.may_run(
+            job
+        ):
             return False
         avoid = job.avoid
         return (
@@ -445,43 +398,6 @@
             or self.fleet.targets_by_class[name] <= len(avoid)
         )
 
-    def _may_run(self, job: jobs.Job) -> bool:
-        run_time = job.run_time
-        if self._run_times.is_long(run_time):
-            return self._long_running < self._get_long_limit()
-        if self._run_times.is_known(run_time):
-            return True
-        fraction = self._settings.requests.unmeasured_fraction
-        limit = max(1, int(self.fleet.open_slots * fraction))
-        return run_time.running < limit
-
-    def _get_long_limit(self) -> int:
-        """Returns how many slots long-running work may hold, at least one."""
-        limits = self._configuration.find_limits()
-        reserved = (
-            self._settings.requests.reserved_fraction
-            if limits is None
-            else limits.reserved_fraction
-        )
-        return max(1, int(self.fleet.open_slots * (1.0 - reserved)))
-
-    def _begin_job(
-        self, slot: connections.Slot, job: jobs.Job, now: float
-    ) -> None:
-        job.began = now
-        job.long = self._run_times.is_long(job.run_time)
-        self._long_running += job.long
-        job.run_time.running += 1
-        slot.target.in_flight += 1
-        self._running.add(job)
-
-    def _end_job(self, slot: connections.Slot, job: jobs.Job) -> None:
-        slot.target.in_flight -= 1
-        self._running.discard(job)
-        self._long_running -= job.long
-        job.run_time.running -= 1
-        job.long = False
-
     def _keep_slot(self, slot: connections.Slot) -> bool:
         target = slot.target
         if self._closing or target.leaving:
@@ -525,7 +441,7 @@
     ) -> None:
         now = self._clock()
         target = slot.target
-        self._end_job(slot, job)
+        self._admission.end_job(target, job)
         if reply.kind is targets.ReplyKind.NOT_SENT:
             self._retry_job(job, reply, now)
             return
@@ -674,7 +590,7 @@
         outcome of a keyed request is still recorded.
         """
         job.given_up = True
-        if job in self._running:
+        if job in self._admission.running:
             return
         self._queues.remove_ticket(job)
         self._finish_unanswered(job, "given_up", "the caller went away")
@@ -698,17 +614,10 @@
                 reason=reason,
                 attempts=job.attempts,
             )
-        hint = self._make_hint(job, now)
+        hint = self._admission.make_hint(job, now, self._draw)
         detail = "the domain has no capacity for the request in time"
         return _make_not_run(reason, detail, hint, job.attempts)
 
-    def _make_hint(self, job: jobs.Job, now: float) -> float:
-        """Returns when to try again: once the queue has room, with jitter."""
-        requests = self._settings.requests
-        excess_s = self._estimate_wait(job) - max(0.0, job.deadline - now) / 2
-        hint_s = max(requests.hint_min_s, min(requests.hint_max_s, excess_s))
-        return hint_s * (1.0 + self._draw() / 2)
-
     def _shed_late(self, now: float) -> None:
         for ticket in self._queues.pop_late(now):
             self._shed_job(ticket, "late", now)
@@ -728,7 +637,7 @@
             self._update_gauges()
         elif slots.is_settled(self._settings, self._views, now):
             self._update_slots(now)
-        self._count_overdue(now)
+        self._admission.count_overdue(now)
 
     def _match_queued(self, now: float) -> None:
         """Runs queued work on idle slots that passed it by.
@@ -740,7 +649,7 @@
             job = self._queues.pop_next(
                 now,
                 lambda job: (
-                    self._may_run(job)
+                    self._admission.may_run(job)
                     and bool(free.list_targets(job.service_class.name))
                 ),
             )
@@ -751,7 +660,7 @@
                 self._settings, candidates, job.avoid, now, self._draw
             )
             slot = self.fleet.take_free(target)
-            self._begin_job(slot, job, now)
+            self._admission.begin_job(slot.target, job, now)
             slot.job = job
             slot.wake.set()
 
@@ -799,18 +708,6 @@
                 slot.probe_due = True
                 slot.wake.set()
 
-    def _count_overdue(self, now: float) -> None:
-        """Notices requests that run for long although their class is short."""
-        limit_s = self._settings.requests.long_run_s
-        overdue: collections.Counter[str] = collections.Counter()
-        for job in self._running:
-            if now - job.began >= limit_s:
-                overdue[job.service_class.name] += 1
-                if not job.long:
-                    job.long = True
-                    self._long_running += 1
-        self._run_times.set_overdue(overdue)
-
     def _note_reply(self, slot: connections.Slot, reply: targets.Reply) -> None:
         now = self._clock()
         target = slot.target
@@ -833,13 +730,13 @@
             events.log_event(event, **fields)
 
     def _check_drained(self) -> None:
-        if self._draining and not self._waiting and not self._running:
+        if self._draining and not self._waiting and not self._admission.running:
             self._drained.set()
 
     def _update_gauges(self) -> None:
         metrics.SLOTS.labels("open").set(self.fleet.open_slots)
-        metrics.SLOTS.labels("running").set(len(self._running))
-        metrics.SLOTS.labels("long").set(self._long_running)
+        metrics.SLOTS.labels("running").set(len(self._admission.running))
+        metrics.SLOTS.labels("long").set(self._admission.long_running)
         for name in self._queues.list_names():
             metrics.QUEUED.labels(name).set(self._queues.count_queued(name))
 
