Let a request that waits for its key end during a drain

A request accepted before the drain was refused if its key was confirmed during the drain, after an append. It now runs; the drain waits for it as for others.

--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -303,8 +303,8 @@
             return
         job.keyed = True
         job.recorded = anyio.Event()
-        if self._draining or self._closing:
-            self._finish_unanswered(job, "not_serving", "shutting down")
+        if self._closing:
+            self._finish_unanswered(job, "shutdown", "")
 
     # Admission.
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -309,6 +309,39 @@
     assert drained == [20]
 
 
+async def test_drain_lets_a_request_end_that_waits_for_its_key():
+    # Guards against a warning refused after its key was claimed.
+    gate = anyio.Event()
+    book = request_fakes.KeyBook()
+    claim_key = book.claim_key
+
+    async def claim_slowly(*arguments):
+        await gate.wait()
+        return await claim_key(*arguments)
+
+    book.claim_key = claim_slowly
+    dispatcher = make_dispatcher(
+        request_fakes.make_class(idempotent=False), key_book=book
+    )
+    answers = []
+    async with (
+        serve(fake_runner.echo, dispatcher=dispatcher) as (_, _),
+        anyio.create_task_group() as group,
+    ):
+
+        async def call():
+            answers.append(await send(dispatcher, "w", key="k", issued=1.0))
+
+        group.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        dispatcher.start_drain()
+        gate.set()
+        with anyio.fail_after(5.0):
+            await dispatcher.wait_drained()
+        assert book.finished == [("k", "answered")]
+    assert [answer.outcome for answer in answers] == [OUTCOME.ANSWERED]
+
+
 @pytest.mark.parametrize("sign", ["reply", "probe", "list", "missing"])
 async def test_leaving_target_gets_no_new_work(sign):
     # Guards against work for a target that leaves while the list lags (both
