--- a/bench/path.py
+++ b/bench/path.py
@@ -2,8 +2,8 @@
 
 Three processes: this one sends, one is a runner (hypercorn, a small POST), one
 an entry process (hypercorn and the dispatcher with all decisions). The ratios
-are meaningful on a machine with at least three free cores; the absolute rates
-are of this machine only.
+of rates and times need three free cores; the processor time of the serving
+process per request holds on a busy machine too.
 """
 
 from collections.abc import Iterator
@@ -17,6 +17,7 @@
 
 import anyio
 import msgspec
+import psutil
 
 from bench import fakes
 from plantainvane import asgi
@@ -36,22 +37,21 @@
 
 def run_measurements() -> dict[str, Any]:
     """Measures both paths at 1 and 16 connections."""
-    with _start_processes() as (direct, entry):
-        return anyio.run(_measure_all, direct, entry)
+    with _start_processes() as servers:
+        return anyio.run(_measure_all, servers)
 
 
-async def _measure_all(direct: str, entry: str) -> dict[str, Any]:
-    paths = {
-        "direct": (direct, b"/run/preview"),
-        "entry": (entry, b"/services/preview"),
-    }
+async def _measure_all(
+    servers: dict[str, tuple[str, psutil.Process]],
+) -> dict[str, Any]:
+    paths = {"direct": b"/run/preview", "entry": b"/services/preview"}
     figures: dict[str, Any] = {}
     for connections in (1, 16):
         rounds: dict[str, list[dict[str, float]]] = {"direct": [], "entry": []}
         for _ in range(ROUNDS):
-            for name, (address, path) in paths.items():
+            for name, path in paths.items():
                 rounds[name].append(
-                    await _measure_path(address, path, connections)
+                    await _measure_path(*servers[name], path, connections)
                 )
         figures[f"connections_{connections}"] = _summarize(rounds)
     return figures
@@ -72,11 +72,12 @@
         **middle,
         "rate_ratio": round(entry["per_s"] / direct["per_s"], 3),
         "p99_ratio": round(entry["p99_ms"] / direct["p99_ms"], 3),
+        "cpu_ratio": round(direct["cpu_ms"] / entry["cpu_ms"], 3),
     }
 
 
 async def _measure_path(
-    address: str, path: bytes, connections: int
+    address: str, server: psutil.Process, path: bytes, connections: int
 ) -> dict[str, float]:
     settings = fakes.make_settings()
     opened = []
@@ -84,15 +85,18 @@
         connection = await targets.open_connection(settings, address)
         opened.append(connection.unwrap())
     await _send_all(opened, path, WARM_UP)
+    used = sum(server.cpu_times()[:2])
     began = time.perf_counter()
     times = await _send_all(opened, path, REQUESTS)
     elapsed = time.perf_counter() - began
+    used = sum(server.cpu_times()[:2]) - used
     for connection in opened:
         await targets.close_connection(connection)
     return {
         "per_s": len(times) / elapsed,
         "p50_ms": fakes.find_quantile(times, 0.5) * 1000,
         "p99_ms": fakes.find_quantile(times, 0.99) * 1000,
+        "cpu_ms": used / len(times) * 1000,
     }
 
 
@@ -119,7 +123,7 @@
 
 
 @contextlib.contextmanager
-def _start_processes() -> Iterator[tuple[str, str]]:
+def _start_processes() -> Iterator[dict[str, tuple[str, psutil.Process]]]:
     direct, entry = _find_address(), _find_address()
     processes = [
         subprocess.Popen([sys.executable, "-m", "bench.path", *arguments])
@@ -128,7 +132,12 @@
     try:
         for address in (direct, entry):
             _wait_ready(address)
-        yield direct, entry
+        yield {
+            name: (address, psutil.Process(process.pid))
+            for name, address, process in zip(
+                ("direct", "entry"), (direct, entry), processes, strict=True
+            )
+        }
     finally:
         for process in processes:
             process.terminate()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -12,6 +12,7 @@
 from plantainvane import dispatcher as dispatcher_module
 from plantainvane import documents
 from plantainvane import ejection
+from plantainvane import metrics
 from plantainvane import outcomes
 from plantainvane import routing
 from plantainvane import slots
@@ -717,3 +718,28 @@
         dispatcher.update_targets([], time.monotonic() + 200.0)
         got = await send(dispatcher, "r1")
     assert got.outcome is OUTCOME.ANSWERED
+
+
+async def test_metrics_have_bounded_labels():
+    # Guards against a label for every status or exception of a runner.
+    async def answer(runner, seen):
+        number = 500 + len(runner.requests)
+        await seen.stream.send(
+            fake_runner.make_reply(seen.request_id, b"", f"{number} Strange")
+        )
+
+    requests = request_fakes.make_requests(attempt_limit=1, eject_failures=99)
+    async with serve(answer, dispatcher=make_dispatcher(requests=requests)) as (
+        dispatcher,
+        _,
+    ):
+        for number in range(20):
+            await send(dispatcher, f"r{number}")
+    text = metrics.encode_metrics().decode()
+    reasons = {
+        line.partition('reason="')[2].partition('"')[0]
+        for line in text.splitlines()
+        if line.startswith("plantainvane_bad_replies_total{")
+    }
+    assert "status_5xx" in reasons
+    assert reasons <= metrics.REPLY_REASONS | {"connection"}
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -136,6 +136,21 @@
     assert max(shares) - min(shares) <= 1
 
 
+@hypothesis.given(strategies.integers(1, 100), strategies.text("xyz"))
+def test_each_slot_has_a_connection(count, runner):
+    # Guards against a slot whose connection the runner would refuse.
+    members = sorted(f"e{number}" for number in range(count))
+    for member in members:
+        held, connections = (
+            slots.divide_total(total, members, member, runner)
+            for total in (
+                REQUESTS.slots_per_target,
+                REQUESTS.connections_per_target,
+            )
+        )
+        assert held <= connections
+
+
 def test_remainder_is_spread_over_runners():
     # Guards against one process that gets every spare slot.
     members = ["e1", "e2", "e3"]
