Probe idle connections in turn and test the outcomes at a peer

Probes always took the most recently used idle connection, so one that went silent while idle was found by a request. They now take the least recently used.

The new test fails with the old order (silent connections are never replaced) and passes now; the peer test fails when `maybe_run` after a spillover is always true or always false. 35 tests of the dispatcher pass in 6 s.

--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -704,7 +704,10 @@
                     slot.wake.set()
             silent = now - target.heard_at >= requests.probe_interval_s
             if silent and target.free:
-                slot = self.fleet.take_free(target)
+                # The least recently used one, so that probes go round and
+                # find a silent connection before a request does.
+                slot = target.free[0]
+                self.fleet.remove_free(target, slot)
                 slot.probe_due = True
                 slot.wake.set()
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -439,6 +439,45 @@
     assert [answer.attempts for answer in got] == [2] + [1] * 18
 
 
+async def test_probes_find_a_silent_idle_connection():
+    # Guards against requests that pay for a connection gone silent while
+    # idle.
+    requests = request_fakes.make_requests(
+        probe_timeout_s=0.03, probe_interval_s=0.01
+    )
+    dispatcher = make_dispatcher(requests=requests)
+    async with serve(fake_runner.echo, dispatcher=dispatcher) as (
+        _,
+        (runner,),
+    ):
+        runner.silent.update({1, 2, 4})
+        await request_fakes.wait_until(
+            lambda: (
+                runner.connections == 11 and dispatcher.fleet.open_slots == 8
+            )
+        )
+        got = [await send(dispatcher, f"r{number}") for number in range(20)]
+        assert dispatcher.fleet.targets["t0"].health.level == 0
+    assert {answer.attempts for answer in got} == {1}
+
+
+@pytest.mark.parametrize("outcome", [OUTCOME.NOT_RUN, OUTCOME.UNKNOWN])
+async def test_outcome_at_a_peer_is_passed_on(outcome):
+    # Guards against "not run" for a request that may have run at a peer, and
+    # against "unknown" for one that the peer refused.
+    async def forward(member, request, deadline_s):
+        return outcomes.Answer(outcome, reason="peer")
+
+    dispatcher = make_dispatcher(forward=forward)
+    dispatcher._membership.headroom = request_fakes.Member("e9")
+    async with request_fakes.run_dispatcher(dispatcher, 0):
+        got = await send(dispatcher, "r1")
+    assert got.outcome is outcome
+    # A refusal there leaves the request to this domain's own capacity.
+    refused = outcome is OUTCOME.NOT_RUN
+    assert got.reason == ("no_target" if refused else "peer")
+
+
 async def test_dead_target_is_ejected_and_returns():
     # Guards against requests waiting for a dead target, and against one
     # that recovered staying out.
