--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -120,7 +120,7 @@
             work=submission.work,
             size=submission.size,
         )
-        return appended.map(lambda _: submission.task)
+        return appended.map(lambda _: submission.task).map_err(_blame_log)
 
     async def find_task(self, task: str) -> dict[str, Any] | None:
         """Returns a task JSON-ready, or None if it is not known.
@@ -149,7 +149,7 @@
             return result.Ok(task)
         writer = self._get_writer(view.position.stream)
         appended = await writer.append(records.TaskCancel, task=task)
-        return appended.map(lambda _: task)
+        return appended.map(lambda _: task).map_err(_blame_log)
 
     async def release_claims(self) -> None:
         """Gives up all shards, after the commands under way; for shutdown."""
@@ -164,6 +164,7 @@
             group.start_soon(self._follow_claims)
             group.start_soon(self._keep_views)
             group.start_soon(self._keep_handovers)
+            group.start_soon(self._keep_metrics)
             try:
                 await self._keep_claims()
             finally:
@@ -237,6 +238,14 @@
                 if (shard.stale or chosen) and shards.may_act(shard):
                     await self._release_shard(shard.number)
 
+    async def _keep_metrics(self) -> None:
+        while True:
+            metrics.set_batch(
+                len(self.shards),
+                [shards.count_states(s) for s in self.shards.values()],
+            )
+            await anyio.sleep(self._settings.claims.renew_s)
+
     def _list_members(self, now: float) -> list[str]:
         domain = self._settings.domain
         return [member.id for member in self._membership.list_live(domain, now)]
@@ -287,7 +296,6 @@
                 continue
             if self._group is not None and not self._releasing:
                 self._start_shard(number, epoch)
-        metrics.CLAIMS.set(len(self.shards))
 
     def _note_validity(
         self, number: int, shard: shards.Shard, now: float
@@ -323,7 +331,6 @@
         shard = self.shards.pop(number)
         shard.scope.cancel()
         shard.view.owned = False
-        shard.view.book.touched = None
         shard.view.used_at = anyio.current_time()
         self._lapsed.discard(number)
 
@@ -433,6 +440,13 @@
     }
 
 
+def _blame_log(error: outcomes.CallError) -> outcomes.CallError:
+    """Tells a refusal by the log from one of the submission itself."""
+    if error.failure is not outcomes.CallFailure.REFUSED:
+        return error
+    return outcomes.CallError(outcomes.CallFailure.UNREACHED, error.detail)
+
+
 def _refuse(detail: str) -> result.Err[outcomes.CallError]:
     return _fail(outcomes.CallFailure.REFUSED, detail)
 
