Check only what a change of a class can affect

Cause: with 3,071 documents each folded change looked at every document, so 2,000 records at the start of a process held up its event loop for 2.5 s. Change: a change of a service or batch class checks that document alone; only quotas and the cluster's limits look for the batch classes that depend on them. The test that compares this with checking the whole set passes.

--- a/plantainvane/documents.py
+++ b/plantainvane/documents.py
@@ -152,19 +152,18 @@
     """Lists the documents that a change of `key` can make faulty, sorted.
 
     In a set without faults, checking these after a change finds what
-    `check_set` finds; checking all at each of 2,000 records would hold up the
-    start of a process for seconds.
+    `check_set` finds. Checking all 3,000 documents of a large deployment would
+    take about 1 ms for each record at the start of a process.
     """
+    if key.kind not in ("quota", "cluster_limits"):
+        return [key] if key in documents else []
     return sorted(
         other
         for other, document in documents.items()
         if other == key
         or (
             isinstance(document, BatchClass)
-            and (
-                key.kind == "cluster_limits"
-                or key == DocumentKey("quota", document.team)
-            )
+            and (key.kind == "cluster_limits" or document.team == key.name)
         )
     )
 
