Test cancellations on both sides of a start

Either of two checks alone passed the old test: the one in the queue and the one before the start command. The waiting task must now end before any worker is free, and a cancellation recorded before the start must win.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -495,12 +495,30 @@
             lambda id=id: get_shard(process).view.book.find_task(id)
         )
         assert (await process.scheduler.cancel_task(id)).is_ok()
-    ids = ("running", "waiting")
-    assert await session.wait_outcome(*ids) == ["cancelled"] * 2
+        # The waiting one ends although no worker has become free.
+        assert await session.wait_outcome(id) == ["cancelled"]
     assert session.list_runs("waiting") == []
     assert (await process.scheduler.cancel_task("other")).is_err()
 
 
+@batch_session.in_session()
+async def test_a_cancellation_overtakes_a_recorded_start(session):
+    # Guards against starting work that its submitter has given up.
+    session.add_workers("w1")
+    process = session.add_process("p1")
+    await wait_owner(session, process)
+    other = session.add_process("p2").scheduler
+
+    async def cancel_first(forward):
+        assert (await other.cancel_task("t1")).is_ok()
+        return await forward()
+
+    session.interfere(lambda call: "task_start" in call.kinds, cancel_first)
+    await session.submit("t1")
+    assert await session.wait_outcome("t1") == ["cancelled"]
+    assert session.list_runs("t1") == []
+
+
 @batch_session.in_session()
 async def test_a_task_that_fails_everywhere_ends_with_the_reason(session):
     # Guards against a broken task that uses up the workers for ever.
