Keep claims over lost replies, clear leaving workers, raise low epochs

One lost reply of the log used to cost a shard, because the claim was counted only from acknowledged renewals; a renewal that the own fold shows now counts from the first send that it may belong to. Work on a worker that is announced to leave is evicted instead of lapsing with it. A worker that has seen a higher epoch than a valid claim makes the owner release and claim again above it.

--- a/plantainvane/attempts.py
+++ b/plantainvane/attempts.py
@@ -56,6 +56,7 @@
     _adopt_calls(shard, view)
     if listed:
         await settlement.settle_listed(shard, view)
+        evictions.clear_leaving(shard, view)
         await _stop_foreign(shard, view)
         await evictions.advance_evictions(shard, view)
         await _send_starts(shard, view)
@@ -137,6 +138,10 @@
             epoch=shard.epoch,
             detail=error.detail,
         )
+        if shards.may_act(shard):
+            # The claims stream has forgotten an owner that the worker knows.
+            shard.claims.raise_floor(shard.number, shard.epoch)
+            shard.stale = True
     elif view.reachable:
         events.log_event(
             events.WORKER_UNREACHABLE,
--- a/plantainvane/claims.py
+++ b/plantainvane/claims.py
@@ -73,6 +73,8 @@
         self._seen = readers.SeenSequences()
         self._sent_at: dict[int, float] = {}
         self._folded_own: dict[int, list[records.ShardClaim]] = {}
+        # Time before the first of the appends whose fate is not known yet.
+        self._unresolved_from: float | None = None
         # Since when another member is preferred for a shard held here.
         self._unwanted_since: dict[int, float] = {}
         # Epochs that are known from elsewhere to be taken.
@@ -133,8 +135,14 @@
             if self.is_own(shard, owner.epoch)
         ]
 
+    def begin_append(self, sent_at: float) -> None:
+        """Notes that a claim is about to be sent, not before `sent_at`."""
+        if self._unresolved_from is None:
+            self._unresolved_from = sent_at
+
     def note_append(self, offset: int, sent_at: float) -> None:
         """Notes that the claim at `offset` was sent after `sent_at`."""
+        self._unresolved_from = None
         self._sent_at[offset] = sent_at
         _trim(self._sent_at)
         self._match_own(offset)
@@ -231,6 +239,10 @@
         if valid and self._is_self(record.writer, record.incarnation):
             self._folded_own[offset] = valid
             _trim(self._folded_own)
+            if self._unresolved_from is not None:
+                # The reply may be lost or late. Whichever of the unresolved
+                # claims this is, it was sent after the first of them.
+                self._grant(valid, self._unresolved_from)
             self._match_own(offset)
 
     def _apply_release(self, record: records.Release, now: float) -> None:
@@ -245,7 +257,10 @@
         if offset not in self._sent_at or offset not in self._folded_own:
             return
         sent_at = self._sent_at.pop(offset)
-        for claim in self._folded_own.pop(offset):
+        self._grant(self._folded_own.pop(offset), sent_at)
+
+    def _grant(self, claims: list[records.ShardClaim], sent_at: float) -> None:
+        for claim in claims:
             owner = self.owners[claim.shard]
             if self.is_own(claim.shard, claim.epoch):
                 owner.granted_from = max(owner.granted_from, sent_at)
--- a/plantainvane/evictions.py
+++ b/plantainvane/evictions.py
@@ -45,6 +45,23 @@
     )
 
 
+def clear_leaving(shard: shards.Shard, view: shards.WorkerView) -> None:
+    """Begins to evict what may be evicted from a worker that is leaving.
+
+    Otherwise the work would end with the worker, and be known to have ended
+    only after its lease.
+    """
+    if view.instance is None or not view.instance.leaving:
+        return
+    for task in shard.view.book.started.get(view.id, {}).values():
+        ref = workers.AttemptRef(task.id, task.attempt)
+        listed = view.listing.get(ref)
+        running = listed is not None and listed.state == _STATES.RUNNING
+        known = ref in view.evictions
+        if running and not known and may_evict(shard, task):
+            start_eviction(shard, view, task)
+
+
 async def advance_evictions(
     shard: shards.Shard, view: shards.WorkerView
 ) -> None:
--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -263,6 +263,7 @@
         self, claimed: list[records.ShardClaim], sent_at: float
     ) -> None:
         writer = self._get_writer(self._claims_position.stream)
+        self.claims.begin_append(sent_at)
         appended = await writer.append(
             records.Claim, shards=claimed, ttl_s=self._settings.claims.ttl_s
         )
--- a/tests/batch_session.py
+++ b/tests/batch_session.py
@@ -229,7 +229,7 @@
         self.cut.update((process, id) for process in self.processes)
         self.list_workers(without=id)
 
-    def list_workers(self, without: str = "") -> None:
+    def list_workers(self, without: str = "", leaving: str = "") -> None:
         """Gives every process the instance list."""
         listed = [
             instances.Instance(
@@ -239,6 +239,7 @@
                 rack=f"rack-{index % 2}",
                 address=f"{id}:1",
                 size=worker.settings.size,
+                leaving=id == leaving,
             )
             for index, (id, worker) in enumerate(self.workers.items())
             if id != without
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -89,6 +89,18 @@
     assert second.holds(1, 100.3)
 
 
+def test_a_claim_that_was_read_counts_though_its_reply_is_lost():
+    # Guards against a shard that is lost with one reply of the log.
+    holder, _ = make_pair()
+    holder.claims.begin_append(101.0)
+    holder.append(records.Claim, [records.ShardClaim(0, 1)])
+    holder.claims.begin_append(102.0)
+    holder.read(102.5)
+    # Counted from the first send: the record may be the one of that time.
+    assert holder.holds(1, 103.9)
+    assert not holder.holds(1, 104.0)
+
+
 def test_a_rival_waits_from_its_own_read_of_the_newest_renewal():
     # Guards against two owners when the rival read late or early.
     holder, rival = make_pair()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -679,6 +679,35 @@
     assert "plantainvane_claims_held 1.0" in gauges
 
 
+@batch_session.in_session()
+async def test_a_leaving_worker_is_cleared(session):
+    # Guards against work that is lost with an instance that was announced to
+    # leave.
+    session.add_workers("w1")
+    session.add_process("p1")
+    await session.submit("t1", steps=60)
+    await session.wait_for(lambda: find_running(session, "t1"))
+    session.list_workers(leaving="w1")
+    session.add_workers("w2")
+    session.list_workers(leaving="w1")
+    assert await session.wait_outcome("t1") == ["succeeded"]
+    first, second = session.list_runs("t1")
+    assert first.state == "stopped"
+    assert second.from_step > 0
+    assert len(session.workers["w2"].entries) == 1
+
+
+@batch_session.in_session()
+async def test_an_epoch_below_the_workers_is_raised(session):
+    # Guards against a shard that nobody can work for after the claims stream
+    # was trimmed.
+    session.add_workers("w1")
+    session.workers["w1"].epoch = 3
+    session.add_process("p1")
+    await session.submit("t1")
+    assert await session.wait_outcome("t1") == ["succeeded"]
+
+
 @batch_session.in_session()
 async def test_a_start_is_withheld_when_the_worker_has_become_full(session):
     # Guards against a late start record that overcommits a worker.
