--- a/plantainvane/attempts.py
+++ b/plantainvane/attempts.py
@@ -20,7 +20,6 @@
 from plantainvane import usage
 from plantainvane import workers
 
-# Waits of a worker's task are this much shorter with work under way.
 _STATES = workers.AttemptState
 
 
@@ -131,25 +130,19 @@
 def _note_silence(
     shard: shards.Shard, view: shards.WorkerView, error: outcomes.CallError
 ) -> None:
-    if error.failure == outcomes.CallFailure.STALE:
+    stale = error.failure == outcomes.CallFailure.STALE
+    if stale and shards.may_act(shard):
+        # The claims stream has forgotten an owner that the worker knows.
+        shard.claims.raise_floor(shard.number, shard.epoch)
+        shard.stale = True
+    if view.reachable:
         events.log_event(
-            events.WORKER_SUPERSEDED,
+            events.WORKER_SUPERSEDED if stale else events.WORKER_UNREACHABLE,
             shard=shard.number,
             worker=view.id,
             epoch=shard.epoch,
             detail=error.detail,
         )
-        if shards.may_act(shard):
-            # The claims stream has forgotten an owner that the worker knows.
-            shard.claims.raise_floor(shard.number, shard.epoch)
-            shard.stale = True
-    elif view.reachable:
-        events.log_event(
-            events.WORKER_UNREACHABLE,
-            shard=shard.number,
-            worker=view.id,
-            detail=error.detail,
-        )
     view.reachable = False
 
 
--- a/plantainvane/quotas.py
+++ b/plantainvane/quotas.py
@@ -1,11 +1,14 @@
 """Limits on the declared sizes that a team runs at once.
 
 Shards decide without asking each other, so each applies an equal share of
-every quota. A share below one task would never let the team run, so a shard
-with nothing of the team running may always start one task within the limit;
-the overshoot is at most one task per shard.
+every quota. A task that is larger than the share is checked against the whole
+quota and what the team runs in all other shards, as their task streams show;
+two shards that start such tasks within the delay of reading may overshoot by
+one task each.
 """
 
+from collections.abc import Callable
+
 from plantainvane import amounts
 from plantainvane import documents
 from plantainvane import settings as settings_module
@@ -29,13 +32,25 @@
     quota: documents.Quota | None,
     used: amounts.Amount,
     amount: amounts.Amount,
+    measure_elsewhere: Callable[[], amounts.Amount | None],
 ) -> bool:
-    """Says whether a team that uses `used` in this shard may start `amount`.
+    """Says whether a team may start a task in this shard.
 
-    A team without a quota document runs nothing.
+    Args:
+      settings: Settings of the process.
+      quota: The team's quota; a team without one runs nothing.
+      used: Declared sizes that the team runs in this shard.
+      amount: Declared size of the task.
+      measure_elsewhere: Returns what the team runs in all other shards, None
+        when that is not known now.
     """
     if quota is None:
         return False
-    if used == amounts.Amount():
-        return amount.fits(amounts.measure_size(quota.limit))
-    return (used + amount).fits(measure_share(settings, quota))
+    share = measure_share(settings, quota)
+    if amount.fits(share):
+        return (used + amount).fits(share)
+    elsewhere = measure_elsewhere()
+    if elsewhere is None:
+        return False
+    total = used + elsewhere + amount
+    return total.fits(amounts.measure_size(quota.limit))
--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -327,6 +327,7 @@
             writer=self._get_writer(view.position.stream),
             list_instances=functools.partial(self._list_workers, number),
             make_client=self._connect_worker,
+            list_elsewhere=functools.partial(self._list_elsewhere, number),
             run_worker=attempts.run_worker,
         )
         self.shards[number] = shard
@@ -359,6 +360,25 @@
     def _list_workers(self, number: int) -> dict[str, instances.Instance]:
         return self._by_shard.get(number, {})
 
+    def _list_elsewhere(self, number: int) -> list[tasks.Task] | None:
+        """Lists the started tasks of all other shards of the deployment.
+
+        Follows their streams from the first call on; None until all of them
+        are current.
+        """
+        now = anyio.current_time()
+        started: list[tasks.Task] = []
+        current = True
+        for domain in self._settings.domains:
+            for shard in range(self._settings.claims.shards):
+                if (domain, shard) == (self._settings.domain, number):
+                    continue
+                view = self._get_view(domain, shard)
+                current &= views.is_current(self._settings, view, now)
+                for there in view.book.started.values():
+                    started.extend(there.values())
+        return started if current else None
+
     def _connect_worker(
         self, instance: instances.Instance
     ) -> httpx.AsyncClient:
--- a/plantainvane/shards.py
+++ b/plantainvane/shards.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 from typing import Any
 
 import anyio
@@ -145,6 +146,8 @@
     """One owned shard.
 
     Attributes:
+      list_elsewhere: Returns the started tasks of all other shards, None when
+        they are not known now.
       placing: Decisions whose start records are not folded yet; charged.
       charges: What each worker's attempts were last found to use.
       changed: Workers whose charges must be found anew.
@@ -166,6 +169,7 @@
     writer: writers.Writer
     list_instances: Callable[[], dict[str, instances.Instance]]
     make_client: Callable[[instances.Instance], httpx.AsyncClient]
+    list_elsewhere: Callable[[], list[tasks.Task] | None]
     run_worker: Callable[["Shard", WorkerView], Any]
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
     state: placement.State = dataclasses.field(
@@ -707,11 +711,18 @@
 ) -> placement.Judgement:
     settings = shard.settings
     none = amounts.Amount()
+    elsewhere: dict[str, amounts.Amount | None] = {}
+
+    def measure_elsewhere(team: str) -> amounts.Amount | None:
+        if team not in elsewhere:
+            elsewhere[team] = _measure_elsewhere(shard, team)
+        return elsewhere[team]
 
     def allows(key: placement.GroupKey) -> bool:
         quota = shard.configuration.find_quota(key.team)
         mine = used.get(key.team, none)
-        return quotas.allows_start(settings, quota, mine, key.amount)
+        measure = functools.partial(measure_elsewhere, key.team)
+        return quotas.allows_start(settings, quota, mine, key.amount, measure)
 
     def admit(key: placement.GroupKey) -> None:
         used[key.team] = used.get(key.team, none) + key.amount
@@ -734,6 +745,19 @@
     return placement.Judgement(allows, admit, predict_ratio, predict_use)
 
 
+def _measure_elsewhere(shard: Shard, team: str) -> amounts.Amount | None:
+    """Sums what a team runs in all other shards, as far as it is known."""
+    started = shard.list_elsewhere()
+    if started is None:
+        return None
+    total = amounts.Amount()
+    for task in started:
+        batch_class = find_class(shard, task)
+        if batch_class is not None and batch_class.team == team:
+            total += measure_task(shard, task)
+    return total
+
+
 async def _launch(shard: Shard, decision: placement.Decision) -> None:
     """Records a start; the worker's task sends it once it is folded."""
     book = shard.view.book
--- a/plantainvane/views.py
+++ b/plantainvane/views.py
@@ -65,12 +65,19 @@
     return view.book.next_offset > offset
 
 
+def is_current(
+    settings: settings_module.Settings, view: View, now: float
+) -> bool:
+    """Says whether the view is as new as a long poll keeps it."""
+    slack = settings.log.poll_wait_s + settings.log.call_timeout_s
+    return now - view.position.current_at <= slack
+
+
 async def wait_current(
     settings: settings_module.Settings, view: View, limit_s: float
 ) -> bool:
-    """Waits until the view is as new as a long poll keeps it."""
-    slack = settings.log.poll_wait_s + settings.log.call_timeout_s
+    """Waits until the view is current; False after `limit_s`."""
     with anyio.move_on_after(limit_s):
-        while anyio.current_time() - view.position.current_at > slack:
+        while not is_current(settings, view, anyio.current_time()):
             await view.changed.wait()
-    return anyio.current_time() - view.position.current_at <= slack
+    return is_current(settings, view, anyio.current_time())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -178,24 +178,32 @@
     ]
 
 
+def allows(limit, used, amount, elsewhere=None):
+    """Two domains with one shard each: half of the limit is the share."""
+    quota = documents.Quota(name="t", limit=documents.Size(processors=limit))
+    return quotas.allows_start(
+        SETTINGS,
+        quota,
+        amounts.Amount(used),
+        amounts.Amount(amount),
+        lambda: None if elsewhere is None else amounts.Amount(elsewhere),
+    )
+
+
 def test_a_quota_is_divided_among_the_shards():
     # Guards against a team that runs its whole quota in every shard.
-    quota = documents.Quota(name="t", limit=documents.Size(processors=8))
-    used, one = amounts.Amount(3000), amounts.Amount(1000)
-    # Two domains with one shard each: 4 processors here.
-    assert quotas.allows_start(SETTINGS, quota, used, one)
+    assert allows(limit=8, used=3000, amount=1000)
+    assert not allows(limit=8, used=4000, amount=1, elsewhere=0)
+    nothing = amounts.Amount()
     assert not quotas.allows_start(
-        SETTINGS, quota, used + one, amounts.Amount(1)
+        SETTINGS, None, nothing, nothing, lambda: nothing
     )
-    assert not quotas.allows_start(SETTINGS, None, amounts.Amount(), one)
 
 
-def test_a_task_above_the_share_but_within_the_quota_runs_alone():
-    # Guards against a small quota under which nothing ever runs.
-    quota = documents.Quota(name="t", limit=documents.Size(processors=2))
-    two = amounts.Amount(2000)
-    assert quotas.allows_start(SETTINGS, quota, amounts.Amount(), two)
-    assert not quotas.allows_start(SETTINGS, quota, two, two)
-    assert not quotas.allows_start(
-        SETTINGS, quota, amounts.Amount(), amounts.Amount(2001)
-    )
+def test_a_task_above_the_share_is_checked_against_the_whole_quota():
+    # Guards against a small quota under which nothing ever runs, and against
+    # one that every shard uses up for itself.
+    assert allows(limit=2, used=0, amount=2000, elsewhere=0)
+    assert not allows(limit=2, used=0, amount=2000, elsewhere=1)
+    assert not allows(limit=2, used=1, amount=2000, elsewhere=0)
+    assert not allows(limit=2, used=0, amount=2000, elsewhere=None)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -734,6 +734,23 @@
     assert set(shard.team_use.values()) == {amounts.Amount()}
 
 
+@batch_session.in_session(claims={"shards": 2})
+async def test_a_small_quota_holds_over_all_shards(session):
+    # Guards against each shard's owner using up the whole quota for itself.
+    session.add_workers(*(f"w{number}" for number in range(6)))
+    session.configuration.limit = documents.Size(1.0, 10**9, 10)
+    session.add_process("p1")
+    # The two ids belong to different shards.
+    await session.submit("one", steps=20)
+    await session.wait_for(lambda: find_running(session, "one"))
+    await session.submit("two", steps=3)
+    assert await session.wait_outcome("one", "two") == ["succeeded"] * 2
+    (first,), (second,) = session.list_runs("one"), session.list_runs("two")
+    assert second.began >= first.ended
+    assert session.list_records("task_start", shard=0) != []
+    assert session.list_records("task_start", shard=1) != []
+
+
 @batch_session.in_session()
 async def test_a_start_is_withheld_when_the_worker_has_become_full(session):
     # Guards against a late start record that overcommits a worker.
