--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -89,6 +89,7 @@
         self._waiting = 0
         self._draining = False
         self._closing = False
+        self._arrived = anyio.Event()
         self._drained = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._housekeeping_due = 0.0
@@ -116,7 +117,7 @@
             try:
                 while True:
                     self._sweep(self._clock())
-                    await anyio.sleep(self._settings.requests.sweep_s)
+                    await self._pause_sweep()
             finally:
                 self._closing = True
                 for ticket in self._queues.pop_all():
@@ -139,6 +140,7 @@
             return _make_not_run("unknown_class", detail)
         job = self._make_job(request, service_class, now)
         self._waiting += 1
+        self._arrived.set()
         try:
             await self._run_job(job, now)
         finally:
@@ -703,6 +705,15 @@
 
     # Periodic work.
 
+    async def _pause_sweep(self) -> None:
+        """Waits for the next sweep; an idle process needs few."""
+        if self._waiting or self._running:
+            await anyio.sleep(self._settings.requests.sweep_s)
+            return
+        self._arrived = anyio.Event()
+        with anyio.move_on_after(_HOUSEKEEPING_S):
+            await self._arrived.wait()
+
     def _sweep(self, now: float) -> None:
         if self._queues.total:
             self._shed_late(now)
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -89,8 +89,8 @@
 class Claims(Struct):
     """Ownership of shards."""
 
-    # Each shard has one owner. Workers are divided by a hash, so that with fewer
-    # than about 20 workers a shard some shard may have too few or none.
+    # Each shard has one owner. Workers are divided by a hash, so that with
+    # fewer than about 20 workers a shard some shard may have too few or none.
     shards: Count = 1
     # Takeover after a crash takes ttl + margin; urgent work has 5.3 s to start.
     ttl_s: Positive = 3.0
