--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -300,7 +300,8 @@
             return _make_not_run("key_required", detail)
         # Checked before the key is claimed, which costs an append.
         if self._find_overload(job, job.arrived) is not None:
-            return self._make_shed_answer(job, "overload", job.arrived)
+            reason = self._name_overload(job)
+            return self._make_shed_answer(job, reason, job.arrived)
         return None
 
     async def _claim_key(self, job: jobs.Job) -> None:
@@ -331,7 +332,7 @@
         if wait_s is not None:
             member = self._find_headroom(job, now)
             if member is None:
-                self._shed_job(job, "overload", now)
+                self._shed_job(job, self._name_overload(job), now)
             return member
         if self._queues.total >= self._settings.requests.queue_limit:
             victim = self._queues.pop_less_urgent(job.rank)
@@ -393,6 +394,10 @@
         )
         return (ahead_s + job.run_time.mean_s) / usable
 
+    def _name_overload(self, job: jobs.Job) -> str:
+        known = self.fleet.targets_by_class[job.service_class.name]
+        return "overload" if known else "no_target"
+
     def _find_headroom(self, job: jobs.Job, now: float) -> Any | None:
         if self._forward is None or job.deadline <= now:
             return None
@@ -411,7 +416,7 @@
             return
         now = self._clock()
         if not self._place_job(job, now):
-            self._shed_job(job, "overload", now)
+            self._shed_job(job, self._name_overload(job), now)
 
     # Slots.
 
@@ -443,9 +448,14 @@
         )
 
     def _may_run(self, job: jobs.Job) -> bool:
-        if not self._run_times.is_long(job.run_time):
+        run_time = job.run_time
+        if self._run_times.is_long(run_time):
+            return self._long_running < self._get_long_limit()
+        if self._run_times.is_known(run_time):
             return True
-        return self._long_running < self._get_long_limit()
+        fraction = self._settings.requests.unmeasured_fraction
+        limit = max(1, int(self.fleet.open_slots * fraction))
+        return run_time.running < limit
 
     def _get_long_limit(self) -> int:
         """Returns how many slots long-running work may hold, at least one."""
@@ -463,6 +473,7 @@
         job.began = now
         job.long = self._run_times.is_long(job.run_time)
         self._long_running += job.long
+        job.run_time.running += 1
         slot.target.in_flight += 1
         self._running.add(job)
 
@@ -470,6 +481,7 @@
         slot.target.in_flight -= 1
         self._running.discard(job)
         self._long_running -= job.long
+        job.run_time.running -= 1
         job.long = False
 
     def _keep_slot(self, slot: connections.Slot) -> bool:
