Bring evictions into the chaos run and count repeated steps

No task of the chaos run was ever evicted, so guarantee 3 was hardly tested. The audit now counts any step that a non-idempotent task does twice, also those between its checkpoint and its stop.

--- a/standins/audit.py
+++ b/standins/audit.py
@@ -229,5 +229,6 @@
         name = f"{record.task}: attempt {after.attempt}"
         if before.state != workers.AttemptState.STOPPED:
             violations[6].append(f"{name} follows one that {before.state}")
-        elif after.from_step == 0 and before.to_step > 0:
-            violations[6].append(f"{name} repeats {before.to_step} steps")
+        elif after.from_step < before.to_step:
+            repeated = before.to_step - after.from_step
+            violations[6].append(f"{name} repeats {repeated} steps")
--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -233,6 +233,7 @@
         "tasks": {
             "submitted": summary["tasks_submitted"],
             "outcomes": summary["task_outcomes"],
+            "evictions": summary["evictions"],
         },
         "config_changes": len(chaos.operators.changes),
         "violations": summary["violations"],
--- a/standins/session.py
+++ b/standins/session.py
@@ -190,6 +190,7 @@
         "tasks_submitted": sum(r.submitted is not None for r in records),
         "tasks_completed": sum(r.outcome == "succeeded" for r in records),
         "task_outcomes": tasks_module.count_outcomes(records),
+        "evictions": sum(record.evictions for record in records),
         "ran_twice": audit_module.count_ran_twice(violations),
         "violations": audit_module.count_violations(violations),
     }
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -36,6 +36,7 @@
     outcome: str = ""
     detail: str = ""
     wrong: str = ""
+    evictions: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,6 +144,7 @@
     status = msgspec.json.decode(reply.body)
     record.outcome = status.get("outcome") or ""
     record.detail = status.get("detail") or ""
+    record.evictions = status.get("evictions", 0)
     if record.outcome == "succeeded":
         record.wrong = answers.check_output(record.work, status.get("output"))
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -118,6 +118,14 @@
         assert check_task([first, second]) == set()
 
 
+def test_steps_between_checkpoint_and_stop_are_found_when_repeated():
+    first = make_attempt("t", 1, 0, 5, "stopped", to_step=4)
+    for from_step, found in ((3, {6}), (4, set())):
+        second = make_attempt("t", 2, 6, 9, from_step=from_step)
+        assert check_task([first, second], idempotent=False) == found
+        assert check_task([first, second]) == set()
+
+
 def test_request_faults_are_found():
     run = runner.RunEntry("q1", "k", "preview", 1.0, 2.0)
     again = runner.RunEntry("q2", "k", "preview", 3.0, 4.0)
