--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -628,7 +628,7 @@
 
     async def _pause_sweep(self) -> None:
         """Waits for the next sweep; an idle process needs few."""
-        if self._waiting or self._running:
+        if self._waiting or self._admission.running:
             await anyio.sleep(self._settings.requests.sweep_s)
             return
         self._arrived = anyio.Event()
