Judge a second success by whether the first attempt's lease expired unseen

The trace shows a paused worker: its attempt did the last step within its lease, the owner could not reach it until the lease had expired (event 511), and the idempotent task ran again afterwards, not at the same time. The design allows that case. Change: a success that another attempt follows is a violation unless the class is idempotent and an owner logged the expiry of that very attempt; it is now also one when the later attempt did not succeed.

--- a/standins/audit.py
+++ b/standins/audit.py
@@ -22,6 +22,15 @@
 # Two processes of one machine read its clock this much apart, at most.
 CLOCK_SLACK_S = 0.005
 Violations = dict[int, list[str]]
+_EXPIRED = "plantainvane:511:attempt_expired"
+
+
+class _LoggedEvent(msgspec.Struct):
+    """The fields used of a log line of an entry process."""
+
+    message_type: str
+    task: str = ""
+    attempt: int = 0
 
 
 def make_violations() -> Violations:
@@ -49,6 +58,15 @@
     return list(entries.values())
 
 
+def read_expired(path: pathlib.Path) -> set[tuple[str, int]]:
+    """Reads from a process's log which attempts it took as expired."""
+    return {
+        (line.task, line.attempt)
+        for line in _read_lines(path, _LoggedEvent)
+        if line.message_type == _EXPIRED
+    }
+
+
 def check_requests(
     violations: Violations,
     records: list[load_module.Record],
@@ -125,6 +143,7 @@
     violations: Violations,
     records: list[tasks_module.TaskRecord],
     attempts: dict[str, list[worker_module.AttemptEntry]],
+    expired: set[tuple[str, int]] = frozenset(),
 ) -> None:
     """Checks guarantees 3 and 6 for tasks.
 
@@ -132,6 +151,7 @@
       violations: Receives what is found.
       records: What the submitters saw.
       attempts: What each worker ran, by the id of the worker.
+      expired: (task, attempt) whose lease an owner saw expire.
     """
     by_task: dict[str, list[worker_module.AttemptEntry]] = {}
     for entries in attempts.values():
@@ -143,7 +163,7 @@
         )
         if record.wrong:
             violations[3].append(f"{record.task}: {record.wrong}")
-        _check_success(violations, record, entries)
+        _check_success(violations, record, entries, expired)
         if not record.idempotent:
             _check_steps_once(violations, record, entries)
 
@@ -207,15 +227,24 @@
     violations: Violations,
     record: tasks_module.TaskRecord,
     entries: list[worker_module.AttemptEntry],
+    expired: set[tuple[str, int]],
 ) -> None:
-    succeeded = [
-        entry
-        for entry in entries
-        if entry.state == workers.AttemptState.SUCCEEDED
-    ]
-    if len(succeeded) > 1:
-        violations[3].append(f"{record.task}: {len(succeeded)} attempts ended")
-    if record.outcome == "succeeded" and not succeeded:
+    """Checks that one attempt did the last step.
+
+    A worker that cannot be reached until its lease has expired may have ended
+    the attempt; an idempotent task then runs again, after that attempt.
+    """
+    for entry in entries[:-1]:
+        allowed = record.idempotent and (entry.task, entry.attempt) in expired
+        if entry.state == workers.AttemptState.SUCCEEDED and not allowed:
+            violations[3].append(
+                f"{record.task}: attempt {entry.attempt} did the last step,"
+                " yet another followed"
+            )
+    states = [entry.state for entry in entries]
+    if record.outcome == "succeeded" and (
+        workers.AttemptState.SUCCEEDED not in states
+    ):
         violations[3].append(f"{record.task}: no attempt did the last step")
 
 
--- a/standins/session.py
+++ b/standins/session.py
@@ -176,7 +176,12 @@
         cluster.ended,
         time.monotonic(),
     )
-    audit_module.check_tasks(violations, session.tasks.records, attempts)
+    expired: set[tuple[str, int]] = set()
+    for path in cluster.directory.glob("*.events"):
+        expired |= audit_module.read_expired(path)
+    audit_module.check_tasks(
+        violations, session.tasks.records, attempts, expired
+    )
     return violations
 
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -56,7 +56,9 @@
     return list_found(violations)
 
 
-def check_task(entries, outcome="succeeded", idempotent=True, wrong=""):
+def check_task(
+    entries, outcome="succeeded", idempotent=True, wrong="", expired=()
+):
     violations = audit.make_violations()
     record = tasks.TaskRecord(
         task="t",
@@ -66,7 +68,7 @@
         outcome=outcome,
         wrong=wrong,
     )
-    audit.check_tasks(violations, [record], {"w1": entries})
+    audit.check_tasks(violations, [record], {"w1": entries}, set(expired))
     return list_found(violations)
 
 
@@ -110,6 +112,15 @@
     assert check_task([make_attempt("t", 1, 0, 5, "lapsed")]) == {3}
 
 
+def test_second_success_counts_unless_the_first_lease_expired_unseen():
+    # A worker that was paused past its lease reports a success too late.
+    entries = [make_attempt("t", 1, 0, 5), make_attempt("t", 2, 6, 9)]
+    assert check_task(entries, expired=[("t", 1)]) == set()
+    assert check_task(entries, expired=[("t", 2)]) == {3}
+    assert check_task(entries, expired=[("other", 1)]) == {3}
+    assert 6 in check_task(entries, idempotent=False, expired=[("t", 1)])
+
+
 def test_second_run_of_a_non_idempotent_task_is_found():
     second = make_attempt("t", 2, 6, 9)
     for state in ("lapsed", "failed", "running", "stopped"):
