Measure renewals and listings with the client that the owner uses

Cause: the capacity rows timed httpx with a mock transport, which the owner no longer uses. Change: calls go over loopback to a stub; listings get their own rows.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import gc
 import json
@@ -15,7 +16,7 @@
 from typing import Any
 
 import anyio
-import httpx
+import anyio.abc
 import msgspec
 
 from plantainvane import claims
@@ -31,6 +32,7 @@
 from plantainvane import writers
 
 REPEATS = 5
+CALLS = 200
 MICROSECONDS = 1e6
 
 SETTINGS_JSON = b"""{
@@ -306,23 +308,23 @@
 
 
 def _measure_renewals(settings: settings_module.Settings) -> list[Row]:
-    del settings
-
     def make_command(size: int) -> workers.RenewCommand:
-        refs = [
-            workers.AttemptRef(f"season-outlook-2028-05-{index:06d}", 1)
-            for index in range(size)
-        ]
-        return workers.RenewCommand(epoch=7, lease_s=9.0, attempts=refs)
+        return workers.RenewCommand(
+            epoch=7, lease_s=9.0, attempts=_make_refs(size)
+        )
 
-    def make_call(size: int) -> Callable[[], float]:
+    def make_renewal(size: int) -> Callable[[], float]:
         command = make_command(size)
         reply = msgspec.json.encode(workers.RenewReply(command.attempts))
+        return lambda: _time_calls(
+            settings, reply, lambda c: workers.renew_attempts(c, command)
+        )
 
-        def call() -> float:
-            return _time_calls(command, reply)
-
-        return call
+    def make_listing(size: int) -> Callable[[], float]:
+        reply = _encode_listing(size)
+        return lambda: _time_calls(
+            settings, reply, lambda c: workers.list_attempts(c, 7)
+        )
 
     sizes = [1, 7, 50]
     return [
@@ -334,29 +336,85 @@
             lambda n: 2 * len(msgspec.json.encode(make_command(n))),
         ),
         _measure_repeated(
-            "renewal at the owner", "us", "attempts", sizes, make_call
+            "renewal at the owner", "us", "attempts", sizes, make_renewal
+        ),
+        _measure_exact(
+            "listing",
+            "bytes",
+            "attempts",
+            sizes,
+            lambda n: len(_encode_listing(n)),
+        ),
+        _measure_repeated(
+            "listing at the owner", "us", "attempts", sizes, make_listing
         ),
     ]
 
 
-def _time_calls(command: workers.RenewCommand, reply: bytes) -> float:
-    """Times the owner's part of a renewal, with the worker's part cut out."""
+def _make_refs(size: int) -> list[workers.AttemptRef]:
+    return [
+        workers.AttemptRef(f"season-outlook-2028-05-{index:06d}", 1)
+        for index in range(size)
+    ]
 
-    def answer(request: httpx.Request) -> httpx.Response:
-        del request
-        return httpx.Response(200, content=reply)
 
-    async def call() -> float:
-        transport = httpx.MockTransport(answer)
-        async with httpx.AsyncClient(
-            transport=transport, base_url="http://127.0.0.1"
-        ) as client:
-            start = time.process_time()
-            for _ in range(50):
-                await workers.renew_attempts(client, command)
-            return (time.process_time() - start) / 50 * MICROSECONDS
+def _encode_listing(size: int) -> bytes:
+    attempts = [
+        workers.ListedAttempt(
+            task=ref.task,
+            attempt=ref.attempt,
+            epoch=7,
+            state=workers.AttemptState.SUCCEEDED,
+            batch_class="season-outlook",
+            size=documents.Size(2.0, 2**32),
+            output={"digest": "0" * 64},
+        )
+        for ref in _make_refs(size)
+    ]
+    size_of_worker = documents.Size(16.0, 60 * 10**9, 1)
+    return msgspec.json.encode(
+        workers.Listing("worker-a-0123", size_of_worker, attempts)
+    )
+
 
-    return anyio.run(call)
+def _time_calls(
+    settings: settings_module.Settings,
+    reply: bytes,
+    call: Callable[[Any], Any],
+) -> float:
+    """Times calls to a server that answers `reply` to whatever it reads.
+
+    The result holds the server's part too, one receive and one send a call.
+    """
+    answer = (
+        b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(reply)
+    ) + reply
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while True:
+                    await stream.receive()
+                    await stream.send(answer)
+
+    async def run() -> float:
+        async with (
+            await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(listener.serve, serve)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = workers.make_client(settings, f"127.0.0.1:{port}")
+            await call(client)
+            start = time.process_time()
+            for _ in range(CALLS):
+                await call(client)
+            spent = time.process_time() - start
+            await client.aclose()
+            group.cancel_scope.cancel()
+        return spent / CALLS * MICROSECONDS
+
+    return anyio.run(run)
 
 
 def _measure_configuration(settings: settings_module.Settings) -> list[Row]:
