--- a/standins/session.py
+++ b/standins/session.py
@@ -20,6 +20,9 @@
 from standins import runner as runner_module
 from standins import tasks as tasks_module
 
+# Part of a run over which the tasks are submitted, so that faults and load
+# meet tasks in every state.
+SUBMIT_SHARE = 0.8
 # An accepted configuration is in force everywhere within this time.
 IN_FORCE_S = 5.0
 
@@ -138,7 +141,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(load_module.run_load, session.load, seconds)
         with anyio.move_on_after(seconds + patience_s):
-            await tasks_module.run_tasks(session.tasks, seconds / 2)
+            await tasks_module.run_tasks(session.tasks, seconds * SUBMIT_SHARE)
 
 
 async def fetch_audits(session: Session) -> dict[str, runner_module.Audit]:
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -54,7 +54,10 @@
     seed: int,
     prefix: str,
 ) -> list[TaskRecord]:
-    """Plans the tasks of every batch class; the order depends on `seed`."""
+    """Plans the tasks of every batch class; the order depends on `seed`.
+
+    Failing tasks go first: they are tried on every worker and end last.
+    """
     seeded = random.Random(seed)
     classes = {
         document.name: document
@@ -80,7 +83,7 @@
                 )
             )
     seeded.shuffle(planned)
-    return planned
+    return sorted(planned, key=lambda record: not record.work["fails"])
 
 
 def _make_use(size: documents.Size, factor: float) -> dict[str, Any]:
