Check a second success against the worker's own record of the lease

The excuse for a second success rested on the product's log alone, which a product that reruns too early would also write. The worker now records when the newest lease runs out, and the later attempt must begin after that. 20 audit and worker tests pass; 28 pauses of workers in 30 s gave no violation.

--- a/standins/audit.py
+++ b/standins/audit.py
@@ -232,10 +232,15 @@
     """Checks that one attempt did the last step.
 
     A worker that cannot be reached until its lease has expired may have ended
-    the attempt; an idempotent task then runs again, after that attempt.
+    the attempt; an idempotent task then runs again, after that lease by the
+    worker's own record.
     """
-    for entry in entries[:-1]:
-        allowed = record.idempotent and (entry.task, entry.attempt) in expired
+    for entry, after in zip(entries, entries[1:], strict=False):
+        allowed = (
+            record.idempotent
+            and (entry.task, entry.attempt) in expired
+            and after.began >= entry.lease_until
+        )
         if entry.state == workers.AttemptState.SUCCEEDED and not allowed:
             violations[3].append(
                 f"{record.task}: attempt {entry.attempt} did the last step,"
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -59,7 +59,8 @@
     """One attempt that began here; times are of the machine's clock.
 
     `from_step` and `to_step` are the steps done: the first one and the one
-    after the last.
+    after the last. `lease_until` is when the newest lease runs out, also if
+    the attempt ended before.
     """
 
     task: str
@@ -72,6 +73,7 @@
     to_step: int
     ended: float | None = None
     state: str = workers.AttemptState.RUNNING.value
+    lease_until: float = 0.0
 
 
 class RefusedStart(msgspec.Struct):
@@ -104,7 +106,6 @@
     command: workers.StartCommand
     entry: AttemptEntry
     chain: str
-    lease_until: float
     advanced_at: float
     progress: float = 0.0
     share: float = 1.0
@@ -279,12 +280,12 @@
         began=now,
         from_step=step,
         to_step=step,
+        lease_until=now + command.lease_s,
     )
     return Attempt(
         command=command,
         entry=entry,
         chain=chain,
-        lease_until=now + command.lease_s,
         advanced_at=now,
         checkpoint=command.checkpoint,
     )
@@ -308,7 +309,7 @@
     for ref in command.attempts:
         attempt = _find_running(worker, ref)
         if attempt is not None:
-            attempt.lease_until = now + command.lease_s
+            attempt.entry.lease_until = now + command.lease_s
             renewed.append(ref)
     return asgi.make_json_reply(200, workers.RenewReply(renewed))
 
@@ -401,7 +402,7 @@
 def _advance_attempt(worker: Worker, attempt: Attempt, now: float) -> None:
     """Does the steps that are due, up to the end of the lease or a stop."""
     state = workers.AttemptState
-    until = min(now, attempt.lease_until)
+    until = min(now, attempt.entry.lease_until)
     if attempt.stop_at is not None:
         until = min(until, attempt.stop_at)
     if attempt.checkpoint_at is not None and attempt.checkpoint_at <= until:
@@ -418,7 +419,9 @@
         _end_attempt(worker, attempt, state.FAILED, until)
     elif attempt.entry.to_step >= work.get("steps", 0):
         _finish_attempt(worker, attempt, until)
-    elif attempt.lease_until <= now and until == attempt.lease_until:
+    elif (
+        attempt.entry.lease_until <= now and until == attempt.entry.lease_until
+    ):
         _end_attempt(worker, attempt, state.LAPSED, until)
     elif attempt.stop_at is not None and attempt.stop_at <= now:
         _end_attempt(worker, attempt, state.STOPPED, until)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -119,6 +119,9 @@
     assert check_task(entries, expired=[("t", 2)]) == {3}
     assert check_task(entries, expired=[("other", 1)]) == {3}
     assert 6 in check_task(entries, idempotent=False, expired=[("t", 1)])
+    # The worker still held the lease, whatever the owner logged.
+    entries[0].lease_until = 6.5
+    assert check_task(entries, expired=[("t", 1)]) == {3}
 
 
 def test_second_run_of_a_non_idempotent_task_is_found():
