Give claims their own client with short calls

A connection to the log that went silent blocked the renewals for the call timeout of 3 s, as long as the claim is valid, so each one cost a takeover. Claims are now read and appended with calls of at most half the ttl, and a claim found absent is appended again at once.

--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -15,6 +15,7 @@
 from plantainvane import documents
 from plantainvane import events
 from plantainvane import instances
+from plantainvane import log
 from plantainvane import metrics
 from plantainvane import outcomes
 from plantainvane import readers
@@ -53,6 +54,7 @@
         client: httpx.AsyncClient,
         identity: writers.Identity,
         make_worker_client: Any = workers.make_client,
+        make_log_client: Any = log.make_client,
     ):
         self._settings = settings
         self._configuration = configuration
@@ -60,6 +62,9 @@
         self._client = client
         self._identity = identity
         self._make_worker_client = make_worker_client
+        self._make_log_client = make_log_client
+        self._claims_settings = _shorten_calls(settings)
+        self._claims_client: httpx.AsyncClient | None = None
         self._instances: dict[str, instances.Instance] = {}
         self._by_shard: dict[int, dict[str, instances.Instance]] = {}
         self._views: dict[tuple[str, int], views.View] = {}
@@ -164,7 +169,11 @@
 
     async def run(self) -> None:
         """Works until cancelled."""
-        async with anyio.create_task_group() as group:
+        async with (
+            self._make_log_client(self._claims_settings) as client,
+            anyio.create_task_group() as group,
+        ):
+            self._claims_client = client
             self._group = group
             group.start_soon(self._follow_claims)
             group.start_soon(self._keep_views)
@@ -205,8 +214,8 @@
             self._sync_shards()
 
         await readers.follow_stream(
-            self._settings,
-            self._client,
+            self._claims_settings,
+            self._claims_client,
             self._claims_position,
             records.ClaimRecord,
             apply,
@@ -258,8 +267,8 @@
     def _propose_claims(
         self, members: list[str], now: float
     ) -> list[records.ShardClaim]:
-        log = self._settings.log
-        slack = log.poll_wait_s + log.call_timeout_s
+        used = self._claims_settings.log
+        slack = used.poll_wait_s + used.call_timeout_s
         if now - self._claims_position.current_at > slack:
             return []
         return self.claims.propose_claims(members, now)
@@ -388,9 +397,10 @@
         """Returns the one writer of a stream; two would mix sequences."""
         writer = self._writers.get(stream)
         if writer is None:
-            writer = writers.Writer(
-                self._settings, self._client, self._identity, stream
-            )
+            settings, client = self._settings, self._client
+            if stream == self._claims_position.stream:
+                settings, client = self._claims_settings, self._claims_client
+            writer = writers.Writer(settings, client, self._identity, stream)
             self._writers[stream] = writer
             self._group.start_soon(writer.run)
         return writer
@@ -446,6 +456,25 @@
         return None
 
 
+def _shorten_calls(
+    settings: settings_module.Settings,
+) -> settings_module.Settings:
+    """Returns settings with which one silent connection costs no claim.
+
+    A call on a connection that went silent is given up after half the ttl, and
+    a claim that is then absent is appended again at once: a repeat is void.
+    """
+    claims = settings.claims
+    shortened = msgspec.structs.replace(
+        settings.log,
+        call_timeout_s=min(settings.log.call_timeout_s, claims.ttl_s / 2),
+        poll_wait_s=min(settings.log.poll_wait_s, claims.renew_s),
+        append_settle_s=min(settings.log.append_settle_s, claims.check_s),
+        append_limit_s=min(settings.log.append_limit_s, claims.ttl_s),
+    )
+    return msgspec.structs.replace(settings, log=shortened)
+
+
 def _describe_task(task: tasks.Task) -> dict[str, Any]:
     """Describes a task for its submitter, JSON-ready."""
     return {
--- a/tests/batch_session.py
+++ b/tests/batch_session.py
@@ -33,12 +33,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
-    """One call of a process; `target` is `log` or a worker id."""
+    """One call of a process; `target` is `log` or a worker id.
+
+    `timeout_s` is how long the caller waits for a reply.
+    """
 
     process: str
     target: str
     path: str
     body: dict[str, Any]
+    method: str
+    timeout_s: float
 
     @property
     def kinds(self) -> set[str]:
@@ -145,7 +150,15 @@
     ) -> httpx.Response:
         session = self._session
         body = json.loads(request.content) if request.content else {}
-        call = Call(self._process, self._target, request.url.path, body)
+        timeout_s = request.extensions["timeout"]["read"]
+        call = Call(
+            self._process,
+            self._target,
+            request.url.path,
+            body,
+            request.method,
+            timeout_s,
+        )
         session.calls.append(call)
 
         async def forward(forced: bool = False) -> httpx.Response:
@@ -251,21 +264,27 @@
         """Starts a scheduler."""
         self.started += 1
         settings = make_settings(id, **self.sections)
-        client = httpx.AsyncClient(
-            base_url="http://log", transport=_Transport(self, id, "log")
-        )
+
+        def make_client(settings: settings_module.Settings):
+            return httpx.AsyncClient(
+                base_url="http://log",
+                transport=_Transport(self, id, "log"),
+                timeout=settings.log.call_timeout_s,
+            )
+
         process = Process(
             id,
             scheduler.Scheduler(
                 settings,
                 self.configuration,
                 types.SimpleNamespace(list_live=self.list_live),
-                client,
+                make_client(settings),
                 writers.Identity(id, self.started),
                 lambda _, address: httpx.AsyncClient(
                     base_url=f"http://{address}",
                     transport=_Transport(self, id, address.split(":")[0]),
                 ),
+                make_client,
             ),
         )
         self.processes[id] = process
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import anyio
+import httpx
 import pytest
 
 from plantainvane import amounts
@@ -331,6 +332,41 @@
     assert len(session.list_records("shard_open")) == 1
 
 
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_a_connection_that_goes_silent_costs_no_claim(method):
+    # Guards against a takeover for each connection that goes silent.
+    async def run(session):
+        owner, rival = await start_pair(session, "w1")
+        silent = []
+
+        def matches(call):
+            if (call.process, call.method) != ("p1", method):
+                return False
+            if call.path != "/streams/claims.a/records" or silent:
+                return False
+            silent.append(call)
+            return True
+
+        async def keep_silent(forward):
+            await anyio.sleep(silent[0].timeout_s)
+            raise httpx.ReadTimeout("silent")
+
+        session.interfere(matches, keep_silent)
+        await session.wait_for(lambda: silent)
+        # Twice the time in which a rival takes over.
+        until = anyio.current_time() + 0.7
+        claims = owner.scheduler.claims
+        gaps = 0
+        while anyio.current_time() < until:
+            now = anyio.current_time()
+            gaps += not claims.holds_shard(0, 1, now)
+            await anyio.sleep(0.01)
+        assert gaps <= 10
+        assert rival.scheduler.claims.owners[0].epoch == 1
+
+    batch_session.run_session(run)
+
+
 def start_eviction(process, id):
     shard = get_shard(process)
     task = shard.view.book.find_task(id)
@@ -380,7 +416,7 @@
 
 
 async def evict_and_kill(session, steps, log_down=False):
-    amount = 70 * (len(steps) + log_down)
+    amount = 40 + 30 * (len(steps) + log_down)
     session.add_workers("w1", "w2")
     process = session.add_process("p0")
     await session.submit("t1", steps=amount)
