--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -12,6 +12,7 @@
 from plantainvane import dispatcher as dispatcher_module
 from plantainvane import documents
 from plantainvane import ejection
+from plantainvane import metrics
 from plantainvane import outcomes
 from plantainvane import routing
 from plantainvane import slots
@@ -309,6 +310,39 @@
     assert drained == [20]
 
 
+async def test_drain_lets_a_request_end_that_waits_for_its_key():
+    # Guards against a warning refused after its key was claimed.
+    gate = anyio.Event()
+    book = request_fakes.KeyBook()
+    claim_key = book.claim_key
+
+    async def claim_slowly(*arguments):
+        await gate.wait()
+        return await claim_key(*arguments)
+
+    book.claim_key = claim_slowly
+    dispatcher = make_dispatcher(
+        request_fakes.make_class(idempotent=False), key_book=book
+    )
+    answers = []
+    async with (
+        serve(fake_runner.echo, dispatcher=dispatcher) as (_, _),
+        anyio.create_task_group() as group,
+    ):
+
+        async def call():
+            answers.append(await send(dispatcher, "w", key="k", issued=1.0))
+
+        group.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        dispatcher.start_drain()
+        gate.set()
+        with anyio.fail_after(5.0):
+            await dispatcher.wait_drained()
+        assert book.finished == [("k", "answered")]
+    assert [answer.outcome for answer in answers] == [OUTCOME.ANSWERED]
+
+
 @pytest.mark.parametrize("sign", ["reply", "probe", "list", "missing"])
 async def test_leaving_target_gets_no_new_work(sign):
     # Guards against work for a target that leaves while the list lags (both
@@ -434,6 +468,36 @@
         assert not health.ejected_until
 
 
+async def test_pause_of_all_targets_does_not_eject_them_all():
+    # Guards against an outage of seconds after a pause of the machine.
+    paused = True
+
+    async def answer(runner, seen):
+        if paused:
+            await anyio.sleep_forever()
+        await fake_runner.echo(runner, seen)
+
+    requests = request_fakes.make_requests(
+        run_samples=1, silence_floor_s=0.03, eject_base_s=1.0, attempt_limit=9
+    )
+    dispatcher = make_dispatcher(requests=requests)
+    async with (
+        serve(answer, answer, dispatcher=dispatcher, open_slots=16) as (_, _),
+        anyio.create_task_group() as group,
+    ):
+        paused = False
+        await send(dispatcher, "first")
+        paused = True
+        for number in range(16):
+            group.start_soon(send, dispatcher, f"r{number}")
+        healths = [t.health for t in dispatcher.fleet.targets.values()]
+        await request_fakes.wait_until(
+            lambda: sum(len(h.failed) for h in healths) >= 6
+        )
+        paused = False
+        assert sum(health.level > 0 for health in healths) <= 1
+
+
 async def test_queue_full_sheds_the_least_urgent_first():
     # Guards against an urgent request refused while bulk work waits.
     release = anyio.Event()
@@ -654,3 +718,28 @@
         dispatcher.update_targets([], time.monotonic() + 200.0)
         got = await send(dispatcher, "r1")
     assert got.outcome is OUTCOME.ANSWERED
+
+
+async def test_metrics_have_bounded_labels():
+    # Guards against a label for every status or exception of a runner.
+    async def answer(runner, seen):
+        number = 500 + len(runner.requests)
+        await seen.stream.send(
+            fake_runner.make_reply(seen.request_id, b"", f"{number} Strange")
+        )
+
+    requests = request_fakes.make_requests(attempt_limit=1, eject_failures=99)
+    async with serve(answer, dispatcher=make_dispatcher(requests=requests)) as (
+        dispatcher,
+        _,
+    ):
+        for number in range(20):
+            await send(dispatcher, f"r{number}")
+    text = metrics.encode_metrics().decode()
+    reasons = {
+        line.partition('reason="')[2].partition('"')[0]
+        for line in text.splitlines()
+        if line.startswith("plantainvane_bad_replies_total{")
+    }
+    assert "status_5xx" in reasons
+    assert reasons <= metrics.REPLY_REASONS | {"connection"}
