Split the module of shards by responsibility

It keeps the state and the records; charges holds what attempts use, rounds the open, queue and placement of a shard, and dumps the counts and dumps. No behaviour changes.

--- a/plantainvane/attempts.py
+++ b/plantainvane/attempts.py
@@ -9,6 +9,7 @@
 import anyio
 
 from plantainvane import amounts
+from plantainvane import charges
 from plantainvane import documents
 from plantainvane import events
 from plantainvane import evictions
@@ -227,7 +228,7 @@
 
 
 def _is_within_capacity(shard: shards.Shard, view: shards.WorkerView) -> bool:
-    return shards.measure_commitment(shard, view).fits(view.capacity)
+    return charges.measure_commitment(shard, view).fits(view.capacity)
 
 
 async def _withhold_start(
--- /dev/null
+++ b/plantainvane/charges.py
@@ -0,0 +1,205 @@
+"""What the attempts of a shard use, by worker and team; kept between rounds."""
+
+import functools
+
+from plantainvane import amounts
+from plantainvane import estimates
+from plantainvane import interference
+from plantainvane import placement
+from plantainvane import quotas
+from plantainvane import shards
+from plantainvane import suspicion
+from plantainvane import workers
+
+
+def measure_commitment(
+    shard: shards.Shard, view: shards.WorkerView
+) -> amounts.Amount:
+    """Sums the declared sizes of all attempts not known to have ended.
+
+    Those are the started ones of the stream, and those that the worker runs
+    without the stream allowing it.
+    """
+    total = amounts.Amount()
+    started = shard.view.book.started.get(view.id, {})
+    for task in started.values():
+        ref = workers.AttemptRef(task.id, task.attempt)
+        listed = view.listing.get(ref)
+        # The worker's own figure counts if the class has changed since.
+        if listed is not None:
+            total += amounts.measure_size(listed.size)
+        else:
+            total += shards.measure_task(shard, task)
+    for ref, listed in view.listing.items():
+        task = started.get(ref.task)
+        current = task is not None and task.attempt == ref.attempt
+        if listed.state == workers.AttemptState.RUNNING and not current:
+            total += amounts.measure_size(listed.size)
+    return total
+
+
+def refresh_charges(shard: shards.Shard, now: float) -> None:
+    """Brings the workers' states up to date, for those that changed.
+
+    A charge that is missed here cannot overcommit a worker: before each start
+    the commitment is summed anew.
+    """
+    book = shard.view.book
+    moved, book.moved = book.moved, set()
+    changed, shard.changed = shard.changed, set()
+    placing = _group_placing(shard)
+    gone = shard.charges.keys() - shard.workers.keys()
+    for worker in moved | changed | gone:
+        _replace_charge(shard, worker, placing.get(worker, []))
+    shard.state.workers = {}
+    for id, charge in shard.charges.items():
+        state, view = charge.state, shard.workers[id]
+        if state is None or view.instance is None:
+            continue
+        state.services = tuple(view.ratios)
+        state.throttled = view.relief.throttled
+        state.open_starts = _count_open(shard, view, state, now)
+        shard.state.workers[id] = state
+
+
+def _group_placing(shard: shards.Shard) -> dict[str, list[placement.Decision]]:
+    """Groups decisions by worker; once folded, the book charges them."""
+    grouped: dict[str, list[placement.Decision]] = {}
+    for decision in shard.placing.values():
+        if decision.task in shard.view.book.pending:
+            grouped.setdefault(decision.worker, []).append(decision)
+    return grouped
+
+
+def _replace_charge(
+    shard: shards.Shard, worker: str, placing: list[placement.Decision]
+) -> None:
+    none = amounts.Amount()
+    old = shard.charges.pop(worker, None)
+    if old is not None:
+        for team, amount in old.teams.items():
+            shard.team_use[team] -= amount
+    view = shard.workers.get(worker)
+    if view is None:
+        return
+    charge = _measure_charge(shard, view, placing)
+    shard.charges[worker] = charge
+    for team, amount in charge.teams.items():
+        shard.team_use[team] = shard.team_use.get(team, none) + amount
+
+
+def _measure_charge(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    placing: list[placement.Decision],
+) -> shards.Charge:
+    none = amounts.Amount()
+    teams: dict[str, amounts.Amount] = {}
+    running: dict[str, int] = {}
+    load = none
+    for task in shard.view.book.started.get(view.id, {}).values():
+        amount = shards.measure_task(shard, task)
+        batch_class = shards.find_class(shard, task)
+        if batch_class is not None:
+            team = batch_class.team
+            teams[team] = teams.get(team, none) + amount
+        running[task.batch_class] = running.get(task.batch_class, 0) + 1
+        load += _predict_use(shard, task.batch_class, amount)
+    state = None
+    if view.capacity is not None and view.instance is not None:
+        state = placement.WorkerState(
+            id=view.id,
+            rack=view.instance.rack,
+            capacity=view.capacity,
+            committed=measure_commitment(shard, view),
+            used=load,
+            running=running,
+        )
+    for decision in placing:
+        key = decision.key
+        teams[key.team] = teams.get(key.team, none) + key.amount
+        if state is not None:
+            use = _predict_use(shard, key.batch_class, key.amount)
+            placement.charge(state, key, use)
+    return shards.Charge(state, teams)
+
+
+def _predict_use(
+    shard: shards.Shard, batch_class: str, amount: amounts.Amount
+) -> amounts.Amount:
+    estimate = shard.learned.get(batch_class)
+    if estimate is None:
+        return amount
+    return estimates.predict_use(estimate, amount)
+
+
+def _count_open(
+    shard: shards.Shard,
+    view: shards.WorkerView,
+    state: placement.WorkerState,
+    now: float,
+) -> int:
+    if not view.fenced or not view.reachable:
+        return 0
+    if not view.listed or view.instance.leaving:
+        return 0
+    running = sum(state.running.values())
+    return suspicion.count_open(
+        shard.settings, shard.record, view.id, running, now
+    )
+
+
+def make_judgement(
+    shard: shards.Shard, used: dict[str, amounts.Amount]
+) -> placement.Judgement:
+    """Makes the functions that placement takes from the shard.
+
+    `used` holds the declared sizes by team and is charged as tasks are placed.
+    """
+    settings = shard.settings
+    none = amounts.Amount()
+    elsewhere: dict[str, amounts.Amount | None] = {}
+
+    def measure_elsewhere(team: str) -> amounts.Amount | None:
+        if team not in elsewhere:
+            elsewhere[team] = _measure_elsewhere(shard, team)
+        return elsewhere[team]
+
+    def allows(key: placement.GroupKey) -> bool:
+        quota = shard.configuration.find_quota(key.team)
+        mine = used.get(key.team, none)
+        measure = functools.partial(measure_elsewhere, key.team)
+        return quotas.allows_start(settings, quota, mine, key.amount, measure)
+
+    def admit(key: placement.GroupKey) -> None:
+        used[key.team] = used.get(key.team, none) + key.amount
+
+    def predict_ratio(worker: placement.WorkerState, batch_class: str) -> float:
+        worst = 0.0
+        for service in worker.services:
+            ratio = interference.predict_ratio(
+                settings, shard.model, service, worker.running
+            )
+            ratio += interference.predict_effect(
+                settings, shard.model, service, batch_class
+            )
+            worst = max(worst, ratio)
+        return worst
+
+    def predict_use(key: placement.GroupKey) -> amounts.Amount:
+        return _predict_use(shard, key.batch_class, key.amount)
+
+    return placement.Judgement(allows, admit, predict_ratio, predict_use)
+
+
+def _measure_elsewhere(shard: shards.Shard, team: str) -> amounts.Amount | None:
+    """Sums what a team runs in all other shards, as far as it is known."""
+    started = shard.list_elsewhere()
+    if started is None:
+        return None
+    total = amounts.Amount()
+    for task in started:
+        batch_class = shards.find_class(shard, task)
+        if batch_class is not None and batch_class.team == team:
+            total += shards.measure_task(shard, task)
+    return total
--- /dev/null
+++ b/plantainvane/dumps.py
@@ -0,0 +1,78 @@
+"""Counts and dumps of owned shards, for metrics and operators."""
+
+from typing import Any
+
+import msgspec
+
+from plantainvane import charges
+from plantainvane import interference
+from plantainvane import metrics
+from plantainvane import shards
+from plantainvane import suspicion
+from plantainvane import workers
+
+DUMP_LIMIT = 200
+
+
+def count_states(shard: shards.Shard) -> metrics.BatchCounts:
+    """Counts attempts, waiting tasks and suspected workers."""
+    counts = metrics.BatchCounts()
+    started = shard.view.book.started
+    counts.attempts["starting"] = len(shard.placing)
+    for worker, tasks_there in started.items():
+        view = shard.workers.get(worker)
+        if view is None or not view.reachable:
+            counts.attempts["unreachable"] += len(tasks_there)
+            continue
+        evicting = len(view.evictions)
+        running = sum(
+            workers.AttemptRef(task.id, task.attempt) in view.listing
+            for task in tasks_there.values()
+        )
+        counts.attempts["evicting"] += evicting
+        counts.attempts["running"] += max(0, running - evicting)
+        counts.attempts["starting"] += len(tasks_there) - running
+    for key, group in shard.state.queue.groups.items():
+        counts.pending[key.priority.value] += len(group)
+    counts.suspected = sum(
+        suspicion.is_suspected(shard.record, worker) for worker in shard.workers
+    )
+    return counts
+
+
+def dump_shard(shard: shards.Shard, now: float) -> dict[str, Any]:
+    """Returns the owner's view of the shard, JSON-ready and bounded."""
+    return {
+        "epoch": shard.epoch,
+        "opened": shard.opened_at is not None,
+        "may_act": shard.claims.holds_shard(shard.number, shard.epoch, now),
+        "draining": shard.draining,
+        "book": shard.view.book.dump_state(now),
+        "placing": len(shard.placing),
+        "workers": {
+            id: _dump_worker(shard, view, now)
+            for id, view in sorted(shard.workers.items())[:DUMP_LIMIT]
+        },
+        "suspicion": suspicion.dump_record(shard.record, now),
+        "interference": interference.dump_model(shard.model),
+    }
+
+
+def _dump_worker(
+    shard: shards.Shard, view: shards.WorkerView, now: float
+) -> dict[str, Any]:
+    committed = charges.measure_commitment(shard, view)
+    return {
+        "reachable": view.reachable,
+        "fenced": view.fenced,
+        "throttled": view.relief.throttled,
+        "attempts": len(view.listing),
+        "evicting": len(view.evictions),
+        "committed": msgspec.to_builtins(committed),
+        "capacity": (
+            msgspec.to_builtins(view.capacity) if view.capacity else None
+        ),
+        "ratios": {
+            name: round(ratio, 3) for name, ratio in view.ratios.items()
+        },
+    }
--- /dev/null
+++ b/plantainvane/rounds.py
@@ -0,0 +1,286 @@
+"""The owner's work for one shard: open, queue, place, snapshot."""
+
+import anyio
+import anyio.abc
+
+from plantainvane import charges
+from plantainvane import documents
+from plantainvane import events
+from plantainvane import instances
+from plantainvane import outcomes
+from plantainvane import placement
+from plantainvane import records
+from plantainvane import shards
+from plantainvane import suspicion
+from plantainvane import tasks
+
+
+async def run_shard(shard: shards.Shard) -> None:
+    """Works for the shard until cancelled: opens it, then places tasks."""
+    with shard.scope:
+        if not await _open_shard(shard):
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(_pass_changes, shard)
+            group.start_soon(_keep_snapshots, shard)
+            while True:
+                sync_workers(shard, group)
+                if shards.may_act(shard):
+                    _sync_queue(shard, group)
+                    if not shard.draining:
+                        _place(shard, group)
+                with anyio.move_on_after(shard.settings.tasks.poll_s):
+                    await shard.wake.wait()
+                shard.wake = anyio.Event()
+
+
+async def _open_shard(shard: shards.Shard) -> bool:
+    """Appends and folds the `open` record, after which older epochs are void.
+
+    Returns:
+      False when a higher epoch is already open.
+    """
+    while True:
+        opened = await shards.append_record(shard, records.ShardOpen)
+        if opened.is_ok():
+            break
+        await anyio.sleep(shard.settings.claims.check_s)
+    book = shard.view.book
+    if book.epoch > shard.epoch:
+        shard.claims.raise_floor(shard.number, book.epoch)
+        shard.stale = True
+        return False
+    shard.opened_at = anyio.current_time()
+    # A snapshot soon after each takeover bounds the age of the newest one.
+    shard.snapshot_at = (
+        shard.opened_at
+        - shard.settings.log.snapshot_age_s
+        + shard.settings.claims.ttl_s
+    )
+    for task in book.list_live():
+        book.touched.add(task.id)
+        for worker in task.failed_on:
+            # What earlier owners saw speaks against the same workers.
+            suspicion.note_failure(
+                shard.settings,
+                shard.record,
+                worker,
+                task.id,
+                task.batch_class,
+                shard.opened_at,
+            )
+    events.log_event(
+        events.SHARD_OPENED,
+        shard=shard.number,
+        epoch=shard.epoch,
+        pending=len(book.pending),
+        started=sum(len(started) for started in book.started.values()),
+    )
+    return True
+
+
+async def _pass_changes(shard: shards.Shard) -> None:
+    """Wakes the shard and the workers concerned at each change."""
+    while True:
+        await shard.view.changed.wait()
+        # Let the fold's other waiters look first.
+        await anyio.sleep(0)
+        shards.wake_shard(shard)
+
+
+async def _keep_snapshots(shard: shards.Shard) -> None:
+    log = shard.settings.log
+    while True:
+        await anyio.sleep(shard.settings.tasks.poll_s)
+        book = shard.view.book
+        due = anyio.current_time() - shard.snapshot_at >= log.snapshot_age_s
+        full = book.records_since_snapshot >= log.snapshot_records
+        if not (due or full) or not shards.may_act(shard):
+            continue
+        through, state = book.encode_state()
+        appended = await shards.append_record(
+            shard, records.ShardSnapshot, through_offset=through, state=state
+        )
+        if appended.is_ok():
+            shard.snapshot_at = anyio.current_time()
+
+
+def sync_workers(shard: shards.Shard, group: anyio.abc.TaskGroup) -> None:
+    """Starts and ends the tasks of workers as the lists change."""
+    listed = shard.list_instances()
+    named = set(listed) | set(shard.view.book.started)
+    for worker in sorted(named - shard.workers.keys()):
+        view = _make_worker_view(shard, worker, listed.get(worker))
+        shard.workers[worker] = view
+        group.start_soon(shard.run_worker, shard, view)
+    for worker, view in list(shard.workers.items()):
+        view.listed = worker in listed
+        if view.listed:
+            view.instance = listed[worker]
+            if view.client is None:
+                view.client = shard.make_client(listed[worker])
+                shard.changed.add(worker)
+        elif worker not in named:
+            view.scope.cancel()
+            del shard.workers[worker]
+    suspicion.retain_workers(shard.record, named)
+
+
+def _make_worker_view(
+    shard: shards.Shard, worker: str, instance: instances.Instance | None
+) -> shards.WorkerView:
+    settings = shard.settings
+    # An earlier owner may go on renewing leases while it cannot read the log.
+    limit = (
+        settings.claims.ttl_s
+        + settings.tasks.outage_renewal_s
+        + settings.tasks.lease_s
+    )
+    return shards.WorkerView(
+        id=worker,
+        instance=instance,
+        client=shard.make_client(instance) if instance is not None else None,
+        default_lease_until=anyio.current_time() + limit,
+    )
+
+
+def _sync_queue(shard: shards.Shard, group: anyio.abc.TaskGroup) -> None:
+    """Brings the queue in line with the book for all touched tasks."""
+    book = shard.view.book
+    if shard.configured != shard.configuration.version:
+        shard.configured = shard.configuration.version
+        shard.state.queue = placement.Queue()
+        shard.changed.update(shard.workers)
+        book.touched.update(book.pending)
+    touched, book.touched = book.touched, set()
+    for id in sorted(touched, key=lambda id: _find_order(book, id)):
+        shard.state.queue.remove(id)
+        shard.misfits.pop(id, None)
+        task = book.pending.get(id)
+        if task is None or id in shard.placing:
+            continue
+        if task.cancelled:
+            outcome = tasks.TaskOutcome.CANCELLED
+            group.start_soon(_finish_waiting, shard, task, outcome, "")
+            continue
+        batch_class = shards.find_class(shard, task)
+        if batch_class is not None:
+            shard.state.queue.add(
+                _make_key(shard, task, batch_class),
+                placement.Waiting(id, task.offset, book.seen_at[id]),
+            )
+        else:
+            shard.misfits[id] = book.seen_at[id]
+    _end_misfits(shard, group)
+
+
+def _find_order(book: tasks.TaskBook, id: str) -> int:
+    task = book.pending.get(id)
+    return task.offset if task is not None else -1
+
+
+def _make_key(
+    shard: shards.Shard, task: tasks.Task, batch_class: documents.BatchClass
+) -> placement.GroupKey:
+    return placement.GroupKey(
+        batch_class=batch_class.name,
+        priority=batch_class.priority,
+        team=batch_class.team,
+        amount=shards.measure_task(shard, task),
+        failed_on=frozenset(task.failed_on),
+    )
+
+
+async def _finish_waiting(
+    shard: shards.Shard,
+    task: tasks.Task,
+    outcome: tasks.TaskOutcome,
+    detail: str,
+) -> None:
+    """Ends a pending task; on failure the next change tries again."""
+    await shards.finish_task(shard, task, outcome, detail)
+    if task.id in shard.view.book.pending:
+        await anyio.sleep(shard.settings.tasks.poll_s)
+        shard.view.book.touched.add(task.id)
+        shards.wake_shard(shard)
+
+
+def _end_misfits(shard: shards.Shard, group: anyio.abc.TaskGroup) -> None:
+    """Ends tasks that can never run on any worker of the shard."""
+    now = anyio.current_time()
+    if now - shard.reviewed_at < shard.settings.tasks.poll_s:
+        return
+    shard.reviewed_at = now
+    limit_s = shard.settings.tasks.impossible_after_s
+    book = shard.view.book
+    views_of_listed = [
+        view for view in shard.workers.values() if view.instance is not None
+    ]
+    all_listed = bool(views_of_listed) and all(
+        view.capacity is not None for view in views_of_listed
+    )
+    for key in list(shard.state.queue.groups):
+        reason = placement.find_misfit(shard.state, key, all_listed)
+        if reason is None:
+            continue
+        for waiting in list(shard.state.queue.groups[key].values()):
+            # The instance list may lag, so the right worker may yet appear.
+            if now - waiting.since < limit_s:
+                continue
+            shard.state.queue.remove(waiting.task)
+            task = book.pending[waiting.task]
+            outcome = (
+                tasks.TaskOutcome.FAILED
+                if key.failed_on
+                else tasks.TaskOutcome.IMPOSSIBLE
+            )
+            group.start_soon(_finish_waiting, shard, task, outcome, reason)
+    for id, since in list(shard.misfits.items()):
+        if now - since >= limit_s and id in book.pending:
+            del shard.misfits[id]
+            outcome = tasks.TaskOutcome.IMPOSSIBLE
+            reason = "the batch class is not in force"
+            group.start_soon(
+                _finish_waiting, shard, book.pending[id], outcome, reason
+            )
+
+
+def _place(shard: shards.Shard, group: anyio.abc.TaskGroup) -> None:
+    if not len(shard.state.queue):
+        return
+    now = anyio.current_time()
+    charges.refresh_charges(shard, now)
+    judgement = charges.make_judgement(shard, dict(shard.team_use))
+    decisions = placement.place_tasks(
+        shard.settings, shard.state, judgement, now
+    )
+    for decision in decisions:
+        shard.placing[decision.task] = decision
+        shard.changed.add(decision.worker)
+        suspicion.note_start(shard.record, decision.worker, decision.task)
+        group.start_soon(_launch, shard, decision)
+
+
+async def _launch(shard: shards.Shard, decision: placement.Decision) -> None:
+    """Records a start; the worker's task sends it once it is folded."""
+    book = shard.view.book
+    task = book.pending.get(decision.task)
+    if task is not None:
+        appended = await shards.append_record(
+            shard,
+            records.TaskStart,
+            task=task.id,
+            attempt=task.attempt + 1,
+            worker=decision.worker,
+        )
+        lost = outcomes.CallFailure.LOST
+        if appended.is_err() and appended.err_value.failure == lost:
+            # It may still take effect and stays charged meanwhile.
+            await anyio.sleep(shard.settings.log.append_limit_s)
+        if task.phase != tasks.TaskPhase.STARTED:
+            suspicion.note_end(shard.record, decision.worker, decision.task)
+    del shard.placing[decision.task]
+    shard.changed.add(decision.worker)
+    book.touched.add(decision.task)
+    shards.wake_worker(shard, decision.worker)
+    shards.wake_shard(shard)
--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -13,6 +13,7 @@
 from plantainvane import attempts
 from plantainvane import claims as claims_module
 from plantainvane import documents
+from plantainvane import dumps
 from plantainvane import events
 from plantainvane import instances
 from plantainvane import log
@@ -20,6 +21,7 @@
 from plantainvane import outcomes
 from plantainvane import readers
 from plantainvane import records
+from plantainvane import rounds
 from plantainvane import settings as settings_module
 from plantainvane import shards
 from plantainvane import tasks
@@ -192,16 +194,16 @@
             "releasing": self._releasing,
             "workers_listed": len(self._instances),
             "shards": {
-                str(number): shards.dump_shard(shard, now)
+                str(number): dumps.dump_shard(shard, now)
                 for number, shard in sorted(self.shards.items())
             },
             "streams": [
                 view.position.dump_state(now)
-                for view in list(self._views.values())[: shards.DUMP_LIMIT]
+                for view in list(self._views.values())[: dumps.DUMP_LIMIT]
             ],
             "writers": [
                 writer.dump_state(now)
-                for writer in list(self._writers.values())[: shards.DUMP_LIMIT]
+                for writer in list(self._writers.values())[: dumps.DUMP_LIMIT]
             ],
         }
 
@@ -258,7 +260,7 @@
         while True:
             metrics.set_batch(
                 len(self.shards),
-                [shards.count_states(s) for s in self.shards.values()],
+                [dumps.count_states(s) for s in self.shards.values()],
             )
             await anyio.sleep(self._settings.claims.renew_s)
 
@@ -343,7 +345,7 @@
         )
         self.shards[number] = shard
         events.log_event(events.CLAIM_WON, shard=number, epoch=epoch)
-        self._group.start_soon(shards.run_shard, shard)
+        self._group.start_soon(rounds.run_shard, shard)
 
     def _drop_shard(self, number: int) -> None:
         shard = self.shards.pop(number)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 import pytest
 
 from plantainvane import amounts
+from plantainvane import charges
 from plantainvane import documents
 from plantainvane import evictions
 from plantainvane import metrics
@@ -756,17 +757,17 @@
     await session.submit(*ids, steps=8)
     while shard.view.book.list_live():
         now = anyio.current_time()
-        shards.refresh_charges(shard, now)
+        charges.refresh_charges(shard, now)
         kept = {id: c.state for id, c in shard.charges.items()}
         team_use = dict(shard.team_use)
         shard.changed.update(shard.workers)
-        shards.refresh_charges(shard, now)
+        charges.refresh_charges(shard, now)
         for id, charge in shard.charges.items():
             assert kept[id].committed == charge.state.committed
             assert kept[id].running == charge.state.running
         assert team_use == shard.team_use
         await anyio.sleep(0.002)
-    shards.refresh_charges(shard, anyio.current_time())
+    charges.refresh_charges(shard, anyio.current_time())
     assert set(shard.team_use.values()) == {amounts.Amount()}
 
 
