--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -628,7 +628,7 @@
 
     async def _pause_sweep(self) -> None:
         """Waits for the next sweep; an idle process needs few."""
-        if self._waiting or self._running:
+        if self._waiting or self._admission.running:
             await anyio.sleep(self._settings.requests.sweep_s)
             return
         self._arrived = anyio.Event()
@@ -715,7 +715,10 @@
                     slot.wake.set()
             silent = now - target.heard_at >= requests.probe_interval_s
             if silent and target.free:
-                slot = self.fleet.take_free(target)
+                # The least recently used one, so that probes go round and
+                # find a silent connection before a request does.
+                slot = target.free[0]
+                self.fleet.remove_free(target, slot)
                 slot.probe_due = True
                 slot.wake.set()
 
