Merge the entry's review loops and poll less often

Two loops of 4 a second looked at readiness and at peers' versions; one of 2 a second does both, and 20 a second only until the process is ready. The instance list is read every 2 s and claims are looked at every 0.2 s. The configuration is fetched over a new connection, since a kept one may have gone silent.

--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -33,7 +33,7 @@
 from plantainvane import writers
 
 # How often the process looks at its own readiness and its peers' versions.
-REVIEW_S = 0.25
+REVIEW_S = 0.5
 METRICS_S = 2.0
 # A peer's configuration is fetched when the own log has not brought that
 # version within this time, which is longer than an append takes to be read.
@@ -235,8 +235,8 @@
         "membership": entry.membership.dump_state(now),
         "peers": entry.peers.dump_state(now),
         "keys": entry.key_book.dump_state(now),
-        "requests": entry.dispatcher.dump_state(now),
-        "tasks": entry.scheduler.dump_state(now),
+        "dispatcher": entry.dispatcher.dump_state(now),
+        "scheduler": entry.scheduler.dump_state(now),
     }
 
 
@@ -279,7 +279,6 @@
     group.start_soon(_run_scheduler, entry)
     group.start_soon(_poll_instances, entry, list_client)
     group.start_soon(_review_entry, entry)
-    group.start_soon(_fetch_configuration, entry)
     group.start_soon(_update_metrics, entry)
 
 
@@ -332,23 +331,37 @@
 
 
 async def _review_entry(entry: Entry) -> None:
-    """Keeps `ready` up to date and tells the peers of a change."""
+    """Keeps `ready` up to date, and the configuration without the log."""
+    behind_since: float | None = None
     while True:
         now = anyio.current_time()
-        ready = is_ready(entry, now)
-        if ready != entry.ready:
-            entry.ready = ready
-            entry.peers.announce()
-            if not entry.draining:
-                events.log_event(
-                    events.PROCESS_READY if ready else events.PROCESS_NOT_READY,
-                    process=entry.settings.id,
-                    uptime_s=round(now - entry.started_at, 3),
-                    config_version=entry.configuration.version,
-                )
-        if ready:
-            entry.was_ready.set()
-        await anyio.sleep(REVIEW_S)
+        _update_ready(entry, now)
+        newest = _find_newer(entry, now)
+        if newest is None:
+            behind_since = None
+        elif behind_since is None:
+            behind_since = now
+        elif now - behind_since >= FETCH_AFTER_S:
+            await _load_configuration(entry, newest)
+        # Until the process is ready, callers wait for it.
+        await anyio.sleep(REVIEW_S if entry.ready else REVIEW_S / 10)
+
+
+def _update_ready(entry: Entry, now: float) -> None:
+    """Tells the peers and the log of a change of readiness."""
+    ready = is_ready(entry, now)
+    if ready:
+        entry.was_ready.set()
+    if ready == entry.ready:
+        return
+    entry.ready = ready
+    entry.peers.announce()
+    events.log_event(
+        events.PROCESS_READY if ready else events.PROCESS_NOT_READY,
+        process=entry.settings.id,
+        uptime_s=round(now - entry.started_at, 3),
+        config_version=entry.configuration.version,
+    )
 
 
 async def _poll_instances(entry: Entry, client: httpx.AsyncClient) -> None:
@@ -384,21 +397,6 @@
         events.log_event(events.RELEASE_FAILED, process=entry.settings.id)
 
 
-async def _fetch_configuration(entry: Entry) -> None:
-    """Takes the configuration from a peer while the log does not bring it."""
-    behind_since: float | None = None
-    while True:
-        now = anyio.current_time()
-        newest = _find_newer(entry, now)
-        if newest is None:
-            behind_since = None
-        elif behind_since is None:
-            behind_since = now
-        elif now - behind_since >= FETCH_AFTER_S:
-            await _load_configuration(entry, newest)
-        await anyio.sleep(REVIEW_S)
-
-
 def _find_newer(entry: Entry, now: float) -> membership_module.Member | None:
     """Returns a peer that knows more of the configuration, if any."""
     newest = entry.membership.find_newest(now)
--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -157,11 +157,11 @@
     @contextlib.asynccontextmanager
     async def _take_connection(self) -> AsyncIterator[_Connection]:
         """Lends a connection; closes it unless a whole exchange was made."""
+        borrower = object()
         try:
-            with anyio.fail_after(self.timeout.pool):
-                await self._limiter.acquire_on_behalf_of(borrower := object())
-        except TimeoutError as error:
-            raise httpx.PoolTimeout("no connection became free") from error
+            self._limiter.acquire_on_behalf_of_nowait(borrower)
+        except anyio.WouldBlock:
+            await self._wait_limiter(borrower)
         try:
             connection = await self._find_idle() or await self._connect()
             try:
@@ -171,6 +171,13 @@
         finally:
             self._limiter.release_on_behalf_of(borrower)
 
+    async def _wait_limiter(self, borrower: object) -> None:
+        try:
+            with anyio.fail_after(self.timeout.pool):
+                await self._limiter.acquire_on_behalf_of(borrower)
+        except TimeoutError as error:
+            raise httpx.PoolTimeout("no connection became free") from error
+
     async def _find_idle(self) -> _Connection | None:
         while self._idle:
             connection = self._idle.pop()
--- a/plantainvane/peers.py
+++ b/plantainvane/peers.py
@@ -148,7 +148,13 @@
     async def fetch_configuration(
         self, member: membership_module.Member, above_version: int
     ) -> result.Result[messages_pb2.ConfigurationState, outcomes.CallError]:
-        """Asks a peer for its configuration if it is above a version."""
+        """Asks a peer for its configuration if it is above a version.
+
+        A kept connection may have gone silent, and waiting for that to show
+        would take most of the 5 s in which a change must be in force.
+        """
+        if (line := self._lines.get(member.id)) is not None:
+            self._retire_line(line, member.id)
         request = messages_pb2.FetchRequest(above_version=above_version)
         return await self._call(
             member,
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -48,8 +48,9 @@
 
     log: str
     instances: str
-    # Leaving targets must get no new work after a few seconds.
-    poll_s: Positive = 1.0
+    # Leaving targets must get no new work after a few seconds; their replies
+    # to probes tell it sooner than the list.
+    poll_s: Positive = 2.0
 
 
 class Log(Struct):
@@ -103,7 +104,7 @@
     # longer than a restart's flapping, which heartbeats show for 3 s to 10 s.
     handover_after_s: Positive = 15.0
     # Period of the look at claims; its delay is part of the 5.3 s above.
-    check_s: Positive = 0.1
+    check_s: Positive = 0.2
     # Longest wait for commands under way before a shard is released.
     release_wait_s: Positive = 2.0
 
