Refuse a start that the worker handles after its task may run elsewhere

Cause: a start sent to a worker that is paused waits in its buffers. The owner requeues the task once the lease must have expired, and the worker, awake again, ran the old start under the same epoch: the task in two places. Change: a listing carries the worker's clock, and a start names the time of that clock (start_valid_s after the listing) from which it is void. The owner counts the lease of a start with a lost reply from that time. The property is listed in workers.py. Ruled out: a wall-clock deadline, which needs synchronised clocks.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -373,7 +373,7 @@
     ]
     size_of_worker = documents.Size(16.0, 60 * 10**9, 1)
     return msgspec.json.encode(
-        workers.Listing("worker-a-0123", size_of_worker, attempts)
+        workers.Listing("worker-a-0123", size_of_worker, attempts, 1e6)
     )
 
 
--- a/plantainvane/attempts.py
+++ b/plantainvane/attempts.py
@@ -98,6 +98,8 @@
 ) -> None:
     first = not view.fenced
     view.listed_at = now
+    view.clock_s = listing.clock_s
+    view.received_at = anyio.current_time()
     view.listing = {
         workers.AttemptRef(listed.task, listed.attempt): listed
         for listed in listing.attempts
@@ -223,10 +225,19 @@
             await shards.finish_task(shard, task, tasks.TaskOutcome.CANCELLED)
         elif not _is_within_capacity(shard, view) and not call.sent:
             await _withhold_start(shard, view, task)
+        elif not _is_recent(shard, view):
+            view.wake.set()
+            return
         elif not await _send_start(shard, view, task, call):
             return
 
 
+def _is_recent(shard: shards.Shard, view: shards.WorkerView) -> bool:
+    """Says whether a start sent now is likely to be handled in time."""
+    age_s = anyio.current_time() - view.received_at
+    return age_s < shard.settings.tasks.start_valid_s / 2
+
+
 def _is_within_capacity(shard: shards.Shard, view: shards.WorkerView) -> bool:
     return charges.measure_commitment(shard, view).fits(view.capacity)
 
@@ -265,6 +276,7 @@
         size=size,
         batch_class=task.batch_class,
         work=task.work,
+        start_before_s=view.clock_s + settings.start_valid_s,
         checkpoint=task.checkpoint,
     )
     # The last check before the command; no await may come in between.
@@ -283,7 +295,9 @@
     metrics.TASK_STARTS.labels(failure.value).inc()
     if failure == outcomes.CallFailure.LOST:
         call.sent, call.lost_at = True, now
-        view.lease_until[ref] = now + settings.lease_s
+        # The worker may handle the command until `start_before_s`.
+        latest = view.received_at + settings.start_valid_s
+        view.lease_until[ref] = latest + settings.lease_s
         view.wake.set()
         return False
     if failure == outcomes.CallFailure.REFUSED and not call.sent:
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -114,6 +114,9 @@
 
     lease_s: Positive = 9.0
     lease_margin_s: Positive = 2.0
+    # A start is void this long after the listing that preceded it, by the
+    # worker's clock; above the time of one call.
+    start_valid_s: Positive = 4.0
     # Time that attempts are renewed past the claim while the log is down.
     outage_renewal_s: Positive = 900.0
     call_timeout_s: Positive = 2.0
--- a/plantainvane/shards.py
+++ b/plantainvane/shards.py
@@ -73,6 +73,8 @@
       listing: Attempts of the newest listing.
       listed_at: Time before the newest successful listing was asked for.
       listed: The instance list names the worker; if not, nothing is started.
+      clock_s: The worker's clock as of that listing.
+      received_at: When the reply with that listing came.
       fenced: The worker was listed with the epoch of this owner.
       reachable: The last listing succeeded.
       capacity: What batch work may commit; None before the first listing.
@@ -93,6 +95,8 @@
         dataclasses.field(default_factory=dict)
     )
     listed_at: float = float("-inf")
+    clock_s: float = 0.0
+    received_at: float = float("-inf")
     listed: bool = True
     fenced: bool = False
     reachable: bool = True
--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -2,14 +2,16 @@
 
 Properties relied on: a worker refuses a start beyond its capacity (this is how
 "guards on" is read); it refuses every command below the highest epoch it has
-seen; a start is idempotent by (task, attempt), also after the attempt ended; an
-attempt whose lease lapses is stopped; the listing keeps ended attempts for
-10 minutes. Without the refusal of lower epochs, a paused owner is held back
-only by the check of its claim before each command.
+seen; a start is idempotent by (task, attempt), also after the attempt ended; a
+start handled after its `start_before_s` is refused; an attempt whose lease
+lapses is stopped; the listing keeps ended attempts for 10 minutes. Without the
+refusal of lower epochs, a paused owner is held back only by the check of its
+claim before each command.
 
 Dialect, HTTP/1.1 with JSON; every request names its sender's process id in
 the header `Client-Id`:
-  POST /attempts       StartCommand  -> 200; 409 {"reason": "capacity"}
+  POST /attempts       StartCommand  -> 200; 409 {"reason": str}, where the
+                       reason is "capacity" or "late"
   POST /renewals       RenewCommand  -> 200 {"renewed": [[task, attempt]...]}
   POST /stops          AttemptsCommand -> 200 (accepted; see the listing)
   POST /checkpoints    AttemptsCommand -> 200 (accepted; see the listing)
@@ -17,7 +19,6 @@
   POST /listing        {"epoch": int} -> 200 Listing (also raises the epoch)
   GET  /usage          200 UsageReport
   412 {"epoch": int}   on any command with a lower epoch
-  Every request names its sender's process id in the header `Client-Id`.
 """
 
 import enum
@@ -51,7 +52,12 @@
 
 
 class StartCommand(msgspec.Struct, frozen=True):
-    """Starts an attempt, from `checkpoint` if one is named."""
+    """Starts an attempt, from `checkpoint` if one is named.
+
+    `start_before_s` is a time of the worker's own clock, as in its listing; a
+    command that is handled later has no effect. Without it, a start that waited
+    in the buffers of a paused worker would run after its task was requeued.
+    """
 
     task: str
     attempt: int
@@ -60,6 +66,7 @@
     size: documents.Size
     batch_class: str
     work: dict[str, Any]
+    start_before_s: float
     checkpoint: str | None = None
 
 
@@ -112,11 +119,15 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All attempts that the worker knows, running or ended."""
+    """All attempts that the worker knows, running or ended.
+
+    `clock_s` is the worker's monotonic clock in seconds.
+    """
 
     worker: str
     size: documents.Size
     attempts: list[ListedAttempt]
+    clock_s: float
 
 
 class AttemptUsage(msgspec.Struct, frozen=True):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -238,11 +238,12 @@
     ref = workers.AttemptRef(command.task, command.attempt)
     if ref in worker.attempts:
         return asgi.make_json_reply(200, {})
-    if worker.gate.current.refuse or not _fits(worker, command.size):
+    reason = _find_refusal(worker, command, now)
+    if reason:
         worker.refused.append(
-            RefusedStart(command.task, command.attempt, "capacity", now)
+            RefusedStart(command.task, command.attempt, reason, now)
         )
-        return asgi.make_json_reply(409, {"reason": "capacity"})
+        return asgi.make_json_reply(409, {"reason": reason})
     attempt = _make_attempt(command, now)
     worker.attempts[ref] = attempt
     worker.entries.append(attempt.entry)
@@ -257,6 +258,16 @@
     return asgi.make_json_reply(200, {})
 
 
+def _find_refusal(
+    worker: Worker, command: workers.StartCommand, now: float
+) -> str:
+    if now > command.start_before_s:
+        return "late"
+    if worker.gate.current.refuse or not _fits(worker, command.size):
+        return "capacity"
+    return ""
+
+
 def _fits(worker: Worker, size: documents.Size) -> bool:
     total = sum_sizes(worker)
     return all(
@@ -337,6 +348,7 @@
         size=documents.Size(),
         batch_class="",
         work={},
+        start_before_s=now,
     )
     attempt = _make_attempt(command, now)
     attempt.entry.ended = now
@@ -372,7 +384,7 @@
     listed = [_list_attempt(attempt) for attempt in worker.attempts.values()]
     settings = worker.settings
     return asgi.make_json_reply(
-        200, workers.Listing(settings.id, settings.size, listed)
+        200, workers.Listing(settings.id, settings.size, listed, now)
     )
 
 
--- a/tests/batch_session.py
+++ b/tests/batch_session.py
@@ -61,6 +61,7 @@
     tasks = {
         "lease_s": 0.45,
         "lease_margin_s": 0.1,
+        "start_valid_s": 0.5,
         "outage_renewal_s": 2.0,
         "poll_s": 0.03,
         "call_timeout_s": 0.3,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -227,6 +227,37 @@
     assert process.scheduler.claims.owners[0].holder == "p1"
 
 
+@batch_session.in_session()
+async def test_a_start_delivered_after_the_lease_expired_is_refused(session):
+    # Guards against a start that waits in the buffers of a paused worker and
+    # runs when the task has long been started elsewhere.
+    session.add_workers("w1")
+    session.add_process("p1")
+    delivered = anyio.Event()
+
+    async def pause(forward):
+        session.cut.add(("p1", "w1"))
+        session.add_workers("w2")
+        session.group.start_soon(deliver, forward)
+        raise httpx.ReadTimeout("the worker is paused")
+
+    async def deliver(forward):
+        await session.wait_for(lambda: find_running(session, "t1"))
+        await forward(forced=True)
+        delivered.set()
+
+    session.interfere(
+        lambda call: (call.target, call.path) == ("w1", "/attempts"), pause
+    )
+    await session.submit("t1", steps=40)
+    with anyio.fail_after(8):
+        await delivered.wait()
+    session.cut.clear()
+    assert await session.wait_outcome("t1") == ["succeeded"]
+    assert [refused.reason for refused in session.list_refused()] == ["late"]
+    assert [run.attempt for run in session.list_runs("t1")] == [2]
+
+
 @batch_session.in_session()
 async def test_an_owner_cut_off_from_a_worker_waits_for_the_lease(session):
     # Guards against a second start while the first may still run.
--- a/tests/test_standin_worker.py
+++ b/tests/test_standin_worker.py
@@ -49,6 +49,7 @@
         size=fields.pop("size", SIZE),
         batch_class="outlook",
         work=fields.pop("work", WORK),
+        start_before_s=fields.pop("start_before_s", 1e12),
         **fields,
     )
 
@@ -128,6 +129,18 @@
         assert [entry.task for entry in audit.refused] == ["t3"]
 
 
+@run_async
+async def test_a_start_handled_too_late_is_refused():
+    """Guards against a start that runs after its task was requeued."""
+    async with open_worker() as client:
+        clock_s = (await workers.list_attempts(client, 1)).unwrap().clock_s
+        late = make_start("t1", start_before_s=clock_s)
+        refused = await workers.start_attempt(client, late)
+        assert refused.err_value.failure is outcomes.CallFailure.REFUSED
+        timely = make_start("t1", start_before_s=clock_s + 60)
+        assert (await workers.start_attempt(client, timely)).is_ok()
+
+
 @run_async
 async def test_lease_lapses_by_the_workers_clock():
     """Guards against an attempt that runs on after its owner is gone."""
