--- a/plantainvane/documents.py
+++ b/plantainvane/documents.py
@@ -53,7 +53,12 @@
 class BatchClass(
     settings.Struct, tag_field="kind", tag="batch_class", kw_only=True
 ):
-    """How batch tasks of one kind run."""
+    """How batch tasks of one kind run.
+
+    An evicted task repeats the steps since its last checkpoint. A class that is
+    not idempotent may declare `checkpoints` only if those have no outside
+    effect before the next checkpoint.
+    """
 
     name: settings.Name
     team: settings.Name
