Give the records of reader tests the present time

Cause: the tests appended records at time 0 of the monotonic clock, which on Linux counts from boot. Once the machine had been up for an hour, the stand-in's retention of 3,600 s removed them, so the verdict depended on the uptime. Change: three appends carry the present monotonic time; the checks are unchanged. Measured: at an uptime of 64 minutes test_readers failed before (time-out in test_reads_pages_in_order_and_then_waits); 16 tests pass after.

--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -1,5 +1,7 @@
 """Tests of standins.log_service and standins.faults, over HTTP."""
 
+import time
+
 import anyio
 import pytest
 
@@ -59,7 +61,7 @@
                     await anyio.sleep(0)
                 await server.switch_faults(blocked_sources=["entry-1"])
                 reply = await log.append_records(server.client, "s", [b"1"])
-                server.state.append_records("s", [b"2"], now=0.0)
+                server.state.append_records("s", [b"2"], now=time.monotonic())
     assert reply.err_value.failure == outcomes.CallFailure.REFUSED
     assert pages[0].err_value.failure == outcomes.CallFailure.REFUSED
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import time
 from typing import Any
 
 import anyio
@@ -68,7 +69,7 @@
         if isinstance(appended[0], records.KeyClaim)
         else STREAM
     )
-    local.state.append_records(stream, encoded, now=0.0).unwrap()
+    local.state.append_records(stream, encoded, now=time.monotonic()).unwrap()
 
 
 def make_change(sequence: int) -> records.ConfigChange:
@@ -189,7 +190,9 @@
 async def test_undecodable_record_is_void():
     """Guards against one foreign record that stops every reader."""
     local = log_server.make_local_log()
-    local.state.append_records(STREAM, [b'{"kind":"new"}', b"7"], now=0.0)
+    local.state.append_records(
+        STREAM, [b'{"kind":"new"}', b"7"], now=time.monotonic()
+    )
     append(local, make_change(1))
     async with follow(local) as follower:
         await follower.wait_until(lambda: follower.ends)
