Give every setting a reason and name the client that the product uses

Cause: reading the settings page as a newcomer, 34 settings had no meaning, one was unused, and annotations named httpx.AsyncClient where the product passes http_client.Client. Change: comments for those settings, default_deadline_s removed, annotations corrected, start_valid_s checked against call_timeout_s. Measured: ruff clean; the tests of settings, style, writers, keys, membership and targets pass.

--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -8,7 +8,6 @@
 
 import anyio
 import anyio.abc
-import httpx
 import msgspec
 
 from plantainvane import asgi
@@ -16,6 +15,7 @@
 from plantainvane import configuration as configuration_module
 from plantainvane import dispatcher as dispatcher_module
 from plantainvane import events
+from plantainvane import http_client
 from plantainvane import instances
 from plantainvane import keys
 from plantainvane import log
@@ -103,7 +103,7 @@
 def make_entry(
     settings: settings_module.Settings,
     identity: writers.Identity,
-    log_client: httpx.AsyncClient,
+    log_client: http_client.Client,
 ) -> Entry:
     """Makes the parts and connects them; none of them runs yet."""
     configuration = configuration_module.Configuration(settings)
@@ -243,8 +243,8 @@
 def _start_parts(
     group: anyio.abc.TaskGroup,
     entry: Entry,
-    log_client: httpx.AsyncClient,
-    list_client: httpx.AsyncClient,
+    log_client: http_client.Client,
+    list_client: http_client.Client,
 ) -> None:
     settings, configuration = entry.settings, entry.configuration
     for part in (
@@ -364,7 +364,7 @@
     )
 
 
-async def _poll_instances(entry: Entry, client: httpx.AsyncClient) -> None:
+async def _poll_instances(entry: Entry, client: http_client.Client) -> None:
     """Follows the platform's instance list; keeps the last one on failure."""
     failing = False
     while True:
--- a/plantainvane/instances.py
+++ b/plantainvane/instances.py
@@ -69,7 +69,7 @@
 
 
 async def fetch_instances(
-    client: httpx.AsyncClient, domain: str
+    client: http_client.Client, domain: str
 ) -> result.Result[list[Instance], outcomes.CallError]:
     """Fetches the instances of one failure domain."""
     try:
--- a/plantainvane/log.py
+++ b/plantainvane/log.py
@@ -64,7 +64,7 @@
 
 
 async def append_records(
-    client: httpx.AsyncClient, stream: str, encoded: list[bytes]
+    client: http_client.Client, stream: str, encoded: list[bytes]
 ) -> result.Result[int, outcomes.CallError]:
     """Appends JSON records to a stream in one call.
 
@@ -94,7 +94,7 @@
 
 
 async def read_records(
-    client: httpx.AsyncClient,
+    client: http_client.Client,
     stream: str,
     from_offset: int,
     wait_s: float = 0.0,
--- a/plantainvane/readers.py
+++ b/plantainvane/readers.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 import anyio
-import httpx
 import msgspec
 
 from plantainvane import events
+from plantainvane import http_client
 from plantainvane import log
 from plantainvane import records
 from plantainvane import settings as settings_module
@@ -97,7 +97,7 @@
 
 async def follow_stream(
     settings: settings_module.Settings,
-    client: httpx.AsyncClient,
+    client: http_client.Client,
     position: Position,
     kind: Any,
     apply: Apply,
@@ -136,7 +136,7 @@
 @dataclasses.dataclass(slots=True)
 class _Reader:
     settings: settings_module.Settings
-    client: httpx.AsyncClient
+    client: http_client.Client
     position: Position
     kind: Any
     apply: Apply
--- a/plantainvane/scheduler.py
+++ b/plantainvane/scheduler.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-import httpx
 import msgspec
 import result
 
@@ -15,6 +14,7 @@
 from plantainvane import documents
 from plantainvane import dumps
 from plantainvane import events
+from plantainvane import http_client
 from plantainvane import instances
 from plantainvane import log
 from plantainvane import metrics
@@ -53,7 +53,7 @@
         settings: settings_module.Settings,
         configuration: Any,
         membership: Any,
-        client: httpx.AsyncClient,
+        client: http_client.Client,
         identity: writers.Identity,
         make_worker_client: Any = workers.make_client,
         make_log_client: Any = log.make_client,
@@ -66,7 +66,7 @@
         self._make_worker_client = make_worker_client
         self._make_log_client = make_log_client
         self._claims_settings = _shorten_calls(settings)
-        self._claims_client: httpx.AsyncClient | None = None
+        self._claims_client: http_client.Client | None = None
         self._instances: dict[str, instances.Instance] = {}
         self._by_shard: dict[int, dict[str, instances.Instance]] = {}
         self._views: dict[tuple[str, int], views.View] = {}
@@ -394,7 +394,7 @@
 
     def _connect_worker(
         self, instance: instances.Instance
-    ) -> httpx.AsyncClient:
+    ) -> http_client.Client:
         return self._make_worker_client(self._settings, instance.address)
 
     def _get_writer(self, stream: str) -> writers.Writer:
--- a/plantainvane/settings.py
+++ b/plantainvane/settings.py
@@ -59,9 +59,14 @@
     # One append per linger and stream; 9 processes at 20 ms stay below the
     # several hundred appends a second that the log takes.
     linger_s: Positive = 0.02
+    # Longest linger, reached while the log refuses appends; urgent starts
+    # need two appends within 5.3 s.
     linger_max_s: Positive = 1.0
+    # Records of one append; bounds the size of a call.
     batch_records: Count = 500
+    # Longest wait for a reply of the log, besides the wait of a long poll.
     call_timeout_s: Positive = 3.0
+    # Longest wait of a long poll; a silent connection is noticed after it.
     poll_wait_s: Positive = 2.0
     # A record absent this long after a lost reply is appended again.
     append_settle_s: Positive = 2.0
@@ -69,6 +74,7 @@
     append_limit_s: Positive = 10.0
     # Records a stream may hold after its last snapshot before the next one.
     snapshot_records: Count = 2000
+    # A snapshot is written at least this often.
     snapshot_age_s: Positive = 600.0
     # Declared by the platform; snapshots and the key window stay below it.
     retention_s: Positive = 3600.0
@@ -77,11 +83,16 @@
 class Membership(Struct):
     """Heartbeats between entry processes."""
 
+    # Within the domain: slots and shards follow the loss of a member after
+    # three of these.
     interval_s: Positive = 1.0
+    # Towards other domains, where only spillover depends on it.
     remote_interval_s: Positive = 2.0
     # Heartbeat intervals of silence.
     suspect_intervals: Count = 3
+    # A member silent for longer is forgotten.
     drop_intervals: Count = 10
+    # Domains are below 1 ms apart; the rest is for busy processes.
     connect_timeout_s: Positive = 1.0
     # Peers held in each other domain; keeps heartbeats within 4 KB/s.
     remote_peers: Count = 2
@@ -95,7 +106,9 @@
     shards: Count = 1
     # Takeover after a crash takes ttl + margin; urgent work has 5.3 s to start.
     ttl_s: Positive = 3.0
+    # Two renewals may fail before a claim lapses.
     renew_s: Positive = 1.0
+    # Allows for clocks that run at different rates and for a late timer.
     margin_s: Positive = 0.5
     # Each further member in rendezvous order waits this much longer; three
     # members without access to the log still leave urgent work 0.8 s.
@@ -112,30 +125,41 @@
 class Tasks(Struct):
     """Leases, placement, pressure and attempts of batch tasks."""
 
+    # Two renewals may fail before a lease expires.
     lease_s: Positive = 9.0
+    # Allows for clocks that run at different rates and for a late stop.
     lease_margin_s: Positive = 2.0
     # A start is void this long after the listing that preceded it, by the
     # worker's clock; above the time of one call.
     start_valid_s: Positive = 4.0
     # Time that attempts are renewed past the claim while the log is down.
     outage_renewal_s: Positive = 900.0
+    # Longest wait for a reply of a worker.
     call_timeout_s: Positive = 2.0
+    # Period in which a worker with attempts is listed.
     poll_s: Positive = 0.5
+    # A task that failed on this many workers has failed.
     max_attempts: Count = 3
     # Distinct tasks that fail on a worker and run elsewhere.
     suspect_failures: Count = 2
+    # Wait of a suspected worker after a failure until its next canary.
     probation_s: Positive = 30.0
     # Ratio of service latency to its target that starts and ends throttling.
     throttle_above: Positive = 1.0
+    # Lower than `throttle_above`, so that a worker does not alternate.
     release_below: Positive = 0.7
+    # Part of their declared processors that throttled attempts keep.
     throttle_share: Fraction = 0.5
+    # Throttling needs this long to show in lagging samples.
     evict_after_s: Positive = 10.0
+    # Calm time before attempts get all their processors back.
     release_after_s: Positive = 5.0
     # Weight of the class prior, in samples, in an interference estimate.
     prior_weight: Positive = 8.0
     # Waiting that raises a task by one priority, up to just below urgent, and
     # after which a task that fits nowhere keeps a worker free for itself.
     aging_s: Positive = 60.0
+    # Ended tasks that a shard remembers; an older id counts as new.
     finished_kept: Count = 2000
     # Samples that an estimate remembers; at one a second, some minutes.
     memory_samples: Count = 200
@@ -151,6 +175,7 @@
     evidence_s: Positive = 600.0
     # Starts handed to one worker, and to all of a shard, in one round.
     starts_per_round: Count = 16
+    # Bounds the time of one round, during which nothing else runs.
     placements_per_round: Count = 200
     # Workers compared for one placement: the best of 16 is on average within
     # the best 6%, and the cost does not grow with the cluster.
@@ -158,7 +183,9 @@
     # Weights in a worker's score, in units of one service's ratio of p99 to
     # target: interference, share of a class in one rack, estimated load.
     interference_weight: Positive = 1.0
+    # Weight of the part of a class that runs in the same rack.
     rack_weight: Positive = 0.2
+    # Weight of the estimated real use of a worker.
     load_weight: Positive = 0.1
     # A task that fits no listed worker ends after this time; instance lists
     # lag by seconds.
@@ -183,6 +210,7 @@
 
     # Properties of a runner, which refuses what exceeds them.
     slots_per_target: Count = 8
+    # What a target accepts from all processes together.
     connections_per_target: Count = 64
     # Slots of this process that long-running classes may not take, as a
     # fraction of all slots it holds.
@@ -198,7 +226,6 @@
     body_limit_bytes: Count = 1_048_576
     # Largest answer taken from a runner, which is held in memory whole.
     answer_limit_bytes: Count = 16_777_216
-    default_deadline_s: Positive = 10.0
     # Callers, entries and runners are about 1 ms apart.
     connect_timeout_s: Positive = 0.5
     # Connections idle for longer are closed; state in between may be gone.
@@ -218,6 +245,7 @@
     eject_failures: Count = 3
     # First delay of an ejected target; it doubles up to the longest.
     eject_base_s: Positive = 1.0
+    # Longest delay of an ejected target.
     eject_max_s: Positive = 30.0
     # Part by which a delay varies both ways, so that processes spread out.
     eject_jitter: Fraction = 0.3
@@ -257,21 +285,28 @@
     # Bounds of the retry hint; the upper one keeps callers from waiting past
     # the end of a short peak.
     hint_min_s: Positive = 0.1
+    # Longest retry hint.
     hint_max_s: Positive = 30.0
     # Request ids remembered to tell apart requests for which callers chose
     # the same id; 4096 take about 0.5 MB.
     recent_ids: Count = 4096
     # Seconds of waiting that raise a request by one priority.
     aging_s: Positive = 5.0
+    # Part of a member's free slots that this process fills between two of its
+    # heartbeats; the other processes fill theirs meanwhile.
     spill_headroom: Fraction = 0.25
 
 
 class Keys(Struct):
     """Idempotency keys of non-idempotent requests."""
 
+    # A request issued earlier is refused; bounds the keys kept.
     window_s: Positive = 600.0
+    # How far a caller's clock may be ahead.
     skew_s: Positive = 5.0
+    # A claim not confirmed by then means "not run".
     claim_timeout_s: Positive = 2.0
+    # Largest answer kept for a repeat of the request.
     answer_bytes: Count = 2048
 
 
@@ -282,6 +317,7 @@
     history_kept: Count = 1000
     # Time for a published change to come back through the log.
     confirm_s: Positive = 5.0
+    # Largest document read from an operator.
     body_limit_bytes: Count = 1_048_576
 
 
@@ -353,6 +389,13 @@
                 "$.claims.renew_s", "must be at most half of $.claims.ttl_s"
             )
         )
+    if settings.tasks.start_valid_s <= settings.tasks.call_timeout_s:
+        faults.append(
+            validation.Fault(
+                "$.tasks.start_valid_s",
+                "must be above $.tasks.call_timeout_s",
+            )
+        )
     if settings.keys.window_s * 2 > settings.log.retention_s:
         faults.append(
             validation.Fault(
--- a/plantainvane/shards.py
+++ b/plantainvane/shards.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-import httpx
 import result
 
 from plantainvane import amounts
@@ -14,6 +13,7 @@
 from plantainvane import documents
 from plantainvane import estimates
 from plantainvane import events
+from plantainvane import http_client
 from plantainvane import instances
 from plantainvane import interference
 from plantainvane import metrics
@@ -89,7 +89,7 @@
 
     id: str
     instance: instances.Instance | None
-    client: httpx.AsyncClient | None
+    client: http_client.Client | None
     default_lease_until: float
     listing: dict[workers.AttemptRef, workers.ListedAttempt] = (
         dataclasses.field(default_factory=dict)
@@ -167,7 +167,7 @@
     view: views.View
     writer: writers.Writer
     list_instances: Callable[[], dict[str, instances.Instance]]
-    make_client: Callable[[instances.Instance], httpx.AsyncClient]
+    make_client: Callable[[instances.Instance], http_client.Client]
     list_elsewhere: Callable[[], list[tasks.Task] | None]
     run_worker: Callable[["Shard", WorkerView], Any]
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
--- a/plantainvane/views.py
+++ b/plantainvane/views.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 import anyio
-import httpx
 
+from plantainvane import http_client
 from plantainvane import readers
 from plantainvane import records
 from plantainvane import settings as settings_module
@@ -40,7 +40,7 @@
 
 
 async def follow_view(
-    settings: settings_module.Settings, client: httpx.AsyncClient, view: View
+    settings: settings_module.Settings, client: http_client.Client, view: View
 ) -> None:
     """Follows the stream until cancelled."""
 
--- a/plantainvane/workers.py
+++ b/plantainvane/workers.py
@@ -179,7 +179,7 @@
 
 
 async def start_attempt(
-    client: httpx.AsyncClient, command: StartCommand
+    client: http_client.Client, command: StartCommand
 ) -> result.Result[None, outcomes.CallError]:
     """Starts an attempt; Err LOST means that it may be running."""
     reply = await _post(client, "/attempts", command)
@@ -187,7 +187,7 @@
 
 
 async def renew_attempts(
-    client: httpx.AsyncClient, command: RenewCommand
+    client: http_client.Client, command: RenewCommand
 ) -> result.Result[list[AttemptRef], outcomes.CallError]:
     """Renews leases and returns the attempts that were renewed."""
     reply = await _post(client, "/renewals", command)
@@ -197,28 +197,28 @@
 
 
 async def stop_attempts(
-    client: httpx.AsyncClient, command: AttemptsCommand
+    client: http_client.Client, command: AttemptsCommand
 ) -> result.Result[None, outcomes.CallError]:
     """Asks the worker to stop attempts; the listing confirms it."""
     return (await _post(client, "/stops", command)).map(lambda _: None)
 
 
 async def checkpoint_attempts(
-    client: httpx.AsyncClient, command: AttemptsCommand
+    client: http_client.Client, command: AttemptsCommand
 ) -> result.Result[None, outcomes.CallError]:
     """Asks the worker to checkpoint attempts; the listing confirms it."""
     return (await _post(client, "/checkpoints", command)).map(lambda _: None)
 
 
 async def throttle_attempts(
-    client: httpx.AsyncClient, command: ThrottleCommand
+    client: http_client.Client, command: ThrottleCommand
 ) -> result.Result[None, outcomes.CallError]:
     """Limits or releases the processors of attempts."""
     return (await _post(client, "/throttles", command)).map(lambda _: None)
 
 
 async def list_attempts(
-    client: httpx.AsyncClient, epoch: int
+    client: http_client.Client, epoch: int
 ) -> result.Result[Listing, outcomes.CallError]:
     """Raises the worker's epoch to `epoch` and lists its attempts."""
     reply = await _post(client, "/listing", {"epoch": epoch})
@@ -226,7 +226,7 @@
 
 
 async def fetch_usage(
-    client: httpx.AsyncClient,
+    client: http_client.Client,
 ) -> result.Result[UsageReport, outcomes.CallError]:
     """Fetches the lagging usage report."""
     try:
@@ -240,7 +240,7 @@
 
 
 async def _post(
-    client: httpx.AsyncClient, path: str, command: Any
+    client: http_client.Client, path: str, command: Any
 ) -> result.Result[bytes, outcomes.CallError]:
     failure = outcomes.CallFailure
     try:
--- a/plantainvane/writers.py
+++ b/plantainvane/writers.py
@@ -10,11 +10,11 @@
 from typing import Any
 
 import anyio
-import httpx
 import msgspec
 import result
 
 from plantainvane import events
+from plantainvane import http_client
 from plantainvane import log
 from plantainvane import outcomes
 from plantainvane import records
@@ -70,7 +70,7 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        client: httpx.AsyncClient,
+        client: http_client.Client,
         identity: Identity,
         stream: str,
     ):
