Print nothing before the demo's first line

Cause: make echoed the recipes, so the JSON line with the processes was not the first output of make demo KEEP=1. Change: the recipes of setup, demo, bench and chaos are not echoed. Measured: the first line of make demo KEEP=1 is the JSON object.

--- a/Makefile
+++ b/Makefile
@@ -9,13 +9,13 @@
 setup: $(VENV)/.installed
 
 $(VENV)/.installed: pyproject.toml requirements.txt
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
-	touch $@
+	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	@$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	@$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
+	@touch $@
 
 demo: setup
-	$(BIN)/python -m standins.demo $(if $(KEEP),--keep)
+	@$(BIN)/python -m standins.demo $(if $(KEEP),--keep)
 
 test: setup
 	$(BIN)/ruff format --check .
@@ -27,10 +27,10 @@
 	$(BIN)/ruff check --fix .
 
 bench: setup
-	$(BIN)/python -m bench
+	@$(BIN)/python -m bench
 
 chaos: setup
-	$(BIN)/python -m standins.chaos --seed $(SEED) --seconds $(SECONDS)
+	@$(BIN)/python -m standins.chaos --seed $(SEED) --seconds $(SECONDS)
 
 # Needs grpcio-tools; the generated modules are committed.
 messages:
