--- a/plantainvane/shards.py
+++ b/plantainvane/shards.py
@@ -258,26 +258,18 @@
     output: Any = None,
 ) -> None:
     """Ends a task; the fold ignores it when the attempt is stale."""
-    if task.id in shard.ending:
-        return
-    shard.ending.add(task.id)
-    try:
-        appended = await append_record(
-            shard,
-            records.TaskFinish,
-            task=task.id,
-            attempt=task.attempt,
-            outcome=outcome.value,
-            detail=detail,
-            output=output,
-        )
-    finally:
-        shard.ending.discard(task.id)
-    if appended.is_ok():
+    ended = await _end_attempt(
+        shard,
+        task,
+        records.TaskFinish,
+        outcome=outcome.value,
+        detail=detail,
+        output=output,
+    )
+    if ended:
         suspicion.forget_task(shard.record, task.id)
         metrics.TASK_ENDS.labels(outcome.value).inc()
         _log_end(shard, task, outcome, detail)
-    wake_shard(shard)
 
 
 async def requeue_task(
@@ -287,23 +279,36 @@
     checkpoint: str | None = None,
 ) -> None:
     """Makes a task pending again after its attempt is known to have ended."""
+    ended = await _end_attempt(
+        shard,
+        task,
+        records.TaskRequeue,
+        cause=cause.value,
+        checkpoint=checkpoint,
+    )
+    if ended:
+        metrics.REQUEUES.labels(cause.value).inc()
+
+
+async def _end_attempt(
+    shard: Shard, task: tasks.Task, kind: type[records.Record], **fields: Any
+) -> bool:
+    """Records the end of a task's attempt unless that is under way already.
+
+    Returns:
+      Whether the record was appended and folded.
+    """
     if task.id in shard.ending:
-        return
+        return False
     shard.ending.add(task.id)
     try:
         appended = await append_record(
-            shard,
-            records.TaskRequeue,
-            task=task.id,
-            attempt=task.attempt,
-            cause=cause.value,
-            checkpoint=checkpoint,
+            shard, kind, task=task.id, attempt=task.attempt, **fields
         )
     finally:
         shard.ending.discard(task.id)
-    if appended.is_ok():
-        metrics.REQUEUES.labels(cause.value).inc()
     wake_shard(shard)
+    return appended.is_ok()
 
 
 def find_class(shard: Shard, task: tasks.Task) -> documents.BatchClass | None:
