--- a/plantainvane/peers.py
+++ b/plantainvane/peers.py
@@ -287,6 +287,7 @@
             with anyio.fail_after(self._settings.membership.connect_timeout_s):
                 await channel.__connect__()
         except BaseException:
+            # Cancellation too: the channel would keep its socket open.
             channel.close()
             raise
         return channel
