Print one table and one JSON line at the end of make bench

Cause: each module printed a JSON line of its own and only some a table. Change: bench/__main__.py prints the figures of every module as it ends and one JSON object with all of them last.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,12 +1,14 @@
 """Runs every measurement module of this package, or those named.
 
 Each has `run_measurements() -> dict`; a module without it is a helper. The
-results are printed as one JSON line each, in the order of the names.
+modules print their tables as they end; the last line is one JSON object with
+all figures by module.
 """
 
 import importlib
 import pkgutil
 import sys
+from typing import Any
 
 import msgspec
 
@@ -18,13 +20,27 @@
     found = sorted(
         module.name for module in pkgutil.iter_modules(bench.__path__)
     )
+    figures = {}
     for name in names or found:
         if name == "__main__":
             continue
         module = importlib.import_module(f"bench.{name}")
         if hasattr(module, "run_measurements"):
-            figures = {"module": name, **module.run_measurements()}
-            print(msgspec.json.encode(figures).decode(), flush=True)
+            figures[name] = module.run_measurements()
+            print(f"{name}:")
+            _print_figures(figures[name], depth=1)
+    print(msgspec.json.encode(figures).decode(), flush=True)
+
+
+def _print_figures(figures: dict[str, Any], depth: int) -> None:
+    """Prints nested figures, one value or flat list a line."""
+    for key, value in figures.items():
+        indent = "  " * depth
+        if isinstance(value, dict):
+            print(f"{indent}{key}:")
+            _print_figures(value, depth + 1)
+        else:
+            print(f"{indent}{key:<32} {value}", flush=True)
 
 
 if __name__ == "__main__":
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -67,7 +67,7 @@
 
 
 def run_measurements() -> dict[str, Any]:
-    """Runs all rows, prints a table and returns it."""
+    """Runs all rows and returns them by name."""
     settings = settings_module.decode_settings(SETTINGS_JSON).ok_value
     rows = [
         *_measure_heartbeats(settings),
@@ -77,7 +77,6 @@
         *_measure_configuration(settings),
         *_measure_keys(settings),
     ]
-    _print_rows(rows)
     return {row.name: dataclasses.asdict(row) for row in rows}
 
 
@@ -599,17 +598,5 @@
     return Row(name, unit, counted, sizes, values, slope, base, spread)
 
 
-def _print_rows(rows: list[Row]) -> None:
-    for row in rows:
-        values = ", ".join(
-            f"{size}: {value:.1f}"
-            for size, value in zip(row.sizes, row.values, strict=True)
-        )
-        print(
-            f"{row.name:32} {row.slope:10.3f} {row.unit} per {row.counted}"
-            f" + {row.base:.0f} [{values}] spread {row.spread:.0%}"
-        )
-
-
 if __name__ == "__main__":
     print(json.dumps(run_measurements()))
