--- a/plantainvane/admission.py
+++ b/plantainvane/admission.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from plantainvane import fleet as fleet_module
-from plantainvane import jobs
+from plantainvane import inflight
 from plantainvane import queues as queues_module
 from plantainvane import routing
 from plantainvane import runtimes
@@ -39,11 +39,11 @@
         self._fleet = fleet
         self._queues = queues
         self._run_times = run_times
-        self.running: set[jobs.Job] = set()
+        self.running: set[inflight.Job] = set()
         self.long_running = 0
 
     def begin_job(
-        self, target: routing.Target, job: jobs.Job, now: float
+        self, target: routing.Target, job: inflight.Job, now: float
     ) -> None:
         """Counts a job that a slot of `target` takes."""
         job.began = now
@@ -53,7 +53,7 @@
         target.in_flight += 1
         self.running.add(job)
 
-    def end_job(self, target: routing.Target, job: jobs.Job) -> None:
+    def end_job(self, target: routing.Target, job: inflight.Job) -> None:
         """Counts a job whose exchange ended."""
         target.in_flight -= 1
         self.running.discard(job)
@@ -61,7 +61,7 @@
         job.run_time.running -= 1
         job.long = False
 
-    def may_run(self, job: jobs.Job) -> bool:
+    def may_run(self, job: inflight.Job) -> bool:
         """Tells whether the limits of the job's class leave it a slot."""
         run_time = job.run_time
         if self._run_times.is_long(run_time):
@@ -82,7 +82,7 @@
         )
         return max(1, int(self._fleet.open_slots * (1.0 - reserved)))
 
-    def find_overload(self, job: jobs.Job, now: float) -> str:
+    def find_overload(self, job: inflight.Job, now: float) -> str:
         """Returns why `job` would miss its deadline; empty if it would not."""
         name = job.service_class.name
         if not self._fleet.targets_by_class[name]:
@@ -95,7 +95,7 @@
         needed_s = queues_module.get_needed_time(job)
         return "overload" if self.estimate_wait(job) + needed_s > left_s else ""
 
-    def estimate_wait(self, job: jobs.Job) -> float:
+    def estimate_wait(self, job: inflight.Job) -> float:
         """Returns the expected wait in the queue in seconds.
 
         Long-running classes wait for their part of the slots, the others for
@@ -117,7 +117,7 @@
         return (ahead_s + job.run_time.mean_s) / usable
 
     def make_hint(
-        self, job: jobs.Job, now: float, draw: Callable[[], float]
+        self, job: inflight.Job, now: float, draw: Callable[[], float]
     ) -> float:
         """Returns the seconds after which the queue should have room.
 
--- a/plantainvane/connections.py
+++ b/plantainvane/connections.py
@@ -7,7 +7,7 @@
 import anyio
 
 from plantainvane import ejection
-from plantainvane import jobs
+from plantainvane import inflight
 from plantainvane import routing
 from plantainvane import settings as settings_module
 from plantainvane import targets
@@ -33,7 +33,7 @@
     target: routing.Target
     number: int
     wake: anyio.Event
-    job: jobs.Job | None = None
+    job: inflight.Job | None = None
     connection: targets.Connection | None = None
     idle_since: float = 0.0
     probe_due: bool = False
@@ -58,9 +58,9 @@
 
     clock: Callable[[], float]
     keep_slot: Callable[[Slot], bool]
-    take_job: Callable[[Slot], jobs.Job | None]
-    get_timeout: Callable[[jobs.Job, float], float]
-    settle_job: Callable[[Slot, jobs.Job, targets.Reply, float], None]
+    take_job: Callable[[Slot], inflight.Job | None]
+    get_timeout: Callable[[inflight.Job, float], float]
+    settle_job: Callable[[Slot, inflight.Job, targets.Reply, float], None]
     note_reply: Callable[[Slot, targets.Reply], None]
     note_failure: Callable[[Slot, int], None]
     count_open: Callable[[Slot, int], None]
@@ -150,7 +150,7 @@
     settings: settings_module.Settings,
     slot: Slot,
     calls: Calls,
-    job: jobs.Job,
+    job: inflight.Job,
 ) -> None:
     connection = slot.connection
     began = calls.clock()
--- a/plantainvane/dispatcher.py
+++ b/plantainvane/dispatcher.py
@@ -21,8 +21,8 @@
 from plantainvane import ejection
 from plantainvane import events
 from plantainvane import fleet as fleet_module
+from plantainvane import inflight
 from plantainvane import instances
-from plantainvane import jobs
 from plantainvane import metrics
 from plantainvane import outcomes
 from plantainvane import queues as queues_module
@@ -33,9 +33,9 @@
 from plantainvane import slots
 from plantainvane import targets
 
-Request = jobs.Request
+Request = inflight.Request
 # forward(member, request, deadline_s) sends a request to a peer.
-Forward = Callable[[Any, jobs.Request, float], Awaitable[outcomes.Answer]]
+Forward = Callable[[Any, inflight.Request, float], Awaitable[outcomes.Answer]]
 
 _HOUSEKEEPING_S = 1.0  # Longest period of the checks of all targets.
 _LOG_PAUSE_S = 10.0  # One line of a flood is enough for the person on call.
@@ -125,7 +125,7 @@
                     self._finish_unanswered(ticket, "shutdown", "")
 
     async def handle_request(
-        self, request: jobs.Request, now: float
+        self, request: inflight.Request, now: float
     ) -> outcomes.Answer:
         """Runs one request and returns what is known about it.
 
@@ -214,15 +214,15 @@
 
     def _make_job(
         self,
-        request: jobs.Request,
+        request: inflight.Request,
         service_class: documents.ServiceClass,
         now: float,
-    ) -> jobs.Job:
+    ) -> inflight.Job:
         limit_s = service_class.deadline_ms / 1000
         wanted_s = request.deadline_s
         if wanted_s is not None and wanted_s < limit_s:
             limit_s = wanted_s
-        return jobs.Job(
+        return inflight.Job(
             service_class=service_class,
             rank=queues_module.RANKS[service_class.priority],
             deadline=now + limit_s,
@@ -248,7 +248,7 @@
             recent.popitem(last=False)
         return request_id
 
-    async def _run_job(self, job: jobs.Job, now: float) -> None:
+    async def _run_job(self, job: inflight.Job, now: float) -> None:
         refusal = self._find_refusal(job)
         if refusal is not None:
             job.answer = refusal
@@ -270,7 +270,7 @@
             with anyio.move_on_after(self._settings.keys.claim_timeout_s):
                 await job.recorded.wait()
 
-    def _find_refusal(self, job: jobs.Job) -> outcomes.Answer | None:
+    def _find_refusal(self, job: inflight.Job) -> outcomes.Answer | None:
         request = job.request
         limit = job.service_class.body_limit_bytes
         if not self.is_serving():
@@ -293,7 +293,7 @@
             return self._make_shed_answer(job, reason, job.arrived)
         return None
 
-    async def _claim_key(self, job: jobs.Job) -> None:
+    async def _claim_key(self, job: inflight.Job) -> None:
         request = job.request
         # A claim cut off half-way would hold the key without a request.
         with anyio.CancelScope(shield=True):
@@ -310,7 +310,7 @@
 
     # Admission.
 
-    def _admit_job(self, job: jobs.Job, now: float) -> Any | None:
+    def _admit_job(self, job: inflight.Job, now: float) -> Any | None:
         """Places, queues or sheds a job; returns a member to spill it to."""
         if self._place_job(job, now):
             return None
@@ -331,7 +331,7 @@
         self._queues.push_ticket(job)
         return None
 
-    def _place_job(self, job: jobs.Job, now: float) -> bool:
+    def _place_job(self, job: inflight.Job, now: float) -> bool:
         """Hands the job to an idle slot if the policy lets it run now."""
         name = job.service_class.name
         candidates = self.fleet.free.list_targets(name)
@@ -348,12 +348,12 @@
         slot.wake.set()
         return True
 
-    def _find_headroom(self, job: jobs.Job, now: float) -> Any | None:
+    def _find_headroom(self, job: inflight.Job, now: float) -> Any | None:
         if self._forward is None or job.deadline <= now:
             return None
         return self._membership.find_headroom(job.service_class.name, now)
 
-    async def _spill_job(self, job: jobs.Job, member: Any) -> None:
+    async def _spill_job(self, job: inflight.Job, member: Any) -> None:
         left_s = job.deadline - self._clock()
         # A cancelled call may have reached the peer.
         job.maybe_run = True
@@ -371,7 +371,7 @@
 
     # Slots.
 
-    def _take_job(self, slot: connections.Slot) -> jobs.Job | None:
+    def _take_job(self, slot: connections.Slot) -> inflight.Job | None:
         now = self._clock()
         if self._queues.total:
             self._shed_late(now)
@@ -387,7 +387,7 @@
         self.fleet.add_free(slot.target, slot)
         return None
 
-    def _suits_target(self, job: jobs.Job, target: routing.Target) -> bool:
+    def _suits_target(self, job: inflight.Job, target: routing.Target) -> bool:
         name = job.service_class.name
         if name not in target.instance.classes or not self._admission.may_run(
             job
@@ -415,7 +415,7 @@
     def _count_open(self, slot: connections.Slot, change: int) -> None:
         self.fleet.count_open(slot.target, change)
 
-    def _get_timeout(self, job: jobs.Job, now: float) -> float:
+    def _get_timeout(self, job: inflight.Job, now: float) -> float:
         """Returns the longest wait for a reply in seconds.
 
         Silence ends an exchange early only if the request may be tried again:
@@ -437,7 +437,7 @@
     def _settle_job(
         self,
         slot: connections.Slot,
-        job: jobs.Job,
+        job: inflight.Job,
         reply: targets.Reply,
         began: float,
     ) -> None:
@@ -466,7 +466,11 @@
             self._check_drained()
 
     def _note_answer(
-        self, target: routing.Target, job: jobs.Job, run_s: float, now: float
+        self,
+        target: routing.Target,
+        job: inflight.Job,
+        run_s: float,
+        now: float,
     ) -> None:
         run_time = job.run_time
         ratio = run_s / max(run_time.median_s, 1e-6)
@@ -480,7 +484,7 @@
     def _note_bad_reply(
         self,
         slot: connections.Slot,
-        job: jobs.Job,
+        job: inflight.Job,
         reply: targets.Reply,
         run_s: float,
         now: float,
@@ -506,7 +510,7 @@
         job.avoid.add(target.instance.id)
 
     def _retry_job(
-        self, job: jobs.Job, reply: targets.Reply, now: float
+        self, job: inflight.Job, reply: targets.Reply, now: float
     ) -> None:
         """Tries the job again or ends it, after an attempt without answer."""
         if reply.kind is targets.ReplyKind.UNKNOWN:
@@ -523,7 +527,7 @@
         self._queues.push_ticket(job)
 
     def _find_retry_obstacle(
-        self, job: jobs.Job, reply: targets.Reply, now: float
+        self, job: inflight.Job, reply: targets.Reply, now: float
     ) -> str:
         if self._closing:
             return "shutdown"
@@ -546,7 +550,7 @@
         metrics.RETRIES.labels(_name_reason(reply.reason)).inc()
         return ""
 
-    def _finish_job(self, job: jobs.Job, answer: outcomes.Answer) -> None:
+    def _finish_job(self, job: inflight.Job, answer: outcomes.Answer) -> None:
         if job.answer is not None:
             return
         job.answer = answer
@@ -554,7 +558,9 @@
         if job.keyed:
             self._record_outcome(job, answer)
 
-    def _record_outcome(self, job: jobs.Job, answer: outcomes.Answer) -> None:
+    def _record_outcome(
+        self, job: inflight.Job, answer: outcomes.Answer
+    ) -> None:
         async def record() -> None:
             try:
                 await self._key_book.finish_key(job.request.key, answer)
@@ -570,7 +576,7 @@
         self._group.start_soon(record)
 
     def _finish_unanswered(
-        self, job: jobs.Job, reason: str, detail: str
+        self, job: inflight.Job, reason: str, detail: str
     ) -> None:
         """Ends a job without answer: unknown if it may have run."""
         hint = self._settings.requests.hint_min_s
@@ -585,7 +591,7 @@
             answer = _make_not_run(reason, detail, hint, job.attempts)
         self._finish_job(job, answer)
 
-    def _give_up(self, job: jobs.Job) -> None:
+    def _give_up(self, job: inflight.Job) -> None:
         """Ends a job whose caller's task was cancelled.
 
         An exchange in flight goes on, so its connection stays usable and the
@@ -599,11 +605,11 @@
 
     # Load shedding.
 
-    def _shed_job(self, job: jobs.Job, reason: str, now: float) -> None:
+    def _shed_job(self, job: inflight.Job, reason: str, now: float) -> None:
         self._finish_job(job, self._make_shed_answer(job, reason, now))
 
     def _make_shed_answer(
-        self, job: jobs.Job, reason: str, now: float
+        self, job: inflight.Job, reason: str, now: float
     ) -> outcomes.Answer:
         name = job.service_class.name
         metrics.SHEDS.labels(name, reason).inc()
@@ -754,7 +760,7 @@
         for name in self._queues.list_names():
             metrics.QUEUED.labels(name).set(self._queues.count_queued(name))
 
-    def _count_answer(self, job: jobs.Job) -> None:
+    def _count_answer(self, job: inflight.Job) -> None:
         name = job.service_class.name
         metrics.count_request(
             name, job.answer.outcome.value, self._clock() - job.arrived
--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -1,7 +1,7 @@
 """Numbered log events; docs/events.md is the catalogue for operators.
 
 Numbers: 1xx log streams, 2xx configuration, 3xx membership, 4xx claims,
-5xx tasks, 6xx requests, 7xx process. A number is never used again.
+5xx tasks, 6xx requests, 7xx process, 8xx jobs. A number is never used again.
 """
 
 import dataclasses
@@ -131,3 +131,31 @@
 CONFIG_FETCH_INVALID = Event(711, "config_fetch_invalid", Level.ERROR)
 LIBRARY_MESSAGE = Event(712, "library_message", Level.WARNING)
 RELEASE_FAILED = Event(713, "release_failed", Level.WARNING)
+
+JOB_ACCEPTED = Event(801, "job_accepted", Level.INFO)
+JOB_REFUSED = Event(802, "job_refused", Level.WARNING)
+JOB_UNKNOWN_OUTCOME = Event(803, "job_unknown_outcome", Level.WARNING)
+JOB_LOADED = Event(804, "job_loaded", Level.INFO)
+JOB_CANCELLED = Event(805, "job_cancelled", Level.INFO)
+JOB_ENDED = Event(806, "job_ended", Level.INFO)
+TASK_ORDERED = Event(811, "task_ordered", Level.INFO)
+TASK_ENDED = Event(812, "task_ended", Level.INFO)
+TASK_STOPPED = Event(813, "task_stopped", Level.INFO)
+TASK_LOST = Event(814, "task_lost", Level.WARNING)
+QUESTION_FAILED = Event(816, "question_failed", Level.WARNING)
+RUNNER_ADDED = Event(821, "runner_added", Level.INFO)
+RUNNER_DRAINING = Event(822, "runner_draining", Level.INFO)
+RUNNER_UNLISTED = Event(823, "runner_unlisted", Level.INFO)
+RUNNER_RESTARTED = Event(824, "runner_restarted", Level.WARNING)
+RUNNER_SILENT = Event(825, "runner_silent", Level.WARNING)
+RUNNER_HEARD = Event(826, "runner_heard", Level.INFO)
+CLAIM_STARTED = Event(831, "claim_started", Level.INFO)
+CLAIM_DECIDED = Event(832, "claim_decided", Level.INFO)
+OWNER_RECOVERED = Event(833, "owner_recovered", Level.INFO)
+OWNER_FENCED = Event(834, "owner_fenced", Level.WARNING)
+OWNER_RELEASED = Event(835, "owner_released", Level.INFO)
+STORE_LOST = Event(841, "store_lost", Level.WARNING)
+STORE_REGAINED = Event(842, "store_regained", Level.INFO)
+QUEUES_CHANGED = Event(843, "queues_changed", Level.INFO)
+SETTINGS_RELOADED = Event(844, "settings_reloaded", Level.INFO)
+DOCUMENT_UNDECODABLE = Event(845, "document_undecodable", Level.ERROR)
--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -120,6 +120,7 @@
         content: bytes = b"",
         json: Any = None,
         timeout: float | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Reply:
         """Sends a POST request, once.
 
@@ -131,15 +132,24 @@
         """
         if json is not None:
             content = msgspec.json.encode(json)
-        return await self._call("POST", path, content, timeout)
+        return await self._call("POST", path, content, timeout, headers)
 
     async def _call(
-        self, method: str, path: str, body: bytes, timeout_s: float | None
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float | None,
+        headers: dict[str, str] | None = None,
     ) -> Reply:
         request = h11.Request(
             method=method,
             target=path,
-            headers=[*self.headers.items(), ("Content-Length", str(len(body)))],
+            headers=[
+                *self.headers.items(),
+                *(headers or {}).items(),
+                ("Content-Length", str(len(body))),
+            ],
         )
         async with self._take_connection() as connection:
             try:
--- /dev/null
+++ b/plantainvane/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: steps of tasks that runners execute under leases."""
--- /dev/null
+++ b/plantainvane/jobs/intake.py
@@ -0,0 +1,167 @@
+"""What callers ask of any entry process: submit, state, cancel, pending.
+
+A submission is answered as accepted only after its job is stored. All other
+questions are answered by the owner.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+
+import anyio
+import msgspec
+
+from plantainvane import events
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import clock
+from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import metrics
+from plantainvane.jobs import model
+from plantainvane.jobs import owner as owner_module
+from plantainvane.jobs import peers
+from plantainvane.jobs import settings as settings_module
+
+_ENCODER = msgspec.json.Encoder()
+_ASK_RETRY_S = 0.06
+# Left of the caller's deadline for the answer to reach it.
+_ANSWER_S = 0.25
+
+
+class Outcome(enum.StrEnum):
+    """Answer to a caller.
+
+    ACCEPTED: the job is stored. NOT_RUN: it is not and never will be.
+    UNKNOWN: it may be. MISSING: no such job or queue. DONE: answered.
+    """
+
+    ACCEPTED = "accepted"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    MISSING = "missing"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Intake:
+    """State of the caller side of a process.
+
+    Attributes:
+      journal: Writes accepted jobs.
+      ask_owner: Sends a question to the owner, None without an answer.
+    """
+
+    settings: settings_module.Settings
+    journal: journal_module.Journal
+    ask_owner: Callable[[peers.Ask], Awaitable[peers.Told | None]]
+
+
+async def submit_job(
+    intake: Intake, job: model.Job, deadline_s: float
+) -> Outcome:
+    """Stores a job; repeating a submission is harmless."""
+    started = clock.read_now()
+    outcome, why = await _store_job(intake, job, deadline_s)
+    took_s = clock.read_now() - started
+    metrics.SUBMISSIONS.labels(outcome.value).inc()
+    metrics.SUBMISSION_SECONDS.observe(took_s)
+    event = {
+        Outcome.ACCEPTED: events.JOB_ACCEPTED,
+        Outcome.NOT_RUN: events.JOB_REFUSED,
+        Outcome.UNKNOWN: events.JOB_UNKNOWN_OUTCOME,
+    }[outcome]
+    events.log_event(
+        event,
+        job=job.id,
+        queue=job.queue,
+        took_ms=int(took_s * 1000),
+        reason=why,
+        store_failing=intake.journal.health.failing_since is not None,
+    )
+    return outcome
+
+
+async def _store_job(
+    intake: Intake, job: model.Job, deadline_s: float
+) -> tuple[Outcome, str]:
+    journal = intake.journal
+    if journal.stuck_since is not None:
+        # The append under way has failed once; this job has not been sent.
+        return Outcome.NOT_RUN, "log unreachable"
+    record = (job.id, _ENCODER.encode(job))
+    batch = journal.add([record])
+    limit_s = max(0.1, deadline_s - _ANSWER_S)
+    with anyio.move_on_after(limit_s):
+        while True:
+            with anyio.move_on_after(0.05):
+                await batch.stored.wait()
+            if batch.stored.is_set():
+                return Outcome.ACCEPTED, ""
+            stuck = journal.stuck_since is not None
+            if stuck and journal.withdraw(batch, record):
+                return Outcome.NOT_RUN, "log unreachable"
+    if journal.withdraw(batch, record):
+        return Outcome.NOT_RUN, "deadline"
+    return Outcome.UNKNOWN, "append not answered"
+
+
+async def ask(
+    intake: Intake, what: str, subject: str, deadline_s: float
+) -> tuple[Outcome, peers.Told]:
+    """Asks the owner, for as long as the caller's deadline allows."""
+    limit_s = min(intake.settings.owner_wait_s, deadline_s - _ANSWER_S)
+    told: peers.Told | None = None
+    with anyio.move_on_after(max(0.1, limit_s)):
+        while told is None:
+            told = await intake.ask_owner(peers.Ask(what, subject))
+            if told is None:
+                await anyio.sleep(_ASK_RETRY_S)
+    if told is None:
+        metrics.QUESTIONS.labels(what, "failed").inc()
+        events.log_event(
+            events.QUESTION_FAILED, what=what, subject=subject, reason="owner"
+        )
+        return Outcome.NOT_RUN, peers.Told()
+    outcome = Outcome.DONE if told.known else Outcome.MISSING
+    metrics.QUESTIONS.labels(what, outcome.value).inc()
+    return outcome, told
+
+
+async def answer_question(
+    owner: owner_module.Owner, question: peers.Ask
+) -> peers.Told:
+    """Answers as the owner; a refusal to answer has `owner` False."""
+    if not owner.recovered:
+        return peers.Told(owner=False)
+    if question.what == "pending":
+        return peers.Told(
+            known=True, count=owner.book.count_pending(question.subject)
+        )
+    state = owner.book.jobs.get(question.subject)
+    if state is None:
+        # It may have been stored a moment ago by another process.
+        if not await owner_module.read_jobs(owner, 0):
+            return peers.Told(owner=False)
+        state = owner.book.jobs.get(question.subject)
+        if state is None:
+            return peers.Told()
+    if question.what == "cancel":
+        return await _cancel(owner, state)
+    return peers.Told(known=True, state=book_module.describe_state(state))
+
+
+async def _cancel(
+    owner: owner_module.Owner, state: book_module.JobState
+) -> peers.Told:
+    if not state.ended:
+        owner.book.cancel_job(state, clock.read_wall_ms())
+        events.log_event(
+            events.JOB_CANCELLED,
+            job=state.job.id,
+            queue=state.job.queue,
+            epoch=owner.epoch,
+        )
+        owner.poke()
+    if not state.stored_ended:
+        await owner.journal.flush()
+    return peers.Told(known=True, state=book_module.describe_state(state))
--- /dev/null
+++ b/plantainvane/jobs/journal.py
@@ -0,0 +1,172 @@
+"""Group commit to one topic of the log, with lost answers resolved."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import anyio
+
+from plantainvane import events
+from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import settings as settings_module
+
+# Records of one append stay below the platform's limit of 2 MiB.
+_BATCH_BYTES = 1_000_000
+
+Record = tuple[str, bytes | None]
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """Contact of this process with the log.
+
+    Attributes:
+      answered_at: When a call was last answered.
+      failing_since: When calls began to fail, or None.
+      latency_s: Moving average of the time that an append takes.
+    """
+
+    answered_at: float = float("-inf")
+    failing_since: float | None = None
+    latency_s: float = 0.02
+
+    def note_answer(self, took_s: float, now: float) -> None:
+        """Notes an answered call."""
+        if self.failing_since is not None:
+            events.log_event(
+                events.STORE_REGAINED, lost_s=round(now - self.failing_since, 3)
+            )
+        self.answered_at, self.failing_since = now, None
+        self.latency_s += 0.2 * (took_s - self.latency_s)
+
+    def note_failure(self, detail: str, now: float) -> None:
+        """Notes a call without a usable answer."""
+        if self.failing_since is None:
+            self.failing_since = now
+            events.log_event(events.STORE_LOST, detail=detail)
+
+    def choose_timeout(self, settings: settings_module.Settings) -> float:
+        """Time to wait for an answer; a slow log gets more."""
+        return min(
+            settings.store_timeout_max_s,
+            max(settings.store_timeout_s, 6 * self.latency_s),
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """Records that go into one append; `stored` is set when they are."""
+
+    records: list[Record] = dataclasses.field(default_factory=list)
+    stored: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    sent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Journal:
+    """Writes records to one topic as one producer.
+
+    Attributes:
+      collect: Adds records at the last moment before an append.
+      fenced: A producer with a higher epoch took over.
+      stuck_since: When the append under way first went unanswered, or None.
+    """
+
+    settings: settings_module.Settings
+    store: interfaces.Store
+    health: Health
+    topic: str
+    producer: str
+    epoch: int
+    collect: Callable[[], list[Record]] | None = None
+    on_stored: Callable[[], None] | None = None
+    sequence: int = 0
+    fenced: bool = False
+    stuck_since: float | None = None
+    _open: Batch = dataclasses.field(default_factory=Batch)
+    _wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def add(self, records: list[Record]) -> Batch:
+        """Adds records to the next append and returns its batch."""
+        self._open.records.extend(records)
+        self._wake.set()
+        return self._open
+
+    def withdraw(self, batch: Batch, record: Record) -> bool:
+        """Removes a record that was not sent; tells whether it could."""
+        if batch.sent:
+            return False
+        batch.records.remove(record)
+        return True
+
+    async def flush(self) -> None:
+        """Waits until everything added or collectable now is stored."""
+        await self.add([]).stored.wait()
+
+    async def run(self) -> None:
+        """Appends batches until cancelled or fenced."""
+        while not self.fenced:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            batch, self._open = self._open, Batch()
+            if self.collect is not None:
+                batch.records.extend(self.collect())
+            batch.sent = True
+            for part in _split_records(batch.records):
+                await self._append(part)
+                if self.fenced:
+                    return
+            if self.on_stored is not None and batch.records:
+                self.on_stored()
+            batch.stored.set()
+
+    async def open_epoch(self) -> bool:
+        """Fences older producers; tells whether ours is the highest."""
+        await self._append([])
+        return not self.fenced
+
+    async def _append(self, records: list[Record]) -> None:
+        while True:
+            started = clock.read_now()
+            appended = await self.store.append(
+                self.topic,
+                records,
+                self.health.choose_timeout(self.settings),
+                interfaces.Producer(self.producer, self.epoch, self.sequence),
+            )
+            now = clock.read_now()
+            if appended.is_ok():
+                self.health.note_answer(now - started, now)
+                answer = appended.ok_value
+                if answer.fenced:
+                    self.fenced = True
+                    return
+                if answer.next_sequence < 0 or (
+                    answer.next_sequence == self.sequence + 1
+                ):
+                    self.stuck_since = None
+                    self.sequence += bool(records)
+                    return
+                self.sequence = answer.next_sequence
+                continue
+            self.health.note_failure(str(appended.err_value.detail), now)
+            if self.stuck_since is None:
+                self.stuck_since = now
+            # Spreads the return of many writers after an outage.
+            await anyio.sleep(
+                self.settings.store_retry_s * (0.5 + random.random())
+            )
+
+
+def _split_records(records: list[Record]) -> list[list[Record]]:
+    parts: list[list[Record]] = []
+    size = _BATCH_BYTES
+    for record in records:
+        length = len(record[1] or b"") + len(record[0]) + 5
+        if size + length > _BATCH_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(record)
+        size += length
+    return parts
--- /dev/null
+++ b/plantainvane/jobs/metrics.py
@@ -0,0 +1,63 @@
+"""Prometheus metrics of the job scheduler; every label set is bounded."""
+
+import prometheus_client
+
+SUBMISSIONS = prometheus_client.Counter(
+    "plantainvane_job_submissions_total",
+    "Submitted jobs by outcome.",
+    ["outcome"],
+)
+SUBMISSION_SECONDS = prometheus_client.Histogram(
+    "plantainvane_job_submission_seconds",
+    "Time from a submission to its answer.",
+)
+QUESTIONS = prometheus_client.Counter(
+    "plantainvane_job_questions_total",
+    "Questions of callers about jobs, by kind and outcome.",
+    ["what", "outcome"],
+)
+JOBS_ENDED = prometheus_client.Counter(
+    "plantainvane_jobs_ended_total", "Jobs whose end is stored.", ["outcome"]
+)
+STARTS = prometheus_client.Counter(
+    "plantainvane_job_task_starts_total",
+    "Orders to start a task, by the runner's answer.",
+    ["outcome"],
+)
+ENDS = prometheus_client.Counter(
+    "plantainvane_job_task_ends_total",
+    "Ends of attempts, by how they ended.",
+    ["how"],
+)
+PACES = prometheus_client.Counter(
+    "plantainvane_job_paces_total",
+    "Orders that pace a filling task, by the runner's answer.",
+    ["outcome"],
+)
+LOOKS = prometheus_client.Counter(
+    "plantainvane_runner_looks_total",
+    "Looks at runners, by outcome.",
+    ["outcome"],
+)
+CLAIMS = prometheus_client.Counter(
+    "plantainvane_job_claims_total",
+    "Attempts to become the owner, by outcome.",
+    ["outcome"],
+)
+TAKEOVER_SECONDS = prometheus_client.Histogram(
+    "plantainvane_takeover_seconds",
+    "Time from a won claim to the first scheduling pass.",
+)
+STORE_CALLS = prometheus_client.Counter(
+    "plantainvane_store_calls_total",
+    "Calls to the platform's log, by call and outcome.",
+    ["call", "outcome"],
+)
+CONFIGURATION = prometheus_client.Gauge(
+    "plantainvane_queue_configuration_version",
+    "Version of the queue configuration in force.",
+)
+EVENTS_DROPPED = prometheus_client.Counter(
+    "plantainvane_events_dropped_total",
+    "Log lines dropped as the reader of standard output was too slow.",
+)
--- /dev/null
+++ b/plantainvane/jobs/orders.py
@@ -0,0 +1,266 @@
+"""Orders to runners: start, stop and pace attempts, and resolve lost answers.
+
+A start without an answer may still be carried out. It is repeated, then
+stopped, and stays charged until one of these is answered, a later look shows
+the attempt, or every lease on the runner has surely expired.
+"""
+
+from typing import Any
+
+import anyio
+
+from plantainvane import events
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import metrics
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+
+# After a rejected start, the runner gets no start for this long.
+_FULL_S = 0.25
+_UNHEALTHY_S = 1.0
+_RETRY_S = 0.05
+_REFUSED_RETRY_S = 1.0
+# Runners named in one call to the adviser.
+_ADVISED_AT_ONCE = 30
+_ADVICE_SLACK_S = 1.0
+_ADVICE_RETRY_S = 0.3
+
+_OUTCOME = interfaces.StartOutcome
+_RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
+
+
+async def start_runs(owner: Any, runs: list[book_module.Run]) -> None:
+    """Stores the attempts, then orders their starts."""
+    await owner.journal.flush()
+    for run in runs:
+        owner.group.start_soon(_start_run, owner, run)
+
+
+async def _start_run(owner: Any, run: book_module.Run) -> None:
+    task = run.task
+    runner = owner.runners.get(run.runner)
+    if runner is None or run not in task.runs:
+        return
+    if task.job.ended or run.phase is not book_module.Phase.STARTING:
+        _release(owner, runner, run)
+        return
+    outcome, lost = _OUTCOME.LOST, False
+    for _ in range(1 + owner.settings.start_retries):
+        order = _make_order(owner, runner, run)
+        outcome = await runner.calls.start(order)
+        lost = lost or outcome is _OUTCOME.LOST
+        if outcome not in (_OUTCOME.LOST, _OUTCOME.UNREACHED):
+            break
+    if outcome is _OUTCOME.UNREACHED and lost:
+        # An earlier repeat may still be carried out.
+        outcome = _OUTCOME.LOST
+    now = clock.read_now()
+    metrics.STARTS.labels(outcome.value).inc()
+    events.log_event(
+        events.TASK_ORDERED,
+        task=task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        outcome=outcome.value,
+        epoch=owner.epoch,
+        waited_ms=int((run.since - task.ready_since) * 1000),
+        took_ms=int((now - run.since) * 1000),
+        cpu=runner.cpu,
+        fill_cpu=runner.fill_cpu,
+        look_age_ms=int((now - runner.answered_at) * 1000),
+    )
+    _settle_start(owner, runner, run, outcome, now)
+
+
+def _make_order(
+    owner: Any, runner: runners_module.Runner, run: book_module.Run
+) -> model.StartOrder:
+    task, now = run.task, clock.read_now()
+    ticket, _ = owner.tickets.get(
+        (_name_step(task.step), run.runner), ("", 0.0)
+    )
+    return model.StartOrder(
+        task=task.name,
+        attempt=run.attempt,
+        spec=task.job.job.spec,
+        lease_until_ms=runner.extend_lease(owner.settings.lease_s, now),
+        token=owner.epoch,
+        checkpoint=task.checkpoint,
+        ticket=ticket,
+    )
+
+
+def _settle_start(
+    owner: Any,
+    runner: runners_module.Runner,
+    run: book_module.Run,
+    outcome: interfaces.StartOutcome,
+    now: float,
+) -> None:
+    if run not in run.task.runs:
+        return
+    if outcome is _OUTCOME.DONE:
+        if run.phase is book_module.Phase.STARTING:
+            run.phase = book_module.Phase.RUNNING
+            run.running_since = run.moved_at = now
+        if run.task.job.ended:
+            stop_run(owner, run, "job ended")
+        return
+    if outcome is _OUTCOME.FENCED:
+        owner.lose("runner")
+        return
+    if outcome is _OUTCOME.LOST:
+        stop_run(owner, run, "start not answered")
+        return
+    if outcome is _OUTCOME.NO_ROOM:
+        runner.full_until = now + _FULL_S
+    elif outcome in (_OUTCOME.UNHEALTHY, _OUTCOME.UNREACHED):
+        runner.full_until = now + _UNHEALTHY_S
+        runner.faults += 1
+    elif outcome is _OUTCOME.OLD:
+        # A later attempt is known there; a look will show it.
+        run.task.attempt += 1
+    elif outcome is _OUTCOME.INVALID:
+        run.task.retry_at = now + _REFUSED_RETRY_S
+    elif outcome is _OUTCOME.NO_TICKET:
+        owner.tickets.pop((_name_step(run.task.step), run.runner), None)
+    _release(owner, runner, run)
+
+
+def _release(
+    owner: Any, runner: runners_module.Runner, run: book_module.Run
+) -> None:
+    runner.charge(run, -1)
+    owner.book.drop_run(run, clock.read_now())
+    if run.task.step.step.gang:
+        _stop_gang(owner, run)
+    owner.poke()
+
+
+def _stop_gang(owner: Any, run: book_module.Run) -> None:
+    for member in run.task.step.tasks:
+        for other in member.runs:
+            stop_run(owner, other, "gang incomplete")
+
+
+def stop_run(owner: Any, run: book_module.Run, reason: str) -> None:
+    """Stops an attempt; its end is listed by the runner."""
+    if run.phase is book_module.Phase.STOPPING or run not in run.task.runs:
+        return
+    run.phase = book_module.Phase.STOPPING
+    run.running_since = float("inf")
+    events.log_event(
+        events.TASK_STOPPED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        reason=reason,
+        epoch=owner.epoch,
+    )
+    owner.group.start_soon(_send_stop, owner, run)
+
+
+async def _send_stop(owner: Any, run: book_module.Run) -> None:
+    while run in run.task.runs:
+        runner = owner.runners.get(run.runner)
+        if runner is None:
+            return
+        outcome = await runner.calls.stop(
+            run.task.name, run.attempt, owner.epoch
+        )
+        if outcome is _OUTCOME.FENCED:
+            owner.lose("runner")
+            return
+        if outcome not in _RETRIED:
+            # From now on, a look that does not show it proves that it ended.
+            run.running_since = clock.read_now()
+            return
+        await anyio.sleep(_RETRY_S)
+
+
+async def stop_unknown(
+    owner: Any, runner: runners_module.Runner, running: model.Running
+) -> None:
+    """Stops an attempt that the book does not know as running there."""
+    events.log_event(
+        events.TASK_STOPPED,
+        task=running.task,
+        attempt=running.attempt,
+        runner=runner.entry.id,
+        reason="not ordered by this owner",
+        epoch=owner.epoch,
+    )
+    await runner.calls.stop(running.task, running.attempt, owner.epoch)
+
+
+async def set_pace(owner: Any, run: book_module.Run, percent: int) -> None:
+    """Paces an attempt; a lost answer leaves the old pace believed."""
+    runner = owner.runners.get(run.runner)
+    if runner is None:
+        return
+    outcome = await runner.calls.pace(
+        run.task.name, run.attempt, percent, owner.epoch
+    )
+    metrics.PACES.labels(outcome.value).inc()
+    if outcome is _OUTCOME.DONE:
+        run.pace = percent
+    elif outcome is _OUTCOME.FENCED:
+        owner.lose("runner")
+
+
+def _name_step(step: book_module.StepState) -> str:
+    return f"{step.job.job.id}.{step.occurrence}.{step.number}"
+
+
+def filter_advised(
+    owner: Any,
+    step: book_module.StepState,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[runners_module.Runner]:
+    """Runners with a valid ticket for the step; asks for more if none."""
+    name = _name_step(step)
+    advised = [
+        runner
+        for runner in candidates
+        if owner.tickets.get((name, runner.entry.id), ("", 0.0))[1] > now
+    ]
+    if len(advised) < len(step.tasks) and name not in owner.advising:
+        owner.advising.add(name)
+        owner.group.start_soon(_ask_adviser, owner, step, candidates)
+    return advised
+
+
+async def _ask_adviser(
+    owner: Any,
+    step: book_module.StepState,
+    candidates: list[runners_module.Runner],
+) -> None:
+    name, advice = _name_step(step), step.job.queue.advice
+    adviser = owner.surroundings.adviser
+    known = {runner for asked, runner in owner.tickets if asked == name}
+    wanted = sorted(
+        (r for r in candidates if r.listed and r.fenced and not r.silent),
+        key=lambda r: (r.entry.id in known, r.cpu),
+    )
+    asked = [runner.entry.id for runner in wanted[:_ADVISED_AT_ONCE]]
+    started = clock.read_now()
+    tickets = None
+    if adviser is not None and advice is not None and asked:
+        timeout_s = (
+            advice.decision_s
+            + advice.per_runner_s * len(asked)
+            + _ADVICE_SLACK_S
+        )
+        tickets = await adviser.advise(name, asked, timeout_s)
+    if tickets is None:
+        await anyio.sleep(_ADVICE_RETRY_S)
+    else:
+        # Validity counts from before the call, as the answer took time.
+        until = started + advice.validity_s
+        for runner, ticket in tickets.items():
+            owner.tickets[name, runner] = (ticket, until)
+    owner.advising.discard(name)
+    owner.poke()
--- /dev/null
+++ b/plantainvane/jobs/placement.py
@@ -0,0 +1,188 @@
+"""Decides which runner starts a task, and what makes room for it."""
+
+from plantainvane.jobs import book
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+
+# Share of its declared processors that a serving task uses on average; the
+# rest is left to filling tasks.
+SERVING_USE = 0.6
+# Filling tasks may be charged with this multiple of the unused processors.
+FILL_LIMIT = 1.15
+# Memory that filling tasks leave free for urgent work, as a share.
+MEMORY_RESERVE = 0.08
+
+
+def may_start(
+    runner: runners_module.Runner, step: model.Step, now: float
+) -> bool:
+    """Tells whether the runner takes new work of this kind at all."""
+    if (
+        not runner.listed
+        or not runner.fenced
+        or runner.silent
+        or runner.entry.draining
+        or runner.full_until > now
+    ):
+        return False
+    if runner.shunned_until > now and runner.runs:
+        return False
+    return not step.required_label or (
+        step.required_label in runner.entry.labels
+    )
+
+
+def has_room(
+    runner: runners_module.Runner, step: model.Step, reserve: float = 0.0
+) -> bool:
+    """Tells whether the declared size of one more task fits."""
+    room, amounts = runner.entry.room, step.amounts
+    if not step.fills and runner.cpu + amounts.cpu > room.cpu:
+        return False
+    if runner.memory_mb + amounts.memory_mb > room.memory_mb * (1 - reserve):
+        return False
+    return runner.accelerators + amounts.accelerators <= room.accelerators
+
+
+def measure_unused(runner: runners_module.Runner) -> float:
+    """Thousandths of a core that filling tasks can expect."""
+    busy = runner.cpu - runner.serving_cpu * (1 - SERVING_USE)
+    return runner.entry.room.cpu - busy
+
+
+def choose_runner(
+    task: book.Task,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> runners_module.Runner | None:
+    """Chooses the best runner with room, or None."""
+    step = task.step.step
+    best, best_score = None, float("-inf")
+    counts = _count_step(task) if step.max_per_runner else {}
+    racks = _count_racks(task, candidates) if step.same_rack else {}
+    reserve = MEMORY_RESERVE if step.fills else 0.0
+    for runner in candidates:
+        if not may_start(runner, step, now):
+            continue
+        if not has_room(runner, step, reserve):
+            continue
+        if step.max_per_runner and (
+            counts.get(runner.entry.id, 0) >= step.max_per_runner
+        ):
+            continue
+        score = _score(task, step, runner, racks)
+        if score is not None and score > best_score:
+            best, best_score = runner, score
+    return best
+
+
+def _score(
+    task: book.Task,
+    step: model.Step,
+    runner: runners_module.Runner,
+    racks: dict[str, int],
+) -> float | None:
+    """Higher is better; None when the runner should not be used now."""
+    room_cpu = max(1, runner.entry.room.cpu)
+    unused = measure_unused(runner)
+    if step.fills:
+        allowed = unused * FILL_LIMIT - runner.fill_cpu - step.amounts.cpu
+        if allowed < 0:
+            return None
+        score = (unused - runner.fill_cpu) / room_cpu
+    elif step.long_running:
+        # Serving tasks are spread, so that each has fewer noisy neighbours.
+        score = 1 - runner.cpu / room_cpu - 0.3 * runner.fill_cpu / room_cpu
+    else:
+        score = (unused - runner.fill_cpu - step.amounts.cpu) / room_cpu
+    if runner.entry.id in task.avoid:
+        score -= 5
+    if runner.runs and runner.faults:
+        score -= 0.5 * runner.faults
+    if step.preferred_rack and step.preferred_rack in runner.entry.labels:
+        score += 2
+    score += racks.get(runner.rack, 0) * 0.5
+    return score * min(1.0, runner.speed) if score > 0 else score
+
+
+def _count_step(task: book.Task) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for other in task.step.tasks:
+        for run in other.runs:
+            counts[run.runner] = counts.get(run.runner, 0) + 1
+    return counts
+
+
+def _count_racks(
+    task: book.Task, candidates: list[runners_module.Runner]
+) -> dict[str, int]:
+    racks = {runner.entry.id: runner.rack for runner in candidates}
+    counts: dict[str, int] = {}
+    for other in task.step.tasks:
+        for run in other.runs:
+            rack = racks.get(run.runner, "")
+            counts[rack] = counts.get(rack, 0) + 1
+    return counts
+
+
+def find_victims(
+    task: book.Task,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[book.Run]:
+    """Finds less urgent attempts whose stop makes room on one runner."""
+    step = task.step.step
+    best: list[book.Run] = []
+    best_cost = float("inf")
+    for runner in candidates:
+        if not may_start(runner, step, now):
+            continue
+        victims, cost = _pick_victims(task, runner, now)
+        if victims and cost < best_cost:
+            best, best_cost = victims, cost
+    return best
+
+
+def _pick_victims(
+    task: book.Task, runner: runners_module.Runner, now: float
+) -> tuple[list[book.Run], float]:
+    step, room = task.step.step, runner.entry.room
+    over_cpu = 0
+    if not step.fills:
+        over_cpu = runner.cpu + step.amounts.cpu - room.cpu
+    over_mb = runner.memory_mb + step.amounts.memory_mb - room.memory_mb
+    priority = task.job.queue.priority
+    chosen: list[book.Run] = []
+    cost = 0.0
+    for run in sorted(runner.runs, key=lambda r: measure_loss(r, now)):
+        other = run.task.step.step
+        if run.phase is book.Phase.STOPPING:
+            # Its room is on the way.
+            over_mb -= other.amounts.memory_mb
+            over_cpu -= 0 if other.fills else other.amounts.cpu
+            continue
+        if run.task.job.queue.priority <= priority or other.long_running:
+            continue
+        if over_cpu <= 0 and over_mb <= 0:
+            break
+        helps_cpu = over_cpu > 0 and not other.fills
+        if not helps_cpu and over_mb <= 0:
+            continue
+        chosen.append(run)
+        cost += measure_loss(run, now)
+        over_mb -= other.amounts.memory_mb
+        over_cpu -= 0 if other.fills else other.amounts.cpu
+    if over_cpu > 0 or over_mb > 0:
+        return [], float("inf")
+    return chosen, cost
+
+
+def measure_loss(run: book.Run, now: float) -> float:
+    """Core-seconds that a stop of this attempt throws away."""
+    if run.phase is not book.Phase.RUNNING:
+        return 0.0
+    step = run.task.step.step
+    worked_s = now - run.running_since
+    if step.checkpointing:
+        worked_s = 0.0
+    return worked_s * step.amounts.cpu / 1000 + 0.1
--- /dev/null
+++ b/plantainvane/jobs/runners.py
@@ -0,0 +1,100 @@
+"""Aggregate: what is believed of each runner, and what it is charged with."""
+
+import dataclasses
+
+from plantainvane.jobs import book
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import settings as settings_module
+
+# A lease is taken as expired this long after it must have, for rounding.
+_LEASE_MARGIN_S = 0.3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Runner:
+    """One life of a runner.
+
+    Attributes:
+      entry: Its newest entry in the platform's list.
+      calls: Client for its orders.
+      rack: Label that names its rack, or empty.
+      listed: The entry is still in the list.
+      fenced: It has answered a look with the present token.
+      last_seen: Number of the newest end that is stored.
+      clock_at, clock_ms: When its clock was read, and what it showed.
+      lease_until_ms: Latest lease that was asked for, on its clock.
+      answered_at: When it last answered.
+      silent: Its last look was not answered.
+      runs: Attempts that are charged to it.
+      cpu, memory_mb, accelerators: Charged and not filling.
+      fill_cpu: Charged to filling tasks.
+      serving_cpu: The part of `cpu` that belongs to long-running tasks.
+      full_until: A start was rejected for want of room.
+      shunned_until: Only a canary is started before this time.
+      faults: Recent signs that the runner is at fault.
+      speed: Measured speed of its tasks against others, 1.0 is usual.
+    """
+
+    entry: model.RunnerEntry
+    calls: interfaces.RunnerCalls
+    rack: str
+    listed: bool = True
+    fenced: bool = False
+    last_seen: int = 0
+    clock_at: float = 0.0
+    clock_ms: int = 0
+    lease_until_ms: int = 0
+    answered_at: float = 0.0
+    silent: bool = False
+    runs: dict[book.Run, None] = dataclasses.field(default_factory=dict)
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    fill_cpu: int = 0
+    serving_cpu: int = 0
+    full_until: float = 0.0
+    shunned_until: float = 0.0
+    faults: int = 0
+    speed: float = 1.0
+
+    def charge(self, run: book.Run, sign: int = 1) -> None:
+        """Adds an attempt to the charges, or with `sign` -1 removes it."""
+        if (sign > 0) == (run in self.runs):
+            return
+        if sign > 0:
+            self.runs[run] = None
+        else:
+            del self.runs[run]
+        step = run.task.step.step
+        if step.fills:
+            self.fill_cpu += sign * step.amounts.cpu
+        else:
+            self.cpu += sign * step.amounts.cpu
+        if step.long_running:
+            self.serving_cpu += sign * step.amounts.cpu
+        self.memory_mb += sign * step.amounts.memory_mb
+        self.accelerators += sign * step.amounts.accelerators
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Notes what the runner's clock showed before `now`."""
+        self.clock_at, self.clock_ms = now, clock_ms
+
+    def extend_lease(self, lease_s: float, now: float) -> int:
+        """Time on the runner's clock to which a lease sent now runs."""
+        clock = self.clock_ms + (now - self.clock_at) * 1000
+        self.lease_until_ms = max(
+            self.lease_until_ms, int(clock + lease_s * 1000)
+        )
+        return self.lease_until_ms
+
+    def find_expiry(self, settings: settings_module.Settings) -> float:
+        """Time after which every lease there has surely expired."""
+        left_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
+        left_s /= 1 - settings.clock_rate_error
+        return self.clock_at + left_s + _LEASE_MARGIN_S
+
+
+def find_rack(labels: tuple[str, ...]) -> str:
+    """Label of the rack: the last one by the platform's order."""
+    return labels[-1] if labels else ""
--- /dev/null
+++ b/plantainvane/jobs/sessions.py
@@ -0,0 +1,323 @@
+"""One task for each runner: renews its leases and applies what it shows."""
+
+from typing import Any
+
+import anyio
+
+from plantainvane import events
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import metrics
+from plantainvane.jobs import model
+from plantainvane.jobs import orders
+from plantainvane.jobs import pacing
+from plantainvane.jobs import runners as runners_module
+
+_SILENT_RETRY_S = 0.1
+# A runner that has left the list and runs nothing is forgotten after this.
+_FORGET_S = 8.0
+# Ends that cannot be stored yet make every look return at once.
+_UNSTORED_GAP_S = 0.5
+
+
+async def attend_runner(owner: Any, runner: runners_module.Runner) -> None:
+    """Looks at a runner until it is gone."""
+    storing: _Storing | None = None
+    while True:
+        now = clock.read_now()
+        if owner.runners.get(runner.entry.id) is not runner or (
+            not runner.listed
+            and not runner.runs
+            and now - runner.answered_at > _FORGET_S
+        ):
+            break
+        if storing is not None and storing.batch.stored.is_set():
+            if storing.born_ms == runner.entry.born_ms:
+                runner.last_seen = max(runner.last_seen, storing.number)
+            storing = None
+        wait_s = 0.0 if storing else _choose_wait(owner, runner)
+        if runner.fenced and not runner.runs and not storing:
+            # Nothing is leased there; starts bring leases of their own.
+            await _wait_for_runs(owner, runner)
+            if not runner.runs:
+                continue
+        storing = await _look(owner, runner, wait_s, storing)
+        if storing is not None:
+            with anyio.move_on_after(_UNSTORED_GAP_S):
+                await storing.batch.stored.wait()
+        else:
+            await anyio.sleep(owner.settings.look_gap_s)
+    if owner.runners.get(runner.entry.id) is runner:
+        del owner.runners[runner.entry.id]
+    await runner.calls.aclose()
+
+
+class _Storing:
+    """Ends of one look that are being stored."""
+
+    __slots__ = ("batch", "born_ms", "number")
+
+    def __init__(self, batch: Any, number: int, born_ms: int):
+        self.batch = batch
+        self.number = number
+        self.born_ms = born_ms
+
+
+async def _wait_for_runs(owner: Any, runner: runners_module.Runner) -> None:
+    with anyio.move_on_after(owner.settings.idle_look_s):
+        while not any(
+            run.phase is not book_module.Phase.STARTING for run in runner.runs
+        ):
+            await anyio.sleep(0.02)
+
+
+def _choose_wait(owner: Any, runner: runners_module.Runner) -> float:
+    """How long a look may wait for an end."""
+    if not runner.fenced:
+        return 0.0
+    serving = any(run.task.step.step.target_ms for run in runner.runs)
+    if serving and runner.fill_cpu:
+        return owner.settings.service_look_s
+    return min(owner.settings.look_wait_s, owner.settings.lease_s / 3)
+
+
+async def _look(
+    owner: Any,
+    runner: runners_module.Runner,
+    wait_s: float,
+    storing: _Storing | None,
+) -> _Storing | None:
+    sent_at = clock.read_now()
+    lease = None
+    if runner.clock_ms:
+        lease = runner.extend_lease(owner.settings.lease_s, sent_at)
+    reply = await runner.calls.look(
+        owner.epoch, runner.last_seen, lease, wait_s
+    )
+    now = clock.read_now()
+    if reply.is_err():
+        metrics.LOOKS.labels(reply.err_value.value).inc()
+        if reply.err_value is interfaces.StartOutcome.FENCED:
+            owner.lose("runner")
+            return storing
+        _note_silence(owner, runner, reply.err_value, now)
+        await anyio.sleep(_SILENT_RETRY_S)
+        return storing
+    metrics.LOOKS.labels("done").inc()
+    return _apply_look(owner, runner, reply.ok_value, sent_at, now) or storing
+
+
+def _note_silence(
+    owner: Any,
+    runner: runners_module.Runner,
+    failure: interfaces.StartOutcome,
+    now: float,
+) -> None:
+    if not runner.silent:
+        runner.silent = True
+        events.log_event(
+            events.RUNNER_SILENT,
+            runner=runner.entry.id,
+            failure=failure.value,
+            runs=len(runner.runs),
+            answered_ago_s=round(now - runner.answered_at, 3),
+        )
+    expiry = runner.find_expiry(owner.settings)
+    if not runner.fenced:
+        # An earlier owner's leases are not known here.
+        expiry = owner.started_at + (
+            owner.settings.unconfirmed_limit_s + owner.settings.lease_s * 1.05
+        )
+    if now > expiry and runner.runs:
+        _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
+
+
+def _drop_runs(
+    owner: Any,
+    runner: runners_module.Runner,
+    runs: list[book_module.Run],
+    reason: str,
+    now: float,
+) -> None:
+    for run in runs:
+        runner.charge(run, -1)
+        owner.book.drop_run(run, now)
+        metrics.ENDS.labels("lost").inc()
+        events.log_event(
+            events.TASK_LOST,
+            task=run.task.name,
+            attempt=run.attempt,
+            runner=runner.entry.id,
+            reason=reason,
+            epoch=owner.epoch,
+        )
+    owner.poke()
+
+
+def begin_life(
+    owner: Any, runner: runners_module.Runner, born_ms: int, now: float
+) -> None:
+    """Notes that the runner has started anew and knows nothing of before."""
+    events.log_event(
+        events.RUNNER_RESTARTED,
+        runner=runner.entry.id,
+        born_ms=born_ms,
+        runs=len(runner.runs),
+    )
+    runner.last_seen = 0
+    runner.lease_until_ms = 0
+    runner.clock_ms, runner.clock_at = 0, now
+    # An order under way may reach the new life; its answer settles it.
+    ended = [
+        run
+        for run in runner.runs
+        if run.phase is not book_module.Phase.STARTING or run.since < now - 1
+    ]
+    _drop_runs(owner, runner, ended, "runner restarted", now)
+
+
+def _apply_look(
+    owner: Any,
+    runner: runners_module.Runner,
+    look: model.Look,
+    sent_at: float,
+    now: float,
+) -> _Storing | None:
+    if look.born_ms != runner.entry.born_ms:
+        _apply_life(owner, runner, look, now)
+        if look.born_ms != runner.entry.born_ms:
+            return None
+    runner.note_clock(look.clock_ms, now)
+    runner.answered_at = now
+    if runner.silent:
+        runner.silent = False
+        events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
+    number = _apply_ends(owner, runner, look, now)
+    _apply_running(owner, runner, look, sent_at, now)
+    if not runner.fenced:
+        runner.fenced = True
+        owner.poke()
+    for run, pace in pacing.decide_paces(runner, now):
+        owner.group.start_soon(orders.set_pace, owner, run, pace)
+    if number <= runner.last_seen:
+        return None
+    owner.poke()
+    return _Storing(owner.journal.add([]), number, look.born_ms)
+
+
+def _apply_life(
+    owner: Any, runner: runners_module.Runner, look: model.Look, now: float
+) -> None:
+    if look.born_ms < runner.entry.born_ms:
+        return
+    shown = {(r.task, r.attempt) for r in look.running}
+    begin_life(owner, runner, look.born_ms, now)
+    runner.entry = _replace_born(runner.entry, look.born_ms)
+    for run in list(runner.runs):
+        if (run.task.name, run.attempt) not in shown:
+            continue
+        run.phase = book_module.Phase.RUNNING
+
+
+def _replace_born(entry: model.RunnerEntry, born_ms: int) -> model.RunnerEntry:
+    fields = {f: getattr(entry, f) for f in entry.__struct_fields__}
+    return model.RunnerEntry(**{**fields, "born_ms": born_ms})
+
+
+def _apply_ends(
+    owner: Any, runner: runners_module.Runner, look: model.Look, now: float
+) -> int:
+    """Applies new ends and returns the highest number seen."""
+    number = runner.last_seen
+    for end in look.ends:
+        number = max(number, end.number)
+        if end.number <= runner.last_seen:
+            continue
+        run = owner.book.find_run(end.task, end.attempt)
+        if run is None or run.runner != runner.entry.id:
+            continue
+        runner.charge(run, -1)
+        owner.book.end_run(
+            run, end.how, end.checkpoint, now, clock.read_wall_ms()
+        )
+        _note_end(owner, runner, run, end, now)
+    return number
+
+
+def _note_end(
+    owner: Any,
+    runner: runners_module.Runner,
+    run: book_module.Run,
+    end: model.End,
+    now: float,
+) -> None:
+    metrics.ENDS.labels(end.how).inc()
+    events.log_event(
+        events.TASK_ENDED,
+        task=end.task,
+        attempt=end.attempt,
+        runner=runner.entry.id,
+        how=end.how,
+        number=end.number,
+        failures=run.task.failures,
+        ran_ms=int((now - run.since) * 1000),
+        epoch=owner.epoch,
+    )
+    if end.how == "done":
+        runner.faults = max(0, runner.faults - 1)
+    elif end.how == "failed":
+        runner.faults += 1
+        if runner.faults >= 3:
+            runner.shunned_until = now + 3.0
+    if run.task.step.step.gang and end.how != "done":
+        for member in run.task.step.tasks:
+            for other in member.runs:
+                orders.stop_run(owner, other, "gang member ended")
+
+
+def _apply_running(
+    owner: Any,
+    runner: runners_module.Runner,
+    look: model.Look,
+    sent_at: float,
+    now: float,
+) -> None:
+    shown: set[book_module.Run] = set()
+    for running in look.running:
+        run = owner.book.find_run(running.task, running.attempt)
+        if run is None or run.runner != runner.entry.id:
+            owner.group.start_soon(orders.stop_unknown, owner, runner, running)
+            continue
+        shown.add(run)
+        _update_run(run, running, now)
+    missing = [
+        run
+        for run in runner.runs
+        if run not in shown and _is_over(runner, run, sent_at)
+    ]
+    if missing:
+        _drop_runs(owner, runner, missing, "not running there", now)
+
+
+def _is_over(
+    runner: runners_module.Runner, run: book_module.Run, sent_at: float
+) -> bool:
+    """Tells whether an attempt that a look does not show has ended."""
+    if run.phase is not book_module.Phase.STARTING:
+        return run.running_since < sent_at
+    # Ordered by an earlier owner, which this token now fences.
+    return run.since == 0 and not runner.fenced
+
+
+def _update_run(
+    run: book_module.Run, running: model.Running, now: float
+) -> None:
+    if run.phase is book_module.Phase.STARTING:
+        run.phase = book_module.Phase.RUNNING
+        run.running_since = now
+    if running.percent != run.percent:
+        run.percent, run.moved_at = running.percent, now
+    if running.checkpoint and run.task.step.step.checkpointing:
+        run.task.checkpoint = running.checkpoint
+    run.figure = running.figure
--- /dev/null
+++ b/plantainvane/jobs/settings.py
@@ -0,0 +1,86 @@
+"""Settings of the job scheduler; every default carries its unit and source."""
+
+import msgspec
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """What one entry process knows of its place, its peers and its limits.
+
+    Attributes:
+      id: Name of the entry instance.
+      domain: Failure domain of the instance.
+      callers_address: `ip:port` towards callers.
+      health_address: `ip:port` of the readiness check.
+      peer_address: `ip:port` for other entry processes.
+      seeds: Peer addresses of a few entry processes; may be stale.
+      store_address: `ip:port` of the platform's log service.
+      machines_address: `ip:port` of the machine service, or empty.
+      advisor_address: `ip:port` of the adviser, or empty.
+      lease_s: Longest lease that a runner grants; the platform's bound.
+      stop_grace_s: Longest time that a stop takes; the platform's bound.
+      grace_s: Time between SIGTERM and SIGKILL; the platform's bound.
+      gang_wait_s: How long a gang member waits for the others.
+      rack_penalty: Factor on the run time of a task away from its data.
+      checkpoint_s: Work between two checkpoints; the platform's bound.
+      restore_s: Time to resume from a checkpoint; the platform's bound.
+      harm_s: Longest time that fills may hold a service over its target.
+      status_s: How long the state of an ended job stays known.
+      clock_rate_error: Runner clocks are slow by at most this share.
+    """
+
+    id: str
+    domain: str
+    callers_address: str
+    health_address: str
+    peer_address: str
+    store_address: str
+    seeds: tuple[str, ...] = ()
+    machines_address: str = ""
+    advisor_address: str = ""
+    lease_s: float = 6.0
+    stop_grace_s: float = 0.4
+    grace_s: float = 6.0
+    gang_wait_s: float = 3.0
+    rack_penalty: float = 1.5
+    checkpoint_s: float = 1.0
+    restore_s: float = 0.6
+    harm_s: float = 4.0
+    status_s: float = 120.0
+    clock_rate_error: float = 0.02
+
+    # Log service. A call takes about 10 ms; a slow service takes 60 times
+    # that, and an append may be repeated safely.
+    store_timeout_s: float = 0.6
+    store_timeout_max_s: float = 2.5
+    store_retry_s: float = 0.1
+    read_wait_s: float = 10.0
+    runner_poll_s: float = 0.4
+    body_limit_bytes: int = 262_144
+
+    # Ownership. Takeover has to end well within a lease of 6 s.
+    renew_s: float = 1.0
+    renew_overdue_s: float = 1.6
+    ping_s: float = 0.35
+    ping_timeout_s: float = 0.5
+    silence_s: float = 1.2
+    unconfirmed_limit_s: float = 8.0
+    takeover_step_s: float = 0.12
+
+    # Runners. A call inside the deployment takes 1 to 3 ms.
+    call_timeout_s: float = 0.4
+    look_wait_s: float = 2.0
+    service_look_s: float = 0.5
+    idle_look_s: float = 2.0
+    look_gap_s: float = 0.01
+    start_retries: int = 2
+
+    # Callers: the share of a deadline that is spent on finding the owner.
+    owner_wait_s: float = 1.5
+    ask_timeout_s: float = 0.6
+    retry_after_s: int = 1
+    drain_s: float = 2.6
+
+    @property
+    def claim_partition(self) -> int:
+        """Partition of every topic that belongs to the only shard."""
+        return 0
--- /dev/null
+++ b/plantainvane/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its wire and settings."""
--- /dev/null
+++ b/plantainvane/platform/adviser.py
@@ -0,0 +1,41 @@
+"""Client of the platform's adviser."""
+
+import msgspec
+
+from plantainvane import http_client
+from plantainvane.jobs import settings as settings_module
+from plantainvane.platform import calls
+
+
+class _Advice(msgspec.Struct, rename="pascal"):
+    """Rows of runner and ticket."""
+
+    allowed: list[tuple[str, str]] = []
+
+
+class Adviser:
+    """Asks one call at a time, as the service takes them in turn."""
+
+    def __init__(self, settings: settings_module.Settings):
+        """Makes a client; it connects when it is first used."""
+        self._client = http_client.Client(
+            settings.advisor_address,
+            settings.store_timeout_max_s,
+            max_connections=1,
+        )
+
+    async def advise(
+        self, step: str, runners: list[str], timeout_s: float
+    ) -> dict[str, str] | None:
+        """Returns tickets by runner id; None without an answer."""
+        body = msgspec.json.encode({"StepId": step, "Workers": runners})
+        reply = await calls.call(
+            self._client, "POST", "/plantainvane/advise", body, timeout_s
+        )
+        if reply.is_err() or reply.ok_value.status_code != 200:
+            return None
+        try:
+            advice = msgspec.json.decode(reply.ok_value.content, type=_Advice)
+        except msgspec.DecodeError:
+            return None
+        return dict(advice.allowed)
--- /dev/null
+++ b/plantainvane/platform/calls.py
@@ -0,0 +1,42 @@
+"""One call to a service of the platform, with its failure as a value."""
+
+import httpx
+import result
+
+from plantainvane import http_client
+from plantainvane import outcomes
+
+_FAILURE = outcomes.CallFailure
+
+
+async def call(
+    client: http_client.Client,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float | None = None,
+    headers: dict[str, str] | None = None,
+) -> result.Result[http_client.Reply, outcomes.CallError]:
+    """Sends a request; a 429 or 503 did nothing and is an error."""
+    try:
+        if method == "GET":
+            reply = await client.get(path, timeout=timeout_s)
+        else:
+            reply = await client.post(
+                path, content=body, timeout=timeout_s, headers=headers
+            )
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as e:
+        return _fail(_FAILURE.UNREACHED, f"{type(e).__name__}: {e}")
+    except httpx.HTTPError as error:
+        return _fail(_FAILURE.LOST, f"{type(error).__name__}: {error}")
+    if reply.status_code == 429:
+        return _fail(_FAILURE.LIMITED, "status 429")
+    if reply.status_code in (503, 507):
+        return _fail(_FAILURE.REFUSED, f"status {reply.status_code}")
+    return result.Ok(reply)
+
+
+def _fail(
+    failure: outcomes.CallFailure, detail: str
+) -> result.Result[http_client.Reply, outcomes.CallError]:
+    return result.Err(outcomes.CallError(failure, detail))
--- /dev/null
+++ b/plantainvane/platform/ingress.py
@@ -0,0 +1,130 @@
+"""Serves callers, the readiness check and metrics over HTTP."""
+
+from typing import Any
+
+import hypercorn.asyncio
+import hypercorn.config
+
+from plantainvane import asgi
+from plantainvane import metrics
+from plantainvane.jobs import clock
+from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import intake
+from plantainvane.jobs import model
+from plantainvane.platform import wire
+
+METRICS_PORT = 9464
+_READY_PATH = "/plantainvane/readyz"
+_METRICS_PATH = "/metrics"
+_DEFAULT_DEADLINE_MS = 3000
+_NO_JOB = asgi.HttpReply(410)
+_NO_QUEUE = asgi.HttpReply(404)
+_ANSWERS = {
+    intake.Outcome.ACCEPTED: 200,
+    intake.Outcome.UNKNOWN: 504,
+}
+
+
+def make_handler(entry: entry_module.Entry) -> asgi.Handler:
+    """Makes the handler of all HTTP requests of a process."""
+
+    async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
+        if request.path == _READY_PATH:
+            return asgi.HttpReply(200 if entry.ready else 503)
+        if request.path == _METRICS_PATH:
+            return asgi.HttpReply(
+                200, metrics.encode_metrics(), "text/plain; version=0.0.4"
+            )
+        return await _answer_caller(entry, request)
+
+    return handle
+
+
+async def _answer_caller(
+    entry: entry_module.Entry, request: asgi.HttpRequest
+) -> asgi.HttpReply:
+    if entry.configuration is None:
+        return _refuse(entry)
+    host = request.headers.get("host", "").partition(":")[0]
+    queue = model.find_queue(entry.configuration, host, request.path)
+    if queue is None:
+        return _NO_QUEUE
+    job_id = request.path[len(queue.path_prefix) :]
+    deadline_s = _read_deadline(request.headers.get("deadline-ms", ""))
+    if not job_id and request.method == "GET":
+        return await _answer_pending(entry, queue, deadline_s)
+    if not wire.is_job_id(job_id):
+        return asgi.make_json_reply(400, {"Error": "no job id in the path"})
+    if request.method == "POST":
+        return await _submit(entry, queue, job_id, request.body, deadline_s)
+    if request.method not in ("GET", "DELETE"):
+        return asgi.HttpReply(405)
+    what = "state" if request.method == "GET" else "cancel"
+    outcome, told = await intake.ask(entry.intake, what, job_id, deadline_s)
+    if outcome is intake.Outcome.MISSING:
+        return _NO_JOB
+    if outcome is not intake.Outcome.DONE:
+        return _refuse(entry)
+    return asgi.make_json_reply(200, {"State": told.state})
+
+
+def _read_deadline(text: str) -> float:
+    if not text.isdecimal():
+        text = str(_DEFAULT_DEADLINE_MS)
+    return int(text) / 1000
+
+
+async def _answer_pending(
+    entry: entry_module.Entry, queue: model.Queue, deadline_s: float
+) -> asgi.HttpReply:
+    outcome, told = await intake.ask(
+        entry.intake, "pending", queue.name, deadline_s
+    )
+    if outcome is not intake.Outcome.DONE:
+        return _refuse(entry)
+    return asgi.make_json_reply(200, {"Pending": told.count})
+
+
+async def _submit(
+    entry: entry_module.Entry,
+    queue: model.Queue,
+    job_id: str,
+    body: bytes,
+    deadline_s: float,
+) -> asgi.HttpReply:
+    job = wire.decode_job(body, job_id, queue, clock.read_wall_ms())
+    if job.is_err():
+        return asgi.make_json_reply(400, {"Error": job.err_value})
+    outcome = await intake.submit_job(entry.intake, job.ok_value, deadline_s)
+    if outcome is intake.Outcome.NOT_RUN:
+        return _refuse(entry)
+    return asgi.HttpReply(_ANSWERS[outcome], b"{}")
+
+
+def _refuse(entry: entry_module.Entry) -> asgi.HttpReply:
+    """Says that nothing was done, and when to come back."""
+    retry_after = str(entry.settings.retry_after_s).encode()
+    return asgi.HttpReply(503, headers=((b"retry-after", retry_after),))
+
+
+async def serve(entry: entry_module.Entry) -> None:
+    """Serves until the process has drained."""
+    settings = entry.settings
+    ip = settings.callers_address.rpartition(":")[0]
+    config = hypercorn.config.Config()
+    config.bind = [
+        settings.callers_address,
+        settings.health_address,
+        f"{ip}:{METRICS_PORT}",
+    ]
+    config.graceful_timeout = settings.grace_s / 2
+    config.keep_alive_timeout = 75.0
+    config.keep_alive_max_requests = 1_000_000_000
+    config.accesslog = None
+    config.errorlog = None
+    application: Any = asgi.make_application(
+        make_handler(entry), settings.body_limit_bytes
+    )
+    await hypercorn.asyncio.serve(
+        application, config, shutdown_trigger=entry.stopping.wait, mode="asgi"
+    )
--- /dev/null
+++ b/plantainvane/platform/node.py
@@ -0,0 +1,102 @@
+"""Decodes the platform's settings file into the product's settings."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+import msgspec
+import result
+
+from plantainvane.jobs import settings as settings_module
+
+PATH_VARIABLE = "PLANTAINVANE_NODE_FILE"
+
+
+class _Listen(msgspec.Struct, rename="pascal"):
+    frontend: str
+    readiness: str
+    control_plane: str
+
+
+class _Store(msgspec.Struct, rename="pascal"):
+    address: str
+
+
+class _Cloud(msgspec.Struct, rename="pascal"):
+    """Machine service; the rest of the table belongs to other duties."""
+
+    address: str = ""
+
+
+class _Bounds(msgspec.Struct):
+    """Bounds of the rules; seconds or milliseconds as the names say."""
+
+    max_hold_ms: float = msgspec.field(name="MaxHoldMs", default=6000)
+    stop_grace_ms: float = msgspec.field(name="StopGraceMs", default=400)
+    grace_s: float = msgspec.field(name="GracePeriodS", default=6)
+    gang_ms: float = msgspec.field(name="GangTimeoutMs", default=3000)
+    status_s: float = 120
+    rack_factor: float = msgspec.field(name="CrossRackFactor", default=1.5)
+    checkpoint_s: float = msgspec.field(name="CheckpointS", default=1)
+    restore_ms: float = msgspec.field(name="RestoreMs", default=600)
+    impact_ms: float = msgspec.field(name="ImpactMs", default=4000)
+
+
+class _Node(msgspec.Struct, rename="pascal"):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    store: _Store = msgspec.field(name="platform")
+    seeds: list[str] = []
+    advisor: str = ""
+    cloud: _Cloud = msgspec.field(default_factory=_Cloud)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def decode_settings(
+    text: str,
+) -> result.Result[settings_module.Settings, str]:
+    """Decodes the text of the file, or tells what is wrong with it."""
+    try:
+        node = msgspec.convert(tomllib.loads(text), _Node, strict=False)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        return result.Err(str(error))
+    return result.Ok(_make_settings(node))
+
+
+def _make_settings(node: _Node) -> settings_module.Settings:
+    bounds = node.bounds
+    return settings_module.Settings(
+        id=node.node_name,
+        domain=node.zone,
+        callers_address=node.listen.frontend,
+        health_address=node.listen.readiness,
+        peer_address=node.listen.control_plane,
+        store_address=node.store.address,
+        seeds=tuple(node.seeds),
+        machines_address=node.cloud.address,
+        advisor_address=node.advisor,
+        lease_s=bounds.max_hold_ms / 1000,
+        stop_grace_s=bounds.stop_grace_ms / 1000,
+        grace_s=bounds.grace_s,
+        gang_wait_s=bounds.gang_ms / 1000,
+        rack_penalty=bounds.rack_factor,
+        checkpoint_s=bounds.checkpoint_s,
+        restore_s=bounds.restore_ms / 1000,
+        harm_s=bounds.impact_ms / 1000,
+        status_s=bounds.status_s,
+    )
+
+
+def load_settings() -> result.Result[settings_module.Settings, str]:
+    """Loads the file that the environment names."""
+    path: Any = os.environ.get(PATH_VARIABLE)
+    if not path:
+        return result.Err(f"{PATH_VARIABLE} is not set")
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        return result.Err(str(error))
+    return decode_settings(text)
--- /dev/null
+++ b/plantainvane/platform/runners.py
@@ -0,0 +1,195 @@
+"""Client of one runner."""
+
+from typing import Any
+
+import msgspec
+import result
+
+from plantainvane import http_client
+from plantainvane import outcomes
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import settings as settings_module
+from plantainvane.platform import calls
+
+_OUTCOME = interfaces.StartOutcome
+_REASONS = {
+    "fence": _OUTCOME.FENCED,
+    "old": _OUTCOME.OLD,
+    "late": _OUTCOME.LATE,
+    "room": _OUTCOME.NO_ROOM,
+    "ticket": _OUTCOME.NO_TICKET,
+}
+
+
+_OTHER_LIFE_STATUS = 421
+
+
+class _Answer(msgspec.Struct, rename="pascal"):
+    reason: str = ""
+
+
+class _Look(msgspec.Struct, rename="pascal"):
+    """Both lists of a runner.
+
+    A row of `active` is task, attempt, checkpoint, percent and, on some
+    deployments, a figure. A row of `finished` is number, task, attempt, how
+    and checkpoint.
+    """
+
+    clock_ms: int
+    born: int = msgspec.field(name="born", default=0)
+    active: list[list[Any]] = []
+    finished: list[tuple[int, str, int, str, str]] = []
+
+
+def decode_look(content: bytes) -> model.Look:
+    """Decodes both lists.
+
+    Raises:
+      msgspec.DecodeError, ValueError, TypeError: The content is not a look.
+    """
+    look = msgspec.json.decode(content, type=_Look)
+    return model.Look(
+        look.born,
+        look.clock_ms,
+        tuple(
+            model.Running(
+                str(row[0]),
+                int(row[1]),
+                str(row[2] or ""),
+                float(row[3]),
+                float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
+            )
+            for row in look.active
+            if len(row) >= 4
+        ),
+        tuple(model.End(*row) for row in look.finished),
+    )
+
+
+class Runner:
+    """Orders to one runner over connections of its own."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        address: str,
+        runner_id: str,
+    ):
+        """Makes a client; `runner_id` guards against a reused address."""
+        self._timeout_s = settings.call_timeout_s
+        self._client = http_client.Client(
+            address,
+            settings.call_timeout_s,
+            {"Content-Type": "application/json", "Target-Instance": runner_id},
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def look(
+        self,
+        token: int,
+        last_seen: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+    ) -> result.Result[model.Look, interfaces.StartOutcome]:
+        """Renews all leases and reads what runs and what ended."""
+        body: dict[str, int] = {"FencingToken": token, "LastSeen": last_seen}
+        if lease_until_ms is not None:
+            body["DeadlineMs"] = lease_until_ms
+        if wait_s > 0:
+            body["WaitMs"] = int(wait_s * 1000)
+        reply = await calls.call(
+            self._client,
+            "POST",
+            "/plantainvane/hold",
+            msgspec.json.encode(body),
+            self._timeout_s + wait_s,
+        )
+        outcome = _read_outcome(reply)
+        if outcome is not _OUTCOME.DONE:
+            return result.Err(outcome)
+        try:
+            return result.Ok(decode_look(reply.ok_value.content))
+        except (msgspec.DecodeError, ValueError, TypeError):
+            return result.Err(_OUTCOME.INVALID)
+
+    async def start(self, order: model.StartOrder) -> interfaces.StartOutcome:
+        """Starts an attempt; repeating it is harmless."""
+        body: dict[str, Any] = {
+            "Task": order.task,
+            "Attempt": order.attempt,
+            "Spec": order.spec,
+            "DeadlineMs": order.lease_until_ms,
+            "FencingToken": order.token,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["Ticket"] = order.ticket
+        return await self._order("run-start", body)
+
+    async def stop(
+        self, task: str, attempt: int, token: int
+    ) -> interfaces.StartOutcome:
+        """Stops an attempt; one that comes later is rejected there."""
+        body = {"Task": task, "Attempt": attempt, "FencingToken": token}
+        return await self._order("run-stop", body)
+
+    async def pace(
+        self, task: str, attempt: int, percent: int, token: int
+    ) -> interfaces.StartOutcome:
+        """Lets a task work at `percent` of its speed."""
+        body = {
+            "Task": task,
+            "Attempt": attempt,
+            "Percent": percent,
+            "FencingToken": token,
+        }
+        return await self._order("pace", body)
+
+    async def _order(
+        self, name: str, body: dict[str, Any]
+    ) -> interfaces.StartOutcome:
+        reply = await calls.call(
+            self._client,
+            "POST",
+            f"/plantainvane/{name}",
+            msgspec.json.encode(body),
+            self._timeout_s,
+        )
+        return _read_outcome(reply)
+
+
+def _read_outcome(reply: result.Result) -> interfaces.StartOutcome:
+    if reply.is_err():
+        failure = reply.err_value.failure
+        if failure in (
+            outcomes.CallFailure.LIMITED,
+            outcomes.CallFailure.REFUSED,
+        ):
+            return _OUTCOME.UNHEALTHY
+        if failure is outcomes.CallFailure.UNREACHED:
+            return _OUTCOME.UNREACHED
+        return _OUTCOME.LOST
+    status = reply.ok_value.status_code
+    if status == 200:
+        return _OUTCOME.DONE
+    if status == _OTHER_LIFE_STATUS:
+        return _OUTCOME.OTHER_LIFE
+    if status == 409:
+        return _read_reason(reply.ok_value.content)
+    if 400 <= status < 500:
+        return _OUTCOME.INVALID
+    return _OUTCOME.LOST
+
+
+def _read_reason(content: bytes) -> interfaces.StartOutcome:
+    try:
+        reason = msgspec.json.decode(content, type=_Answer).reason
+    except msgspec.DecodeError:
+        return _OUTCOME.INVALID
+    return _REASONS.get(reason, _OUTCOME.INVALID)
--- /dev/null
+++ b/plantainvane/platform/store.py
@@ -0,0 +1,238 @@
+"""Client of the platform's log: topics of records with a key."""
+
+import base64
+import struct
+import urllib.parse
+
+import msgspec
+import result
+
+from plantainvane import http_client
+from plantainvane import outcomes
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import metrics
+from plantainvane.jobs import settings as settings_module
+from plantainvane.platform import calls
+
+# Every topic of the product has one partition in use, one for the shard.
+_PARTITION = 0
+_READ_KB = 1024
+_PREFIX = "/plantainvane/log-"
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class _Append(msgspec.Struct, rename="pascal"):
+    """Answer to an append.
+
+    `sequence` is the number that the log expects, in a refusal with the
+    reason "seq".
+    """
+
+    offset: int = -1
+    end_offset: int = -1
+    reason: str = ""
+    sequence: int = -1
+
+
+class _Item(msgspec.Struct, rename="pascal"):
+    key: str
+    value: str | None = None
+    offset: int = 0
+
+
+class _Newest(msgspec.Struct, rename="pascal"):
+    items: list[_Item] = msgspec.field(name="items", default_factory=list)
+    has_more: bool = False
+    end_offset: int = 0
+
+
+def encode_records(records: list[tuple[str, bytes | None]]) -> bytes:
+    """Encodes records: length, length of the key, key, value."""
+    parts: list[bytes] = []
+    for key, value in records:
+        name = key.encode()
+        body = bytes((len(name),)) + name + (value or b"")
+        parts.append(_LENGTH.pack(len(body)))
+        parts.append(body)
+    return b"".join(parts)
+
+
+def decode_records(content: bytes, offset: int) -> interfaces.Page:
+    """Decodes a read that started at `offset`.
+
+    Raises:
+      ValueError: The content ends inside a record.
+    """
+    if len(content) < _OFFSETS.size:
+        raise ValueError(f"a read of {len(content)} bytes has no offsets")
+    end_offset, _ = _OFFSETS.unpack_from(content)
+    records: list[tuple[int, str, bytes | None]] = []
+    position = _OFFSETS.size
+    while position + _LENGTH.size <= len(content):
+        (length,) = _LENGTH.unpack_from(content, position)
+        position += _LENGTH.size
+        body = content[position : position + length]
+        if len(body) < length:
+            raise ValueError("a record is cut short")
+        position += length
+        records.append((offset, *_split_record(body)))
+        offset += 1
+    return interfaces.Page(tuple(records), offset, end_offset)
+
+
+def _split_record(body: bytes) -> tuple[str, bytes | None]:
+    size = body[0] if body else 0
+    key = body[1 : 1 + size].decode("utf-8", "replace")
+    return key, body[1 + size :] or None
+
+
+class Store:
+    """The log, reached over connections that are replaced when silent."""
+
+    def __init__(self, settings: settings_module.Settings):
+        """Makes a client; it connects when it is first used."""
+        self._client = http_client.Client(
+            settings.store_address, settings.store_timeout_max_s
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes | None]],
+        timeout_s: float,
+        producer: interfaces.Producer | None = None,
+        expected_end: int | None = None,
+    ) -> result.Result[interfaces.Appended, outcomes.CallError]:
+        """Appends `records` atomically, if the topic ends as expected."""
+        query: dict[str, str | int] = {"Topic": topic, "part": _PARTITION}
+        if producer is not None:
+            query["Producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["Sequence"] = producer.sequence
+        if expected_end is not None:
+            query["At"] = expected_end
+        path = f"{_PREFIX}append?{urllib.parse.urlencode(query)}"
+        reply = await calls.call(
+            self._client, "POST", path, encode_records(records), timeout_s
+        )
+        _count("append", reply)
+        if reply.is_err():
+            return result.Err(reply.err_value)
+        return _decode_append(reply.ok_value)
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float, timeout_s: float
+    ) -> result.Result[interfaces.Page, outcomes.CallError]:
+        """Reads from `offset`; waits up to `wait_s` for a first record."""
+        query = {
+            "Topic": topic,
+            "part": _PARTITION,
+            "From": offset,
+            "MaxSize": _READ_KB,
+            "WaitMs": int(wait_s * 1000),
+        }
+        path = f"{_PREFIX}read?{urllib.parse.urlencode(query)}"
+        reply = await calls.call(
+            self._client, "GET", path, timeout_s=timeout_s + wait_s
+        )
+        _count("read", reply)
+        if reply.is_err():
+            return result.Err(reply.err_value)
+        answer = reply.ok_value
+        if answer.status_code == 410:
+            return result.Ok(interfaces.Page((), offset, offset, expired=True))
+        if answer.status_code != 200:
+            return _refuse(answer)
+        try:
+            return result.Ok(decode_records(answer.content, offset))
+        except ValueError as error:
+            return result.Err(
+                outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+            )
+
+    async def list_newest(
+        self, topic: str, timeout_s: float
+    ) -> result.Result[interfaces.Page, outcomes.CallError]:
+        """Reads the newest record of each key, page by page.
+
+        Pages are no snapshot, so `end_offset` is that of the first page and
+        later records may be among the ones returned.
+        """
+        records: list[tuple[int, str, bytes | None]] = []
+        end_offset = -1
+        query: dict[str, str | int] = {"Topic": topic, "part": _PARTITION}
+        while True:
+            path = f"{_PREFIX}newest?{urllib.parse.urlencode(query)}"
+            reply = await calls.call(
+                self._client, "GET", path, timeout_s=timeout_s
+            )
+            _count("newest", reply)
+            if reply.is_err():
+                return result.Err(reply.err_value)
+            if reply.ok_value.status_code == 404:
+                return result.Ok(interfaces.Page((), 0, 0))
+            if reply.ok_value.status_code != 200:
+                return _refuse(reply.ok_value)
+            try:
+                page = msgspec.json.decode(reply.ok_value.content, type=_Newest)
+            except msgspec.DecodeError as error:
+                return result.Err(
+                    outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+                )
+            if end_offset < 0:
+                end_offset = page.end_offset
+            records.extend(_decode_item(item) for item in page.items)
+            if not page.has_more or not page.items:
+                return result.Ok(
+                    interfaces.Page(tuple(records), end_offset, end_offset)
+                )
+            # The name of this parameter is the platform's; it holds the key
+            # after which the next page starts.
+            query["DependsOn"] = page.items[-1].key
+
+
+def _decode_item(item: _Item) -> tuple[int, str, bytes | None]:
+    value = base64.b64decode(item.value) if item.value else None
+    return item.offset, item.key, value
+
+
+def _decode_append(
+    reply: http_client.Reply,
+) -> result.Result[interfaces.Appended, outcomes.CallError]:
+    if reply.status_code not in (200, 409, 412):
+        return _refuse(reply)
+    try:
+        answer = msgspec.json.decode(reply.content, type=_Append)
+    except msgspec.DecodeError as error:
+        return result.Err(
+            outcomes.CallError(outcomes.CallFailure.LOST, str(error))
+        )
+    if reply.status_code == 200:
+        return result.Ok(
+            interfaces.Appended(max(0, answer.offset), answer.end_offset)
+        )
+    return result.Ok(
+        interfaces.Appended(
+            -1,
+            answer.end_offset,
+            fenced=answer.reason == "fenced",
+            next_sequence=answer.sequence if answer.reason == "seq" else -1,
+        )
+    )
+
+
+def _refuse(reply: http_client.Reply) -> result.Result:
+    detail = f"status {reply.status_code}: {reply.text[:200]}"
+    return result.Err(outcomes.CallError(outcomes.CallFailure.REFUSED, detail))
+
+
+def _count(name: str, reply: result.Result) -> None:
+    outcome = "answered"
+    if reply.is_err():
+        outcome = reply.err_value.failure.value
+    metrics.STORE_CALLS.labels(name, outcome).inc()
