Learn which filling image disturbs which serving image

Ruled out: the load of serving neighbours (effect below the noise). Change: a filter learns an effect per image pair; fills are placed by it and only those that disturb are slowed.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
@@ -74,6 +75,9 @@
         default_factory=dict
     )
     queues: dict[str, model.Queue] = dataclasses.field(default_factory=dict)
+    learned: interference.Interference = dataclasses.field(
+        default_factory=interference.Interference
+    )
     recovered: bool = False
     draining: bool = False
     lost: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -512,7 +516,7 @@
 ) -> list[book_module.Run]:
     if task.job.queue.advice is not None:
         candidates = orders.filter_advised(owner, task.step, candidates, now)
-    runner = placement.choose_runner(task, candidates, now)
+    runner = placement.choose_runner(task, candidates, owner.learned, now)
     if runner is None:
         for run in placement.find_victims(task, candidates, now):
             orders.stop_run(owner, run, f"makes room for {task.name}")
@@ -566,7 +570,7 @@
     before = [task.attempt for task in step.tasks]
     checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
     for task in step.tasks:
-        runner = placement.choose_runner(task, candidates, now)
+        runner = placement.choose_runner(task, candidates, owner.learned, now)
         if runner is None:
             break
         task.attempt, task.checkpoint = attempt, checkpoint
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -1,41 +1,46 @@
 """Decides at what share of their speed filling tasks may work.
 
-Filling tasks disturb the serving tasks beside them. The tail latency of each
-serving task arrives with every look; above its target the fills of that
-runner are slowed at once, below it they are released step by step.
+Filling tasks disturb the serving tasks beside them, each image pair in its own
+way. The fills that are known to disturb are slowed just enough; when a tail
+stays above its target although the model does not explain it, all fills of
+that runner are slowed and then halted before the harm bound is reached.
 """
 
+import math
+
 from plantainvane.jobs import book
+from plantainvane.jobs import interference
 from plantainvane.jobs import runners as runners_module
 
-# Tail over target: from here fills are slowed, and below here released.
-SLOW_ABOVE = 0.9
-RELEASE_BELOW = 0.65
-# One step of a release, in percent of full speed.
-RELEASE_STEP = 34
-# Over the target this long, fills are stopped from working at all.
-HALT_AFTER_S = 1.2
+# Tails are kept below this share of their target, as a logarithm.
+LIMIT = math.log(0.85)
+# Slower than this, a filling task is halted: it would hardly move.
+_LEAST_PACE = 10
+# A release goes by at most this much at a time, in percent of full speed.
+_RELEASE_STEP = 40
+# Changes below this are not worth a call, in percent of full speed.
+_SMALLEST_CHANGE = 12
+# Over its target this long, a task gets relief even without an explanation.
+# Shares of the harm bound.
+_SLOW_SHARE = 0.3
+_HALT_SHARE = 0.5
 
 
-def measure_pressure(runner: runners_module.Runner, now: float) -> float:
-    """Highest tail over its target of the runner's serving tasks."""
-    worst = 0.0
-    for run in runner.runs:
-        target_ms = run.task.step.step.target_ms
-        if not target_ms or run.phase is not book.Phase.RUNNING:
-            continue
-        ratio = run.figure / target_ms
-        if ratio > 1:
-            if run.over_since is None:
-                run.over_since = now
-        else:
+def note_tails(runner: runners_module.Runner, now: float) -> None:
+    """Notes since when each serving task has been over its target."""
+    for run in interference.list_serving(runner):
+        over = run.figure > run.task.step.step.target_ms
+        if not over or run.phase is not book.Phase.RUNNING:
             run.over_since = None
-        worst = max(worst, ratio)
-    return worst
+        elif run.over_since is None:
+            run.over_since = now
 
 
 def decide_paces(
-    runner: runners_module.Runner, now: float
+    learned: interference.Interference,
+    runner: runners_module.Runner,
+    harm_s: float,
+    now: float,
 ) -> list[tuple[book.Run, int]]:
     """New paces of filling tasks in percent, for those that change."""
     fills = [
@@ -45,24 +50,61 @@
     ]
     if not fills:
         return []
-    worst = measure_pressure(runner, now)
-    halted = any(
-        run.over_since is not None and now - run.over_since >= HALT_AFTER_S
-        for run in runner.runs
-    )
+    paces = dict.fromkeys(fills, 100.0)
+    for serving in interference.list_serving(runner):
+        if serving.phase is book.Phase.RUNNING:
+            _make_room(learned, serving, paces)
+            _relieve(serving, paces, harm_s, now)
     changes = []
-    for run in fills:
-        pace = _choose_pace(run.pace, worst, halted)
-        if pace != run.pace:
+    for run, wanted in paces.items():
+        pace = int(min(wanted, run.pace + _RELEASE_STEP))
+        if pace < _LEAST_PACE:
+            pace = 0
+        if abs(pace - run.pace) >= _SMALLEST_CHANGE or (
+            pace != run.pace and pace in (0, 100)
+        ):
             changes.append((run, pace))
     return changes
 
 
-def _choose_pace(pace: int, worst: float, halted: bool) -> int:
-    if worst > 1:
-        return 0 if halted else min(pace, max(0, int(pace * 0.6 / worst)))
-    if worst > SLOW_ABOVE:
-        return int(pace * 0.75)
-    if worst < RELEASE_BELOW:
-        return min(100, pace + RELEASE_STEP)
-    return pace
+def _make_room(
+    learned: interference.Interference,
+    serving: book.Run,
+    paces: dict[book.Run, float],
+) -> None:
+    """Slows the most disturbing fills until the expected tail fits."""
+    image = serving.task.step.step.image
+    effects = []
+    for run, pace in paces.items():
+        step = run.task.step.step
+        effect = learned.find_effect(image, step.image) * step.amounts.cpu
+        effects.append((effect / 1000, run, pace))
+    total = sum(effect * pace / 100 for effect, _, pace in effects)
+    excess = learned.find_level(serving) + total - LIMIT
+    effects.sort(key=lambda row: -row[0])
+    for effect, run, pace in effects:
+        if excess <= 0 or effect <= 0.02:
+            return
+        cut = min(pace, 100 * excess / effect)
+        paces[run] = pace - cut
+        excess -= cut / 100 * effect
+
+
+def _relieve(
+    serving: book.Run,
+    paces: dict[book.Run, float],
+    harm_s: float,
+    now: float,
+) -> None:
+    """Slows every fill beside a task that stays over its target."""
+    if serving.over_since is None:
+        return
+    over_s = now - serving.over_since
+    if over_s >= _HALT_SHARE * harm_s:
+        factor = 0.0
+    elif over_s >= _SLOW_SHARE * harm_s:
+        factor = 0.4
+    else:
+        return
+    for run in paces:
+        paces[run] = min(paces[run], 100 * factor)
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -1,7 +1,9 @@
 """Decides which runner starts a task, and what makes room for it."""
 
 from plantainvane.jobs import book
+from plantainvane.jobs import interference
 from plantainvane.jobs import model
+from plantainvane.jobs import pacing
 from plantainvane.jobs import runners as runners_module
 
 # Share of its declared processors that a serving task uses on average; the
@@ -9,6 +11,12 @@
 SERVING_USE = 0.6
 # Filling tasks may be charged with this multiple of the unused processors.
 FILL_LIMIT = 1.15
+# A filling task waits this long for a runner where it does less harm than
+# the limit, which is a logarithm of tail over target.
+HARM_PATIENCE_S = 2.5
+HARM_LIMIT = 0.25
+# Weight of one unit of harm against a runner that is idle altogether.
+HARM_WEIGHT = 3.0
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -53,6 +61,7 @@
 def choose_runner(
     task: book.Task,
     candidates: list[runners_module.Runner],
+    learned: interference.Interference,
     now: float,
 ) -> runners_module.Runner | None:
     """Chooses the best runner with room, or None."""
@@ -71,6 +80,8 @@
         ):
             continue
         score = _score(task, step, runner, racks)
+        if step.fills and score is not None:
+            score = _weigh_harm(task, runner, learned, score, now)
         if score is not None and score > best_score:
             best, best_score = runner, score
     return best
@@ -91,8 +102,9 @@
             return None
         score = (unused - runner.fill_cpu) / room_cpu
     elif step.long_running:
-        # Serving tasks are spread, so that each has fewer noisy neighbours.
-        score = 1 - runner.cpu / room_cpu - 0.3 * runner.fill_cpu / room_cpu
+        # Tasks of one image share a runner, so that a filling image which
+        # disturbs some of them finds others beside which it can work.
+        score = 1 - runner.cpu / room_cpu + _measure_likeness(runner, step)
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / room_cpu
     if runner.entry.id in task.avoid:
@@ -105,6 +117,38 @@
     return score * min(1.0, runner.speed) if score > 0 else score
 
 
+def _measure_likeness(runner: runners_module.Runner, step: model.Step) -> float:
+    """Share of the runner's serving processors that have the step's image."""
+    if not runner.serving_cpu:
+        return 0.5
+    same = sum(
+        run.task.step.step.amounts.cpu
+        for run in runner.runs
+        if run.task.step.step.image == step.image
+    )
+    return same / runner.serving_cpu
+
+
+def _weigh_harm(
+    task: book.Task,
+    runner: runners_module.Runner,
+    learned: interference.Interference,
+    score: float,
+    now: float,
+) -> float | None:
+    """Lowers a score by the harm to the serving tasks there."""
+    step = task.step.step
+    cores = step.amounts.cpu / 1000
+    excess = interference.measure_excess(
+        learned, runner, step.image, cores, pacing.LIMIT
+    )
+    if excess <= 0:
+        return score
+    if excess > HARM_LIMIT and now - task.ready_since < HARM_PATIENCE_S:
+        return None
+    return score - HARM_WEIGHT * excess
+
+
 def _count_step(task: book.Task) -> dict[str, int]:
     counts: dict[str, int] = {}
     for other in task.step.tasks:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -142,6 +142,7 @@
 ) -> None:
     for run in runs:
         runner.charge(run, -1)
+        owner.learned.forget_run(run)
         owner.book.drop_run(run, now)
         metrics.ENDS.labels("lost").inc()
         events.log_event(
@@ -198,7 +199,11 @@
     if not runner.fenced:
         runner.fenced = True
         owner.poke()
-    for run, pace in pacing.decide_paces(runner, now):
+    owner.learned.learn(runner)
+    pacing.note_tails(runner, now)
+    for run, pace in pacing.decide_paces(
+        owner.learned, runner, owner.settings.harm_s, now
+    ):
         owner.group.start_soon(orders.set_pace, owner, run, pace)
     if number <= runner.last_seen:
         return None
@@ -238,6 +243,7 @@
         if run is None or run.runner != runner.entry.id:
             continue
         runner.charge(run, -1)
+        owner.learned.forget_run(run)
         owner.book.end_run(
             run, end.how, end.checkpoint, now, clock.read_wall_ms()
         )
