--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -46,6 +46,7 @@
       document: The operator's document that it was decoded from.
       owner: Set while this process is the owner.
       seen: Peers that pinged, by address.
+      behind: Newer version that a peer named once, or -1.
       draining: SIGTERM came.
     """
 
@@ -60,6 +61,7 @@
     document: bytes = b""
     owner: owner_module.Owner | None = None
     seen: dict[str, PeerSeen] = dataclasses.field(default_factory=dict)
+    behind: int = -1
     draining: bool = False
     stopping: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     claiming: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
@@ -319,11 +321,22 @@
     ownership.note_reply(answer.is_owner, answer.silent_for_s, now)
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
-    if entry.configuration is None or (
-        answer.config_version > entry.configuration.version
-        and entry.health.failing_since is not None
-    ):
-        await _fetch_configuration(entry, claim.address)
+    await _compare_configuration(entry, answer.config_version, claim.address)
+
+
+async def _compare_configuration(
+    entry: Entry, version: int, address: str
+) -> None:
+    """Fetches a newer version that the own log read did not bring."""
+    current = entry.configuration.version if entry.configuration else -1
+    if version <= current:
+        entry.behind = -1
+    elif entry.behind >= 0 or current < 0:
+        entry.behind = -1
+        await _fetch_configuration(entry, address)
+    else:
+        # The own read usually brings it before the next ping.
+        entry.behind = version
 
 
 def _may_own(entry: Entry, now: float) -> bool:
@@ -479,8 +492,10 @@
         owner.lose("peer")
         owner = None
     version = entry.configuration.version if entry.configuration else -1
-    if ping.config_version > version and entry.health.failing_since:
-        entry.group.start_soon(_fetch_configuration, entry, ping.address)
+    if ping.config_version > version:
+        entry.group.start_soon(
+            _compare_configuration, entry, ping.config_version, ping.address
+        )
     silent_for_s = 0.0
     if entry.health.failing_since is not None:
         silent_for_s = now - max(
--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -1,9 +1,11 @@
 """Aggregate: which filling image disturbs which serving image, as learned.
 
-The logarithm of a serving task's tail is modelled as its own level, which
-follows its load, plus an effect for each core that a filling image uses beside
-it. Effects are shared by all tasks of an image and are learned from every look
-with a Kalman filter of diagonal covariance.
+A tail grows as the reciprocal of the capacity that is left, so tails are
+turned into a pressure: 0 at the lowest tail seen, 1 where it has no bound.
+Pressure is modelled as the task's own level, which follows its load, plus an
+effect for each core that a filling image uses beside it. Effects are shared by
+all tasks of an image and learned from every look with a Kalman filter of
+diagonal covariance.
 """
 
 import dataclasses
@@ -12,28 +14,67 @@
 from plantainvane.jobs import book
 from plantainvane.jobs import runners as runners_module
 
-# Variance of the noise of one tail figure, in squared logarithms.
-_NOISE = 0.12
-# Variance of a task's own level, which follows its load within seconds.
-_LEVEL_VARIANCE = 0.04
+# Variance of the noise of one pressure reading.
+_NOISE = 0.008
+# Variance by which a level drifts between two looks, as its load changes.
+_LEVEL_DRIFT = 0.006
 # Effects of image pairs before anything was seen, per core.
-_PRIOR_EFFECT = 0.03
-_PRIOR_VARIANCE = 0.03
+_PRIOR_EFFECT = 0.015
+_PRIOR_VARIANCE = 0.006
 # Effects change within seconds; this keeps the filter from settling.
-_DRIFT = 0.0002
-_LIMIT_EFFECT = 1.0
-_LIMIT_ERROR = 1.2
-_MIN_FIGURE = 0.5
-# Level of a task before its first figure: a third of its target.
-_FIRST_LEVEL = math.log(1 / 3)
+_EFFECT_DRIFT = 0.00001
+_MAX_EFFECT = 0.5
+_MAX_ERROR = 0.5
+# Before a figure was seen: the lowest tail as a share of the target, and the
+# pressure of a task.
+_FIRST_FLOOR = 0.4
+_FIRST_LEVEL = 0.4
+# An effect that is not observed any more fades towards the prior, so that a
+# wrong one is tried again.
+_FADE_S = 30.0
+# Fills that disturb less than this are taken as harmless, as a pressure.
+HARMLESS = 0.04
+# A peak of the level is remembered this long, a period or two of its load.
+_PEAK_DECAY_S = 20.0
 
 
 @dataclasses.dataclass(slots=True)
 class Effect:
-    """Effect per core of a filling image, and its uncertainty."""
+    """Effect per core of a filling image, its uncertainty and its age."""
 
     value: float = _PRIOR_EFFECT
     variance: float = _PRIOR_VARIANCE
+    at: float = 0.0
+
+    def fade(self, now: float) -> None:
+        """Fades an effect that was last observed some time ago."""
+        age_s = now - self.at
+        if self.at and age_s > 1:
+            kept = math.exp(-age_s / _FADE_S)
+            self.value = _PRIOR_EFFECT + kept * (self.value - _PRIOR_EFFECT)
+            self.variance = _PRIOR_VARIANCE + kept * (
+                self.variance - _PRIOR_VARIANCE
+            )
+        self.at = now
+
+
+@dataclasses.dataclass(slots=True)
+class Level:
+    """Pressure of one serving task without fills.
+
+    Attributes:
+      value: Present pressure.
+      variance: Its uncertainty.
+      slope: Change per second.
+      peak: Highest recent value.
+      at: When it was last updated.
+    """
+
+    value: float = _FIRST_LEVEL
+    variance: float = 0.05
+    slope: float = 0.0
+    peak: float = _FIRST_LEVEL
+    at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,24 +83,36 @@
 
     Attributes:
       effects: By serving image and filling image.
-      levels: Logarithm of tail over target without fills, by attempt.
+      floors: Lowest tail over target of each serving image.
+      levels: By attempt.
     """
 
     effects: dict[tuple[str, str], Effect] = dataclasses.field(
         default_factory=dict
     )
-    levels: dict[book.Run, float] = dataclasses.field(default_factory=dict)
+    floors: dict[str, float] = dataclasses.field(default_factory=dict)
+    levels: dict[book.Run, Level] = dataclasses.field(default_factory=dict)
 
-    def find_effect(self, serving: str, filling: str) -> float:
+    def find_effect(self, serving: str, filling: str, now: float) -> float:
         """Effect per core of a filling image on a serving image."""
         effect = self.effects.get((serving, filling))
-        return effect.value if effect is not None else _PRIOR_EFFECT
-
-    def find_level(self, run: book.Run) -> float:
-        """Logarithm of tail over target that a task has without fills."""
-        return self.levels.get(run, _FIRST_LEVEL)
-
-    def learn(self, runner: runners_module.Runner) -> None:
+        if effect is None:
+            return _PRIOR_EFFECT
+        kept = math.exp(-max(0.0, now - effect.at - 1) / _FADE_S)
+        return _PRIOR_EFFECT + kept * (effect.value - _PRIOR_EFFECT)
+
+    def find_level(self, run: book.Run) -> Level:
+        """Level of a serving task."""
+        level = self.levels.get(run)
+        if level is None:
+            level = self.levels[run] = Level()
+        return level
+
+    def find_limit(self, image: str, share: float) -> float:
+        """Pressure at which a tail is `share` of its target."""
+        return 1 - self.floors.get(image, _FIRST_FLOOR) / share
+
+    def learn(self, runner: runners_module.Runner, now: float) -> None:
         """Learns from the figures of one look."""
         used: dict[str, float] = {}
         serving: list[book.Run] = []
@@ -72,34 +125,57 @@
             elif step.target_ms and run.percent >= 100 and run.figure > 0:
                 serving.append(run)
         for run in serving:
-            self._learn_run(run, used)
+            self._learn_run(run, used, now)
 
-    def _learn_run(self, run: book.Run, used: dict[str, float]) -> None:
+    def _learn_run(
+        self, run: book.Run, used: dict[str, float], now: float
+    ) -> None:
         step = run.task.step.step
-        seen = math.log(max(run.figure, _MIN_FIGURE) / step.target_ms)
+        ratio = run.figure / step.target_ms
+        floor = min(self.floors.get(step.image, _FIRST_FLOOR), ratio)
+        self.floors[step.image] = floor
         level = self.find_level(run)
+        level.variance += _LEVEL_DRIFT
+        for image in used:
+            key = (step.image, image)
+            if used[image] > 0:
+                self.effects.setdefault(key, Effect()).fade(now)
         effects = [
-            (self.effects.setdefault((step.image, image), Effect()), cores)
+            (self.effects[step.image, image], cores)
             for image, cores in used.items()
             if cores > 0
         ]
-        expected = level + sum(e.value * cores for e, cores in effects)
-        error = max(-_LIMIT_ERROR, min(_LIMIT_ERROR, seen - expected))
-        spread = _NOISE + _LEVEL_VARIANCE
+        expected = level.value + sum(e.value * cores for e, cores in effects)
+        error = 1 - floor / ratio - expected
+        error = max(-_MAX_ERROR, min(_MAX_ERROR, error))
+        spread = _NOISE + level.variance
         spread += sum(e.variance * cores * cores for e, cores in effects)
-        self.levels[run] = level + error * _LEVEL_VARIANCE / spread * 2
+        _move_level(level, level.variance / spread, error, now)
         for effect, cores in effects:
             gain = effect.variance * cores / spread
             effect.value = max(
-                0.0, min(_LIMIT_EFFECT, effect.value + gain * error)
+                0.0, min(_MAX_EFFECT, effect.value + gain * error)
             )
-            effect.variance = effect.variance * (1 - gain * cores) + _DRIFT
+            effect.variance *= 1 - gain * cores
+            effect.variance += _EFFECT_DRIFT
 
     def forget_run(self, run: book.Run) -> None:
         """Forgets the level of an attempt that has ended."""
         self.levels.pop(run, None)
 
 
+def _move_level(level: Level, gain: float, error: float, now: float) -> None:
+    elapsed = now - level.at if level.at else 0.0
+    change = gain * error
+    level.value += change
+    level.variance *= 1 - gain
+    if 0 < elapsed < 2:
+        level.slope += 0.4 * (change / elapsed - level.slope)
+    decay = math.exp(-elapsed / _PEAK_DECAY_S)
+    level.peak = max(level.value, level.peak * decay)
+    level.at = now
+
+
 def list_serving(runner: runners_module.Runner) -> list[book.Run]:
     """Tasks of a runner that have a target."""
     return [run for run in runner.runs if run.task.step.step.target_ms]
@@ -110,30 +186,31 @@
     runner: runners_module.Runner,
     image: str,
     cores: float,
-    limit: float,
+    share: float,
+    now: float,
 ) -> float:
-    """How far one more filling task would push the worst tail over `limit`.
+    """How far one more filling task would push the worst pressure too high.
 
-    `limit` and the result are logarithms of tail over target; 0 or less means
-    that every tail is expected to stay below the limit.
+    The limit is where a tail is `share` of its target at the peak of its load;
+    0 or less means that every tail is expected to stay below it.
     """
     worst = -math.inf
-    fills = [run for run in runner.runs if run.task.step.step.fills]
+    fills = [
+        run.task.step.step for run in runner.runs if run.task.step.step.fills
+    ]
     for run in list_serving(runner):
         serving = run.task.step.step.image
-        own = learned.find_effect(serving, image) * cores
-        if own <= 0.01:
-            # It hardly touches this task, whatever its tail is.
+        own = learned.find_effect(serving, image, now) * cores
+        if own <= HARMLESS:
             continue
-        total = learned.find_level(run) + own
-        for fill in fills:
-            step = fill.task.step.step
-            total += (
-                learned.find_effect(serving, step.image)
-                * step.amounts.cpu
-                / 1000
-                * fill.pace
-                / 100
+        limit = learned.find_limit(serving, share)
+        total = learned.find_level(run).peak + own - limit
+        total += (
+            sum(
+                learned.find_effect(serving, step.image, now) * step.amounts.cpu
+                for step in fills
             )
-        worst = max(worst, min(total - limit, own))
+            / 1000
+        )
+        worst = max(worst, min(total, own))
     return worst
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -6,14 +6,14 @@
 that runner are slowed and then halted before the harm bound is reached.
 """
 
-import math
-
 from plantainvane.jobs import book
 from plantainvane.jobs import interference
 from plantainvane.jobs import runners as runners_module
 
-# Tails are kept below this share of their target, as a logarithm.
-LIMIT = math.log(0.85)
+# Tails are kept below this share of their target.
+TARGET_SHARE = 0.85
+# A level is extrapolated this far: the age of a figure and half a look.
+_AHEAD_S = 0.6
 # Slower than this, a filling task is halted: it would hardly move.
 _LEAST_PACE = 10
 # A release goes by at most this much at a time, in percent of full speed.
@@ -23,7 +23,7 @@
 # Over its target this long, a task gets relief even without an explanation.
 # Shares of the harm bound.
 _SLOW_SHARE = 0.3
-_HALT_SHARE = 0.5
+_HALT_SHARE = 0.65
 
 
 def note_tails(runner: runners_module.Runner, now: float) -> None:
@@ -53,8 +53,9 @@
     paces = dict.fromkeys(fills, 100.0)
     for serving in interference.list_serving(runner):
         if serving.phase is book.Phase.RUNNING:
-            _make_room(learned, serving, paces)
-            _relieve(serving, paces, harm_s, now)
+            effects = _list_effects(learned, serving, paces, now)
+            _make_room(learned, serving, effects, paces)
+            _relieve(serving, effects, paces, harm_s, now)
     changes = []
     for run, wanted in paces.items():
         pace = int(min(wanted, run.pace + _RELEASE_STEP))
@@ -67,44 +68,58 @@
     return changes
 
 
-def _make_room(
+def _list_effects(
     learned: interference.Interference,
     serving: book.Run,
     paces: dict[book.Run, float],
-) -> None:
-    """Slows the most disturbing fills until the expected tail fits."""
+    now: float,
+) -> list[tuple[float, book.Run]]:
+    """Pressure of each fill at full speed on one task, highest first."""
     image = serving.task.step.step.image
     effects = []
-    for run, pace in paces.items():
+    for run in paces:
         step = run.task.step.step
-        effect = learned.find_effect(image, step.image) * step.amounts.cpu
-        effects.append((effect / 1000, run, pace))
-    total = sum(effect * pace / 100 for effect, _, pace in effects)
-    excess = learned.find_level(serving) + total - LIMIT
+        effect = learned.find_effect(image, step.image, now)
+        effects.append((effect * step.amounts.cpu / 1000, run))
     effects.sort(key=lambda row: -row[0])
-    for effect, run, pace in effects:
-        if excess <= 0 or effect <= 0.02:
+    return effects
+
+
+def _make_room(
+    learned: interference.Interference,
+    serving: book.Run,
+    effects: list[tuple[float, book.Run]],
+    paces: dict[book.Run, float],
+) -> None:
+    """Slows the most disturbing fills until the expected tail fits."""
+    total = sum(effect * paces[run] / 100 for effect, run in effects)
+    level = learned.find_level(serving)
+    ahead = level.value + max(0.0, level.slope) * _AHEAD_S
+    limit = learned.find_limit(serving.task.step.step.image, TARGET_SHARE)
+    excess = ahead + total - limit
+    for effect, run in effects:
+        if excess <= 0 or effect <= interference.HARMLESS:
             return
-        cut = min(pace, 100 * excess / effect)
-        paces[run] = pace - cut
+        cut = min(paces[run], 100 * excess / effect)
+        paces[run] -= cut
         excess -= cut / 100 * effect
 
 
 def _relieve(
     serving: book.Run,
+    effects: list[tuple[float, book.Run]],
     paces: dict[book.Run, float],
     harm_s: float,
     now: float,
 ) -> None:
-    """Slows every fill beside a task that stays over its target."""
+    """Slows fills beside a task that stays over its target."""
     if serving.over_since is None:
         return
     over_s = now - serving.over_since
-    if over_s >= _HALT_SHARE * harm_s:
-        factor = 0.0
-    elif over_s >= _SLOW_SHARE * harm_s:
-        factor = 0.4
-    else:
-        return
-    for run in paces:
-        paces[run] = min(paces[run], 100 * factor)
+    for effect, run in effects:
+        if over_s >= _HALT_SHARE * harm_s:
+            paces[run] = 0.0
+        elif over_s >= _SLOW_SHARE * harm_s and (
+            effect > interference.HARMLESS / 2
+        ):
+            paces[run] = min(paces[run], 40.0)
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -12,11 +12,11 @@
 # Filling tasks may be charged with this multiple of the unused processors.
 FILL_LIMIT = 1.15
 # A filling task waits this long for a runner where it does less harm than
-# the limit, which is a logarithm of tail over target.
-HARM_PATIENCE_S = 2.5
-HARM_LIMIT = 0.25
+# the limit, which is a pressure beyond what keeps the target.
+HARM_PATIENCE_S = 8.0
+HARM_LIMIT = 0.12
 # Weight of one unit of harm against a runner that is idle altogether.
-HARM_WEIGHT = 3.0
+HARM_WEIGHT = 8.0
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -140,7 +140,7 @@
     step = task.step.step
     cores = step.amounts.cpu / 1000
     excess = interference.measure_excess(
-        learned, runner, step.image, cores, pacing.LIMIT
+        learned, runner, step.image, cores, pacing.TARGET_SHARE, now
     )
     if excess <= 0:
         return score
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -199,7 +199,7 @@
     if not runner.fenced:
         runner.fenced = True
         owner.poke()
-    owner.learned.learn(runner)
+    owner.learned.learn(runner, now)
     pacing.note_tails(runner, now)
     for run, pace in pacing.decide_paces(
         owner.learned, runner, owner.settings.harm_s, now
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -53,7 +53,9 @@
     store_timeout_s: float = 0.6
     store_timeout_max_s: float = 2.5
     store_retry_s: float = 0.1
-    read_wait_s: float = 10.0
+    # A read whose connection went silent is noticed after its wait; the
+    # platform allows 2 s for a configuration to be in force.
+    read_wait_s: float = 1.2
     runner_poll_s: float = 0.4
     body_limit_bytes: int = 262_144
 
