Move slowed fills to quieter runners

Cause: a filling task that was placed beside images it disturbs stayed slowed for seconds while runners without such images had room. Ruled out: want of room (about 9 fills queued, 3.6 running on a runner). Change: such a task is stopped at its checkpoint and started elsewhere; images that work anywhere leave the runners that suit few images to those.

--- a/plantainvane/jobs/book.py
+++ b/plantainvane/jobs/book.py
@@ -42,6 +42,7 @@
       figure: Tail in ms of a serving task, else thousandths of a core in use.
       pace: Share of its speed that it was told, 0 to 100.
       over_since: When its tail first exceeded the target, or None.
+      slowed_since: When it was first paced to half its speed, or None.
     """
 
     task: "Task"
@@ -55,6 +56,7 @@
     figure: float = 0.0
     pace: int = 100
     over_since: float | None = None
+    slowed_since: float | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -22,6 +22,8 @@
 _UNHEALTHY_S = 1.0
 _RETRY_S = 0.05
 _REFUSED_RETRY_S = 1.0
+# At this pace or below, a filling task counts as slowed.
+_SLOWED_PERCENT = 50
 # Runners named in one call to the adviser.
 _ADVISED_AT_ONCE = 30
 _ADVICE_SLACK_S = 1.0
@@ -206,6 +208,10 @@
     metrics.PACES.labels(outcome.value).inc()
     if outcome is _OUTCOME.DONE:
         run.pace = percent
+        if percent > _SLOWED_PERCENT:
+            run.slowed_since = None
+        elif run.slowed_since is None:
+            run.slowed_since = clock.read_now()
     elif outcome is _OUTCOME.FENCED:
         owner.lose("runner")
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -39,6 +39,11 @@
 # Work that becomes due by time alone is looked for this often.
 _PASS_LIMIT_S = 0.25
 _SWEEP_S = 1.0
+# A filling task that was slowed this long is moved if it can be; a move costs
+# the time to stop and restore it, 1 s here.
+_MOVE_AFTER_S = 0.9
+_MOVE_GAP_S = 0.25
+_MOVES_AT_ONCE = 3
 # The first looks after a takeover; a runner that is later is in doubt.
 _FIRST_LOOKS_S = 0.6
 
@@ -82,6 +87,7 @@
     draining: bool = False
     lost: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    next_move_at: float = 0.0
     tail_offset: int = 0
     list_offset: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
@@ -457,7 +463,9 @@
         owner.wake = anyio.Event()
         _stop_ended(owner)
         if not owner.draining:
-            _place_ready(owner, clock.read_now())
+            now = clock.read_now()
+            _place_ready(owner, now)
+            _move_slowed(owner, now)
 
 
 def _stop_ended(owner: Owner) -> None:
@@ -499,6 +507,36 @@
         owner.group.start_soon(orders.start_runs, owner, placed)
 
 
+def _move_slowed(owner: Owner, now: float) -> None:
+    """Stops slowed fills that could work at full speed elsewhere."""
+    if now < owner.next_move_at:
+        return
+    owner.next_move_at = now + _MOVE_GAP_S
+    moved = 0
+    for runner in owner.runners.values():
+        for run in list(runner.runs):
+            step = run.task.step.step
+            if (
+                not step.fills
+                or not step.checkpointing
+                or run.phase is not book_module.Phase.RUNNING
+                or run.slowed_since is None
+                or now - run.slowed_since < _MOVE_AFTER_S
+            ):
+                continue
+            candidates = [
+                other
+                for other in owner.runners.values()
+                if other.entry.service == runner.entry.service
+            ]
+            if placement.find_quieter(run, candidates, owner.learned, now):
+                run.task.avoid = (*run.task.avoid[-3:], run.runner)
+                orders.stop_run(owner, run, "moves to a quieter runner")
+                moved += 1
+                if moved >= _MOVES_AT_ONCE:
+                    return
+
+
 def _rank_task(task: book_module.Task) -> tuple[int, bool, float, str]:
     return (
         task.job.queue.priority,
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -17,6 +17,10 @@
 HARM_LIMIT = 0.12
 # Weight of one unit of harm against a runner that is idle altogether.
 HARM_WEIGHT = 8.0
+# Weight of a runner's usefulness to other filling images.
+SCARCITY_WEIGHT = 0.4
+# Effects per core up to this count as none.
+HARMLESS_EFFECT = 0.025
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -143,12 +147,62 @@
         learned, runner, step.image, cores, pacing.TARGET_SHARE, now
     )
     if excess <= 0:
-        return score
+        # Runners that suit few images are left to those.
+        return score - SCARCITY_WEIGHT * _measure_usefulness(
+            runner, learned, now
+        )
     if excess > HARM_LIMIT and now - task.ready_since < HARM_PATIENCE_S:
         return None
     return score - HARM_WEIGHT * excess
 
 
+def _measure_usefulness(
+    runner: runners_module.Runner,
+    learned: interference.Interference,
+    now: float,
+) -> float:
+    """Share of the known filling images that hurt no serving task there."""
+    serving = {r.task.step.step.image for r in runner.runs if _serves(r)}
+    filling = {pair[1] for pair in learned.effects}
+    if not filling:
+        return 1.0
+    useful = sum(
+        all(
+            learned.find_effect(image, fill, now) <= HARMLESS_EFFECT
+            for image in serving
+        )
+        for fill in filling
+    )
+    return useful / len(filling)
+
+
+def _serves(run: book.Run) -> bool:
+    return run.task.step.step.target_ms > 0
+
+
+def find_quieter(
+    run: book.Run,
+    candidates: list[runners_module.Runner],
+    learned: interference.Interference,
+    now: float,
+) -> runners_module.Runner | None:
+    """Finds a runner where a slowed filling task could work at full speed."""
+    step = run.task.step.step
+    others = [r for r in candidates if r.entry.id != run.runner]
+    runner = choose_runner(run.task, others, learned, now)
+    if runner is None:
+        return None
+    excess = interference.measure_excess(
+        learned,
+        runner,
+        step.image,
+        step.amounts.cpu / 1000,
+        pacing.TARGET_SHARE,
+        now,
+    )
+    return runner if excess <= 0 else None
+
+
 def _count_step(task: book.Task) -> dict[str, int]:
     counts: dict[str, int] = {}
     for other in task.step.tasks:
