Pack serving tasks by image and charge slowed fills by their pace

Change: effects below 0.03 a core count as none, the prior is optimistic, a slowed fill is charged by its pace, serving tasks are packed by image.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -32,8 +32,8 @@
 # An effect that is not observed any more fades towards the prior, so that a
 # wrong one is tried again.
 _FADE_S = 30.0
-# Fills that disturb less than this are taken as harmless, as a pressure.
-HARMLESS = 0.04
+# Effects per core below this count as none.
+NOTABLE_EFFECT = 0.03
 # A peak of the level is remembered this long, a period or two of its load.
 _PEAK_DECAY_S = 20.0
 
@@ -97,9 +97,11 @@
         """Effect per core of a filling image on a serving image."""
         effect = self.effects.get((serving, filling))
         if effect is None:
-            return _PRIOR_EFFECT
+            return 0.0
         kept = math.exp(-max(0.0, now - effect.at - 1) / _FADE_S)
-        return _PRIOR_EFFECT + kept * (effect.value - _PRIOR_EFFECT)
+        value = _PRIOR_EFFECT + kept * (effect.value - _PRIOR_EFFECT)
+        # Most pairs do not matter; small values are noise.
+        return value if value >= NOTABLE_EFFECT else 0.0
 
     def find_level(self, run: book.Run) -> Level:
         """Level of a serving task."""
@@ -201,7 +203,7 @@
     for run in list_serving(runner):
         serving = run.task.step.step.image
         own = learned.find_effect(serving, image, now) * cores
-        if own <= HARMLESS:
+        if own <= 0:
             continue
         limit = learned.find_limit(serving, share)
         total = learned.find_level(run).peak + own - limit
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -207,7 +207,7 @@
     )
     metrics.PACES.labels(outcome.value).inc()
     if outcome is _OUTCOME.DONE:
-        run.pace = percent
+        runner.change_pace(run, percent)
         if percent > _SLOWED_PERCENT:
             run.slowed_since = None
         elif run.slowed_since is None:
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -98,7 +98,7 @@
     limit = learned.find_limit(serving.task.step.step.image, TARGET_SHARE)
     excess = ahead + total - limit
     for effect, run in effects:
-        if excess <= 0 or effect <= interference.HARMLESS:
+        if excess <= 0 or effect <= 0:
             return
         cut = min(paces[run], 100 * excess / effect)
         paces[run] -= cut
@@ -119,7 +119,5 @@
     for effect, run in effects:
         if over_s >= _HALT_SHARE * harm_s:
             paces[run] = 0.0
-        elif over_s >= _SLOW_SHARE * harm_s and (
-            effect > interference.HARMLESS / 2
-        ):
+        elif over_s >= _SLOW_SHARE * harm_s and effect > 0:
             paces[run] = min(paces[run], 40.0)
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -19,8 +19,6 @@
 HARM_WEIGHT = 8.0
 # Weight of a runner's usefulness to other filling images.
 SCARCITY_WEIGHT = 0.4
-# Effects per core up to this count as none.
-HARMLESS_EFFECT = 0.025
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -106,9 +104,9 @@
             return None
         score = (unused - runner.fill_cpu) / room_cpu
     elif step.long_running:
-        # Tasks of one image share a runner, so that a filling image which
-        # disturbs some of them finds others beside which it can work.
-        score = 1 - runner.cpu / room_cpu + _measure_likeness(runner, step)
+        # Tasks of one image are packed together, so that a filling image
+        # which disturbs some of them finds runners where it can work.
+        score = 0.3 * runner.cpu / room_cpu + _measure_likeness(runner, step)
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / room_cpu
     if runner.entry.id in task.avoid:
@@ -167,10 +165,7 @@
     if not filling:
         return 1.0
     useful = sum(
-        all(
-            learned.find_effect(image, fill, now) <= HARMLESS_EFFECT
-            for image in serving
-        )
+        all(learned.find_effect(image, fill, now) <= 0 for image in serving)
         for fill in filling
     )
     return useful / len(filling)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -9,6 +9,8 @@
 
 # A lease is taken as expired this long after it must have, for rounding.
 _LEASE_MARGIN_S = 0.3
+# A slowed filling task keeps this share of its charge, for when it may go on.
+_LEAST_CHARGED_PACE = 20
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -68,7 +70,7 @@
             del self.runs[run]
         step = run.task.step.step
         if step.fills:
-            self.fill_cpu += sign * step.amounts.cpu
+            self.fill_cpu += sign * _weigh_fill(run)
         else:
             self.cpu += sign * step.amounts.cpu
         if step.long_running:
@@ -76,6 +78,15 @@
         self.memory_mb += sign * step.amounts.memory_mb
         self.accelerators += sign * step.amounts.accelerators
 
+    def change_pace(self, run: book.Run, percent: int) -> None:
+        """Notes a new pace, and charges the processors that it leaves."""
+        charged = run in self.runs
+        if charged:
+            self.fill_cpu -= _weigh_fill(run)
+        run.pace = percent
+        if charged:
+            self.fill_cpu += _weigh_fill(run)
+
     def note_clock(self, clock_ms: int, now: float) -> None:
         """Notes what the runner's clock showed before `now`."""
         self.clock_at, self.clock_ms = now, clock_ms
@@ -95,6 +106,12 @@
         return self.clock_at + left_s + _LEASE_MARGIN_S
 
 
+def _weigh_fill(run: book.Run) -> int:
+    """Thousandths of a core that a filling task is charged with."""
+    pace = max(run.pace, _LEAST_CHARGED_PACE)
+    return run.task.step.step.amounts.cpu * pace // 100
+
+
 def find_rack(labels: tuple[str, ...]) -> str:
     """Label of the rack: the last one by the platform's order."""
     return labels[-1] if labels else ""
