Start late jobs behind those that can still be in time

Ruled out: want of room for the share of fills that is harmless. Change: a late job goes behind those that can be in time, and one past three objectives behind both; a long-running task may wait 1.5 s behind short ones.

--- a/plantainvane/jobs/book.py
+++ b/plantainvane/jobs/book.py
@@ -113,6 +113,7 @@
     Attributes:
       queue: The queue as last configured.
       deadline: Latest time to earn in full, on the book's clock.
+      objective_s: Time from the submission to `deadline`.
       ended: completed, failed, cancelled, or empty while it is open.
       stored_ended: The end that has been stored and may be shown.
       left: Steps of all occurrences that are not done.
@@ -122,6 +123,7 @@
     job: model.Job
     queue: model.Queue
     deadline: float
+    objective_s: float
     steps: dict[tuple[int, int], StepState] = dataclasses.field(
         default_factory=dict
     )
@@ -165,7 +167,7 @@
         age_s = max(0.0, (wall_ms - job.accepted_ms) / 1000)
         chains = measure_chains(job.steps)
         objective_s = queue.slack_factor * max(chains) + queue.target_s
-        state = JobState(job, queue, now - age_s + objective_s)
+        state = JobState(job, queue, now - age_s + objective_s, objective_s)
         self.jobs[job.id] = state
         if progress is not None and progress.ended:
             state.ended = state.stored_ended = progress.ended
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -39,6 +39,11 @@
 # Work that becomes due by time alone is looked for this often.
 _PASS_LIMIT_S = 0.25
 _SWEEP_S = 1.0
+# A long-running task may wait this long behind short urgent ones.
+_SERVING_PATIENCE_S = 1.5
+# Estimates are off by half, so a job counts as late only this share of its
+# objective after its latest start.
+_ESTIMATE_SLACK = 0.25
 # A filling task that was slowed this long is moved if it can be; a move costs
 # the time to stop and restore it, 1 s here.
 _MOVE_AFTER_S = 0.9
@@ -488,7 +493,7 @@
         for task in owner.book.ready.values()
         if task.retry_at <= now and task.step.due <= now
     ]
-    tasks.sort(key=_rank_task)
+    tasks.sort(key=lambda task: _rank_task(task, now))
     for task in tasks:
         if id(task.step) in blocked or task.name not in owner.book.ready:
             continue
@@ -537,13 +542,25 @@
                     return
 
 
-def _rank_task(task: book_module.Task) -> tuple[int, bool, float, str]:
-    return (
-        task.job.queue.priority,
-        not task.step.step.long_running,
-        task.job.deadline - task.step.tail_s,
-        task.name,
-    )
+def _rank_task(
+    task: book_module.Task, now: float
+) -> tuple[int, int, float, str]:
+    """Order of starts: by priority, then what can still be in time.
+
+    A job that is late already waits behind those that can be in time, and one
+    that is past three objectives, where it earns nothing more, behind both.
+    """
+    job, step = task.job, task.step
+    if step.step.long_running:
+        due = task.ready_since + _SERVING_PATIENCE_S
+        return job.queue.priority, 0, due, task.name
+    due = job.deadline - step.tail_s
+    lateness = 0
+    if now > due + _ESTIMATE_SLACK * job.objective_s:
+        lateness = 1
+    if now > due + 2 * job.objective_s:
+        lateness = 2
+    return job.queue.priority, lateness, due, task.name
 
 
 def _place_task(
