Let the lease of a silent runner expire

Each look without an answer asked for a longer lease, so the time after which the task surely had ended moved on for ever. Ruled out: want of room (the rule counts only free capacity). Change: a silent runner keeps the lease that it may have; leases are 5.5 s at most, as such a task has to run again 6 s after its end. Test: test_task_of_a_lost_runner_is_restarted_when_its_lease_expires, failed before. Also: a submission that the log refused is answered 503 at once (test_refused_submission_never_runs timed out before), and a process ends cleanly after its HTTP server (its task group was left cancelled).

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -106,6 +106,14 @@
 
 async def run_entry(entry: Entry, serve_callers: Any) -> None:
     """Runs a process until SIGTERM; `serve_callers(entry)` serves HTTP."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_drain_on_signal, entry)
+        await run_parts(entry, serve_callers)
+        group.cancel_scope.cancel()
+
+
+async def run_parts(entry: Entry, serve_callers: Any) -> None:
+    """Runs the parts of a process until it has drained."""
     events.log_event(
         events.PROCESS_STARTED,
         process=entry.settings.id,
@@ -126,9 +134,13 @@
         group.start_soon(entry.intake.journal.run)
         group.start_soon(_follow_configuration, entry)
         group.start_soon(_follow_owner, entry)
-        group.start_soon(_drain_on_signal, entry)
-        await serve_callers(entry)
+        served = anyio.Event()
+        # In a task of its own: the HTTP server leaves its task marked as
+        # cancelled, and a task group that it hosts would not end cleanly.
+        group.start_soon(_serve, entry, serve_callers, served)
+        await served.wait()
         group.cancel_scope.cancel()
+    entry.group = None
     entry.peers.close()
     events.log_event(events.PROCESS_STOPPED, process=entry.settings.id)
 
@@ -145,6 +157,16 @@
                 )
                 continue
             break
+    await drain(entry)
+
+
+async def _serve(entry: Entry, serve_callers: Any, served: anyio.Event) -> None:
+    await serve_callers(entry)
+    served.set()
+
+
+async def drain(entry: Entry) -> None:
+    """Hands over, serves until callers have left, then stops."""
     events.log_event(events.DRAIN_STARTED, process=entry.settings.id)
     started = clock.read_now()
     entry.draining = True
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -24,6 +24,9 @@
 
 _ENCODER = msgspec.json.Encoder()
 _ASK_RETRY_S = 0.06
+# Shorter than the pause between two tries of an append, in which a job can be
+# withdrawn.
+_POLL_S = 0.02
 # Left of the caller's deadline for the answer to reach it.
 _ANSWER_S = 0.25
 
@@ -93,7 +96,7 @@
     limit_s = max(0.1, deadline_s - _ANSWER_S)
     with anyio.move_on_after(limit_s):
         while True:
-            with anyio.move_on_after(0.05):
+            with anyio.move_on_after(_POLL_S):
                 await batch.stored.wait()
             if batch.stored.is_set():
                 return Outcome.ACCEPTED, ""
--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -7,6 +7,7 @@
 import anyio
 
 from plantainvane import events
+from plantainvane import outcomes
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import settings as settings_module
@@ -112,22 +113,30 @@
             batch, self._open = self._open, Batch()
             if self.collect is not None:
                 batch.records.extend(self.collect())
-            batch.sent = True
+            written = False
             for part in _split_records(batch.records):
-                await self._append(part)
+                written |= await self._append(part, batch)
                 if self.fenced:
                     return
-            if self.on_stored is not None and batch.records:
+            if self.on_stored is not None and written:
                 self.on_stored()
             batch.stored.set()
 
     async def open_epoch(self) -> bool:
         """Fences older producers; tells whether ours is the highest."""
-        await self._append([])
+        await self._append([], Batch())
         return not self.fenced
 
-    async def _append(self, records: list[Record]) -> None:
+    async def _append(self, records: list[Record], batch: Batch) -> bool:
+        """Appends until it is answered; tells whether anything was written.
+
+        Records of `batch` may be withdrawn while it is certain that no try
+        has reached the log.
+        """
+        asked = bool(records)
+        lost = False
         while True:
+            batch.sent = True
             started = clock.read_now()
             appended = await self.store.append(
                 self.topic,
@@ -138,25 +147,38 @@
             now = clock.read_now()
             if appended.is_ok():
                 self.health.note_answer(now - started, now)
-                answer = appended.ok_value
-                if answer.fenced:
-                    self.fenced = True
-                    return
-                if answer.next_sequence < 0 or (
-                    answer.next_sequence == self.sequence + 1
-                ):
-                    self.stuck_since = None
-                    self.sequence += bool(records)
-                    return
-                self.sequence = answer.next_sequence
+                if self._settle(appended.ok_value, asked):
+                    return asked
                 continue
-            self.health.note_failure(str(appended.err_value.detail), now)
+            failure = appended.err_value
+            lost |= failure.failure is outcomes.CallFailure.LOST
+            self.health.note_failure(failure.detail, now)
             if self.stuck_since is None:
                 self.stuck_since = now
+            batch.sent = lost
             # Spreads the return of many writers after an outage.
             await anyio.sleep(
                 self.settings.store_retry_s * (0.5 + random.random())
             )
+            if not lost:
+                records = [r for r in records if r in batch.records]
+                if asked and not records:
+                    self.stuck_since = None
+                    return False
+
+    def _settle(self, answer: interfaces.Appended, asked: bool) -> bool:
+        """Takes up an answer; tells whether the append is done with."""
+        if answer.fenced:
+            self.fenced = True
+            return True
+        if answer.next_sequence < 0 or (
+            answer.next_sequence == self.sequence + 1
+        ):
+            self.stuck_since = None
+            self.sequence += asked
+            return True
+        self.sequence = answer.next_sequence
+        return False
 
 
 def _split_records(records: list[Record]) -> list[list[Record]]:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -90,8 +90,12 @@
 ) -> _Storing | None:
     sent_at = clock.read_now()
     lease = None
-    if runner.clock_ms:
+    if runner.clock_ms and not runner.silent:
         lease = runner.extend_lease(owner.settings.lease_s, sent_at)
+    elif runner.lease_until_ms:
+        # A silent runner keeps the lease that it may have, so that the time
+        # after which nothing runs there does not move.
+        lease = runner.lease_until_ms
     reply = await runner.calls.look(
         owner.epoch, runner.last_seen, lease, wait_s
     )
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+# Longest lease that is asked for. A task that lasts has to run again 6 s after
+# its runner was lost, and a takeover takes about 2 s.
+LEASE_S = 5.5
+
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """What one entry process knows of its place, its peers and its limits.
@@ -16,7 +20,7 @@
       store_address: `ip:port` of the platform's log service.
       machines_address: `ip:port` of the machine service, or empty.
       advisor_address: `ip:port` of the adviser, or empty.
-      lease_s: Longest lease that a runner grants; the platform's bound.
+      lease_s: Length of a lease; at most the platform's bound.
       stop_grace_s: Longest time that a stop takes; the platform's bound.
       grace_s: Time between SIGTERM and SIGKILL; the platform's bound.
       gang_wait_s: How long a gang member waits for the others.
@@ -37,7 +41,7 @@
     seeds: tuple[str, ...] = ()
     machines_address: str = ""
     advisor_address: str = ""
-    lease_s: float = 6.0
+    lease_s: float = LEASE_S
     stop_grace_s: float = 0.4
     grace_s: float = 6.0
     gang_wait_s: float = 3.0
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -78,7 +78,7 @@
         seeds=tuple(node.seeds),
         machines_address=node.cloud.address,
         advisor_address=node.advisor,
-        lease_s=bounds.max_hold_ms / 1000,
+        lease_s=min(bounds.max_hold_ms / 1000, settings_module.LEASE_S),
         stop_grace_s=bounds.stop_grace_ms / 1000,
         grace_s=bounds.grace_s,
         gang_wait_s=bounds.gang_ms / 1000,
--- /dev/null
+++ b/standins/platform_runner.py
@@ -0,0 +1,216 @@
+"""Stand-in for one runner: leases on its own clock, tokens, ends, pace.
+
+A task's `Spec` is a JSON object: `run_ms` tells how long it works, `fails`
+that it ends as failed.
+"""
+
+import dataclasses
+import time
+from typing import Any
+
+import anyio
+import msgspec
+
+from plantainvane import asgi
+
+_POLL_S = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt that runs here."""
+
+    task: str
+    number: int
+    ends_at: float
+    run_s: float
+    fails: bool
+    checkpoint: str
+    pace: int = 100
+
+
+@dataclasses.dataclass(slots=True)
+class RunnerState:
+    """State of one life of a runner, and its faults.
+
+    Attributes:
+      starts: Task and attempt of every start, in order; the test's witness.
+      mute_starts: So many of the next starts are carried out this much later
+        and not answered.
+      silent: No call is answered.
+      figures: Tail in ms by task, for tasks that serve.
+    """
+
+    id: str
+    cpu: int = 16_000
+    memory_mb: int = 64_000
+    max_hold_ms: int = 6_000
+    born_ms: int = dataclasses.field(
+        default_factory=lambda: time.time_ns() // 1_000_000
+    )
+    clock_zero: float = dataclasses.field(
+        default_factory=lambda: time.monotonic() - 100
+    )
+    token: int = 0
+    lease_until_ms: float = 0
+    running: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    highest: dict[str, int] = dataclasses.field(default_factory=dict)
+    ends: list[list[Any]] = dataclasses.field(default_factory=list)
+    next_end: int = 1
+    starts: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    paces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    mute_starts: list[float] = dataclasses.field(default_factory=list)
+    silent: bool = False
+
+    def read_clock(self) -> int:
+        """The runner's steady clock in milliseconds."""
+        return int((time.monotonic() - self.clock_zero) * 1000)
+
+    def make_entry(self, address: str, service: str, state: str) -> bytes:
+        """What the runner writes of itself."""
+        return msgspec.json.encode(
+            {
+                "Service": service,
+                "Address": address,
+                "Zone": "east",
+                "State": state,
+                "born": self.born_ms,
+                "ClockMs": self.read_clock(),
+                "Capacity": {"Cpu": self.cpu, "MemMb": self.memory_mb},
+                "Labels": ["a", "r1-1"],
+            }
+        )
+
+    def end(self, task: str, how: str) -> None:
+        """Ends an attempt and lists its end."""
+        attempt = self.running.pop(task)
+        self.highest[task] = max(self.highest.get(task, 0), attempt.number)
+        saved = attempt.checkpoint if how == "stopped" else ""
+        self.ends.append([self.next_end, task, attempt.number, how, saved])
+        self.next_end += 1
+
+    def pass_time(self) -> None:
+        """Ends what is done, and everything when the lease has expired."""
+        now = time.monotonic()
+        expired = self.running and self.read_clock() > self.lease_until_ms
+        for task, attempt in list(self.running.items()):
+            if expired:
+                self.end(task, "lapsed")
+            elif attempt.ends_at <= now:
+                self.end(task, "failed" if attempt.fails else "done")
+
+
+def make_handler(state: RunnerState) -> asgi.Handler:
+    """Makes the handler of a runner's calls."""
+    orders = {
+        "/plantainvane/run-start": _start,
+        "/plantainvane/run-stop": _stop,
+        "/plantainvane/pace": _pace,
+    }
+
+    async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
+        if state.silent:
+            await anyio.sleep_forever()
+        if request.headers.get("target-instance", state.id) != state.id:
+            return asgi.HttpReply(421)
+        body = msgspec.json.decode(request.body)
+        if request.path == "/plantainvane/run-start" and state.mute_starts:
+            await anyio.sleep(state.mute_starts.pop(0))
+            _check_token(state, body) or _start(state, body)
+            await anyio.sleep_forever()
+        state.pass_time()
+        refusal = _check_token(state, body)
+        if refusal is not None:
+            return refusal
+        if request.path == "/plantainvane/hold":
+            return await _hold(state, body)
+        return orders[request.path](state, body)
+
+    return handle
+
+
+def _answer(state: RunnerState, status: int, **fields: Any) -> asgi.HttpReply:
+    return asgi.make_json_reply(
+        status, {"ClockMs": state.read_clock(), **fields}
+    )
+
+
+def _check_token(
+    state: RunnerState, body: dict[str, Any]
+) -> asgi.HttpReply | None:
+    token = body.get("FencingToken", 0)
+    if token < state.token:
+        return _answer(state, 409, Reason="fence")
+    state.token = token
+    return None
+
+
+def _extend(state: RunnerState, body: dict[str, Any]) -> None:
+    limit = state.read_clock() + state.max_hold_ms
+    until = min(body.get("DeadlineMs", 0), limit)
+    state.lease_until_ms = max(state.lease_until_ms, until)
+
+
+def _start(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+    task, number = body["Task"], body["Attempt"]
+    present = state.running.get(task)
+    _extend(state, body)
+    if present is not None and present.number == number:
+        return _answer(state, 200)
+    if number <= state.highest.get(task, 0) or present is not None:
+        return _answer(state, 409, Reason="old")
+    if body["DeadlineMs"] < state.read_clock():
+        return _answer(state, 409, Reason="late")
+    spec = msgspec.json.decode(body["Spec"])
+    run_s = spec.get("run_ms", 50) / 1000
+    state.starts.append((task, number))
+    state.running[task] = Attempt(
+        task,
+        number,
+        time.monotonic() + run_s,
+        run_s,
+        spec.get("fails", False),
+        body.get("Checkpoint", "") or f"{task}-{number}",
+    )
+    return _answer(state, 200)
+
+
+def _stop(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+    task, number = body["Task"], body["Attempt"]
+    present = state.running.get(task)
+    if present is not None and present.number == number:
+        state.end(task, "stopped")
+    state.highest[task] = max(state.highest.get(task, 0), number)
+    return _answer(state, 200)
+
+
+def _pace(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+    present = state.running.get(body["Task"])
+    if present is None:
+        return _answer(state, 409, Reason="old")
+    present.pace = body["Percent"]
+    state.paces.append((body["Task"], body["Percent"]))
+    return _answer(state, 200)
+
+
+async def _hold(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+    _extend(state, body)
+    state.ends = [e for e in state.ends if e[0] > body["LastSeen"]]
+    with anyio.move_on_after(body.get("WaitMs", 0) / 1000):
+        while not state.ends:
+            await anyio.sleep(_POLL_S)
+            state.pass_time()
+    now = time.monotonic()
+    active = [
+        [
+            a.task,
+            a.number,
+            a.checkpoint,
+            round(100 * (1 - max(0, a.ends_at - now) / a.run_s)),
+            1000,
+        ]
+        for a in state.running.values()
+    ]
+    return _answer(
+        state, 200, born=state.born_ms, Active=active, Finished=state.ends
+    )
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,195 @@
+"""Stand-in for the platform's log of partitions; in memory only."""
+
+import base64
+import dataclasses
+import struct
+from typing import Any
+
+import anyio
+
+from plantainvane import asgi
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+_REMEMBERED = 5
+_PREFIX = "/plantainvane/log-"
+
+
+@dataclasses.dataclass(slots=True)
+class Producer:
+    """Highest epoch of a producer and its last appends."""
+
+    epoch: int = -1
+    sequence: int = -1
+    answers: dict[int, dict[str, int]] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Topic:
+    """Records of partition 0; `grown` is replaced at each append."""
+
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    first: int = 0
+    producers: dict[str, Producer] = dataclasses.field(default_factory=dict)
+    grown: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@dataclasses.dataclass(slots=True)
+class StoreState:
+    """The topics and the faults that are switched on.
+
+    Attributes:
+      down: Every call is answered 503.
+      refused: Callers that are answered 503, by client address.
+      lose_answers: So many of the next appends are done and not answered.
+      calls: Calls by name.
+    """
+
+    topics: dict[str, Topic] = dataclasses.field(default_factory=dict)
+    down: bool = False
+    lose_answers: int = 0
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def find_topic(self, name: str) -> Topic:
+        """Finds a topic; it is made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: bytes | None) -> int:
+        """Writes one record as the operator or a runner does."""
+        name = key.encode()
+        body = bytes((len(name),)) + name + (value or b"")
+        return _append(self.find_topic(topic), [body])
+
+    def list_newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
+        """Newest value of each key with its offset."""
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, body in enumerate(self.find_topic(topic).records):
+            key = body[1 : 1 + body[0]].decode()
+            value = body[1 + body[0] :]
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        return newest
+
+
+def _append(topic: Topic, bodies: list[bytes]) -> int:
+    offset = len(topic.records)
+    topic.records.extend(bodies)
+    topic.grown.set()
+    topic.grown = anyio.Event()
+    return offset
+
+
+def make_handler(state: StoreState) -> asgi.Handler:
+    """Makes the handler of the log's calls."""
+
+    async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
+        name = request.path.removeprefix(_PREFIX)
+        state.calls[name] = state.calls.get(name, 0) + 1
+        if state.down:
+            return asgi.HttpReply(503)
+        if name == "append":
+            return await _handle_append(state, request)
+        if name == "read":
+            return await _handle_read(state, request)
+        if name == "newest":
+            return _handle_newest(state, request)
+        return asgi.HttpReply(404)
+
+    return handle
+
+
+async def _handle_append(
+    state: StoreState, request: asgi.HttpRequest
+) -> asgi.HttpReply:
+    query = request.query
+    topic = state.find_topic(query["Topic"])
+    end = len(topic.records)
+    if "At" in query and int(query["At"]) != end:
+        return asgi.make_json_reply(412, {"EndOffset": end})
+    bodies = _split(request.body)
+    answer = {"Offset": end, "EndOffset": end + len(bodies)}
+    if "Producer" in query:
+        refusal = _check_producer(topic, query, answer, bool(bodies))
+        if refusal is not None:
+            return refusal
+    _append(topic, bodies)
+    if state.lose_answers > 0:
+        state.lose_answers -= 1
+        await anyio.sleep_forever()
+    return asgi.make_json_reply(200, answer)
+
+
+def _check_producer(
+    topic: Topic, query: dict[str, str], answer: dict[str, int], moves: bool
+) -> asgi.HttpReply | None:
+    producer = topic.producers.setdefault(query["Producer"], Producer())
+    epoch, sequence = int(query["epoch"]), int(query["Sequence"])
+    if epoch < producer.epoch:
+        return asgi.make_json_reply(409, {"Reason": "fenced"})
+    if epoch > producer.epoch:
+        producer.epoch, producer.sequence = epoch, sequence - 1
+        producer.answers.clear()
+    if not moves:
+        return None
+    if sequence in producer.answers:
+        return asgi.make_json_reply(200, producer.answers[sequence])
+    if sequence != producer.sequence + 1:
+        wanted: dict[str, Any] = {
+            "Reason": "seq",
+            "Sequence": producer.sequence + 1,
+        }
+        return asgi.make_json_reply(409, wanted)
+    producer.sequence = sequence
+    producer.answers[sequence] = answer
+    for old in list(producer.answers)[:-_REMEMBERED]:
+        del producer.answers[old]
+    return None
+
+
+def _split(body: bytes) -> list[bytes]:
+    bodies, position = [], 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        bodies.append(body[position : position + length])
+        position += length
+    return bodies
+
+
+async def _handle_read(
+    state: StoreState, request: asgi.HttpRequest
+) -> asgi.HttpReply:
+    topic = state.find_topic(request.query["Topic"])
+    offset = int(request.query["From"])
+    if offset < topic.first:
+        return asgi.make_json_reply(410, {"FirstOffset": topic.first})
+    with anyio.move_on_after(int(request.query.get("WaitMs", 0)) / 1000):
+        while len(topic.records) <= offset:
+            await topic.grown.wait()
+    content = _OFFSETS.pack(len(topic.records), topic.first)
+    for body in topic.records[offset:]:
+        content += _LENGTH.pack(len(body)) + body
+    return asgi.HttpReply(200, content, "application/octet-stream")
+
+
+def _handle_newest(
+    state: StoreState, request: asgi.HttpRequest
+) -> asgi.HttpReply:
+    name = request.query["Topic"]
+    items = [
+        {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Offset": offset,
+        }
+        for key, (offset, value) in state.list_newest(name).items()
+    ]
+    return asgi.make_json_reply(
+        200,
+        {
+            "items": items,
+            "HasMore": False,
+            "EndOffset": len(state.find_topic(name).records),
+        },
+    )
--- /dev/null
+++ b/standins/platform_system.py
@@ -0,0 +1,218 @@
+"""A whole deployment on the platform's stand-ins, inside one process."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from plantainvane import asgi
+from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import settings as settings_module
+from plantainvane.platform import __main__ as platform_main
+from plantainvane.platform import ingress
+from standins import platform_runner
+from standins import platform_store
+from standins import serving
+
+SERVICE = "forecast"
+HOST = "forecasts.example"
+PREFIX = "/outlooks/"
+
+
+@dataclasses.dataclass(slots=True)
+class System:
+    """A running deployment."""
+
+    group: anyio.abc.TaskGroup
+    store: platform_store.StoreState
+    store_address: str
+    runners: dict[str, platform_runner.RunnerState]
+    entries: list[entry_module.Entry] = dataclasses.field(default_factory=list)
+    stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def find_owner(self) -> entry_module.Entry | None:
+        """The entry process that owns the jobs and has recovered."""
+        for entry in self.entries:
+            if entry.owner is not None and entry.owner.recovered:
+                return entry
+        return None
+
+    async def wait_owner(self, limit_s: float = 8.0) -> entry_module.Entry:
+        """Waits for an owner."""
+        with anyio.fail_after(limit_s):
+            while True:
+                entry = self.find_owner()
+                if entry is not None:
+                    return entry
+                await anyio.sleep(0.01)
+
+    def list_starts(self) -> list[tuple[str, int]]:
+        """Every start on every runner."""
+        return [s for r in self.runners.values() for s in r.starts]
+
+    async def kill(self, entry: entry_module.Entry) -> None:
+        """Ends a process as a kill does: nothing is handed over."""
+        self.entries.remove(entry)
+        entry.stopping.set()
+        with anyio.fail_after(15):
+            while entry.group is not None:
+                await anyio.sleep(0.01)
+
+
+def write_configuration(
+    store: platform_store.StoreState, version: int = 1, **route: Any
+) -> None:
+    """Writes a configuration with one queue, as the operator does."""
+    document = {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": "outlooks",
+                "Host": HOST,
+                "PathPrefix": PREFIX,
+                "Service": SERVICE,
+                "Attempts": 2,
+                "SlackFactor": 2.0,
+                "TargetCompletionMs": 1000,
+                "Priority": 2,
+                **route,
+            }
+        ],
+        "Services": [{"Name": SERVICE, "Preconditions": True}],
+    }
+    store.put("keyed.op", "config", msgspec.json.encode(document))
+
+
+@contextlib.asynccontextmanager
+async def run_system(
+    entries: int = 2, runners: int = 2, **settings: Any
+) -> AsyncIterator[System]:
+    """Runs a deployment until the block ends; `settings` replace defaults."""
+    async with anyio.create_task_group() as group:
+        store = platform_store.StoreState()
+        address = serving.find_free_address()
+        system = System(group, store, address, {})
+        await _serve(system, platform_store.make_handler(store), address)
+        write_configuration(store)
+        for number in range(runners):
+            await add_runner(system, f"i-{number}")
+        for number in range(entries):
+            await add_entry(system, number, **settings)
+        try:
+            yield system
+        finally:
+            # The servers stop by themselves; cancelling them is reported as
+            # an error by their library.
+            with anyio.CancelScope(shield=True):
+                for entry in list(system.entries):
+                    await system.kill(entry)
+                system.stop.set()
+
+
+async def _serve(system: System, handler: Any, address: str) -> None:
+    application = asgi.make_application(handler, 16_777_216)
+    system.group.start_soon(
+        serving.serve_until, application, address, system.stop
+    )
+    await _wait_listening(address)
+
+
+async def _wait_listening(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    with anyio.fail_after(10):
+        while True:
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                await anyio.sleep(0.01)
+            else:
+                await stream.aclose()
+                return
+
+
+async def add_runner(system: System, runner_id: str, **fields: Any) -> None:
+    """Starts a runner and lists it."""
+    state = platform_runner.RunnerState(runner_id, **fields)
+    address = serving.find_free_address()
+    system.runners[runner_id] = state
+    await _serve(system, platform_runner.make_handler(state), address)
+    system.store.put(
+        "keyed.servers", runner_id, state.make_entry(address, SERVICE, "ready")
+    )
+
+
+async def add_entry(
+    system: System, number: int, **fields: Any
+) -> entry_module.Entry:
+    """Starts an entry process at an address of its own."""
+    ip = f"127.0.1.{number + 1}"
+    settings = settings_module.Settings(
+        id=f"entry-{number}",
+        domain="east",
+        callers_address=serving.find_free_address(ip),
+        health_address=serving.find_free_address(ip),
+        peer_address=serving.find_free_address(ip),
+        store_address=system.store_address,
+        grace_s=0.4,
+        **fields,
+    )
+    entry = entry_module.make_entry(
+        settings, platform_main.make_surroundings(settings)
+    )
+    system.group.start_soon(entry_module.run_parts, entry, ingress.serve)
+    system.entries.append(entry)
+    await _wait_listening(settings.callers_address)
+    return entry
+
+
+async def call(
+    entry: entry_module.Entry,
+    method: str,
+    path: str = "",
+    body: Any = None,
+    deadline_ms: int = 3000,
+) -> httpx.Response:
+    """Calls an entry process as a caller does."""
+    async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+        return await client.request(
+            method,
+            f"http://{entry.settings.callers_address}{PREFIX}{path}",
+            headers={"Host": HOST, "Deadline-Ms": str(deadline_ms)},
+            content=msgspec.json.encode(body) if body is not None else None,
+        )
+
+
+def make_job(steps: int = 1, count: int = 2, **fields: Any) -> dict[str, Any]:
+    """Makes the body of a submission; each step follows the one before."""
+    spec = {k: fields.pop(k) for k in ("run_ms", "fails") if k in fields}
+    return {
+        "Spec": msgspec.json.encode(spec).decode(),
+        "Steps": [
+            {
+                "Count": count,
+                "Cpu": 500,
+                "MemMb": 100,
+                "EstimateMs": 100,
+                "DependsOn": [number - 1] if number else [],
+                **fields,
+            }
+            for number in range(steps)
+        ],
+    }
+
+
+async def wait_state(
+    system: System, job_id: str, state: str, limit_s: float = 10.0
+) -> None:
+    """Waits until some entry process shows `state` for a job."""
+    with anyio.fail_after(limit_s):
+        while True:
+            reply = await call(system.entries[-1], "GET", job_id)
+            if reply.status_code == 200 and reply.json()["State"] == state:
+                return
+            await anyio.sleep(0.03)
--- /dev/null
+++ b/tests/test_platform_sessions.py
@@ -0,0 +1,259 @@
+"""Whole sessions on the platform's stand-ins, over real HTTP and gRPC.
+
+The runners' own record of starts is the witness for what ran, and how often.
+"""
+
+import collections
+
+import anyio
+import pytest
+
+from plantainvane.jobs import entry as entry_module
+from standins import platform_system
+
+pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
+OTHER_ID = "5c0e7a21d94b36f9"
+# Detection of a dead owner, its claim and the first looks.
+TAKEOVER_LIMIT_S = 4.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def wait_until(condition, limit_s=5.0):
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def count_starts(system):
+    return collections.Counter(task for task, _ in system.list_starts())
+
+
+async def test_job_runs_its_steps_in_order_and_once():
+    # Guards against a start before the tasks that it depends on, and against
+    # a task that runs twice on a calm day.
+    async with platform_system.run_system(entries=3) as system:
+        owner = await system.wait_owner()
+        other = next(e for e in system.entries if e is not owner)
+        body = platform_system.make_job(steps=2, count=3)
+        reply = await platform_system.call(other, "POST", ID, body)
+        assert reply.status_code == 200
+        await platform_system.wait_state(system, ID, "completed")
+        starts = [task for task, _ in system.list_starts()]
+        assert count_starts(system) == {
+            f"{ID}.0.{step}.{index}": 1 for step in (0, 1) for index in range(3)
+        }
+        for runner in system.runners.values():
+            steps = [int(task.split(".")[2]) for task, _ in runner.starts]
+            assert steps == sorted(steps)
+        assert len(starts) == 6
+
+
+async def test_repeated_submission_is_one_job():
+    # Guards against a retry at another process that runs the job again.
+    async with platform_system.run_system(entries=2) as system:
+        await system.wait_owner()
+        body = platform_system.make_job()
+        for entry in (*system.entries, *system.entries):
+            reply = await platform_system.call(entry, "POST", ID, body)
+            assert reply.status_code == 200
+        await platform_system.wait_state(system, ID, "completed")
+        reply = await platform_system.call(system.entries[0], "POST", ID, body)
+        assert reply.status_code == 200
+        await anyio.sleep(0.3)
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_successor_keeps_what_runs_and_starts_nothing_twice():
+    # Guards against a takeover that starts running tasks again, and against
+    # one that loses the tasks that had not been started.
+    async with platform_system.run_system(entries=3) as system:
+        owner = await system.wait_owner()
+        body = platform_system.make_job(steps=2, count=4, run_ms=1500)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 4)
+        await system.kill(owner)
+        with anyio.fail_after(TAKEOVER_LIMIT_S):
+            successor = await system.wait_owner()
+        assert successor.ownership.epoch > 0
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_all_processes_die_and_accepted_work_goes_on():
+    # Guards against state that only a dead process knew.
+    async with platform_system.run_system(entries=2) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(steps=2, count=2, run_ms=800)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 2)
+        for entry in list(system.entries):
+            await system.kill(entry)
+        await platform_system.add_entry(system, 7)
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_lost_answer_of_the_log_is_resolved():
+    # Guards against an acknowledgement without a stored job and against a
+    # job that is stored, refused, and runs all the same.
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        system.store.lose_answers = 2
+        body = platform_system.make_job()
+        reply = await platform_system.call(
+            system.entries[0], "POST", ID, body, deadline_ms=4000
+        )
+        assert reply.status_code == 200
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_refused_submission_never_runs():
+    # Guards against a 503 for a job that was stored nevertheless, and against
+    # a refusal that is held back or does not say when to come back.
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        system.store.down = True
+        entry = system.entries[0]
+        replies = []
+        for job_id in (ID, OTHER_ID):
+            with anyio.fail_after(1.5):
+                body = platform_system.make_job()
+                replies.append(
+                    await platform_system.call(entry, "POST", job_id, body)
+                )
+        assert [r.status_code for r in replies] == [503, 503]
+        assert all(int(r.headers["retry-after"]) >= 1 for r in replies)
+        system.store.down = False
+        await anyio.sleep(1.0)
+        assert system.list_starts() == []
+        reply = await platform_system.call(entry, "GET", ID)
+        assert reply.status_code == 410
+
+
+async def test_late_start_order_does_not_run_twice():
+    # Guards against an order without an answer that is carried out after its
+    # task was started elsewhere.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        await system.wait_owner()
+        for runner in system.runners.values():
+            runner.mute_starts = [1.2]
+        body = platform_system.make_job(count=2, run_ms=200)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "completed")
+        await anyio.sleep(1.5)
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_cancelled_job_is_stopped():
+    # Guards against tasks that go on after the cancel was acknowledged.
+    async with platform_system.run_system(entries=2) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(steps=2, count=2, run_ms=5000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 2)
+        reply = await platform_system.call(system.entries[1], "DELETE", ID)
+        assert reply.status_code == 200
+        await wait_until(
+            lambda: not any(r.running for r in system.runners.values())
+        )
+        reply = await platform_system.call(system.entries[1], "GET", ID)
+        assert reply.json() == {"State": "cancelled"}
+
+
+async def test_job_fails_after_its_attempts():
+    # Guards against endless repeats of a job that can never be done, and
+    # against one that is given up early.
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(count=1, fails=True, run_ms=30)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "failed")
+        assert [a for _, a in system.list_starts()] == [1, 2]
+
+
+async def test_owner_that_stops_hands_over():
+    # Guards against claims that lapse at a planned restart.
+    async with platform_system.run_system(entries=3) as system:
+        owner = await system.wait_owner()
+        await anyio.sleep(0.8)
+        body = platform_system.make_job(count=2, run_ms=1500)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 2)
+        epoch = owner.ownership.epoch
+        system.group.start_soon(entry_module.drain, owner)
+        await wait_until(
+            lambda: any(
+                e.owner is not None and e.owner.epoch > epoch
+                for e in system.entries
+            ),
+            limit_s=1.0,
+        )
+        await wait_until(lambda: owner.stopping.is_set(), limit_s=5.0)
+        system.entries.remove(owner)
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_newer_configuration_is_fetched_from_a_peer():
+    # Guards against a process that serves an old version as its own read of
+    # the log hangs on a silent connection.
+    async with platform_system.run_system(entries=2) as system:
+        owner = await system.wait_owner()
+        other = next(e for e in system.entries if e is not owner)
+        platform_system.write_configuration(system.store, 2)
+        await wait_until(lambda: owner.configuration.version == 2)
+        other.configuration = type(other.configuration)(1, ())
+        await wait_until(lambda: other.configuration.version == 2, limit_s=1.5)
+
+
+async def test_runner_that_is_silent_is_not_believed_empty():
+    # Guards against a second copy of a task while its lease may still hold.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(count=1, run_ms=2500)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 1)
+        await platform_system.add_runner(system, "i-9")
+        system.runners["i-0"].silent = True
+        await anyio.sleep(2.0)
+        assert len(system.list_starts()) == 1
+        system.runners["i-0"].silent = False
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
+async def test_malformed_entries_name_no_runner_and_stop_nothing():
+    # Guards against entries of other writers that end a process.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        await system.wait_owner()
+        for value in (b"\xff\xfe", b"{}", b'{"Service":1}', b"[]"):
+            system.store.put("keyed.servers", "i-odd", value)
+        system.store.put("keyed.jobs", OTHER_ID, b"not a job")
+        platform_system.write_configuration(system.store, 2)
+        body = platform_system.make_job()
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "completed")
+        assert "i-odd" not in system.entries[0].owner.runners
+
+
+async def test_task_of_a_lost_runner_is_restarted_when_its_lease_expires():
+    # Guards against looks without an answer that prolong the lease which has
+    # to expire before the task may be started elsewhere.
+    async with platform_system.run_system(
+        entries=1, runners=1, lease_s=1.5
+    ) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(count=1, run_ms=4000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 1)
+        await platform_system.add_runner(system, "i-9")
+        system.runners["i-0"].silent = True
+        await wait_until(lambda: len(system.list_starts()) == 2, limit_s=5.0)
+        system.runners["i-0"].pass_time()
+        assert system.runners["i-0"].running == {}
