--- /dev/null
+++ b/tests/test_jobs_decisions.py
@@ -0,0 +1,379 @@
+"""Decisions of the job scheduler, with the present time passed in."""
+
+import pytest
+
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import interference
+from plantainvane.jobs import model
+from plantainvane.jobs import ownership
+from plantainvane.jobs import pacing
+from plantainvane.jobs import placement
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import settings as settings_module
+
+QUEUE = model.Queue("q", "h", "/q/", "s", 2, 2, 2.0, 1.0)
+SETTINGS = settings_module.Settings(
+    id="entry-1",
+    domain="east",
+    callers_address="127.0.0.1:1",
+    health_address="127.0.0.1:2",
+    peer_address="127.0.0.1:3",
+    store_address="127.0.0.1:4",
+)
+
+
+def make_step(**fields):
+    amounts = model.Amounts(
+        fields.pop("cpu", 1000), fields.pop("memory_mb", 1000)
+    )
+    fields.setdefault("count", 1)
+    fields.setdefault("estimate_ms", 1000)
+    return model.Step(amounts=amounts, **fields)
+
+
+def add_job(book, *steps, job_id="j", progress=None, queue=QUEUE, **fields):
+    job = model.Job(
+        id=job_id,
+        queue="q",
+        service="s",
+        accepted_ms=0,
+        spec="",
+        steps=steps,
+        **fields,
+    )
+    return book.add_job(job, queue, progress, now=0.0, wall_ms=0)
+
+
+def start_all(book, now=0.0, runner="r"):
+    runs = [book.begin_run(t, runner, now) for t in list(book.ready.values())]
+    for run in runs:
+        run.phase = book_module.Phase.RUNNING
+    return runs
+
+
+def make_runner(runner_id="r", cpu=16_000, memory_mb=64_000, **fields):
+    entry = model.RunnerEntry(
+        runner_id,
+        1,
+        "s",
+        "127.0.0.1:9",
+        "east",
+        False,
+        model.Amounts(cpu, memory_mb),
+        ("a", fields.pop("rack", "r1")),
+        0,
+    )
+    runner = runners_module.Runner(entry, None, entry.labels[-1], fenced=True)
+    for name, value in fields.items():
+        setattr(runner, name, value)
+    return runner
+
+
+def place_runs(runner, book, *steps, job_id="other"):
+    state = add_job(book, *steps, job_id=job_id)
+    runs = []
+    for entry in state.steps.values():
+        for task in entry.tasks:
+            run = book.begin_run(task, runner.entry.id, 0.0)
+            run.phase, run.percent = book_module.Phase.RUNNING, 100.0
+            runner.charge(run)
+            runs.append(run)
+    return runs
+
+
+def test_step_waits_for_all_tasks_of_the_steps_before():
+    # Guards against a start while a task it depends on still runs.
+    book = book_module.Book()
+    add_job(book, make_step(count=2), make_step(depends_on=(0,)))
+    first, second = start_all(book)
+    book.end_run(first, "done", "", 1.0, 1)
+    assert not book.ready
+    book.end_run(second, "done", "", 1.0, 1)
+    assert list(book.ready) == ["j.0.1.0"]
+
+
+def test_only_failures_count_against_the_attempts():
+    # Guards against a job that ends as failed because leases expired.
+    book = book_module.Book()
+    state = add_job(book, make_step())
+    for how in ("lapsed", "stopped", "failed", "broken"):
+        (run,) = start_all(book)
+        book.end_run(run, how, "", 1.0, 1)
+    assert (state.ended, book.tasks["j.0.0.0"].attempt) == ("", 4)
+    (run,) = start_all(book)
+    book.end_run(run, "failed", "", 1.0, 1)
+    assert state.ended == "failed"
+
+
+def test_long_running_task_is_restarted_however_it_ends():
+    # Guards against a service that stays away after a fault of its own.
+    book = book_module.Book()
+    state = add_job(book, make_step(long_running=True))
+    for how in ("failed", "failed", "failed", "done", "lapsed"):
+        (run,) = start_all(book)
+        book.end_run(run, how, "", 1.0, 1)
+    assert state.ended == "" and list(book.ready) == ["j.0.0.0"]
+
+
+def test_end_is_shown_only_after_it_is_stored():
+    # Guards against a job that is shown as completed and runs again after
+    # its owner was lost.
+    book = book_module.Book()
+    state = add_job(book, make_step())
+    (run,) = start_all(book)
+    book.end_run(run, "done", "", 1.0, 1)
+    assert book_module.describe_state(state) == "running"
+    state.stored_ended = state.ended
+    assert book_module.describe_state(state) == "completed"
+
+
+def test_stored_progress_restores_the_book():
+    # Guards against a successor that repeats done tasks, forgets attempts
+    # that may run, or starts with a number that was used.
+    book = book_module.Book()
+    state = add_job(
+        book, make_step(count=3, checkpointing=True), make_step(depends_on=(0,))
+    )
+    first, second, third = start_all(book)
+    book.end_run(first, "done", "", 1.0, 1)
+    book.end_run(second, "stopped", "saved-2", 1.0, 1)
+    progress = book_module.make_progress(state)
+    successor = book_module.Book()
+    loaded = add_job(
+        successor,
+        make_step(count=3, checkpointing=True),
+        make_step(depends_on=(0,)),
+        progress=progress,
+    )
+    assert list(successor.ready) == [second.task.name]
+    waiting = successor.ready[second.task.name]
+    assert (waiting.attempt, waiting.checkpoint) == (1, "saved-2")
+    running = successor.find_run(third.task.name, 1)
+    assert (running.runner, running.since) == ("r", 0)
+    assert loaded.started
+
+
+def test_members_of_a_gang_end_together():
+    # Guards against a gang whose other members run again after one is done.
+    book = book_module.Book()
+    state = add_job(book, make_step(count=3, gang=True))
+    runs = start_all(book)
+    book.end_run(runs[0], "done", "", 1.0, 1)
+    assert state.ended == "completed"
+    assert set(book.to_stop) >= set(runs[1:])
+
+
+def test_occurrence_starts_at_its_time():
+    # Guards against a timed job that runs early.
+    book = book_module.Book()
+    state = add_job(
+        book,
+        make_step(),
+        repeat_count=3,
+        start_at_ms=2000,
+        interval_ms=500,
+    )
+    dues = [entry.due for entry in state.steps.values()]
+    assert dues == [2.0, 2.5, 3.0]
+
+
+def test_cancel_stops_what_runs_and_offers_nothing():
+    # Guards against tasks of a cancelled job that are started again.
+    book = book_module.Book()
+    state = add_job(book, make_step(count=2))
+    runs = start_all(book)
+    book.cancel_job(state, 5)
+    book.end_run(runs[0], "stopped", "", 1.0, 1)
+    assert book.to_stop == runs
+    assert not book.ready and not book.tasks
+
+
+def test_unknown_effects_count_as_none_and_harm_is_learned():
+    # Guards against fills that are slowed beside images they do not disturb,
+    # and against a harmful pair that is not found within a few seconds.
+    learned = interference.Interference()
+    book = book_module.Book()
+    runner = make_runner()
+    serving, *fills = place_runs(
+        runner,
+        book,
+        make_step(long_running=True, image="web", target_ms=18),
+        make_step(fills=True, image="calm"),
+        make_step(fills=True, image="noisy"),
+    )
+    assert learned.find_effect("web", "noisy", 0.0) == 0
+    for second in range(24):
+        now = second / 2
+        calm, noisy = second % 3 > 0, second % 2 > 0
+        fills[0].figure = 2000 * calm
+        fills[1].figure = 2000 * noisy
+        # Capacity left: 0.6 of it, less 0.13 for each core of the noisy one.
+        serving.figure = 4 / (0.6 - 0.26 * noisy)
+        learned.learn(runner, now)
+    assert learned.find_effect("web", "calm", now) == 0
+    assert learned.find_effect("web", "noisy", now) == pytest.approx(
+        0.13 / 0.6 * 0.6, abs=0.12
+    )
+    assert learned.find_effect("web", "noisy", now) > 0.05
+
+
+def test_an_effect_that_is_not_seen_any_more_fades():
+    # Guards against a pair that is avoided for ever after one wrong reading.
+    learned = interference.Interference()
+    learned.effects["web", "x"] = interference.Effect(0.2, 0.001, at=1.0)
+    assert learned.find_effect("web", "x", 2.0) == pytest.approx(0.2)
+    assert learned.find_effect("web", "x", 120.0) == 0
+
+
+def make_pressed(over_s):
+    learned = interference.Interference()
+    book = book_module.Book()
+    runner = make_runner()
+    serving, calm, noisy = place_runs(
+        runner,
+        book,
+        make_step(long_running=True, image="web", target_ms=18),
+        make_step(fills=True, image="calm", cpu=2000),
+        make_step(fills=True, image="noisy", cpu=2000),
+    )
+    learned.floors["web"] = 0.25
+    learned.effects["web", "noisy"] = interference.Effect(0.2, 0.001, 10.0)
+    learned.levels[serving] = interference.Level(value=0.5, peak=0.5, at=10.0)
+    serving.over_since = None if over_s is None else 10.0 - over_s
+    changes = dict(pacing.decide_paces(learned, runner, 4.0, 10.0))
+    return changes, calm, noisy
+
+
+def test_only_the_fill_that_disturbs_is_slowed():
+    # Guards against neighbours that are slowed for what another one does.
+    changes, calm, noisy = make_pressed(None)
+    assert calm not in changes
+    assert 0 < changes[noisy] < 100
+
+
+def test_all_fills_halt_before_the_harm_bound():
+    # Guards against a task that stays over its target for the harm bound
+    # while the model explains nothing.
+    changes, calm, noisy = make_pressed(2.7)
+    assert (changes[calm], changes[noisy]) == (0, 0)
+
+
+def test_slowed_fill_leaves_its_processors_to_others():
+    # Guards against runners that are full of tasks which do not work.
+    book = book_module.Book()
+    runner = make_runner()
+    (run,) = place_runs(runner, book, make_step(fills=True, cpu=4000))
+    runner.change_pace(run, 0)
+    assert runner.fill_cpu == 800
+    runner.charge(run, -1)
+    assert (runner.fill_cpu, runner.memory_mb) == (0, 0)
+
+
+def test_placement_never_exceeds_the_declared_room():
+    # Guards against processors or memory that are committed twice.
+    book = book_module.Book()
+    runner = make_runner(cpu=4000, memory_mb=4000)
+    learned = interference.Interference()
+    place_runs(runner, book, make_step(count=3, cpu=1000, memory_mb=900))
+    state = add_job(book, make_step(cpu=1001), make_step(memory_mb=1400))
+    for entry in state.steps.values():
+        assert (
+            placement.choose_runner(entry.tasks[0], [runner], learned, 1.0)
+            is None
+        )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"fenced": False}, {"listed": False}, {"silent": True}],
+    ids=str,
+)
+def test_unsure_runner_gets_no_start(change):
+    # Guards against a start on a runner that an earlier owner may command,
+    # that has left, or that does not answer.
+    book = book_module.Book()
+    state = add_job(book, make_step())
+    runner = make_runner(**change)
+    task = state.steps[0, 0].tasks[0]
+    learned = interference.Interference()
+    assert placement.choose_runner(task, [runner], learned, 1.0) is None
+
+
+def test_label_and_limit_a_runner_are_kept():
+    # Guards against a start without the label, or beyond the limit.
+    book = book_module.Book()
+    learned = interference.Interference()
+    step = make_step(count=2, max_per_runner=1, required_label="gpu")
+    state = add_job(book, step)
+    plain, labelled = make_runner("p"), make_runner("l", rack="gpu")
+    first, second = state.steps[0, 0].tasks
+    chosen = placement.choose_runner(first, [plain, labelled], learned, 1.0)
+    assert chosen is labelled
+    labelled.charge(book.begin_run(first, "l", 1.0))
+    assert (
+        placement.choose_runner(second, [plain, labelled], learned, 1.0) is None
+    )
+
+
+def test_urgent_task_takes_the_memory_of_less_urgent_ones():
+    # Guards against urgent work that waits behind work which can resume.
+    book = book_module.Book()
+    runner = make_runner(memory_mb=4000)
+    cheap, dear = place_runs(
+        runner,
+        book,
+        make_step(fills=True, checkpointing=True, memory_mb=2000),
+        make_step(fills=True, memory_mb=2000),
+    )
+    dear.running_since = -20.0
+    urgent = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
+    state = add_job(book, make_step(memory_mb=1500), job_id="u", queue=urgent)
+    task = state.steps[0, 0].tasks[0]
+    assert placement.find_victims(task, [runner], 1.0) == [cheap]
+
+
+def test_lease_of_a_slow_clock_is_waited_for():
+    # Guards against a second start while a slow clock still holds the lease.
+    runner = make_runner()
+    runner.note_clock(100_000, 50.0)
+    runner.extend_lease(5.0, 50.0)
+    assert runner.find_expiry(SETTINGS) >= 50.0 + 5.0 / 0.98
+
+
+def test_newest_claim_wins_and_renewals_keep_the_epoch():
+    # Guards against two owners that both believe in their claim.
+    known = ownership.Ownership()
+    first = ownership.Claim("a", 1, "10.0.0.1:1")
+    renewal = ownership.Claim("a", 1, "10.0.0.1:1", epoch=3)
+    second = ownership.Claim("b", 2, "10.0.0.2:1")
+    for offset, claim in ((3, first), (4, renewal), (5, second), (4, renewal)):
+        known.apply_record(offset, ownership.encode_claim(claim), 1.0)
+    assert (known.claim.holder, known.epoch) == ("b", 5)
+    known.apply_record(6, b"not a claim", 1.0)
+    late = ownership.Claim("a", 1, "10.0.0.1:1", epoch=3)
+    known.apply_record(7, ownership.encode_claim(late), 1.0)
+    assert (known.claim.holder, known.epoch) == ("b", 5)
+
+
+def test_silence_alone_is_no_reason_to_claim():
+    # Guards against a process cut off from its peers that takes over again
+    # and again while the owner is alive.
+    known = ownership.Ownership()
+    claim = ownership.Claim("a", 1, "10.0.0.1:1")
+    known.apply_record(3, ownership.encode_claim(claim), 10.0)
+    assert ownership.suspects_owner(known, SETTINGS, 10.5) == ""
+    assert ownership.suspects_owner(known, SETTINGS, 12.0) == "silent"
+    renewal = ownership.Claim("a", 1, "10.0.0.1:1", epoch=3)
+    known.apply_record(4, ownership.encode_claim(renewal), 11.5)
+    assert not ownership.may_claim(known, "silent", SETTINGS, 12.0)
+    assert ownership.may_claim(known, "silent", SETTINGS, 13.5)
+    assert ownership.may_claim(known, "denied", SETTINGS, 12.0)
+
+
+def test_owner_without_the_log_is_replaced():
+    # Guards against an owner that can store nothing and keeps the jobs.
+    known = ownership.Ownership()
+    claim = ownership.Claim("a", 1, "10.0.0.1:1")
+    known.apply_record(3, ownership.encode_claim(claim), 10.0)
+    known.note_reply(True, 5.0, 10.1)
+    assert ownership.suspects_owner(known, SETTINGS, 10.2) == "cut_off"
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,169 @@
+"""The platform's wire: what decodes, what is refused, what is ignored."""
+
+import json
+
+import pytest
+
+from plantainvane.jobs import model
+from plantainvane.platform import node
+from plantainvane.platform import runners
+from plantainvane.platform import store
+from plantainvane.platform import wire
+
+QUEUE = model.Queue("q", "h", "/q/", "s")
+ENTRY = {
+    "Service": "s",
+    "Address": "10.0.0.9:8080",
+    "Zone": "z",
+    "State": "ready",
+    "born": 7,
+    "ClockMs": 5,
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "Unknown": [1],
+}
+NODE = """
+NodeName = "frontend-a-1"
+Ip = "10.1.0.13"
+Zone = "a"
+Seeds = ["10.1.0.13:8166"]
+New = 1
+[Listen]
+Frontend = "10.1.0.13:8161"
+Readiness = "10.1.0.13:8167"
+ControlPlane = "10.1.0.13:8166"
+[Bounds]
+MaxHoldMs = 3000
+GracePeriodS = 6
+CrossRackFactor = 1.5
+[platform]
+Address = "10.200.1.7:8169"
+"""
+
+
+def test_runner_entry_decodes():
+    # Guards against capacity or labels that are read from a wrong field.
+    entry = wire.decode_runner("i-1", json.dumps(ENTRY).encode())
+    assert entry.room == model.Amounts(16000, 32768, 0)
+    assert (entry.born_ms, entry.draining) == (7, False)
+    assert entry.labels == ("a", "r1-3")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "gone"},
+        {"Address": 5},
+        {"Address": "nowhere"},
+        {"born": "yesterday"},
+        {"Capacity": None},
+        {"Service": None},
+    ],
+    ids=str,
+)
+def test_malformed_entry_names_no_runner(change):
+    # Guards against entries of other writers.
+    assert wire.decode_runner("i", json.dumps(ENTRY | change).encode()) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b"7"])
+def test_unreadable_bytes_are_no_document(value):
+    # Guards against bytes that end the process which follows a topic.
+    assert wire.decode_runner("i", value) is None
+    assert wire.decode_configuration(value) is None
+
+
+def test_submission_decodes():
+    # Guards against a field of a step that is dropped.
+    body = {
+        "Spec": "text",
+        "RepeatCount": 2,
+        "StartAtMs": 9,
+        "IntervalMs": 4,
+        "Steps": [
+            {"Count": 4, "Cpu": 500, "MemMb": 256, "Affinity": "r1-3"},
+            {
+                "Count": 2,
+                "DependsOn": [0],
+                "Gang": True,
+                "MaxPerServer": 1,
+                "Fills": True,
+                "Image": "i",
+                "TargetMs": 18,
+                "MaxDisrupted": 1,
+            },
+        ],
+    }
+    job = wire.decode_job(json.dumps(body).encode(), "id", QUEUE, 3).ok_value
+    first, second = job.steps
+    assert first.amounts == model.Amounts(500, 256, 0)
+    assert first.preferred_rack == "r1-3"
+    assert (second.depends_on, second.gang, second.fills) == ((0,), True, True)
+    assert (second.max_per_runner, second.max_unavailable) == (1, 1)
+    assert (job.repeat_count, job.start_at_ms, job.interval_ms) == (2, 9, 4)
+
+
+@pytest.mark.parametrize(
+    ("body", "fault"),
+    [
+        (b"{", "truncated"),
+        (b'{"Steps":[]}', "Steps is empty"),
+        (b'{"Steps":[{"Count":0}]}', "Count is below 1"),
+        (b'{"Steps":[{"Count":"x"}]}', "Expected `int`"),
+        (b'{"Steps":[{"Count":1,"Cpu":-1}]}', "negative"),
+        (b'{"Steps":[{"Count":1,"DependsOn":[0]}]}', "no earlier step"),
+        (b'{"Steps":[{"Count":1000000}]}', "exceed"),
+    ],
+)
+def test_invalid_submission_is_refused_with_the_reason(body, fault):
+    # Guards against a job that is stored and can never be decoded.
+    assert fault in wire.decode_job(body, "id", QUEUE, 0).err_value
+
+
+def test_longest_prefix_selects_the_queue():
+    # Guards against a job that runs under another queue's rules.
+    short = model.Queue("short", "h", "/a/", "s")
+    long = model.Queue("long", "h", "/a/b/", "s")
+    configuration = model.Configuration(1, (short, long))
+    assert model.find_queue(configuration, "h", "/a/b/x") is long
+    assert model.find_queue(configuration, "h", "/a/x") is short
+    assert model.find_queue(configuration, "other", "/a/x") is None
+
+
+def test_records_survive_the_log():
+    # Guards against keys or values that are cut or shifted.
+    records = [("k", b"value"), ("other", None), ("", b"x" * 300)]
+    content = b"\0" * 7 + b"\x09" + b"\0" * 8 + store.encode_records(records)
+    page = store.decode_records(content, 6)
+    assert [(key, value) for _, key, value in page.records] == records
+    assert (page.next_offset, page.end_offset) == (9, 9)
+
+
+def test_cut_record_is_an_error():
+    # Guards against half a record that is taken for a whole one.
+    content = b"\0" * 16 + store.encode_records([("k", b"value")])[:-1]
+    with pytest.raises(ValueError, match="cut short"):
+        store.decode_records(content, 0)
+
+
+def test_look_decodes_rows_with_and_without_a_figure():
+    # Guards against a deployment whose rows have four entries.
+    look = runners.decode_look(
+        b'{"ClockMs":5,"born":7,"Active":[["t",2,"c",41],["u",1,"",100,9]],'
+        b'"Finished":[[58,"t",1,"done",""]]}'
+    )
+    assert [r.figure for r in look.running] == [0.0, 9.0]
+    assert look.ends[0] == model.End(58, "t", 1, "done", "")
+
+
+def test_settings_file_decodes_and_unknown_fields_are_ignored():
+    # Guards against a field of a later platform that stops the process.
+    settings = node.decode_settings(NODE).ok_value
+    assert settings.lease_s == 3.0
+    assert settings.peer_address == "10.1.0.13:8166"
+
+
+@pytest.mark.parametrize("text", ["", "x =", 'NodeName = "a"', "Ip = 5"])
+def test_unusable_settings_are_refused_with_the_reason(text):
+    # Guards against a process that starts with half of its settings.
+    assert node.decode_settings(text).err_value
