Store what was learned of image pairs, and try unknown pairs last

Change: known effects are stored every 2 s with the progress; a place whose pairs are unknown scores lower.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -34,6 +34,8 @@
 _FADE_S = 30.0
 # Effects per core below this count as none.
 NOTABLE_EFFECT = 0.03
+# A pair is known when its variance has shrunk to this share of the prior.
+_KNOWN_SHARE = 0.4
 # A peak of the level is remembered this long, a period or two of its load.
 _PEAK_DECAY_S = 20.0
 
@@ -114,6 +116,30 @@
         """Pressure at which a tail is `share` of its target."""
         return 1 - self.floors.get(image, _FIRST_FLOOR) / share
 
+    def is_known(self, serving: str, filling: str) -> bool:
+        """Tells whether a pair has been observed for a while."""
+        effect = self.effects.get((serving, filling))
+        return effect is not None and (
+            effect.variance < _KNOWN_SHARE * _PRIOR_VARIANCE
+        )
+
+    def export_effects(self, now: float) -> list[tuple[str, str, float]]:
+        """Effects of known pairs, for a successor."""
+        return [
+            (serving, filling, round(effect.value, 4))
+            for (serving, filling), effect in self.effects.items()
+            if self.is_known(serving, filling) and now - effect.at < _FADE_S
+        ]
+
+    def import_effects(
+        self, effects: list[tuple[str, str, float]], now: float
+    ) -> None:
+        """Takes over what an earlier owner learned."""
+        for serving, filling, value in effects:
+            self.effects[serving, filling] = Effect(
+                value, _KNOWN_SHARE * _PRIOR_VARIANCE / 2, now
+            )
+
     def learn(self, runner: runners_module.Runner, now: float) -> None:
         """Learns from the figures of one look."""
         used: dict[str, float] = {}
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -28,10 +28,14 @@
 
 JOBS_TOPIC = "keyed.jobs"
 PROGRESS_TOPIC = "keyed.progress"
+# Key of the learned effects in the topic of progress; no id of a job is like
+# it.
+_LEARNED_KEY = "learned"
 _PRODUCER = "owner"
 
 _JOB = msgspec.json.Decoder(model.Job)
 _PROGRESS = msgspec.json.Decoder(model.JobProgress)
+_EFFECTS = msgspec.json.Decoder(list[tuple[str, str, float]])
 _ENCODER = msgspec.json.Encoder()
 
 # Coalesces the events of one instant into one pass.
@@ -39,6 +43,8 @@
 # Work that becomes due by time alone is looked for this often.
 _PASS_LIMIT_S = 0.25
 _SWEEP_S = 1.0
+# Learned effects are stored this often, for a successor.
+_LEARNED_S = 2.0
 # A long-running task may wait this long behind short urgent ones.
 _SERVING_PATIENCE_S = 1.5
 # Estimates are off by half, so a job counts as late only this share of its
@@ -93,6 +99,7 @@
     lost: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     next_move_at: float = 0.0
+    next_learned_at: float = 0.0
     tail_offset: int = 0
     list_offset: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
@@ -233,10 +240,7 @@
     page = await _list_newest(owner, PROGRESS_TOPIC)
     for _, key, value in page.records:
         if value is not None:
-            try:
-                owner.progress[key] = _PROGRESS.decode(value)
-            except msgspec.DecodeError as error:
-                _report_record(PROGRESS_TOPIC, key, error)
+            _load_progress(owner, key, value)
     page = await _list_newest(owner, JOBS_TOPIC)
     owner.tail_offset = page.end_offset
     for _, key, value in page.records:
@@ -248,6 +252,17 @@
     _charge_recovered(owner)
 
 
+def _load_progress(owner: Owner, key: str, value: bytes) -> None:
+    try:
+        if key == _LEARNED_KEY:
+            effects = _EFFECTS.decode(value)
+            owner.learned.import_effects(effects, clock.read_now())
+        else:
+            owner.progress[key] = _PROGRESS.decode(value)
+    except msgspec.DecodeError as error:
+        _report_record(PROGRESS_TOPIC, key, error)
+
+
 def _report_record(topic: str, key: str, error: Exception) -> None:
     events.log_event(
         events.RECORD_UNDECODABLE, stream=topic, key=key, error=str(error)
@@ -444,9 +459,19 @@
         if now - owner.health.answered_at > settings.unconfirmed_limit_s:
             owner.lose("log silent")
         _forget_jobs(owner)
+        _store_learned(owner, now)
         owner.poke()
 
 
+def _store_learned(owner: Owner, now: float) -> None:
+    if now < owner.next_learned_at:
+        return
+    owner.next_learned_at = now + _LEARNED_S
+    effects = owner.learned.export_effects(now)
+    if effects:
+        owner.journal.add([(_LEARNED_KEY, _ENCODER.encode(effects))])
+
+
 def _forget_jobs(owner: Owner) -> None:
     limit_ms = clock.read_wall_ms() - 1.5 * owner.settings.status_s * 1000
     old = [
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -19,6 +19,8 @@
 HARM_WEIGHT = 8.0
 # Weight of a runner's usefulness to other filling images.
 SCARCITY_WEIGHT = 0.4
+# Weight of a serving image whose pair with the task was never observed.
+UNKNOWN_WEIGHT = 0.3
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -145,9 +147,16 @@
         learned, runner, step.image, cores, pacing.TARGET_SHARE, now
     )
     if excess <= 0:
-        # Runners that suit few images are left to those.
-        return score - SCARCITY_WEIGHT * _measure_usefulness(
-            runner, learned, now
+        # Runners that suit few images are left to those, and a pair that was
+        # never seen is tried where there is no other choice.
+        unknown = sum(
+            not learned.is_known(image, step.image)
+            for image in _list_images(runner)
+        )
+        return (
+            score
+            - SCARCITY_WEIGHT * _measure_usefulness(runner, learned, now)
+            - UNKNOWN_WEIGHT * unknown
         )
     if excess > HARM_LIMIT and now - task.ready_since < HARM_PATIENCE_S:
         return None
@@ -160,7 +169,7 @@
     now: float,
 ) -> float:
     """Share of the known filling images that hurt no serving task there."""
-    serving = {r.task.step.step.image for r in runner.runs if _serves(r)}
+    serving = _list_images(runner)
     filling = {pair[1] for pair in learned.effects}
     if not filling:
         return 1.0
@@ -171,8 +180,10 @@
     return useful / len(filling)
 
 
-def _serves(run: book.Run) -> bool:
-    return run.task.step.step.target_ms > 0
+def _list_images(runner: runners_module.Runner) -> set[str]:
+    """Images of the serving tasks of a runner."""
+    steps = [run.task.step.step for run in runner.runs]
+    return {step.image for step in steps if step.target_ms}
 
 
 def find_quieter(
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -225,6 +225,35 @@
     assert learned.find_effect("web", "x", 120.0) == 0
 
 
+def test_successor_knows_what_was_learned():
+    # Guards against each takeover disturbing the services anew.
+    learned = interference.Interference()
+    learned.effects["web", "noisy"] = interference.Effect(0.2, 0.001, 9.0)
+    learned.effects["web", "new"] = interference.Effect(0.01, 0.006, 9.0)
+    successor = interference.Interference()
+    successor.import_effects(learned.export_effects(10.0), 50.0)
+    assert successor.find_effect("web", "noisy", 51.0) == pytest.approx(0.2)
+    assert successor.is_known("web", "noisy")
+    assert not successor.is_known("web", "new")
+
+
+def test_fill_goes_where_its_pairs_are_known():
+    # Guards against every new image being tried beside every service.
+    learned = interference.Interference()
+    learned.effects["web", "x"] = interference.Effect(0.0, 0.0001, 9.0)
+    book = book_module.Book()
+    known, unknown = make_runner("known"), make_runner("unknown")
+    step = make_step(long_running=True, target_ms=18, image="web")
+    place_runs(known, book, step, job_id="a")
+    step = make_step(long_running=True, target_ms=18, image="api")
+    place_runs(unknown, book, step, job_id="b")
+    state = add_job(book, make_step(fills=True, image="x"), job_id="c")
+    task = state.steps[0, 0].tasks[0]
+    candidates = [unknown, known]
+    chosen = placement.choose_runner(task, candidates, learned, 10.0)
+    assert chosen is known
+
+
 def make_pressed(over_s):
     learned = interference.Interference()
     book = book_module.Book()
