Split the owner and the entry process by responsibility

State, recovery and the scheduling pass are now modules of their own, as are following the configuration and keeping one owner alive.

--- /dev/null
+++ b/plantainvane/jobs/configuration.py
@@ -0,0 +1,118 @@
+"""Follows the operator's configuration; versions only rise.
+
+It comes from the log, or from a peer that names a newer version.
+"""
+
+import random
+
+import anyio
+
+from plantainvane import events
+from plantainvane.jobs import clock
+from plantainvane.jobs import metrics
+from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import process as process_module
+
+
+async def follow_configuration(entry: process_module.Entry) -> None:
+    """Follows the operator's topic; falls back on what peers have."""
+    surroundings, settings = entry.surroundings, entry.settings
+    topic = surroundings.configuration_topic
+    offset = -1
+    while True:
+        if offset < 0:
+            page = await surroundings.store.list_newest(
+                topic, settings.store_timeout_max_s
+            )
+        else:
+            page = await surroundings.store.read(
+                topic,
+                offset,
+                settings.read_wait_s,
+                settings.store_timeout_max_s,
+            )
+        now = clock.read_now()
+        if page.is_err():
+            entry.health.note_failure(page.err_value.detail, now)
+            await fetch_configuration(entry)
+            await anyio.sleep(settings.store_retry_s * (1 + random.random()))
+            continue
+        entry.health.note_answer(entry.health.latency_s, now)
+        if page.ok_value.expired:
+            offset = -1
+            continue
+        for _, key, value in page.ok_value.records:
+            if key == surroundings.configuration_key and value:
+                _apply_document(entry, value, "log")
+        if offset < 0:
+            offset = page.ok_value.end_offset
+            if entry.configuration is None:
+                await fetch_configuration(entry)
+        else:
+            offset = max(offset, page.ok_value.next_offset)
+
+
+def _apply_document(
+    entry: process_module.Entry, document: bytes, source: str
+) -> None:
+    """Moves to a higher version; anything else changes nothing."""
+    configuration = entry.surroundings.decode_configuration(document)
+    if configuration is None:
+        events.log_event(
+            events.DOCUMENT_UNDECODABLE, source=source, size=len(document)
+        )
+        return
+    before = entry.configuration.version if entry.configuration else -1
+    if configuration.version <= before:
+        return
+    entry.configuration, entry.document = configuration, document
+    metrics.CONFIGURATION.set(configuration.version)
+    events.log_event(
+        events.QUEUES_CHANGED,
+        version=configuration.version,
+        before=before,
+        queues=len(configuration.queues),
+        source=source,
+    )
+    if entry.owner is not None:
+        entry.owner.poke()
+
+
+async def fetch_configuration(
+    entry: process_module.Entry, address: str = ""
+) -> None:
+    """Asks the owner, peers and seeds for the document in force."""
+    claim = entry.ownership.claim
+    addresses = (
+        [address]
+        if address
+        else [
+            *([claim.address] if claim else []),
+            *entry.settings.seeds,
+            *entry.seen,
+        ]
+    )
+    for candidate in dict.fromkeys(addresses):
+        if candidate == entry.settings.peer_address:
+            continue
+        fetched = await entry.peers.call(
+            candidate, peers_module.Fetch(), entry.settings.ping_timeout_s
+        )
+        if fetched.is_ok() and fetched.ok_value.document:
+            _apply_document(entry, fetched.ok_value.document, candidate)
+            return
+
+
+async def compare_configuration(
+    entry: process_module.Entry, version: int, address: str
+) -> None:
+    """Fetches a newer version that the own log read did not bring."""
+    current = entry.configuration.version if entry.configuration else -1
+    if version <= current:
+        entry.behind = -1
+    elif entry.behind >= 0 or current < 0:
+        entry.behind = -1
+        await fetch_configuration(entry, address)
+    else:
+        # The own read usually brings it before the next ping.
+        entry.behind = version
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -18,9 +18,10 @@
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
-from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import peers
+from plantainvane.jobs import recovery
 from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import state as state_module
 
 _ENCODER = msgspec.json.Encoder()
 _ASK_RETRY_S = 0.06
@@ -131,7 +132,7 @@
 
 
 async def answer_question(
-    owner: owner_module.Owner, question: peers.Ask
+    owner: state_module.Owner, question: peers.Ask
 ) -> peers.Told:
     """Answers as the owner; a refusal to answer has `owner` False."""
     if not owner.recovered:
@@ -143,7 +144,7 @@
     state = owner.book.jobs.get(question.subject)
     if state is None:
         # It may have been stored a moment ago by another process.
-        if not await owner_module.read_jobs(owner, 0):
+        if not await recovery.read_jobs(owner, 0):
             return peers.Told(owner=False)
         state = owner.book.jobs.get(question.subject)
         if state is None:
@@ -154,7 +155,7 @@
 
 
 async def _cancel(
-    owner: owner_module.Owner, state: book_module.JobState
+    owner: state_module.Owner, state: book_module.JobState
 ) -> peers.Told:
     if not state.ended:
         owner.book.cancel_job(state, clock.read_wall_ms())
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -5,8 +5,6 @@
 the attempt, or every lease on the runner has surely expired.
 """
 
-from typing import Any
-
 import anyio
 
 from plantainvane import events
@@ -17,6 +15,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
 from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
 
 # After a rejected start, the runner gets no start for this long.
 _FULL_S = 0.25
@@ -34,14 +33,16 @@
 _RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
 
 
-async def start_runs(owner: Any, runs: list[book_module.Run]) -> None:
+async def start_runs(
+    owner: state_module.Owner, runs: list[book_module.Run]
+) -> None:
     """Stores the attempts, then orders their starts."""
     await owner.journal.flush()
     for run in runs:
         owner.group.start_soon(_start_run, owner, run)
 
 
-async def _start_run(owner: Any, run: book_module.Run) -> None:
+async def _start_run(owner: state_module.Owner, run: book_module.Run) -> None:
     task = run.task
     runner = owner.runners.get(run.runner)
     if runner is None or run not in task.runs:
@@ -78,7 +79,9 @@
 
 
 def _make_order(
-    owner: Any, runner: runners_module.Runner, run: book_module.Run
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: book_module.Run,
 ) -> model.StartOrder:
     task, now = run.task, clock.read_now()
     ticket, _ = owner.tickets.get(
@@ -96,7 +99,7 @@
 
 
 def _settle_start(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     run: book_module.Run,
     outcome: interfaces.StartOutcome,
@@ -136,7 +139,9 @@
 
 
 def _release(
-    owner: Any, runner: runners_module.Runner, run: book_module.Run
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: book_module.Run,
 ) -> None:
     runner.charge(run, -1)
     owner.book.drop_run(run, clock.read_now())
@@ -145,13 +150,15 @@
     owner.poke()
 
 
-def _stop_gang(owner: Any, run: book_module.Run) -> None:
+def _stop_gang(owner: state_module.Owner, run: book_module.Run) -> None:
     for member in run.task.step.tasks:
         for other in member.runs:
             stop_run(owner, other, "gang incomplete")
 
 
-def stop_run(owner: Any, run: book_module.Run, reason: str) -> None:
+def stop_run(
+    owner: state_module.Owner, run: book_module.Run, reason: str
+) -> None:
     """Stops an attempt; its end is listed by the runner."""
     if run.phase is book_module.Phase.STOPPING or run not in run.task.runs:
         return
@@ -168,7 +175,7 @@
     owner.group.start_soon(_send_stop, owner, run)
 
 
-async def _send_stop(owner: Any, run: book_module.Run) -> None:
+async def _send_stop(owner: state_module.Owner, run: book_module.Run) -> None:
     while run in run.task.runs:
         runner = owner.runners.get(run.runner)
         if runner is None:
@@ -187,7 +194,9 @@
 
 
 async def stop_unknown(
-    owner: Any, runner: runners_module.Runner, running: model.Running
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    running: model.Running,
 ) -> None:
     """Stops an attempt that the book does not know as running there."""
     events.log_event(
@@ -201,7 +210,9 @@
     await runner.calls.stop(running.task, running.attempt, owner.epoch)
 
 
-def pace_fills(owner: Any, runner: runners_module.Runner, now: float) -> None:
+def pace_fills(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
     """Orders the paces that the fills of a runner should have."""
     for run, percent in pacing.decide_paces(
         owner.learned, runner, owner.settings.harm_s, now
@@ -209,7 +220,9 @@
         owner.group.start_soon(set_pace, owner, run, percent)
 
 
-async def set_pace(owner: Any, run: book_module.Run, percent: int) -> None:
+async def set_pace(
+    owner: state_module.Owner, run: book_module.Run, percent: int
+) -> None:
     """Paces an attempt; a lost answer leaves the old pace believed."""
     runner = owner.runners.get(run.runner)
     if runner is None:
@@ -233,7 +246,7 @@
 
 
 def filter_advised(
-    owner: Any,
+    owner: state_module.Owner,
     step: book_module.StepState,
     candidates: list[runners_module.Runner],
     now: float,
@@ -252,7 +265,7 @@
 
 
 async def _ask_adviser(
-    owner: Any,
+    owner: state_module.Owner,
     step: book_module.StepState,
     candidates: list[runners_module.Runner],
 ) -> None:
--- /dev/null
+++ b/plantainvane/jobs/process.py
@@ -0,0 +1,61 @@
+"""State of one entry process of the job scheduler."""
+
+import dataclasses
+
+import anyio
+import anyio.abc
+
+from plantainvane.jobs import intake as intake_module
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import model
+from plantainvane.jobs import ownership as ownership_module
+from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import state as state_module
+
+
+@dataclasses.dataclass(slots=True)
+class PeerSeen:
+    """The last ping of a peer."""
+
+    at: float
+    config_version: int
+    may_own: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """State of one entry process.
+
+    Attributes:
+      incarnation: Start of the process, in nanoseconds.
+      configuration: In force here, or None.
+      document: The operator's document that it was decoded from.
+      owner: Set while this process is the owner.
+      seen: Peers that pinged, by address.
+      behind: Newer version that a peer named once, or -1.
+      draining: SIGTERM came.
+    """
+
+    settings: settings_module.Settings
+    surroundings: interfaces.Surroundings
+    incarnation: int
+    health: journal_module.Health
+    ownership: ownership_module.Ownership
+    peers: peers_module.Peers
+    intake: intake_module.Intake | None = None
+    configuration: model.Configuration | None = None
+    document: bytes = b""
+    owner: state_module.Owner | None = None
+    seen: dict[str, PeerSeen] = dataclasses.field(default_factory=dict)
+    behind: int = -1
+    draining: bool = False
+    stopping: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    claiming: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
+    group: anyio.abc.TaskGroup | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Requests of callers can be answered."""
+        return self.configuration is not None and not self.draining
--- /dev/null
+++ b/plantainvane/jobs/recovery.py
@@ -0,0 +1,236 @@
+"""What an owner reads from the log: stored state, new jobs, runners."""
+
+import anyio
+import msgspec
+
+from plantainvane import events
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import sessions
+from plantainvane.jobs import state as state_module
+
+_JOB = msgspec.json.Decoder(model.Job)
+_PROGRESS = msgspec.json.Decoder(model.JobProgress)
+_EFFECTS = msgspec.json.Decoder(list[tuple[str, str, float]])
+
+
+async def _list_newest(
+    owner: state_module.Owner, topic: str
+) -> interfaces.Page:
+    while True:
+        page = await owner.surroundings.store.list_newest(
+            topic, owner.settings.store_timeout_max_s
+        )
+        now = clock.read_now()
+        if page.is_ok():
+            owner.health.note_answer(owner.health.latency_s, now)
+            return page.ok_value
+        owner.health.note_failure(page.err_value.detail, now)
+        await anyio.sleep(owner.settings.store_retry_s)
+
+
+async def recover(owner: state_module.Owner) -> None:
+    """Loads what earlier owners stored."""
+    page = await _list_newest(owner, state_module.PROGRESS_TOPIC)
+    for _, key, value in page.records:
+        if value is not None:
+            _load_progress(owner, key, value)
+    page = await _list_newest(owner, state_module.JOBS_TOPIC)
+    owner.tail_offset = page.end_offset
+    for _, key, value in page.records:
+        _add_job(owner, key, value)
+    page = await _list_newest(owner, owner.surroundings.runners_topic)
+    owner.list_offset = page.end_offset
+    for _, key, value in page.records:
+        _apply_entry(owner, key, value)
+    _charge_recovered(owner)
+
+
+def _load_progress(owner: state_module.Owner, key: str, value: bytes) -> None:
+    try:
+        if key == state_module.LEARNED_KEY:
+            effects = _EFFECTS.decode(value)
+            owner.learned.import_effects(effects, clock.read_now())
+        else:
+            owner.progress[key] = _PROGRESS.decode(value)
+    except msgspec.DecodeError as error:
+        _report_record(state_module.PROGRESS_TOPIC, key, error)
+
+
+def _report_record(topic: str, key: str, error: Exception) -> None:
+    events.log_event(
+        events.RECORD_UNDECODABLE, stream=topic, key=key, error=str(error)
+    )
+
+
+def _charge_recovered(owner: state_module.Owner) -> None:
+    """Charges stored attempts to their runners until a look shows more."""
+    for state in owner.book.jobs.values():
+        for entry in state.steps.values():
+            for task in entry.tasks:
+                for run in task.runs:
+                    _charge_run(owner, run)
+
+
+def _charge_run(owner: state_module.Owner, run: book_module.Run) -> None:
+    runner = owner.runners.get(run.runner)
+    if runner is None:
+        owner.doubts.setdefault(run.runner, []).append(run)
+    else:
+        runner.charge(run)
+
+
+def _add_job(owner: state_module.Owner, key: str, value: bytes | None) -> None:
+    if value is None or key in owner.book.jobs:
+        return
+    try:
+        job = _JOB.decode(value)
+    except msgspec.DecodeError as error:
+        _report_record(state_module.JOBS_TOPIC, key, error)
+        return
+    queue = state_module.find_queue(owner, job.queue) or model.Queue(
+        job.queue, "", "", job.service, priority=9, attempts=3
+    )
+    now = clock.read_now()
+    wall_ms = clock.read_wall_ms()
+    state = owner.book.add_job(
+        job, queue, owner.progress.get(key), now, wall_ms
+    )
+    events.log_event(
+        events.JOB_LOADED,
+        job=job.id,
+        queue=job.queue,
+        tasks=sum(step.count for step in job.steps),
+        age_ms=wall_ms - job.accepted_ms,
+        state=book_module.describe_state(state),
+        epoch=owner.epoch,
+    )
+    owner.poke()
+
+
+async def read_jobs(owner: state_module.Owner, wait_s: float) -> bool:
+    """Reads new jobs once; tells whether the log answered."""
+    started = clock.read_now()
+    page = await owner.surroundings.store.read(
+        state_module.JOBS_TOPIC,
+        owner.tail_offset,
+        wait_s,
+        owner.settings.store_timeout_s,
+    )
+    now = clock.read_now()
+    if page.is_err():
+        owner.health.note_failure(page.err_value.detail, now)
+        return False
+    owner.health.note_answer(min(now - started, owner.health.latency_s), now)
+    if page.ok_value.expired:
+        newest = await _list_newest(owner, state_module.JOBS_TOPIC)
+        for _, key, value in newest.records:
+            _add_job(owner, key, value)
+        owner.tail_offset = max(owner.tail_offset, newest.end_offset)
+        return True
+    for _, key, value in page.ok_value.records:
+        _add_job(owner, key, value)
+    owner.tail_offset = max(owner.tail_offset, page.ok_value.next_offset)
+    return True
+
+
+async def follow_jobs(owner: state_module.Owner) -> None:
+    """Reads new jobs for as long as this process is the owner."""
+    while True:
+        if not await read_jobs(owner, owner.settings.read_wait_s):
+            await anyio.sleep(owner.settings.store_retry_s)
+
+
+async def follow_runners(owner: state_module.Owner) -> None:
+    """Polls the list of runners; each poll brings many heartbeats at once."""
+    topic = owner.surroundings.runners_topic
+    while True:
+        await anyio.sleep(owner.settings.runner_poll_s)
+        page = await owner.surroundings.store.read(
+            topic, owner.list_offset, 0, owner.settings.store_timeout_s
+        )
+        now = clock.read_now()
+        if page.is_err():
+            owner.health.note_failure(page.err_value.detail, now)
+            continue
+        owner.health.note_answer(owner.health.latency_s, now)
+        found = page.ok_value
+        if found.expired:
+            found = await _list_newest(owner, topic)
+            _remove_unlisted(owner, {key for _, key, _ in found.records})
+            owner.list_offset = found.end_offset
+        else:
+            owner.list_offset = max(owner.list_offset, found.next_offset)
+        for _, key, value in found.records:
+            _apply_entry(owner, key, value)
+
+
+def _remove_unlisted(owner: state_module.Owner, listed: set[str]) -> None:
+    for key in owner.runners:
+        if key not in listed:
+            _apply_entry(owner, key, None)
+
+
+def _apply_entry(
+    owner: state_module.Owner, key: str, value: bytes | None
+) -> None:
+    runner = owner.runners.get(key)
+    if value is None:
+        if runner is not None and runner.listed:
+            runner.listed = False
+            events.log_event(
+                events.RUNNER_UNLISTED, runner=key, runs=len(runner.runs)
+            )
+        return
+    entry = owner.surroundings.decode_runner(key, value)
+    if entry is None:
+        return
+    now = clock.read_now()
+    if runner is None or runner.entry.address != entry.address:
+        _add_runner(owner, entry, runner, now)
+        return
+    if entry.born_ms < runner.entry.born_ms:
+        return
+    if entry.draining and not runner.entry.draining:
+        events.log_event(
+            events.RUNNER_DRAINING, runner=key, runs=len(runner.runs)
+        )
+    reborn = entry.born_ms > runner.entry.born_ms
+    runner.entry, runner.listed = entry, True
+    if reborn:
+        sessions.begin_life(owner, runner, entry.born_ms, now)
+
+
+def _add_runner(
+    owner: state_module.Owner,
+    entry: model.RunnerEntry,
+    earlier: runners_module.Runner | None,
+    now: float,
+) -> None:
+    runner = runners_module.Runner(
+        entry,
+        owner.surroundings.connect_runner(entry.address, entry.id),
+        runners_module.find_rack(entry.labels),
+    )
+    runner.note_clock(entry.clock_ms, now)
+    runner.answered_at = now
+    if earlier is not None:
+        # The life at the old address keeps its attempts until they expire.
+        earlier.listed = False
+        for run in list(earlier.runs):
+            runner.charge(run)
+    owner.runners[entry.id] = runner
+    for run in owner.doubts.pop(entry.id, []):
+        if run in run.task.runs:
+            runner.charge(run)
+    events.log_event(
+        events.RUNNER_ADDED,
+        runner=entry.id,
+        address=entry.address,
+        domain=entry.domain,
+        cpu=entry.room.cpu,
+    )
+    owner.group.start_soon(sessions.attend_runner, owner, runner)
--- /dev/null
+++ b/plantainvane/jobs/scheduling.py
@@ -0,0 +1,190 @@
+"""One scheduling pass: which ready tasks start where, and which move."""
+
+import enum
+
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import orders
+from plantainvane.jobs import placement
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
+
+# Estimates are off by half, so a job counts as late only this share of its
+# objective after its latest start.
+_ESTIMATE_SLACK = 0.25
+# A filling task that was slowed this long is moved if it can be; a move costs
+# the time to stop and restore it, 1 s here.
+_MOVE_AFTER_S = 0.9
+_MOVE_GAP_S = 0.25
+_MOVES_AT_ONCE = 3
+
+
+class Turn(enum.IntEnum):
+    """Order of tasks of one priority.
+
+    A task that can still be in time goes before one that occupies its room
+    for long; a late job earns little, and one past three objectives nothing.
+    """
+
+    IN_TIME = 0
+    LASTING = 1
+    LATE = 2
+    HOPELESS = 3
+
+
+def place_ready(owner: state_module.Owner, now: float) -> None:
+    """Starts what fits, most urgent first."""
+    if not owner.book.ready:
+        return
+    placed: list[book_module.Run] = []
+    by_service: dict[str, list[runners_module.Runner]] = {}
+    for runner in owner.runners.values():
+        by_service.setdefault(runner.entry.service, []).append(runner)
+    blocked: set[int] = set()
+    tasks = [
+        task
+        for task in owner.book.ready.values()
+        if task.retry_at <= now and task.step.due <= now
+    ]
+    tasks.sort(key=lambda task: _rank_task(task, now))
+    for task in tasks:
+        if id(task.step) in blocked or task.name not in owner.book.ready:
+            continue
+        queue = (
+            state_module.find_queue(owner, task.job.job.queue) or task.job.queue
+        )
+        task.job.queue = queue
+        candidates = by_service.get(queue.service, [])
+        if task.step.step.gang:
+            runs = _place_gang(owner, task.step, candidates, now)
+            blocked.add(id(task.step))
+        else:
+            runs = _place_task(owner, task, candidates, now)
+        if not runs:
+            blocked.add(id(task.step))
+        placed.extend(runs)
+    if placed:
+        owner.group.start_soon(orders.start_runs, owner, placed)
+
+
+def move_slowed(owner: state_module.Owner, now: float) -> None:
+    """Stops slowed fills that could work at full speed elsewhere."""
+    if now < owner.next_move_at:
+        return
+    owner.next_move_at = now + _MOVE_GAP_S
+    moved = 0
+    for runner in owner.runners.values():
+        for run in list(runner.runs):
+            step = run.task.step.step
+            if (
+                not step.fills
+                or not step.checkpointing
+                or run.phase is not book_module.Phase.RUNNING
+                or run.slowed_since is None
+                or now - run.slowed_since < _MOVE_AFTER_S
+            ):
+                continue
+            candidates = [
+                other
+                for other in owner.runners.values()
+                if other.entry.service == runner.entry.service
+            ]
+            if placement.find_quieter(run, candidates, owner.learned, now):
+                run.task.avoid = (*run.task.avoid[-3:], run.runner)
+                orders.stop_run(owner, run, "moves to a quieter runner")
+                moved += 1
+                if moved >= _MOVES_AT_ONCE:
+                    return
+
+
+def _rank_task(
+    task: book_module.Task, now: float
+) -> tuple[int, Turn, float, str]:
+    """Order of starts: by priority, then by what a start still earns."""
+    job, step = task.job, task.step
+    due = job.deadline - step.tail_s
+    if step.step.long_running:
+        turn, due = Turn.LASTING, task.ready_since
+    elif now > due + 2 * job.objective_s:
+        turn = Turn.HOPELESS
+    elif now > due + _ESTIMATE_SLACK * job.objective_s:
+        turn = Turn.LATE
+    else:
+        turn = Turn.IN_TIME
+    return job.queue.priority, turn, due, task.name
+
+
+def _place_task(
+    owner: state_module.Owner,
+    task: book_module.Task,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[book_module.Run]:
+    if task.job.queue.advice is not None:
+        candidates = orders.filter_advised(owner, task.step, candidates, now)
+    runner = placement.choose_runner(task, candidates, owner.learned, now)
+    if runner is None:
+        for run in placement.find_victims(task, candidates, now):
+            orders.stop_run(owner, run, f"makes room for {task.name}")
+        return []
+    return [_begin_run(owner, task, runner, now)]
+
+
+def _begin_run(
+    owner: state_module.Owner,
+    task: book_module.Task,
+    runner: runners_module.Runner,
+    now: float,
+) -> book_module.Run:
+    run = owner.book.begin_run(task, runner.entry.id, now)
+    runner.charge(run)
+    return run
+
+
+def _place_gang(
+    owner: state_module.Owner,
+    step: book_module.StepState,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[book_module.Run]:
+    """Places all members or none; they share the number of the attempt."""
+    if any(task.runs for task in step.tasks):
+        return []
+    if step.job.queue.advice is not None:
+        candidates = orders.filter_advised(owner, step, candidates, now)
+    groups = [candidates]
+    if step.step.same_rack:
+        racks: dict[str, list[runners_module.Runner]] = {}
+        for runner in candidates:
+            racks.setdefault(runner.rack, []).append(runner)
+        groups = [*racks.values(), candidates]
+    for group in groups:
+        runs = _try_gang(owner, step, group, now)
+        if runs:
+            return runs
+    return []
+
+
+def _try_gang(
+    owner: state_module.Owner,
+    step: book_module.StepState,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[book_module.Run]:
+    runs: list[book_module.Run] = []
+    attempt = max(task.attempt for task in step.tasks)
+    before = [task.attempt for task in step.tasks]
+    checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+    for task in step.tasks:
+        runner = placement.choose_runner(task, candidates, owner.learned, now)
+        if runner is None:
+            break
+        task.attempt, task.checkpoint = attempt, checkpoint
+        runs.append(_begin_run(owner, task, runner, now))
+    if len(runs) == len(step.tasks):
+        return runs
+    for run in runs:
+        owner.runners[run.runner].charge(run, -1)
+        owner.book.drop_run(run, now)
+    for task, number in zip(step.tasks, before, strict=True):
+        task.attempt = number
+    return []
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import pacing
 from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
 
 _SILENT_RETRY_S = 0.1
 # A runner that has left the list and runs nothing is forgotten after this.
@@ -21,7 +22,9 @@
 _UNSTORED_GAP_S = 0.5
 
 
-async def attend_runner(owner: Any, runner: runners_module.Runner) -> None:
+async def attend_runner(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
     """Looks at a runner until it is gone."""
     storing: _Storing | None = None
     while True:
@@ -64,7 +67,9 @@
         self.born_ms = born_ms
 
 
-async def _wait_for_runs(owner: Any, runner: runners_module.Runner) -> None:
+async def _wait_for_runs(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
     with anyio.move_on_after(owner.settings.idle_look_s):
         while not any(
             run.phase is not book_module.Phase.STARTING for run in runner.runs
@@ -72,7 +77,9 @@
             await anyio.sleep(0.02)
 
 
-def _choose_wait(owner: Any, runner: runners_module.Runner) -> float:
+def _choose_wait(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> float:
     """How long a look may wait for an end."""
     if not runner.fenced:
         return 0.0
@@ -83,7 +90,7 @@
 
 
 async def _look(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     wait_s: float,
     storing: _Storing | None,
@@ -113,7 +120,7 @@
 
 
 def _note_silence(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     failure: interfaces.StartOutcome,
     now: float,
@@ -138,7 +145,7 @@
 
 
 def _drop_runs(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     runs: list[book_module.Run],
     reason: str,
@@ -161,7 +168,10 @@
 
 
 def begin_life(
-    owner: Any, runner: runners_module.Runner, born_ms: int, now: float
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    born_ms: int,
+    now: float,
 ) -> None:
     """Notes that the runner has started anew and knows nothing of before."""
     events.log_event(
@@ -183,7 +193,7 @@
 
 
 def _apply_look(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     look: model.Look,
     sent_at: float,
@@ -213,7 +223,10 @@
 
 
 def _apply_life(
-    owner: Any, runner: runners_module.Runner, look: model.Look, now: float
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    look: model.Look,
+    now: float,
 ) -> None:
     if look.born_ms < runner.entry.born_ms:
         return
@@ -232,7 +245,10 @@
 
 
 def _apply_ends(
-    owner: Any, runner: runners_module.Runner, look: model.Look, now: float
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    look: model.Look,
+    now: float,
 ) -> int:
     """Applies new ends and returns the highest number seen."""
     number = runner.last_seen
@@ -253,7 +269,7 @@
 
 
 def _note_end(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     run: book_module.Run,
     end: model.End,
@@ -284,7 +300,7 @@
 
 
 def _apply_running(
-    owner: Any,
+    owner: state_module.Owner,
     runner: runners_module.Runner,
     look: model.Look,
     sent_at: float,
--- /dev/null
+++ b/plantainvane/jobs/succession.py
@@ -0,0 +1,262 @@
+"""Keeps one owner alive: pings it, claims when it is gone, hands over."""
+
+import random
+
+import anyio
+
+from plantainvane import events
+from plantainvane import outcomes
+from plantainvane.jobs import clock
+from plantainvane.jobs import configuration
+from plantainvane.jobs import metrics
+from plantainvane.jobs import owner as owner_module
+from plantainvane.jobs import ownership as ownership_module
+from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import process as process_module
+from plantainvane.jobs import state as state_module
+
+_HAND_OVER_TIMEOUT_S = 1.5
+# Peers that pinged within this time can be asked to take over.
+_PEER_FRESH_S = 1.5
+
+
+async def hand_over(entry: process_module.Entry) -> None:
+    """Stops starting tasks and lets a peer claim the jobs."""
+    owner = entry.owner
+    if owner is None:
+        return
+    owner.draining = True
+    with anyio.move_on_after(0.5):
+        await owner.journal.flush()
+    now = clock.read_now()
+    fresh = [
+        address
+        for address, seen in entry.seen.items()
+        if seen.may_own and now - seen.at < _PEER_FRESH_S
+    ]
+    random.shuffle(fresh)
+    for address in fresh:
+        taken = await entry.peers.call(
+            address,
+            peers_module.HandOver(owner.epoch),
+            _HAND_OVER_TIMEOUT_S,
+        )
+        if taken.is_ok() and taken.ok_value.epoch > owner.epoch:
+            events.log_event(
+                events.OWNER_RELEASED,
+                epoch=owner.epoch,
+                to=address,
+                next_epoch=taken.ok_value.epoch,
+            )
+            owner.lose("handed over")
+            return
+    events.log_event(events.RELEASE_FAILED, epoch=owner.epoch, peers=len(fresh))
+
+
+async def follow_owner(entry: process_module.Entry) -> None:
+    """Pings the owner and claims when it is gone."""
+    settings, ownership = entry.settings, entry.ownership
+    await _read_claims(entry)
+    ownership.heard_at = clock.read_now()
+    while True:
+        await anyio.sleep(settings.ping_s * (0.8 + 0.4 * random.random()))
+        if entry.owner is not None:
+            await _renew_claim(entry)
+            continue
+        await _ping_owner(entry)
+        if entry.draining or entry.configuration is None:
+            continue
+        reason = ownership_module.suspects_owner(
+            ownership, settings, clock.read_now()
+        )
+        if reason:
+            await _consider_claim(entry, reason)
+
+
+async def _ping_owner(entry: process_module.Entry) -> None:
+    ownership, settings = entry.ownership, entry.settings
+    claim = ownership.claim
+    if claim is None or claim.released:
+        return
+    if claim.address == settings.peer_address:
+        # An earlier process of this instance, or a claim that was lost.
+        ownership.denied = entry.owner is None
+        return
+    now = clock.read_now()
+    ping = peers_module.Ping(
+        settings.peer_address,
+        ownership.epoch,
+        entry.configuration.version if entry.configuration else -1,
+        _may_own(entry, now),
+    )
+    pong = await entry.peers.call(claim.address, ping, settings.ping_timeout_s)
+    if entry.ownership.claim is not claim:
+        return
+    now = clock.read_now()
+    if pong.is_err():
+        refused = pong.err_value.failure is outcomes.CallFailure.UNREACHED
+        if refused:
+            ownership.denied = True
+        return
+    answer = pong.ok_value
+    ownership.note_reply(answer.is_owner, answer.silent_for_s, now)
+    if answer.epoch > ownership.epoch:
+        await _read_claims(entry)
+    await configuration.compare_configuration(
+        entry, answer.config_version, claim.address
+    )
+
+
+def _may_own(entry: process_module.Entry, now: float) -> bool:
+    return (
+        not entry.draining
+        and entry.configuration is not None
+        and entry.health.failing_since is None
+    )
+
+
+async def _read_claims(entry: process_module.Entry) -> bool:
+    """Reads the newest claim; tells whether the log answered."""
+    page = await entry.surroundings.store.list_newest(
+        ownership_module.TOPIC, entry.settings.store_timeout_s
+    )
+    now = clock.read_now()
+    if page.is_err():
+        entry.health.note_failure(page.err_value.detail, now)
+        return False
+    entry.health.note_answer(entry.health.latency_s, now)
+    for offset, _, value in page.ok_value.records:
+        entry.ownership.apply_record(offset, value, now)
+    entry.ownership.end_offset = page.ok_value.end_offset
+    return True
+
+
+async def _consider_claim(entry: process_module.Entry, reason: str) -> None:
+    ownership, settings = entry.ownership, entry.settings
+    epoch = ownership.epoch
+    # Spreads the claimants, so that most of them see the winner's claim.
+    await anyio.sleep(random.random() * settings.takeover_step_s)
+    if not await _read_claims(entry) or ownership.epoch != epoch:
+        return
+    now = clock.read_now()
+    if not ownership_module.may_claim(ownership, reason, settings, now):
+        return
+    if reason == "cut_off" and now - entry.health.answered_at > 0.5:
+        return
+    await _claim(entry, reason)
+
+
+async def _claim(entry: process_module.Entry, reason: str) -> bool:
+    """Appends a claim where the topic ended; tells whether it won."""
+    async with entry.claiming:
+        if entry.owner is not None or entry.draining:
+            return entry.owner is not None
+        ownership, settings = entry.ownership, entry.settings
+        events.log_event(
+            events.CLAIM_STARTED,
+            reason=reason,
+            epoch=ownership.epoch,
+            holder=ownership.claim.holder if ownership.claim else "",
+            heard_ago_s=round(clock.read_now() - ownership.heard_at, 3),
+            end_offset=ownership.end_offset,
+        )
+        claim = ownership_module.Claim(
+            settings.id, entry.incarnation, settings.peer_address
+        )
+        appended = await entry.surroundings.store.append(
+            ownership_module.TOPIC,
+            [(ownership_module.KEY, ownership_module.encode_claim(claim))],
+            settings.store_timeout_s,
+            expected_end=ownership.end_offset,
+        )
+        now = clock.read_now()
+        won = appended.is_ok() and appended.ok_value.offset >= 0
+        if appended.is_err():
+            # The append may have been carried out; the log tells.
+            entry.health.note_failure(appended.err_value.detail, now)
+            await _read_claims(entry)
+            newest = ownership.claim
+            won = (
+                newest is not None
+                and newest.incarnation == entry.incarnation
+                and newest.holder == settings.id
+            )
+            epoch = ownership.epoch
+        elif won:
+            epoch = appended.ok_value.offset
+            ownership.apply_record(
+                epoch, ownership_module.encode_claim(claim), now
+            )
+            ownership.end_offset = appended.ok_value.end_offset
+        outcome = "won" if won else "lost"
+        metrics.CLAIMS.labels(outcome).inc()
+        events.log_event(
+            events.CLAIM_DECIDED, outcome=outcome, epoch=ownership.epoch
+        )
+        if won:
+            ready = anyio.Event()
+            entry.group.start_soon(_own, entry, epoch, ready)
+            await ready.wait()
+        return won
+
+
+async def _own(
+    entry: process_module.Entry, epoch: int, ready: anyio.Event
+) -> None:
+    def announce(owner: state_module.Owner) -> None:
+        entry.owner = owner
+        ready.set()
+
+    try:
+        await owner_module.run_owner(
+            entry.settings,
+            entry.surroundings,
+            epoch,
+            entry.health,
+            lambda: entry.configuration,
+            announce,
+        )
+    finally:
+        entry.owner = None
+        ready.set()
+
+
+async def _renew_claim(entry: process_module.Entry) -> None:
+    """Renews the claim, so that peers cut off from here see it live."""
+    ownership, settings, owner = entry.ownership, entry.settings, entry.owner
+    now = clock.read_now()
+    if now - ownership.renewed_at < settings.renew_s or owner is None:
+        return
+    claim = ownership_module.Claim(
+        settings.id, entry.incarnation, settings.peer_address, owner.epoch
+    )
+    appended = await entry.surroundings.store.append(
+        ownership_module.TOPIC,
+        [(ownership_module.KEY, ownership_module.encode_claim(claim))],
+        settings.store_timeout_s,
+        expected_end=ownership.end_offset,
+    )
+    now = clock.read_now()
+    if appended.is_err():
+        entry.health.note_failure(appended.err_value.detail, now)
+    elif appended.ok_value.offset >= 0:
+        entry.health.note_answer(entry.health.latency_s, now)
+        ownership.end_offset = appended.ok_value.end_offset
+        ownership.offset = appended.ok_value.offset
+        ownership.renewed_at = now
+        return
+    # The end has moved: by a lost answer of ours, or by another claim.
+    if await _read_claims(entry) and ownership.epoch > owner.epoch:
+        owner.lose("claim")
+
+
+async def answer_hand_over(
+    entry: process_module.Entry, request: peers_module.HandOver
+) -> peers_module.Taken:
+    """Claims at once for an owner that is shutting down."""
+    if not _may_own(entry, clock.read_now()) or not await _read_claims(entry):
+        return peers_module.Taken()
+    if entry.ownership.epoch == request.epoch:
+        await _claim(entry, "handed over")
+    owner = entry.owner
+    return peers_module.Taken(owner.epoch if owner is not None else -1)
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -8,9 +8,9 @@
 from plantainvane import asgi
 from plantainvane import metrics
 from plantainvane.jobs import clock
-from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import intake
 from plantainvane.jobs import model
+from plantainvane.jobs import process as process_module
 from plantainvane.platform import wire
 
 METRICS_PORT = 9464
@@ -25,7 +25,7 @@
 }
 
 
-def make_handler(entry: entry_module.Entry) -> asgi.Handler:
+def make_handler(entry: process_module.Entry) -> asgi.Handler:
     """Makes the handler of all HTTP requests of a process."""
 
     async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
@@ -41,7 +41,7 @@
 
 
 async def _answer_caller(
-    entry: entry_module.Entry, request: asgi.HttpRequest
+    entry: process_module.Entry, request: asgi.HttpRequest
 ) -> asgi.HttpReply:
     if entry.configuration is None:
         return _refuse(entry)
@@ -75,7 +75,7 @@
 
 
 async def _answer_pending(
-    entry: entry_module.Entry, queue: model.Queue, deadline_s: float
+    entry: process_module.Entry, queue: model.Queue, deadline_s: float
 ) -> asgi.HttpReply:
     outcome, told = await intake.ask(
         entry.intake, "pending", queue.name, deadline_s
@@ -86,7 +86,7 @@
 
 
 async def _submit(
-    entry: entry_module.Entry,
+    entry: process_module.Entry,
     queue: model.Queue,
     job_id: str,
     body: bytes,
@@ -101,13 +101,13 @@
     return asgi.HttpReply(_ANSWERS[outcome], b"{}")
 
 
-def _refuse(entry: entry_module.Entry) -> asgi.HttpReply:
+def _refuse(entry: process_module.Entry) -> asgi.HttpReply:
     """Says that nothing was done, and when to come back."""
     retry_after = str(entry.settings.retry_after_s).encode()
     return asgi.HttpReply(503, headers=((b"retry-after", retry_after),))
 
 
-async def serve(entry: entry_module.Entry) -> None:
+async def serve(entry: process_module.Entry) -> None:
     """Serves until the process has drained."""
     settings = entry.settings
     ip = settings.callers_address.rpartition(":")[0]
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -12,6 +12,7 @@
 
 from plantainvane import asgi
 from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import process as process_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.platform import __main__ as platform_main
 from plantainvane.platform import ingress
@@ -32,17 +33,19 @@
     store: platform_store.StoreState
     store_address: str
     runners: dict[str, platform_runner.RunnerState]
-    entries: list[entry_module.Entry] = dataclasses.field(default_factory=list)
+    entries: list[process_module.Entry] = dataclasses.field(
+        default_factory=list
+    )
     stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
-    def find_owner(self) -> entry_module.Entry | None:
+    def find_owner(self) -> process_module.Entry | None:
         """The entry process that owns the jobs and has recovered."""
         for entry in self.entries:
             if entry.owner is not None and entry.owner.recovered:
                 return entry
         return None
 
-    async def wait_owner(self, limit_s: float = 8.0) -> entry_module.Entry:
+    async def wait_owner(self, limit_s: float = 8.0) -> process_module.Entry:
         """Waits for an owner."""
         with anyio.fail_after(limit_s):
             while True:
@@ -55,7 +58,7 @@
         """Every start on every runner."""
         return [s for r in self.runners.values() for s in r.starts]
 
-    async def kill(self, entry: entry_module.Entry) -> None:
+    async def kill(self, entry: process_module.Entry) -> None:
         """Ends a process as a kill does: nothing is handed over."""
         self.entries.remove(entry)
         entry.stopping.set()
@@ -148,7 +151,7 @@
 
 async def add_entry(
     system: System, number: int, **fields: Any
-) -> entry_module.Entry:
+) -> process_module.Entry:
     """Starts an entry process at an address of its own."""
     ip = f"127.0.1.{number + 1}"
     settings = settings_module.Settings(
@@ -171,7 +174,7 @@
 
 
 async def call(
-    entry: entry_module.Entry,
+    entry: process_module.Entry,
     method: str,
     path: str = "",
     body: Any = None,
