Keep the owner when an outage of the whole log ends

Ruled out: expired leases, a lost renewal (the owner regained the log at once). Test: test_owner_is_not_replaced_at_the_end_of_an_outage_of_all; the function that it calls took no such time before.

--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -25,16 +25,19 @@
     Attributes:
       answered_at: When a call was last answered.
       failing_since: When calls began to fail, or None.
+      regained_at: When a call was answered again after failures.
       latency_s: Moving average of the time that an append takes.
     """
 
     answered_at: float = float("-inf")
     failing_since: float | None = None
+    regained_at: float = float("-inf")
     latency_s: float = 0.02
 
     def note_answer(self, took_s: float, now: float) -> None:
         """Notes an answered call."""
         if self.failing_since is not None:
+            self.regained_at = now
             events.log_event(
                 events.STORE_REGAINED, lost_s=round(now - self.failing_since, 3)
             )
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -120,14 +120,19 @@
 def may_claim(
     ownership: Ownership,
     reason: str,
+    regained_at: float,
     settings: settings_module.Settings,
     now: float,
 ) -> bool:
     """Tells whether the log, just read, supports a claim.
 
     Silence alone may mean that this process is cut off, so the owner's
-    renewals have to be overdue as well.
+    renewals have to be overdue as well. An owner without the log is replaced
+    only by a process that has had it for longer than an outage of the whole
+    log takes to end everywhere.
     """
-    if reason != "silent":
-        return True
-    return now - ownership.renewed_at > settings.renew_overdue_s
+    if reason == "silent":
+        return now - ownership.renewed_at > settings.renew_overdue_s
+    if reason == "cut_off":
+        return now - regained_at > settings.renew_overdue_s
+    return True
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -139,9 +139,9 @@
     if not await _read_claims(entry) or ownership.epoch != epoch:
         return
     now = clock.read_now()
-    if not ownership_module.may_claim(ownership, reason, settings, now):
-        return
-    if reason == "cut_off" and now - entry.health.answered_at > 0.5:
+    if not ownership_module.may_claim(
+        ownership, reason, entry.health.regained_at, settings, now
+    ):
         return
     await _claim(entry, reason)
 
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -394,9 +394,9 @@
     assert ownership.suspects_owner(known, SETTINGS, 12.0) == "silent"
     renewal = ownership.Claim("a", 1, "10.0.0.1:1", epoch=3)
     known.apply_record(4, ownership.encode_claim(renewal), 11.5)
-    assert not ownership.may_claim(known, "silent", SETTINGS, 12.0)
-    assert ownership.may_claim(known, "silent", SETTINGS, 13.5)
-    assert ownership.may_claim(known, "denied", SETTINGS, 12.0)
+    assert not ownership.may_claim(known, "silent", 0, SETTINGS, 12.0)
+    assert ownership.may_claim(known, "silent", 0, SETTINGS, 13.5)
+    assert ownership.may_claim(known, "denied", 0, SETTINGS, 12.0)
 
 
 def test_owner_without_the_log_is_replaced():
@@ -406,3 +406,15 @@
     known.apply_record(3, ownership.encode_claim(claim), 10.0)
     known.note_reply(True, 5.0, 10.1)
     assert ownership.suspects_owner(known, SETTINGS, 10.2) == "cut_off"
+
+
+def test_owner_is_not_replaced_at_the_end_of_an_outage_of_all():
+    # Guards against a takeover by the process that reached the log some
+    # milliseconds before the owner did.
+    known = ownership.Ownership()
+    claim = ownership.Claim("a", 1, "10.0.0.1:1")
+    known.apply_record(3, ownership.encode_claim(claim), 10.0)
+    assert not ownership.may_claim(known, "cut_off", 22.23, SETTINGS, 22.25)
+    assert ownership.may_claim(known, "cut_off", 22.23, SETTINGS, 24.0)
+    never = float("-inf")
+    assert ownership.may_claim(known, "cut_off", never, SETTINGS, 22.25)
