--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -58,7 +58,7 @@
         "s",
         "127.0.0.1:9",
         "east",
-        False,
+        fields.pop("draining", False),
         model.Amounts(cpu, memory_mb),
         ("a", fields.pop("rack", "r1")),
         0,
@@ -314,12 +314,17 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"fenced": False}, {"listed": False}, {"silent": True}],
+    [
+        {"fenced": False},
+        {"listed": False},
+        {"silent": True},
+        {"draining": True},
+    ],
     ids=str,
 )
 def test_unsure_runner_gets_no_start(change):
     # Guards against a start on a runner that an earlier owner may command,
-    # that has left, or that does not answer.
+    # that has left or is leaving, or that does not answer.
     book = book_module.Book()
     state = add_job(book, make_step())
     runner = make_runner(**change)
@@ -361,6 +366,19 @@
     assert placement.find_victims(task, [runner], 1.0) == [cheap]
 
 
+def test_lasting_task_makes_room_for_nothing():
+    # Guards against urgent work that interrupts a service.
+    book = book_module.Book()
+    runner = make_runner(memory_mb=4000)
+    place_runs(
+        runner, book, make_step(long_running=True, memory_mb=3000, count=1)
+    )
+    urgent = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
+    state = add_job(book, make_step(memory_mb=1500), job_id="u", queue=urgent)
+    task = state.steps[0, 0].tasks[0]
+    assert placement.find_victims(task, [runner], 1.0) == []
+
+
 def test_lease_of_a_slow_clock_is_waited_for():
     # Guards against a second start while a slow clock still holds the lease.
     runner = make_runner()
