Remove settings that nothing reads

Six fields were decoded from the platform's file and used nowhere, and two docstrings of the stand-ins named attributes that do not exist. No behaviour changes; tests of the jobs and the platform pass.

--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -21,15 +21,9 @@
       peer_address: `ip:port` for other entry processes.
       seeds: Peer addresses of a few entry processes; may be stale.
       store_address: `ip:port` of the platform's log service.
-      machines_address: `ip:port` of the machine service, or empty.
       advisor_address: `ip:port` of the adviser, or empty.
       lease_s: Length of a lease; at most the platform's bound.
-      stop_grace_s: Longest time that a stop takes; the platform's bound.
       grace_s: Time between SIGTERM and SIGKILL; the platform's bound.
-      gang_wait_s: How long a gang member waits for the others.
-      rack_penalty: Factor on the run time of a task away from its data.
-      checkpoint_s: Work between two checkpoints; the platform's bound.
-      restore_s: Time to resume from a checkpoint; the platform's bound.
       harm_s: Longest time that fills may hold a service over its target.
       status_s: How long the state of an ended job stays known.
       clock_rate_error: Runner clocks are slow by at most this share.
@@ -42,15 +36,9 @@
     peer_address: str
     store_address: str
     seeds: tuple[str, ...] = ()
-    machines_address: str = ""
     advisor_address: str = ""
     lease_s: float = LEASE_S
-    stop_grace_s: float = 0.4
     grace_s: float = 6.0
-    gang_wait_s: float = 3.0
-    rack_penalty: float = 1.5
-    checkpoint_s: float = 1.0
-    restore_s: float = 0.6
     harm_s: float = 4.0
     status_s: float = 120.0
     clock_rate_error: float = 0.02
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -23,23 +23,12 @@
     address: str
 
 
-class _Cloud(msgspec.Struct, rename="pascal"):
-    """Machine service; the rest of the table belongs to other duties."""
-
-    address: str = ""
-
-
 class _Bounds(msgspec.Struct):
     """Bounds of the rules; seconds or milliseconds as the names say."""
 
     max_hold_ms: float = msgspec.field(name="MaxHoldMs", default=6000)
-    stop_grace_ms: float = msgspec.field(name="StopGraceMs", default=400)
     grace_s: float = msgspec.field(name="GracePeriodS", default=6)
-    gang_ms: float = msgspec.field(name="GangTimeoutMs", default=3000)
     status_s: float = 120
-    rack_factor: float = msgspec.field(name="CrossRackFactor", default=1.5)
-    checkpoint_s: float = msgspec.field(name="CheckpointS", default=1)
-    restore_ms: float = msgspec.field(name="RestoreMs", default=600)
     impact_ms: float = msgspec.field(name="ImpactMs", default=4000)
 
 
@@ -51,7 +40,6 @@
     store: _Store = msgspec.field(name="platform")
     seeds: list[str] = []
     advisor: str = ""
-    cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -76,15 +64,9 @@
         peer_address=node.listen.control_plane,
         store_address=node.store.address,
         seeds=tuple(node.seeds),
-        machines_address=node.cloud.address,
         advisor_address=node.advisor,
         lease_s=min(bounds.max_hold_ms / 1000, settings_module.LEASE_S),
-        stop_grace_s=bounds.stop_grace_ms / 1000,
         grace_s=bounds.grace_s,
-        gang_wait_s=bounds.gang_ms / 1000,
-        rack_penalty=bounds.rack_factor,
-        checkpoint_s=bounds.checkpoint_s,
-        restore_s=bounds.restore_ms / 1000,
         harm_s=bounds.impact_ms / 1000,
         status_s=bounds.status_s,
     )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -38,7 +38,6 @@
       mute_starts: So many of the next starts are carried out this much later
         and not answered.
       silent: No call is answered.
-      figures: Tail in ms by task, for tasks that serve.
     """
 
     id: str
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -40,7 +40,6 @@
 
     Attributes:
       down: Every call is answered 503.
-      refused: Callers that are answered 503, by client address.
       lose_answers: So many of the next appends are done and not answered.
       calls: Calls by name.
     """
