--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -60,6 +60,9 @@
     if outcome is _OUTCOME.UNREACHED and lost:
         # An earlier repeat may still be carried out.
         outcome = _OUTCOME.LOST
+    if outcome is _OUTCOME.OLD and lost:
+        # The lost try started it; the next look shows it or its end.
+        outcome = _OUTCOME.DONE
     now = clock.read_now()
     metrics.STARTS.labels(outcome.value).inc()
     events.log_event(
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -257,3 +257,15 @@
         await wait_until(lambda: len(system.list_starts()) == 2, limit_s=5.0)
         system.runners["i-0"].pass_time()
         assert system.runners["i-0"].running == {}
+
+
+async def test_task_that_ended_behind_a_lost_answer_is_not_started_again():
+    # Guards against a repeat that is answered "old", as the attempt has run
+    # and ended meanwhile, and is taken for a start that never happened.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        await system.wait_owner()
+        system.runners["i-0"].mute_starts = [0.0]
+        body = platform_system.make_job(count=1, run_ms=50)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "completed")
+        assert system.list_starts() == [(f"{ID}.0.0.0", 1)]
