Store when the leases on silent runners have expired

Cause: each successor waited 10.9 s anew for runners that it could not reach. Ruled out: the runners were known as draining and silent by the first owner; nothing else kept the tasks from starting. An owner now stores the expiry as a promise that binds it too, and successors count on from there.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -21,6 +21,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import recovery
 from plantainvane.jobs import scheduling
+from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
 
@@ -144,11 +145,7 @@
     while True:
         await anyio.sleep(_SWEEP_S)
         now = clock.read_now()
-        if now - owner.started_at > settings.doubt_s:
-            for runs in owner.doubts.values():
-                for run in runs:
-                    owner.book.drop_run(run, now)
-            owner.doubts.clear()
+        _drop_doubtful(owner, now)
         if now - owner.health.answered_at > settings.unconfirmed_limit_s:
             owner.lose("log silent")
         _forget_jobs(owner)
@@ -156,6 +153,25 @@
         owner.poke()
 
 
+def _drop_doubtful(owner: state_module.Owner, now: float) -> None:
+    """Drops attempts on unlisted runners once every lease has expired."""
+    for runner in list(owner.doubts):
+        expiry = owner.find_expiry(runner)
+        if now <= expiry:
+            owner.expiries.promise(runner, expiry)
+            continue
+        owner.expiries.withdraw(runner)
+        for run in owner.doubts.pop(runner):
+            owner.book.drop_run(run, now)
+            sessions.note_loss(owner, run, "lease expired")
+    for runner in list(owner.expiries.times):
+        if runner not in owner.doubts and runner not in owner.runners:
+            owner.expiries.withdraw(runner)
+    if owner.expiries.times:
+        # What is left shrinks, also for a successor that comes soon.
+        state_module.store_expiries(owner, now)
+
+
 def _store_learned(owner: state_module.Owner, now: float) -> None:
     if now < owner.next_learned_at:
         return
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -33,6 +33,7 @@
         not runner.listed
         or not runner.fenced
         or runner.silent
+        or runner.expiry_promised
         or runner.entry.draining
         or runner.full_until > now
     ):
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -14,6 +14,7 @@
 
 _JOB = msgspec.json.Decoder(model.Job)
 _PROGRESS = msgspec.json.Decoder(model.JobProgress)
+_EXPIRIES = msgspec.json.Decoder(dict[str, float])
 _EFFECTS = msgspec.json.Decoder(list[tuple[str, str, float]])
 
 
@@ -54,6 +55,12 @@
         if key == state_module.LEARNED_KEY:
             effects = _EFFECTS.decode(value)
             owner.learned.import_effects(effects, clock.read_now())
+        elif key == state_module.EXPIRIES_KEY:
+            owner.expiries.import_left(
+                _EXPIRIES.decode(value),
+                owner.settings.doubt_s,
+                clock.read_now(),
+            )
         else:
             owner.progress[key] = _PROGRESS.decode(value)
     except msgspec.DecodeError as error:
@@ -217,6 +224,7 @@
     )
     runner.note_clock(entry.clock_ms, now)
     runner.answered_at = now
+    runner.expiry_promised = entry.id in owner.expiries.times
     if earlier is not None:
         # The life at the old address keeps its attempts until they expire.
         earlier.listed = False
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -26,6 +26,8 @@
       lease_until_ms: Latest lease that was asked for, on its clock.
       answered_at: When it last answered.
       silent: Its last look was not answered.
+      silent_at: When it became silent.
+      expiry_promised: An expiry is stored; leases must not be extended.
       runs: Attempts that are charged to it.
       cpu, memory_mb, accelerators: Charged and not filling.
       fill_cpu: Charged to filling tasks.
@@ -47,6 +49,8 @@
     lease_until_ms: int = 0
     answered_at: float = 0.0
     silent: bool = False
+    silent_at: float = 0.0
+    expiry_promised: bool = False
     runs: dict[book.Run, None] = dataclasses.field(default_factory=dict)
     cpu: int = 0
     memory_mb: int = 0
@@ -90,7 +94,13 @@
         self.clock_at, self.clock_ms = now, clock_ms
 
     def extend_lease(self, lease_s: float, now: float) -> int:
-        """Time on the runner's clock to which a lease sent now runs."""
+        """Time on the runner's clock to which a lease sent now runs.
+
+        A silent runner keeps the lease that it may have, so that the time
+        after which nothing runs there does not move.
+        """
+        if self.silent or self.expiry_promised:
+            return self.lease_until_ms
         clock = self.clock_ms + (now - self.clock_at) * 1000
         self.lease_until_ms = max(
             self.lease_until_ms, int(clock + lease_s * 1000)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -16,6 +16,9 @@
 from plantainvane.jobs import state as state_module
 
 _SILENT_RETRY_S = 0.1
+# A shorter silence of a listed runner is common; to withdraw a promise takes the
+# log.
+_PROMISE_AFTER_S = 1.0
 # A runner that has left the list and runs nothing is forgotten after this.
 _FORGET_S = 8.0
 # Ends that cannot be stored yet make every look return at once.
@@ -97,12 +100,8 @@
 ) -> _Storing | None:
     sent_at = clock.read_now()
     lease = None
-    if runner.clock_ms and not runner.silent:
-        lease = runner.extend_lease(owner.settings.lease_s, sent_at)
-    elif runner.lease_until_ms:
-        # A silent runner keeps the lease that it may have, so that the time
-        # after which nothing runs there does not move.
-        lease = runner.lease_until_ms
+    if runner.clock_ms:
+        lease = runner.extend_lease(owner.settings.lease_s, sent_at) or None
     reply = await runner.calls.look(
         owner.epoch, runner.last_seen, lease, wait_s
     )
@@ -126,7 +125,7 @@
     now: float,
 ) -> None:
     if not runner.silent:
-        runner.silent = True
+        runner.silent, runner.silent_at = True, now
         events.log_event(
             events.RUNNER_SILENT,
             runner=runner.entry.id,
@@ -137,11 +136,37 @@
     expiry = runner.find_expiry(owner.settings)
     if not runner.fenced:
         # An earlier owner's leases are not known here.
-        expiry = owner.started_at + owner.settings.doubt_s
+        expiry = max(expiry, owner.find_expiry(runner.entry.id))
+    lasts = now - runner.silent_at > _PROMISE_AFTER_S or not runner.listed
+    if lasts and runner.runs:
+        _promise_expiry(owner, runner, expiry, now)
     if now > expiry and runner.runs:
         _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
 
 
+def _promise_expiry(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    expiry: float,
+    now: float,
+) -> None:
+    """Stores when the leases expire, so that a successor need not guess."""
+    if not runner.expiry_promised:
+        runner.expiry_promised = True
+        owner.expiries.promise(runner.entry.id, expiry)
+        state_module.store_expiries(owner, now)
+
+
+async def _withdraw_expiry(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Allows longer leases again, once that is stored."""
+    owner.expiries.withdraw(runner.entry.id)
+    await state_module.store_expiries(owner, now).stored.wait()
+    runner.expiry_promised = False
+    owner.poke()
+
+
 def _drop_runs(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -153,18 +178,25 @@
         runner.charge(run, -1)
         owner.learned.forget_run(run)
         owner.book.drop_run(run, now)
-        metrics.ENDS.labels("lost").inc()
-        events.log_event(
-            events.TASK_LOST,
-            task=run.task.name,
-            attempt=run.attempt,
-            runner=runner.entry.id,
-            reason=reason,
-            epoch=owner.epoch,
-        )
+        note_loss(owner, run, reason)
     owner.poke()
 
 
+def note_loss(
+    owner: state_module.Owner, run: book_module.Run, reason: str
+) -> None:
+    """Reports an attempt that has ended unseen."""
+    metrics.ENDS.labels("lost").inc()
+    events.log_event(
+        events.TASK_LOST,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        reason=reason,
+        epoch=owner.epoch,
+    )
+
+
 def begin_life(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -206,6 +238,8 @@
     if runner.silent:
         runner.silent = False
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
+    if runner.expiry_promised and runner.entry.id in owner.expiries.times:
+        owner.group.start_soon(_withdraw_expiry, owner, runner, now)
     number = _apply_ends(owner, runner, look, now)
     _apply_running(owner, runner, look, sent_at, now)
     if not runner.fenced:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -5,9 +5,11 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from plantainvane import events
 from plantainvane.jobs import book as book_module
+from plantainvane.jobs import expiries as expiries_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
@@ -17,9 +19,10 @@
 
 JOBS_TOPIC = "keyed.jobs"
 PROGRESS_TOPIC = "keyed.progress"
-# Key of the learned effects in the topic of progress; no id of a job is like
-# it.
+# Keys of learned effects and of promised expiries in the topic of progress; no
+# id of a job is like them.
 LEARNED_KEY = "learned"
+EXPIRIES_KEY = "expiries"
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -32,6 +35,7 @@
       recovered: Stored state is loaded and runners have been fenced.
       lost: Set when a higher epoch was seen.
       doubts: Attempts on runners that are not listed, by runner id.
+      expiries: When nothing can run any more on runners that do not answer.
       tail_offset: Where the next read of the jobs topic starts.
     """
 
@@ -50,6 +54,9 @@
     doubts: dict[str, list[book_module.Run]] = dataclasses.field(
         default_factory=dict
     )
+    expiries: expiries_module.Expiries = dataclasses.field(
+        default_factory=expiries_module.Expiries
+    )
     progress: dict[str, model.JobProgress] = dataclasses.field(
         default_factory=dict
     )
@@ -81,11 +88,24 @@
             )
             self.lost.set()
 
+    def find_expiry(self, runner: str) -> float:
+        """Time after which no lease of an earlier owner is left there."""
+        return self.expiries.find_time(
+            runner, self.started_at + self.settings.doubt_s
+        )
+
     def poke(self) -> None:
         """Asks for a scheduling pass."""
         self.wake.set()
 
 
+def store_expiries(owner: Owner, now: float) -> journal_module.Batch:
+    """Stores the promised expiries as they are now."""
+    left_s = owner.expiries.export_left(now)
+    record = (EXPIRIES_KEY, msgspec.json.encode(left_s))
+    return owner.journal.add([record])
+
+
 def find_queue(owner: Owner, name: str) -> model.Queue | None:
     """Finds a queue as configured now, or as last configured."""
     configuration = owner.get_configuration()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -259,6 +259,57 @@
         assert system.runners["i-0"].running == {}
 
 
+async def test_successors_do_not_start_the_wait_for_a_lost_runner_anew():
+    # Guards against a lasting task that stays away through one takeover after
+    # another, although every lease on its lost runner has expired.
+    async with platform_system.run_system(
+        entries=3, runners=1, lease_s=4.0
+    ) as system:
+        await system.wait_owner()
+        body = platform_system.make_job(
+            count=1, run_ms=60_000, LongRunning=True
+        )
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 1)
+        await platform_system.add_runner(system, "i-9")
+        system.runners["i-0"].silent = True
+        await anyio.sleep(0.5)
+        system.store.put("keyed.servers", "i-0", None)
+        owner = await system.wait_owner()
+        await wait_until(lambda: owner.owner.runners["i-0"].silent)
+        await anyio.sleep(0.1)
+        await system.kill(owner)
+        await system.kill(await system.wait_owner())
+        await wait_until(lambda: len(system.list_starts()) == 2, limit_s=4.0)
+        system.runners["i-0"].pass_time()
+        assert system.runners["i-0"].running == {}
+
+
+async def test_promised_expiry_holds_until_its_withdrawal_is_stored():
+    # Guards against an owner without the log that prolongs a lease which its
+    # successor takes as expired.
+    async with platform_system.run_system(
+        entries=1, runners=1, lease_s=3.0
+    ) as system:
+        owner = await system.wait_owner()
+        body = platform_system.make_job(count=1, run_ms=20_000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        runner = system.runners["i-0"]
+        await wait_until(lambda: runner.running)
+        runner.silent = True
+        await wait_until(lambda: "i-0" in owner.owner.expiries.times)
+        await owner.owner.journal.flush()
+        promised_ms = owner.owner.runners["i-0"].lease_until_ms
+        system.store.down = True
+        runner.silent = False
+        await wait_until(lambda: not owner.owner.runners["i-0"].silent)
+        await anyio.sleep(0.3)
+        assert runner.lease_until_ms <= promised_ms
+        system.store.down = False
+        await wait_until(lambda: runner.lease_until_ms > promised_ms)
+        assert runner.running
+
+
 async def test_task_that_ended_behind_a_lost_answer_is_not_started_again():
     # Guards against a repeat that is answered "old", as the attempt has run
     # and ended meanwhile, and is taken for a start that never happened.
