--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -16,8 +16,7 @@
 from plantainvane.jobs import state as state_module
 
 _SILENT_RETRY_S = 0.1
-# A shorter silence of a listed runner is common; to withdraw a promise takes the
-# log.
+# A shorter silence of a listed runner is common; withdrawing needs the log.
 _PROMISE_AFTER_S = 1.0
 # A runner that has left the list and runs nothing is forgotten after this.
 _FORGET_S = 8.0
