Clear runners of lasting tasks that keep filling work off

A runner is now cleared of one or two disturbed tasks when the held-up work gains more than the restart costs, within the budgets of their steps, and lasting tasks avoid runners that they would spoil.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -207,6 +207,7 @@
             now = clock.read_now()
             scheduling.place_ready(owner, now)
             scheduling.move_slowed(owner, now)
+            scheduling.clear_runner(owner, now)
 
 
 def _stop_ended(owner: state_module.Owner) -> None:
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -21,6 +21,8 @@
 SCARCITY_WEIGHT = 0.4
 # Weight of a serving image whose pair with the task was never observed.
 UNKNOWN_WEIGHT = 0.3
+# Weight of the filling images that a lasting task would keep off a runner.
+SPOILING_WEIGHT = 1.0
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -84,7 +86,7 @@
             counts.get(runner.entry.id, 0) >= step.max_per_runner
         ):
             continue
-        score = _score(task, step, runner, racks)
+        score = _score(task, step, runner, racks, learned, now)
         if step.fills and score is not None:
             score = _weigh_harm(task, runner, learned, score, now)
         if score is not None and score > best_score:
@@ -97,6 +99,8 @@
     step: model.Step,
     runner: runners_module.Runner,
     racks: dict[str, int],
+    learned: interference.Interference,
+    now: float,
 ) -> float | None:
     """Higher is better; None when the runner should not be used now."""
     room_cpu = max(1, runner.entry.room.cpu)
@@ -110,6 +114,7 @@
         # Tasks of one image are packed together, so that a filling image
         # which disturbs some of them finds runners where it can work.
         score = 0.3 * runner.cpu / room_cpu + _measure_likeness(runner, step)
+        score -= SPOILING_WEIGHT * _measure_spoiling(runner, step, learned, now)
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / room_cpu
     if runner.entry.id in task.avoid:
@@ -170,15 +175,41 @@
     now: float,
 ) -> float:
     """Share of the known filling images that hurt no serving task there."""
-    serving = _list_images(runner)
     filling = {pair[1] for pair in learned.effects}
     if not filling:
         return 1.0
-    useful = sum(
-        all(learned.find_effect(image, fill, now) <= 0 for image in serving)
+    return len(_list_useful(runner, filling, learned, now)) / len(filling)
+
+
+def _list_useful(
+    runner: runners_module.Runner,
+    filling: set[str],
+    learned: interference.Interference,
+    now: float,
+) -> list[str]:
+    serving = _list_images(runner)
+    return [
+        fill
         for fill in filling
+        if all(learned.find_effect(image, fill, now) <= 0 for image in serving)
+    ]
+
+
+def _measure_spoiling(
+    runner: runners_module.Runner,
+    step: model.Step,
+    learned: interference.Interference,
+    now: float,
+) -> float:
+    """Share of the known filling images that a lasting task keeps off."""
+    filling = {pair[1] for pair in learned.effects}
+    if not filling:
+        return 0.0
+    spoilt = sum(
+        learned.find_effect(step.image, fill, now) > 0
+        for fill in _list_useful(runner, filling, learned, now)
     )
-    return useful / len(filling)
+    return spoilt / len(filling)
 
 
 def _list_images(runner: runners_module.Runner) -> set[str]:
--- /dev/null
+++ b/plantainvane/jobs/relocation.py
@@ -0,0 +1,162 @@
+"""Decides which lasting tasks move, so that filling work finds a runner.
+
+A filling image that disturbs most services has few runners to work on. Where
+such work waits, a runner on which it disturbs only a task or two is cleared of
+them, within the disruption budgets of their steps.
+"""
+
+from collections.abc import Iterable
+
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import interference
+from plantainvane.jobs import placement
+from plantainvane.jobs import runners as runners_module
+
+# Tasks that one clearing moves; more would take longer than it gains.
+_MOST_MOVED = 2
+# Filling work that a move must make room for, in thousandths of a core; a
+# restarted task is away for about 2 s and is half used.
+_LEAST_GAIN = 5_000
+# A filling task at this pace or below is held up, in percent.
+_HELD_PACE = 20
+# A filling task that has waited this long is held up.
+_WAITED_S = 1.0
+# A runner that was heard this long ago may have changed.
+_FRESH_S = 1.5
+
+
+def measure_demand(
+    book: book_module.Book,
+    runners: Iterable[runners_module.Runner],
+    now: float,
+) -> dict[str, int]:
+    """Thousandths of a core of filling work that is held up, by image."""
+    demand: dict[str, int] = {}
+
+    def add(task: book_module.Task) -> None:
+        step = task.step.step
+        if step.fills:
+            cpu = demand.get(step.image, 0) + step.amounts.cpu
+            demand[step.image] = cpu
+
+    for task in book.ready.values():
+        if now - task.ready_since > _WAITED_S:
+            add(task)
+    for runner in runners:
+        for run in runner.runs:
+            if (
+                run.phase is book_module.Phase.RUNNING
+                and run.pace <= _HELD_PACE
+            ):
+                add(run.task)
+    return demand
+
+
+def choose_moves(
+    demand: dict[str, int],
+    runners: list[runners_module.Runner],
+    learned: interference.Interference,
+    now: float,
+) -> list[book_module.Run]:
+    """Lasting tasks of one runner to move elsewhere, or none."""
+    if sum(demand.values()) < _LEAST_GAIN:
+        return []
+    best: list[book_module.Run] = []
+    best_gain = 0.0
+    for runner in runners:
+        if not _is_sound(runner, now):
+            continue
+        disturbed = {
+            image: _list_disturbed(runner, image, learned, now)
+            for image in demand
+        }
+        for image, moved in disturbed.items():
+            steps = {id(run.task.step) for run in moved}
+            if not 0 < len(moved) == len(steps) <= _MOST_MOVED:
+                continue
+            gain = _measure_gain(runner, moved, demand, disturbed)
+            gain -= _LEAST_GAIN * len(moved)
+            if gain > best_gain and all(
+                _may_move(run, image, runners, learned, now) for run in moved
+            ):
+                best, best_gain = moved, gain
+    return best
+
+
+def _is_sound(runner: runners_module.Runner, now: float) -> bool:
+    return (
+        runner.listed
+        and runner.fenced
+        and not runner.silent
+        and not runner.entry.draining
+        and now - runner.answered_at < _FRESH_S
+    )
+
+
+def _list_disturbed(
+    runner: runners_module.Runner,
+    image: str,
+    learned: interference.Interference,
+    now: float,
+) -> list[book_module.Run]:
+    return [
+        run
+        for run in interference.list_serving(runner)
+        if learned.find_effect(run.task.step.step.image, image, now) > 0
+    ]
+
+
+def _measure_gain(
+    runner: runners_module.Runner,
+    moved: list[book_module.Run],
+    demand: dict[str, int],
+    disturbed: dict[str, list[book_module.Run]],
+) -> float:
+    """Held-up work that could run here after the move and cannot now."""
+    working = sum(run.figure for run in runner.runs if run.task.step.step.fills)
+    freed = sum(run.task.step.step.amounts.cpu for run in moved)
+    room = placement.measure_unused(runner) - working
+    room_after = room + freed * placement.SERVING_USE
+    before = sum(demand[i] for i, runs in disturbed.items() if not runs)
+    after = sum(
+        demand[i] for i, runs in disturbed.items() if set(runs) <= set(moved)
+    )
+    return min(room_after, after) - min(room, before)
+
+
+def _may_move(
+    run: book_module.Run,
+    image: str,
+    runners: list[runners_module.Runner],
+    learned: interference.Interference,
+    now: float,
+) -> bool:
+    """Tells whether the budget allows it and another runner has room.
+
+    Only runners where the image disturbs something anyway come into question.
+    """
+    others = [
+        runner
+        for runner in runners
+        if runner.entry.id != run.runner
+        and _list_disturbed(runner, image, learned, now)
+    ]
+    return _keeps_budget(run, runners, now) and (
+        placement.choose_runner(run.task, others, learned, now) is not None
+    )
+
+
+def _keeps_budget(
+    run: book_module.Run, runners: list[runners_module.Runner], now: float
+) -> bool:
+    """Tells whether every other task of the step is surely at work."""
+    sound = {r.entry.id for r in runners if _is_sound(r, now)}
+    return all(
+        any(
+            other.phase is book_module.Phase.RUNNING
+            and other.percent >= 100
+            and other.runner in sound
+            for other in task.runs
+        )
+        for task in run.task.step.tasks
+    )
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -5,6 +5,7 @@
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import relocation
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -16,6 +17,8 @@
 _MOVE_AFTER_S = 0.9
 _MOVE_GAP_S = 0.25
 _MOVES_AT_ONCE = 3
+# Runners are cleared of lasting tasks one at a time, this far apart.
+_CLEAR_GAP_S = 0.5
 
 
 class Turn(enum.IntEnum):
@@ -96,6 +99,20 @@
                     return
 
 
+def clear_runner(owner: state_module.Owner, now: float) -> None:
+    """Moves lasting tasks off a runner that filling work waits for."""
+    if now < owner.next_clear_at:
+        return
+    owner.next_clear_at = now + _CLEAR_GAP_S
+    if any(t.step.step.long_running for t in owner.book.ready.values()):
+        return
+    runners = list(owner.runners.values())
+    demand = relocation.measure_demand(owner.book, runners, now)
+    for run in relocation.choose_moves(demand, runners, owner.learned, now):
+        run.task.avoid = (*run.task.avoid[-3:], run.runner)
+        orders.stop_run(owner, run, "makes room for filling work")
+
+
 def _rank_task(
     task: book_module.Task, now: float
 ) -> tuple[int, Turn, float, str]:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -69,6 +69,7 @@
     lost: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     next_move_at: float = 0.0
+    next_clear_at: float = 0.0
     next_learned_at: float = 0.0
     tail_offset: int = 0
     list_offset: int = 0
--- /dev/null
+++ b/tests/test_jobs_relocation.py
@@ -0,0 +1,123 @@
+"""Which lasting tasks move, so that filling work finds a runner."""
+
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import interference
+from plantainvane.jobs import placement
+from plantainvane.jobs import relocation
+from tests import test_jobs_decisions as decisions
+
+DEMAND = {"noisy": 20_000}
+
+
+def make_pool(**lasting):
+    """A runner with one disturbed task, and one that has many."""
+    book = book_module.Book()
+    learned = interference.Interference()
+    learned.effects["web", "noisy"] = interference.Effect(0.2, 0.001, 9.0)
+    learned.effects["db", "noisy"] = interference.Effect(0.0, 0.001, 9.0)
+    nearly, full = decisions.make_runner("a"), decisions.make_runner("b")
+    for runner in (nearly, full):
+        runner.answered_at = 10.0
+    fields = {"long_running": True, "target_ms": 18, "cpu": 4000}
+    calm = decisions.make_step(image="db", **fields)
+    web = decisions.make_step(image="web", **{**fields, **lasting})
+    decisions.place_runs(nearly, book, calm, job_id="calm")
+    movable = decisions.place_runs(nearly, book, web, job_id="movable")
+    for number in range(3):
+        settled = decisions.make_step(image="web", **{**fields, "cpu": 3000})
+        decisions.place_runs(full, book, settled, job_id=f"settled-{number}")
+    return book, learned, [nearly, full], movable
+
+
+def test_runner_is_cleared_of_the_task_that_keeps_filling_work_off():
+    # Guards against work of an image that disturbs most services and never
+    # finds a runner, while one task keeps it off a whole runner.
+    _, learned, runners, movable = make_pool()
+    moves = relocation.choose_moves(DEMAND, runners, learned, 10.0)
+    assert moves == movable
+
+
+def test_no_task_moves_for_little_work():
+    # Guards against interruptions that cost more than they make room for.
+    _, learned, runners, _ = make_pool()
+    assert not relocation.choose_moves({"noisy": 4000}, runners, learned, 10.0)
+
+
+def test_task_moves_only_while_the_rest_of_its_step_is_at_work():
+    # Guards against a step with more tasks away than its budget allows.
+    for percent, moves in ((40.0, 0), (100.0, 1)):
+        book, learned, runners, _ = make_pool()
+        other = decisions.make_runner("c", answered_at=10.0)
+        step = decisions.make_step(
+            count=2, long_running=True, image="web", target_ms=18, cpu=4000
+        )
+        state = decisions.add_job(book, step, job_id="pair")
+        first, second = state.steps[0, 0].tasks
+        runs = []
+        for task, runner in ((first, runners[0]), (second, other)):
+            run = book.begin_run(task, runner.entry.id, 0.0)
+            run.phase, run.percent = book_module.Phase.RUNNING, 100.0
+            runner.charge(run)
+            runs.append(run)
+        # The single task there goes, so that the one of the pair is left.
+        gone = next(
+            r for r in runners[0].runs if r.task.job.job.id == "movable"
+        )
+        runners[0].charge(gone, -1)
+        runs[1].percent = percent
+        chosen = relocation.choose_moves(
+            DEMAND, [*runners, other], learned, 10.0
+        )
+        assert len(chosen) == moves
+
+
+def test_task_without_another_runner_stays():
+    # Guards against a service that is stopped and finds no room.
+    _, learned, runners, _ = make_pool()
+    runners[1].cpu = 15_000
+    assert not relocation.choose_moves(DEMAND, runners, learned, 10.0)
+
+
+def test_runner_that_was_not_heard_lately_is_left_alone():
+    # Guards against budgets that are counted from what is out of date.
+    _, learned, runners, _ = make_pool()
+    for runner in runners:
+        runner.answered_at = 7.0
+    assert not relocation.choose_moves(DEMAND, runners, learned, 10.0)
+
+
+def test_two_tasks_of_one_step_do_not_move_together():
+    # Guards against a budget of one that is checked for each task alone.
+    _, learned, runners, movable = make_pool(count=2)
+    assert len(movable) == 2
+    assert not relocation.choose_moves(DEMAND, runners, learned, 10.0)
+
+
+def test_held_up_work_is_what_waits_or_is_halted():
+    # Guards against moves for work that runs.
+    book, _, runners, _ = make_pool()
+    fill = decisions.make_step(fills=True, image="noisy", cpu=2000)
+    halted, running = (
+        decisions.place_runs(runners[0], book, fill, job_id=name)[0]
+        for name in ("halted", "running")
+    )
+    halted.pace, running.pace = 0, 100
+    decisions.add_job(book, fill, job_id="waiting")
+    assert relocation.measure_demand(book, runners, 0.5) == {"noisy": 2000}
+    assert relocation.measure_demand(book, runners, 2.0) == {"noisy": 4000}
+
+
+def test_lasting_task_keeps_off_a_runner_that_filling_work_needs():
+    # Guards against a moved or restarted task that takes the cleared runner.
+    book, learned, runners, _ = make_pool()
+    runners[0].charge(
+        next(r for r in runners[0].runs if r.task.step.step.image == "web"), -1
+    )
+    fields = {"long_running": True, "target_ms": 18, "cpu": 1000}
+    step = decisions.make_step(image="mail", **fields)
+    learned.effects["mail", "noisy"] = interference.Effect(0.2, 0.001, 9.0)
+    state = decisions.add_job(book, step, job_id="new")
+    task = state.steps[0, 0].tasks[0]
+    for candidates in (runners, runners[::-1]):
+        chosen = placement.choose_runner(task, candidates, learned, 10.0)
+        assert chosen is runners[1]
