Set the pace of recovered fills anew

Cause: a successor believed that fills which an earlier owner had halted worked at full speed, so it never released them; an order on the pace without an answer left the same gap. Ruled out: placement; the fills stood on runners where nothing was disturbed.

--- a/plantainvane/jobs/book.py
+++ b/plantainvane/jobs/book.py
@@ -41,6 +41,7 @@
       moved_at: When the progress last changed.
       figure: Tail in ms of a serving task, else thousandths of a core in use.
       pace: Share of its speed that it was told, 0 to 100.
+      pace_sure: No order on its pace was lost, by us or an earlier owner.
       over_since: When its tail first exceeded the target, or None.
       slowed_since: When it was first paced to half its speed, or None.
     """
@@ -55,6 +56,7 @@
     moved_at: float = 0.0
     figure: float = 0.0
     pace: int = 100
+    pace_sure: bool = True
     over_since: float | None = None
     slowed_since: float | None = None
 
@@ -443,5 +445,12 @@
         state.started = True
         for run in stored.runs:
             task.runs.append(
-                Run(task, run.attempt, run.runner, Phase.STARTING, 0.0)
+                Run(
+                    task,
+                    run.attempt,
+                    run.runner,
+                    Phase.STARTING,
+                    0.0,
+                    pace_sure=False,
+                )
             )
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -226,7 +226,7 @@
 async def set_pace(
     owner: state_module.Owner, run: book_module.Run, percent: int
 ) -> None:
-    """Paces an attempt; a lost answer leaves the old pace believed."""
+    """Paces an attempt; an order without an answer is repeated."""
     runner = owner.runners.get(run.runner)
     if runner is None:
         return
@@ -234,6 +234,7 @@
         run.task.name, run.attempt, percent, owner.epoch
     )
     metrics.PACES.labels(outcome.value).inc()
+    run.pace_sure = outcome is not _OUTCOME.LOST
     if outcome is _OUTCOME.DONE:
         runner.change_pace(run, percent)
         if percent > _SLOWED_PERCENT:
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -61,8 +61,10 @@
         pace = int(min(wanted, run.pace + _RELEASE_STEP))
         if pace < _LEAST_PACE:
             pace = 0
-        if abs(pace - run.pace) >= _SMALLEST_CHANGE or (
-            pace != run.pace and pace in (0, 100)
+        if (
+            not run.pace_sure
+            or abs(pace - run.pace) >= _SMALLEST_CHANGE
+            or (pace != run.pace and pace in (0, 100))
         ):
             changes.append((run, pace))
     return changes
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -443,3 +443,26 @@
     # successor keeps waiting: it has to run 6 s after its end, once 3 s and
     # the 4 s before them were calm.
     assert SETTINGS.silence_s + SETTINGS.doubt_s <= 6 + 3 + 4
+
+
+def test_pace_of_an_earlier_owner_is_set_anew():
+    # Guards against fills that an earlier owner halted and that stay halted,
+    # as the successor believes that they work at full speed.
+    book = book_module.Book()
+    step = make_step(fills=True, image="calm")
+    progress = model.JobProgress(
+        tasks=[
+            model.TaskProgress(
+                0, 0, 0, 0, 1, 0, "", [model.RunProgress(1, "r")]
+            )
+        ]
+    )
+    state = add_job(book, step, progress=progress)
+    (run,) = state.steps[0, 0].tasks[0].runs
+    run.phase = book_module.Phase.RUNNING
+    runner = make_runner()
+    runner.charge(run)
+    learned = interference.Interference()
+    assert pacing.decide_paces(learned, runner, 4.0, 10.0) == [(run, 100)]
+    run.pace_sure = True
+    assert pacing.decide_paces(learned, runner, 4.0, 10.0) == []
