Run each call to a peer in a task of its own

Cause: grpclib cancels the calling task when a connection is lost and leaves the cancellation counted. Ruled out: hypercorn's shutdown, the deadline of the handler by itself (both tried apart, no leak).

--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -167,6 +167,35 @@
         server.close()
 
 
+# The cancellation of grpclib came where it does not turn it into an error.
+_CANCELLED = outcomes.CallError(outcomes.CallFailure.LOST, "cancelled")
+
+
+async def _call_method(
+    method: grpclib.client.UnaryUnaryMethod,
+    message: Any,
+    timeout_s: float,
+    replies: list[result.Result[Any, outcomes.CallError]],
+) -> None:
+    """Appends the reply, or what went wrong, to `replies`."""
+    try:
+        with anyio.fail_after(timeout_s):
+            replies.append(result.Ok(await method(message)))
+        return
+    except ConnectionRefusedError as error:
+        failure = outcomes.CallFailure.UNREACHED
+        detail = str(error)
+    except (
+        grpclib.exceptions.GRPCError,
+        grpclib.exceptions.StreamTerminatedError,
+        OSError,
+        TimeoutError,
+    ) as error:
+        failure = outcomes.CallFailure.LOST
+        detail = f"{type(error).__name__}: {error}"
+    replies.append(result.Err(outcomes.CallError(failure, detail)))
+
+
 @dataclasses.dataclass(slots=True)
 class Peers:
     """Channels to other entry processes, by address."""
@@ -188,24 +217,19 @@
         method = grpclib.client.UnaryUnaryMethod(
             channel, _SERVICE + kind.__name__, kind, _METHODS[kind]
         )
-        try:
-            with anyio.fail_after(timeout_s):
-                return result.Ok(await method(message))
-        except ConnectionRefusedError as error:
-            failure = outcomes.CallFailure.UNREACHED
-            detail = str(error)
-        except (
-            grpclib.exceptions.GRPCError,
-            grpclib.exceptions.StreamTerminatedError,
-            OSError,
-            TimeoutError,
-        ) as error:
-            failure = outcomes.CallFailure.LOST
-            detail = f"{type(error).__name__}: {error}"
-        if self.channels.get(address) is channel:
-            del self.channels[address]
-        channel.close()
-        return result.Err(outcomes.CallError(failure, detail))
+        replies: list[result.Result[Any, outcomes.CallError]] = []
+        # grpclib cancels the calling task when a connection is lost, and a
+        # task that was cancelled once cannot be trusted to keep time-outs.
+        async with anyio.create_task_group() as group:
+            group.start_soon(_call_method, method, message, timeout_s, replies)
+        if not replies:
+            replies.append(result.Err(_CANCELLED))
+        reply = replies[0]
+        if reply.is_err():
+            if self.channels.get(address) is channel:
+                del self.channels[address]
+            channel.close()
+        return reply
 
     def close(self) -> None:
         """Closes all channels."""
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -3,12 +3,15 @@
 The runners' own record of starts is the witness for what ran, and how often.
 """
 
+import asyncio
 import collections
 
 import anyio
+import anyio.abc
 import pytest
 
 from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import peers as peers_module
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -320,3 +323,23 @@
         await platform_system.call(system.entries[0], "POST", ID, body)
         await platform_system.wait_state(system, ID, "completed")
         assert system.list_starts() == [(f"{ID}.0.0.0", 1)]
+
+
+async def test_lost_connection_to_a_peer_leaves_the_calling_task_usable():
+    # Guards against a cancellation that grpclib leaves behind in the calling
+    # task: a later time-out there ends the task, which answers 500 or stops
+    # watching the owner.
+    async def drop(stream):
+        await anyio.sleep(0.1)
+        await stream.aclose()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    peers = peers_module.Peers()
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, drop)
+        question = peers_module.Ask("pending", "q")
+        told = await peers.call(f"127.0.0.1:{port}", question, 2.0)
+        assert told.is_err()
+        assert asyncio.current_task().cancelling() == 0
+        group.cancel_scope.cancel()
