Add a command that traces a request through the logs

It collects what the operations page describes: the lines of a job or task, of its runners, and of the owner and the log around it.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -19,6 +19,7 @@
 from plantainvane import files
 from plantainvane import schemas as schemas_module
 from plantainvane import settings as settings_module
+from plantainvane import traces
 from plantainvane import validation
 
 # Above the time in which an entry process answers a publish: the append and
@@ -269,6 +270,33 @@
     _print_json(_call_ok(address, "/dump", "dump"))
 
 
+@app.command()
+def trace(
+    request_id: Annotated[
+        str, typer.Argument(help="Id of a job, or the name of a task.")
+    ],
+    logs: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Files with the output of the processes."),
+    ],
+) -> None:
+    """Prints what the logs say of a request, and what may explain it."""
+    lines: list[traces.Line] = []
+    for path in logs:
+        try:
+            texts = path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            typer.echo(f"{path}: {error.strerror}", err=True)
+            raise typer.Exit(_BAD_USAGE) from error
+        lines.extend(traces.read_lines(texts, path.name))
+    found = traces.trace_request(lines, request_id)
+    if not found:
+        typer.echo(f"no line of {request_id} in {len(lines)} lines", err=True)
+        raise typer.Exit(_REFUSED)
+    for line in found:
+        typer.echo(traces.format_line(line, found[0].at))
+
+
 @app.command()
 def schemas() -> None:
     """Prints the JSON Schemas of all documents and of the settings."""
