--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -63,6 +63,7 @@
       end_offset: Where the topic ended when it was last read.
       heard_at: When the owner last confirmed that it is the owner.
       renewed_at: When a newer record of the claim was first seen.
+      read_at: When the topic was last read.
       denied: The process at the owner's address is not the owner.
       silent_for_s: How long the owner has not reached the log, by its word.
     """
@@ -73,6 +74,7 @@
     end_offset: int = 0
     heard_at: float = 0.0
     renewed_at: float = 0.0
+    read_at: float = 0.0
     denied: bool = False
     silent_for_s: float = 0.0
 
@@ -117,6 +119,21 @@
     return ""
 
 
+def needs_reading(
+    ownership: Ownership, settings: settings_module.Settings, now: float
+) -> bool:
+    """Tells whether the last renewal of a quiet owner is to be found out.
+
+    Without it, the wait for an overdue renewal would begin only when the owner
+    is suspected.
+    """
+    return (
+        ownership.claim is not None
+        and now - ownership.heard_at > settings.quiet_s
+        and ownership.read_at < ownership.heard_at
+    )
+
+
 def may_claim(
     ownership: Ownership,
     reason: str,
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -60,6 +60,9 @@
     ping_s: float = 0.35
     ping_timeout_s: float = 0.5
     silence_s: float = 1.2
+    # After the first ping without an answer, so that renewals are watched from
+    # there on.
+    quiet_s: float = 0.5
     # An owner without the log renews leases for this long; a lease then lasts
     # through an outage of about 10 s.
     unconfirmed_limit_s: float = 5.0
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -71,6 +71,10 @@
         )
         if reason:
             await _consider_claim(entry, reason)
+        elif ownership_module.needs_reading(
+            ownership, settings, clock.read_now()
+        ):
+            await _read_claims(entry)
 
 
 async def _ping_owner(entry: process_module.Entry) -> None:
@@ -128,6 +132,7 @@
     for offset, _, value in page.ok_value.records:
         entry.ownership.apply_record(offset, value, now)
     entry.ownership.end_offset = page.ok_value.end_offset
+    entry.ownership.read_at = now
     return True
 
 
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -466,3 +466,17 @@
     assert pacing.decide_paces(learned, runner, 4.0, 10.0) == [(run, 100)]
     run.pace_sure = True
     assert pacing.decide_paces(learned, runner, 4.0, 10.0) == []
+
+
+def test_wait_for_a_renewal_begins_when_the_owner_falls_quiet():
+    # Guards against a frozen owner that is replaced only after its silence
+    # and the time of a renewal, one after the other.
+    state = ownership.Ownership()
+    claim = ownership.Claim("entry-2", 1, "127.0.0.1:5")
+    state.apply_record(4, ownership.encode_claim(claim), 10.0)
+    state.read_at = 9.0
+    state.note_reply(True, 0.0, 12.0)
+    assert not ownership.needs_reading(state, SETTINGS, 12.4)
+    assert ownership.needs_reading(state, SETTINGS, 12.9)
+    state.read_at = 12.9
+    assert not ownership.needs_reading(state, SETTINGS, 13.2)
