Draw the addresses of a stand-in process together

Which of the ports it was is not on record. Ruled out: an assertion of the test; it failed while the deployment started.

--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -153,13 +153,15 @@
     system: System, number: int, **fields: Any
 ) -> process_module.Entry:
     """Starts an entry process at an address of its own."""
-    ip = f"127.0.1.{number + 1}"
+    callers, health, peer = serving.find_free_addresses(
+        f"127.0.1.{number + 1}", 3
+    )
     settings = settings_module.Settings(
         id=f"entry-{number}",
         domain="east",
-        callers_address=serving.find_free_address(ip),
-        health_address=serving.find_free_address(ip),
-        peer_address=serving.find_free_address(ip),
+        callers_address=callers,
+        health_address=health,
+        peer_address=peer,
         store_address=system.store_address,
         grace_s=0.4,
         **fields,
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -35,6 +35,16 @@
     return f"{host}:{find_free_port(host)}"
 
 
+def find_free_addresses(host: str, count: int) -> list[str]:
+    """Finds different free addresses; drawn one by one, two may be equal."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((host, 0))
+        return [f"{host}:{probe.getsockname()[1]}" for probe in probes]
+
+
 async def serve_until(
     application: asgi.Application, address: str, stop: anyio.Event
 ) -> None:
