--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python -m pytest
+	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 
 format: setup
 	$(BIN)/ruff format .
