--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -95,10 +95,8 @@
 
 async def test_session(snapshot, tmp_path):
     """Guards against commands that end with the wrong status or reason."""
-    addresses = {
-        "OPERATORS": serving.find_free_address(),
-        "CALLERS": serving.find_free_address(),
-    }
+    free = serving.find_free_addresses("127.0.0.1", 2)
+    addresses = dict(zip(("OPERATORS", "CALLERS"), free, strict=True))
     session = Session(tmp_path, addresses)
     local = log_server.make_local_log()
     tasks = callers.TaskCalls(submit, find, refuse_cancel)
