--- a/plantainvane/messages_grpc.py
+++ b/plantainvane/messages_grpc.py
@@ -6,7 +6,6 @@
 
 import grpclib.const
 import grpclib.client
-
 if typing.TYPE_CHECKING:
     import grpclib.server
 
@@ -14,55 +13,44 @@
 
 
 class PeerBase(abc.ABC):
+
     @abc.abstractmethod
-    async def Exchange(
-        self,
-        stream: "grpclib.server.Stream[plantainvane.messages_pb2.Heartbeat, plantainvane.messages_pb2.Heartbeat]",
-    ) -> None:
+    async def Exchange(self, stream: 'grpclib.server.Stream[plantainvane.messages_pb2.Heartbeat, plantainvane.messages_pb2.Heartbeat]') -> None:
         pass
 
     @abc.abstractmethod
-    async def FetchConfiguration(
-        self,
-        stream: "grpclib.server.Stream[plantainvane.messages_pb2.FetchRequest, plantainvane.messages_pb2.ConfigurationState]",
-    ) -> None:
+    async def FetchConfiguration(self, stream: 'grpclib.server.Stream[plantainvane.messages_pb2.FetchRequest, plantainvane.messages_pb2.ConfigurationState]') -> None:
         pass
 
     @abc.abstractmethod
-    async def FetchTask(
-        self,
-        stream: "grpclib.server.Stream[plantainvane.messages_pb2.TaskQuery, plantainvane.messages_pb2.TaskStatus]",
-    ) -> None:
+    async def FetchTask(self, stream: 'grpclib.server.Stream[plantainvane.messages_pb2.TaskQuery, plantainvane.messages_pb2.TaskStatus]') -> None:
         pass
 
     @abc.abstractmethod
-    async def ForwardRequest(
-        self,
-        stream: "grpclib.server.Stream[plantainvane.messages_pb2.ForwardedRequest, plantainvane.messages_pb2.ForwardedOutcome]",
-    ) -> None:
+    async def ForwardRequest(self, stream: 'grpclib.server.Stream[plantainvane.messages_pb2.ForwardedRequest, plantainvane.messages_pb2.ForwardedOutcome]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            "/plantainvane.Peer/Exchange": grpclib.const.Handler(
+            '/plantainvane.Peer/Exchange': grpclib.const.Handler(
                 self.Exchange,
                 grpclib.const.Cardinality.STREAM_STREAM,
                 plantainvane.messages_pb2.Heartbeat,
                 plantainvane.messages_pb2.Heartbeat,
             ),
-            "/plantainvane.Peer/FetchConfiguration": grpclib.const.Handler(
+            '/plantainvane.Peer/FetchConfiguration': grpclib.const.Handler(
                 self.FetchConfiguration,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 plantainvane.messages_pb2.FetchRequest,
                 plantainvane.messages_pb2.ConfigurationState,
             ),
-            "/plantainvane.Peer/FetchTask": grpclib.const.Handler(
+            '/plantainvane.Peer/FetchTask': grpclib.const.Handler(
                 self.FetchTask,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 plantainvane.messages_pb2.TaskQuery,
                 plantainvane.messages_pb2.TaskStatus,
             ),
-            "/plantainvane.Peer/ForwardRequest": grpclib.const.Handler(
+            '/plantainvane.Peer/ForwardRequest': grpclib.const.Handler(
                 self.ForwardRequest,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 plantainvane.messages_pb2.ForwardedRequest,
@@ -72,28 +60,29 @@
 
 
 class PeerStub:
+
     def __init__(self, channel: grpclib.client.Channel) -> None:
         self.Exchange = grpclib.client.StreamStreamMethod(
             channel,
-            "/plantainvane.Peer/Exchange",
+            '/plantainvane.Peer/Exchange',
             plantainvane.messages_pb2.Heartbeat,
             plantainvane.messages_pb2.Heartbeat,
         )
         self.FetchConfiguration = grpclib.client.UnaryUnaryMethod(
             channel,
-            "/plantainvane.Peer/FetchConfiguration",
+            '/plantainvane.Peer/FetchConfiguration',
             plantainvane.messages_pb2.FetchRequest,
             plantainvane.messages_pb2.ConfigurationState,
         )
         self.FetchTask = grpclib.client.UnaryUnaryMethod(
             channel,
-            "/plantainvane.Peer/FetchTask",
+            '/plantainvane.Peer/FetchTask',
             plantainvane.messages_pb2.TaskQuery,
             plantainvane.messages_pb2.TaskStatus,
         )
         self.ForwardRequest = grpclib.client.UnaryUnaryMethod(
             channel,
-            "/plantainvane.Peer/ForwardRequest",
+            '/plantainvane.Peer/ForwardRequest',
             plantainvane.messages_pb2.ForwardedRequest,
             plantainvane.messages_pb2.ForwardedOutcome,
         )
