Serve the platform's callers by the one HTTP server function

Cause: ingress set up the HTTP server a second time, with the same time-outs and limits, as serve_application took a single address. Ruled out: different settings in the two; they were equal line by line. Before: two copies.

--- a/bench/path.py
+++ b/bench/path.py
@@ -174,7 +174,7 @@
         return asgi.HttpReply(200, ANSWER, headers=((b"request-id", identity),))
 
     application = asgi.make_application(handle, 65536)
-    await asgi.serve_application(application, address, anyio.sleep_forever, 1)
+    await asgi.serve_application(application, [address], anyio.sleep_forever, 1)
 
 
 async def _serve_entry(address: str, target: str) -> None:
@@ -200,7 +200,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(dispatcher.run)
         await asgi.serve_application(
-            application, address, anyio.sleep_forever, 1
+            application, [address], anyio.sleep_forever, 1
         )
 
 
--- a/plantainvane/asgi.py
+++ b/plantainvane/asgi.py
@@ -90,16 +90,16 @@
 
 async def serve_application(
     application: Application,
-    address: str,
+    addresses: list[str],
     shutdown: Callable[[], Awaitable[Any]],
     graceful_timeout_s: float,
 ) -> None:
-    """Serves `application` at `ip:port` until `shutdown` returns.
+    """Serves `application` at each `ip:port` until `shutdown` returns.
 
     Requests in flight then have `graceful_timeout_s` to end.
     """
     config = hypercorn.config.Config()
-    config.bind = [address]
+    config.bind = addresses
     config.graceful_timeout = graceful_timeout_s
     config.keep_alive_timeout = 75.0
     # The default of 1,000 closes a connection under a caller's next request.
--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -316,7 +316,7 @@
         group.start_soon(
             asgi.serve_application,
             asgi.make_application(handle, limit),
-            address,
+            [address],
             entry.closing.wait,
             settings.drain.limit_s,
         )
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -1,10 +1,5 @@
 """Serves callers, the readiness check and metrics over HTTP."""
 
-from typing import Any
-
-import hypercorn.asyncio
-import hypercorn.config
-
 from plantainvane import asgi
 from plantainvane import metrics
 from plantainvane.jobs import clock
@@ -111,20 +106,13 @@
     """Serves until the process has drained."""
     settings = entry.settings
     ip = settings.callers_address.rpartition(":")[0]
-    config = hypercorn.config.Config()
-    config.bind = [
-        settings.callers_address,
-        settings.health_address,
-        f"{ip}:{METRICS_PORT}",
-    ]
-    config.graceful_timeout = settings.grace_s / 2
-    config.keep_alive_timeout = 75.0
-    config.keep_alive_max_requests = 1_000_000_000
-    config.accesslog = None
-    config.errorlog = None
-    application: Any = asgi.make_application(
-        make_handler(entry), settings.body_limit_bytes
-    )
-    await hypercorn.asyncio.serve(
-        application, config, shutdown_trigger=entry.stopping.wait, mode="asgi"
+    await asgi.serve_application(
+        asgi.make_application(make_handler(entry), settings.body_limit_bytes),
+        [
+            settings.callers_address,
+            settings.health_address,
+            f"{ip}:{METRICS_PORT}",
+        ],
+        entry.stopping.wait,
+        settings.grace_s / 2,
     )
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -50,7 +50,7 @@
 ) -> None:
     """Serves `application` at `ip:port` until `stop` is set."""
     await asgi.serve_application(
-        application, address, stop.wait, GRACEFUL_TIMEOUT_S
+        application, [address], stop.wait, GRACEFUL_TIMEOUT_S
     )
 
 
