Append claims and renewals in one place

Cause: a claim and its renewal wrote the same conditional append twice. Ruled out: different conditions; both expect the end that was last read.

--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -3,11 +3,13 @@
 import random
 
 import anyio
+import result
 
 from plantainvane import events
 from plantainvane import outcomes
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import ownership as ownership_module
@@ -168,12 +170,7 @@
         claim = ownership_module.Claim(
             settings.id, entry.incarnation, settings.peer_address
         )
-        appended = await entry.surroundings.store.append(
-            ownership_module.TOPIC,
-            [(ownership_module.KEY, ownership_module.encode_claim(claim))],
-            settings.store_timeout_s,
-            expected_end=ownership.end_offset,
-        )
+        appended = await _append_claim(entry, claim)
         now = clock.read_now()
         won = appended.is_ok() and appended.ok_value.offset >= 0
         if appended.is_err():
@@ -205,6 +202,18 @@
         return won
 
 
+async def _append_claim(
+    entry: process_module.Entry, claim: ownership_module.Claim
+) -> result.Result[interfaces.Appended, outcomes.CallError]:
+    """Appends a claim on condition that the topic ends where it was read."""
+    return await entry.surroundings.store.append(
+        ownership_module.TOPIC,
+        [(ownership_module.KEY, ownership_module.encode_claim(claim))],
+        entry.settings.store_timeout_s,
+        expected_end=entry.ownership.end_offset,
+    )
+
+
 async def _own(
     entry: process_module.Entry, epoch: int, ready: anyio.Event
 ) -> None:
@@ -235,12 +244,7 @@
     claim = ownership_module.Claim(
         settings.id, entry.incarnation, settings.peer_address, owner.epoch
     )
-    appended = await entry.surroundings.store.append(
-        ownership_module.TOPIC,
-        [(ownership_module.KEY, ownership_module.encode_claim(claim))],
-        settings.store_timeout_s,
-        expected_end=ownership.end_offset,
-    )
+    appended = await _append_claim(entry, claim)
     now = clock.read_now()
     if appended.is_err():
         entry.health.note_failure(appended.err_value.detail, now)
