Name the weights of placement and list known filling images once

Cause: five weights of a runner's score were bare numbers, and the list of known filling images was derived in two places. Ruled out: changed values; each constant holds the number that stood there.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -105,6 +105,10 @@
         # Most pairs do not matter; small values are noise.
         return value if value >= NOTABLE_EFFECT else 0.0
 
+    def list_filling(self) -> set[str]:
+        """Filling images of which something is known."""
+        return {filling for _, filling in self.effects}
+
     def find_level(self, run: book.Run) -> Level:
         """Level of a serving task."""
         level = self.levels.get(run)
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -23,6 +23,20 @@
 UNKNOWN_WEIGHT = 0.3
 # Weight of the filling images that a lasting task would keep off a runner.
 SPOILING_WEIGHT = 1.0
+# Weights of a runner's score, in shares of an idle runner: one where the task
+# failed, each recent fault, the rack of the data (work elsewhere takes 1.5 to 3
+# times as long on the users' sites), each task of the step in the same rack.
+AVOIDED_WEIGHT = 5.0
+FAULT_WEIGHT = 0.5
+DATA_RACK_WEIGHT = 2.0
+SAME_RACK_WEIGHT = 0.5
+# Weight of a runner's charge against equal images, for lasting tasks, and how
+# alike an empty runner counts: better than a mixed one.
+FULLNESS_WEIGHT = 0.3
+EMPTY_LIKENESS = 0.5
+# Core-seconds that a stop costs beside the work thrown away: the way to the
+# runner and a restart.
+STOP_LOSS_CORE_S = 0.1
 # Memory that filling tasks leave free for urgent work, as a share.
 MEMORY_RESERVE = 0.08
 
@@ -113,24 +127,25 @@
     elif step.long_running:
         # Tasks of one image are packed together, so that a filling image
         # which disturbs some of them finds runners where it can work.
-        score = 0.3 * runner.cpu / room_cpu + _measure_likeness(runner, step)
+        score = FULLNESS_WEIGHT * runner.cpu / room_cpu
+        score += _measure_likeness(runner, step)
         score -= SPOILING_WEIGHT * _measure_spoiling(runner, step, learned, now)
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / room_cpu
     if runner.entry.id in task.avoid:
-        score -= 5
+        score -= AVOIDED_WEIGHT
     if runner.runs and runner.faults:
-        score -= 0.5 * runner.faults
+        score -= FAULT_WEIGHT * runner.faults
     if step.preferred_rack and step.preferred_rack in runner.entry.labels:
-        score += 2
-    score += racks.get(runner.rack, 0) * 0.5
+        score += DATA_RACK_WEIGHT
+    score += SAME_RACK_WEIGHT * racks.get(runner.rack, 0)
     return score * min(1.0, runner.speed) if score > 0 else score
 
 
 def _measure_likeness(runner: runners_module.Runner, step: model.Step) -> float:
     """Share of the runner's serving processors that have the step's image."""
     if not runner.serving_cpu:
-        return 0.5
+        return EMPTY_LIKENESS
     same = sum(
         run.task.step.step.amounts.cpu
         for run in runner.runs
@@ -174,23 +189,23 @@
     learned: interference.Interference,
     now: float,
 ) -> float:
-    """Share of the known filling images that hurt no serving task there."""
-    filling = {pair[1] for pair in learned.effects}
+    """Share of the known filling images that disturb no serving task there."""
+    filling = learned.list_filling()
     if not filling:
         return 1.0
-    return len(_list_useful(runner, filling, learned, now)) / len(filling)
+    return len(_list_useful(runner, learned, now)) / len(filling)
 
 
 def _list_useful(
     runner: runners_module.Runner,
-    filling: set[str],
     learned: interference.Interference,
     now: float,
 ) -> list[str]:
+    """Known filling images that disturb no serving task of a runner."""
     serving = _list_images(runner)
     return [
         fill
-        for fill in filling
+        for fill in learned.list_filling()
         if all(learned.find_effect(image, fill, now) <= 0 for image in serving)
     ]
 
@@ -202,14 +217,11 @@
     now: float,
 ) -> float:
     """Share of the known filling images that a lasting task keeps off."""
-    filling = {pair[1] for pair in learned.effects}
-    if not filling:
-        return 0.0
     spoilt = sum(
         learned.find_effect(step.image, fill, now) > 0
-        for fill in _list_useful(runner, filling, learned, now)
+        for fill in _list_useful(runner, learned, now)
     )
-    return spoilt / len(filling)
+    return spoilt / max(1, len(learned.list_filling()))
 
 
 def _list_images(runner: runners_module.Runner) -> set[str]:
@@ -321,4 +333,4 @@
     worked_s = now - run.running_since
     if step.checkpointing:
         worked_s = 0.0
-    return worked_s * step.amounts.cpu / 1000 + 0.1
+    return worked_s * step.amounts.cpu / 1000 + STOP_LOSS_CORE_S
