Name the remaining limits of the job scheduler

Cause: limits of suspicion, of the level's slope, of the log's latency and of a process that never reached the log were bare numbers; the record of ends under way and the copy of a runner's entry were written out by hand. Ruled out: changed values; each constant holds the number that stood there.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -22,6 +22,9 @@
 
 # Bounds the table of peers that pinged; the largest deployment has 300.
 _PEERS_REMEMBERED = 400
+# A process that never reached the log counts as without it for this long, which
+# is above every limit that is compared with it.
+_NEVER_ANSWERED_S = 10.0
 
 
 def make_entry(
@@ -153,7 +156,8 @@
     silent_for_s = 0.0
     if entry.health.failing_since is not None:
         silent_for_s = now - max(
-            entry.health.answered_at, entry.health.failing_since - 10
+            entry.health.answered_at,
+            entry.health.failing_since - _NEVER_ANSWERED_S,
         )
     return peers_module.Pong(
         owner is not None and not entry.draining,
--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -29,6 +29,10 @@
 # pressure of a task.
 _FIRST_FLOOR = 0.4
 _FIRST_LEVEL = 0.4
+# Share of a new slope that is taken over, and the longest time between two
+# looks from which one is read.
+_SLOPE_GAIN = 0.4
+_SLOPE_GAP_S = 2.0
 # An effect that is not observed any more fades towards the prior, so that a
 # wrong one is tried again.
 _FADE_S = 30.0
@@ -201,8 +205,9 @@
     change = gain * error
     level.value += change
     level.variance *= 1 - gain
-    if 0 < elapsed < 2:
-        level.slope += 0.4 * (change / elapsed - level.slope)
+    if 0 < elapsed < _SLOPE_GAP_S:
+        slope = change / elapsed
+        level.slope += _SLOPE_GAIN * (slope - level.slope)
     decay = math.exp(-elapsed / _PEAK_DECAY_S)
     level.peak = max(level.value, level.peak * decay)
     level.at = now
--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -12,6 +12,10 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import settings as settings_module
 
+# Share of a new latency that the moving average takes over.
+_LATENCY_GAIN = 0.2
+# A call is given up after this multiple of the average latency.
+_PATIENCE = 6
 # Records of one append stay below the platform's limit of 2 MiB.
 _BATCH_BYTES = 1_000_000
 
@@ -42,7 +46,7 @@
                 events.STORE_REGAINED, lost_s=round(now - self.failing_since, 3)
             )
         self.answered_at, self.failing_since = now, None
-        self.latency_s += 0.2 * (took_s - self.latency_s)
+        self.latency_s += _LATENCY_GAIN * (took_s - self.latency_s)
 
     def note_failure(self, detail: str, now: float) -> None:
         """Notes a call without a usable answer."""
@@ -54,7 +58,7 @@
         """Time to wait for an answer; a slow log gets more."""
         return min(
             settings.store_timeout_max_s,
-            max(settings.store_timeout_s, 6 * self.latency_s),
+            max(settings.store_timeout_s, _PATIENCE * self.latency_s),
         )
 
 
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -1,13 +1,15 @@
 """One task for each runner: renews its leases and applies what it shows."""
 
-from typing import Any
+import dataclasses
 
 import anyio
+import msgspec
 
 from plantainvane import events
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import journal
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -20,10 +22,23 @@
 _PROMISE_AFTER_S = 1.0
 # A runner that has left the list and runs nothing is forgotten after this.
 _FORGET_S = 8.0
+# With so many more failures than successes, a runner gets one task at a time for
+# this long; a faulty one fails them all.
+_MOST_FAULTS = 3
+_SHUNNED_S = 3.0
 # Ends that cannot be stored yet make every look return at once.
 _UNSTORED_GAP_S = 0.5
 
 
+@dataclasses.dataclass(slots=True)
+class _Storing:
+    """Ends of one look that are being stored."""
+
+    batch: journal.Batch
+    number: int
+    born_ms: int
+
+
 async def attend_runner(
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
@@ -58,17 +73,6 @@
     await runner.calls.aclose()
 
 
-class _Storing:
-    """Ends of one look that are being stored."""
-
-    __slots__ = ("batch", "born_ms", "number")
-
-    def __init__(self, batch: Any, number: int, born_ms: int):
-        self.batch = batch
-        self.number = number
-        self.born_ms = born_ms
-
-
 async def _wait_for_runs(
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
@@ -263,18 +267,13 @@
         return
     shown = {(r.task, r.attempt) for r in look.running}
     begin_life(owner, runner, look.born_ms, now)
-    runner.entry = _replace_born(runner.entry, look.born_ms)
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=look.born_ms)
     for run in list(runner.runs):
         if (run.task.name, run.attempt) not in shown:
             continue
         run.phase = book_module.Phase.RUNNING
 
 
-def _replace_born(entry: model.RunnerEntry, born_ms: int) -> model.RunnerEntry:
-    fields = {f: getattr(entry, f) for f in entry.__struct_fields__}
-    return model.RunnerEntry(**{**fields, "born_ms": born_ms})
-
-
 def _apply_ends(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -322,8 +321,8 @@
         runner.faults = max(0, runner.faults - 1)
     elif end.how == "failed":
         runner.faults += 1
-        if runner.faults >= 3:
-            runner.shunned_until = now + 3.0
+        if runner.faults >= _MOST_FAULTS:
+            runner.shunned_until = now + _SHUNNED_S
     if run.task.step.step.gang and end.how != "done":
         for member in run.task.step.tasks:
             for other in member.runs:
