Take the metrics address from the settings

Ruled out: the drawn ports, which differ; the failing tests, which pass alone. The adapter now gives the platform's port as a setting, and the stand-ins draw one. Before: the new test fails. After: it passes, and another holds the port to deploy/system.toml.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -22,8 +22,8 @@
 _PROMISE_AFTER_S = 1.0
 # A runner that has left the list and runs nothing is forgotten after this.
 _FORGET_S = 8.0
-# With so many more failures than successes, a runner gets one task at a time for
-# this long; a faulty one fails them all.
+# With so many more failures than successes, a runner gets one task at a time
+# for this long; a faulty one fails them all.
 _MOST_FAULTS = 3
 _SHUNNED_S = 3.0
 # Ends that cannot be stored yet make every look return at once.
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -19,6 +19,7 @@
       callers_address: `ip:port` towards callers.
       health_address: `ip:port` of the readiness check.
       peer_address: `ip:port` for other entry processes.
+      metrics_address: `ip:port` where metrics are served.
       seeds: Peer addresses of a few entry processes; may be stale.
       store_address: `ip:port` of the platform's log service.
       advisor_address: `ip:port` of the adviser, or empty.
@@ -34,6 +35,7 @@
     callers_address: str
     health_address: str
     peer_address: str
+    metrics_address: str
     store_address: str
     seeds: tuple[str, ...] = ()
     advisor_address: str = ""
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -8,7 +8,6 @@
 from plantainvane.jobs import process as process_module
 from plantainvane.platform import wire
 
-METRICS_PORT = 9464
 _READY_PATH = "/plantainvane/readyz"
 _METRICS_PATH = "/metrics"
 _DEFAULT_DEADLINE_MS = 3000
@@ -105,13 +104,12 @@
 async def serve(entry: process_module.Entry) -> None:
     """Serves until the process has drained."""
     settings = entry.settings
-    ip = settings.callers_address.rpartition(":")[0]
     await asgi.serve_application(
         asgi.make_application(make_handler(entry), settings.body_limit_bytes),
         [
             settings.callers_address,
             settings.health_address,
-            f"{ip}:{METRICS_PORT}",
+            settings.metrics_address,
         ],
         entry.stopping.wait,
         settings.grace_s / 2,
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -11,6 +11,8 @@
 from plantainvane.jobs import settings as settings_module
 
 PATH_VARIABLE = "PLANTAINVANE_NODE_FILE"
+# The port that deploy/system.toml names; the settings file has none for it.
+_METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct, rename="pascal"):
@@ -62,6 +64,7 @@
         callers_address=node.listen.frontend,
         health_address=node.listen.readiness,
         peer_address=node.listen.control_plane,
+        metrics_address=f"{node.ip}:{_METRICS_PORT}",
         store_address=node.store.address,
         seeds=tuple(node.seeds),
         advisor_address=node.advisor,
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -153,8 +153,8 @@
     system: System, number: int, **fields: Any
 ) -> process_module.Entry:
     """Starts an entry process at an address of its own."""
-    callers, health, peer = serving.find_free_addresses(
-        f"127.0.1.{number + 1}", 3
+    callers, health, peer, metrics = serving.find_free_addresses(
+        f"127.0.1.{number + 1}", 4
     )
     settings = settings_module.Settings(
         id=f"entry-{number}",
@@ -162,6 +162,7 @@
         callers_address=callers,
         health_address=health,
         peer_address=peer,
+        metrics_address=metrics,
         store_address=system.store_address,
         grace_s=0.4,
         **fields,
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -18,6 +18,7 @@
     callers_address="127.0.0.1:1",
     health_address="127.0.0.1:2",
     peer_address="127.0.0.1:3",
+    metrics_address="127.0.0.1:5",
     store_address="127.0.0.1:4",
 )
 
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.abc
+import httpx
 import pytest
 
 from plantainvane.jobs import entry as entry_module
@@ -343,3 +344,18 @@
         assert told.is_err()
         assert asyncio.current_task().cancelling() == 0
         group.cancel_scope.cancel()
+
+
+async def test_two_deployments_run_beside_each_other():
+    # Guards against a fixed port of one process that keeps another one, or
+    # another run of the tests, from starting.
+    async with (
+        platform_system.run_system(entries=1) as first,
+        platform_system.run_system(entries=1) as second,
+    ):
+        for system in (first, second):
+            owner = await system.wait_owner()
+            address = owner.settings.metrics_address
+            async with httpx.AsyncClient(trust_env=False) as client:
+                reply = await client.get(f"http://{address}/metrics")
+            assert "plantainvane_job_claims_total" in reply.text
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,8 @@
 """The platform's wire: what decodes, what is refused, what is ignored."""
 
 import json
+import pathlib
+import tomllib
 
 import pytest
 
@@ -161,6 +163,11 @@
     settings = node.decode_settings(NODE).ok_value
     assert settings.lease_s == 3.0
     assert settings.peer_address == "10.1.0.13:8166"
+    # The port is the one that deploy/system.toml announces.
+    deploy = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
+    role = tomllib.loads(deploy.read_text())["roles"]["entry"]
+    port = role["metrics"].partition("/")[0]
+    assert settings.metrics_address == f"10.1.0.13:{port}"
 
 
 @pytest.mark.parametrize("text", ["", "x =", 'NodeName = "a"', "Ip = 5"])
