Report malformed runner entries and missing advice

Cause: an entry that describes no runner, and an adviser without a usable answer, were passed over without a log line; a step on such a queue waited and nothing said why. Ruled out: the jobs topic, whose malformed records are reported already. Before: both new tests fail. After: one line a malformed entry until it is replaced, one line a failed call for advice.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -291,6 +291,13 @@
         )
         tickets = await adviser.advise(name, asked, timeout_s)
     if tickets is None:
+        events.log_event(
+            events.ADVICE_FAILED,
+            step=name,
+            runners=len(asked),
+            adviser=adviser is not None,
+            epoch=owner.epoch,
+        )
         await anyio.sleep(_ADVICE_RETRY_S)
     else:
         # Validity counts from before the call, as the answer took time.
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -186,6 +186,7 @@
 ) -> None:
     runner = owner.runners.get(key)
     if value is None:
+        owner.undecodable.discard(key)
         if runner is not None and runner.listed:
             runner.listed = False
             events.log_event(
@@ -194,7 +195,9 @@
         return
     entry = owner.surroundings.decode_runner(key, value)
     if entry is None:
+        _report_entry(owner, key, value)
         return
+    owner.undecodable.discard(key)
     now = clock.read_now()
     if runner is None or runner.entry.address != entry.address:
         _add_runner(owner, entry, runner, now)
@@ -211,6 +214,18 @@
         sessions.begin_life(owner, runner, entry.born_ms, now)
 
 
+def _report_entry(owner: state_module.Owner, key: str, value: bytes) -> None:
+    """Reports a malformed entry once; its writer may renew it every second."""
+    if key not in owner.undecodable:
+        owner.undecodable.add(key)
+        events.log_event(
+            events.RECORD_UNDECODABLE,
+            stream=owner.surroundings.runners_topic,
+            key=key,
+            error=f"{len(value)} bytes that describe no runner to use",
+        )
+
+
 def _add_runner(
     owner: state_module.Owner,
     entry: model.RunnerEntry,
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -35,6 +35,7 @@
       recovered: Stored state is loaded and runners have been fenced.
       lost: Set when a higher epoch was seen.
       doubts: Attempts on runners that are not listed, by runner id.
+      undecodable: Runners whose entry is malformed and was reported.
       expiries: When nothing can run any more on runners that do not answer.
       tail_offset: Where the next read of the jobs topic starts.
     """
@@ -77,6 +78,7 @@
         default_factory=dict
     )
     advising: set[str] = dataclasses.field(default_factory=set)
+    undecodable: set[str] = dataclasses.field(default_factory=set)
     encoded: list[tuple[book_module.JobState, str]] = dataclasses.field(
         default_factory=list
     )
--- a/tests/test_operations_traces.py
+++ b/tests/test_operations_traces.py
@@ -1,7 +1,7 @@
-"""The three traces of docs/OPERATIONS.md, played on the stand-ins.
+"""The three traces of docs/OPERATIONS.md, and reports of unusable answers.
 
-Each test fails a request and follows the page from its id to its cause, by
-log lines alone.
+The first tests fail a request and follow the page from its id to its cause, by
+log lines alone, on the stand-ins.
 """
 
 import anyio
@@ -109,3 +109,36 @@
         recovered = (await wait_lines(lines, 833, epoch=epoch))[-1]
         assert recovered["took_s"] < 2
         await platform_system.wait_state(system, ID, "completed")
+
+
+async def test_malformed_entry_of_a_runner_is_reported_once(lines):
+    # Guards against a runner that is never used without a word, and against a
+    # line for each of its heartbeats.
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        for value in (b"{}", b"[]", b"\xff"):
+            system.store.put("keyed.servers", "i-odd", value)
+        (line,) = await wait_lines(lines, 115, key="i-odd")
+        assert line["stream"] == "keyed.servers"
+        assert "2 bytes" in line["error"]
+        system.store.put("keyed.servers", "i-odd", None)
+        await anyio.sleep(0.6)
+        system.store.put("keyed.servers", "i-odd", b"{}")
+        with anyio.fail_after(5):
+            while len(find_lines(lines, 115, key="i-odd")) < 2:
+                await anyio.sleep(0.01)
+
+
+async def test_missing_advice_is_reported_with_its_step(lines):
+    # Guards against jobs that wait for an adviser which nobody looks at.
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        platform_system.write_configuration(
+            system.store, 2, Advisor={"DecisionMs": 5, "ValidityMs": 1000}
+        )
+        await wait_lines(lines, 843, version=2)
+        body = platform_system.make_job(count=1)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        line = (await wait_lines(lines, 817))[0]
+        assert (line["step"], line["adviser"]) == (f"{ID}.0.0", False)
+        assert system.list_starts() == []
