Split the book: attempts, the book, the stored progress

Cause: book.py (456 lines) held the types, the aggregate and the stored form; eleven modules imported it for the types alone. Ruled out: any change of behaviour; definitions moved as they were. Before: one module of 456 lines. After: attempts 132, book 304, progress 57; 65 tests of decisions, moves, sessions and traces pass unchanged but for their imports.

--- /dev/null
+++ b/plantainvane/jobs/attempts.py
@@ -0,0 +1,132 @@
+"""What is known of jobs, their steps and tasks, and the attempts of a task."""
+
+import dataclasses
+import enum
+
+from plantainvane.jobs import model
+
+
+class Result(enum.IntEnum):
+    """Whether a task still has to run."""
+
+    OPEN = 0
+    DONE = 1
+    FAILED = 2
+
+
+class Phase(enum.IntEnum):
+    """What is known of one attempt."""
+
+    STARTING = 0
+    RUNNING = 1
+    STOPPING = 2
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """One attempt of a task that may be running.
+
+    Attributes:
+      task: The task.
+      attempt: Number of the attempt.
+      runner: Id of the runner that was told to start it.
+      phase: What is known of it.
+      since: When it was ordered; 0 if an earlier owner did.
+      running_since: When it was first seen running.
+      percent: Last progress seen.
+      moved_at: When the progress last changed.
+      figure: Tail in ms of a serving task, else thousandths of a core in use.
+      pace: Share of its speed that it was told, 0 to 100.
+      pace_sure: No order on its pace was lost, by us or an earlier owner.
+      over_since: When its tail first exceeded the target, or None.
+      slowed_since: When it was first paced to half its speed, or None.
+    """
+
+    task: "Task"
+    attempt: int
+    runner: str
+    phase: Phase
+    since: float
+    running_since: float = 0.0
+    percent: float = 0.0
+    moved_at: float = 0.0
+    figure: float = 0.0
+    pace: int = 100
+    pace_sure: bool = True
+    over_since: float | None = None
+    slowed_since: float | None = None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """One task of one occurrence of a step.
+
+    Attributes:
+      attempt: Highest attempt number so far.
+      failures: Ends that count against the limit of attempts.
+      checkpoint: Newest checkpoint known.
+      runs: Attempts that may be running.
+      retry_at: The next attempt is not started before this time.
+      avoid: Runners on which an attempt failed or made no progress.
+    """
+
+    job: "JobState"
+    step: "StepState"
+    index: int
+    name: str
+    result: Result = Result.OPEN
+    attempt: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    retry_at: float = 0.0
+    ready_since: float = 0.0
+    avoid: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepState:
+    """One occurrence of a step.
+
+    Attributes:
+      waits_for: Steps that are not done yet.
+      tail_s: Longest chain of estimates from this step to the end.
+    """
+
+    job: "JobState"
+    occurrence: int
+    number: int
+    step: model.Step
+    waits_for: set[int]
+    tail_s: float
+    due: float
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    left: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class JobState:
+    """One job and its occurrences.
+
+    Attributes:
+      queue: The queue as last configured.
+      deadline: Latest time to earn in full, on the book's clock.
+      objective_s: Time from the submission to `deadline`.
+      ended: completed, failed, cancelled, or empty while it is open.
+      stored_ended: The end that has been stored and may be shown.
+      left: Steps of all occurrences that are not done.
+      started: A task has been started.
+    """
+
+    job: model.Job
+    queue: model.Queue
+    deadline: float
+    objective_s: float
+    steps: dict[tuple[int, int], StepState] = dataclasses.field(
+        default_factory=dict
+    )
+    ended: str = ""
+    ended_ms: int = 0
+    stored_ended: str = ""
+    left: int = 0
+    started: bool = False
--- a/plantainvane/jobs/book.py
+++ b/plantainvane/jobs/book.py
@@ -5,135 +5,10 @@
 """
 
 import dataclasses
-import enum
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import model
-
-
-class Result(enum.IntEnum):
-    """Whether a task still has to run."""
-
-    OPEN = 0
-    DONE = 1
-    FAILED = 2
-
-
-class Phase(enum.IntEnum):
-    """What is known of one attempt."""
-
-    STARTING = 0
-    RUNNING = 1
-    STOPPING = 2
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Run:
-    """One attempt of a task that may be running.
-
-    Attributes:
-      task: The task.
-      attempt: Number of the attempt.
-      runner: Id of the runner that was told to start it.
-      phase: What is known of it.
-      since: When it was ordered; 0 if an earlier owner did.
-      running_since: When it was first seen running.
-      percent: Last progress seen.
-      moved_at: When the progress last changed.
-      figure: Tail in ms of a serving task, else thousandths of a core in use.
-      pace: Share of its speed that it was told, 0 to 100.
-      pace_sure: No order on its pace was lost, by us or an earlier owner.
-      over_since: When its tail first exceeded the target, or None.
-      slowed_since: When it was first paced to half its speed, or None.
-    """
-
-    task: "Task"
-    attempt: int
-    runner: str
-    phase: Phase
-    since: float
-    running_since: float = 0.0
-    percent: float = 0.0
-    moved_at: float = 0.0
-    figure: float = 0.0
-    pace: int = 100
-    pace_sure: bool = True
-    over_since: float | None = None
-    slowed_since: float | None = None
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Task:
-    """One task of one occurrence of a step.
-
-    Attributes:
-      attempt: Highest attempt number so far.
-      failures: Ends that count against the limit of attempts.
-      checkpoint: Newest checkpoint known.
-      runs: Attempts that may be running.
-      retry_at: The next attempt is not started before this time.
-      avoid: Runners on which an attempt failed or made no progress.
-    """
-
-    job: "JobState"
-    step: "StepState"
-    index: int
-    name: str
-    result: Result = Result.OPEN
-    attempt: int = 0
-    failures: int = 0
-    checkpoint: str = ""
-    runs: list[Run] = dataclasses.field(default_factory=list)
-    retry_at: float = 0.0
-    ready_since: float = 0.0
-    avoid: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class StepState:
-    """One occurrence of a step.
-
-    Attributes:
-      waits_for: Steps that are not done yet.
-      tail_s: Longest chain of estimates from this step to the end.
-    """
-
-    job: "JobState"
-    occurrence: int
-    number: int
-    step: model.Step
-    waits_for: set[int]
-    tail_s: float
-    due: float
-    tasks: list[Task] = dataclasses.field(default_factory=list)
-    left: int = 0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class JobState:
-    """One job and its occurrences.
-
-    Attributes:
-      queue: The queue as last configured.
-      deadline: Latest time to earn in full, on the book's clock.
-      objective_s: Time from the submission to `deadline`.
-      ended: completed, failed, cancelled, or empty while it is open.
-      stored_ended: The end that has been stored and may be shown.
-      left: Steps of all occurrences that are not done.
-      started: A task has been started.
-    """
-
-    job: model.Job
-    queue: model.Queue
-    deadline: float
-    objective_s: float
-    steps: dict[tuple[int, int], StepState] = dataclasses.field(
-        default_factory=dict
-    )
-    ended: str = ""
-    ended_ms: int = 0
-    stored_ended: str = ""
-    left: int = 0
-    started: bool = False
+from plantainvane.jobs import progress as progress_module
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,11 +23,13 @@
       to_stop: Runs to be stopped, as their job has ended.
     """
 
-    jobs: dict[str, JobState] = dataclasses.field(default_factory=dict)
-    tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
-    ready: dict[str, Task] = dataclasses.field(default_factory=dict)
-    changed: dict[str, JobState] = dataclasses.field(default_factory=dict)
-    to_stop: list[Run] = dataclasses.field(default_factory=list)
+    jobs: dict[str, attempts.JobState] = dataclasses.field(default_factory=dict)
+    tasks: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
+    ready: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
+    changed: dict[str, attempts.JobState] = dataclasses.field(
+        default_factory=dict
+    )
+    to_stop: list[attempts.Run] = dataclasses.field(default_factory=list)
 
     def add_job(
         self,
@@ -161,7 +38,7 @@
         progress: model.JobProgress | None,
         now: float,
         wall_ms: int,
-    ) -> JobState:
+    ) -> attempts.JobState:
         """Adds a job once; `progress` is what was stored of it."""
         known = self.jobs.get(job.id)
         if known is not None:
@@ -169,7 +46,9 @@
         age_s = max(0.0, (wall_ms - job.accepted_ms) / 1000)
         chains = measure_chains(job.steps)
         objective_s = queue.slack_factor * max(chains) + queue.target_s
-        state = JobState(job, queue, now - age_s + objective_s, objective_s)
+        state = attempts.JobState(
+            job, queue, now - age_s + objective_s, objective_s
+        )
         self.jobs[job.id] = state
         if progress is not None and progress.ended:
             state.ended = state.stored_ended = progress.ended
@@ -179,13 +58,13 @@
         for occurrence in range(max(1, job.repeat_count)):
             self._add_occurrence(state, occurrence, chains, now, wall_ms)
         if progress is not None:
-            _load_tasks(state, progress)
+            progress_module.load_tasks(state, progress)
         self._settle(state, now, wall_ms)
         return state
 
     def _add_occurrence(
         self,
-        state: JobState,
+        state: attempts.JobState,
         occurrence: int,
         chains: list[float],
         now: float,
@@ -197,7 +76,7 @@
             due_ms = job.start_at_ms + occurrence * job.interval_ms
             due = now + (due_ms - wall_ms) / 1000
         for number, step in enumerate(job.steps):
-            entry = StepState(
+            entry = attempts.StepState(
                 state,
                 occurrence,
                 number,
@@ -208,16 +87,22 @@
             )
             prefix = f"{job.id}.{occurrence}.{number}."
             entry.tasks = [
-                Task(state, entry, index, f"{prefix}{index}", ready_since=now)
+                attempts.Task(
+                    state, entry, index, f"{prefix}{index}", ready_since=now
+                )
                 for index in range(step.count)
             ]
             state.steps[occurrence, number] = entry
 
-    def _settle(self, state: JobState, now: float, wall_ms: int) -> None:
+    def _settle(
+        self, state: attempts.JobState, now: float, wall_ms: int
+    ) -> None:
         """Derives counts and ready tasks after a job was loaded."""
         state.left = 0
         for entry in state.steps.values():
-            entry.left = sum(t.result is not Result.DONE for t in entry.tasks)
+            entry.left = sum(
+                t.result is not attempts.Result.DONE for t in entry.tasks
+            )
             state.left += entry.left > 0
         for (occurrence, number), entry in state.steps.items():
             if entry.left == 0:
@@ -227,18 +112,18 @@
             return
         for entry in state.steps.values():
             for task in entry.tasks:
-                if task.result is Result.OPEN:
+                if task.result is attempts.Result.OPEN:
                     self.tasks[task.name] = task
                     self._offer(task, now)
         if state.left == 0:
             self._end_job(state, "completed", wall_ms)
         for entry in state.steps.values():
-            if any(t.result is Result.FAILED for t in entry.tasks):
+            if any(t.result is attempts.Result.FAILED for t in entry.tasks):
                 self._end_job(state, "failed", wall_ms)
 
     def _release_dependents(
-        self, state: JobState, occurrence: int, number: int
-    ) -> list[StepState]:
+        self, state: attempts.JobState, occurrence: int, number: int
+    ) -> list[attempts.StepState]:
         released = []
         for (k, _), entry in state.steps.items():
             if k == occurrence and number in entry.waits_for:
@@ -247,9 +132,9 @@
                     released.append(entry)
         return released
 
-    def _offer(self, task: Task, now: float) -> None:
+    def _offer(self, task: attempts.Task, now: float) -> None:
         if (
-            task.result is Result.OPEN
+            task.result is attempts.Result.OPEN
             and not task.runs
             and not task.step.waits_for
             and not task.job.ended
@@ -257,10 +142,14 @@
             task.ready_since = now
             self.ready[task.name] = task
 
-    def begin_run(self, task: Task, runner: str, now: float) -> Run:
+    def begin_run(
+        self, task: attempts.Task, runner: str, now: float
+    ) -> attempts.Run:
         """Notes an attempt that is about to be ordered."""
         task.attempt += 1
-        run = Run(task, task.attempt, runner, Phase.STARTING, now)
+        run = attempts.Run(
+            task, task.attempt, runner, attempts.Phase.STARTING, now
+        )
         run.moved_at = now
         task.runs.append(run)
         task.job.started = True
@@ -268,7 +157,7 @@
         self.mark_changed(task.job)
         return run
 
-    def drop_run(self, run: Run, now: float) -> None:
+    def drop_run(self, run: attempts.Run, now: float) -> None:
         """Notes that an attempt does not run and has not ended as done."""
         task = run.task
         if run not in task.runs:
@@ -278,7 +167,12 @@
         self._offer(task, now)
 
     def end_run(
-        self, run: Run, how: str, checkpoint: str, now: float, wall_ms: int
+        self,
+        run: attempts.Run,
+        how: str,
+        checkpoint: str,
+        now: float,
+        wall_ms: int,
     ) -> None:
         """Applies an end that a runner lists."""
         task = run.task
@@ -288,7 +182,7 @@
         if checkpoint and task.step.step.checkpointing:
             task.checkpoint = checkpoint
         self.mark_changed(task.job)
-        if task.result is not Result.OPEN or task.job.ended:
+        if task.result is not attempts.Result.OPEN or task.job.ended:
             return
         step = task.step.step
         if how == "done" and not step.long_running:
@@ -300,15 +194,17 @@
             task.failures += 1
             task.avoid = (*task.avoid[-3:], run.runner)
             if task.failures >= task.job.queue.attempts:
-                task.result = Result.FAILED
+                task.result = attempts.Result.FAILED
                 self._end_job(task.job, "failed", wall_ms)
                 return
         self._offer(task, now)
 
-    def _finish_task(self, task: Task, now: float, wall_ms: int) -> None:
-        if task.result is not Result.OPEN:
+    def _finish_task(
+        self, task: attempts.Task, now: float, wall_ms: int
+    ) -> None:
+        if task.result is not attempts.Result.OPEN:
             return
-        task.result = Result.DONE
+        task.result = attempts.Result.DONE
         self.tasks.pop(task.name, None)
         self.ready.pop(task.name, None)
         self.to_stop.extend(task.runs)
@@ -326,26 +222,28 @@
             for waiting in released.tasks:
                 self._offer(waiting, now)
 
-    def cancel_job(self, state: JobState, wall_ms: int) -> None:
+    def cancel_job(self, state: attempts.JobState, wall_ms: int) -> None:
         """Ends an open job as cancelled."""
         if not state.ended:
             self._end_job(state, "cancelled", wall_ms)
 
-    def _end_job(self, state: JobState, how: str, wall_ms: int) -> None:
+    def _end_job(
+        self, state: attempts.JobState, how: str, wall_ms: int
+    ) -> None:
         if state.ended:
             return
         state.ended, state.ended_ms = how, wall_ms
         self._close(state)
         self.mark_changed(state)
 
-    def _close(self, state: JobState) -> None:
+    def _close(self, state: attempts.JobState) -> None:
         for entry in state.steps.values():
             for task in entry.tasks:
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
                 self.to_stop.extend(task.runs)
 
-    def mark_changed(self, state: JobState) -> None:
+    def mark_changed(self, state: attempts.JobState) -> None:
         """Notes that the progress of a job is to be stored."""
         self.changed[state.job.id] = state
 
@@ -353,7 +251,7 @@
         """Removes an ended job whose time has passed."""
         self.jobs.pop(job_id, None)
 
-    def find_run(self, name: str, attempt: int) -> Run | None:
+    def find_run(self, name: str, attempt: int) -> attempts.Run | None:
         """Finds an attempt by the name of its task."""
         task = self.find_task(name)
         for run in task.runs if task else ():
@@ -361,7 +259,7 @@
                 return run
         return None
 
-    def find_task(self, name: str) -> Task | None:
+    def find_task(self, name: str) -> attempts.Task | None:
         """Finds a task of any known job by its name."""
         task = self.tasks.get(name)
         if task is not None:
@@ -399,58 +297,8 @@
     return chains
 
 
-def describe_state(state: JobState) -> str:
+def describe_state(state: attempts.JobState) -> str:
     """State as shown to callers; an end is shown once it is stored."""
     if state.stored_ended:
         return state.stored_ended
     return "running" if state.started else "queued"
-
-
-def make_progress(state: JobState) -> model.JobProgress:
-    """Makes the stored form of a job's progress."""
-    progress = model.JobProgress(state.ended, state.ended_ms)
-    # An ended job needs its tasks only while something may still run.
-    for (occurrence, number), entry in state.steps.items():
-        for task in entry.tasks:
-            if task.attempt == 0 or (state.ended and not task.runs):
-                continue
-            progress.tasks.append(
-                model.TaskProgress(
-                    occurrence,
-                    number,
-                    task.index,
-                    int(task.result),
-                    task.attempt,
-                    task.failures,
-                    task.checkpoint if task.result is Result.OPEN else "",
-                    [
-                        model.RunProgress(run.attempt, run.runner)
-                        for run in task.runs
-                    ],
-                )
-            )
-    return progress
-
-
-def _load_tasks(state: JobState, progress: model.JobProgress) -> None:
-    for stored in progress.tasks:
-        entry = state.steps.get((stored.occurrence, stored.step))
-        if entry is None or stored.index >= len(entry.tasks):
-            continue
-        task = entry.tasks[stored.index]
-        task.result = Result(stored.result)
-        task.attempt = stored.attempt
-        task.failures = stored.failures
-        task.checkpoint = stored.checkpoint
-        state.started = True
-        for run in stored.runs:
-            task.runs.append(
-                Run(
-                    task,
-                    run.attempt,
-                    run.runner,
-                    Phase.STARTING,
-                    0.0,
-                    pace_sure=False,
-                )
-            )
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import clock
 from plantainvane.jobs import journal as journal_module
@@ -155,7 +156,7 @@
 
 
 async def _cancel(
-    owner: state_module.Owner, state: book_module.JobState
+    owner: state_module.Owner, state: attempts.JobState
 ) -> peers.Told:
     if not state.ended:
         owner.book.cancel_job(state, clock.read_wall_ms())
--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-from plantainvane.jobs import book
+from plantainvane.jobs import attempts
 from plantainvane.jobs import runners as runners_module
 
 # Variance of the noise of one pressure reading.
@@ -97,7 +97,7 @@
         default_factory=dict
     )
     floors: dict[str, float] = dataclasses.field(default_factory=dict)
-    levels: dict[book.Run, Level] = dataclasses.field(default_factory=dict)
+    levels: dict[attempts.Run, Level] = dataclasses.field(default_factory=dict)
 
     def find_effect(self, serving: str, filling: str, now: float) -> float:
         """Effect per core of a filling image on a serving image."""
@@ -113,7 +113,7 @@
         """Filling images of which something is known."""
         return {filling for _, filling in self.effects}
 
-    def find_level(self, run: book.Run) -> Level:
+    def find_level(self, run: attempts.Run) -> Level:
         """Level of a serving task."""
         level = self.levels.get(run)
         if level is None:
@@ -151,9 +151,9 @@
     def learn(self, runner: runners_module.Runner, now: float) -> None:
         """Learns from the figures of one look."""
         used: dict[str, float] = {}
-        serving: list[book.Run] = []
+        serving: list[attempts.Run] = []
         for run in runner.runs:
-            if run.phase is not book.Phase.RUNNING:
+            if run.phase is not attempts.Phase.RUNNING:
                 continue
             step = run.task.step.step
             if step.fills:
@@ -164,7 +164,7 @@
             self._learn_run(run, used, now)
 
     def _learn_run(
-        self, run: book.Run, used: dict[str, float], now: float
+        self, run: attempts.Run, used: dict[str, float], now: float
     ) -> None:
         step = run.task.step.step
         ratio = run.figure / step.target_ms
@@ -195,7 +195,7 @@
             effect.variance *= 1 - gain * cores
             effect.variance += _EFFECT_DRIFT
 
-    def forget_run(self, run: book.Run) -> None:
+    def forget_run(self, run: attempts.Run) -> None:
         """Forgets the level of an attempt that has ended."""
         self.levels.pop(run, None)
 
@@ -213,7 +213,7 @@
     level.at = now
 
 
-def list_serving(runner: runners_module.Runner) -> list[book.Run]:
+def list_serving(runner: runners_module.Runner) -> list[attempts.Run]:
     """Tasks of a runner that have a target."""
     return [run for run in runner.runs if run.task.step.step.target_ms]
 
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -8,7 +8,7 @@
 import anyio
 
 from plantainvane import events
-from plantainvane.jobs import book as book_module
+from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
@@ -34,7 +34,7 @@
 
 
 async def start_runs(
-    owner: state_module.Owner, runs: list[book_module.Run]
+    owner: state_module.Owner, runs: list[attempts.Run]
 ) -> None:
     """Stores the attempts, then orders their starts."""
     await owner.journal.flush()
@@ -42,12 +42,12 @@
         owner.group.start_soon(_start_run, owner, run)
 
 
-async def _start_run(owner: state_module.Owner, run: book_module.Run) -> None:
+async def _start_run(owner: state_module.Owner, run: attempts.Run) -> None:
     task = run.task
     runner = owner.runners.get(run.runner)
     if runner is None or run not in task.runs:
         return
-    if task.job.ended or run.phase is not book_module.Phase.STARTING:
+    if task.job.ended or run.phase is not attempts.Phase.STARTING:
         _release(owner, runner, run)
         return
     outcome, lost = _OUTCOME.LOST, False
@@ -84,7 +84,7 @@
 def _make_order(
     owner: state_module.Owner,
     runner: runners_module.Runner,
-    run: book_module.Run,
+    run: attempts.Run,
 ) -> model.StartOrder:
     task, now = run.task, clock.read_now()
     ticket, _ = owner.tickets.get(
@@ -104,15 +104,15 @@
 def _settle_start(
     owner: state_module.Owner,
     runner: runners_module.Runner,
-    run: book_module.Run,
+    run: attempts.Run,
     outcome: interfaces.StartOutcome,
     now: float,
 ) -> None:
     if run not in run.task.runs:
         return
     if outcome is _OUTCOME.DONE:
-        if run.phase is book_module.Phase.STARTING:
-            run.phase = book_module.Phase.RUNNING
+        if run.phase is attempts.Phase.STARTING:
+            run.phase = attempts.Phase.RUNNING
             run.running_since = run.moved_at = now
         if run.task.job.ended:
             stop_run(owner, run, "job ended")
@@ -144,7 +144,7 @@
 def _release(
     owner: state_module.Owner,
     runner: runners_module.Runner,
-    run: book_module.Run,
+    run: attempts.Run,
 ) -> None:
     runner.charge(run, -1)
     owner.book.drop_run(run, clock.read_now())
@@ -153,19 +153,17 @@
     owner.poke()
 
 
-def _stop_gang(owner: state_module.Owner, run: book_module.Run) -> None:
+def _stop_gang(owner: state_module.Owner, run: attempts.Run) -> None:
     for member in run.task.step.tasks:
         for other in member.runs:
             stop_run(owner, other, "gang incomplete")
 
 
-def stop_run(
-    owner: state_module.Owner, run: book_module.Run, reason: str
-) -> None:
+def stop_run(owner: state_module.Owner, run: attempts.Run, reason: str) -> None:
     """Stops an attempt; its end is listed by the runner."""
-    if run.phase is book_module.Phase.STOPPING or run not in run.task.runs:
+    if run.phase is attempts.Phase.STOPPING or run not in run.task.runs:
         return
-    run.phase = book_module.Phase.STOPPING
+    run.phase = attempts.Phase.STOPPING
     run.running_since = float("inf")
     events.log_event(
         events.TASK_STOPPED,
@@ -178,7 +176,7 @@
     owner.group.start_soon(_send_stop, owner, run)
 
 
-async def _send_stop(owner: state_module.Owner, run: book_module.Run) -> None:
+async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
     while run in run.task.runs:
         runner = owner.runners.get(run.runner)
         if runner is None:
@@ -224,7 +222,7 @@
 
 
 async def set_pace(
-    owner: state_module.Owner, run: book_module.Run, percent: int
+    owner: state_module.Owner, run: attempts.Run, percent: int
 ) -> None:
     """Paces an attempt; an order without an answer is repeated."""
     runner = owner.runners.get(run.runner)
@@ -245,13 +243,13 @@
         owner.lose("runner")
 
 
-def _name_step(step: book_module.StepState) -> str:
+def _name_step(step: attempts.StepState) -> str:
     return f"{step.job.job.id}.{step.occurrence}.{step.number}"
 
 
 def filter_advised(
     owner: state_module.Owner,
-    step: book_module.StepState,
+    step: attempts.StepState,
     candidates: list[runners_module.Runner],
     now: float,
 ) -> list[runners_module.Runner]:
@@ -270,7 +268,7 @@
 
 async def _ask_adviser(
     owner: state_module.Owner,
-    step: book_module.StepState,
+    step: attempts.StepState,
     candidates: list[runners_module.Runner],
 ) -> None:
     name, advice = _name_step(step), step.job.queue.advice
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -19,6 +19,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
@@ -119,7 +120,7 @@
     ]
     owner.book.changed.clear()
     return [
-        (state.job.id, _ENCODER.encode(book_module.make_progress(state)))
+        (state.job.id, _ENCODER.encode(progress_module.make_progress(state)))
         for state, _ in owner.encoded
     ]
 
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -6,7 +6,7 @@
 that runner are slowed and then halted before the harm bound is reached.
 """
 
-from plantainvane.jobs import book
+from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import runners as runners_module
 
@@ -30,7 +30,7 @@
     """Notes since when each serving task has been over its target."""
     for run in interference.list_serving(runner):
         over = run.figure > run.task.step.step.target_ms
-        if not over or run.phase is not book.Phase.RUNNING:
+        if not over or run.phase is not attempts.Phase.RUNNING:
             run.over_since = None
         elif run.over_since is None:
             run.over_since = now
@@ -41,18 +41,18 @@
     runner: runners_module.Runner,
     harm_s: float,
     now: float,
-) -> list[tuple[book.Run, int]]:
+) -> list[tuple[attempts.Run, int]]:
     """New paces of filling tasks in percent, for those that change."""
     fills = [
         run
         for run in runner.runs
-        if run.task.step.step.fills and run.phase is book.Phase.RUNNING
+        if run.task.step.step.fills and run.phase is attempts.Phase.RUNNING
     ]
     if not fills:
         return []
     paces = dict.fromkeys(fills, 100.0)
     for serving in interference.list_serving(runner):
-        if serving.phase is book.Phase.RUNNING:
+        if serving.phase is attempts.Phase.RUNNING:
             effects = _list_effects(learned, serving, paces, now)
             _make_room(learned, serving, effects, paces)
             _relieve(serving, effects, paces, harm_s, now)
@@ -72,10 +72,10 @@
 
 def _list_effects(
     learned: interference.Interference,
-    serving: book.Run,
-    paces: dict[book.Run, float],
+    serving: attempts.Run,
+    paces: dict[attempts.Run, float],
     now: float,
-) -> list[tuple[float, book.Run]]:
+) -> list[tuple[float, attempts.Run]]:
     """Pressure of each fill at full speed on one task, highest first."""
     image = serving.task.step.step.image
     effects = []
@@ -89,9 +89,9 @@
 
 def _make_room(
     learned: interference.Interference,
-    serving: book.Run,
-    effects: list[tuple[float, book.Run]],
-    paces: dict[book.Run, float],
+    serving: attempts.Run,
+    effects: list[tuple[float, attempts.Run]],
+    paces: dict[attempts.Run, float],
 ) -> None:
     """Slows the most disturbing fills until the expected tail fits."""
     total = sum(effect * paces[run] / 100 for effect, run in effects)
@@ -108,9 +108,9 @@
 
 
 def _relieve(
-    serving: book.Run,
-    effects: list[tuple[float, book.Run]],
-    paces: dict[book.Run, float],
+    serving: attempts.Run,
+    effects: list[tuple[float, attempts.Run]],
+    paces: dict[attempts.Run, float],
     harm_s: float,
     now: float,
 ) -> None:
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -1,6 +1,6 @@
 """Decides which runner starts a task, and what makes room for it."""
 
-from plantainvane.jobs import book
+from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
@@ -80,7 +80,7 @@
 
 
 def choose_runner(
-    task: book.Task,
+    task: attempts.Task,
     candidates: list[runners_module.Runner],
     learned: interference.Interference,
     now: float,
@@ -109,7 +109,7 @@
 
 
 def _score(
-    task: book.Task,
+    task: attempts.Task,
     step: model.Step,
     runner: runners_module.Runner,
     racks: dict[str, int],
@@ -155,7 +155,7 @@
 
 
 def _weigh_harm(
-    task: book.Task,
+    task: attempts.Task,
     runner: runners_module.Runner,
     learned: interference.Interference,
     score: float,
@@ -231,7 +231,7 @@
 
 
 def find_quieter(
-    run: book.Run,
+    run: attempts.Run,
     candidates: list[runners_module.Runner],
     learned: interference.Interference,
     now: float,
@@ -253,7 +253,7 @@
     return runner if excess <= 0 else None
 
 
-def _count_step(task: book.Task) -> dict[str, int]:
+def _count_step(task: attempts.Task) -> dict[str, int]:
     counts: dict[str, int] = {}
     for other in task.step.tasks:
         for run in other.runs:
@@ -262,7 +262,7 @@
 
 
 def _count_racks(
-    task: book.Task, candidates: list[runners_module.Runner]
+    task: attempts.Task, candidates: list[runners_module.Runner]
 ) -> dict[str, int]:
     racks = {runner.entry.id: runner.rack for runner in candidates}
     counts: dict[str, int] = {}
@@ -274,13 +274,13 @@
 
 
 def find_victims(
-    task: book.Task,
+    task: attempts.Task,
     candidates: list[runners_module.Runner],
     now: float,
-) -> list[book.Run]:
+) -> list[attempts.Run]:
     """Finds less urgent attempts whose stop makes room on one runner."""
     step = task.step.step
-    best: list[book.Run] = []
+    best: list[attempts.Run] = []
     best_cost = float("inf")
     for runner in candidates:
         if not may_start(runner, step, now):
@@ -292,19 +292,19 @@
 
 
 def _pick_victims(
-    task: book.Task, runner: runners_module.Runner, now: float
-) -> tuple[list[book.Run], float]:
+    task: attempts.Task, runner: runners_module.Runner, now: float
+) -> tuple[list[attempts.Run], float]:
     step, room = task.step.step, runner.entry.room
     over_cpu = 0
     if not step.fills:
         over_cpu = runner.cpu + step.amounts.cpu - room.cpu
     over_mb = runner.memory_mb + step.amounts.memory_mb - room.memory_mb
     priority = task.job.queue.priority
-    chosen: list[book.Run] = []
+    chosen: list[attempts.Run] = []
     cost = 0.0
     for run in sorted(runner.runs, key=lambda r: measure_loss(r, now)):
         other = run.task.step.step
-        if run.phase is book.Phase.STOPPING:
+        if run.phase is attempts.Phase.STOPPING:
             # Its room is on the way.
             over_mb -= other.amounts.memory_mb
             over_cpu -= 0 if other.fills else other.amounts.cpu
@@ -325,9 +325,9 @@
     return chosen, cost
 
 
-def measure_loss(run: book.Run, now: float) -> float:
+def measure_loss(run: attempts.Run, now: float) -> float:
     """Core-seconds that a stop of this attempt throws away."""
-    if run.phase is not book.Phase.RUNNING:
+    if run.phase is not attempts.Phase.RUNNING:
         return 0.0
     step = run.task.step.step
     worked_s = now - run.running_since
--- /dev/null
+++ b/plantainvane/jobs/progress.py
@@ -0,0 +1,57 @@
+"""The stored form of a job's progress, written by one owner for the next."""
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import model
+
+
+def make_progress(state: attempts.JobState) -> model.JobProgress:
+    """Makes the stored form of a job's progress."""
+    progress = model.JobProgress(state.ended, state.ended_ms)
+    # An ended job needs its tasks only while something may still run.
+    for (occurrence, number), entry in state.steps.items():
+        for task in entry.tasks:
+            if task.attempt == 0 or (state.ended and not task.runs):
+                continue
+            progress.tasks.append(
+                model.TaskProgress(
+                    occurrence,
+                    number,
+                    task.index,
+                    int(task.result),
+                    task.attempt,
+                    task.failures,
+                    task.checkpoint
+                    if task.result is attempts.Result.OPEN
+                    else "",
+                    [
+                        model.RunProgress(run.attempt, run.runner)
+                        for run in task.runs
+                    ],
+                )
+            )
+    return progress
+
+
+def load_tasks(state: attempts.JobState, progress: model.JobProgress) -> None:
+    """Applies what was stored; attempts that may run are to be looked for."""
+    for stored in progress.tasks:
+        entry = state.steps.get((stored.occurrence, stored.step))
+        if entry is None or stored.index >= len(entry.tasks):
+            continue
+        task = entry.tasks[stored.index]
+        task.result = attempts.Result(stored.result)
+        task.attempt = stored.attempt
+        task.failures = stored.failures
+        task.checkpoint = stored.checkpoint
+        state.started = True
+        for run in stored.runs:
+            task.runs.append(
+                attempts.Run(
+                    task,
+                    run.attempt,
+                    run.runner,
+                    attempts.Phase.STARTING,
+                    0.0,
+                    pace_sure=False,
+                )
+            )
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
@@ -82,7 +83,7 @@
                     _charge_run(owner, run)
 
 
-def _charge_run(owner: state_module.Owner, run: book_module.Run) -> None:
+def _charge_run(owner: state_module.Owner, run: attempts.Run) -> None:
     runner = owner.runners.get(run.runner)
     if runner is None:
         owner.doubts.setdefault(run.runner, []).append(run)
--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import interference
 from plantainvane.jobs import placement
@@ -33,7 +34,7 @@
     """Thousandths of a core of filling work that is held up, by image."""
     demand: dict[str, int] = {}
 
-    def add(task: book_module.Task) -> None:
+    def add(task: attempts.Task) -> None:
         step = task.step.step
         if step.fills:
             cpu = demand.get(step.image, 0) + step.amounts.cpu
@@ -44,10 +45,7 @@
             add(task)
     for runner in runners:
         for run in runner.runs:
-            if (
-                run.phase is book_module.Phase.RUNNING
-                and run.pace <= _HELD_PACE
-            ):
+            if run.phase is attempts.Phase.RUNNING and run.pace <= _HELD_PACE:
                 add(run.task)
     return demand
 
@@ -57,11 +55,11 @@
     runners: list[runners_module.Runner],
     learned: interference.Interference,
     now: float,
-) -> list[book_module.Run]:
+) -> list[attempts.Run]:
     """Lasting tasks of one runner to move elsewhere, or none."""
     if sum(demand.values()) < _LEAST_GAIN:
         return []
-    best: list[book_module.Run] = []
+    best: list[attempts.Run] = []
     best_gain = 0.0
     for runner in runners:
         if not _is_sound(runner, now):
@@ -98,7 +96,7 @@
     image: str,
     learned: interference.Interference,
     now: float,
-) -> list[book_module.Run]:
+) -> list[attempts.Run]:
     return [
         run
         for run in interference.list_serving(runner)
@@ -108,9 +106,9 @@
 
 def _measure_gain(
     runner: runners_module.Runner,
-    moved: list[book_module.Run],
+    moved: list[attempts.Run],
     demand: dict[str, int],
-    disturbed: dict[str, list[book_module.Run]],
+    disturbed: dict[str, list[attempts.Run]],
 ) -> float:
     """Held-up work that could run here after the move and cannot now."""
     working = sum(run.figure for run in runner.runs if run.task.step.step.fills)
@@ -125,7 +123,7 @@
 
 
 def _may_move(
-    run: book_module.Run,
+    run: attempts.Run,
     image: str,
     runners: list[runners_module.Runner],
     learned: interference.Interference,
@@ -147,13 +145,13 @@
 
 
 def _keeps_budget(
-    run: book_module.Run, runners: list[runners_module.Runner], now: float
+    run: attempts.Run, runners: list[runners_module.Runner], now: float
 ) -> bool:
     """Tells whether every other task of the step is surely at work."""
     sound = {r.entry.id for r in runners if _is_sound(r, now)}
     return all(
         any(
-            other.phase is book_module.Phase.RUNNING
+            other.phase is attempts.Phase.RUNNING
             and other.percent >= 100
             and other.runner in sound
             for other in task.runs
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from plantainvane.jobs import book
+from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import settings as settings_module
@@ -51,7 +51,7 @@
     silent: bool = False
     silent_at: float = 0.0
     expiry_promised: bool = False
-    runs: dict[book.Run, None] = dataclasses.field(default_factory=dict)
+    runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     cpu: int = 0
     memory_mb: int = 0
     accelerators: int = 0
@@ -62,7 +62,7 @@
     faults: int = 0
     speed: float = 1.0
 
-    def charge(self, run: book.Run, sign: int = 1) -> None:
+    def charge(self, run: attempts.Run, sign: int = 1) -> None:
         """Adds an attempt to the charges, or with `sign` -1 removes it."""
         if (sign > 0) == (run in self.runs):
             return
@@ -80,7 +80,7 @@
         self.memory_mb += sign * step.amounts.memory_mb
         self.accelerators += sign * step.amounts.accelerators
 
-    def change_pace(self, run: book.Run, percent: int) -> None:
+    def change_pace(self, run: attempts.Run, percent: int) -> None:
         """Notes a new pace, and charges the processors that it leaves."""
         charged = run in self.runs
         if charged:
@@ -114,7 +114,7 @@
         return self.clock_at + left_s + settings_module.LEASE_MARGIN_S
 
 
-def _weigh_fill(run: book.Run) -> int:
+def _weigh_fill(run: attempts.Run) -> int:
     """Thousandths of a core that a filling task is charged with."""
     pace = max(run.pace, _LEAST_CHARGED_PACE)
     return run.task.step.step.amounts.cpu * pace // 100
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from plantainvane.jobs import book as book_module
+from plantainvane.jobs import attempts
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
 from plantainvane.jobs import relocation
@@ -38,7 +38,7 @@
     """Starts what fits, most urgent first."""
     if not owner.book.ready:
         return
-    placed: list[book_module.Run] = []
+    placed: list[attempts.Run] = []
     by_service: dict[str, list[runners_module.Runner]] = {}
     for runner in owner.runners.values():
         by_service.setdefault(runner.entry.service, []).append(runner)
@@ -81,7 +81,7 @@
             if (
                 not step.fills
                 or not step.checkpointing
-                or run.phase is not book_module.Phase.RUNNING
+                or run.phase is not attempts.Phase.RUNNING
                 or run.slowed_since is None
                 or now - run.slowed_since < _MOVE_AFTER_S
             ):
@@ -113,9 +113,7 @@
         orders.stop_run(owner, run, "makes room for filling work")
 
 
-def _rank_task(
-    task: book_module.Task, now: float
-) -> tuple[int, Turn, float, str]:
+def _rank_task(task: attempts.Task, now: float) -> tuple[int, Turn, float, str]:
     """Order of starts: by priority, then by what a start still earns."""
     job, step = task.job, task.step
     due = job.deadline - step.tail_s
@@ -132,10 +130,10 @@
 
 def _place_task(
     owner: state_module.Owner,
-    task: book_module.Task,
+    task: attempts.Task,
     candidates: list[runners_module.Runner],
     now: float,
-) -> list[book_module.Run]:
+) -> list[attempts.Run]:
     if task.job.queue.advice is not None:
         candidates = orders.filter_advised(owner, task.step, candidates, now)
     runner = placement.choose_runner(task, candidates, owner.learned, now)
@@ -148,10 +146,10 @@
 
 def _begin_run(
     owner: state_module.Owner,
-    task: book_module.Task,
+    task: attempts.Task,
     runner: runners_module.Runner,
     now: float,
-) -> book_module.Run:
+) -> attempts.Run:
     run = owner.book.begin_run(task, runner.entry.id, now)
     runner.charge(run)
     return run
@@ -159,10 +157,10 @@
 
 def _place_gang(
     owner: state_module.Owner,
-    step: book_module.StepState,
+    step: attempts.StepState,
     candidates: list[runners_module.Runner],
     now: float,
-) -> list[book_module.Run]:
+) -> list[attempts.Run]:
     """Places all members or none; they share the number of the attempt."""
     if any(task.runs for task in step.tasks):
         return []
@@ -183,11 +181,11 @@
 
 def _try_gang(
     owner: state_module.Owner,
-    step: book_module.StepState,
+    step: attempts.StepState,
     candidates: list[runners_module.Runner],
     now: float,
-) -> list[book_module.Run]:
-    runs: list[book_module.Run] = []
+) -> list[attempts.Run]:
+    runs: list[attempts.Run] = []
     attempt = max(task.attempt for task in step.tasks)
     before = [task.attempt for task in step.tasks]
     checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from plantainvane import events
-from plantainvane.jobs import book as book_module
+from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal
@@ -78,7 +78,7 @@
 ) -> None:
     with anyio.move_on_after(owner.settings.idle_look_s):
         while not any(
-            run.phase is not book_module.Phase.STARTING for run in runner.runs
+            run.phase is not attempts.Phase.STARTING for run in runner.runs
         ):
             await anyio.sleep(0.02)
 
@@ -173,7 +173,7 @@
 def _drop_runs(
     owner: state_module.Owner,
     runner: runners_module.Runner,
-    runs: list[book_module.Run],
+    runs: list[attempts.Run],
     reason: str,
     now: float,
 ) -> None:
@@ -186,7 +186,7 @@
 
 
 def note_loss(
-    owner: state_module.Owner, run: book_module.Run, reason: str
+    owner: state_module.Owner, run: attempts.Run, reason: str
 ) -> None:
     """Reports an attempt that has ended unseen."""
     metrics.ENDS.labels("lost").inc()
@@ -220,7 +220,7 @@
     ended = [
         run
         for run in runner.runs
-        if run.phase is not book_module.Phase.STARTING or run.since < now - 1
+        if run.phase is not attempts.Phase.STARTING or run.since < now - 1
     ]
     _drop_runs(owner, runner, ended, "runner restarted", now)
 
@@ -271,7 +271,7 @@
     for run in list(runner.runs):
         if (run.task.name, run.attempt) not in shown:
             continue
-        run.phase = book_module.Phase.RUNNING
+        run.phase = attempts.Phase.RUNNING
 
 
 def _apply_ends(
@@ -301,7 +301,7 @@
 def _note_end(
     owner: state_module.Owner,
     runner: runners_module.Runner,
-    run: book_module.Run,
+    run: attempts.Run,
     end: model.End,
     now: float,
 ) -> None:
@@ -336,7 +336,7 @@
     sent_at: float,
     now: float,
 ) -> None:
-    shown: set[book_module.Run] = set()
+    shown: set[attempts.Run] = set()
     for running in look.running:
         run = owner.book.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
@@ -354,20 +354,18 @@
 
 
 def _is_over(
-    runner: runners_module.Runner, run: book_module.Run, sent_at: float
+    runner: runners_module.Runner, run: attempts.Run, sent_at: float
 ) -> bool:
     """Tells whether an attempt that a look does not show has ended."""
-    if run.phase is not book_module.Phase.STARTING:
+    if run.phase is not attempts.Phase.STARTING:
         return run.running_since < sent_at
     # Ordered by an earlier owner, which this token now fences.
     return run.since == 0 and not runner.fenced
 
 
-def _update_run(
-    run: book_module.Run, running: model.Running, now: float
-) -> None:
-    if run.phase is book_module.Phase.STARTING:
-        run.phase = book_module.Phase.RUNNING
+def _update_run(run: attempts.Run, running: model.Running, now: float) -> None:
+    if run.phase is attempts.Phase.STARTING:
+        run.phase = attempts.Phase.RUNNING
         run.running_since = now
     if running.percent != run.percent:
         run.percent, run.moved_at = running.percent, now
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import expiries as expiries_module
 from plantainvane.jobs import interfaces
@@ -52,7 +53,7 @@
     runners: dict[str, runners_module.Runner] = dataclasses.field(
         default_factory=dict
     )
-    doubts: dict[str, list[book_module.Run]] = dataclasses.field(
+    doubts: dict[str, list[attempts.Run]] = dataclasses.field(
         default_factory=dict
     )
     expiries: expiries_module.Expiries = dataclasses.field(
@@ -79,7 +80,7 @@
     )
     advising: set[str] = dataclasses.field(default_factory=set)
     undecodable: set[str] = dataclasses.field(default_factory=set)
-    encoded: list[tuple[book_module.JobState, str]] = dataclasses.field(
+    encoded: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
     )
 
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -2,12 +2,14 @@
 
 import pytest
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import interference
 from plantainvane.jobs import model
 from plantainvane.jobs import ownership
 from plantainvane.jobs import pacing
 from plantainvane.jobs import placement
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
 
@@ -48,7 +50,7 @@
 def start_all(book, now=0.0, runner="r"):
     runs = [book.begin_run(t, runner, now) for t in list(book.ready.values())]
     for run in runs:
-        run.phase = book_module.Phase.RUNNING
+        run.phase = attempts.Phase.RUNNING
     return runs
 
 
@@ -76,7 +78,7 @@
     for entry in state.steps.values():
         for task in entry.tasks:
             run = book.begin_run(task, runner.entry.id, 0.0)
-            run.phase, run.percent = book_module.Phase.RUNNING, 100.0
+            run.phase, run.percent = attempts.Phase.RUNNING, 100.0
             runner.charge(run)
             runs.append(run)
     return runs
@@ -138,7 +140,7 @@
     first, second, third = start_all(book)
     book.end_run(first, "done", "", 1.0, 1)
     book.end_run(second, "stopped", "saved-2", 1.0, 1)
-    progress = book_module.make_progress(state)
+    progress = progress_module.make_progress(state)
     successor = book_module.Book()
     loaded = add_job(
         successor,
@@ -460,7 +462,7 @@
     )
     state = add_job(book, step, progress=progress)
     (run,) = state.steps[0, 0].tasks[0].runs
-    run.phase = book_module.Phase.RUNNING
+    run.phase = attempts.Phase.RUNNING
     runner = make_runner()
     runner.charge(run)
     learned = interference.Interference()
--- a/tests/test_jobs_relocation.py
+++ b/tests/test_jobs_relocation.py
@@ -1,5 +1,6 @@
 """Which lasting tasks move, so that filling work finds a runner."""
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import book as book_module
 from plantainvane.jobs import interference
 from plantainvane.jobs import placement
@@ -56,7 +57,7 @@
         runs = []
         for task, runner in ((first, runners[0]), (second, other)):
             run = book.begin_run(task, runner.entry.id, 0.0)
-            run.phase, run.percent = book_module.Phase.RUNNING, 100.0
+            run.phase, run.percent = attempts.Phase.RUNNING, 100.0
             runner.charge(run)
             runs.append(run)
         # The single task there goes, so that the one of the pair is left.
