Split the command line from what its commands share

Cause: commands.py (492 lines) defined the commands and held their calls to processes, the printing of replies and the ends with a status. Before: one module of 492 lines.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -1,17 +1,11 @@
 """Command line; exit status 0 done, 1 refused, 2 bad usage or document."""
 
-import datetime
-import getpass
-import json
 import pathlib
 from typing import Annotated
-from typing import Any
 import urllib.parse
 
 import anyio
-import httpx
 import msgspec
-import result
 import typer
 
 from plantainvane import callers
@@ -19,14 +13,8 @@
 from plantainvane import files
 from plantainvane import schemas as schemas_module
 from plantainvane import settings as settings_module
+from plantainvane import terminal
 from plantainvane import traces
-from plantainvane import validation
-
-# Above the time in which an entry process answers a publish: the append and
-# its confirmation with default settings.
-_CALL_TIMEOUT_S = 20.0
-_REFUSED = 1
-_BAD_USAGE = 2
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -85,7 +73,7 @@
     """Runs an entry process until SIGTERM or SIGINT."""
     loaded = settings_module.load_settings(settings)
     if loaded.is_err():
-        _exit_faults(settings, loaded.err_value)
+        terminal.exit_faults(settings, loaded.err_value)
     # Imported here so that the other commands start without the daemon.
     from plantainvane import entry as entry_module
 
@@ -106,11 +94,11 @@
     ] = None,
 ) -> None:
     """Checks documents; offline unless an address is given."""
-    items = _load_documents(file)
+    items = terminal.load_documents(file)
     if address is not None:
-        _check_in_force(file, items, address)
+        terminal.check_in_force(file, items, address)
     for item in items:
-        typer.echo(f"{_name(item.value)}: no faults")
+        typer.echo(f"{terminal.describe_key(item.value)}: no faults")
 
 
 @app.command()
@@ -125,25 +113,27 @@
     A document that is in force already is left alone. For one that replaces
     another, name the revision it was made on, by --base or in the file.
     """
-    items = _load_documents(file)
+    items = terminal.load_documents(file)
     if base is not None and len(items) != 1:
         raise typer.BadParameter("--base needs a file with one document")
-    in_force = _fetch_in_force(address)
-    changed = [item for item in items if not _is_in_force(item, in_force)]
+    in_force = terminal.fetch_in_force(address)
+    changed = [
+        item for item in items if not terminal.is_in_force(item, in_force)
+    ]
     if len(changed) > 1:
         # All or nothing, as far as it can be known beforehand.
-        _check_in_force(file, changed, address, default_base=0)
+        terminal.check_in_force(file, changed, address, default_base=0)
     for item in items:
         if item not in changed:
-            typer.echo(f"{_name(item.value)}: unchanged")
+            typer.echo(f"{terminal.describe_key(item.value)}: unchanged")
             continue
         named = base if base is not None else item.base_revision
         body = {
             "document": item.value,
             "base_revision": named or 0,
-            "author": author or _find_user(),
+            "author": author or terminal.find_user(),
         }
-        _publish_change(address, body, file, item.path)
+        terminal.publish_change(address, body, file, item.path)
 
 
 @app.command()
@@ -160,9 +150,9 @@
     body = {
         "target": {"kind": kind, "name": name},
         "base_revision": base,
-        "author": author or _find_user(),
+        "author": author or terminal.find_user(),
     }
-    _publish_change(address, body, None, "$")
+    terminal.publish_change(address, body, None, "$")
 
 
 @app.command()
@@ -170,11 +160,11 @@
     """Submits tasks; a repeated submission of the same id has no effect."""
     loaded = files.load_values(file, callers.TaskRequest)
     if loaded.is_err():
-        _exit_faults(file, loaded.err_value)
+        terminal.exit_faults(file, loaded.err_value)
     for item in loaded.ok_value:
-        reply = _call(address, "POST", "/tasks", item.value)
+        reply = terminal.call(address, "POST", "/tasks", item.value)
         if reply.status_code != 202:
-            _exit_refused(f"task {item.value.task}", reply)
+            terminal.exit_refused(f"task {item.value.task}", reply)
         typer.echo(f"task {item.value.task}: submitted")
 
 
@@ -185,7 +175,7 @@
 ) -> None:
     """Prints what is known of a task."""
     path = f"/tasks/{urllib.parse.quote(task_id, safe='')}"
-    _print_json(_call_ok(address, path, f"task {task_id}"))
+    terminal.print_json(terminal.call_ok(address, path, f"task {task_id}"))
 
 
 @app.command()
@@ -195,28 +185,28 @@
 ) -> None:
     """Asks for the end of a task."""
     path = f"/tasks/{urllib.parse.quote(task_id, safe='')}/cancel"
-    reply = _call(address, "POST", path)
+    reply = terminal.call(address, "POST", path)
     if reply.status_code != 202:
-        _exit_refused(f"task {task_id}", reply)
+        terminal.exit_refused(f"task {task_id}", reply)
     typer.echo(f"task {task_id}: cancellation accepted")
 
 
 @app.command()
 def diff(file: File, address: OperatorsAddress) -> None:
     """Compares documents with those in force, field by field."""
-    items = _load_documents(file)
-    in_force = _fetch_in_force(address)
+    items = terminal.load_documents(file)
+    in_force = terminal.fetch_in_force(address)
     for item in items:
         stored = in_force.get(documents.get_key(item.value))
         if stored is None:
-            typer.echo(f"{_name(item.value)}: new")
+            typer.echo(f"{terminal.describe_key(item.value)}: new")
             continue
         lines = files.compare_values(
             stored["document"], msgspec.to_builtins(item.value)
         )
         state = "changed" if lines else "unchanged"
         typer.echo(
-            f"{_name(item.value)}: {state} (revision"
+            f"{terminal.describe_key(item.value)}: {state} (revision"
             f" {stored['revision']} in force)"
         )
         for line in lines:
@@ -236,18 +226,18 @@
     query = {"kind": kind, "name": name}
     named = {key: value for key, value in query.items() if value is not None}
     path = f"/history?{urllib.parse.urlencode(named)}"
-    body = _call_ok(address, path, "history")
+    body = terminal.call_ok(address, path, "history")
     if as_json:
-        _print_json(body["changes"])
+        terminal.print_json(body["changes"])
         return
     for change in body["changes"]:
-        typer.echo(_describe_change(change))
+        typer.echo(terminal.describe_change(change))
 
 
 @app.command()
 def versions(address: OperatorsAddress) -> None:
     """Lists the version in force at each known entry process."""
-    body = _call_ok(address, "/versions", "versions")
+    body = terminal.call_ok(address, "/versions", "versions")
     for process in body["processes"]:
         ready = "" if process["ready"] else ", not ready"
         typer.echo(
@@ -267,7 +257,7 @@
     ],
 ) -> None:
     """Prints the state of an entry process as JSON."""
-    _print_json(_call_ok(address, "/dump", "dump"))
+    terminal.print_json(terminal.call_ok(address, "/dump", "dump"))
 
 
 @app.command()
@@ -287,12 +277,12 @@
             texts = path.read_text(errors="replace").splitlines()
         except OSError as error:
             typer.echo(f"{path}: {error.strerror}", err=True)
-            raise typer.Exit(_BAD_USAGE) from error
+            raise typer.Exit(terminal.BAD_USAGE) from error
         lines.extend(traces.read_lines(texts, path.name))
     found = traces.trace_request(lines, request_id)
     if not found:
         typer.echo(f"no line of {request_id} in {len(lines)} lines", err=True)
-        raise typer.Exit(_REFUSED)
+        raise typer.Exit(terminal.REFUSED)
     for line in found:
         typer.echo(traces.format_line(line, found[0].at))
 
@@ -300,193 +290,4 @@
 @app.command()
 def schemas() -> None:
     """Prints the JSON Schemas of all documents and of the settings."""
-    _print_json(schemas_module.make_schemas())
-
-
-def _load_documents(file: pathlib.Path) -> list[files.Item]:
-    loaded: result.Result = files.load_documents(file)
-    if loaded.is_err():
-        _exit_faults(file, loaded.err_value)
-    return loaded.ok_value
-
-
-def _check_in_force(
-    file: pathlib.Path,
-    items: list[files.Item],
-    address: str,
-    default_base: int | None = None,
-) -> None:
-    """Ends the command when a change is refused at `address`."""
-    changes = [
-        {
-            "document": item.value,
-            "base_revision": default_base
-            if item.base_revision is None
-            else item.base_revision,
-        }
-        for item in items
-    ]
-    reply = _call(address, "POST", "/documents/check", {"changes": changes})
-    if reply.status_code == 200:
-        return
-    body = _read_body(reply)
-    if "verdicts" not in body:
-        _exit_refused("check", reply)
-    for item, verdict in zip(items, body["verdicts"], strict=True):
-        for fault in verdict["faults"]:
-            _print_fault(file, item.path, fault)
-    typer.echo("refused", err=True)
-    raise typer.Exit(_REFUSED)
-
-
-def _publish_change(
-    address: str, change: Any, file: pathlib.Path | None, path: str
-) -> None:
-    reply = _call(address, "POST", "/documents", change)
-    body = _read_body(reply)
-    if reply.status_code == 200:
-        typer.echo(
-            f"{body['kind']} {body['name']}: revision {body['revision']} in"
-            f" force with version {body['version']}"
-        )
-        return
-    if reply.status_code == 409:
-        _print_stale(body, change)
-    for fault in body.get("faults", []):
-        _print_fault(file, path, fault)
-    if "faults" not in body:
-        _exit_refused("change", reply)
-    typer.echo("refused; this change was not published", err=True)
-    raise typer.Exit(_REFUSED)
-
-
-def _print_stale(body: dict[str, Any], change: dict[str, Any]) -> None:
-    """Shows what changed since the base of a refused change."""
-    typer.echo(
-        f"{body['kind']} {body['name']}: made on revision"
-        f" {body['base_revision']}, but revision {body['revision']} is in"
-        " force",
-        err=True,
-    )
-    for other in body["changes"]:
-        typer.echo(f"  {_describe_change(other)}", err=True)
-    if "document" not in change:
-        return
-    typer.echo("  from your document to the one in force:", err=True)
-    own = msgspec.to_builtins(change["document"])
-    for line in files.compare_values(own, body["document"]):
-        typer.echo(f"    {line}", err=True)
-
-
-def _print_fault(
-    file: pathlib.Path | None, path: str, fault: dict[str, str]
-) -> None:
-    """Prints a fault from a reply with its path in the file, if any."""
-    if file is None:
-        typer.echo(fault["reason"], err=True)
-        return
-    _, in_document, rest = fault["path"].partition(".document")
-    field = rest if in_document else f" {fault['path'].rpartition('.')[2]}"
-    typer.echo(f"{file}: {path}{field} {fault['reason']}", err=True)
-
-
-def _describe_change(change: dict[str, Any]) -> str:
-    moment = datetime.datetime.fromtimestamp(change["published"], datetime.UTC)
-    what = "deleted" if change["document"] is None else "set"
-    line = (
-        f"{moment:%Y-%m-%dT%H:%M:%SZ} {change['kind']} {change['name']}"
-        f" {what} by {change['author'] or 'unknown'}"
-    )
-    if not change["faults"]:
-        return (
-            f"{line}: revision {change['revision']}, version"
-            f" {change['version']}"
-        )
-    reasons = "; ".join(
-        f"{fault['path']} {fault['reason']}" for fault in change["faults"]
-    )
-    return f"{line}: void, {reasons}"
-
-
-def _fetch_in_force(address: str) -> dict[documents.DocumentKey, Any]:
-    body = _call_ok(address, "/documents", "documents")
-    return {
-        documents.DocumentKey(
-            stored["document"]["kind"], stored["document"]["name"]
-        ): stored
-        for stored in body["documents"]
-    }
-
-
-def _is_in_force(
-    item: files.Item, in_force: dict[documents.DocumentKey, Any]
-) -> bool:
-    stored = in_force.get(documents.get_key(item.value))
-    return stored is not None and not files.compare_values(
-        stored["document"], msgspec.to_builtins(item.value)
-    )
-
-
-def _call_ok(address: str, path: str, what: str) -> Any:
-    reply = _call(address, "GET", path)
-    if reply.status_code != 200:
-        _exit_refused(what, reply)
-    return _read_body(reply)
-
-
-def _call(
-    address: str, method: str, path: str, body: Any = None
-) -> httpx.Response:
-    content = None if body is None else msgspec.json.encode(body)
-    try:
-        return httpx.request(
-            method,
-            f"http://{address}{path}",
-            content=content,
-            timeout=_CALL_TIMEOUT_S,
-            trust_env=False,
-        )
-    except httpx.ConnectError as error:
-        typer.echo(f"{address} cannot be reached: {error}", err=True)
-    except httpx.HTTPError as error:
-        typer.echo(f"{address} gave no whole reply: {error}", err=True)
-        if method != "GET":
-            typer.echo("it is not known whether this took effect", err=True)
-    raise typer.Exit(_REFUSED)
-
-
-def _read_body(reply: httpx.Response) -> Any:
-    try:
-        return msgspec.json.decode(reply.content)
-    except msgspec.MsgspecError:
-        return {"detail": f"status {reply.status_code}"}
-
-
-def _exit_refused(what: str, reply: httpx.Response) -> None:
-    body = _read_body(reply)
-    outcome = body.get("outcome", "refused")
-    detail = body.get("detail", f"status {reply.status_code}")
-    typer.echo(f"{what}: {outcome}: {detail}", err=True)
-    raise typer.Exit(_REFUSED)
-
-
-def _exit_faults(file: pathlib.Path, faults: list[validation.Fault]) -> None:
-    for fault in faults:
-        typer.echo(f"{file}: {fault.path} {fault.reason}", err=True)
-    raise typer.Exit(_BAD_USAGE)
-
-
-def _name(document: documents.Document) -> str:
-    key = documents.get_key(document)
-    return f"{key.kind} {key.name}"
-
-
-def _find_user() -> str:
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return ""
-
-
-def _print_json(value: Any) -> None:
-    typer.echo(json.dumps(value, indent=2))
+    terminal.print_json(schemas_module.make_schemas())
