Test whole scheduling passes

Cause: order, gangs, racks, due times, routing and moves were tested function by function or on stand-ins; no test held a whole pass, and gangs were not placed by any. Ruled out: new behaviour; the code is unchanged. Before: no test of scheduling.py by itself.

--- /dev/null
+++ b/tests/test_jobs_scheduling.py
@@ -0,0 +1,265 @@
+"""One scheduling pass: what starts where, in which order, and what moves."""
+
+import pytest
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import book as book_module
+from plantainvane.jobs import interference
+from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import model
+from plantainvane.jobs import scheduling
+from plantainvane.jobs import state as state_module
+from tests import test_jobs_decisions as decisions
+
+URGENT = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
+
+
+class FakeGroup:
+    """Notes what would run in the background."""
+
+    def __init__(self):
+        self.started = []
+
+    def start_soon(self, function, *arguments):
+        self.started.append((function.__name__, arguments))
+
+
+def make_owner(*runners, queue=decisions.QUEUE):
+    configuration = model.Configuration(1, (queue,))
+    health = journal_module.Health()
+    owner = state_module.Owner(
+        decisions.SETTINGS,
+        None,
+        5,
+        health,
+        lambda: configuration,
+        0.0,
+        book_module.Book(),
+        journal_module.Journal(
+            decisions.SETTINGS, None, health, "topic", "producer", 5
+        ),
+        FakeGroup(),
+    )
+    for runner in runners:
+        runner.answered_at = 1.0
+        owner.runners[runner.entry.id] = runner
+    return owner
+
+
+def list_placed(owner):
+    """Task and runner of every attempt that was ordered, in order."""
+    return [
+        (run.task.name, run.runner)
+        for name, arguments in owner.group.started
+        if name == "start_runs"
+        for run in arguments[1]
+    ]
+
+
+def list_stopped(owner):
+    return [
+        arguments[1]
+        for name, arguments in owner.group.started
+        if name == "_send_stop"
+    ]
+
+
+def test_tasks_start_by_priority_and_by_what_they_still_earn():
+    # Guards against late work that takes the room of work which can be in
+    # time, and against services that wait behind late work.
+    owner = make_owner(decisions.make_runner(cpu=1000))
+    step = decisions.make_step(cpu=1000)
+    lasting = decisions.make_step(cpu=1000, long_running=True)
+    for job_id, deadline, added in (
+        ("late", -10.0, step),
+        ("soon", 6.0, step),
+        ("later", 9.0, step),
+        ("lasting", 0.0, lasting),
+    ):
+        job = decisions.add_job(owner.book, added, job_id=job_id)
+        job.deadline = deadline
+    order = []
+    for now in (1.0, 1.1, 1.2, 1.3):
+        scheduling.place_ready(owner, now)
+        name, _ = list_placed(owner)[-1]
+        order.append(name.partition(".")[0])
+        (run,) = owner.book.find_task(name).runs
+        owner.runners["r"].charge(run, -1)
+        owner.book.end_run(run, "done", "", now, 0)
+        owner.book.ready.pop(name, None)
+    assert order == ["soon", "later", "lasting", "late"]
+
+
+def test_urgent_queue_goes_first_and_takes_room():
+    # Guards against urgent jobs that wait for less urgent ones to end.
+    runner = decisions.make_runner(cpu=2000)
+    owner = make_owner(runner, queue=URGENT)
+    running = decisions.place_runs(
+        runner, owner.book, decisions.make_step(cpu=2000, checkpointing=True)
+    )
+    decisions.add_job(
+        owner.book,
+        decisions.make_step(cpu=2000),
+        job_id="urgent",
+        queue=URGENT,
+    )
+    # The other job was accepted by a queue of priority 2.
+    scheduling.place_ready(owner, 1.0)
+    assert list_placed(owner) == []
+    assert list_stopped(owner) == running
+    assert running[0].phase is attempts.Phase.STOPPING
+
+
+def test_gang_starts_as_a_whole_with_one_attempt_number():
+    # Guards against members that wait alone for others, at a cost.
+    owner = make_owner(
+        decisions.make_runner("a", cpu=2000),
+        decisions.make_runner("b", cpu=1000),
+    )
+    step = decisions.make_step(count=3, cpu=1000, gang=True)
+    state = decisions.add_job(owner.book, step)
+    state.steps[0, 0].tasks[1].attempt = 4
+    scheduling.place_ready(owner, 1.0)
+    assert len(list_placed(owner)) == 3
+    assert {t.attempt for t in state.steps[0, 0].tasks} == {5}
+
+
+def test_gang_without_room_for_all_leaves_no_trace():
+    # Guards against charges and attempt numbers of members that were tried.
+    runner = decisions.make_runner("a", cpu=2000)
+    owner = make_owner(runner)
+    step = decisions.make_step(count=3, cpu=1000, gang=True)
+    state = decisions.add_job(owner.book, step)
+    scheduling.place_ready(owner, 1.0)
+    assert list_placed(owner) == []
+    assert (runner.cpu, runner.runs) == (0, {})
+    tasks = state.steps[0, 0].tasks
+    assert [(t.attempt, t.runs) for t in tasks] == [(0, [])] * 3
+    assert set(owner.book.ready) == {t.name for t in tasks}
+
+
+def test_gang_that_wants_one_rack_gets_it():
+    # Guards against tasks that take 1.5 to 3 times as long over two racks.
+    owner = make_owner(
+        decisions.make_runner("a", cpu=1000, rack="r1"),
+        decisions.make_runner("b", cpu=1000, rack="r2"),
+        decisions.make_runner("c", cpu=1000, rack="r2"),
+    )
+    step = decisions.make_step(count=2, cpu=1000, gang=True, same_rack=True)
+    decisions.add_job(owner.book, step)
+    scheduling.place_ready(owner, 1.0)
+    assert {runner for _, runner in list_placed(owner)} == {"b", "c"}
+
+
+def test_rack_of_the_data_is_preferred_and_not_waited_for():
+    # Guards against work far from its data, and against work that waits
+    # while there is room elsewhere.
+    near = decisions.make_runner("near", cpu=1000, rack="r2")
+    owner = make_owner(decisions.make_runner("far", cpu=8000), near)
+    step = decisions.make_step(count=2, cpu=1000, preferred_rack="r2")
+    decisions.add_job(owner.book, step)
+    scheduling.place_ready(owner, 1.0)
+    assert [runner for _, runner in list_placed(owner)] == ["near", "far"]
+
+
+def test_step_without_room_keeps_nothing_else_waiting():
+    # Guards against small tasks that wait behind one that fits nowhere.
+    owner = make_owner(decisions.make_runner(cpu=1000))
+    decisions.add_job(owner.book, decisions.make_step(cpu=4000), job_id="big")
+    decisions.add_job(owner.book, decisions.make_step(cpu=1000), job_id="small")
+    scheduling.place_ready(owner, 1.0)
+    assert list_placed(owner) == [("small.0.0.0", "r")]
+
+
+def test_task_starts_only_on_runners_of_its_queue():
+    # Guards against a start on a service that the queue is not sent to.
+    queue = model.Queue("q", "h", "/q/", "another", 2, 2, 2.0, 1.0)
+    owner = make_owner(decisions.make_runner(), queue=queue)
+    decisions.add_job(owner.book, decisions.make_step())
+    scheduling.place_ready(owner, 1.0)
+    assert list_placed(owner) == []
+
+
+@pytest.mark.parametrize(("now", "started"), [(4.9, 0), (5.1, 1)])
+def test_nothing_starts_before_its_time(now, started):
+    # Guards against occurrences that run early.
+    owner = make_owner(decisions.make_runner())
+    decisions.add_job(
+        owner.book, decisions.make_step(), repeat_count=1, start_at_ms=5000
+    )
+    scheduling.place_ready(owner, now)
+    assert len(list_placed(owner)) == started
+
+
+@pytest.mark.parametrize(("now", "started"), [(1.9, 0), (2.1, 1)])
+def test_refused_task_is_tried_again_after_a_pause(now, started):
+    # Guards against a start that is refused again in every pass.
+    owner = make_owner(decisions.make_runner())
+    state = decisions.add_job(owner.book, decisions.make_step())
+    state.steps[0, 0].tasks[0].retry_at = 2.0
+    scheduling.place_ready(owner, now)
+    assert len(list_placed(owner)) == started
+
+
+def make_slowed(count, **fields):
+    """Fills on one runner that were halted, and an idle runner."""
+    owner = make_owner(
+        decisions.make_runner("a"), decisions.make_runner("idle")
+    )
+    step = decisions.make_step(
+        count=count, fills=True, image="noisy", cpu=1000, **fields
+    )
+    runs = decisions.place_runs(owner.runners["a"], owner.book, step)
+    for run in runs:
+        run.pace, run.slowed_since = 0, 1.0
+    return owner, runs
+
+
+def test_halted_fills_move_to_a_quieter_runner_a_few_at_a_time():
+    # Guards against fills that stand still beside an idle runner, and
+    # against all of them being thrown on it at once.
+    owner, runs = make_slowed(5, checkpointing=True)
+    scheduling.move_slowed(owner, 1.5)
+    assert list_stopped(owner) == []
+    scheduling.move_slowed(owner, 2.5)
+    assert list_stopped(owner) == runs[:3]
+    assert all("a" in run.task.avoid for run in runs[:3])
+
+
+def test_fill_that_cannot_resume_is_not_moved():
+    # Guards against work that is thrown away to be done again elsewhere.
+    owner, _ = make_slowed(2)
+    scheduling.move_slowed(owner, 2.5)
+    assert list_stopped(owner) == []
+
+
+def test_no_runner_is_cleared_while_a_lasting_task_waits():
+    # Guards against a service that is interrupted while another finds no
+    # room.
+    owner = make_owner(decisions.make_runner("a"), decisions.make_runner("b"))
+    learned = owner.learned
+    learned.effects["web", "noisy"] = interference.Effect(0.2, 0.001, 1.0)
+    fields = {"long_running": True, "image": "web", "target_ms": 18}
+    for name, count in (("a", 1), ("b", 3)):
+        for number in range(count):
+            step = decisions.make_step(cpu=3000, **fields)
+            decisions.place_runs(
+                owner.runners[name], owner.book, step, job_id=f"{name}{number}"
+            )
+    fill = decisions.make_step(count=9, fills=True, image="noisy", cpu=2000)
+    halted = decisions.place_runs(
+        owner.runners["b"], owner.book, fill, job_id="fill"
+    )
+    for run in halted:
+        run.pace = 0
+    decisions.add_job(
+        owner.book, decisions.make_step(**fields), job_id="waiting"
+    )
+    scheduling.clear_runner(owner, 1.0)
+    assert list_stopped(owner) == []
+    owner.book.ready.clear()
+    scheduling.clear_runner(owner, 1.2)
+    assert list_stopped(owner) == []
+    scheduling.clear_runner(owner, 1.6)
+    (moved,) = list_stopped(owner)
+    assert moved.runner == "a"
