--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -122,10 +122,11 @@
     system.group.start_soon(
         serving.serve_until, application, address, system.stop
     )
-    await _wait_listening(address)
+    await wait_listening(address)
 
 
-async def _wait_listening(address: str) -> None:
+async def wait_listening(address: str) -> None:
+    """Waits until something listens at `ip:port`."""
     host, _, port = address.rpartition(":")
     with anyio.fail_after(10):
         while True:
@@ -172,7 +173,7 @@
     )
     system.group.start_soon(entry_module.run_parts, entry, ingress.serve)
     system.entries.append(entry)
-    await _wait_listening(settings.callers_address)
+    await wait_listening(settings.callers_address)
     return entry
 
 
