Start the job of a session test in one place

Cause: four sessions repeated the same five lines up to the first start. Ruled out: a weaker check; assertions and bounds are unchanged.

--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -37,6 +37,15 @@
     return collections.Counter(task for task, _ in system.list_starts())
 
 
+async def start_job(system, **fields):
+    """Submits a job, waits until one task has started; returns the owner."""
+    owner = await system.wait_owner()
+    body = platform_system.make_job(**fields)
+    await platform_system.call(system.entries[0], "POST", ID, body)
+    await wait_until(lambda: len(system.list_starts()) == 1)
+    return owner
+
+
 async def test_job_runs_its_steps_in_order_and_once():
     # Guards against a start before the tasks that it depends on, and against
     # a task that runs twice on a calm day.
@@ -219,10 +228,7 @@
 async def test_runner_that_is_silent_is_not_believed_empty():
     # Guards against a second copy of a task while its lease may still hold.
     async with platform_system.run_system(entries=1, runners=1) as system:
-        await system.wait_owner()
-        body = platform_system.make_job(count=1, run_ms=2500)
-        await platform_system.call(system.entries[0], "POST", ID, body)
-        await wait_until(lambda: len(system.list_starts()) == 1)
+        await start_job(system, count=1, run_ms=2500)
         await platform_system.add_runner(system, "i-9")
         system.runners["i-0"].silent = True
         await anyio.sleep(2.0)
@@ -252,10 +258,7 @@
     async with platform_system.run_system(
         entries=1, runners=1, lease_s=1.5
     ) as system:
-        await system.wait_owner()
-        body = platform_system.make_job(count=1, run_ms=4000)
-        await platform_system.call(system.entries[0], "POST", ID, body)
-        await wait_until(lambda: len(system.list_starts()) == 1)
+        await start_job(system, count=1, run_ms=4000)
         await platform_system.add_runner(system, "i-9")
         system.runners["i-0"].silent = True
         await wait_until(lambda: len(system.list_starts()) == 2, limit_s=5.0)
@@ -269,17 +272,13 @@
     async with platform_system.run_system(
         entries=3, runners=1, lease_s=4.0
     ) as system:
-        await system.wait_owner()
-        body = platform_system.make_job(
-            count=1, run_ms=60_000, LongRunning=True
+        owner = await start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
         )
-        await platform_system.call(system.entries[0], "POST", ID, body)
-        await wait_until(lambda: len(system.list_starts()) == 1)
         await platform_system.add_runner(system, "i-9")
         system.runners["i-0"].silent = True
         await anyio.sleep(0.5)
         system.store.put("keyed.servers", "i-0", None)
-        owner = await system.wait_owner()
         await wait_until(lambda: owner.owner.runners["i-0"].silent)
         await anyio.sleep(0.1)
         await system.kill(owner)
@@ -295,11 +294,8 @@
     async with platform_system.run_system(
         entries=1, runners=1, lease_s=3.0
     ) as system:
-        owner = await system.wait_owner()
-        body = platform_system.make_job(count=1, run_ms=20_000)
-        await platform_system.call(system.entries[0], "POST", ID, body)
+        owner = await start_job(system, count=1, run_ms=20_000)
         runner = system.runners["i-0"]
-        await wait_until(lambda: runner.running)
         runner.silent = True
         await wait_until(lambda: "i-0" in owner.owner.expiries.times)
         await owner.owner.journal.flush()
