Let other tasks run while a new owner loads the stored jobs

Cause: the pages of jobs and progress were applied in one turn of the event loop. Now a few records are applied in each turn. The state between two turns is not used: questions are refused until the owner has recovered, and records may be applied twice.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -1,5 +1,7 @@
 """Reads the owner's inputs from the log: stored state, new jobs, runners."""
 
+from collections.abc import Callable
+
 import anyio
 import msgspec
 
@@ -18,6 +20,12 @@
 _EXPIRIES_DECODER = msgspec.json.Decoder(dict[str, float])
 _EFFECTS_DECODER = msgspec.json.Decoder(list[tuple[str, str, float]])
 
+# Records applied between two turns of the event loop, in which pings are
+# answered and leases renewed.
+_RECORDS_PER_TURN = 16
+
+_Apply = Callable[[state_module.Owner, str, bytes | None], None]
+
 
 async def _list_newest(
     owner: state_module.Owner, topic: str
@@ -37,13 +45,10 @@
 async def recover(owner: state_module.Owner) -> None:
     """Loads the state that earlier owners stored."""
     page = await _list_newest(owner, state_module.PROGRESS_TOPIC)
-    for _, key, value in page.records:
-        if value is not None:
-            _load_progress(owner, key, value)
+    await _apply_records(owner, page, _load_progress)
     page = await _list_newest(owner, state_module.JOBS_TOPIC)
     owner.jobs_offset = page.end_offset
-    for _, key, value in page.records:
-        _add_job(owner, key, value)
+    await _apply_records(owner, page, _add_job)
     page = await _list_newest(owner, owner.adapters.runners_topic)
     owner.runners_offset = page.end_offset
     for _, key, value in page.records:
@@ -51,7 +56,21 @@
     _charge_recovered(owner)
 
 
-def _load_progress(owner: state_module.Owner, key: str, value: bytes) -> None:
+async def _apply_records(
+    owner: state_module.Owner, page: interfaces.Page, apply: _Apply
+) -> None:
+    """Applies the records of a page, a few in each turn of the event loop."""
+    for number, (_, key, value) in enumerate(page.records, start=1):
+        apply(owner, key, value)
+        if number % _RECORDS_PER_TURN == 0:
+            await anyio.sleep(0)
+
+
+def _load_progress(
+    owner: state_module.Owner, key: str, value: bytes | None
+) -> None:
+    if value is None:
+        return
     try:
         if key == state_module.LEARNED_KEY:
             effects = _EFFECTS_DECODER.decode(value)
@@ -135,12 +154,10 @@
     owner.health.record_success(min(now - started, owner.health.latency_s), now)
     if page.ok_value.expired:
         newest = await _list_newest(owner, state_module.JOBS_TOPIC)
-        for _, key, value in newest.records:
-            _add_job(owner, key, value)
+        await _apply_records(owner, newest, _add_job)
         owner.jobs_offset = max(owner.jobs_offset, newest.end_offset)
         return True
-    for _, key, value in page.ok_value.records:
-        _add_job(owner, key, value)
+    await _apply_records(owner, page.ok_value, _add_job)
     owner.jobs_offset = max(owner.jobs_offset, page.ok_value.next_offset)
     return True
 
