Run a scheduling pass in slices

Cause: a pass ran to its end without a turn of the event loop. Ruled out: a thread, as the state would need locks; sleeping a fixed time, as the share of the processor would then depend on its speed. Change: a pass yields after each task or runner. The owner gives the loop a turn after 6 ms and pauses for as long as the slice took. The state is checked again after each pause, and what a slice placed is started after it. Ready tasks are ranked by step; the order is the same.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import anyio
 import anyio.abc
@@ -36,6 +37,11 @@
 # Longest time between scheduling passes, for work that becomes due without an
 # event.
 _PASS_INTERVAL_S = 0.25
+# Time that a pass runs before the event loop gets a turn, and the longest pause
+# after it. The weakest process has 0.3 of a core and has to answer a ping,
+# which takes several turns, within 0.5 s.
+_SLICE_S = 0.006
+_MAX_PAUSE_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 # Interval at which learned interference effects are stored for a successor.
 _EFFECTS_INTERVAL_S = 2.0
@@ -214,10 +220,28 @@
         owner.pass_requested = anyio.Event()
         _stop_ended(owner)
         if not owner.draining:
-            now = clock.read_now()
-            scheduling.place_ready_tasks(owner, now)
-            scheduling.move_slowed_fills(owner, now)
-            scheduling.clear_runner(owner, now)
+            await _run_pass(owner)
+
+
+async def _run_pass(owner: state_module.Owner) -> None:
+    """Runs one pass in slices, each followed by a pause of the same length.
+
+    Renewals and answers are handled in the pauses.
+    """
+    current = scheduling.Pass(clock.read_now())
+    work = scheduling.run_pass(owner, current)
+    unfinished = True
+    while unfinished and not owner.draining:
+        began = current.now = clock.read_now()
+        unfinished = _run_slice(work, began + _SLICE_S)
+        scheduling.start_placed(owner, current)
+        took_s = clock.read_now() - began
+        await anyio.sleep(min(took_s, _MAX_PAUSE_S))
+
+
+def _run_slice(work: Iterator[None], until: float) -> bool:
+    """Runs a pass until a time; returns whether anything is left of it."""
+    return any(clock.read_now() >= until for _ in work)
 
 
 def _stop_ended(owner: state_module.Owner) -> None:
--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -5,6 +5,7 @@
 cleared of them, within the disruption budgets of their steps.
 """
 
+from collections.abc import Generator
 from collections.abc import Iterable
 
 from plantainvane.jobs import attempts
@@ -76,11 +77,27 @@
       The attempts to stop, at most one of each step; empty if no move gains
       enough.
     """
+    search = search_moves(demand, runners, interference_model, now)
+    while True:
+        try:
+            next(search)
+        except StopIteration as end:
+            return end.value
+
+
+def search_moves(
+    demand: dict[str, int],
+    runners: list[runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+) -> Generator[None, None, list[attempts.Run]]:
+    """Chooses as `choose_moves`, and yields before it examines a runner."""
     if sum(demand.values()) < _MIN_GAIN_MILLICORES:
         return []
     best: list[attempts.Run] = []
     best_gain = 0.0
     for runner in runners:
+        yield
         if not _is_responsive(runner, now):
             continue
         disturbed = {
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -1,5 +1,7 @@
 """Scheduling passes: start ready tasks, and move running ones."""
 
+from collections.abc import Iterator
+import dataclasses
 import enum
 
 from plantainvane.jobs import attempts
@@ -36,43 +38,49 @@
     EXPIRED = 3
 
 
+@dataclasses.dataclass(slots=True)
+class Pass:
+    """A scheduling pass, which is run in slices.
+
+    Everything else may change between two slices.
+
+    Attributes:
+      now: Start of the present slice.
+      placed: Attempts whose start is not ordered yet.
+    """
+
+    now: float
+    placed: list[attempts.Run] = dataclasses.field(default_factory=list)
+
+
+def run_pass(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    """Places ready tasks and moves running ones.
+
+    Yields where the pass may be interrupted, each time after a bounded amount
+    of work.
+    """
+    yield from _place_ready(owner, current)
+    yield from _move_slowed(owner, current)
+    yield from _clear_one(owner, current)
+
+
+def start_placed(owner: state_module.Owner, current: Pass) -> None:
+    """Orders the start of the attempts placed since the last call."""
+    placed, current.placed = current.placed, []
+    if placed:
+        owner.group.start_soon(orders.start_runs, owner, placed)
+
+
 def place_ready_tasks(owner: state_module.Owner, now: float) -> None:
     """Starts the ready tasks that fit, most urgent first.
 
     Preempts less urgent attempts for a task that fits nowhere, but not for a
     gang.
     """
-    if not owner.table.ready:
-        return
-    placed: list[attempts.Run] = []
-    by_service: dict[str, list[runners_module.Runner]] = {}
-    for runner in owner.runners.values():
-        by_service.setdefault(runner.entry.service, []).append(runner)
-    blocked: set[int] = set()
-    tasks = [
-        task
-        for task in owner.table.ready.values()
-        if task.retry_at <= now and task.step.due_at <= now
-    ]
-    tasks.sort(key=lambda task: _rank_task(task, now))
-    for task in tasks:
-        if id(task.step) in blocked or task.name not in owner.table.ready:
-            continue
-        queue = (
-            state_module.find_queue(owner, task.job.job.queue) or task.job.queue
-        )
-        task.job.queue = queue
-        candidates = by_service.get(queue.service, [])
-        if task.step.definition.gang:
-            runs = _place_gang(owner, task.step, candidates, now)
-            blocked.add(id(task.step))
-        else:
-            runs = _place_task(owner, task, candidates, now)
-        if not runs:
-            blocked.add(id(task.step))
-        placed.extend(runs)
-    if placed:
-        owner.group.start_soon(orders.start_runs, owner, placed)
+    current = Pass(now)
+    for _ in _place_ready(owner, current):
+        pass
+    start_placed(owner, current)
 
 
 def move_slowed_fills(owner: state_module.Owner, now: float) -> None:
@@ -80,39 +88,8 @@
 
     Only tasks that resume from a checkpoint are moved.
     """
-    if now < owner.next_move_at:
-        return
-    owner.next_move_at = now + _MOVE_INTERVAL_S
-    moved = 0
-    for runner in owner.runners.values():
-        for run in list(runner.runs):
-            step = run.task.step.definition
-            if (
-                not step.fills
-                or not step.checkpointing
-                or run.phase is not attempts.Phase.RUNNING
-                or run.slowed_since is None
-                or now - run.slowed_since < _MOVE_SLOWED_AFTER_S
-            ):
-                continue
-            candidates = [
-                other
-                for other in owner.runners.values()
-                if other.entry.service == runner.entry.service
-            ]
-            if placement.find_full_speed_runner(
-                run, candidates, owner.interference_model, now
-            ):
-                run.task.avoided_runners = (
-                    *run.task.avoided_runners[-3:],
-                    run.runner,
-                )
-                orders.stop_run(
-                    owner, run, "moved to a runner with less interference"
-                )
-                moved += 1
-                if moved >= _MAX_MOVES_PER_PASS:
-                    return
+    for _ in _move_slowed(owner, Pass(now)):
+        pass
 
 
 def clear_runner(owner: state_module.Owner, now: float) -> None:
@@ -120,16 +97,121 @@
 
     Does nothing while any long-running task is ready and waits for a runner.
     """
-    if now < owner.next_clear_at:
+    for _ in _clear_one(owner, Pass(now)):
+        pass
+
+
+def _place_ready(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    blocked: set[int] = set()
+    for tasks in _list_by_urgency(owner, current.now):
+        for task in sorted(tasks, key=lambda task: task.name):
+            if id(task.step) in blocked:
+                break
+            if owner.table.ready.get(task.name) is not task:
+                continue
+            runs = _place_task_or_gang(owner, task, current.now)
+            if not runs or task.step.definition.gang:
+                blocked.add(id(task.step))
+            current.placed.extend(runs)
+            yield
+
+
+def _list_by_urgency(
+    owner: state_module.Owner, now: float
+) -> list[list[attempts.Task]]:
+    """Returns the ready tasks that are due, most urgent first.
+
+    Tasks of one step are listed together, unless they are long-running, as
+    they differ only in their names.
+    """
+    groups: dict[object, list[attempts.Task]] = {}
+    for task in owner.table.ready.values():
+        if task.retry_at <= now and task.step.due_at <= now:
+            alone = task.step.definition.long_running
+            groups.setdefault(task if alone else task.step, []).append(task)
+    return sorted(groups.values(), key=lambda tasks: _rank_task(tasks[0], now))
+
+
+def _place_task_or_gang(
+    owner: state_module.Owner, task: attempts.Task, now: float
+) -> list[attempts.Run]:
+    queue = state_module.find_queue(owner, task.job.job.queue) or task.job.queue
+    task.job.queue = queue
+    candidates = [
+        runner
+        for runner in owner.runners.values()
+        if runner.entry.service == queue.service
+    ]
+    if task.step.definition.gang:
+        return _place_gang(owner, task.step, candidates, now)
+    return _place_task(owner, task, candidates, now)
+
+
+def _move_slowed(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    if current.now < owner.next_move_at:
+        return
+    owner.next_move_at = current.now + _MOVE_INTERVAL_S
+    slowed = [
+        run
+        for runner in owner.runners.values()
+        for run in runner.runs
+        if _is_slowed(run, current.now)
+    ]
+    moved = 0
+    for run in slowed:
+        moved += _move_fill(owner, run, current.now)
+        if moved >= _MAX_MOVES_PER_PASS:
+            return
+        yield
+
+
+def _is_slowed(run: attempts.Run, now: float) -> bool:
+    step = run.task.step.definition
+    return (
+        step.fills
+        and step.checkpointing
+        and run.phase is attempts.Phase.RUNNING
+        and run.slowed_since is not None
+        and now - run.slowed_since >= _MOVE_SLOWED_AFTER_S
+    )
+
+
+def _move_fill(
+    owner: state_module.Owner, run: attempts.Run, now: float
+) -> bool:
+    """Stops a slowed fill task if another runner suits it; tells if it did."""
+    runner = owner.runners.get(run.runner)
+    if runner is None or run not in runner.runs or not _is_slowed(run, now):
+        return False
+    candidates = [
+        other
+        for other in owner.runners.values()
+        if other.entry.service == runner.entry.service
+    ]
+    if not placement.find_full_speed_runner(
+        run, candidates, owner.interference_model, now
+    ):
+        return False
+    run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
+    orders.stop_run(owner, run, "moved to a runner with less interference")
+    return True
+
+
+def _clear_one(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    if current.now < owner.next_clear_at:
         return
-    owner.next_clear_at = now + _CLEAR_INTERVAL_S
+    owner.next_clear_at = current.now + _CLEAR_INTERVAL_S
     if any(t.step.definition.long_running for t in owner.table.ready.values()):
         return
     runners = list(owner.runners.values())
-    demand = relocation.measure_blocked_demand(owner.table, runners, now)
-    for run in relocation.choose_moves(
-        demand, runners, owner.interference_model, now
-    ):
+    demand = relocation.measure_blocked_demand(
+        owner.table, runners, current.now
+    )
+    yield
+    moves = yield from relocation.search_moves(
+        demand, runners, owner.interference_model, current.now
+    )
+    for run in moves:
         run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
         orders.stop_run(owner, run, "moved to clear the runner for fill tasks")
 
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -271,3 +271,40 @@
     scheduling.clear_runner(owner, 1.6)
     (moved,) = list_stopped(owner)
     assert moved.runner == "a"
+
+
+def test_pass_can_be_interrupted_after_each_task():
+    # Guards against a pass that renews no lease and answers no ping while it
+    # tries hundreds of tasks.
+    owner = make_owner(decisions.make_runner(cpu=3000))
+    decisions.add_job(owner.table, decisions.make_step(count=2), job_id="a")
+    for number in range(3):
+        step = decisions.make_step(cpu=9000)
+        decisions.add_job(owner.table, step, job_id=f"b{number}")
+    current = scheduling.Pass(1.0)
+    turns = []
+    for _ in scheduling.run_pass(owner, current):
+        turns.append(len(current.placed))
+        scheduling.start_placed(owner, current)
+    assert turns[:5] == [1, 1, 0, 0, 0]
+
+
+def test_pass_goes_by_the_state_after_an_interruption():
+    # Guards against the start of a task that has ended since the pass began,
+    # and against one on a runner that has left.
+    owner = make_owner(
+        decisions.make_runner("a"), decisions.make_runner("b", cpu=2000)
+    )
+    for job_id in ("first", "gone", "last"):
+        decisions.add_job(owner.table, decisions.make_step(), job_id=job_id)
+    for job_id, deadline in (("first", 5.0), ("gone", 6.0), ("last", 7.0)):
+        owner.table.jobs[job_id].deadline = deadline
+    current = scheduling.Pass(1.0)
+    work = scheduling.run_pass(owner, current)
+    next(work)
+    owner.table.cancel_job(owner.table.jobs["gone"], 0)
+    del owner.runners["a"]
+    for _ in work:
+        pass
+    placed = [(run.task.name, run.runner) for run in current.placed]
+    assert placed == [("first.0.0.0", "a"), ("last.0.0.0", "b")]
