Reuse results within a scheduling pass

Ruled out: keeping results over several slices, since the state may change in between; rounding amounts to fewer classes, since that changes choices. Change: a step is not tried if one with smaller amounts and otherwise the same requirements has found no runner in this pass. The scores of equal tasks are kept for a slice, and renewed for a runner that is charged. Victims are searched only on runners with less urgent attempts.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -273,26 +273,48 @@
       0 or less if every tail is expected to stay below its limit, negative
       infinity if the image disturbs none.
     """
+    rows = list_pressures(interference_model, runner, image, share, now)
+    return measure_excess(rows, cores)
+
+
+def measure_excess(rows: list[tuple[float, float]], cores: float) -> float:
+    """Returns the highest excess pressure; `rows` is from `list_pressures`."""
     worst = -math.inf
+    for effect, excess in rows:
+        own = effect * cores
+        worst = max(worst, min(excess + own, own))
+    return worst
+
+
+def list_pressures(
+    interference_model: InterferenceModel,
+    runner: runners_module.Runner,
+    image: str,
+    share: float,
+    now: float,
+) -> list[tuple[float, float]]:
+    """Returns the serving tasks of a runner that a fill image disturbs.
+
+    Each is the effect per core of the image, and the excess pressure without
+    the image.
+    """
     fills = [
         run.task.step.definition
         for run in runner.runs
         if run.task.step.definition.fills
     ]
+    rows = []
     for run in list_serving_runs(runner):
         serving_image = run.task.step.definition.image
-        own = interference_model.find_effect(serving_image, image, now) * cores
-        if own <= 0:
+        effect = interference_model.find_effect(serving_image, image, now)
+        if effect <= 0:
             continue
         limit = interference_model.find_pressure_limit(serving_image, share)
-        total = interference_model.find_level(run).peak + own - limit
-        total += (
-            sum(
-                interference_model.find_effect(serving_image, step.image, now)
-                * step.amounts.cpu
-                for step in fills
-            )
-            / 1000
+        others = sum(
+            interference_model.find_effect(serving_image, step.image, now)
+            * step.amounts.cpu
+            for step in fills
         )
-        worst = max(worst, min(total, own))
-    return worst
+        peak = interference_model.find_level(run).peak
+        rows.append((effect, peak - limit + others / 1000))
+    return rows
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -232,7 +232,8 @@
     work = scheduling.run_pass(owner, current)
     unfinished = True
     while unfinished and not owner.draining:
-        began = current.now = clock.read_now()
+        began = clock.read_now()
+        current.begin_slice(began)
         unfinished = _run_slice(work, began + _SLICE_S)
         scheduling.start_placed(owner, current)
         took_s = clock.read_now() - began
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -5,6 +5,9 @@
 tasks on the same runner.
 """
 
+from collections.abc import Callable
+import dataclasses
+
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import model
@@ -52,6 +55,58 @@
 FILL_MEMORY_RESERVE = 0.08
 
 
+@dataclasses.dataclass(slots=True)
+class Ranking:
+    """Scores of the runners for tasks with the same requirements.
+
+    Attributes:
+      scores: Score of each runner that can start a task, by runner id.
+      seen: Number of entries of `Estimates.charged` that are applied.
+    """
+
+    scores: dict[str, float]
+    seen: int
+
+
+@dataclasses.dataclass(slots=True)
+class Estimates:
+    """Intermediate results, valid for one time and state of the runners.
+
+    Whoever charges a runner in the meantime has to call `forget_runner`.
+
+    Attributes:
+      pressures: Result of `interference.list_pressures`, by runner id and fill
+        image.
+      serving_images: Images of the serving tasks, by runner id.
+      compatible_fills: Known fill images that disturb none of a set of serving
+        images.
+      fill_images: Known fill images, or None if not listed yet.
+      rankings: Rankings by requirements.
+      charged: Ids of the runners charged in the meantime, in order.
+    """
+
+    pressures: dict[str, dict[str, list[tuple[float, float]]]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    serving_images: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    compatible_fills: dict[frozenset[str], list[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    fill_images: set[str] | None = None
+    rankings: dict[tuple[object, ...], Ranking] = dataclasses.field(
+        default_factory=dict
+    )
+    charged: list[str] = dataclasses.field(default_factory=list)
+
+    def forget_runner(self, runner: str) -> None:
+        """Drops what depends on the attempts that are charged to a runner."""
+        self.pressures.pop(runner, None)
+        self.serving_images.pop(runner, None)
+        self.charged.append(runner)
+
+
 def accepts_step(
     runner: runners_module.Runner, step: model.Step, now: float
 ) -> bool:
@@ -98,45 +153,139 @@
     return runner.entry.capacity.cpu - busy
 
 
+def has_waited(task: attempts.Task, now: float) -> bool:
+    """Tells whether a fill task waits no longer for less interference."""
+    return now - task.ready_since >= INTERFERENCE_WAIT_S
+
+
 def choose_runner(
     task: attempts.Task,
     candidates: list[runners_module.Runner],
     interference_model: interference.InterferenceModel,
     now: float,
+    estimates: Estimates | None = None,
 ) -> runners_module.Runner | None:
     """Returns the best runner with capacity for the task, or None."""
+    estimates = estimates or Estimates()
     step = task.step.definition
     best, best_score = None, float("-inf")
     counts = _count_runs_by_runner(task) if step.max_per_runner else {}
     racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
-    reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     for runner in candidates:
-        if not accepts_step(runner, step, now):
-            continue
-        if not has_capacity(runner, step, reserve):
-            continue
         if step.max_per_runner and (
             counts.get(runner.entry.id, 0) >= step.max_per_runner
         ):
             continue
-        score = _score_runner(
-            task, step, runner, racks, interference_model, now
+        score = _evaluate_runner(
+            task, runner, racks, interference_model, estimates, now
         )
-        if step.fills and score is not None:
-            score = _apply_interference_penalty(
-                task, runner, interference_model, score, now
-            )
         if score is not None and score > best_score:
             best, best_score = runner, score
     return best
 
 
+def choose_ranked_runner(
+    task: attempts.Task,
+    service: str,
+    runners: dict[str, runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+    estimates: Estimates,
+) -> runners_module.Runner | None:
+    """Chooses as `choose_runner` among the runners of a service.
+
+    The scores are kept for further tasks with the same requirements.
+    """
+    step = task.step.definition
+    if task.avoided_runners or step.same_rack or step.max_per_runner:
+        candidates = [r for r in runners.values() if r.entry.service == service]
+        return choose_runner(
+            task, candidates, interference_model, now, estimates
+        )
+
+    def evaluate(runner: runners_module.Runner) -> float | None:
+        if runner.entry.service != service:
+            return None
+        return _evaluate_runner(
+            task, runner, {}, interference_model, estimates, now
+        )
+
+    key = (
+        service,
+        step.amounts,
+        step.fills,
+        step.long_running,
+        step.image,
+        step.required_label,
+        step.preferred_rack,
+        has_waited(task, now),
+    )
+    ranking = estimates.rankings.get(key)
+    if ranking is None:
+        ranking = Ranking({}, len(estimates.charged))
+        estimates.rankings[key] = ranking
+        for runner in runners.values():
+            score = evaluate(runner)
+            if score is not None:
+                ranking.scores[runner.entry.id] = score
+    _renew_scores(ranking, runners, estimates, evaluate)
+    if not ranking.scores:
+        return None
+    return runners[max(ranking.scores, key=ranking.scores.__getitem__)]
+
+
+def _renew_scores(
+    ranking: Ranking,
+    runners: dict[str, runners_module.Runner],
+    estimates: Estimates,
+    evaluate: Callable[[runners_module.Runner], float | None],
+) -> None:
+    """Renews the scores of the runners charged since the last call.
+
+    A runner that could not start a task cannot after another charge either.
+    """
+    for runner in dict.fromkeys(estimates.charged[ranking.seen :]):
+        if runner in ranking.scores:
+            score = evaluate(runners[runner])
+            if score is None:
+                del ranking.scores[runner]
+            else:
+                ranking.scores[runner] = score
+    ranking.seen = len(estimates.charged)
+
+
+def _evaluate_runner(
+    task: attempts.Task,
+    runner: runners_module.Runner,
+    racks: dict[str, int],
+    interference_model: interference.InterferenceModel,
+    estimates: Estimates,
+    now: float,
+) -> float | None:
+    """Scores a runner for a task; None if it cannot start the task now."""
+    step = task.step.definition
+    reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
+    if not has_capacity(runner, step, reserve):
+        return None
+    if not accepts_step(runner, step, now):
+        return None
+    score = _score_runner(
+        task, step, runner, racks, interference_model, estimates, now
+    )
+    if step.fills and score is not None:
+        score = _apply_interference_penalty(
+            task, runner, interference_model, estimates, score, now
+        )
+    return score
+
+
 def _score_runner(
     task: attempts.Task,
     step: model.Step,
     runner: runners_module.Runner,
     racks: dict[str, int],
     interference_model: interference.InterferenceModel,
+    estimates: Estimates,
     now: float,
 ) -> float | None:
     """Scores a runner; higher is better, None means not to use it now."""
@@ -153,7 +302,7 @@
         score = PACKING_WEIGHT * runner.cpu / capacity_cpu
         score += _measure_image_similarity(runner, step)
         score -= FILL_EXCLUSION_WEIGHT * _measure_fill_exclusion(
-            runner, step, interference_model, now
+            runner, step, interference_model, estimates, now
         )
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / capacity_cpu
@@ -185,6 +334,7 @@
     task: attempts.Task,
     runner: runners_module.Runner,
     interference_model: interference.InterferenceModel,
+    estimates: Estimates,
     score: float,
     now: float,
 ) -> float | None:
@@ -193,67 +343,95 @@
     Returns None when the task should wait for a runner with less interference.
     """
     step = task.step.definition
-    cores = step.amounts.cpu / 1000
-    excess = interference.estimate_excess_pressure(
-        interference_model, runner, step.image, cores, pacing.TARGET_SHARE, now
-    )
+    excess = _estimate_excess(runner, step, interference_model, estimates, now)
     if excess <= 0:
         # Prefers a runner that suits few fill images, so that runners that
         # suit many stay free for other images. An image pair that is not
         # known is tried only if there is no other choice.
         unknown = sum(
             not interference_model.is_known(image, step.image)
-            for image in _list_serving_images(runner)
+            for image in _list_serving_images(runner, estimates)
         )
         return (
             score
             - FILL_COMPATIBILITY_WEIGHT
-            * _measure_fill_compatibility(runner, interference_model, now)
+            * _measure_fill_compatibility(
+                runner, interference_model, estimates, now
+            )
             - UNKNOWN_PAIR_WEIGHT * unknown
         )
-    if (
-        excess > MAX_EXCESS_PRESSURE
-        and now - task.ready_since < INTERFERENCE_WAIT_S
-    ):
+    if excess > MAX_EXCESS_PRESSURE and not has_waited(task, now):
         return None
     return score - EXCESS_PRESSURE_WEIGHT * excess
 
 
+def _estimate_excess(
+    runner: runners_module.Runner,
+    step: model.Step,
+    interference_model: interference.InterferenceModel,
+    estimates: Estimates,
+    now: float,
+) -> float:
+    """Estimates as `interference.estimate_excess_pressure` for a fill step."""
+    by_image = estimates.pressures.setdefault(runner.entry.id, {})
+    rows = by_image.get(step.image)
+    if rows is None:
+        rows = by_image[step.image] = interference.list_pressures(
+            interference_model, runner, step.image, pacing.TARGET_SHARE, now
+        )
+    return interference.measure_excess(rows, step.amounts.cpu / 1000)
+
+
 def _measure_fill_compatibility(
     runner: runners_module.Runner,
     interference_model: interference.InterferenceModel,
+    estimates: Estimates,
     now: float,
 ) -> float:
     """Returns the share of known fill images that disturb no task there."""
-    fill_images = interference_model.list_fill_images()
+    fill_images = _list_fill_images(interference_model, estimates)
     if not fill_images:
         return 1.0
-    return len(_list_compatible_fills(runner, interference_model, now)) / len(
-        fill_images
+    compatible = _list_compatible_fills(
+        runner, interference_model, estimates, now
     )
+    return len(compatible) / len(fill_images)
+
+
+def _list_fill_images(
+    interference_model: interference.InterferenceModel, estimates: Estimates
+) -> set[str]:
+    if estimates.fill_images is None:
+        estimates.fill_images = interference_model.list_fill_images()
+    return estimates.fill_images
 
 
 def _list_compatible_fills(
     runner: runners_module.Runner,
     interference_model: interference.InterferenceModel,
+    estimates: Estimates,
     now: float,
 ) -> list[str]:
     """Returns the known fill images that disturb no serving task there."""
-    serving = _list_serving_images(runner)
-    return [
-        fill
-        for fill in interference_model.list_fill_images()
-        if all(
-            interference_model.find_effect(image, fill, now) <= 0
-            for image in serving
-        )
-    ]
+    serving = _list_serving_images(runner, estimates)
+    known = estimates.compatible_fills.get(serving)
+    if known is None:
+        known = estimates.compatible_fills[serving] = [
+            fill
+            for fill in _list_fill_images(interference_model, estimates)
+            if all(
+                interference_model.find_effect(image, fill, now) <= 0
+                for image in serving
+            )
+        ]
+    return known
 
 
 def _measure_fill_exclusion(
     runner: runners_module.Runner,
     step: model.Step,
     interference_model: interference.InterferenceModel,
+    estimates: Estimates,
     now: float,
 ) -> float:
     """Returns the share of known fill images that the step would exclude.
@@ -262,15 +440,24 @@
     """
     excluded = sum(
         interference_model.find_effect(step.image, fill, now) > 0
-        for fill in _list_compatible_fills(runner, interference_model, now)
+        for fill in _list_compatible_fills(
+            runner, interference_model, estimates, now
+        )
     )
-    return excluded / max(1, len(interference_model.list_fill_images()))
+    fill_images = _list_fill_images(interference_model, estimates)
+    return excluded / max(1, len(fill_images))
 
 
-def _list_serving_images(runner: runners_module.Runner) -> set[str]:
+def _list_serving_images(
+    runner: runners_module.Runner, estimates: Estimates
+) -> frozenset[str]:
     """Returns the images of the serving tasks of a runner."""
-    steps = [run.task.step.definition for run in runner.runs]
-    return {step.image for step in steps if step.target_ms}
+    images = estimates.serving_images.get(runner.entry.id)
+    if images is None:
+        steps = [run.task.step.definition for run in runner.runs]
+        images = frozenset(step.image for step in steps if step.target_ms)
+        estimates.serving_images[runner.entry.id] = images
+    return images
 
 
 def find_full_speed_runner(
@@ -278,20 +465,16 @@
     candidates: list[runners_module.Runner],
     interference_model: interference.InterferenceModel,
     now: float,
+    estimates: Estimates | None = None,
 ) -> runners_module.Runner | None:
     """Finds another runner where a slowed fill task could run at full speed."""
-    step = run.task.step.definition
+    estimates = estimates or Estimates()
     others = [r for r in candidates if r.entry.id != run.runner]
-    runner = choose_runner(run.task, others, interference_model, now)
+    runner = choose_runner(run.task, others, interference_model, now, estimates)
     if runner is None:
         return None
-    excess = interference.estimate_excess_pressure(
-        interference_model,
-        runner,
-        step.image,
-        step.amounts.cpu / 1000,
-        pacing.TARGET_SHARE,
-        now,
+    excess = _estimate_excess(
+        runner, run.task.step.definition, interference_model, estimates, now
     )
     return runner if excess <= 0 else None
 
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -5,6 +5,7 @@
 import enum
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
 from plantainvane.jobs import relocation
@@ -47,10 +48,28 @@
     Attributes:
       now: Start of the present slice.
       placed: Attempts whose start is not ordered yet.
+      estimates: Intermediate results of the present slice.
+      blocked: Amounts for which no runner was found in this pass, by the other
+        requirements.
+      preemptible: Runners with attempts of less urgent queues at the first use,
+        by service and priority.
     """
 
     now: float
     placed: list[attempts.Run] = dataclasses.field(default_factory=list)
+    estimates: placement.Estimates = dataclasses.field(
+        default_factory=placement.Estimates
+    )
+    blocked: dict[tuple[object, ...], list[model.Amounts]] = dataclasses.field(
+        default_factory=dict
+    )
+    preemptible: dict[tuple[str, int], list[str]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def begin_slice(self, now: float) -> None:
+        """Drops what may have changed since the last slice."""
+        self.now, self.estimates = now, placement.Estimates()
 
 
 def run_pass(owner: state_module.Owner, current: Pass) -> Iterator[None]:
@@ -109,7 +128,7 @@
                 break
             if owner.table.ready.get(task.name) is not task:
                 continue
-            runs = _place_task_or_gang(owner, task, current.now)
+            runs = _place_task_or_gang(owner, task, current)
             if not runs or task.step.definition.gang:
                 blocked.add(id(task.step))
             current.placed.extend(runs)
@@ -133,18 +152,124 @@
 
 
 def _place_task_or_gang(
-    owner: state_module.Owner, task: attempts.Task, now: float
+    owner: state_module.Owner, task: attempts.Task, current: Pass
 ) -> list[attempts.Run]:
     queue = state_module.find_queue(owner, task.job.job.queue) or task.job.queue
     task.job.queue = queue
-    candidates = [
-        runner
-        for runner in owner.runners.values()
-        if runner.entry.service == queue.service
-    ]
     if task.step.definition.gang:
-        return _place_gang(owner, task.step, candidates, now)
-    return _place_task(owner, task, candidates, now)
+        return _place_gang(owner, task.step, queue.service, current)
+    if queue.advice is not None:
+        candidates = orders.filter_advised(
+            owner,
+            task.step,
+            _list_runners(owner, queue.service),
+            current.now,
+        )
+        runner = placement.choose_runner(
+            task,
+            candidates,
+            owner.interference_model,
+            current.now,
+            current.estimates,
+        )
+    else:
+        candidates = None
+        runner = _choose_unblocked(owner, task, queue.service, current)
+    if runner is not None:
+        return [_begin_run(owner, task, runner, current)]
+    _preempt(owner, task, candidates, current)
+    return []
+
+
+def _list_runners(
+    owner: state_module.Owner, service: str
+) -> list[runners_module.Runner]:
+    return [r for r in owner.runners.values() if r.entry.service == service]
+
+
+def _choose_unblocked(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    service: str,
+    current: Pass,
+) -> runners_module.Runner | None:
+    """Chooses a runner unless an easier task has found none in this pass.
+
+    During a pass the resources of a runner are only charged, so what does not
+    fit once does not fit later either.
+    """
+    step = task.step.definition
+    key = _find_requirements(task, service, current.now)
+    amounts = step.amounts
+    for other in current.blocked.get(key, ()):
+        if (
+            other.cpu <= amounts.cpu
+            and other.memory_mb <= amounts.memory_mb
+            and other.accelerators <= amounts.accelerators
+        ):
+            return None
+    runner = placement.choose_ranked_runner(
+        task,
+        service,
+        owner.runners,
+        owner.interference_model,
+        current.now,
+        current.estimates,
+    )
+    if runner is None and not step.max_per_runner:
+        current.blocked.setdefault(key, []).append(amounts)
+    return runner
+
+
+def _find_requirements(
+    task: attempts.Task, service: str, now: float
+) -> tuple[object, ...]:
+    """Returns what decides, besides the amounts, whether a runner is found."""
+    step = task.step.definition
+    if not step.fills:
+        return service, step.required_label
+    waited = placement.has_waited(task, now)
+    return service, step.required_label, step.image, waited
+
+
+def _preempt(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    candidates: list[runners_module.Runner] | None,
+    current: Pass,
+) -> None:
+    """Stops the cheapest attempts that make room for a task.
+
+    Args:
+      owner: The owner.
+      task: A task that found no runner.
+      candidates: The runners that may be used; None for all of the service.
+      current: The scheduling pass.
+    """
+    queue = task.job.queue
+    if candidates is None:
+        key = queue.service, queue.priority
+        if key not in current.preemptible:
+            current.preemptible[key] = [
+                runner.entry.id
+                for runner in _list_runners(owner, queue.service)
+                if _has_less_urgent_run(runner, queue.priority)
+            ]
+        candidates = [
+            owner.runners[runner]
+            for runner in current.preemptible[key]
+            if runner in owner.runners
+        ]
+    for run in placement.find_victims(task, candidates, current.now):
+        orders.stop_run(owner, run, f"preempted for {task.name}")
+
+
+def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
+    return any(
+        run.task.job.queue.priority > priority
+        and not run.task.step.definition.long_running
+        for run in runner.runs
+    )
 
 
 def _move_slowed(owner: state_module.Owner, current: Pass) -> Iterator[None]:
@@ -159,7 +284,7 @@
     ]
     moved = 0
     for run in slowed:
-        moved += _move_fill(owner, run, current.now)
+        moved += _move_fill(owner, run, current)
         if moved >= _MAX_MOVES_PER_PASS:
             return
         yield
@@ -177,19 +302,18 @@
 
 
 def _move_fill(
-    owner: state_module.Owner, run: attempts.Run, now: float
+    owner: state_module.Owner, run: attempts.Run, current: Pass
 ) -> bool:
     """Stops a slowed fill task if another runner suits it; tells if it did."""
-    runner = owner.runners.get(run.runner)
+    runner, now = owner.runners.get(run.runner), current.now
     if runner is None or run not in runner.runs or not _is_slowed(run, now):
         return False
-    candidates = [
-        other
-        for other in owner.runners.values()
-        if other.entry.service == runner.entry.service
-    ]
     if not placement.find_full_speed_runner(
-        run, candidates, owner.interference_model, now
+        run,
+        _list_runners(owner, runner.entry.service),
+        owner.interference_model,
+        now,
+        current.estimates,
     ):
         return False
     run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
@@ -237,40 +361,23 @@
     return job.queue.priority, urgency, due, task.name
 
 
-def _place_task(
-    owner: state_module.Owner,
-    task: attempts.Task,
-    candidates: list[runners_module.Runner],
-    now: float,
-) -> list[attempts.Run]:
-    if task.job.queue.advice is not None:
-        candidates = orders.filter_advised(owner, task.step, candidates, now)
-    runner = placement.choose_runner(
-        task, candidates, owner.interference_model, now
-    )
-    if runner is None:
-        for run in placement.find_victims(task, candidates, now):
-            orders.stop_run(owner, run, f"preempted for {task.name}")
-        return []
-    return [_begin_run(owner, task, runner, now)]
-
-
 def _begin_run(
     owner: state_module.Owner,
     task: attempts.Task,
     runner: runners_module.Runner,
-    now: float,
+    current: Pass,
 ) -> attempts.Run:
-    run = owner.table.begin_run(task, runner.entry.id, now)
+    run = owner.table.begin_run(task, runner.entry.id, current.now)
     runner.charge(run)
+    current.estimates.forget_runner(runner.entry.id)
     return run
 
 
 def _place_gang(
     owner: state_module.Owner,
     step: attempts.StepState,
-    candidates: list[runners_module.Runner],
-    now: float,
+    service: str,
+    current: Pass,
 ) -> list[attempts.Run]:
     """Places all tasks of a gang or none; they share one attempt number.
 
@@ -278,8 +385,9 @@
     """
     if any(task.runs for task in step.tasks):
         return []
+    candidates = _list_runners(owner, service)
     if step.job.queue.advice is not None:
-        candidates = orders.filter_advised(owner, step, candidates, now)
+        candidates = orders.filter_advised(owner, step, candidates, current.now)
     groups = [candidates]
     if step.definition.same_rack:
         racks: dict[str, list[runners_module.Runner]] = {}
@@ -287,7 +395,7 @@
             racks.setdefault(runner.rack, []).append(runner)
         groups = [*racks.values(), candidates]
     for group in groups:
-        runs = _try_group(owner, step, group, now)
+        runs = _try_group(owner, step, group, current)
         if runs:
             return runs
     return []
@@ -297,7 +405,7 @@
     owner: state_module.Owner,
     step: attempts.StepState,
     candidates: list[runners_module.Runner],
-    now: float,
+    current: Pass,
 ) -> list[attempts.Run]:
     """Places a gang on the candidates, or restores the state before the try."""
     runs: list[attempts.Run] = []
@@ -306,17 +414,22 @@
     checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
     for task in step.tasks:
         runner = placement.choose_runner(
-            task, candidates, owner.interference_model, now
+            task,
+            candidates,
+            owner.interference_model,
+            current.now,
+            current.estimates,
         )
         if runner is None:
             break
         task.attempt, task.checkpoint = attempt, checkpoint
-        runs.append(_begin_run(owner, task, runner, now))
+        runs.append(_begin_run(owner, task, runner, current))
     if len(runs) == len(step.tasks):
         return runs
     for run in runs:
         owner.runners[run.runner].charge(run, -1)
-        owner.table.drop_run(run, now)
+        current.estimates.forget_runner(run.runner)
+        owner.table.drop_run(run, current.now)
     for task, number in zip(step.tasks, before, strict=True):
         task.attempt = number
     return []
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -1,11 +1,14 @@
 """Scheduling passes: what starts where, in which order, and what moves."""
 
+import random as random_module
+
 import pytest
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import model
+from plantainvane.jobs import placement
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import table as table_module
@@ -304,7 +307,130 @@
     next(work)
     owner.table.cancel_job(owner.table.jobs["gone"], 0)
     del owner.runners["a"]
+    current.begin_slice(1.0)
     for _ in work:
         pass
     placed = [(run.task.name, run.runner) for run in current.placed]
     assert placed == [("first.0.0.0", "a"), ("last.0.0.0", "b")]
+
+
+def count_calls(monkeypatch, module, name):
+    """Makes the calls of a function count; the list gets an item for each."""
+    calls, function = [], getattr(module, name)
+
+    def count(*arguments, **fields):
+        calls.append(arguments)
+        return function(*arguments, **fields)
+
+    monkeypatch.setattr(module, name, count)
+    return calls
+
+
+def test_work_of_a_pass_does_not_grow_with_waiting_jobs(monkeypatch):
+    # Guards against passes of seconds: 400 waiting jobs that were each compared
+    # with 246 runners, one by one.
+    calls = count_calls(monkeypatch, placement, "has_capacity")
+    counts = []
+    for jobs in (2, 200):
+        runners = [decisions.make_runner(f"r{i}", cpu=900) for i in range(50)]
+        owner = make_owner(*runners)
+        for number in range(jobs):
+            step = decisions.make_step(count=3, cpu=1000 + number)
+            decisions.add_job(owner.table, step, job_id=f"j{number}")
+        calls.clear()
+        scheduling.place_ready_tasks(owner, 1.0)
+        counts.append(len(calls))
+    assert counts[1] <= counts[0] + 50
+
+
+def test_equal_tasks_are_scored_once(monkeypatch):
+    # Guards against a step of many tasks that scores every runner for each.
+    calls = count_calls(monkeypatch, placement, "has_capacity")
+    runners = [decisions.make_runner(f"r{i}") for i in range(50)]
+    owner = make_owner(*runners)
+    decisions.add_job(owner.table, decisions.make_step(count=100))
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(list_placed(owner)) == 100
+    assert len(calls) <= 50 + 100
+
+
+def make_random_owner(random):
+    """Makes runners with services and fill tasks, and waiting jobs."""
+    images, fills = ("s1", "s2", "s3"), ("f1", "f2", "f3")
+    owner = make_owner(
+        *(
+            decisions.make_runner(
+                f"r{i}", cpu=8000, memory_mb=16_000, rack=f"k{i % 3}"
+            )
+            for i in range(12)
+        )
+    )
+    interference_model = owner.interference_model
+    for image in images:
+        for fill in fills:
+            interference_model.effects[image, fill] = interference.Effect(
+                random.choice((0.0, 0.1, 0.3)), 0.001, 1.0
+            )
+    for runner in owner.runners.values():
+        runner.speed = random.choice((0.7, 1.0))
+        runner.faults = random.choice((0, 0, 2))
+        for number in range(random.randint(0, 3)):
+            step = decisions.make_step(
+                cpu=1500,
+                long_running=True,
+                image=random.choice(images),
+                target_ms=20,
+            )
+            name = f"{runner.entry.id}x{number}"
+            decisions.place_runs(runner, owner.table, step, job_id=name)
+    for number in range(30):
+        fields = random.choice(
+            (
+                {"fills": True, "image": random.choice(fills)},
+                {"long_running": True, "image": "s1", "target_ms": 20},
+                {"preferred_rack": "k1"},
+                {"max_per_runner": 1},
+                {"same_rack": True},
+            )
+        )
+        step = decisions.make_step(
+            count=random.randint(1, 5),
+            cpu=random.choice((500, 1000, 2000, 3000)),
+            memory_mb=random.choice((500, 2000)),
+            **fields,
+        )
+        state = decisions.add_job(owner.table, step, job_id=f"j{number}")
+        for task in state.steps[0, 0].tasks:
+            task.ready_since = random.choice((1.0, 8.0))
+            if random.random() < 0.2:
+                task.avoided_runners = (f"r{random.randint(0, 11)}",)
+    return owner
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_reused_results_do_not_change_a_choice(seed):
+    # Guards against a placement that follows from scores or obstacles that a
+    # task placed earlier in the pass has changed.
+    reusing = make_random_owner(random_module.Random(seed))
+    scheduling.place_ready_tasks(reusing, 10.0)
+    owner = make_random_owner(random_module.Random(seed))
+    ready = list(owner.table.ready.values())
+    expected, blocked = [], set()
+    current = scheduling.Pass(10.0)
+    for tasks in scheduling._list_by_urgency(owner, current.now):
+        for task in sorted(tasks, key=lambda task: task.name):
+            if id(task.step) in blocked:
+                continue
+            runners = list(owner.runners.values())
+            runner = placement.choose_runner(
+                task, runners, owner.interference_model, current.now
+            )
+            if runner is None:
+                blocked.add(id(task.step))
+                continue
+            runner.charge(
+                owner.table.begin_run(task, runner.entry.id, current.now)
+            )
+            expected.append((task.name, runner.entry.id))
+    assert list_placed(reusing) == expected
+    assert 0 < len(expected) < len(ready)
