--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -1,8 +1,11 @@
 """Scheduling passes: start ready tasks, and move running ones."""
 
+from collections.abc import Iterator
+import dataclasses
 import enum
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
 from plantainvane.jobs import relocation
@@ -36,43 +39,67 @@
     EXPIRED = 3
 
 
+@dataclasses.dataclass(slots=True)
+class Pass:
+    """A scheduling pass, which is run in slices.
+
+    Everything else may change between two slices.
+
+    Attributes:
+      now: Start of the present slice.
+      placed: Attempts whose start is not ordered yet.
+      estimates: Intermediate results of the present slice.
+      blocked: Amounts for which no runner was found in this pass, by the other
+        requirements.
+      preemptible: Runners with attempts of less urgent queues at the first use,
+        by service and priority.
+    """
+
+    now: float
+    placed: list[attempts.Run] = dataclasses.field(default_factory=list)
+    estimates: placement.Estimates = dataclasses.field(
+        default_factory=placement.Estimates
+    )
+    blocked: dict[tuple[object, ...], list[model.Amounts]] = dataclasses.field(
+        default_factory=dict
+    )
+    preemptible: dict[tuple[str, int], list[str]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def begin_slice(self, now: float) -> None:
+        """Drops what may have changed since the last slice."""
+        self.now, self.estimates = now, placement.Estimates()
+
+
+def run_pass(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    """Places ready tasks and moves running ones.
+
+    Yields where the pass may be interrupted, each time after a bounded amount
+    of work.
+    """
+    yield from _place_ready(owner, current)
+    yield from _move_slowed(owner, current)
+    yield from _clear_one(owner, current)
+
+
+def start_placed(owner: state_module.Owner, current: Pass) -> None:
+    """Orders the start of the attempts placed since the last call."""
+    placed, current.placed = current.placed, []
+    if placed:
+        owner.group.start_soon(orders.start_runs, owner, placed)
+
+
 def place_ready_tasks(owner: state_module.Owner, now: float) -> None:
     """Starts the ready tasks that fit, most urgent first.
 
     Preempts less urgent attempts for a task that fits nowhere, but not for a
     gang.
     """
-    if not owner.table.ready:
-        return
-    placed: list[attempts.Run] = []
-    by_service: dict[str, list[runners_module.Runner]] = {}
-    for runner in owner.runners.values():
-        by_service.setdefault(runner.entry.service, []).append(runner)
-    blocked: set[int] = set()
-    tasks = [
-        task
-        for task in owner.table.ready.values()
-        if task.retry_at <= now and task.step.due_at <= now
-    ]
-    tasks.sort(key=lambda task: _rank_task(task, now))
-    for task in tasks:
-        if id(task.step) in blocked or task.name not in owner.table.ready:
-            continue
-        queue = (
-            state_module.find_queue(owner, task.job.job.queue) or task.job.queue
-        )
-        task.job.queue = queue
-        candidates = by_service.get(queue.service, [])
-        if task.step.definition.gang:
-            runs = _place_gang(owner, task.step, candidates, now)
-            blocked.add(id(task.step))
-        else:
-            runs = _place_task(owner, task, candidates, now)
-        if not runs:
-            blocked.add(id(task.step))
-        placed.extend(runs)
-    if placed:
-        owner.group.start_soon(orders.start_runs, owner, placed)
+    current = Pass(now)
+    for _ in _place_ready(owner, current):
+        pass
+    start_placed(owner, current)
 
 
 def move_slowed_fills(owner: state_module.Owner, now: float) -> None:
@@ -80,39 +107,8 @@
 
     Only tasks that resume from a checkpoint are moved.
     """
-    if now < owner.next_move_at:
-        return
-    owner.next_move_at = now + _MOVE_INTERVAL_S
-    moved = 0
-    for runner in owner.runners.values():
-        for run in list(runner.runs):
-            step = run.task.step.definition
-            if (
-                not step.fills
-                or not step.checkpointing
-                or run.phase is not attempts.Phase.RUNNING
-                or run.slowed_since is None
-                or now - run.slowed_since < _MOVE_SLOWED_AFTER_S
-            ):
-                continue
-            candidates = [
-                other
-                for other in owner.runners.values()
-                if other.entry.service == runner.entry.service
-            ]
-            if placement.find_full_speed_runner(
-                run, candidates, owner.interference_model, now
-            ):
-                run.task.avoided_runners = (
-                    *run.task.avoided_runners[-3:],
-                    run.runner,
-                )
-                orders.stop_run(
-                    owner, run, "moved to a runner with less interference"
-                )
-                moved += 1
-                if moved >= _MAX_MOVES_PER_PASS:
-                    return
+    for _ in _move_slowed(owner, Pass(now)):
+        pass
 
 
 def clear_runner(owner: state_module.Owner, now: float) -> None:
@@ -120,16 +116,226 @@
 
     Does nothing while any long-running task is ready and waits for a runner.
     """
-    if now < owner.next_clear_at:
+    for _ in _clear_one(owner, Pass(now)):
+        pass
+
+
+def _place_ready(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    blocked: set[int] = set()
+    for tasks in _list_by_urgency(owner, current.now):
+        for task in sorted(tasks, key=lambda task: task.name):
+            if id(task.step) in blocked:
+                break
+            if owner.table.ready.get(task.name) is not task:
+                continue
+            runs = _place_task_or_gang(owner, task, current)
+            if not runs or task.step.definition.gang:
+                blocked.add(id(task.step))
+            current.placed.extend(runs)
+            yield
+
+
+def _list_by_urgency(
+    owner: state_module.Owner, now: float
+) -> list[list[attempts.Task]]:
+    """Returns the ready tasks that are due, most urgent first.
+
+    Tasks of one step are listed together, unless they are long-running, as
+    they differ only in their names.
+    """
+    groups: dict[object, list[attempts.Task]] = {}
+    for task in owner.table.ready.values():
+        if task.retry_at <= now and task.step.due_at <= now:
+            alone = task.step.definition.long_running
+            groups.setdefault(task if alone else task.step, []).append(task)
+    return sorted(groups.values(), key=lambda tasks: _rank_task(tasks[0], now))
+
+
+def _place_task_or_gang(
+    owner: state_module.Owner, task: attempts.Task, current: Pass
+) -> list[attempts.Run]:
+    queue = state_module.find_queue(owner, task.job.job.queue) or task.job.queue
+    task.job.queue = queue
+    if task.step.definition.gang:
+        return _place_gang(owner, task.step, queue.service, current)
+    if queue.advice is not None:
+        candidates = orders.filter_advised(
+            owner,
+            task.step,
+            _list_runners(owner, queue.service),
+            current.now,
+        )
+        runner = placement.choose_runner(
+            task,
+            candidates,
+            owner.interference_model,
+            current.now,
+            current.estimates,
+        )
+    else:
+        candidates = None
+        runner = _choose_unblocked(owner, task, queue.service, current)
+    if runner is not None:
+        return [_begin_run(owner, task, runner, current)]
+    _preempt(owner, task, candidates, current)
+    return []
+
+
+def _list_runners(
+    owner: state_module.Owner, service: str
+) -> list[runners_module.Runner]:
+    return [r for r in owner.runners.values() if r.entry.service == service]
+
+
+def _choose_unblocked(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    service: str,
+    current: Pass,
+) -> runners_module.Runner | None:
+    """Chooses a runner unless an easier task has found none in this pass.
+
+    During a pass the resources of a runner are only charged, so what does not
+    fit once does not fit later either.
+    """
+    step = task.step.definition
+    key = _find_requirements(task, service, current.now)
+    amounts = step.amounts
+    for other in current.blocked.get(key, ()):
+        if (
+            other.cpu <= amounts.cpu
+            and other.memory_mb <= amounts.memory_mb
+            and other.accelerators <= amounts.accelerators
+        ):
+            return None
+    runner = placement.choose_ranked_runner(
+        task,
+        service,
+        owner.runners,
+        owner.interference_model,
+        current.now,
+        current.estimates,
+    )
+    if runner is None and not step.max_per_runner:
+        current.blocked.setdefault(key, []).append(amounts)
+    return runner
+
+
+def _find_requirements(
+    task: attempts.Task, service: str, now: float
+) -> tuple[object, ...]:
+    """Returns what decides, besides the amounts, whether a runner is found."""
+    step = task.step.definition
+    if not step.fills:
+        return service, step.required_label
+    waited = placement.has_waited(task, now)
+    return service, step.required_label, step.image, waited
+
+
+def _preempt(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    candidates: list[runners_module.Runner] | None,
+    current: Pass,
+) -> None:
+    """Stops the cheapest attempts that make room for a task.
+
+    Args:
+      owner: The owner.
+      task: A task that found no runner.
+      candidates: The runners that may be used; None for all of the service.
+      current: The scheduling pass.
+    """
+    queue = task.job.queue
+    if candidates is None:
+        key = queue.service, queue.priority
+        if key not in current.preemptible:
+            current.preemptible[key] = [
+                runner.entry.id
+                for runner in _list_runners(owner, queue.service)
+                if _has_less_urgent_run(runner, queue.priority)
+            ]
+        candidates = [
+            owner.runners[runner]
+            for runner in current.preemptible[key]
+            if runner in owner.runners
+        ]
+    for run in placement.find_victims(task, candidates, current.now):
+        orders.stop_run(owner, run, f"preempted for {task.name}")
+
+
+def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
+    return any(
+        run.task.job.queue.priority > priority
+        and not run.task.step.definition.long_running
+        for run in runner.runs
+    )
+
+
+def _move_slowed(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    if current.now < owner.next_move_at:
         return
-    owner.next_clear_at = now + _CLEAR_INTERVAL_S
+    owner.next_move_at = current.now + _MOVE_INTERVAL_S
+    slowed = [
+        run
+        for runner in owner.runners.values()
+        for run in runner.runs
+        if _is_slowed(run, current.now)
+    ]
+    moved = 0
+    for run in slowed:
+        moved += _move_fill(owner, run, current)
+        if moved >= _MAX_MOVES_PER_PASS:
+            return
+        yield
+
+
+def _is_slowed(run: attempts.Run, now: float) -> bool:
+    step = run.task.step.definition
+    return (
+        step.fills
+        and step.checkpointing
+        and run.phase is attempts.Phase.RUNNING
+        and run.slowed_since is not None
+        and now - run.slowed_since >= _MOVE_SLOWED_AFTER_S
+    )
+
+
+def _move_fill(
+    owner: state_module.Owner, run: attempts.Run, current: Pass
+) -> bool:
+    """Stops a slowed fill task if another runner suits it; tells if it did."""
+    runner, now = owner.runners.get(run.runner), current.now
+    if runner is None or run not in runner.runs or not _is_slowed(run, now):
+        return False
+    if not placement.find_full_speed_runner(
+        run,
+        _list_runners(owner, runner.entry.service),
+        owner.interference_model,
+        now,
+        current.estimates,
+    ):
+        return False
+    run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
+    orders.stop_run(owner, run, "moved to a runner with less interference")
+    return True
+
+
+def _clear_one(owner: state_module.Owner, current: Pass) -> Iterator[None]:
+    if current.now < owner.next_clear_at:
+        return
+    owner.next_clear_at = current.now + _CLEAR_INTERVAL_S
     if any(t.step.definition.long_running for t in owner.table.ready.values()):
         return
     runners = list(owner.runners.values())
-    demand = relocation.measure_blocked_demand(owner.table, runners, now)
-    for run in relocation.choose_moves(
-        demand, runners, owner.interference_model, now
-    ):
+    demand = relocation.measure_blocked_demand(
+        owner.table, runners, current.now
+    )
+    yield
+    moves = yield from relocation.search_moves(
+        demand, runners, owner.interference_model, current.now
+    )
+    for run in moves:
         run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
         orders.stop_run(owner, run, "moved to clear the runner for fill tasks")
 
@@ -155,40 +361,23 @@
     return job.queue.priority, urgency, due, task.name
 
 
-def _place_task(
-    owner: state_module.Owner,
-    task: attempts.Task,
-    candidates: list[runners_module.Runner],
-    now: float,
-) -> list[attempts.Run]:
-    if task.job.queue.advice is not None:
-        candidates = orders.filter_advised(owner, task.step, candidates, now)
-    runner = placement.choose_runner(
-        task, candidates, owner.interference_model, now
-    )
-    if runner is None:
-        for run in placement.find_victims(task, candidates, now):
-            orders.stop_run(owner, run, f"preempted for {task.name}")
-        return []
-    return [_begin_run(owner, task, runner, now)]
-
-
 def _begin_run(
     owner: state_module.Owner,
     task: attempts.Task,
     runner: runners_module.Runner,
-    now: float,
+    current: Pass,
 ) -> attempts.Run:
-    run = owner.table.begin_run(task, runner.entry.id, now)
+    run = owner.table.begin_run(task, runner.entry.id, current.now)
     runner.charge(run)
+    current.estimates.forget_runner(runner.entry.id)
     return run
 
 
 def _place_gang(
     owner: state_module.Owner,
     step: attempts.StepState,
-    candidates: list[runners_module.Runner],
-    now: float,
+    service: str,
+    current: Pass,
 ) -> list[attempts.Run]:
     """Places all tasks of a gang or none; they share one attempt number.
 
@@ -196,8 +385,9 @@
     """
     if any(task.runs for task in step.tasks):
         return []
+    candidates = _list_runners(owner, service)
     if step.job.queue.advice is not None:
-        candidates = orders.filter_advised(owner, step, candidates, now)
+        candidates = orders.filter_advised(owner, step, candidates, current.now)
     groups = [candidates]
     if step.definition.same_rack:
         racks: dict[str, list[runners_module.Runner]] = {}
@@ -205,7 +395,7 @@
             racks.setdefault(runner.rack, []).append(runner)
         groups = [*racks.values(), candidates]
     for group in groups:
-        runs = _try_group(owner, step, group, now)
+        runs = _try_group(owner, step, group, current)
         if runs:
             return runs
     return []
@@ -215,7 +405,7 @@
     owner: state_module.Owner,
     step: attempts.StepState,
     candidates: list[runners_module.Runner],
-    now: float,
+    current: Pass,
 ) -> list[attempts.Run]:
     """Places a gang on the candidates, or restores the state before the try."""
     runs: list[attempts.Run] = []
@@ -224,17 +414,22 @@
     checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
     for task in step.tasks:
         runner = placement.choose_runner(
-            task, candidates, owner.interference_model, now
+            task,
+            candidates,
+            owner.interference_model,
+            current.now,
+            current.estimates,
         )
         if runner is None:
             break
         task.attempt, task.checkpoint = attempt, checkpoint
-        runs.append(_begin_run(owner, task, runner, now))
+        runs.append(_begin_run(owner, task, runner, current))
     if len(runs) == len(step.tasks):
         return runs
     for run in runs:
         owner.runners[run.runner].charge(run, -1)
-        owner.table.drop_run(run, now)
+        current.estimates.forget_runner(run.runner)
+        owner.table.drop_run(run, current.now)
     for task, number in zip(step.tasks, before, strict=True):
         task.attempt = number
     return []
