Measure and log the lag of the loop and the owner's passes

Every process now probes its loop each 0.1 s and keeps the lag in `Load`, which the owner shares. New lines, each at most once a second: 846 loop_late, 847 pass_slow, 848 owner_load; new metrics: loop lag, duration of passes, tasks placed.

Ruled out: counting polls and starts in the sessions; the counters exist already and are read once a second. The bytes of the owner are not known here and not logged.

Before: no line.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
@@ -93,6 +94,9 @@
             peers_module.serve_peers, entry.settings.peer_address, handlers
         )
         group.start_soon(entry.intake.journal.run)
+        group.start_soon(
+            load_module.watch_loop, entry.load, lambda: _share_load(entry)
+        )
         group.start_soon(configuration.follow_configuration, entry)
         group.start_soon(succession.monitor_owner, entry)
         served = anyio.Event()
@@ -106,6 +110,14 @@
     events.log_event(events.PROCESS_STOPPED, process=entry.settings.id)
 
 
+def _share_load(entry: process_module.Entry) -> int | None:
+    """Gives the owner the load of this process, and returns its epoch."""
+    if entry.owner is None:
+        return None
+    entry.owner.load = entry.load
+    return entry.owner.epoch
+
+
 async def _drain_on_signal(entry: process_module.Entry) -> None:
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -53,6 +53,17 @@
     "Calls to the platform's log, by call and outcome.",
     ["call", "outcome"],
 )
+LOOP_LAG_SECONDS = prometheus_client.Histogram(
+    "plantainvane_loop_lag_seconds",
+    "How late the event loop of this process runs.",
+)
+PASS_SECONDS = prometheus_client.Histogram(
+    "plantainvane_scheduling_pass_seconds",
+    "Duration of a scheduling pass, during which nothing else runs.",
+)
+TASKS_PLACED = prometheus_client.Counter(
+    "plantainvane_tasks_placed_total", "Tasks placed by scheduling passes."
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "plantainvane_queue_configuration_version",
     "Version of the queue configuration in force.",
@@ -61,3 +72,13 @@
     "plantainvane_events_dropped_total",
     "Log lines dropped as the reader of standard output was too slow.",
 )
+
+
+def sum_counter(counter: prometheus_client.Counter) -> int:
+    """Returns the sum of a counter over all its labels."""
+    return sum(
+        int(sample.value)
+        for metric in counter.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    )
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -157,6 +158,14 @@
             owner.step_down("log silent")
         _remove_old_jobs(owner)
         _store_effects(owner, now)
+        load_module.summarize_owner(
+            owner.load,
+            owner.epoch,
+            owner.runners,
+            len(owner.table.ready),
+            owner.health.latency_s,
+            now,
+        )
         owner.request_pass()
 
 
@@ -215,9 +224,28 @@
         _stop_ended(owner)
         if not owner.draining:
             now = clock.read_now()
+            ready = len(owner.table.ready)
             scheduling.place_ready_tasks(owner, now)
             scheduling.move_slowed_fills(owner, now)
             scheduling.clear_runner(owner, now)
+            _record_pass(owner, ready, now)
+
+
+def _record_pass(
+    owner: state_module.Owner, ready_before: int, started_at: float
+) -> None:
+    ready = owner.table.ready
+    now = clock.read_now()
+    load_module.record_pass(
+        owner.load,
+        owner.epoch,
+        now - started_at,
+        ready_before,
+        len({id(task.step) for task in ready.values()}),
+        ready_before - len(ready),
+        len(owner.runners),
+        now,
+    )
 
 
 def _stop_ended(owner: state_module.Owner) -> None:
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -8,6 +8,7 @@
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
@@ -46,6 +47,7 @@
       stopping: Set when the drain period is over.
       claim_lock: Serializes claims of this process.
       group: Task group of the components, or None while they do not run.
+      load: Load of this process.
     """
 
     settings: settings_module.Settings
@@ -64,6 +66,7 @@
     stopping: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     claim_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     group: anyio.abc.TaskGroup | None = None
+    load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
 
     @property
     def ready(self) -> bool:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
@@ -49,6 +50,7 @@
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
       appending: Jobs in the append under way, with their outcome.
+      load: Load of this process.
     """
 
     settings: settings_module.Settings
@@ -93,6 +95,7 @@
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
     )
+    load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
 
     def step_down(self, reason: str) -> None:
         """Ends this ownership; only the first `reason` is logged."""
