Log a line without an eliot action

Cause: `eliot.log_message` outside an action begins one for each line: a UUID, a persistent task level and its list form, which the destination of the job scheduler then removed again.

`log_event` now gives the ready message to `eliot.Logger().write`, which is public and sends it to the same destinations. The order and the form of the fields stay; `task_uuid` and `task_level`, which nothing here reads, are missing from the log file of the other scheduler too.

Ruled out: sending to eliot's destinations directly, which is private.

--- a/plantainvane/events.py
+++ b/plantainvane/events.py
@@ -8,12 +8,15 @@
 import enum
 import logging
 import sys
+import time
 from typing import Any
 
 import eliot
 
 from plantainvane import settings as settings_module
 
+_LOGGER = eliot.Logger()
+
 
 class Level(enum.StrEnum):
     """Severity of an event for the on-call operator."""
@@ -37,10 +40,15 @@
 
     Fields must never contain request bodies or idempotency keys.
     """
-    eliot.log_message(
-        message_type=f"plantainvane:{event.number}:{event.name}",
-        level=event.level.value,
-        **fields,
+    # `eliot.log_message` begins an action for each message, with a new UUID,
+    # which costs several times the rest of the line.
+    _LOGGER.write(
+        {
+            "level": event.level.value,
+            **fields,
+            "timestamp": time.time(),
+            "message_type": f"plantainvane:{event.number}:{event.name}",
+        }
     )
 
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,6 +5,8 @@
 import pathlib
 import re
 
+import eliot
+
 from plantainvane import events
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -53,3 +55,25 @@
             ):
                 used.add(node.attr)
     assert sorted(set(list_events()) - used) == []
+
+
+def test_a_line_has_the_fields_of_its_event_and_no_action():
+    # Guards against a cost of logging that holds up an owner: an action and a
+    # UUID for each line take several times the rest of the line.
+    written = []
+    eliot.add_destinations(written.append)
+    try:
+        events.log_event(events.JOB_LOADED, job="1b", tasks=2)
+    finally:
+        eliot.remove_destination(written.append)
+    line = written[-1]
+    assert list(line) == [
+        "level",
+        "job",
+        "tasks",
+        "timestamp",
+        "message_type",
+    ]
+    assert line["level"] == "info"
+    assert line["message_type"] == "plantainvane:804:job_loaded"
+    assert line["job"] == "1b"
