Let the ablest process own the jobs

Of 41 entry processes 33 have a quarter of the capacity of the others, so a weak one mostly owned, fell behind, and was replaced by another weak one.

Change: settings have the capacity of the process (Cores x CpuShare). Pings carry it, and the owner's reply names the highest capacity among the able standbys. A justified claim waits up to 0.6 s more, in proportion to what the process lacks against that; 2 cores are assumed while no owner has told. Equals do not wait. A handover asks peers in the order of capacity. The wait starts when a claim is justified, as it would otherwise let a weak process sleep up to that moment.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import succession
 
@@ -144,7 +145,7 @@
 ) -> peers_module.Pong:
     now = clock.read_now()
     entry.known_peers[ping.address] = process_module.PeerStatus(
-        now, ping.config_version, ping.may_own
+        now, ping.config_version, ping.may_own, ping.capacity
     )
     while len(entry.known_peers) > _MAX_KNOWN_PEERS:
         del entry.known_peers[next(iter(entry.known_peers))]
@@ -166,11 +167,16 @@
             entry.health.answered_at,
             entry.health.failing_since - _INITIAL_SILENCE_S,
         )
+    is_owner = owner is not None and not entry.draining
+    ablest_capacity = 0.0
+    if is_owner:
+        ablest_capacity = standbys.find_ablest_capacity(entry.known_peers, now)
     return peers_module.Pong(
-        owner is not None and not entry.draining,
+        is_owner,
         entry.ownership.epoch,
         version,
         silent_for_s,
+        ablest_capacity,
     )
 
 
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -69,6 +69,8 @@
       read_at: When the topic was last read.
       denied: The process at the owner's address has denied being the owner.
       silent_for_s: How long the owner has not reached the log, as it reports.
+      ablest_capacity: Highest capacity of an able standby, as an owner last
+        reported it; 0 if none has.
     """
 
     claim: Claim | None = None
@@ -80,6 +82,7 @@
     read_at: float = 0.0
     denied: bool = False
     silent_for_s: float = 0.0
+    ablest_capacity: float = 0.0
 
     def apply_record(
         self, offset: int, value: bytes | None, now: float
@@ -97,12 +100,17 @@
         self.renewed_at = now
 
     def record_reply(
-        self, is_owner: bool, silent_for_s: float, now: float
+        self,
+        is_owner: bool,
+        silent_for_s: float,
+        now: float,
+        ablest_capacity: float = 0.0,
     ) -> None:
         """Records the reply of the process at the owner's address."""
         self.denied = not is_owner
         if is_owner:
             self.heard_at, self.silent_for_s = now, silent_for_s
+            self.ablest_capacity = ablest_capacity or self.ablest_capacity
 
 
 def find_takeover_reason(
@@ -137,6 +145,19 @@
     )
 
 
+def choose_claim_wait(
+    ownership: Ownership, settings: settings_module.Settings
+) -> float:
+    """Returns the wait before a claim, without jitter, in seconds.
+
+    The ablest process waits least. A weak owner falls behind, and each takeover
+    has to read all jobs and to poll all runners again.
+    """
+    ablest = ownership.ablest_capacity or settings.assumed_ablest_capacity
+    lack = 1.0 - settings.capacity / ablest
+    return settings.claim_wait_max_s * max(0.0, lack)
+
+
 def may_claim(
     ownership: Ownership,
     reason: str,
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -28,12 +28,14 @@
       epoch: Highest epoch that the sender has seen.
       config_version: Version of the sender's configuration, or -1.
       may_own: The sender is able to become the owner.
+      capacity: Processor cores that are available to the sender.
     """
 
     address: str
     epoch: int
     config_version: int
     may_own: bool
+    capacity: float = 1.0
 
 
 class Pong(msgspec.Struct, array_like=True):
@@ -44,12 +46,15 @@
       epoch: Highest epoch that it has seen.
       config_version: Version of its configuration, or -1.
       silent_for_s: Seconds since the log last answered it; 0 without an outage.
+      ablest_capacity: Highest capacity of the peers that are able to become the
+        owner; 0 if the receiver is not the owner.
     """
 
     is_owner: bool
     epoch: int
     config_version: int
     silent_for_s: float
+    ablest_capacity: float = 0.0
 
 
 class Ask(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -23,11 +23,13 @@
       pinged_at: When the ping was received.
       config_version: Version of the peer's configuration, or -1.
       may_own: The peer is able to become the owner.
+      capacity: Processor cores that are available to the peer.
     """
 
     pinged_at: float
     config_version: int
     may_own: bool
+    capacity: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -23,6 +23,7 @@
       store_address: `ip:port` of the platform's log service.
       seeds: Peer addresses of a few entry processes; may be out of date.
       adviser_address: `ip:port` of the adviser, or empty.
+      capacity: Processor cores that are available to the process.
       lease_s: Lease duration; at most the platform's bound.
       grace_s: Time between SIGTERM and SIGKILL, set by the platform.
       max_impact_s: Longest time that fill tasks may keep a service above its
@@ -40,6 +41,7 @@
     store_address: str
     seeds: tuple[str, ...] = ()
     adviser_address: str = ""
+    capacity: float = 1.0
     lease_s: float = LEASE_S
     grace_s: float = 6.0
     max_impact_s: float = 4.0
@@ -70,6 +72,12 @@
     # Together with the last lease this bridges an outage of about 10 s.
     log_outage_limit_s: float = 5.0
     claim_jitter_s: float = 0.12
+    # A process without any capacity would wait this much longer than the ablest
+    # before it claims. The sum of both waits has to separate them despite the
+    # jitter, and to leave a takeover well within a lease.
+    claim_wait_max_s: float = 0.6
+    # Capacity of the ablest process, while no owner has reported it.
+    assumed_ablest_capacity: float = 2.0
 
     # Runners. A call within the deployment takes 1 to 3 ms.
     call_timeout_s: float = 0.4
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -15,28 +15,21 @@
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 
 _HAND_OVER_TIMEOUT_S = 1.5
-# A planned handover asks only peers whose last ping is younger than this.
-_PEER_MAX_AGE_S = 1.5
 
 
 async def hand_over(entry: process_module.Entry) -> None:
-    """Stops scheduling and asks peers, in random order, to claim ownership."""
+    """Stops scheduling and asks peers, the ablest first, to claim ownership."""
     owner = entry.owner
     if owner is None:
         return
     owner.draining = True
     with anyio.move_on_after(0.5):
         await owner.journal.flush()
-    now = clock.read_now()
-    candidates = [
-        address
-        for address, status in entry.known_peers.items()
-        if status.may_own and now - status.pinged_at < _PEER_MAX_AGE_S
-    ]
-    random.shuffle(candidates)
+    candidates = standbys.list_successors(entry.known_peers, clock.read_now())
     for address in candidates:
         reply = await entry.peers.call(
             address,
@@ -97,6 +90,7 @@
         ownership.epoch,
         entry.configuration.version if entry.configuration else -1,
         _may_own(entry, now),
+        settings.capacity,
     )
     pong = await entry.peers.call(claim.address, ping, settings.ping_timeout_s)
     if entry.ownership.claim is not claim:
@@ -108,7 +102,9 @@
             ownership.denied = True
         return
     answer = pong.ok_value
-    ownership.record_reply(answer.is_owner, answer.silent_for_s, now)
+    ownership.record_reply(
+        answer.is_owner, answer.silent_for_s, now, answer.ablest_capacity
+    )
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
     await configuration.compare_configuration(
@@ -144,17 +140,30 @@
 async def _consider_claim(entry: process_module.Entry, reason: str) -> None:
     ownership, settings = entry.ownership, entry.settings
     epoch = ownership.epoch
-    # Jitter spreads the claims, so that most processes see the winner's claim
-    # before they make their own.
-    await anyio.sleep(random.random() * settings.claim_jitter_s)
-    if not await _read_claims(entry) or ownership.epoch != epoch:
-        return
-    now = clock.read_now()
-    if not ownership_module.may_claim(
-        ownership, reason, entry.health.regained_at, settings, now
-    ):
+
+    async def check_claim() -> bool:
+        if not await _read_claims(entry) or ownership.epoch != epoch:
+            return False
+        return ownership_module.may_claim(
+            ownership,
+            reason,
+            entry.health.regained_at,
+            settings,
+            clock.read_now(),
+        )
+
+    # The wait begins when a claim is justified, as it is then about the same
+    # moment for all processes, and the ablest claims first.
+    if not await check_claim():
         return
-    await _claim(entry, reason)
+    # Jitter spreads the claims of equals, so that most processes see the
+    # winner's claim before they make their own.
+    await anyio.sleep(
+        ownership_module.choose_claim_wait(ownership, settings)
+        + random.random() * settings.claim_jitter_s
+    )
+    if await check_claim():
+        await _claim(entry, reason)
 
 
 async def _claim(entry: process_module.Entry, reason: str) -> bool:
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -25,6 +25,13 @@
     address: str
 
 
+class _Limits(msgspec.Struct, rename="pascal"):
+    """Resources of the process; `cpu_share` is the time on `cores` cores."""
+
+    cores: float = 1.0
+    cpu_share: float = 1.0
+
+
 class _Bounds(msgspec.Struct):
     """Limits set by the platform; the names give seconds or milliseconds."""
 
@@ -42,6 +49,7 @@
     store: _Store = msgspec.field(name="platform")
     seeds: list[str] = []
     advisor: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -68,6 +76,7 @@
         store_address=node.store.address,
         seeds=tuple(node.seeds),
         adviser_address=node.advisor,
+        capacity=node.limits.cores * node.limits.cpu_share,
         lease_s=min(bounds.max_hold_ms / 1000, settings_module.LEASE_S),
         grace_s=bounds.grace_s,
         max_impact_s=bounds.impact_ms / 1000,
--- /dev/null
+++ b/tests/test_jobs_ownership.py
@@ -0,0 +1,129 @@
+"""Who becomes the owner, and when an owner is replaced."""
+
+import anyio
+import msgspec
+import pytest
+
+from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import ownership
+from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import process as process_module
+from plantainvane.jobs import standbys
+from standins import platform_system
+from tests import test_jobs_decisions as decisions
+
+pytestmark = pytest.mark.anyio
+SETTINGS = decisions.SETTINGS
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_settings(**fields):
+    return msgspec.structs.replace(SETTINGS, **fields)
+
+
+def make_peers(*capacities, pinged_at=10.0, **fields):
+    return {
+        f"127.0.0.{number}:1": process_module.PeerStatus(
+            pinged_at, 1, fields.get("may_own", True), capacity
+        )
+        for number, capacity in enumerate(capacities)
+    }
+
+
+@pytest.mark.parametrize("ablest", [0.0, 2.15])
+def test_weaker_process_claims_later(ablest):
+    # Guards against a weak process that claims before an able one does, at the
+    # first start and at a failover.
+    state = ownership.Ownership(ablest_capacity=ablest)
+    waits = [
+        ownership.choose_claim_wait(state, make_settings(capacity=capacity))
+        for capacity in (2.15, 0.717, 0.516, 0.297, 0.0)
+    ]
+    assert waits[0] == 0.0
+    assert waits == sorted(waits)
+    # The next weaker process of the known sites claims after all of the ablest.
+    assert waits[1] > SETTINGS.claim_jitter_s
+    # A takeover has to leave most of a lease to the successor.
+    assert waits[-1] <= 0.6
+
+
+def test_equal_processes_do_not_wait_for_an_abler_one():
+    # Guards against a takeover that is slower for no reason where all
+    # processes are alike and weak.
+    state = ownership.Ownership()
+    claim = ownership.Claim("a", 1, "10.0.0.1:1")
+    state.apply_record(3, ownership.encode_claim(claim), 10.0)
+    state.record_reply(True, 0.0, 10.1, 0.297)
+    settings = make_settings(capacity=0.297)
+    assert ownership.choose_claim_wait(state, settings) == 0.0
+
+
+def test_handover_asks_the_ablest_first():
+    # Guards against a planned handover to a process that cannot bear the load.
+    peers = make_peers(0.3, 2.15, 0.5, 2.15, 0.3)
+    orders = {tuple(standbys.list_successors(peers, 10.5)) for _ in range(200)}
+    for order in orders:
+        capacities = [peers[address].capacity for address in order]
+        assert capacities == [2.15, 2.15, 0.5, 0.3, 0.3]
+    # Equals are asked in any order, so that they share the load of failovers.
+    assert len(orders) == 4
+
+
+def test_only_able_peers_that_were_heard_count_as_standbys():
+    # Guards against a wait for, or a handover to, an able process that is gone.
+    peers = make_peers(2.15, may_own=False)
+    assert standbys.find_ablest_capacity(peers, 10.5) == 0.0
+    peers = make_peers(2.15)
+    assert standbys.find_ablest_capacity(peers, 10.5) == 2.15
+    assert standbys.find_ablest_capacity(peers, 12.5) == 0.0
+    assert standbys.list_successors(peers, 12.5) == []
+
+
+def test_messages_of_earlier_versions_decode():
+    # Guards against processes of two versions that take each other for silent.
+    ping = msgspec.msgpack.encode(["127.0.0.1:1", 3, 1, True])
+    assert msgspec.msgpack.decode(ping, type=peers_module.Ping).may_own
+    pong = msgspec.msgpack.encode([True, 3, 1, 0.0])
+    assert msgspec.msgpack.decode(pong, type=peers_module.Pong).is_owner
+
+
+async def add_unequal_entries(system):
+    """Adds weak and able standbys; returns the able ones."""
+    for number in range(1, 5):
+        await platform_system.add_entry(system, number, capacity=0.3)
+    able = [
+        await platform_system.add_entry(system, number, capacity=2.0)
+        for number in (5, 6)
+    ]
+    with anyio.fail_after(5.0):
+        while any(
+            e.owner is None and e.ownership.ablest_capacity != 2.0
+            for e in system.entries
+        ):
+            await anyio.sleep(0.01)
+    return able
+
+
+async def test_able_process_takes_over_from_an_owner_that_ends():
+    # Guards against an owner that is replaced by whichever process is first.
+    async with platform_system.run_system(entries=1, capacity=4.0) as system:
+        owner = await system.wait_owner()
+        able = await add_unequal_entries(system)
+        await system.kill(owner)
+        assert await system.wait_owner() in able
+
+
+async def test_planned_handover_goes_to_an_able_process():
+    # Guards against a restart of the owner that leaves the jobs to a weak one.
+    async with platform_system.run_system(entries=1, capacity=4.0) as system:
+        owner = await system.wait_owner()
+        able = await add_unequal_entries(system)
+        system.group.start_soon(entry_module.drain, owner)
+        with anyio.fail_after(2.0):
+            while owner.owner is not None:
+                await anyio.sleep(0.01)
+        assert await system.wait_owner() in able
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -170,6 +170,14 @@
     assert settings.metrics_address == f"10.1.0.13:{port}"
 
 
+def test_capacity_is_the_share_of_all_cores():
+    # Guards against processes of different strength that look alike, and
+    # against a settings file without limits that stops the process.
+    limits = "\n[Limits]\nCpuShare = 0.5\nCores = 3\nMemoryMb = 300\n"
+    assert node.decode_settings(NODE + limits).ok_value.capacity == 1.5
+    assert node.decode_settings(NODE).ok_value.capacity == 1.0
+
+
 @pytest.mark.parametrize("text", ["", "x =", 'NodeName = "a"', "Ip = 5"])
 def test_unusable_settings_are_refused_with_the_reason(text):
     # Guards against a process that starts with incomplete settings.
