Hand over from a weak owner; renew claims in a task of their own

A renewal ran in the loop that pings, after its sleep, so renewals were up to 1.42 s and an append apart; they count as overdue after 1.6 s, which left a busy owner 0.18 s.

Change: an owner below 0.6 of the capacity of the ablest able peer hands over to it, by the planned handover, once it has recovered and has seen such a peer for 3 s without a break; a failed offer is repeated after 10 s. Renewals are due 1 s after the last and have their own task. The 1.6 s stay: they bound the takeover of a dead owner, and 0.6 s are now left.

--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -78,6 +78,12 @@
     claim_wait_max_s: float = 0.6
     # Capacity of the ablest process, while no owner has reported it.
     assumed_ablest_capacity: float = 2.0
+    # An owner below this share of the capacity of an able peer hands over to
+    # it. The wait lets the owner and the peer prove stable, and the share rules
+    # out that the peer hands back.
+    abler_peer_share: float = 0.6
+    abler_peer_wait_s: float = 3.0
+    abler_peer_retry_s: float = 10.0
 
     # Runners. A call within the deployment takes 1 to 3 ms.
     call_timeout_s: float = 0.4
--- a/plantainvane/jobs/standbys.py
+++ b/plantainvane/jobs/standbys.py
@@ -3,6 +3,7 @@
 import random
 
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import settings as settings_module
 
 # A peer whose last ping is older than this is not asked to become the owner.
 _PEER_MAX_AGE_S = 1.5
@@ -31,5 +32,18 @@
     )
 
 
+def find_abler_peer(
+    known_peers: dict[str, process_module.PeerStatus],
+    settings: settings_module.Settings,
+    now: float,
+) -> str:
+    """Returns an ablest peer that is markedly abler, or an empty string."""
+    for address in list_successors(known_peers, now)[:1]:
+        limit = settings.abler_peer_share * known_peers[address].capacity
+        if settings.capacity < limit:
+            return address
+    return ""
+
+
 def _is_able(status: process_module.PeerStatus, now: float) -> bool:
     return status.may_own and now - status.pinged_at < _PEER_MAX_AGE_S
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -26,10 +26,19 @@
     owner = entry.owner
     if owner is None:
         return
+    candidates = standbys.list_successors(entry.known_peers, clock.read_now())
+    await _offer_ownership(entry, owner, candidates)
+
+
+async def _offer_ownership(
+    entry: process_module.Entry,
+    owner: state_module.Owner,
+    candidates: list[str],
+) -> None:
+    """Stops scheduling and asks `candidates` in turn to claim ownership."""
     owner.draining = True
     with anyio.move_on_after(0.5):
         await owner.journal.flush()
-    candidates = standbys.list_successors(entry.known_peers, clock.read_now())
     for address in candidates:
         reply = await entry.peers.call(
             address,
@@ -50,6 +59,37 @@
     )
 
 
+async def _seek_abler_owner(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    """Hands over to a markedly abler peer that has been there for a while."""
+    settings = entry.settings
+    found_at = None
+    while True:
+        await anyio.sleep(settings.ping_s)
+        now = clock.read_now()
+        peer = standbys.find_abler_peer(entry.known_peers, settings, now)
+        if not peer or not owner.recovered or not _may_own(entry, now):
+            found_at = None
+            continue
+        if found_at is None:
+            found_at = now
+        if now - found_at < settings.abler_peer_wait_s:
+            continue
+        events.log_event(
+            events.ABLER_PEER_FOUND,
+            epoch=owner.epoch,
+            capacity=settings.capacity,
+            peer=peer,
+            peer_capacity=entry.known_peers[peer].capacity,
+            owned_s=round(now - owner.started_at, 3),
+        )
+        await _offer_ownership(entry, owner, [peer])
+        # Only a failed offer gets here; a step-down cancels this task.
+        owner.draining = entry.draining
+        await anyio.sleep(settings.abler_peer_retry_s)
+
+
 async def monitor_owner(entry: process_module.Entry) -> None:
     """Pings the owner and claims ownership when it has failed."""
     settings, ownership = entry.settings, entry.ownership
@@ -58,7 +98,6 @@
     while True:
         await anyio.sleep(settings.ping_s * (0.8 + 0.4 * random.random()))
         if entry.owner is not None:
-            await _renew_claim(entry)
             continue
         await _ping_owner(entry)
         if entry.draining or entry.configuration is None:
@@ -233,27 +272,45 @@
     def on_created(owner: state_module.Owner) -> None:
         entry.owner = owner
         ready.set()
+        group.start_soon(_renew_claims, entry, owner)
+        group.start_soon(_seek_abler_owner, entry, owner)
 
     try:
-        await owner_module.run_owner(
-            entry.settings,
-            entry.adapters,
-            epoch,
-            entry.health,
-            lambda: entry.configuration,
-            on_created,
-        )
+        async with anyio.create_task_group() as group:
+            await owner_module.run_owner(
+                entry.settings,
+                entry.adapters,
+                epoch,
+                entry.health,
+                lambda: entry.configuration,
+                on_created,
+            )
+            group.cancel_scope.cancel()
     finally:
         entry.owner = None
         ready.set()
 
 
-async def _renew_claim(entry: process_module.Entry) -> None:
-    """Renews the claim in the log, for peers that cannot reach this process."""
-    ownership, settings, owner = entry.ownership, entry.settings, entry.owner
-    now = clock.read_now()
-    if now - ownership.renewed_at < settings.renew_s or owner is None:
-        return
+async def _renew_claims(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    """Renews the claim in the log, for peers that cannot reach this process.
+
+    Nothing else runs in this task, as the renewals tell a slow owner from one
+    that has failed.
+    """
+    settings = entry.settings
+    while True:
+        due_at = entry.ownership.renewed_at + settings.renew_s
+        left_s = due_at - clock.read_now()
+        await anyio.sleep(max(settings.store_retry_s, left_s))
+        await _renew_claim(entry, owner)
+
+
+async def _renew_claim(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    ownership, settings = entry.ownership, entry.settings
     claim = ownership_module.Claim(
         settings.id, entry.incarnation, settings.peer_address, owner.epoch
     )
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from plantainvane.jobs import clock
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import ownership
 from plantainvane.jobs import peers as peers_module
@@ -127,3 +128,48 @@
             while owner.owner is not None:
                 await anyio.sleep(0.01)
         assert await system.wait_owner() in able
+
+
+def test_only_a_markedly_abler_peer_is_handed_over_to():
+    # Guards against handovers back and forth between processes that differ
+    # little, and to a peer that is gone.
+    weak, able = make_settings(capacity=0.5), make_settings(capacity=2.0)
+    peers = make_peers(0.3, 2.0, 0.5)
+    assert standbys.find_abler_peer(peers, weak, 10.5) == "127.0.0.1:1"
+    assert standbys.find_abler_peer(peers, able, 10.5) == ""
+    assert standbys.find_abler_peer(make_peers(0.8), weak, 10.5) == ""
+    assert standbys.find_abler_peer(peers, weak, 12.5) == ""
+    assert standbys.find_abler_peer({}, weak, 10.5) == ""
+
+
+async def test_weak_owner_hands_over_to_an_able_process_once():
+    # Guards against a weak owner that keeps the jobs while an able process
+    # stands by, and against tasks that run twice because of the handover.
+    async with platform_system.run_system(entries=1, capacity=0.3) as system:
+        weak = await system.wait_owner()
+        body = platform_system.make_job(count=2, run_ms=6000)
+        await platform_system.call(weak, "POST", "5c0e7a21d94b36f8", body)
+        able = await platform_system.add_entry(system, 1, capacity=2.0)
+        with anyio.fail_after(3 * SETTINGS.abler_peer_wait_s):
+            while system.find_owner() is not able:
+                await anyio.sleep(0.01)
+        epoch = able.owner.epoch
+        await platform_system.wait_state(
+            system, "5c0e7a21d94b36f8", "completed"
+        )
+        assert (able.owner.epoch, weak.owner) == (epoch, None)
+        assert len(system.list_starts()) == 2
+
+
+async def test_renewals_do_not_wait_for_the_loop_that_pings():
+    # Guards against a live owner whose renewals are overdue, and which is
+    # replaced because it is slow to answer.
+    async with platform_system.run_system(entries=1, ping_s=2.5) as system:
+        owner = await system.wait_owner()
+        seen = set()
+        with anyio.fail_after(8.0):
+            while len(seen) < 4:
+                age_s = clock.read_now() - owner.ownership.renewed_at
+                assert age_s < SETTINGS.renew_overdue_s
+                seen.add(owner.ownership.offset)
+                await anyio.sleep(0.02)
