--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -15,28 +15,30 @@
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 
 _HAND_OVER_TIMEOUT_S = 1.5
-# A planned handover asks only peers whose last ping is younger than this.
-_PEER_MAX_AGE_S = 1.5
 
 
 async def hand_over(entry: process_module.Entry) -> None:
-    """Stops scheduling and asks peers, in random order, to claim ownership."""
+    """Stops scheduling and asks peers, the ablest first, to claim ownership."""
     owner = entry.owner
     if owner is None:
         return
+    candidates = standbys.list_successors(entry.known_peers, clock.read_now())
+    await _offer_ownership(entry, owner, candidates)
+
+
+async def _offer_ownership(
+    entry: process_module.Entry,
+    owner: state_module.Owner,
+    candidates: list[str],
+) -> None:
+    """Stops scheduling and asks `candidates` in turn to claim ownership."""
     owner.draining = True
     with anyio.move_on_after(0.5):
         await owner.journal.flush()
-    now = clock.read_now()
-    candidates = [
-        address
-        for address, status in entry.known_peers.items()
-        if status.may_own and now - status.pinged_at < _PEER_MAX_AGE_S
-    ]
-    random.shuffle(candidates)
     for address in candidates:
         reply = await entry.peers.call(
             address,
@@ -57,6 +59,37 @@
     )
 
 
+async def _seek_abler_owner(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    """Hands over to a markedly abler peer that has been there for a while."""
+    settings = entry.settings
+    found_at = None
+    while True:
+        await anyio.sleep(settings.ping_s)
+        now = clock.read_now()
+        peer = standbys.find_abler_peer(entry.known_peers, settings, now)
+        if not peer or not owner.recovered or not _may_own(entry, now):
+            found_at = None
+            continue
+        if found_at is None:
+            found_at = now
+        if now - found_at < settings.abler_peer_wait_s:
+            continue
+        events.log_event(
+            events.ABLER_PEER_FOUND,
+            epoch=owner.epoch,
+            capacity=settings.capacity,
+            peer=peer,
+            peer_capacity=entry.known_peers[peer].capacity,
+            owned_s=round(now - owner.started_at, 3),
+        )
+        await _offer_ownership(entry, owner, [peer])
+        # Only a failed offer gets here; a step-down cancels this task.
+        owner.draining = entry.draining
+        await anyio.sleep(settings.abler_peer_retry_s)
+
+
 async def monitor_owner(entry: process_module.Entry) -> None:
     """Pings the owner and claims ownership when it has failed."""
     settings, ownership = entry.settings, entry.ownership
@@ -65,7 +98,6 @@
     while True:
         await anyio.sleep(settings.ping_s * (0.8 + 0.4 * random.random()))
         if entry.owner is not None:
-            await _renew_claim(entry)
             continue
         await _ping_owner(entry)
         if entry.draining or entry.configuration is None:
@@ -97,6 +129,7 @@
         ownership.epoch,
         entry.configuration.version if entry.configuration else -1,
         _may_own(entry, now),
+        settings.capacity,
     )
     pong = await entry.peers.call(claim.address, ping, settings.ping_timeout_s)
     if entry.ownership.claim is not claim:
@@ -108,7 +141,9 @@
             ownership.denied = True
         return
     answer = pong.ok_value
-    ownership.record_reply(answer.is_owner, answer.silent_for_s, now)
+    ownership.record_reply(
+        answer.is_owner, answer.silent_for_s, now, answer.ablest_capacity
+    )
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
     await configuration.compare_configuration(
@@ -144,17 +179,30 @@
 async def _consider_claim(entry: process_module.Entry, reason: str) -> None:
     ownership, settings = entry.ownership, entry.settings
     epoch = ownership.epoch
-    # Jitter spreads the claims, so that most processes see the winner's claim
-    # before they make their own.
-    await anyio.sleep(random.random() * settings.claim_jitter_s)
-    if not await _read_claims(entry) or ownership.epoch != epoch:
-        return
-    now = clock.read_now()
-    if not ownership_module.may_claim(
-        ownership, reason, entry.health.regained_at, settings, now
-    ):
+
+    async def check_claim() -> bool:
+        if not await _read_claims(entry) or ownership.epoch != epoch:
+            return False
+        return ownership_module.may_claim(
+            ownership,
+            reason,
+            entry.health.regained_at,
+            settings,
+            clock.read_now(),
+        )
+
+    # The wait begins when a claim is justified, as it is then about the same
+    # moment for all processes, and the ablest claims first.
+    if not await check_claim():
         return
-    await _claim(entry, reason)
+    # Jitter spreads the claims of equals, so that most processes see the
+    # winner's claim before they make their own.
+    await anyio.sleep(
+        ownership_module.choose_claim_wait(ownership, settings)
+        + random.random() * settings.claim_jitter_s
+    )
+    if await check_claim():
+        await _claim(entry, reason)
 
 
 async def _claim(entry: process_module.Entry, reason: str) -> bool:
@@ -224,27 +272,45 @@
     def on_created(owner: state_module.Owner) -> None:
         entry.owner = owner
         ready.set()
+        group.start_soon(_renew_claims, entry, owner)
+        group.start_soon(_seek_abler_owner, entry, owner)
 
     try:
-        await owner_module.run_owner(
-            entry.settings,
-            entry.adapters,
-            epoch,
-            entry.health,
-            lambda: entry.configuration,
-            on_created,
-        )
+        async with anyio.create_task_group() as group:
+            await owner_module.run_owner(
+                entry.settings,
+                entry.adapters,
+                epoch,
+                entry.health,
+                lambda: entry.configuration,
+                on_created,
+            )
+            group.cancel_scope.cancel()
     finally:
         entry.owner = None
         ready.set()
 
 
-async def _renew_claim(entry: process_module.Entry) -> None:
-    """Renews the claim in the log, for peers that cannot reach this process."""
-    ownership, settings, owner = entry.ownership, entry.settings, entry.owner
-    now = clock.read_now()
-    if now - ownership.renewed_at < settings.renew_s or owner is None:
-        return
+async def _renew_claims(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    """Renews the claim in the log, for peers that cannot reach this process.
+
+    Nothing else runs in this task, as the renewals tell a slow owner from one
+    that has failed.
+    """
+    settings = entry.settings
+    while True:
+        due_at = entry.ownership.renewed_at + settings.renew_s
+        left_s = due_at - clock.read_now()
+        await anyio.sleep(max(settings.store_retry_s, left_s))
+        await _renew_claim(entry, owner)
+
+
+async def _renew_claim(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> None:
+    ownership, settings = entry.ownership, entry.settings
     claim = ownership_module.Claim(
         settings.id, entry.incarnation, settings.peer_address, owner.epoch
     )
