Wake the session of an idle runner by an event

Cause: while a runner had no attempt, its session looked every 20 ms whether one had been started: 50 wake-ups a second for each runner. Ruled out: a longer interval, as the first renewal after a start would come later. Before: 50 waits of the event loop in one idle wait of 0.5 s (test_an_idle_runner_costs_few_wake_ups). After: at most 5.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -116,6 +116,7 @@
         if run.phase is attempts.Phase.STARTING:
             run.phase = attempts.Phase.RUNNING
             run.running_since = run.progress_changed_at = now
+            runner.has_active.set()
         if run.task.job.ended:
             stop_run(owner, run, "job ended")
         elif run.task.step.definition.fills:
@@ -168,6 +169,9 @@
         return
     run.phase = attempts.Phase.STOPPING
     run.running_since = float("inf")
+    runner = owner.runners.get(run.runner)
+    if runner is not None:
+        runner.has_active.set()
     events.log_event(
         events.TASK_STOPPED,
         task=run.task.name,
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import anyio
+
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
@@ -44,6 +46,7 @@
       probation_until: Until this time a task is started only while nothing
         else runs there, as a canary.
       faults: Number of recent failures that suggest a fault of the runner.
+      has_active: Set when an attempt there may have been started.
       speed: Measured speed of its tasks relative to other runners; 1.0 is
         normal.
     """
@@ -71,6 +74,7 @@
     probation_until: float = 0.0
     faults: int = 0
     speed: float = 1.0
+    has_active: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def charge(self, run: attempts.Run, sign: int = 1) -> None:
         """Charges the resources of an attempt; `sign` -1 releases them.
@@ -81,6 +85,8 @@
             return
         if sign > 0:
             self.runs[run] = None
+            if run.phase is not attempts.Phase.STARTING:
+                self.has_active.set()
         else:
             del self.runs[run]
         step = run.task.step.definition
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -90,7 +90,8 @@
         while not any(
             run.phase is not attempts.Phase.STARTING for run in runner.runs
         ):
-            await anyio.sleep(0.02)
+            runner.has_active = anyio.Event()
+            await runner.has_active.wait()
 
 
 def _choose_wait(
