Bound the cost of moving fill tasks and clearing a runner

Change: a slowed task whose amounts fit nowhere is not compared again; a pass tries 60 slowed tasks at most and the next one others. The disturbed images are found once for a search, and it asks only whether some runner has room. Open: results are computed again in each slice, so a pass that places many fill tasks takes seconds.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from plantainvane.jobs import attempts
@@ -184,6 +185,26 @@
     return best
 
 
+def can_start(
+    task: attempts.Task,
+    candidates: Iterable[runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+) -> bool:
+    """Tells whether `choose_runner` would find a runner for the task."""
+    limit = task.step.definition.max_per_runner
+    counts = _count_runs_by_runner(task) if limit else {}
+    estimates = Estimates()
+    return any(
+        not (limit and counts.get(runner.entry.id, 0) >= limit)
+        and _evaluate_runner(
+            task, runner, {}, interference_model, estimates, now
+        )
+        is not None
+        for runner in candidates
+    )
+
+
 def choose_ranked_runner(
     task: attempts.Task,
     service: str,
--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -94,6 +94,7 @@
     """Chooses as `choose_moves`, and yields before it examines a runner."""
     if sum(demand.values()) < _MIN_GAIN_MILLICORES:
         return []
+    disturbed_images = _find_disturbed_images(demand, interference_model, now)
     best: list[attempts.Run] = []
     best_gain = 0.0
     for runner in runners:
@@ -101,8 +102,8 @@
         if not _is_responsive(runner, now):
             continue
         disturbed = {
-            image: _list_disturbed_runs(runner, image, interference_model, now)
-            for image in demand
+            image: _list_disturbed_runs(runner, images)
+            for image, images in disturbed_images.items()
         }
         for image, moved in disturbed.items():
             steps = {id(run.task.step) for run in moved}
@@ -111,7 +112,13 @@
             gain = _measure_gain(runner, moved, demand, disturbed)
             gain -= _MIN_GAIN_MILLICORES * len(moved)
             if gain > best_gain and all(
-                _may_move(run, image, runners, interference_model, now)
+                _may_move(
+                    run,
+                    disturbed_images[image],
+                    runners,
+                    interference_model,
+                    now,
+                )
                 for run in moved
             ):
                 best, best_gain = moved, gain
@@ -128,20 +135,31 @@
     )
 
 
-def _list_disturbed_runs(
-    runner: runners_module.Runner,
-    image: str,
+def _find_disturbed_images(
+    demand: dict[str, int],
     interference_model: interference.InterferenceModel,
     now: float,
+) -> dict[str, set[str]]:
+    """Returns the serving images that each fill image in demand disturbs."""
+    images: dict[str, set[str]] = {image: set() for image in demand}
+    for serving_image, image in interference_model.effects:
+        if image in images and (
+            interference_model.find_effect(serving_image, image, now) > 0
+        ):
+            images[image].add(serving_image)
+    return images
+
+
+def _list_disturbed_runs(
+    runner: runners_module.Runner, images: set[str]
 ) -> list[attempts.Run]:
-    return [
-        run
-        for run in interference.list_serving_runs(runner)
-        if interference_model.find_effect(
-            run.task.step.definition.image, image, now
-        )
-        > 0
-    ]
+    """Returns the attempts of serving tasks with one of the images."""
+    runs = []
+    for run in runner.runs:
+        step = run.task.step.definition
+        if step.target_ms and step.image in images:
+            runs.append(run)
+    return runs
 
 
 def _measure_gain(
@@ -166,24 +184,24 @@
 
 def _may_move(
     run: attempts.Run,
-    image: str,
+    images: set[str],
     runners: list[runners_module.Runner],
     interference_model: interference.InterferenceModel,
     now: float,
 ) -> bool:
     """Tells whether the budget allows a move and another runner has capacity.
 
-    Only runners where the image disturbs a serving task anyway are considered.
+    Only runners with a serving task of one of the images are considered, as
+    they are disturbed anyway.
     """
-    others = [
+    others = (
         runner
         for runner in runners
         if runner.entry.id != run.runner
-        and _list_disturbed_runs(runner, image, interference_model, now)
-    ]
+        and _list_disturbed_runs(runner, images)
+    )
     return _respects_disruption_budget(run, runners, now) and (
-        placement.choose_runner(run.task, others, interference_model, now)
-        is not None
+        placement.can_start(run.task, others, interference_model, now)
     )
 
 
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -20,6 +20,8 @@
 _MOVE_SLOWED_AFTER_S = 0.9
 _MOVE_INTERVAL_S = 0.25
 _MAX_MOVES_PER_PASS = 3
+# Most slowed fill tasks that one pass tries to move; the next tries others.
+_MAX_TRIED_MOVES = 60
 # Time between two attempts to clear a runner of long-running tasks; one runner
 # is cleared at a time.
 _CLEAR_INTERVAL_S = 0.5
@@ -282,6 +284,10 @@
         for run in runner.runs
         if _is_slowed(run, current.now)
     ]
+    if len(slowed) > _MAX_TRIED_MOVES:
+        turn = int(current.now / _MOVE_INTERVAL_S)
+        start = turn * _MAX_TRIED_MOVES % len(slowed)
+        slowed = [*slowed[start:], *slowed[:start]][:_MAX_TRIED_MOVES]
     moved = 0
     for run in slowed:
         moved += _move_fill(owner, run, current)
@@ -308,9 +314,12 @@
     runner, now = owner.runners.get(run.runner), current.now
     if runner is None or run not in runner.runs or not _is_slowed(run, now):
         return False
+    service = runner.entry.service
+    if _choose_unblocked(owner, run.task, service, current) is None:
+        return False
     if not placement.find_full_speed_runner(
         run,
-        _list_runners(owner, runner.entry.service),
+        _list_runners(owner, service),
         owner.interference_model,
         now,
         current.estimates,
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -434,3 +434,25 @@
             expected.append((task.name, runner.entry.id))
     assert list_placed(reusing) == expected
     assert 0 < len(expected) < len(ready)
+
+
+def test_every_slowed_fill_gets_its_turn(monkeypatch):
+    # Guards against passes that compare hundreds of slowed tasks with every
+    # runner, and against slowed tasks that are never tried.
+    owner, runs = make_halted_fills(150, checkpointing=True)
+    owner.interference_model.effects["web", "noisy"] = interference.Effect(
+        0.5, 0.001, 1.0
+    )
+    fields = {"long_running": True, "image": "web", "target_ms": 18}
+    step = decisions.make_step(**fields)
+    decisions.place_runs(
+        owner.runners["idle"], owner.table, step, job_id="web"
+    )
+    tried = count_calls(monkeypatch, placement, "find_full_speed_runner")
+    numbers = []
+    for turn in range(5):
+        before = len(tried)
+        scheduling.move_slowed_fills(owner, 9.1 + 0.26 * turn)
+        numbers.append(len(tried) - before)
+    assert max(numbers) <= 60
+    assert {arguments[0] for arguments in tried} == set(runs)
