Keep results over the slices of a pass

Ruled out: keeping them until the next pass, as a slow process would place tasks by reports that are seconds old; they are renewed after 0.5 s. Change: after a pause only the runners that changed are estimated and scored again. The pressure on a runner is estimated once for all fill images.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -273,30 +273,21 @@
       0 or less if every tail is expected to stay below its limit, negative
       infinity if the image disturbs none.
     """
-    rows = list_pressures(interference_model, runner, image, share, now)
-    return measure_excess(rows, cores)
-
-
-def measure_excess(rows: list[tuple[float, float]], cores: float) -> float:
-    """Returns the highest excess pressure; `rows` is from `list_pressures`."""
-    worst = -math.inf
-    for effect, excess in rows:
-        own = effect * cores
-        worst = max(worst, min(excess + own, own))
-    return worst
+    effects: dict[tuple[str, str], float] = {}
+    rows = list_pressures(interference_model, runner, share, now, effects)
+    return measure_excess(interference_model, rows, image, cores, now, effects)
 
 
 def list_pressures(
     interference_model: InterferenceModel,
     runner: runners_module.Runner,
-    image: str,
     share: float,
     now: float,
-) -> list[tuple[float, float]]:
-    """Returns the serving tasks of a runner that a fill image disturbs.
+    effects: dict[tuple[str, str], float],
+) -> list[tuple[str, float]]:
+    """Returns image and present excess pressure of each serving task.
 
-    Each is the effect per core of the image, and the excess pressure without
-    the image.
+    Effects found are kept in `effects`, which is valid for one time.
     """
     fills = [
         run.task.step.definition
@@ -305,16 +296,37 @@
     ]
     rows = []
     for run in list_serving_runs(runner):
-        serving_image = run.task.step.definition.image
-        effect = interference_model.find_effect(serving_image, image, now)
-        if effect <= 0:
-            continue
-        limit = interference_model.find_pressure_limit(serving_image, share)
-        others = sum(
-            interference_model.find_effect(serving_image, step.image, now)
-            * step.amounts.cpu
-            for step in fills
-        )
+        image = run.task.step.definition.image
+        limit = interference_model.find_pressure_limit(image, share)
+        others = 0.0
+        for step in fills:
+            key = image, step.image
+            if key not in effects:
+                effects[key] = interference_model.find_effect(*key, now)
+            others += effects[key] * step.amounts.cpu
         peak = interference_model.find_level(run).peak
-        rows.append((effect, peak - limit + others / 1000))
+        rows.append((image, peak - limit + others / 1000))
     return rows
+
+
+def measure_excess(
+    interference_model: InterferenceModel,
+    rows: list[tuple[str, float]],
+    image: str,
+    cores: float,
+    now: float,
+    effects: dict[tuple[str, str], float],
+) -> float:
+    """Returns the highest excess pressure with one more fill task.
+
+    `rows` is the result of `list_pressures`.
+    """
+    worst = -math.inf
+    for serving_image, excess in rows:
+        key = serving_image, image
+        if key not in effects:
+            effects[key] = interference_model.find_effect(*key, now)
+        own = effects[key] * cores
+        if own > 0:
+            worst = max(worst, min(excess + own, own))
+    return worst
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -233,7 +233,7 @@
     unfinished = True
     while unfinished and not owner.draining:
         began = clock.read_now()
-        current.begin_slice(began)
+        current.begin_slice(owner.runners, began)
         unfinished = _run_slice(work, began + _SLICE_S)
         scheduling.start_placed(owner, current)
         took_s = clock.read_now() - began
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -74,20 +74,25 @@
     """Intermediate results, valid for one time and state of the runners.
 
     Whoever charges a runner in the meantime has to call `forget_runner`.
+    Runners that are added, or get room, in the meantime are left out.
 
     Attributes:
-      pressures: Result of `interference.list_pressures`, by runner id and fill
-        image.
+      effects: Effects by serving image and fill image.
+      pressures: Result of `interference.list_pressures`, by runner id.
       serving_images: Images of the serving tasks, by runner id.
       compatible_fills: Known fill images that disturb none of a set of serving
         images.
       fill_images: Known fill images, or None if not listed yet.
       rankings: Rankings by requirements.
-      charged: Ids of the runners charged in the meantime, in order.
+      charged: Ids of the runners that have changed in the meantime, in order.
+      stamps: State of each runner that scores depend on, by runner id.
     """
 
-    pressures: dict[str, dict[str, list[tuple[float, float]]]] = (
-        dataclasses.field(default_factory=dict)
+    effects: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    pressures: dict[str, list[tuple[str, float]]] = dataclasses.field(
+        default_factory=dict
     )
     serving_images: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
@@ -100,6 +105,9 @@
         default_factory=dict
     )
     charged: list[str] = dataclasses.field(default_factory=list)
+    stamps: dict[str, tuple[object, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def forget_runner(self, runner: str) -> None:
         """Drops what depends on the attempts that are charged to a runner."""
@@ -108,6 +116,33 @@
         self.charged.append(runner)
 
 
+def forget_changes(
+    estimates: Estimates, runners: dict[str, runners_module.Runner], now: float
+) -> None:
+    """Drops the results for the runners that changed since the last call."""
+    stamps = {name: _read_stamp(r, now) for name, r in runners.items()}
+    for name, stamp in estimates.stamps.items():
+        if stamps.get(name) != stamp:
+            estimates.forget_runner(name)
+    estimates.stamps = stamps
+
+
+def _read_stamp(
+    runner: runners_module.Runner, now: float
+) -> tuple[object, ...]:
+    return (
+        runner.entry,
+        runner.listed and runner.fenced,
+        runner.silent or runner.expiry_promised,
+        runner.backoff_until > now,
+        runner.probation_until > now,
+        runner.faults,
+        runner.speed,
+        runner.fill_cpu,
+        tuple(runner.runs),
+    )
+
+
 def accepts_step(
     runner: runners_module.Runner, step: model.Step, now: float
 ) -> bool:
@@ -267,7 +302,8 @@
     """
     for runner in dict.fromkeys(estimates.charged[ranking.seen :]):
         if runner in ranking.scores:
-            score = evaluate(runners[runner])
+            known = runners.get(runner)
+            score = evaluate(known) if known is not None else None
             if score is None:
                 del ranking.scores[runner]
             else:
@@ -394,13 +430,25 @@
     now: float,
 ) -> float:
     """Estimates as `interference.estimate_excess_pressure` for a fill step."""
-    by_image = estimates.pressures.setdefault(runner.entry.id, {})
-    rows = by_image.get(step.image)
+    rows = estimates.pressures.get(runner.entry.id)
     if rows is None:
-        rows = by_image[step.image] = interference.list_pressures(
-            interference_model, runner, step.image, pacing.TARGET_SHARE, now
+        rows = estimates.pressures[runner.entry.id] = (
+            interference.list_pressures(
+                interference_model,
+                runner,
+                pacing.TARGET_SHARE,
+                now,
+                estimates.effects,
+            )
         )
-    return interference.measure_excess(rows, step.amounts.cpu / 1000)
+    return interference.measure_excess(
+        interference_model,
+        rows,
+        step.image,
+        step.amounts.cpu / 1000,
+        now,
+        estimates.effects,
+    )
 
 
 def _measure_fill_compatibility(
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -22,6 +22,9 @@
 _MAX_MOVES_PER_PASS = 3
 # Most slowed fill tasks that one pass tries to move; the next tries others.
 _MAX_TRIED_MOVES = 60
+# Interference is estimated again in a pass that lasts longer than this, as
+# status reports arrive every 0.5 s.
+_MAX_ESTIMATE_AGE_S = 0.5
 # Time between two attempts to clear a runner of long-running tasks; one runner
 # is cleared at a time.
 _CLEAR_INTERVAL_S = 0.5
@@ -50,7 +53,8 @@
     Attributes:
       now: Start of the present slice.
       placed: Attempts whose start is not ordered yet.
-      estimates: Intermediate results of the present slice.
+      estimates: Intermediate results.
+      estimated_at: Time to which they apply.
       blocked: Amounts for which no runner was found in this pass, by the other
         requirements.
       preemptible: Runners with attempts of less urgent queues at the first use,
@@ -62,6 +66,7 @@
     estimates: placement.Estimates = dataclasses.field(
         default_factory=placement.Estimates
     )
+    estimated_at: float = 0.0
     blocked: dict[tuple[object, ...], list[model.Amounts]] = dataclasses.field(
         default_factory=dict
     )
@@ -69,9 +74,14 @@
         default_factory=dict
     )
 
-    def begin_slice(self, now: float) -> None:
-        """Drops what may have changed since the last slice."""
-        self.now, self.estimates = now, placement.Estimates()
+    def begin_slice(
+        self, runners: dict[str, runners_module.Runner], now: float
+    ) -> None:
+        """Drops what has changed since the last slice."""
+        self.now = now
+        if now - self.estimated_at > _MAX_ESTIMATE_AGE_S:
+            self.estimates, self.estimated_at = placement.Estimates(), now
+        placement.forget_changes(self.estimates, runners, now)
 
 
 def run_pass(owner: state_module.Owner, current: Pass) -> Iterator[None]:
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -304,10 +304,11 @@
         owner.table.jobs[job_id].deadline = deadline
     current = scheduling.Pass(1.0)
     work = scheduling.run_pass(owner, current)
+    current.begin_slice(owner.runners, 1.0)
     next(work)
     owner.table.cancel_job(owner.table.jobs["gone"], 0)
     del owner.runners["a"]
-    current.begin_slice(1.0)
+    current.begin_slice(owner.runners, 1.0)
     for _ in work:
         pass
     placed = [(run.task.name, run.runner) for run in current.placed]
@@ -445,9 +446,7 @@
     )
     fields = {"long_running": True, "image": "web", "target_ms": 18}
     step = decisions.make_step(**fields)
-    decisions.place_runs(
-        owner.runners["idle"], owner.table, step, job_id="web"
-    )
+    decisions.place_runs(owner.runners["idle"], owner.table, step, job_id="web")
     tried = count_calls(monkeypatch, placement, "find_full_speed_runner")
     numbers = []
     for turn in range(5):
@@ -456,3 +455,39 @@
         numbers.append(len(tried) - before)
     assert max(numbers) <= 60
     assert {arguments[0] for arguments in tried} == set(runs)
+
+
+def test_results_outlast_an_interruption(monkeypatch):
+    # Guards against a pass that estimates the interference on every runner
+    # again for each task that it places.
+    calls = count_calls(monkeypatch, interference, "list_pressures")
+    owner = make_owner(*(decisions.make_runner(f"r{i}") for i in range(50)))
+    step = decisions.make_step(count=30, fills=True, image="batch")
+    decisions.add_job(owner.table, step)
+    current = scheduling.Pass(1.0)
+    current.begin_slice(owner.runners, 1.0)
+    for _ in scheduling.run_pass(owner, current):
+        current.begin_slice(owner.runners, 1.0)
+    assert len(current.placed) == 30
+    assert len(calls) <= 50 + 2 * 30
+
+
+@pytest.mark.parametrize(
+    "change", [{"silent": True}, {"backoff_until": 9.0}, {"fenced": False}]
+)
+def test_no_task_starts_on_a_runner_that_stopped_accepting(change):
+    # Guards against a start order to a runner that has fallen silent or has
+    # rejected a start since the pass began.
+    owner = make_owner(
+        decisions.make_runner("a"), decisions.make_runner("b", cpu=8000)
+    )
+    decisions.add_job(owner.table, decisions.make_step(count=2))
+    current = scheduling.Pass(1.0)
+    current.begin_slice(owner.runners, 1.0)
+    work = scheduling.run_pass(owner, current)
+    next(work)
+    for name, value in change.items():
+        setattr(owner.runners["a"], name, value)
+    current.begin_slice(owner.runners, 1.0)
+    next(work)
+    assert [run.runner for run in current.placed] == ["a", "b"]
