Ask only whether a runner is disturbed when one is cleared

Cause: half of the search for a runner to clear listed the disturbed tasks of each runner where only their existence matters.

--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -162,6 +162,15 @@
     return runs
 
 
+def _is_disturbed(runner: runners_module.Runner, images: set[str]) -> bool:
+    """Tells whether the runner has a serving task with one of the images."""
+    for run in runner.runs:
+        step = run.task.step.definition
+        if step.image in images and step.target_ms:
+            return True
+    return False
+
+
 def _measure_gain(
     runner: runners_module.Runner,
     moved: list[attempts.Run],
@@ -197,8 +206,7 @@
     others = (
         runner
         for runner in runners
-        if runner.entry.id != run.runner
-        and _list_disturbed_runs(runner, images)
+        if runner.entry.id != run.runner and _is_disturbed(runner, images)
     )
     return _respects_disruption_budget(run, runners, now) and (
         placement.can_start(run.task, others, interference_model, now)
