--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -20,6 +20,11 @@
 _MOVE_SLOWED_AFTER_S = 0.9
 _MOVE_INTERVAL_S = 0.25
 _MAX_MOVES_PER_PASS = 3
+# Most slowed fill tasks that one pass tries to move; the next tries others.
+_MAX_TRIED_MOVES = 60
+# Interference is estimated again in a pass that lasts longer than this, as
+# status reports arrive every 0.5 s.
+_MAX_ESTIMATE_AGE_S = 0.5
 # Time between two attempts to clear a runner of long-running tasks; one runner
 # is cleared at a time.
 _CLEAR_INTERVAL_S = 0.5
@@ -48,7 +53,8 @@
     Attributes:
       now: Start of the present slice.
       placed: Attempts whose start is not ordered yet.
-      estimates: Intermediate results of the present slice.
+      estimates: Intermediate results.
+      estimated_at: Time to which they apply.
       blocked: Amounts for which no runner was found in this pass, by the other
         requirements.
       preemptible: Runners with attempts of less urgent queues at the first use,
@@ -60,6 +66,7 @@
     estimates: placement.Estimates = dataclasses.field(
         default_factory=placement.Estimates
     )
+    estimated_at: float = 0.0
     blocked: dict[tuple[object, ...], list[model.Amounts]] = dataclasses.field(
         default_factory=dict
     )
@@ -67,9 +74,14 @@
         default_factory=dict
     )
 
-    def begin_slice(self, now: float) -> None:
-        """Drops what may have changed since the last slice."""
-        self.now, self.estimates = now, placement.Estimates()
+    def begin_slice(
+        self, runners: dict[str, runners_module.Runner], now: float
+    ) -> None:
+        """Drops what has changed since the last slice."""
+        self.now = now
+        if now - self.estimated_at > _MAX_ESTIMATE_AGE_S:
+            self.estimates, self.estimated_at = placement.Estimates(), now
+        placement.forget_changes(self.estimates, runners, now)
 
 
 def run_pass(owner: state_module.Owner, current: Pass) -> Iterator[None]:
@@ -282,6 +294,10 @@
         for run in runner.runs
         if _is_slowed(run, current.now)
     ]
+    if len(slowed) > _MAX_TRIED_MOVES:
+        turn = int(current.now / _MOVE_INTERVAL_S)
+        start = turn * _MAX_TRIED_MOVES % len(slowed)
+        slowed = [*slowed[start:], *slowed[:start]][:_MAX_TRIED_MOVES]
     moved = 0
     for run in slowed:
         moved += _move_fill(owner, run, current)
@@ -308,9 +324,12 @@
     runner, now = owner.runners.get(run.runner), current.now
     if runner is None or run not in runner.runs or not _is_slowed(run, now):
         return False
+    service = runner.entry.service
+    if _choose_unblocked(owner, run.task, service, current) is None:
+        return False
     if not placement.find_full_speed_runner(
         run,
-        _list_runners(owner, runner.entry.service),
+        _list_runners(owner, service),
         owner.interference_model,
         now,
         current.estimates,
