Bound the pings that an owner gets

Change: the owner's reply sets the interval. Up to 10 standbys keep 0.35 s; with more, the 4 ablest do and the others wait up to 1.4 s, for 30 pings a second in total (above 30 standbys, 0.7 more for each, as the interval is limited). A ping comes after 0.35 s when one was not answered or a newer configuration was reported, and early when a caller's question found no owner, so a slow pinger learns of a new owner and of a configuration as before.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -144,9 +144,10 @@
     entry: process_module.Entry, ping: peers_module.Ping
 ) -> peers_module.Pong:
     now = clock.read_now()
-    entry.known_peers[ping.address] = process_module.PeerStatus(
+    status = process_module.PeerStatus(
         now, ping.config_version, ping.may_own, ping.capacity
     )
+    entry.known_peers[ping.address] = status
     while len(entry.known_peers) > _MAX_KNOWN_PEERS:
         del entry.known_peers[next(iter(entry.known_peers))]
     owner = entry.owner
@@ -170,13 +171,19 @@
     is_owner = owner is not None and not entry.draining
     ablest_capacity = 0.0
     if is_owner:
-        ablest_capacity = standbys.find_ablest_capacity(entry.known_peers, now)
+        ablest_capacity = standbys.find_ablest_capacity(
+            entry.known_peers, entry.settings, now
+        )
+        status.ping_after_s = standbys.choose_ping_interval(
+            entry.known_peers, ping.address, entry.settings, now
+        )
     return peers_module.Pong(
         is_owner,
         entry.ownership.epoch,
         version,
         silent_for_s,
         ablest_capacity,
+        status.ping_after_s,
     )
 
 
@@ -206,6 +213,7 @@
     reply = await entry.peers.call(
         claim.address, question, entry.settings.ask_timeout_s
     )
-    if reply.is_err():
+    if reply.is_err() or not reply.ok_value.owner:
+        entry.owner_doubted.set()
         return None
-    return reply.ok_value if reply.ok_value.owner else None
+    return reply.ok_value
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -48,6 +48,7 @@
       silent_for_s: Seconds since the log last answered it; 0 without an outage.
       ablest_capacity: Highest capacity of the peers that are able to become the
         owner; 0 if the receiver is not the owner.
+      ping_after_s: Time until the sender's next ping; 0 for the default.
     """
 
     is_owner: bool
@@ -55,6 +56,7 @@
     config_version: int
     silent_for_s: float
     ablest_capacity: float = 0.0
+    ping_after_s: float = 0.0
 
 
 class Ask(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -24,12 +24,15 @@
       config_version: Version of the peer's configuration, or -1.
       may_own: The peer is able to become the owner.
       capacity: Processor cores that are available to the peer.
+      ping_after_s: Time until its next ping, as this process has asked; 0 for
+        the default.
     """
 
     pinged_at: float
     config_version: int
     may_own: bool
     capacity: float = 1.0
+    ping_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -44,6 +47,7 @@
       known_peers: Peers that have pinged this process, by address.
       reported_version: Newer configuration version that a peer has reported
         once, or -1.
+      owner_doubted: Set to ping the owner before the next ping is due.
       draining: A termination signal was received.
       stopping: Set when the drain period is over.
       claim_lock: Serializes claims of this process.
@@ -62,6 +66,7 @@
     owner: state_module.Owner | None = None
     known_peers: dict[str, PeerStatus] = dataclasses.field(default_factory=dict)
     reported_version: int = -1
+    owner_doubted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     draining: bool = False
     stopping: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     claim_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -64,6 +64,12 @@
     renew_overdue_s: float = 1.6
     ping_s: float = 0.35
     ping_timeout_s: float = 0.5
+    # Pings that an owner asks for in total. The ablest standbys ping every
+    # ping_s; the others less often, but often enough to find a new owner within
+    # owner_wait_s.
+    ping_budget_per_s: float = 30.0
+    fast_standbys: int = 4
+    slow_ping_max_s: float = 1.4
     suspect_after_s: float = 1.2
     # Time without a ping reply after which the claims topic is read again, so
     # that renewals are observed before the owner is suspected.
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -26,7 +26,9 @@
     owner = entry.owner
     if owner is None:
         return
-    candidates = standbys.list_successors(entry.known_peers, clock.read_now())
+    candidates = standbys.list_successors(
+        entry.known_peers, entry.settings, clock.read_now()
+    )
     await _offer_ownership(entry, owner, candidates)
 
 
@@ -96,7 +98,7 @@
     await _read_claims(entry)
     ownership.heard_at = clock.read_now()
     while True:
-        await anyio.sleep(settings.ping_s * (0.8 + 0.4 * random.random()))
+        await _wait_for_ping(entry)
         if entry.owner is not None:
             continue
         await _ping_owner(entry)
@@ -113,6 +115,21 @@
             await _read_claims(entry)
 
 
+async def _wait_for_ping(entry: process_module.Entry) -> None:
+    """Waits until the next ping is due, or the owner is in doubt."""
+    settings = entry.settings
+    jitter = 0.8 + 0.4 * random.random()
+    interval_s = ownership_module.choose_ping_interval(
+        entry.ownership, settings, clock.read_now()
+    )
+    await anyio.sleep(settings.ping_s * jitter)
+    # A newer configuration is fetched once a second ping has confirmed it.
+    if interval_s > settings.ping_s and entry.reported_version < 0:
+        with anyio.move_on_after((interval_s - settings.ping_s) * jitter):
+            await entry.owner_doubted.wait()
+    entry.owner_doubted = anyio.Event()
+
+
 async def _ping_owner(entry: process_module.Entry) -> None:
     ownership, settings = entry.ownership, entry.settings
     claim = ownership.claim
@@ -142,7 +159,11 @@
         return
     answer = pong.ok_value
     ownership.record_reply(
-        answer.is_owner, answer.silent_for_s, now, answer.ablest_capacity
+        answer.is_owner,
+        answer.silent_for_s,
+        now,
+        answer.ablest_capacity,
+        answer.ping_after_s,
     )
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
