--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -224,7 +224,8 @@
         self.timeout = httpx.Timeout(timeout_s)
         self.max_connections = max_connections
         self._address = address
-        self._head = _encode_headers({"Host": address, **(headers or {})})
+        self.headers = {"Host": address, **(headers or {})}
+        self._head = _encode_headers(self.headers)
         self._idle: list[_Connection] = []
         self._calls = 0
         self._waiting: collections.deque[asyncio.Future[None]] = (
