Renew leases first and tell the owner's delay from a runner's silence

Cause: a poll that failed because the owner's event loop was late marked the runner as silent, and the lease of a silent runner is not extended. With lease_s 5.5, a wait of 1.83 s and call_timeout_s 0.4 a lease is about 4.1 s old after one failed poll and 6.4 s after two, so two failed polls in a row let it lapse (worked out from the settings).

A poll that failed while this process was late by 0.1 s or more is repeated at once, unless the runner has not answered for half a lease. A lease older than half of lease_s is renewed by a poll that does not wait; by the same reckoning it is about 4.7 s old after two failed polls.

Ruled out: excusing a silence without a limit, as a late owner would then never restart the tasks of a dead runner.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -117,6 +117,7 @@
             run.phase = attempts.Phase.RUNNING
             run.running_since = run.progress_changed_at = now
             runner.has_active.set()
+        runner.renewed_at = max(runner.renewed_at, run.ordered_at)
         if run.task.job.ended:
             stop_run(owner, run, "job ended")
         elif run.task.step.definition.fills:
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -31,6 +31,7 @@
       last_stored_end: Sequence number of the newest stored end of an attempt.
       clock_read_at, clock_ms: When its clock was read, and the reading.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
+      renewed_at: When the newest lease that it has accepted was requested.
       answered_at: When it last answered a poll.
       silent: The last poll was not answered.
       silent_since: When it became silent.
@@ -60,6 +61,7 @@
     clock_read_at: float = 0.0
     clock_ms: int = 0
     lease_until_ms: int = 0
+    renewed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False
     silent_since: float = 0.0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -30,6 +31,10 @@
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
+_UNANSWERED = (
+    interfaces.OrderOutcome.LOST,
+    interfaces.OrderOutcome.UNREACHED,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +56,9 @@
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
     """Polls a runner until it is replaced or has left."""
+    if not owner.load.watched:
+        owner.load.watched = True
+        owner.group.start_soon(load_module.watch_delays, owner.load)
     pending: _PendingEnds | None = None
     while True:
         now = clock.read_now()
@@ -66,7 +74,7 @@
                     runner.last_stored_end, pending.number
                 )
             pending = None
-        wait_s = 0.0 if pending else _choose_wait(owner, runner)
+        wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
         if runner.fenced and not runner.runs and not pending:
             # No lease to renew: a start order carries a lease of its own.
             await _wait_for_runs(owner, runner)
@@ -78,6 +86,7 @@
                 await pending.batch.stored.wait()
         else:
             await anyio.sleep(owner.settings.poll_gap_s)
+    owner.load.paced_runners.discard(runner.entry.id)
     if owner.runners.get(runner.entry.id) is runner:
         del owner.runners[runner.entry.id]
     await runner.calls.aclose()
@@ -95,15 +104,16 @@
 
 
 def _choose_wait(
-    owner: state_module.Owner, runner: runners_module.Runner
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> float:
     """Returns the seconds that a poll may wait for an end."""
-    if not runner.fenced:
+    settings = owner.settings
+    if not runner.fenced or now - runner.renewed_at > settings.lease_s / 2:
         return 0.0
     serving = any(run.task.step.definition.target_ms for run in runner.runs)
     if serving and runner.fill_cpu:
-        return owner.settings.service_poll_wait_s
-    return min(owner.settings.poll_wait_s, owner.settings.lease_s / 3)
+        return settings.service_poll_wait_s
+    return min(settings.poll_wait_s, settings.lease_s / 3)
 
 
 async def _poll(
@@ -120,18 +130,44 @@
         owner.epoch, runner.last_stored_end, lease, wait_s
     )
     now = clock.read_now()
+    limit_s = wait_s + owner.settings.call_timeout_s
+    owner.load.record_delay(now - sent_at - limit_s, now)
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if reply.err_value is interfaces.OrderOutcome.FENCED:
             owner.step_down("runner")
             return pending
+        if _is_own_delay(owner, runner, reply.err_value, sent_at, now):
+            return pending
         _handle_silence(owner, runner, reply.err_value, now)
         await anyio.sleep(_SILENT_RETRY_S)
         return pending
     metrics.RUNNER_POLLS.labels("done").inc()
+    if lease is not None:
+        runner.renewed_at = sent_at
     return _apply_reply(owner, runner, reply.ok_value, sent_at, now) or pending
 
 
+def _is_own_delay(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    failure: interfaces.OrderOutcome,
+    sent_at: float,
+    now: float,
+) -> bool:
+    """Returns whether a poll failed because this process was late.
+
+    A runner that has not answered for half a lease counts as silent in any
+    case, so that its tasks are restarted.
+    """
+    return (
+        failure in _UNANSWERED
+        and not runner.silent
+        and owner.load.was_late_since(sent_at)
+        and now - runner.answered_at < owner.settings.lease_s / 2
+    )
+
+
 def _handle_silence(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
@@ -48,6 +49,7 @@
       tickets: Ticket and its expiry, by name of the step and runner id.
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
+      load: How late this process is.
       appending: Jobs in the append under way, with their outcome.
     """
 
@@ -90,6 +92,7 @@
     )
     advice_in_flight: set[str] = dataclasses.field(default_factory=set)
     malformed_runners: set[str] = dataclasses.field(default_factory=set)
+    load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
     )
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -6,8 +6,10 @@
 import anyio
 import msgspec
 import pytest
+import result
 
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import load as load_module
 from plantainvane.jobs import orders
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table as table_module
@@ -26,7 +28,11 @@
 def make_owner(**changes):
     settings = msgspec.structs.replace(decisions.SETTINGS, **changes)
     return types.SimpleNamespace(
-        settings=settings, runners={}, table=table_module.JobTable()
+        settings=settings,
+        epoch=1,
+        runners={},
+        table=table_module.JobTable(),
+        load=load_module.Load(),
     )
 
 
@@ -66,3 +72,38 @@
             orders._apply_start_outcome(
                 owner, runner, run, interfaces.OrderOutcome.DONE, 1.0
             )
+
+
+@pytest.mark.parametrize(
+    ("age_share", "waits"), [(0.0, True), (0.4, True), (0.6, False)]
+)
+def test_a_poll_that_renews_an_old_lease_does_not_wait(age_share, waits):
+    # Guards against a lease that lapses after two polls without an answer.
+    owner, runner = make_owner(), decisions.make_runner(renewed_at=100.0)
+    now = 100.0 + age_share * owner.settings.lease_s
+    assert (sessions._choose_wait(owner, runner, now) > 0) is waits
+
+
+@pytest.mark.parametrize(
+    ("late", "answered_ago_s", "silent"),
+    [(True, 1.0, False), (False, 1.0, True), (True, 4.0, True)],
+)
+async def test_a_delay_of_the_owner_is_not_the_silence_of_a_runner(
+    monkeypatch, late, answered_ago_s, silent
+):
+    # Guards against leases that are not extended because the owner was late,
+    # and against a dead runner that is never noticed by a late owner.
+    owner = make_owner()
+    runner = decisions.make_runner(clock_ms=1, answered_at=10 - answered_ago_s)
+    runner.calls = types.SimpleNamespace(poll=fail_poll)
+    monkeypatch.setattr(sessions, "_SILENT_RETRY_S", 0.0)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 10.0)
+    owner.load.record_delay(0.5, 9.0)
+    if late:
+        owner.load.record_delay(0.5, 10.1)
+    await sessions._poll(owner, runner, 0.0, None)
+    assert runner.silent is silent
+
+
+async def fail_poll(*unused):
+    return result.Err(interfaces.OrderOutcome.LOST)
