Bound the polls for pacing and let increases of a pace wait

Cause: runners with serving and fill tasks are polled every 0.5 s, which is 492 polls a second for 246 of them, also when the owner is short of processor time and leases are at risk.

The longest one is lease_s/3 or what HARM leaves: the fills halt at 65% of max_impact_s, and the rest has to cover one such wait and one of 0.5 s (0.9 s at 4.0 s, 1.075 s at 4.5 s). A runner with a service over its target is polled every 0.5 s as before. A late owner orders no increase of a pace.

Ruled out: lease_s/3 at any max_impact_s, as a first measurement after 1.83 s would end the halt later than HARM allows.

Before: 492 polls a second for 246 runners. After: at most 251 at max_impact_s 4.5 (test_the_polls_of_paced_runners_are_bounded); 273 at 4.0 by the formula. Up to 125 runners the wait is unchanged.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -222,11 +222,16 @@
 def pace_fills(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
-    """Orders new paces for the fill tasks of a runner."""
+    """Orders new paces for the fill tasks of a runner.
+
+    A late process orders no increases, as they can wait.
+    """
+    late = owner.load.is_late(now)
     for run, percent in pacing.decide_paces(
         owner.interference_model, runner, owner.settings.max_impact_s, now
     ):
-        owner.group.start_soon(set_pace, owner, run, percent)
+        if not (late and run.pace_confirmed and percent > run.pace_percent):
+            owner.group.start_soon(set_pace, owner, run, percent)
 
 
 async def set_pace(
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import settings as settings_module
 
 # Tail latencies are kept below this share of their target.
 TARGET_SHARE = 0.86
@@ -31,6 +32,31 @@
 _HALT_AFTER_SHARE = 0.65
 
 
+def choose_poll_wait(
+    settings: settings_module.Settings, paced_runners: int, late: bool
+) -> float:
+    """Chooses how long a poll waits while no serving task is over its target.
+
+    Of `max_impact_s`, the time after the halt of the fill tasks covers this
+    wait, as the first measurement over the target may be that late, and one
+    `service_poll_wait_s`, as the halt may be.
+
+    Args:
+      settings: Settings of the process.
+      paced_runners: Number of runners with serving tasks and fill tasks.
+      late: This process is short of processor time.
+    """
+    longest_s = min(
+        settings.lease_s / 3,
+        (1 - _HALT_AFTER_SHARE) * settings.max_impact_s
+        - settings.service_poll_wait_s,
+    )
+    wait_s = paced_runners / settings.max_service_polls_per_s
+    if late:
+        wait_s = longest_s
+    return max(settings.service_poll_wait_s, min(wait_s, longest_s))
+
+
 def track_target_violations(runner: runners_module.Runner, now: float) -> None:
     """Records since when each serving task has been over its target."""
     for run in interference.list_serving_runs(runner):
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -9,6 +9,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import interference
 from plantainvane.jobs import journal
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import metrics
@@ -107,13 +108,21 @@
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> float:
     """Returns the seconds that a poll may wait for an end."""
-    settings = owner.settings
+    settings, paced_runners = owner.settings, owner.load.paced_runners
+    serving = interference.list_serving_runs(runner)
+    if serving and runner.fill_cpu:
+        paced_runners.add(runner.entry.id)
+    else:
+        paced_runners.discard(runner.entry.id)
     if not runner.fenced or now - runner.renewed_at > settings.lease_s / 2:
         return 0.0
-    serving = any(run.task.step.definition.target_ms for run in runner.runs)
-    if serving and runner.fill_cpu:
+    if not (serving and runner.fill_cpu):
+        return min(settings.poll_wait_s, settings.lease_s / 3)
+    if any(run.over_target_since is not None for run in serving):
         return settings.service_poll_wait_s
-    return min(settings.poll_wait_s, settings.lease_s / 3)
+    return pacing.choose_poll_wait(
+        settings, len(paced_runners), owner.load.is_late(now)
+    )
 
 
 async def _poll(
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -75,6 +75,8 @@
     call_timeout_s: float = 0.4
     poll_wait_s: float = 2.0
     service_poll_wait_s: float = 0.5
+    # Bounds what polls cost an owner of a third of a core.
+    max_service_polls_per_s: float = 250.0
     idle_poll_s: float = 2.0
     poll_gap_s: float = 0.01
     start_retries: int = 2
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -16,6 +16,10 @@
 from tests import test_jobs_decisions as decisions
 
 pytestmark = pytest.mark.anyio
+# Polls of runners with fill tasks that one owner may make in a second, where
+# HARM leaves room for it, and runners of the largest deployment.
+POLLS_PER_S = 250
+RUNNERS = 246
 # An idle runner may cost this many wake-ups in one idle wait.
 IDLE_WAKE_UPS = 5
 
@@ -107,3 +111,75 @@
 
 async def fail_poll(*unused):
     return result.Err(interfaces.OrderOutcome.LOST)
+
+
+def make_paced_runner(owner, runner_id="r", **fields):
+    runner = decisions.make_runner(runner_id, renewed_at=10.0, **fields)
+    decisions.place_runs(
+        runner,
+        owner.table,
+        decisions.make_step(target_ms=20.0, long_running=True, image="s"),
+        decisions.make_step(fills=True, image="f"),
+        job_id=runner_id,
+    )
+    return runner
+
+
+def test_the_polls_of_paced_runners_are_bounded():
+    # Guards against an owner that is busy with polls alone.
+    owner = make_owner(max_impact_s=4.5)
+    runners = [make_paced_runner(owner, f"r-{i}") for i in range(RUNNERS)]
+    waits = []
+    for _ in range(2):
+        waits = [sessions._choose_wait(owner, r, 10.0) for r in runners]
+    assert sum(1 / wait_s for wait_s in waits) <= POLLS_PER_S + 1
+    assert max(waits) <= owner.settings.lease_s / 3
+
+
+def test_a_small_deployment_is_polled_as_often_as_before():
+    # Guards against slower pacing where nothing is short.
+    owner = make_owner()
+    runner = make_paced_runner(owner)
+    wait_s = sessions._choose_wait(owner, runner, 10.0)
+    assert wait_s == owner.settings.service_poll_wait_s
+
+
+@pytest.mark.parametrize("max_impact_s", [2.0, 4.0, 4.5, 20.0])
+def test_a_late_owner_polls_less_but_halts_fills_in_time(max_impact_s):
+    # Guards against renewals that wait behind polls for pacing, and against
+    # fill tasks that disturb a service for longer than allowed (rule HARM).
+    owner = make_owner(max_impact_s=max_impact_s)
+    runner = make_paced_runner(owner)
+    owner.load.record_delay(0.5, 9.9)
+    usual_s = owner.settings.service_poll_wait_s
+    wait_s = sessions._choose_wait(owner, runner, 10.0)
+    assert usual_s <= wait_s <= owner.settings.lease_s / 3
+    if max_impact_s >= 4.0:
+        assert wait_s > usual_s
+        assert wait_s + 0.65 * max_impact_s + usual_s <= max_impact_s + 1e-9
+    serving = next(r for r in runner.runs if r.task.step.definition.target_ms)
+    serving.over_target_since = 9.8
+    assert sessions._choose_wait(owner, runner, 10.0) == usual_s
+
+
+@pytest.mark.parametrize(
+    ("percent", "late", "ordered"),
+    [(80, False, 1), (80, True, 0), (20, True, 1)],
+)
+def test_a_late_owner_orders_no_increase_of_a_pace(
+    monkeypatch, percent, late, ordered
+):
+    # Guards against calls that can wait, while leases are at risk.
+    owner, sent = make_owner(), []
+    owner.interference_model = None
+    owner.group = types.SimpleNamespace(start_soon=lambda *call: sent.append(1))
+    runner = make_paced_runner(owner)
+    fill = next(r for r in runner.runs if r.task.step.definition.fills)
+    fill.pace_percent = 50
+    if late:
+        owner.load.record_delay(0.5, 9.9)
+    monkeypatch.setattr(
+        orders.pacing, "decide_paces", lambda *unused: [(fill, percent)]
+    )
+    orders.pace_fills(owner, runner, 10.0)
+    assert len(sent) == ordered
