Give orders to a runner four connections, and polls their own

Change: orders to one runner share at most 4 connections and wait for one within their time-out; polls, which renew the leases, have a client of their own and never wait behind orders.

Before: 41 streams are possible for 40 starts and a poll, more than 8 are opened (test_a_burst_of_starts_opens_few_connections fails). After: at most 8. test_a_start_that_waits_for_a_connection_ends_in_its_time_out passes on the code before too; it guards the new wait.

--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -21,6 +21,10 @@
     "ticket": _OUTCOME.NO_TICKET,
 }
 
+# A burst of orders to one runner waits for these connections instead of opening
+# one connection each, as new connections to runners are priced.
+_MAX_ORDER_CONNECTIONS = 4
+
 
 _OTHER_INCARNATION_STATUS = 421
 
@@ -69,7 +73,10 @@
 
 
 class RunnerClient:
-    """Client of one runner, with its own connections."""
+    """Client of one runner, with its own connections.
+
+    Polls renew the leases, so they never wait for a connection behind orders.
+    """
 
     def __init__(
         self,
@@ -79,15 +86,20 @@
     ):
         """Creates a client; `runner_id` detects a reused address."""
         self._timeout_s = settings.call_timeout_s
-        self._client = http_client.Client(
-            address,
-            settings.call_timeout_s,
-            {"Content-Type": "application/json", "Target-Instance": runner_id},
+        headers = {
+            "Content-Type": "application/json",
+            "Target-Instance": runner_id,
+        }
+        timeout_s = settings.call_timeout_s
+        self._poll_client = http_client.Client(address, timeout_s, headers)
+        self._order_client = http_client.Client(
+            address, timeout_s, headers, _MAX_ORDER_CONNECTIONS
         )
 
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._client.aclose()
+        await self._poll_client.aclose()
+        await self._order_client.aclose()
 
     async def poll(
         self,
@@ -106,7 +118,7 @@
         if wait_s > 0:
             body["WaitMs"] = int(wait_s * 1000)
         reply = await calls.call(
-            self._client,
+            self._poll_client,
             "POST",
             "/plantainvane/hold",
             msgspec.json.encode(body),
@@ -158,7 +170,7 @@
         self, name: str, body: dict[str, Any]
     ) -> interfaces.OrderOutcome:
         reply = await calls.call(
-            self._client,
+            self._order_client,
             "POST",
             f"/plantainvane/{name}",
             msgspec.json.encode(body),
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -4,6 +4,7 @@
 import struct
 
 import anyio
+import anyio.abc
 import msgspec
 import pytest
 
@@ -290,3 +291,70 @@
     assert advised == tickets
     body = msgspec.json.decode(service.calls[0][2])
     assert body == {"StepId": "id.0.0", "Workers": ["i-1", "i-2"]}
+
+
+@contextlib.asynccontextmanager
+async def run_raw_runner(held):
+    """Answers polls at once and orders once `held` is set; counts streams."""
+    streams = []
+
+    async def serve(stream):
+        streams.append(stream)
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while True:
+                    if not (await stream.receive()).startswith(
+                        b"POST /plantainvane/hold"
+                    ):
+                        await held.wait()
+                    await stream.send(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"
+                        b'{"ClockMs":1}'
+                    )
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        runner = runners_module.RunnerClient(
+            make_settings(call_timeout_s=5.0), f"127.0.0.1:{port}", "i-1"
+        )
+        yield runner, streams
+        await runner.aclose()
+        group.cancel_scope.cancel()
+
+
+async def test_a_burst_of_starts_opens_few_connections():
+    # Guards against a connection for each start of a burst, and against a
+    # renewal that waits behind the burst.
+    held, outcomes_seen = anyio.Event(), []
+    async with run_raw_runner(held) as (runner, streams):
+
+        async def start():
+            outcomes_seen.append(await runner.start(ORDER))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(40):
+                group.start_soon(start)
+            await anyio.sleep(0.05)
+            with anyio.fail_after(2.0):
+                assert (await runner.poll(7, 0, 900, 0.0)).is_ok()
+            held.set()
+        assert outcomes_seen == [_OUTCOME.DONE] * 40
+        assert len(streams) <= 8
+
+
+async def test_a_start_that_waits_for_a_connection_ends_in_its_time_out():
+    # Guards against a start that waits for longer than its lease is valid.
+    async with run_raw_runner(anyio.Event()) as (runner, _):
+        runner._timeout_s = 0.3
+        outcomes_seen = []
+
+        async def start():
+            outcomes_seen.append(await runner.start(ORDER))
+
+        with anyio.fail_after(2.0):
+            async with anyio.create_task_group() as group:
+                for _ in range(12):
+                    group.start_soon(start)
+        assert _OUTCOME.DONE not in outcomes_seen
