--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -96,7 +96,7 @@
         )
         group.start_soon(entry.intake.journal.run)
         group.start_soon(
-            load_module.watch_loop, entry.load, lambda: _share_load(entry)
+            load_module.watch_loop, entry.load, lambda: _find_owned_epoch(entry)
         )
         group.start_soon(configuration.follow_configuration, entry)
         group.start_soon(succession.monitor_owner, entry)
@@ -111,12 +111,8 @@
     events.log_event(events.PROCESS_STOPPED, process=entry.settings.id)
 
 
-def _share_load(entry: process_module.Entry) -> int | None:
-    """Gives the owner the load of this process, and returns its epoch."""
-    if entry.owner is None:
-        return None
-    entry.owner.load = entry.load
-    return entry.owner.epoch
+def _find_owned_epoch(entry: process_module.Entry) -> int | None:
+    return entry.owner.epoch if entry.owner is not None else None
 
 
 async def _drain_on_signal(entry: process_module.Entry) -> None:
--- a/plantainvane/jobs/load.py
+++ b/plantainvane/jobs/load.py
@@ -1,5 +1,6 @@
 """Load of one process: lag of its event loop, and the work of an owner."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -13,8 +14,13 @@
 from plantainvane.jobs import runners as runners_module
 
 _PROBE_INTERVAL_S = 0.1
-# Shorter lags are not logged. A poll or a ping times out after 0.4 s.
-_LATE_LAG_S = 0.1
+# A process with a longer lag is short of processor time. A poll or a ping times
+# out after 0.4 s.
+LATE_S = 0.1
+# Lags are kept for as long as the longest call and lease.
+_KEEP_S = 10.0
+# A process counts as late for this time after its last long lag.
+_RECENT_S = 1.0
 # Shorter scheduling passes are not logged.
 _SLOW_PASS_S = 0.1
 # Least time between two lines of the same event.
@@ -33,6 +39,7 @@
       summarized_at: Time of the last summary, or None before the first.
       next_late_line_at, next_pass_line_at: Earliest time of the next
         `loop_late` and `pass_slow`.
+      delays: Ends and durations of lags of `LATE_S` or more.
     """
 
     lag_s: float = 0.0
@@ -45,16 +52,35 @@
     summarized_at: float | None = None
     next_late_line_at: float = float("-inf")
     next_pass_line_at: float = float("-inf")
+    delays: collections.deque[tuple[float, float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
     def measure_lag(self, now: float) -> float:
         """Returns the present lag, also before the late probe has resumed."""
         return max(self.lag_s, now - self.probe_due_at)
 
+    def record_delay(self, delay_s: float, now: float) -> None:
+        """Records that something due `delay_s` ago is done now."""
+        while self.delays and self.delays[0][0] < now - _KEEP_S:
+            self.delays.popleft()
+        if delay_s >= LATE_S:
+            self.delays.append((now, delay_s))
+
+    def was_late_since(self, since: float) -> bool:
+        """Returns whether the process was late at any time after `since`."""
+        return bool(self.delays) and self.delays[-1][0] > since
+
+    def is_late(self, now: float) -> bool:
+        """Returns whether the process is short of processor time."""
+        return self.was_late_since(now - _RECENT_S)
+
     def record_lag(self, now: float) -> bool:
         """Ends a probe; returns whether its lag is to be logged."""
         self.lag_s = max(0.0, now - self.probe_due_at)
         self.max_lag_s = max(self.max_lag_s, self.lag_s)
-        if self.lag_s < _LATE_LAG_S or now < self.next_late_line_at:
+        self.record_delay(self.lag_s, now)
+        if self.lag_s < LATE_S or now < self.next_late_line_at:
             return False
         self.next_late_line_at = now + _LOG_INTERVAL_S
         return True
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -49,6 +49,7 @@
       tickets: Ticket and its expiry, by name of the step and runner id.
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
+      paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
     """
@@ -92,6 +93,7 @@
     )
     advice_in_flight: set[str] = dataclasses.field(default_factory=set)
     malformed_runners: set[str] = dataclasses.field(default_factory=set)
+    paced_runners: set[str] = dataclasses.field(default_factory=set)
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
     )
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -291,7 +291,7 @@
     entry: process_module.Entry, epoch: int, ready: anyio.Event
 ) -> None:
     def on_created(owner: state_module.Owner) -> None:
-        entry.owner = owner
+        entry.owner, owner.load = owner, entry.load
         ready.set()
         group.start_soon(_renew_claims, entry, owner)
         group.start_soon(_seek_abler_owner, entry, owner)
