--- a/plantainvane/jobs/load.py
+++ b/plantainvane/jobs/load.py
@@ -9,6 +9,7 @@
 import anyio
 
 from plantainvane import events
+from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import metrics
 from plantainvane.jobs import runners as runners_module
@@ -182,11 +183,39 @@
     return (runner.lease_until_ms - clock_ms) / 1000
 
 
+def find_longest_silence(
+    runners: Iterable[runners_module.Runner], now: float
+) -> tuple[float, str] | None:
+    """Returns the longest silence of a runner in seconds, and the runner."""
+    return max(
+        (
+            (now - runner.silent_since, runner.entry.id)
+            for runner in runners
+            if runner.silent
+        ),
+        default=None,
+    )
+
+
+def find_longest_wait(
+    tasks: Iterable[attempts.Task], now: float
+) -> tuple[float, str] | None:
+    """Returns the longest wait of a ready long-running task, and the task."""
+    return max(
+        (
+            (now - task.ready_since, task.name)
+            for task in tasks
+            if task.step.definition.long_running
+        ),
+        default=None,
+    )
+
+
 def summarize_owner(
     load: Load,
     epoch: int,
     runners: dict[str, runners_module.Runner],
-    ready: int,
+    ready: dict[str, attempts.Task],
     store_latency_s: float,
     now: float,
 ) -> None:
@@ -197,6 +226,13 @@
         span_s = now - load.summarized_at
         held = [runner for runner in runners.values() if runner.runs]
         lease_s, lease_runner = find_least_lease(held, now) or (None, None)
+        silence_s, silent_runner = find_longest_silence(
+            runners.values(), now
+        ) or (None, None)
+        wait_s, waiting_task = find_longest_wait(ready.values(), now) or (
+            None,
+            None,
+        )
         events.log_event(
             events.OWNER_LOAD,
             polls_per_s=round((polls - load.polls) / span_s, 1),
@@ -204,14 +240,22 @@
             passes=load.passes,
             longest_pass_ms=int(load.longest_pass_s * 1000),
             lag_ms=int(max(load.max_lag_s, load.measure_lag(now)) * 1000),
-            ready=ready,
+            ready=len(ready),
+            longest_wait_s=_round_s(wait_s),
+            waiting_task=waiting_task,
             running=sum(len(runner.runs) for runner in held),
             runners=len(runners),
             silent=sum(runner.silent for runner in runners.values()),
-            least_lease_s=None if lease_s is None else round(lease_s, 3),
+            longest_silence_s=_round_s(silence_s),
+            silent_runner=silent_runner,
+            least_lease_s=_round_s(lease_s),
             least_lease_runner=lease_runner,
             append_ms=int(store_latency_s * 1000),
             epoch=epoch,
         )
     load.summarized_at, load.polls, load.starts = now, polls, starts
     load.passes, load.longest_pass_s, load.max_lag_s = 0, 0.0, 0.0
+
+
+def _round_s(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -168,7 +168,7 @@
             owner.load,
             owner.epoch,
             owner.runners,
-            len(owner.table.ready),
+            owner.table.ready,
             owner.health.latency_s,
             now,
         )
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -114,19 +114,46 @@
     assert load_module.find_least_lease([idle], 3.0) is None
 
 
+def make_ready_tasks(count, **fields):
+    table = decisions.table_module.JobTable()
+    decisions.add_job(table, decisions.make_step(count=count, **fields))
+    return table.ready
+
+
+def test_summary_names_a_silent_runner_and_a_waiting_service(lines):
+    # Guards against a log that counts silent runners and ready tasks, but does
+    # not tell a cut of a second from a runner that is never heard again.
+    load = load_module.Load(summarized_at=1.0)
+    runners = {
+        name: decisions.make_runner(name, silent=True, silent_since=since)
+        for name, since in (("a", 5.0), ("b", 2.0))
+    }
+    runners["c"] = decisions.make_runner("c")
+    ready = make_ready_tasks(2, long_running=True)
+    ready["j.0.0.1"].ready_since = 4.0
+    load_module.summarize_owner(load, 7, runners, ready, 0.02, 9.0)
+    load_module.summarize_owner(load, 7, {}, make_ready_tasks(1), 0.02, 10.0)
+    first, second = find_lines(lines, "owner_load")
+    assert (first["longest_silence_s"], first["silent_runner"]) == (7.0, "b")
+    assert (first["longest_wait_s"], first["waiting_task"]) == (9.0, "j.0.0.0")
+    assert second["longest_silence_s"] is None
+    assert second["longest_wait_s"] is None
+
+
 def test_summary_gives_rates_and_maxima_since_the_last_one(lines):
     # Guards against an owner that falls behind while its log says nothing of
     # polls, passes, lag or leases.
     load = load_module.Load()
     runners = {"a": make_leased_runner("a", 6000)}
-    load_module.summarize_owner(load, 7, runners, 0, 0.02, 1.0)
+    load_module.summarize_owner(load, 7, runners, {}, 0.02, 1.0)
     assert find_lines(lines, "owner_load") == []
     metrics.RUNNER_POLLS.labels("done").inc(30)
     metrics.STARTS.labels("done").inc(8)
     load_module.record_pass(load, 7, 1.5, 10, 1, 0, 1, 2.0)
     load.max_lag_s = 1.6
-    load_module.summarize_owner(load, 7, runners, 500, 0.02, 3.0)
-    load_module.summarize_owner(load, 7, runners, 500, 0.02, 4.0)
+    ready = make_ready_tasks(500)
+    load_module.summarize_owner(load, 7, runners, ready, 0.02, 3.0)
+    load_module.summarize_owner(load, 7, runners, ready, 0.02, 4.0)
     first, second = find_lines(lines, "owner_load")
     assert (first["polls_per_s"], first["starts_per_s"]) == (15.0, 4.0)
     assert (first["passes"], first["longest_pass_ms"]) == (1, 1500)
