Show that a silent runner without attempts is never used again

The bound is 3 s, after which the users count a long-running task that does not run beside a runner with room as lost.

The runner stand-in can begin a new incarnation.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -89,6 +89,16 @@
         self.ends.append([self.next_end, task, attempt.number, how, saved])
         self.next_end += 1
 
+    def restart(self) -> None:
+        """Begins a new incarnation, which knows nothing of the earlier one."""
+        self.born_ms += 1
+        self.clock_started_at = time.monotonic()
+        self.token, self.lease_until_ms = 0, 0
+        self.running.clear()
+        self.highest.clear()
+        self.ends.clear()
+        self.next_end = 1
+
     def end_due_attempts(self) -> None:
         """Ends finished attempts, and all attempts if the lease has expired."""
         now = time.monotonic()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -20,6 +20,8 @@
 OTHER_ID = "5c0e7a21d94b36f9"
 # Limit for the detection of a failed owner, the claim and the first polls.
 TAKEOVER_LIMIT_S = 4.0
+# A long-running task may wait this long while a runner has room for it (LOST).
+IDLE_LIMIT_S = 3.0
 
 
 @pytest.fixture
@@ -239,6 +241,46 @@
         assert set(count_starts(system).values()) == {1}
 
 
+async def test_silent_runner_is_used_again_after_its_tasks_were_dropped():
+    # Guards against a runner without attempts that is not polled while it
+    # counts as silent, so that it gets no task until another owner takes over.
+    async with platform_system.run_system(
+        entries=1, runners=1, lease_s=1.5
+    ) as system:
+        owner = await start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        known = owner.owner.runners["i-0"]
+        system.runners["i-0"].silent = True
+        await wait_until(lambda: known.silent and not known.runs)
+        system.runners["i-0"].silent = False
+        await wait_until(
+            lambda: len(system.list_starts()) == 2, limit_s=IDLE_LIMIT_S
+        )
+
+
+async def test_runner_that_restarts_while_it_is_silent_is_used_again():
+    # Guards against the same for a runner that crashed: its new entry drops
+    # the attempts before it has answered a poll.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = await start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        known, runner = owner.owner.runners["i-0"], system.runners["i-0"]
+        runner.silent = True
+        await wait_until(lambda: known.silent)
+        runner.restart()
+        entry = runner.make_entry(
+            known.entry.address, platform_system.SERVICE, "ready"
+        )
+        system.store.put("keyed.servers", "i-0", entry)
+        await wait_until(lambda: not known.runs)
+        runner.silent = False
+        await wait_until(
+            lambda: len(system.list_starts()) == 2, limit_s=IDLE_LIMIT_S
+        )
+
+
 async def test_malformed_records_are_ignored():
     # Guards against malformed records of other software that crash a process.
     async with platform_system.run_system(entries=1, runners=1) as system:
