Poll a silent runner until it answers, also without attempts

Callers saw long-running tasks that did not run for 40 s while runners stood idle (LOST). A runner that did not answer until its attempts were dropped stayed silent for the owner until the next owner came: a session polled no runner without attempts, only a poll ends the silence, and placement leaves silent runners out. Attempts are dropped when the leases expire, and by the entry of a new incarnation.

A session now waits only while a poll could neither renew a lease nor end a state that keeps tasks from the runner.

Ruled out: attempts that stay charged (the tasks were ready, and are named in task_lost), and an owner that reaches few runners (the cut had ended).

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -72,10 +72,9 @@
                 )
             pending = None
         wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
-        if runner.fenced and not runner.runs and not pending:
-            # No lease to renew: a start order carries a lease of its own.
+        if not pending and not _needs_poll(runner):
             await _wait_for_runs(owner, runner)
-            if not runner.runs:
+            if not _needs_poll(runner):
                 continue
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
@@ -89,6 +88,16 @@
     await runner.calls.aclose()
 
 
+def _needs_poll(runner: runners_module.Runner) -> bool:
+    """Tells whether a poll has anything to renew or to find out.
+
+    A runner without attempts has no lease to renew: a start order carries a
+    lease of its own. Placement leaves out a runner that is silent or not
+    fenced, and only a poll ends that.
+    """
+    return bool(runner.runs) or runner.silent or not runner.fenced
+
+
 async def _wait_for_runs(
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
