Send a stop to a runner that was not listed when it was ordered

The runner stood in the domain that was cut off, so its entry had expired before the new owner read the list, and the attempt was an orphan. The stop found no runner and was given up, and the attempt stayed marked as stopping. When the runner was listed again, the attempt was charged to it and its lease renewed with each poll, but an attempt that is marked as stopping is not stopped again. It is the class of fault of the silent runners: a state that only an event ends, and that itself prevents the event.

The stop is now sent when the runner is listed.

Ruled out: a cancel that the owner did not see (it acknowledged it), and a lease extended by another owner (the one before was fenced off at 34.0).

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -184,7 +184,15 @@
     owner.group.start_soon(_send_stop, owner, run)
 
 
+def resume_stops(owner: state_module.Owner, runs: list[attempts.Run]) -> None:
+    """Sends the stops that were ordered before their runner was known."""
+    for run in runs:
+        if run.phase is attempts.Phase.STOPPING:
+            owner.group.start_soon(_send_stop, owner, run)
+
+
 async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Sends a stop until it is answered, or the runner is not known."""
     while run in run.task.runs:
         runner = owner.runners.get(run.runner)
         if runner is None:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
+from plantainvane.jobs import orders
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -267,9 +268,11 @@
         for run in list(earlier.runs):
             runner.charge(run)
     owner.runners[entry.id] = runner
-    for run in owner.orphans.pop(entry.id, []):
+    orphans = owner.orphans.pop(entry.id, [])
+    for run in orphans:
         if run in run.task.runs:
             runner.charge(run)
+    orders.resume_stops(owner, orphans)
     events.log_event(
         events.RUNNER_ADDED,
         runner=entry.id,
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -22,6 +22,8 @@
 TAKEOVER_LIMIT_S = 4.0
 # A long-running task may wait this long while a runner has room for it (LOST).
 IDLE_LIMIT_S = 3.0
+# A task has to be stopped this long after its job was cancelled (UNASKED).
+CANCEL_LIMIT_S = 3.4
 
 
 @pytest.fixture
@@ -331,6 +333,28 @@
         assert system.runners["i-0"].running == {}
 
 
+async def test_task_cancelled_while_its_runner_is_unlisted_is_stopped():
+    # Guards against a stop that is given up because a new owner does not know
+    # the runner yet: the attempt runs on, under leases that the owner renews.
+    async with platform_system.run_system(
+        entries=2, runners=1, lease_s=5.5
+    ) as system:
+        owner = await start_job(system, count=1, run_ms=60_000)
+        runner = system.runners["i-0"]
+        address = owner.owner.runners["i-0"].entry.address
+        runner.silent = True
+        system.store.put("keyed.servers", "i-0", None)
+        await system.kill(owner)
+        successor = await system.wait_owner()
+        reply = await platform_system.call(successor, "DELETE", ID)
+        assert reply.status_code == 200
+        runner.silent = False
+        entry = runner.make_entry(address, platform_system.SERVICE, "ready")
+        system.store.put("keyed.servers", "i-0", entry)
+        await wait_until(lambda: not runner.running, limit_s=CANCEL_LIMIT_S)
+        assert [end[3] for end in runner.ends] == ["stopped"]
+
+
 async def test_promised_expiry_holds_until_its_withdrawal_is_stored():
     # Guards against an owner that cannot reach the log and extends a lease that
     # its successor treats as expired.
