Withdraw the last promised expiry in the log as well

A task could run twice (TWICE). A promised expiry of a runner that was gone for good was removed from the owner's memory, but the log was rewritten only while other promises were left. The last one stayed there with its remaining time, down to 0. When the runner came back under its id and got tasks, a successor that it did not answer at once took the old expiry for that of the new leases, dropped the attempts and started the tasks elsewhere.

The state that prevents its own end: the set of promises is empty, and an empty set was not stored. A promise now binds until its withdrawal is stored, also for a runner that is not listed, and the present entry of the runner is released, not the one that was known when the withdrawal began (it may have been replaced, and then stayed bound for ever).

Ruled out: runners that answer the successor (the poll withdraws the promise).

--- a/plantainvane/jobs/expiries.py
+++ b/plantainvane/jobs/expiries.py
@@ -15,9 +15,11 @@
     Attributes:
       expires_at: Time after which nothing can run on a runner, by runner id,
         in seconds of this process's clock.
+      withdrawing: Runners whose withdrawal is not stored yet.
     """
 
     expires_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    withdrawing: set[str] = dataclasses.field(default_factory=set)
 
     def find_expiry(self, runner: str, default: float) -> float:
         """Returns the expiry of a runner, or `default` if none is promised."""
@@ -28,8 +30,17 @@
         self.expires_at[runner] = at
 
     def withdraw(self, runner: str) -> None:
-        """Removes a promise: leases may be extended, or nothing runs there."""
-        self.expires_at.pop(runner, None)
+        """Removes a promise, which binds until the removal is stored."""
+        if self.expires_at.pop(runner, None) is not None:
+            self.withdrawing.add(runner)
+
+    def complete_withdrawal(self, runner: str) -> None:
+        """Records that the removal of a promise is stored."""
+        self.withdrawing.discard(runner)
+
+    def is_binding(self, runner: str) -> bool:
+        """Tells whether a successor may rely on a promise for the runner."""
+        return runner in self.expires_at or runner in self.withdrawing
 
     def export_remaining_s(self, now: float) -> dict[str, float]:
         """Returns the remaining seconds by runner id; 0 after the expiry."""
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -182,14 +182,21 @@
         if now <= expiry:
             owner.expiries.promise(runner, expiry)
             continue
-        owner.expiries.withdraw(runner)
         for run in owner.orphans.pop(runner):
             owner.table.drop_run(run, now)
             sessions.report_lost_run(owner, run, "lease expired")
-    for runner in list(owner.expiries.expires_at):
-        if runner not in owner.orphans and runner not in owner.runners:
-            owner.expiries.withdraw(runner)
-    if owner.expiries.expires_at:
+    unused = [
+        runner
+        for runner in owner.expiries.expires_at
+        if runner not in owner.orphans and runner not in owner.runners
+    ]
+    if unused:
+        # The runner may return, and a successor must not apply the old expiry
+        # to its new leases.
+        owner.group.start_soon(
+            state_module.withdraw_expiries, owner, unused, now
+        )
+    elif owner.expiries.expires_at:
         # Stored expiries are remaining times, so they are refreshed for a
         # successor that may take over at any time.
         state_module.store_expiries(owner, now)
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -260,7 +260,7 @@
     )
     runner.record_clock(entry.clock_ms, now)
     runner.answered_at = now
-    runner.expiry_promised = entry.id in owner.expiries.expires_at
+    runner.expiry_promised = owner.expiries.is_binding(entry.id)
     if earlier is not None:
         # Attempts of the incarnation at the old address stay charged until
         # their leases expire.
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -221,16 +221,6 @@
         state_module.store_expiries(owner, now)
 
 
-async def _withdraw_expiry(
-    owner: state_module.Owner, runner: runners_module.Runner, now: float
-) -> None:
-    """Withdraws a promised expiry; leases grow only after that is stored."""
-    owner.expiries.withdraw(runner.entry.id)
-    await state_module.store_expiries(owner, now).stored.wait()
-    runner.expiry_promised = False
-    owner.request_pass()
-
-
 def _drop_runs(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -303,8 +293,10 @@
     if runner.silent:
         runner.silent = False
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
-    if runner.expiry_promised and runner.entry.id in owner.expiries.expires_at:
-        owner.group.start_soon(_withdraw_expiry, owner, runner, now)
+    if runner.entry.id in owner.expiries.expires_at:
+        owner.group.start_soon(
+            state_module.withdraw_expiries, owner, [runner.entry.id], now
+        )
     number = _apply_ends(owner, runner, reply, now)
     _apply_running(owner, runner, reply, sent_at, now)
     if not runner.fenced:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -1,6 +1,7 @@
 """State of the process that owns the jobs, for one epoch."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 
 import anyio
@@ -125,6 +126,22 @@
     return owner.journal.add([record])
 
 
+async def withdraw_expiries(
+    owner: Owner, runners: Collection[str], now: float
+) -> None:
+    """Withdraws promises; leases may be extended once that is stored."""
+    for runner in runners:
+        owner.expiries.withdraw(runner)
+    await store_expiries(owner, now).stored.wait()
+    for runner in runners:
+        owner.expiries.complete_withdrawal(runner)
+        # The runner may have been replaced or added in the meantime.
+        known = owner.runners.get(runner)
+        if known is not None:
+            known.expiry_promised = owner.expiries.is_binding(runner)
+    owner.request_pass()
+
+
 def find_queue(owner: Owner, name: str) -> model.Queue | None:
     """Returns a queue as configured, or as it was before its removal."""
     configuration = owner.get_configuration()
--- a/tests/test_jobs_expiries.py
+++ b/tests/test_jobs_expiries.py
@@ -1,9 +1,15 @@
 """Expiry of the leases on runners that do not answer."""
 
+import anyio
+import msgspec
 import pytest
 
 from plantainvane.jobs import expiries as expiries_module
+from plantainvane.jobs import owner as owner_module
+from plantainvane.jobs import recovery
+from plantainvane.jobs import state as state_module
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling
 
 
 def test_remaining_time_is_handed_from_owner_to_owner():
@@ -56,3 +62,51 @@
     for name in change:
         setattr(runner, name, False)
     assert runner.extend_lease(5.5, 4.0) == until + 3000
+
+
+class _StoredRecords:
+    """Adapters of an owner whose runners are entries, not encoded records."""
+
+    decode_runner = staticmethod(lambda key, value: value)
+    connect_runner = staticmethod(lambda address, key: None)
+
+
+def list_stored_expiries(owner):
+    """Returns the promises in the records that wait for the next append."""
+    return [
+        msgspec.json.decode(value)
+        for key, value in owner.journal._open.records
+        if key == state_module.EXPIRIES_KEY
+    ]
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("has_orphans", [True, False])
+async def test_last_promise_is_withdrawn_in_the_log_too(has_orphans):
+    # Guards against a stored expiry that a successor applies to later leases:
+    # it would start the tasks of a slow runner a second time.
+    owner = scheduling.make_owner()
+    owner.expiries.promise("gone", 8.0)
+    if has_orphans:
+        owner.orphans["gone"] = []
+    owner_module._expire_orphans(owner, 9.0)
+    for name, arguments in owner.group.started:
+        with anyio.move_on_after(0.05):
+            await getattr(state_module, name)(*arguments)
+    assert list_stored_expiries(owner)[-1] == {}
+
+
+def test_runner_that_returns_is_bound_until_its_promise_is_withdrawn():
+    # Guards against leases that are extended before the log has dropped the
+    # expiry on which a successor relies.
+    owner = scheduling.make_owner()
+    owner.adapters = _StoredRecords
+    owner.expiries.promise("r", 8.0)
+    owner_module._expire_orphans(owner, 9.0)
+    recovery._apply_entry(owner, "r", decisions.make_runner("r").entry)
+    assert owner.runners["r"].expiry_promised
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -13,6 +13,7 @@
 
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import sessions
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -355,6 +356,33 @@
         assert [end[3] for end in runner.ends] == ["stopped"]
 
 
+async def test_expired_promise_does_not_apply_to_later_leases(monkeypatch):
+    # Guards against a successor that starts a task a second time, because the
+    # log still holds the expiry of earlier leases on its slow runner.
+    monkeypatch.setattr(sessions, "_REMOVE_AFTER_S", 0.5)
+    async with platform_system.run_system(
+        entries=2, runners=1, lease_s=4.0
+    ) as system:
+        owner = await start_job(system, count=1, run_ms=60_000)
+        runner = system.runners["i-0"]
+        entry = system.store.list_newest("keyed.servers")["i-0"][1]
+        runner.silent = True
+        system.store.put("keyed.servers", "i-0", None)
+        await wait_until(lambda: "i-0" not in owner.owner.runners, 8.0)
+        await wait_until(lambda: not owner.owner.expiries.expires_at)
+        runner.restart()
+        runner.silent = False
+        system.store.put("keyed.servers", "i-0", entry)
+        await wait_until(lambda: len(runner.starts) == 2)
+        await anyio.sleep(0.1)
+        runner.silent = True
+        await platform_system.add_runner(system, "i-9")
+        await system.kill(owner)
+        await wait_until(lambda: len(system.list_starts()) == 3, 12.0)
+        runner.end_due_attempts()
+        assert runner.running == {}
+
+
 async def test_promised_expiry_holds_until_its_withdrawal_is_stored():
     # Guards against an owner that cannot reach the log and extends a lease that
     # its successor treats as expired.
