Keep attempts that a restarted runner has started

An idle runner is not polled, so its restart under the same id may show only in the poll that follows a start. That poll lists the new attempt, but every attempt that was not being started any more was dropped with those of the earlier incarnation, and the task was started elsewhere while its first attempt ran. The runner's entry in the list had the same effect while that poll waited for an end, and an attempt that was kept counted as expired after 0.3 s if the runner fell silent then.

A restart now ends only attempts that a poll had listed before. The next poll or the outcome of the order decides on the others. Their lease is taken as the longest that a runner grants (the platform's bound), as the order named a time on the earlier incarnation's clock.

Evidence: all four new cases fail on the code before; there test_task_on_a_runner_that_restarted_unnoticed_runs_once counts two starts of each task.

Ruled out: a start that the earlier incarnation has carried out; it is dropped by the first answer that does not list it.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -36,6 +36,7 @@
       ordered_at: When its start was ordered; 0 if an earlier owner ordered it.
       running_since: When it was first reported as running; infinity while a
         stop has no answer yet, then when the stop was answered.
+      reported: A poll of its runner has listed it.
       progress_percent: Last reported progress.
       progress_changed_at: When the reported progress last changed.
       measurement: Tail latency in milliseconds of a serving task; thousandths
@@ -56,6 +57,7 @@
     phase: Phase
     ordered_at: float
     running_since: float = 0.0
+    reported: bool = False
     progress_percent: float = 0.0
     progress_changed_at: float = 0.0
     measurement: float = 0.0
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -230,7 +230,9 @@
     restarted = entry.born_ms > runner.entry.born_ms
     runner.entry, runner.listed = entry, True
     if restarted:
-        sessions.handle_restart(owner, runner, entry.born_ms, now)
+        sessions.handle_restart(
+            owner, runner, entry.born_ms, entry.clock_ms, now
+        )
 
 
 def _report_malformed_runner(
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -1,5 +1,6 @@
 """One session per runner: renews its leases and applies its reports."""
 
+from collections.abc import Collection
 import dataclasses
 
 import anyio
@@ -255,9 +256,23 @@
     owner: state_module.Owner,
     runner: runners_module.Runner,
     born_ms: int,
+    clock_ms: int,
     now: float,
+    running: Collection[attempts.Run] = (),
 ) -> None:
-    """Resets the state of a restarted runner and drops its attempts."""
+    """Resets the state of a restarted runner and drops what ran before.
+
+    An attempt that no poll has listed may have been started by the new
+    incarnation; the next poll or the outcome of its order decides.
+
+    Args:
+      owner: The owner.
+      runner: The runner, which may still answer as the earlier incarnation.
+      born_ms: Start of the new incarnation, Unix milliseconds.
+      clock_ms: Reading of its clock.
+      now: Present time, in seconds.
+      running: Attempts that the new incarnation has listed.
+    """
     events.log_event(
         events.RUNNER_RESTARTED,
         runner=runner.entry.id,
@@ -265,16 +280,13 @@
         runs=len(runner.runs),
     )
     runner.last_stored_end = 0
-    runner.lease_until_ms = 0
-    runner.clock_ms, runner.clock_read_at = 0, now
-    # A start order in flight may reach the new incarnation; its answer decides
-    # whether the attempt runs.
-    ended = [
-        run
-        for run in runner.runs
-        if run.phase is not attempts.Phase.STARTING or run.ordered_at < now - 1
-    ]
+    ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
+    runner.record_clock(clock_ms, now)
+    # Orders named times on the earlier incarnation's clock, which the new one
+    # takes for the longest lease.
+    longest_ms = int(owner.settings.max_lease_s * 1000)
+    runner.lease_until_ms = clock_ms + longest_ms if runner.runs else 0
 
 
 def _apply_reply(
@@ -319,13 +331,10 @@
 ) -> None:
     if reply.born_ms < runner.entry.born_ms:
         return
-    reported = {(r.task, r.attempt) for r in reply.running}
-    handle_restart(owner, runner, reply.born_ms, now)
+    listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
+    running = [run for run in listed if run in runner.runs]
+    handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
-    for run in list(runner.runs):
-        if (run.task.name, run.attempt) not in reported:
-            continue
-        run.phase = attempts.Phase.RUNNING
 
 
 def _apply_ends(
@@ -420,6 +429,7 @@
 def _update_run(
     run: attempts.Run, running: model.RunningAttempt, now: float
 ) -> None:
+    run.reported = True
     if run.phase is attempts.Phase.STARTING:
         run.phase = attempts.Phase.RUNNING
         run.running_since = now
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -24,7 +24,8 @@
       seeds: Peer addresses of a few entry processes; may be out of date.
       adviser_address: `ip:port` of the adviser, or empty.
       capacity: Processor cores that are available to the process.
-      lease_s: Lease duration; at most the platform's bound.
+      lease_s: Lease duration; at most `max_lease_s`.
+      max_lease_s: Longest lease that a runner grants; it shortens longer ones.
       grace_s: Time between SIGTERM and SIGKILL, set by the platform.
       max_impact_s: Longest time that fill tasks may keep a service above its
         latency target.
@@ -43,6 +44,7 @@
     adviser_address: str = ""
     capacity: float = 1.0
     lease_s: float = LEASE_S
+    max_lease_s: float = 6.0
     grace_s: float = 6.0
     max_impact_s: float = 4.0
     ended_job_retention_s: float = 120.0
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -78,6 +78,7 @@
         adviser_address=node.advisor,
         capacity=node.limits.cores * node.limits.cpu_share,
         lease_s=min(bounds.max_hold_ms / 1000, settings_module.LEASE_S),
+        max_lease_s=bounds.max_hold_ms / 1000,
         grace_s=bounds.grace_s,
         max_impact_s=bounds.impact_ms / 1000,
         ended_job_retention_s=bounds.status_s,
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -8,12 +8,16 @@
 import pytest
 import result
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import load as load_module
+from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling
 
 pytestmark = pytest.mark.anyio
 # Polls of runners with fill tasks that one owner may make in a second, where
@@ -184,3 +188,54 @@
     )
     orders.pace_fills(owner, runner, 10.0)
     assert len(sent) == ordered
+
+
+def make_running(owner, runner_id="r", **fields):
+    """Returns a runner and an attempt there whose start was answered."""
+    runner = decisions.make_runner(runner_id, **fields)
+    run = charge_starting_run(owner, runner)
+    run.ordered_at = 10.0
+    run.phase, run.running_since = attempts.Phase.RUNNING, 10.1
+    return runner, run
+
+
+@pytest.mark.parametrize("reported", [True, False])
+def test_entry_of_a_new_incarnation_ends_only_what_the_earlier_one_ran(
+    reported,
+):
+    # Guards against a second start of a task whose start order has reached the
+    # new incarnation, although no poll has listed the attempt yet.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    if reported:
+        sessions._apply_reply(
+            owner, runner, make_status(runner, run), 10.2, 10.3
+        )
+    entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    owner.adapters = types.SimpleNamespace(decode_runner=lambda key, _: entry)
+    recovery._apply_entry(owner, "r", b"")
+    assert (run in run.task.runs) is not reported
+    assert (run in runner.runs) is not reported
+
+
+def test_lease_of_an_order_that_reached_a_new_incarnation_is_waited_for():
+    # Guards against a task that is started elsewhere while the new incarnation
+    # holds the longest lease that it grants: the order named a time on the
+    # clock of the incarnation before, which was far ahead.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner, clock_ms=300_000, clock_read_at=9.0)
+    runner.extend_lease(owner.settings.lease_s, 10.0)
+    status = make_status(runner, run, born_ms=9, clock_ms=2000)
+    sessions._apply_reply(owner, runner, status, 10.2, 10.3)
+    assert run in runner.runs
+    expiry = runner.find_lease_expiry(owner.settings)
+    assert expiry >= 10.3 + owner.settings.max_lease_s
+
+
+def make_status(runner, *runs, born_ms=None, clock_ms=1000):
+    running = tuple(
+        model.RunningAttempt(run.task.name, run.attempt, "", 10.0, 0.0)
+        for run in runs
+    )
+    born_ms = runner.entry.born_ms if born_ms is None else born_ms
+    return model.RunnerStatus(born_ms, clock_ms, running, ())
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -284,6 +284,19 @@
         )
 
 
+async def test_task_on_a_runner_that_restarted_unnoticed_runs_once():
+    # Guards against an attempt that a new incarnation has started and that is
+    # dropped with those of the incarnation before.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        await system.wait_owner()
+        for runner in system.runners.values():
+            runner.restart()
+        body = platform_system.make_job(count=2, run_ms=800)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
 async def test_malformed_records_are_ignored():
     # Guards against malformed records of other software that crash a process.
     async with platform_system.run_system(entries=1, runners=1) as system:
