Poll a runner that has restarted before it gets a task

A runner that had crashed and was listed again under its id counted as fenced, although its new incarnation had seen no fencing token.

A restart now takes the fence back, which placement respects and only a poll ends, and wakes the session.

Evidence: test_idle_runner_that_restarted_rejects_orders_of_earlier_owners fails on the code before (no token after 1.5 s).

Ruled out: orders that a successor's first poll fences off; that poll reached the earlier incarnation only.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -26,8 +26,8 @@
       calls: Client that sends orders to it.
       rack: Label that names its rack, or empty.
       listed: The entry is still in the list.
-      fenced: It has answered a poll that carried the present fencing token, so
-        it rejects orders of earlier owners.
+      fenced: Its present incarnation has answered a poll that carried the
+        present fencing token, so it rejects orders of earlier owners.
       last_stored_end: Sequence number of the newest stored end of an attempt.
       clock_read_at, clock_ms: When its clock was read, and the reading.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
@@ -47,7 +47,8 @@
       probation_until: Until this time a task is started only while nothing
         else runs there, as a canary.
       faults: Number of recent failures that suggest a fault of the runner.
-      has_active: Set when an attempt there may have been started.
+      has_active: Set when an attempt there may have been started, or when a
+        poll is needed for another reason.
       speed: Measured speed of its tasks relative to other runners; 1.0 is
         normal.
     """
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -103,7 +103,7 @@
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
     with anyio.move_on_after(owner.settings.idle_poll_s):
-        while not any(
+        while runner.fenced and not any(
             run.phase is not attempts.Phase.STARTING for run in runner.runs
         ):
             runner.has_active = anyio.Event()
@@ -280,6 +280,9 @@
         runs=len(runner.runs),
     )
     runner.last_stored_end = 0
+    # The new incarnation has seen no fencing token.
+    runner.fenced = False
+    runner.has_active.set()
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
     runner.record_clock(clock_ms, now)
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -297,6 +297,28 @@
         assert set(count_starts(system).values()) == {1}
 
 
+async def test_idle_runner_that_restarted_rejects_orders_of_earlier_owners():
+    # Guards against a start order of an earlier owner that a new incarnation
+    # carries out, because it has seen no token and is not polled while idle.
+    async with platform_system.run_system(entries=2, runners=2) as system:
+        await system.kill(await system.wait_owner())
+        owner = await system.wait_owner()
+        assert owner.owner.epoch > 0
+        for runner_id, runner in system.runners.items():
+            assert runner.token == owner.owner.epoch
+            runner.restart()
+            address = owner.owner.runners[runner_id].entry.address
+            entry = runner.make_entry(address, platform_system.SERVICE, "ready")
+            system.store.put("keyed.servers", runner_id, entry)
+        await wait_until(
+            lambda: all(
+                runner.token == owner.owner.epoch
+                for runner in system.runners.values()
+            ),
+            limit_s=1.5,
+        )
+
+
 async def test_malformed_records_are_ignored():
     # Guards against malformed records of other software that crash a process.
     async with platform_system.run_system(entries=1, runners=1) as system:
