Accept a restarted runner whose start is earlier than before

Tasks could stay charged for ever to a runner on which nothing ran (LOST). A runner that crashed while the time of day was ahead starts again under an earlier start time. Its entries were ignored (it stayed unlisted) and so were its answers: it was neither heard nor silent, so neither the missing attempts nor the expiry of their leases was ever noticed.

An answer is now ignored only if its poll was sent before this process learned of the present incarnation. An entry with an earlier start may be old; the runner is polled and the answer decides.

Evidence: three of the four new cases fail on the code before; the fourth, a late answer, guards the rule that is replaced.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -222,6 +222,9 @@
         _add_runner(owner, entry, runner, now)
         return
     if entry.born_ms < runner.entry.born_ms:
+        # An old entry, or the time of day was set back; a poll tells.
+        runner.listed, runner.fenced = True, False
+        runner.has_active.set()
         return
     if entry.draining and not runner.entry.draining:
         events.log_event(
@@ -261,7 +264,7 @@
         runners_module.find_rack(entry.labels),
     )
     runner.record_clock(entry.clock_ms, now)
-    runner.answered_at = now
+    runner.answered_at = runner.born_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     if earlier is not None:
         # Attempts of the incarnation at the old address stay charged until
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -28,6 +28,9 @@
       listed: The entry is still in the list.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
+      born_at: When this process learned of the present incarnation. An answer
+        to a later poll comes from it or from one that followed; `born_ms` may
+        be lower there, as the time of day may be set back.
       last_stored_end: Sequence number of the newest stored end of an attempt.
       clock_read_at, clock_ms: When its clock was read, and the reading.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
@@ -58,6 +61,7 @@
     rack: str
     listed: bool = True
     fenced: bool = False
+    born_at: float = 0.0
     last_stored_end: int = 0
     clock_read_at: float = 0.0
     clock_ms: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -279,7 +279,7 @@
         born_ms=born_ms,
         runs=len(runner.runs),
     )
-    runner.last_stored_end = 0
+    runner.born_at, runner.last_stored_end = now, 0
     # The new incarnation has seen no fencing token.
     runner.fenced = False
     runner.has_active.set()
@@ -300,9 +300,10 @@
     now: float,
 ) -> _PendingEnds | None:
     if reply.born_ms != runner.entry.born_ms:
-        _apply_restart(owner, runner, reply, now)
-        if reply.born_ms != runner.entry.born_ms:
+        if reply.born_ms < runner.entry.born_ms and sent_at < runner.born_at:
+            # A late answer of the earlier incarnation.
             return None
+        _apply_restart(owner, runner, reply, now)
     runner.record_clock(reply.clock_ms, now)
     runner.answered_at = now
     if runner.silent:
@@ -332,8 +333,6 @@
     reply: model.RunnerStatus,
     now: float,
 ) -> None:
-    if reply.born_ms < runner.entry.born_ms:
-        return
     listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -239,3 +239,54 @@
     )
     born_ms = runner.entry.born_ms if born_ms is None else born_ms
     return model.RunnerStatus(born_ms, clock_ms, running, ())
+
+
+@pytest.mark.parametrize("by", ["entry", "reply"])
+def test_poll_of_a_runner_whose_clock_was_set_back_is_believed(by):
+    # Guards against a runner that restarted under an earlier time of day: its
+    # answers counted as those of the incarnation before, so that attempts which
+    # had ended with that one were never dropped.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=50)
+    sessions._apply_reply(owner, runner, make_status(runner, run), 10.2, 10.3)
+    if by == "entry":
+        entry = msgspec.structs.replace(runner.entry, born_ms=9)
+        owner.adapters = types.SimpleNamespace(
+            decode_runner=lambda key, _: entry
+        )
+        recovery._apply_entry(owner, "r", b"")
+    sessions._apply_reply(
+        owner, runner, make_status(runner, born_ms=9), 11.0, 11.1
+    )
+    assert run not in runner.runs and run not in run.task.runs
+    assert runner.answered_at == 11.1
+    assert runner.entry.born_ms == 9
+
+
+def test_late_answer_of_an_earlier_incarnation_is_ignored():
+    # Guards against an attempt that is dropped, because an answer that was on
+    # its way during the restart does not list it.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    sessions._apply_reply(
+        owner, runner, make_status(runner, run, born_ms=50), 10.2, 10.3
+    )
+    sessions._apply_reply(
+        owner, runner, make_status(runner, born_ms=9), 10.1, 10.4
+    )
+    assert run in runner.runs and run in run.task.runs
+    assert runner.entry.born_ms == 50
+
+
+def test_entry_with_an_earlier_start_lists_its_runner_again():
+    # Guards against a runner that stays unlisted until it is forgotten, because
+    # its clock was set back before it started again.
+    owner = scheduling.make_owner()
+    runner, _ = make_running(owner)
+    entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=50)
+    runner.listed = False
+    owner.adapters = types.SimpleNamespace(decode_runner=lambda key, _: entry)
+    recovery._apply_entry(owner, "r", b"")
+    assert runner.listed and not runner.fenced
