Poll a runner that refuses a start as another or too late

Another runner, whose address had been reused, answered each start with a refusal; nothing kept the next start from going there, and an idle runner is not polled, so its owner did not find out. There were about 135 orders and as many appends to the log a second.

Both outcomes say that the owner's view of the runner is out of date, so the runner now has to answer a poll before it gets another start. A restart asks for the poll by the same function.

Test: failed before by its time limit of 3 s; now the task runs at its second attempt at the latest.

Ruled out: refusals for lack of room or health, which have a backoff.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -143,6 +143,9 @@
         run.task.retry_at = now + _INVALID_RETRY_S
     elif outcome is _OUTCOME.NO_TICKET:
         owner.tickets.pop((_name_step(run.task.step), run.runner), None)
+    elif outcome in (_OUTCOME.OTHER_INCARNATION, _OUTCOME.LATE):
+        # Without a poll it would refuse the next start for the same reason.
+        runner.require_poll()
     _release_run(owner, runner, run)
 
 
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -223,8 +223,8 @@
         return
     if entry.born_ms < runner.entry.born_ms:
         # An old entry, or the time of day was set back; a poll tells.
-        runner.listed, runner.fenced = True, False
-        runner.has_active.set()
+        runner.listed = True
+        runner.require_poll()
         return
     if entry.draining and not runner.entry.draining:
         events.log_event(
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -115,6 +115,11 @@
         if charged:
             self.fill_cpu += _compute_fill_charge(run)
 
+    def require_poll(self) -> None:
+        """Keeps tasks away until a poll is answered, and ends an idle wait."""
+        self.fenced = False
+        self.has_active.set()
+
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Records a reading of the runner's clock, received at `now`."""
         self.clock_read_at, self.clock_ms = now, clock_ms
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -281,8 +281,7 @@
     )
     runner.born_at, runner.last_stored_end = now, 0
     # The new incarnation has seen no fencing token.
-    runner.fenced = False
-    runner.has_active.set()
+    runner.require_poll()
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
     runner.record_clock(clock_ms, now)
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -319,6 +319,29 @@
         )
 
 
+async def test_task_does_not_wait_for_a_runner_that_refuses_each_start():
+    # Guards against a task that is ordered again and again from the same idle
+    # runner, whose address another runner has, beside one that would run it.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = (await system.wait_owner()).owner
+        await wait_until(lambda: all(r.fenced for r in owner.runners.values()))
+        first = next(iter(owner.runners))
+        system.runners[first].id = "i-77"
+        for known in owner.runners.values():
+            # The faster runner is preferred.
+            known.speed = 1.0 if known.entry.id == first else 0.5
+        body = platform_system.make_job(
+            count=1, run_ms=60_000, LongRunning=True
+        )
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(
+            lambda: len(system.list_starts()) == 1, limit_s=IDLE_LIMIT_S
+        )
+        (start,) = system.list_starts()
+        assert start[1] <= 2
+        assert owner.runners[first].silent
+
+
 async def test_malformed_records_are_ignored():
     # Guards against malformed records of other software that crash a process.
     async with platform_system.run_system(entries=1, runners=1) as system:
