Release a refused attempt from the runner's present address

An attempt stayed charged for ever to a runner that had moved to a new address while its start was on the way to the old one: the refusal released it from the replaced object, whose attempts had been charged to the new one. Such an attempt is being started, and no poll ends that on a runner that is fenced, so the room was lost until the next owner came (found by a reviewer).

Test: failed before; the attempt was still charged at the new address.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -49,7 +49,7 @@
     if runner is None or run not in task.runs:
         return
     if task.job.ended or run.phase is not attempts.Phase.STARTING:
-        _release_run(owner, runner, run)
+        _release_run(owner, run)
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
@@ -146,15 +146,14 @@
     elif outcome in (_OUTCOME.OTHER_INCARNATION, _OUTCOME.LATE):
         # Without a poll it would refuse the next start for the same reason.
         runner.require_poll()
-    _release_run(owner, runner, run)
+    _release_run(owner, run)
 
 
-def _release_run(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    run: attempts.Run,
-) -> None:
-    runner.charge(run, -1)
+def _release_run(owner: state_module.Owner, run: attempts.Run) -> None:
+    # The runner may have a new address, and a new object, since the order.
+    runner = owner.runners.get(run.runner)
+    if runner is not None:
+        runner.charge(run, -1)
     owner.table.drop_run(run, clock.read_now())
     if run.task.step.definition.gang:
         _stop_gang(owner, run)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -290,3 +290,22 @@
     owner.adapters = types.SimpleNamespace(decode_runner=lambda key, _: entry)
     recovery._apply_entry(owner, "r", b"")
     assert runner.listed and not runner.fenced
+
+
+def test_refused_start_is_released_by_a_runner_that_moved_meanwhile():
+    # Guards against an attempt that stays charged to the runner at its new
+    # address after its start at the old one was refused.
+    owner = scheduling.make_owner()
+    owner.adapters = types.SimpleNamespace(connect_runner=lambda *unused: None)
+    earlier = decisions.make_runner()
+    run = charge_starting_run(owner, earlier)
+    entry = msgspec.structs.replace(
+        earlier.entry, address="127.0.0.1:10", born_ms=2
+    )
+    recovery._add_runner(owner, entry, earlier, 1.0)
+    assert run in owner.runners["r"].runs
+    orders._apply_start_outcome(
+        owner, earlier, run, interfaces.OrderOutcome.UNREACHED, 1.2
+    )
+    assert run.task.name in owner.table.ready
+    assert not owner.runners["r"].runs
