Let no poll of a silent runner wait for an end

A poll of a silent runner whose lease had been renewed lately was allowed to wait, so it took up to 2.2 s to fail: most of the 3 s after which callers count a long-running task as lost that could run on the runner when it is back (found by a reviewer). Such a poll now asks for an answer at once.

Test: failed before with a wait of 1.83 s.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -120,7 +120,11 @@
         paced_runners.add(runner.entry.id)
     else:
         paced_runners.discard(runner.entry.id)
-    if not runner.fenced or now - runner.renewed_at > settings.lease_s / 2:
+    if (
+        not runner.fenced
+        or runner.silent
+        or now - runner.renewed_at > settings.lease_s / 2
+    ):
         return 0.0
     if not (serving and runner.fill_cpu):
         return min(settings.poll_wait_s, settings.lease_s / 3)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -93,6 +93,14 @@
     assert (sessions._choose_wait(owner, runner, now) > 0) is waits
 
 
+def test_a_poll_of_a_silent_runner_does_not_wait():
+    # Guards against a poll that takes 2 s to find a runner silent again, while
+    # the runner is back and a task waits for it.
+    owner = make_owner()
+    runner = decisions.make_runner(renewed_at=100.0, silent=True)
+    assert sessions._choose_wait(owner, runner, 100.1) == 0.0
+
+
 @pytest.mark.parametrize(
     ("late", "answered_ago_s", "silent"),
     [(True, 1.0, False), (False, 1.0, True), (True, 4.0, True)],
