Poll runners that are silent for long less often

A runner without attempts that has been silent for more than 1 s is now polled every 0.4 s; a return is still noticed well within the 3 s bound. With attempts the interval stays, as their leases expire meanwhile.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -20,6 +20,10 @@
 from plantainvane.jobs import state as state_module
 
 _SILENT_RETRY_S = 0.1
+# A runner that has been silent for longer than the first time, and has no
+# attempts whose leases may expire, is polled at the second interval.
+_LONG_SILENCE_S = 1.0
+_LONG_SILENCE_RETRY_S = 0.4
 # Listed runners are often silent for less than this, and withdrawing a promised
 # expiry takes an append to the log.
 _PROMISE_DELAY_S = 1.0
@@ -159,7 +163,7 @@
         if _is_own_delay(owner, runner, reply.err_value, sent_at, now):
             return pending
         _handle_silence(owner, runner, reply.err_value, now)
-        await anyio.sleep(_SILENT_RETRY_S)
+        await anyio.sleep(_choose_silent_retry(runner, now))
         return pending
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
@@ -167,6 +171,13 @@
     return _apply_reply(owner, runner, reply.ok_value, sent_at, now) or pending
 
 
+def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
+    """Returns the seconds until a silent runner is polled again."""
+    if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
+        return _SILENT_RETRY_S
+    return _LONG_SILENCE_RETRY_S
+
+
 def _is_own_delay(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -101,6 +101,45 @@
     assert sessions._choose_wait(owner, runner, 100.1) == 0.0
 
 
+def count_silent_polls_per_s(owner, runner, monkeypatch, seconds):
+    """Polls a runner that refuses connections at once; returns the rate."""
+    now, polls = [10.0], [0]
+
+    async def refuse(*unused):
+        polls[0] += 1
+        return result.Err(interfaces.OrderOutcome.UNREACHED)
+
+    async def pass_time(seconds):
+        now[0] += seconds
+
+    runner.calls = types.SimpleNamespace(poll=refuse)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: now[0])
+    monkeypatch.setattr(sessions.anyio, "sleep", pass_time)
+
+    async def run():
+        while now[0] < 10.0 + seconds:
+            await sessions._poll(owner, runner, 0.0, None)
+
+    asyncio.run(run())
+    return polls[0] / seconds
+
+
+@pytest.mark.parametrize(("has_runs", "least"), [(False, 2), (True, 9)])
+def test_polls_of_runners_that_refuse_connections_are_bounded(
+    monkeypatch, has_runs, least
+):
+    # Guards against an owner that is busy with polls of runners that are gone,
+    # and against a late notice of their return or of an expired lease.
+    owner, runner = scheduling.make_owner(), decisions.make_runner()
+    if has_runs:
+        charge_starting_run(owner, runner)
+        runner.lease_until_ms = 1_000_000
+    rate = count_silent_polls_per_s(owner, runner, monkeypatch, 20.0)
+    assert rate >= least
+    if not has_runs:
+        assert rate * RUNNERS / 3 <= POLLS_PER_S
+
+
 @pytest.mark.parametrize(
     ("late", "answered_ago_s", "silent"),
     [(True, 1.0, False), (False, 1.0, True), (True, 4.0, True)],
