Check the capacity of a runner again before each start order

Callers would see starts on a runner over its Capacity (rule LIMIT): on a service without preconditions the runner carries out whatever is ordered.

Cause: capacity was compared once, when a task was placed. The attempt is then stored, which lasts as long as the log takes, and the order is retried; an entry with a smaller capacity that is read meanwhile changed nothing. A fill task or one that asks for nothing was also placed on a runner that is over its processors, as those were left out of its comparison.

Change: _start_run compares what is charged with the present capacity before each send. A start that was never sent is released; one with a lost try is stopped and stays charged until that is answered. Nothing is placed on a runner that is over its capacity in any amount.

Ruled out by tests that passed before: scores kept over slices (a runner that shrinks between two slices drops out, its entry is part of the stamp) and a capacity that grew back (the next pass uses it).

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
+from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -53,6 +54,9 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
+        if placement.exceeds_capacity(runner):
+            _withhold_start(owner, runner, run, lost)
+            return
         order = _make_order(owner, runner, run)
         outcome = await runner.calls.start(order)
         lost = lost or outcome is _OUTCOME.LOST
@@ -83,6 +87,38 @@
     _apply_start_outcome(owner, runner, run, outcome, now)
 
 
+def _withhold_start(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+    lost: bool,
+) -> None:
+    """Gives up a start that does not fit any more.
+
+    `lost` tells that an earlier try may still be carried out.
+    """
+    capacity = runner.entry.capacity
+    events.log_event(
+        events.START_DROPPED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        reason="over capacity",
+        in_doubt=lost,
+        cpu=runner.cpu,
+        memory_mb=runner.memory_mb,
+        accelerators=runner.accelerators,
+        capacity_cpu=capacity.cpu,
+        capacity_memory_mb=capacity.memory_mb,
+        capacity_accelerators=capacity.accelerators,
+        epoch=owner.epoch,
+    )
+    if lost:
+        stop_run(owner, run, "start not answered")
+    elif run in run.task.runs:
+        _release_run(owner, runner, run)
+
+
 def _make_order(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -171,10 +171,12 @@
 ) -> bool:
     """Tells whether the declared resources of one more task fit.
 
-    `reserve` is the share of the memory that has to stay free.
+    Nothing fits on a runner that is over its capacity, not even a task that
+    needs none of what is short there. `reserve` is the share of the memory that
+    has to stay free.
     """
     capacity, amounts = runner.entry.capacity, step.amounts
-    if not step.fills and runner.cpu + amounts.cpu > capacity.cpu:
+    if runner.cpu + (0 if step.fills else amounts.cpu) > capacity.cpu:
         return False
     if runner.memory_mb + amounts.memory_mb > capacity.memory_mb * (
         1 - reserve
@@ -183,6 +185,16 @@
     return runner.accelerators + amounts.accelerators <= capacity.accelerators
 
 
+def exceeds_capacity(runner: runners_module.Runner) -> bool:
+    """Tells whether more is charged to the runner than it has."""
+    capacity = runner.entry.capacity
+    return (
+        runner.cpu > capacity.cpu
+        or runner.memory_mb > capacity.memory_mb
+        or runner.accelerators > capacity.accelerators
+    )
+
+
 def measure_unused_cpu(runner: runners_module.Runner) -> float:
     """Returns the thousandths of a core that fill tasks can expect to use."""
     busy = runner.cpu - runner.serving_cpu * (1 - SERVING_CPU_UTILIZATION)
