Keep an attempt charged when only a retry of its start was rejected

Cause: _start_run remembered that a try was lost only if all later ones could not connect either. A retry answered 429, 503 or 409 (room, late, ticket) or 400 released the attempt, and the task became ready for another runner, while the lost try could still start it.

Change: after a lost try, a rejected retry leads to a stop order; the attempt stays charged until that is answered, after which the runner rejects a late try. An answer of another incarnation still releases it, as the order names its incarnation.

A rejected first try is released at once, as before.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -84,7 +84,7 @@
         fill_cpu=runner.fill_cpu,
         look_age_ms=int((now - runner.answered_at) * 1000),
     )
-    _apply_start_outcome(owner, runner, run, outcome, now)
+    _apply_start_outcome(owner, runner, run, outcome, now, lost)
 
 
 def _withhold_start(
@@ -145,7 +145,9 @@
     run: attempts.Run,
     outcome: interfaces.OrderOutcome,
     now: float,
+    lost: bool = False,
 ) -> None:
+    """Applies the outcome of the last try; `lost` tells that one was lost."""
     if run not in run.task.runs:
         return
     if outcome is _OUTCOME.DONE:
@@ -179,7 +181,11 @@
         run.task.retry_at = now + _INVALID_RETRY_S
     elif outcome is _OUTCOME.NO_TICKET:
         owner.tickets.pop((_name_step(run.task.step), run.runner), None)
-    _release_run(owner, runner, run)
+    if lost and outcome is not _OUTCOME.OTHER_INCARNATION:
+        # The rejection of a retry does not settle the earlier try.
+        stop_run(owner, run, "start not answered")
+    else:
+        _release_run(owner, runner, run)
 
 
 def _release_run(
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -142,3 +142,35 @@
         pass
     runners = [run.runner for run in current.placed[1:]]
     assert runners == ["b"] * 7
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        OUTCOME.UNHEALTHY,
+        OUTCOME.NO_ROOM,
+        OUTCOME.LATE,
+        OUTCOME.INVALID,
+        OUTCOME.NO_TICKET,
+        OUTCOME.UNREACHED,
+    ],
+)
+async def test_a_rejected_retry_does_not_settle_the_try_before_it(outcome):
+    # Guards against a lost start order that is carried out after its resources
+    # were released and its task was started elsewhere.
+    owner, runner, run = make_placed(OUTCOME.LOST, outcome, outcome)
+    await orders._start_run(owner, run)
+    assert run in runner.runs and run.phase is attempts.Phase.STOPPING
+    assert owner.table.ready == {}
+    assert passes.list_stopped(owner) == [run]
+
+
+@pytest.mark.parametrize(
+    "outcome", [OUTCOME.UNHEALTHY, OUTCOME.NO_ROOM, OUTCOME.OTHER_INCARNATION]
+)
+async def test_a_rejected_start_is_released_at_once(outcome):
+    # Guards against a task that waits for a stop although no order of its
+    # start can still be carried out.
+    owner, runner, run = make_placed(outcome)
+    await orders._start_run(owner, run)
+    assert runner.runs == {} and run.task.name in owner.table.ready
