Start nothing beside an attempt that is charged to nobody

Callers would see a runner without preconditions go over its Capacity (rule LIMIT: what is being stopped still counts).

Cause: a poll may report an attempt that this owner has not placed there, one of an earlier owner or one that was carried out late. It was stopped, but for the whole grace of that stop its resources were charged to nobody.

Change: a runner keeps the set of such attempts of its last report. While it is not empty, no task is placed there, a placed one is not sent, and the runner is polled. What they use is often unknown, as their job may be forgotten, so they block the runner for the few seconds of a stop instead of being charged.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -54,8 +54,9 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
-        if placement.exceeds_capacity(runner):
-            _withhold_start(owner, runner, run, lost)
+        reason = _find_obstacle(runner)
+        if reason:
+            _withhold_start(owner, runner, run, reason, lost)
             return
         order = _make_order(owner, runner, run)
         outcome = await runner.calls.start(order)
@@ -87,13 +88,23 @@
     _apply_start_outcome(owner, runner, run, outcome, now, lost)
 
 
+def _find_obstacle(runner: runners_module.Runner) -> str:
+    """Returns why a start that is charged must not be ordered, or empty."""
+    if placement.exceeds_capacity(runner):
+        return "over capacity"
+    if runner.foreign:
+        return "an attempt runs there that is not charged"
+    return ""
+
+
 def _withhold_start(
     owner: state_module.Owner,
     runner: runners_module.Runner,
     run: attempts.Run,
+    reason: str,
     lost: bool,
 ) -> None:
-    """Gives up a start that does not fit any more.
+    """Gives up a start that must not be ordered any more.
 
     `lost` tells that an earlier try may still be carried out.
     """
@@ -103,7 +114,7 @@
         task=run.task.name,
         attempt=run.attempt,
         runner=run.runner,
-        reason="over capacity",
+        reason=reason,
         in_doubt=lost,
         cpu=runner.cpu,
         memory_mb=runner.memory_mb,
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -134,6 +134,7 @@
         runner.entry,
         runner.listed and runner.fenced,
         runner.silent or runner.expiry_promised,
+        not runner.foreign,
         runner.backoff_until > now,
         runner.probation_until > now,
         runner.faults,
@@ -148,6 +149,7 @@
 ) -> bool:
     """Tells whether the runner accepts tasks of this step if they fit.
 
+    What a foreign attempt uses is charged to nobody, so nothing is added to it.
     A runner on probation accepts a task only while nothing else runs there.
     """
     if (
@@ -156,6 +158,7 @@
         or runner.silent
         or runner.expiry_promised
         or runner.entry.draining
+        or runner.foreign
         or runner.backoff_until > now
     ):
         return False
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -38,6 +38,8 @@
       expiry_promised: The expiry of its leases is stored, so they must not be
         extended.
       runs: Attempts that are charged to it.
+      foreign: Task and number of the attempts that it last reported although
+        they are not charged to it. They are being stopped.
       cpu: Processors charged to tasks other than fill tasks.
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
@@ -67,6 +69,7 @@
     silent_since: float = 0.0
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
+    foreign: frozenset[tuple[str, int]] = frozenset()
     cpu: int = 0
     memory_mb: int = 0
     accelerators: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -72,7 +72,7 @@
                 )
             pending = None
         wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
-        if runner.fenced and not runner.runs and not pending:
+        if runner.fenced and not (runner.runs or runner.foreign or pending):
             # No lease to renew: a start order carries a lease of its own.
             await _wait_for_runs(owner, runner)
             if not runner.runs:
@@ -265,6 +265,7 @@
         born_ms=born_ms,
         runs=len(runner.runs),
     )
+    runner.foreign = frozenset()
     runner.last_stored_end = 0
     runner.lease_until_ms = 0
     runner.clock_ms, runner.clock_read_at = 0, now
@@ -390,13 +391,18 @@
     now: float,
 ) -> None:
     reported: set[attempts.Run] = set()
+    foreign: set[tuple[str, int]] = set()
     for running in reply.running:
         run = owner.table.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
+            foreign.add((running.task, running.attempt))
             owner.group.start_soon(orders.stop_unknown, owner, runner, running)
             continue
         reported.add(run)
         _update_run(run, running, now)
+    if runner.foreign and not foreign:
+        owner.request_pass()
+    runner.foreign = frozenset(foreign)
     missing = [
         run
         for run in runner.runs
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -1,11 +1,15 @@
 """Runners whose capacity changes: what is charged, and what may start."""
 
+import anyio
 import msgspec
 import pytest
+import result
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import sessions
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
 
@@ -31,6 +35,19 @@
         return self.outcomes.pop(0)
 
 
+class PolledCalls:
+    """Answers polls from a script; `polled` is set after the last reply."""
+
+    def __init__(self, *replies):
+        self.replies, self.polled = list(replies), anyio.Event()
+
+    async def poll(self, *unused):
+        reply = self.replies.pop(0)
+        if not self.replies:
+            self.polled.set()
+        return result.Ok(reply)
+
+
 def change_capacity(runner, **amounts):
     """Replaces the capacity in the entry of a runner."""
     capacity = msgspec.structs.replace(runner.entry.capacity, **amounts)
@@ -174,3 +191,70 @@
     owner, runner, run = make_placed(outcome)
     await orders._start_run(owner, run)
     assert runner.runs == {} and run.task.name in owner.table.ready
+
+
+def make_status(*running, born_ms=1):
+    """Makes the reply to a poll that reports (task, attempt) pairs."""
+    return model.RunnerStatus(
+        born_ms,
+        1000,
+        tuple(model.RunningAttempt(t, a, "", 0.0, 0.0) for t, a in running),
+        (),
+    )
+
+
+def test_an_attempt_of_an_unknown_order_keeps_others_off_its_runner():
+    # Guards against starts beside an attempt that this owner has not ordered:
+    # it is being stopped, and until then it uses resources that are charged to
+    # nobody.
+    runner = decisions.make_runner()
+    owner = passes.make_owner(runner)
+    decisions.add_job(owner.table, decisions.make_step())
+    sessions._apply_reply(owner, runner, make_status(("x.0.0.0", 1)), 1.0, 1.1)
+    passes.scheduling.place_ready_tasks(owner, 1.2)
+    assert passes.list_placed(owner) == []
+    sessions._apply_reply(owner, runner, make_status(), 1.3, 1.4)
+    passes.scheduling.place_ready_tasks(owner, 1.5)
+    assert passes.list_placed(owner) == [("j.0.0.0", "r")]
+
+
+async def test_no_start_is_sent_after_an_unknown_attempt_was_reported():
+    # Guards against a task that was placed before the poll reported it.
+    owner, runner, run = make_placed(OUTCOME.DONE)
+    sessions._apply_reply(owner, runner, make_status(("x.0.0.0", 1)), 1.0, 1.1)
+    await orders._start_run(owner, run)
+    assert runner.calls.starts == []
+    assert runner.runs == {} and run.task.name in owner.table.ready
+
+
+def test_an_unknown_attempt_drops_its_runner_from_a_pass():
+    # Guards against scores of an earlier slice that outlive the report.
+    first, second = decisions.make_runner("a"), decisions.make_runner("b")
+    owner = passes.make_owner(first, second)
+    decisions.add_job(owner.table, decisions.make_step(count=8))
+    current = passes.scheduling.Pass(1.0)
+    current.begin_slice(owner.runners, 1.0)
+    work = passes.scheduling.run_pass(owner, current)
+    next(work)
+    sessions._apply_reply(owner, first, make_status(("x.0.0.0", 1)), 1.0, 1.1)
+    current.begin_slice(owner.runners, 1.1)
+    for _ in work:
+        pass
+    assert [run.runner for run in current.placed[1:]] == ["b"] * 7
+
+
+async def test_an_unknown_attempt_is_polled_until_it_has_ended():
+    # Guards against an idle runner that stays unused for a whole idle wait
+    # after the attempt has ended.
+    runner = decisions.make_runner(clock_ms=1)
+    owner = passes.make_owner(runner)
+    owner.settings = msgspec.structs.replace(owner.settings, idle_poll_s=60.0)
+    runner.calls = PolledCalls(make_status(("x.0.0.0", 1)), make_status())
+    runner.fenced = False
+    async with anyio.create_task_group() as group:
+        group.start_soon(sessions.run_session, owner, runner)
+        with anyio.fail_after(5.0):
+            await runner.calls.polled.wait()
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    assert not runner.foreign
