Start nothing on a new incarnation before its own entry is read

Callers would see a runner without preconditions over its Capacity (LIMIT), or a task on a runner without its RequiredLabel (ROUTE): a new incarnation may be of a different kind, even at the same address.

Cause: a poll that reported a later incarnation kept capacity and labels of the one before, until the next read of the list (0.4 s and more).

Change: such a runner counts as not listed until its own entry is read, and a retry of a start is not sent to an unlisted runner.

Before: both new tests failed (8 starts for 2 that fit; 2 sends). After: both pass.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -92,6 +92,8 @@
     """Returns why a start that is charged must not be ordered, or empty."""
     if placement.exceeds_capacity(runner):
         return "over capacity"
+    if not runner.listed:
+        return "not listed"
     if runner.foreign:
         return "an attempt runs there that is not charged"
     return ""
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -25,7 +25,8 @@
       entry: Its newest entry in the platform's list.
       calls: Client that sends orders to it.
       rack: Label that names its rack, or empty.
-      listed: The entry is still in the list.
+      listed: The entry is still in the list, and is that of the present
+        incarnation.
       fenced: It has answered a poll that carried the present fencing token, so
         it rejects orders of earlier owners.
       last_stored_end: Sequence number of the newest stored end of an attempt.
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -322,6 +322,8 @@
     reported = {(r.task, r.attempt) for r in reply.running}
     handle_restart(owner, runner, reply.born_ms, now)
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
+    # Its capacity and labels are not known before its own entry is read.
+    runner.listed = False
     for run in list(runner.runs):
         if (run.task.name, run.attempt) not in reported:
             continue
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -1,5 +1,7 @@
 """Runners whose capacity changes: what is charged, and what may start."""
 
+import types
+
 import anyio
 import msgspec
 import pytest
@@ -9,6 +11,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
@@ -258,3 +261,43 @@
         await anyio.wait_all_tasks_blocked()
         group.cancel_scope.cancel()
     assert not runner.foreign
+
+
+def make_entry_owner(*runners):
+    """Makes an owner that reads entries as they are, without an adapter."""
+    owner = passes.make_owner(*runners)
+    owner.adapters = types.SimpleNamespace(
+        decode_runner=lambda key, value: value,
+        runners_topic="runners",
+        connect_runner=lambda address, key: None,
+    )
+    return owner
+
+
+def test_nothing_starts_on_a_new_incarnation_before_its_entry_is_read():
+    # Guards against starts that go by the capacity and the labels of the
+    # incarnation before; the new one may be smaller.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    decisions.add_job(owner.table, decisions.make_step(count=8))
+    status = make_status(born_ms=2)
+    sessions._apply_reply(owner, runner, status, 1.0, 1.1)
+    passes.scheduling.place_ready_tasks(owner, 1.2)
+    assert passes.list_placed(owner) == []
+    small = model.Amounts(2000, 64_000)
+    entry = msgspec.structs.replace(runner.entry, born_ms=2, capacity=small)
+    recovery._apply_entry(owner, "r", entry)
+    passes.scheduling.place_ready_tasks(owner, 1.3)
+    assert len(passes.list_placed(owner)) == 2
+
+
+async def test_no_retry_reaches_a_new_incarnation_before_its_entry_is_read():
+    # Guards against the retry of an order that goes by an old capacity.
+    owner, runner, run = make_placed(OUTCOME.LOST, OUTCOME.DONE)
+    run.ordered_at = 9.9
+    status = make_status(born_ms=2)
+    runner.calls.on_start = lambda: sessions._apply_reply(
+        owner, runner, status, 10.0, 10.1
+    )
+    await orders._start_run(owner, run)
+    assert len(runner.calls.starts) == 1
