Log a change of a runner's capacity and use it at once

An operator could not see why a runner gets no starts, and tasks waited up to 0.25 s for the next pass by the clock after a runner had grown.

Nothing is stopped because of the change (tested): the users count a start that brings a runner over its Capacity, not what was there before; a stop would lose work and interrupt services for a capacity that may be back within seconds. An urgent task still preempts, and counts what is over as well.

Before: 2 of the 4 new tests failed (no line, no pass). After: all pass; the other two, on stopping and preempting, passed before and stay.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
+from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -227,11 +228,36 @@
             events.RUNNER_DRAINING, runner=key, runs=len(runner.runs)
         )
     restarted = entry.born_ms > runner.entry.born_ms
+    before = runner.entry.capacity
     runner.entry, runner.listed = entry, True
+    if entry.capacity != before:
+        _report_capacity(runner, before)
+        owner.request_pass()
     if restarted:
         sessions.handle_restart(owner, runner, entry.born_ms, now)
 
 
+def _report_capacity(
+    runner: runners_module.Runner, before: model.Amounts
+) -> None:
+    after = runner.entry.capacity
+    events.log_event(
+        events.RUNNER_CAPACITY_CHANGED,
+        runner=runner.entry.id,
+        before_cpu=before.cpu,
+        before_memory_mb=before.memory_mb,
+        before_accelerators=before.accelerators,
+        cpu=after.cpu,
+        memory_mb=after.memory_mb,
+        accelerators=after.accelerators,
+        charged_cpu=runner.cpu,
+        charged_memory_mb=runner.memory_mb,
+        charged_accelerators=runner.accelerators,
+        runs=len(runner.runs),
+        exceeded=placement.exceeds_capacity(runner),
+    )
+
+
 def _report_malformed_runner(
     owner: state_module.Owner, key: str, value: bytes
 ) -> None:
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -301,3 +301,80 @@
     )
     await orders._start_run(owner, run)
     assert len(runner.calls.starts) == 1
+
+
+def test_a_change_of_capacity_is_logged_with_what_is_charged(monkeypatch):
+    # Guards against a runner that gets no starts for a reason that no log line
+    # shows. Entries are rewritten every second, mostly without a change.
+    lines = []
+    monkeypatch.setattr(
+        recovery.events,
+        "log_event",
+        lambda event, **fields: lines.append((event.name, fields)),
+    )
+    runner = decisions.make_runner(cpu=4000, memory_mb=4000)
+    owner = make_entry_owner(runner)
+    decisions.place_runs(runner, owner.table, decisions.make_step(count=3))
+    recovery._apply_entry(owner, "r", runner.entry)
+    assert lines == []
+    for cpu in (2000, 2000, 4000):
+        capacity = model.Amounts(cpu, 4000)
+        entry = msgspec.structs.replace(runner.entry, capacity=capacity)
+        recovery._apply_entry(owner, "r", entry)
+    assert [
+        (name, f["before_cpu"], f["cpu"], f["charged_cpu"], f["exceeded"])
+        for name, f in lines
+    ] == [
+        ("runner_capacity_changed", 4000, 2000, 3000, True),
+        ("runner_capacity_changed", 2000, 4000, 3000, False),
+    ]
+
+
+def test_a_change_of_capacity_requests_a_pass():
+    # Guards against tasks that wait for the next pass by the clock although
+    # their runner has grown.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    capacity = model.Amounts(32_000, 64_000)
+    entry = msgspec.structs.replace(runner.entry, capacity=capacity)
+    recovery._apply_entry(owner, "r", runner.entry)
+    assert not owner.pass_requested.is_set()
+    recovery._apply_entry(owner, "r", entry)
+    assert owner.pass_requested.is_set()
+
+
+def test_nothing_is_stopped_because_its_runner_has_shrunk():
+    # Guards against lost work and interrupted services: the users count starts
+    # over the capacity, not attempts that were there before, and the capacity
+    # may grow back within seconds.
+    runner = decisions.make_runner(cpu=4000)
+    owner = make_entry_owner(runner)
+    decisions.place_runs(
+        runner,
+        owner.table,
+        decisions.make_step(long_running=True),
+        decisions.make_step(fills=True, checkpointing=True),
+        decisions.make_step(checkpointing=True, count=2),
+    )
+    capacity = model.Amounts(500, 500)
+    entry = msgspec.structs.replace(runner.entry, capacity=capacity)
+    recovery._apply_entry(owner, "r", entry)
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_stopped(owner) == []
+
+
+def test_an_urgent_task_preempts_what_is_over_a_shrunk_capacity_too():
+    # Guards against a preemption that frees the amount of the task only, after
+    # which the task still does not fit.
+    runner = decisions.make_runner(cpu=4000)
+    owner = passes.make_owner(runner, queue=passes.URGENT)
+    runs = decisions.place_runs(
+        runner, owner.table, decisions.make_step(count=4, checkpointing=True)
+    )
+    change_capacity(runner, cpu=2000)
+    decisions.add_job(
+        owner.table, decisions.make_step(), job_id="u", queue=passes.URGENT
+    )
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_placed(owner) == []
+    assert passes.list_stopped(owner) == runs[:3]
