Play a capacity that shrinks and grows on the stand-ins

The stand-in for a runner now changes its capacity, with its entry rewritten; rejects with `room` if it guards it; counts what is being stopped for a grace; and records each start that brings it over the capacity that counts. The log can be slow to append.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -1,7 +1,8 @@
 """Stand-in for a runner: leases on its own clock, fencing tokens, ends, paces.
 
 A task's `Spec` is a JSON object: `run_ms` is its run time and `fails` makes it
-end as failed.
+end as failed. `cpu`, `memory_mb` and `gpu` are what it needs, and `fills` means
+that its processors are not counted.
 """
 
 import dataclasses
@@ -16,9 +17,32 @@
 _POLL_INTERVAL_S = 0.005
 
 
+class Amounts(msgspec.Struct, frozen=True):
+    """Resources: of a runner, or needed by an attempt."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+
+    def __add__(self, other: "Amounts") -> "Amounts":
+        return Amounts(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.gpu + other.gpu,
+        )
+
+    def fits(self, capacity: "Amounts") -> bool:
+        """Tells whether no amount is above that of `capacity`."""
+        return (
+            self.cpu <= capacity.cpu
+            and self.memory_mb <= capacity.memory_mb
+            and self.gpu <= capacity.gpu
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """A running attempt."""
+    """A running attempt; one that is being stopped ends at `stops_at`."""
 
     task: str
     number: int
@@ -27,6 +51,8 @@
     fails: bool
     checkpoint: str
     pace: int = 100
+    needs: Amounts = Amounts()
+    stops_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +65,16 @@
       delayed_starts: Delays of the next starts in seconds. Each of these starts
         is carried out after its delay and never answered.
       silent: No call is answered.
+      address: `ip:port` in its entry.
+      gpu: Accelerators.
+      guards: A start that does not fit is rejected.
+      stop_grace_s: How long a stop takes.
+      shrink_notice_s: A smaller capacity counts after this time.
+      capacities: Earlier capacities, and until when they count.
+      overruns: Starts that brought the runner over the capacity that counted,
+        with what ran then and that capacity; checked by the tests.
+      peak: Highest amounts that ran at the same time.
+      rejected: Number of starts that were rejected because they did not fit.
     """
 
     id: str
@@ -61,6 +97,19 @@
     paces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     delayed_starts: list[float] = dataclasses.field(default_factory=list)
     silent: bool = False
+    address: str = ""
+    gpu: int = 0
+    guards: bool = False
+    stop_grace_s: float = 0.0
+    shrink_notice_s: float = 0.0
+    capacities: list[tuple[float, Amounts]] = dataclasses.field(
+        default_factory=list
+    )
+    overruns: list[tuple[str, int, Amounts, Amounts]] = dataclasses.field(
+        default_factory=list
+    )
+    peak: Amounts = Amounts()
+    rejected: int = 0
 
     def read_clock(self) -> int:
         """Returns the runner's monotonic clock in milliseconds."""
@@ -76,11 +125,48 @@
                 "State": state,
                 "born": self.born_ms,
                 "ClockMs": self.read_clock(),
-                "Capacity": {"Cpu": self.cpu, "MemMb": self.memory_mb},
+                "Capacity": {
+                    "Cpu": self.cpu,
+                    "MemMb": self.memory_mb,
+                    "Gpu": self.gpu,
+                },
                 "Labels": ["a", "r1-1"],
             }
         )
 
+    def change_capacity(self, **amounts: int) -> None:
+        """Changes `cpu`, `memory_mb` or `gpu` while the runner runs."""
+        until = time.monotonic() + self.shrink_notice_s
+        self.capacities.append((until, self.read_capacity()))
+        for name, value in amounts.items():
+            setattr(self, name, value)
+
+    def read_capacity(self) -> Amounts:
+        """Returns the capacity that the entry shows."""
+        return Amounts(self.cpu, self.memory_mb, self.gpu)
+
+    def sum_needs(self) -> Amounts:
+        """Returns what runs, including what is being stopped."""
+        total = Amounts()
+        for attempt in self.running.values():
+            total += attempt.needs
+        return total
+
+    def _fits(self, total: Amounts) -> bool:
+        """Tells whether `total` fits a capacity that counts now."""
+        now = time.monotonic()
+        counted = [c for until, c in self.capacities if until > now]
+        return any(total.fits(c) for c in (self.read_capacity(), *counted))
+
+    def admit(self, task: str, number: int, needs: Amounts) -> bool:
+        """Tells whether a start is carried out, and records an overrun."""
+        total = self.sum_needs() + needs
+        if self.guards:
+            return total.fits(self.read_capacity())
+        if not self._fits(total):
+            self.overruns.append((task, number, total, self.read_capacity()))
+        return True
+
     def end(self, task: str, how: str) -> None:
         """Ends an attempt and adds it to the list of ends."""
         attempt = self.running.pop(task)
@@ -96,6 +182,9 @@
         for task, attempt in list(self.running.items()):
             if expired:
                 self.end(task, "lapsed")
+            elif attempt.stops_at is not None:
+                if attempt.stops_at <= now:
+                    self.end(task, "stopped")
             elif attempt.completes_at <= now:
                 self.end(task, "failed" if attempt.fails else "done")
 
@@ -163,6 +252,14 @@
         return _answer(state, 409, Reason="late")
     spec = msgspec.json.decode(body["Spec"])
     run_s = spec.get("run_ms", 50) / 1000
+    needs = Amounts(
+        0 if spec.get("fills") else spec.get("cpu", 0),
+        spec.get("memory_mb", 0),
+        spec.get("gpu", 0),
+    )
+    if not state.admit(task, number, needs):
+        state.rejected += 1
+        return _answer(state, 409, Reason="room")
     state.starts.append((task, number))
     state.running[task] = Attempt(
         task,
@@ -171,6 +268,13 @@
         run_s,
         spec.get("fails", False),
         body.get("Checkpoint", "") or f"{task}-{number}",
+        needs=needs,
+    )
+    total = state.sum_needs()
+    state.peak = Amounts(
+        max(state.peak.cpu, total.cpu),
+        max(state.peak.memory_mb, total.memory_mb),
+        max(state.peak.gpu, total.gpu),
     )
     return _answer(state, 200)
 
@@ -179,7 +283,9 @@
     task, number = body["Task"], body["Attempt"]
     present = state.running.get(task)
     if present is not None and present.number == number:
-        state.end(task, "stopped")
+        if present.stops_at is None:
+            present.stops_at = time.monotonic() + state.stop_grace_s
+        state.end_due_attempts()
     state.highest[task] = max(state.highest.get(task, 0), number)
     return _answer(state, 200)
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -46,12 +46,14 @@
 
     Attributes:
       down: Every call is answered with status 503.
+      append_delay_s: Time that an append takes.
       lose_answers: Number of coming appends that are stored but not answered.
       calls: Number of calls by name.
     """
 
     topics: dict[str, Topic] = dataclasses.field(default_factory=dict)
     down: bool = False
+    append_delay_s: float = 0.0
     lose_answers: int = 0
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -94,6 +96,7 @@
         if state.down:
             return asgi.HttpReply(503)
         if name == "append":
+            await anyio.sleep(state.append_delay_s)
             return await _handle_append(state, request)
         if name == "read":
             return await _handle_read(state, request)
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -68,7 +68,10 @@
 
 
 def write_configuration(
-    store: platform_store.StoreState, version: int = 1, **route: Any
+    store: platform_store.StoreState,
+    version: int = 1,
+    preconditions: bool = True,
+    **route: Any,
 ) -> None:
     """Writes a configuration with one queue; `route` replaces its fields."""
     document = {
@@ -86,7 +89,7 @@
                 **route,
             }
         ],
-        "Services": [{"Name": SERVICE, "Preconditions": True}],
+        "Services": [{"Name": SERVICE, "Preconditions": preconditions}],
     }
     store.put("keyed.op", "config", msgspec.json.encode(document))
 
@@ -142,12 +145,23 @@
 async def add_runner(system: System, runner_id: str, **fields: Any) -> None:
     """Starts a runner and writes its entry to the log."""
     state = platform_runner.RunnerState(runner_id, **fields)
-    address = serving.find_free_address()
+    state.address = serving.find_free_address()
     system.runners[runner_id] = state
-    await _serve(system, platform_runner.make_handler(state), address)
-    system.store.put(
-        "keyed.servers", runner_id, state.make_entry(address, SERVICE, "ready")
-    )
+    await _serve(system, platform_runner.make_handler(state), state.address)
+    write_entry(system, state)
+
+
+def write_entry(system: System, state: platform_runner.RunnerState) -> None:
+    """Writes the present entry of a runner to the log."""
+    entry = state.make_entry(state.address, SERVICE, "ready")
+    system.store.put("keyed.servers", state.id, entry)
+
+
+def change_capacity(system: System, runner_id: str, **amounts: int) -> None:
+    """Changes the capacity of a runner, which rewrites its entry."""
+    state = system.runners[runner_id]
+    state.change_capacity(**amounts)
+    write_entry(system, state)
 
 
 async def add_entry(
@@ -194,9 +208,21 @@
         )
 
 
-def make_job(steps: int = 1, count: int = 2, **fields: Any) -> dict[str, Any]:
-    """Creates a submission in which each step depends on the previous one."""
+def make_job(
+    steps: int = 1, count: int = 2, measured: bool = False, **fields: Any
+) -> dict[str, Any]:
+    """Creates a submission in which each step depends on the previous one.
+
+    With `measured`, the runners count what the tasks need.
+    """
     spec = {k: fields.pop(k) for k in ("run_ms", "fails") if k in fields}
+    if measured:
+        spec |= {
+            "cpu": fields.get("Cpu", 500),
+            "memory_mb": fields.get("MemMb", 100),
+            "gpu": fields.get("Gpu", 0),
+            "fills": fields.get("Fills", False),
+        }
     return {
         "Spec": msgspec.json.encode(spec).decode(),
         "Steps": [
