--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
+from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -53,6 +54,10 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
+        reason = _find_obstacle(runner)
+        if reason:
+            _withhold_start(owner, runner, run, reason, lost)
+            return
         order = _make_order(owner, runner, run)
         outcome = await runner.calls.start(order)
         lost = lost or outcome is _OUTCOME.LOST
@@ -80,7 +85,51 @@
         fill_cpu=runner.fill_cpu,
         look_age_ms=int((now - runner.answered_at) * 1000),
     )
-    _apply_start_outcome(owner, runner, run, outcome, now)
+    _apply_start_outcome(owner, runner, run, outcome, now, lost)
+
+
+def _find_obstacle(runner: runners_module.Runner) -> str:
+    """Returns why a start that is charged must not be ordered, or empty."""
+    if placement.exceeds_capacity(runner):
+        return "over capacity"
+    if not runner.listed:
+        return "not listed"
+    if runner.foreign:
+        return "an attempt runs there that is not charged"
+    return ""
+
+
+def _withhold_start(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+    reason: str,
+    lost: bool,
+) -> None:
+    """Gives up a start that must not be ordered any more.
+
+    `lost` tells that an earlier try may still be carried out.
+    """
+    capacity = runner.entry.capacity
+    events.log_event(
+        events.START_DROPPED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        reason=reason,
+        in_doubt=lost,
+        cpu=runner.cpu,
+        memory_mb=runner.memory_mb,
+        accelerators=runner.accelerators,
+        capacity_cpu=capacity.cpu,
+        capacity_memory_mb=capacity.memory_mb,
+        capacity_accelerators=capacity.accelerators,
+        epoch=owner.epoch,
+    )
+    if lost:
+        stop_run(owner, run, "start not answered")
+    elif run in run.task.runs:
+        _release_run(owner, run)
 
 
 def _make_order(
@@ -109,7 +158,9 @@
     run: attempts.Run,
     outcome: interfaces.OrderOutcome,
     now: float,
+    lost: bool = False,
 ) -> None:
+    """Applies the outcome of the last try; `lost` tells that one was lost."""
     if run not in run.task.runs:
         return
     if outcome is _OUTCOME.DONE:
@@ -146,7 +197,11 @@
     elif outcome in (_OUTCOME.OTHER_INCARNATION, _OUTCOME.LATE):
         # Without a poll it would refuse the next start for the same reason.
         runner.require_poll()
-    _release_run(owner, run)
+    if lost and outcome is not _OUTCOME.OTHER_INCARNATION:
+        # The rejection of a retry does not settle the earlier try.
+        stop_run(owner, run, "start not answered")
+    else:
+        _release_run(owner, run)
 
 
 def _release_run(owner: state_module.Owner, run: attempts.Run) -> None:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -97,10 +97,14 @@
     """Tells whether a poll has anything to renew or to find out.
 
     A runner without attempts has no lease to renew: a start order carries a
-    lease of its own. Placement leaves out a runner that is silent or not
-    fenced, and only a poll ends that.
+    lease of its own. Placement leaves out a runner that is silent, not fenced
+    or runs a foreign attempt, and only a poll ends that.
     """
-    return bool(runner.runs) or runner.silent or not runner.fenced
+    return (
+        bool(runner.runs or runner.foreign)
+        or runner.silent
+        or not runner.fenced
+    )
 
 
 async def _wait_for_runs(
@@ -294,6 +298,7 @@
         born_ms=born_ms,
         runs=len(runner.runs),
     )
+    runner.foreign = frozenset()
     runner.born_at, runner.last_stored_end = now, 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
@@ -351,6 +356,8 @@
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
+    # Its capacity and labels are not known before its own entry is read.
+    runner.listed = False
 
 
 def _apply_ends(
@@ -416,13 +423,18 @@
     now: float,
 ) -> None:
     reported: set[attempts.Run] = set()
+    foreign: set[tuple[str, int]] = set()
     for running in reply.running:
         run = owner.table.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
+            foreign.add((running.task, running.attempt))
             owner.group.start_soon(orders.stop_unknown, owner, runner, running)
             continue
         reported.add(run)
         _update_run(run, running, now)
+    if runner.foreign and not foreign:
+        owner.request_pass()
+    runner.foreign = frozenset(foreign)
     missing = [
         run
         for run in runner.runs
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -423,13 +423,14 @@
     ) as system:
         owner = await start_job(system, count=1, run_ms=60_000)
         runner = system.runners["i-0"]
-        entry = system.store.list_newest("keyed.servers")["i-0"][1]
+        address = owner.owner.runners["i-0"].entry.address
         runner.silent = True
         system.store.put("keyed.servers", "i-0", None)
         await wait_until(lambda: "i-0" not in owner.owner.runners, 8.0)
         await wait_until(lambda: not owner.owner.expiries.expires_at)
         runner.restart()
         runner.silent = False
+        entry = runner.make_entry(address, platform_system.SERVICE, "ready")
         system.store.put("keyed.servers", "i-0", entry)
         await wait_until(lambda: len(runner.starts) == 2)
         await anyio.sleep(0.1)
