Stop an attempt again that runs on after its stop was answered

A start order is in doubt when its job is cancelled. The runner answers the stop, crashes, and its new incarnation, which knows nothing of the stop, carries out the start. The next poll lists the attempt, so it is charged and its lease renewed with each poll; it is marked as stopping and its stop counts as answered, so nothing stopped it again. It is the class of: a state that only an event ends, and that itself prevents the event.

A stop is now sent again while a poll lists its attempt more than 1 s after the answer; the platform allows a stop 0.4 s.

Ruled out: an attempt that the owner has dropped before the new incarnation carries out its start; it is foreign to the owner and is stopped with each poll that lists it.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -262,11 +262,26 @@
             return
         if outcome not in _RETRIED:
             # A poll sent after this reports the attempt unless it has ended.
+            # One that reports it for longer has the stop sent again.
             run.running_since = clock.read_now()
             return
         await anyio.sleep(_STOP_RETRY_S)
 
 
+def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Sends the stop of an attempt that runs on although it was answered."""
+    run.running_since = float("inf")
+    events.log_event(
+        events.TASK_STOPPED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        reason="runs on after its stop",
+        epoch=owner.epoch,
+    )
+    owner.group.start_soon(_send_stop, owner, run)
+
+
 async def stop_unknown(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -36,6 +36,9 @@
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
+# An attempt that a runner still reports this long after it has answered a stop
+# is stopped again. The platform allows a stop 0.4 s.
+_STOP_REPEAT_S = 1.0
 _UNANSWERED = (
     interfaces.OrderOutcome.LOST,
     interfaces.OrderOutcome.UNREACHED,
@@ -432,6 +435,8 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
+        if _outlives_stop(run, now):
+            orders.repeat_stop(owner, run)
     if runner.foreign and not foreign:
         owner.request_pass()
     runner.foreign = frozenset(foreign)
@@ -454,6 +459,18 @@
     return run.ordered_at == 0 and not runner.fenced
 
 
+def _outlives_stop(run: attempts.Run, now: float) -> bool:
+    """Returns whether an attempt runs on although its stop was answered.
+
+    An earlier incarnation may have answered, and the present one have carried
+    out a start order late.
+    """
+    return (
+        run.phase is attempts.Phase.STOPPING
+        and now - run.running_since > _STOP_REPEAT_S
+    )
+
+
 def _update_run(
     run: attempts.Run, running: model.RunningAttempt, now: float
 ) -> None:
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -414,6 +414,26 @@
         assert [end[3] for end in runner.ends] == ["stopped"]
 
 
+async def test_stop_that_an_earlier_incarnation_answered_is_sent_again():
+    # Guards against an attempt of a cancelled job that runs on, under leases
+    # that the owner renews: the runner answered the stop, crashed, and the new
+    # incarnation carried out the start, whose reply had been lost.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        await system.wait_owner()
+        runner = system.runners["i-0"]
+        runner.delayed_starts = [0.8, 60.0, 60.0]
+        body = platform_system.make_job(count=1, run_ms=60_000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(runner.delayed_starts) == 2)
+        reply = await platform_system.call(system.entries[0], "DELETE", ID)
+        assert reply.status_code == 200
+        await wait_until(lambda: runner.highest)
+        runner.restart()
+        await wait_until(lambda: runner.running)
+        await wait_until(lambda: not runner.running, limit_s=CANCEL_LIMIT_S)
+        assert [end[3] for end in runner.ends] == ["stopped"]
+
+
 async def test_expired_promise_does_not_apply_to_later_leases(monkeypatch):
     # Guards against a successor that starts a task a second time, because the
     # log still holds the expiry of earlier leases on its slow runner.
