Drop the record of a job before its progress is forgotten

The owner dropped the job's progress from the log but not the job, so its successor found a job without progress and took it for a new one. The same held for an owner that read the jobs from the start because the log had removed the records that it wanted next. Records of jobs were moreover kept for ever.

The owner now drops the records of old jobs from keyed.jobs, and only once that is answered their progress. A job of which an attempt may still be running is kept: its progress would be stored again when the attempt ends.

Evidence: the new test cancels a job with a retention of 0.4 s and replaces the owner. Before, a GET is answered 200 by the successor (state running); now 410, and there is one start.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -22,6 +22,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import retention
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
@@ -116,6 +117,7 @@
         in_doubt=sum(map(len, owner.orphans.values())),
     )
     owner.group.start_soon(_sweep, owner)
+    owner.group.start_soon(retention.run_retention, owner)
     await _schedule(owner)
 
 
@@ -151,7 +153,7 @@
 
 
 async def _sweep(owner: state_module.Owner) -> None:
-    """Expires orphaned attempts, removes old jobs, watches the log.
+    """Expires orphaned attempts and watches the log.
 
     Steps down when the log has not answered for too long.
     """
@@ -162,7 +164,6 @@
         _expire_orphans(owner, now)
         if now - owner.health.answered_at > settings.log_outage_limit_s:
             owner.step_down("log silent")
-        _remove_old_jobs(owner)
         _store_effects(owner, now)
         load_module.summarize_owner(
             owner.load,
@@ -213,21 +214,6 @@
         )
 
 
-def _remove_old_jobs(owner: state_module.Owner) -> None:
-    limit_ms = (
-        clock.read_wall_ms() - 1.5 * owner.settings.ended_job_retention_s * 1000
-    )
-    old = [
-        state
-        for state in owner.table.jobs.values()
-        if state.stored_ended and state.ended_ms < limit_ms
-    ]
-    for state in old:
-        owner.table.forget_job(state.job.id)
-        owner.progress.pop(state.job.id, None)
-        owner.journal.add([(state.job.id, None)])
-
-
 async def _schedule(owner: state_module.Owner) -> None:
     while True:
         with anyio.move_on_after(_PASS_INTERVAL_S):
--- /dev/null
+++ b/plantainvane/jobs/retention.py
@@ -0,0 +1,72 @@
+"""Removes ended jobs, and their records, after their retention time."""
+
+import anyio
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
+from plantainvane.jobs import state as state_module
+
+_INTERVAL_S = 1.0
+# Jobs are kept for this multiple of the time for which callers may ask.
+_SLACK_FACTOR = 1.5
+# Bounds one append, as many jobs may be due after a takeover.
+_MAX_RECORDS = 500
+
+
+async def run_retention(owner: state_module.Owner) -> None:
+    """Removes jobs whose retention time has passed, until cancelled."""
+    while True:
+        await anyio.sleep(_INTERVAL_S)
+        await forget_jobs(owner, clock.read_wall_ms())
+
+
+async def forget_jobs(owner: state_module.Owner, wall_ms: int) -> None:
+    """Removes the jobs whose retention time has passed at `wall_ms`."""
+    old = _list_expired_jobs(owner, wall_ms)
+    if not old or not await _drop_records(owner, old):
+        return
+    for state in old:
+        owner.table.forget_job(state.job.id)
+        owner.progress.pop(state.job.id, None)
+    owner.journal.add([(state.job.id, None) for state in old])
+
+
+def _list_expired_jobs(
+    owner: state_module.Owner, wall_ms: int
+) -> list[attempts.JobState]:
+    """Returns jobs to remove; none of which an attempt may be running."""
+    retention_s = _SLACK_FACTOR * owner.settings.ended_job_retention_s
+    limit_ms = wall_ms - retention_s * 1000
+    old = [
+        state
+        for state in owner.table.jobs.values()
+        if state.stored_ended
+        and state.ended_ms < limit_ms
+        and not _has_runs(state)
+    ]
+    return old[:_MAX_RECORDS]
+
+
+def _has_runs(state: attempts.JobState) -> bool:
+    return any(
+        task.runs for step in state.steps.values() for task in step.tasks
+    )
+
+
+async def _drop_records(
+    owner: state_module.Owner, old: list[attempts.JobState]
+) -> bool:
+    """Drops the records of jobs; returns whether the log has answered.
+
+    Their progress goes later, as a successor takes a job without progress for
+    a new one.
+    """
+    appended = await owner.adapters.store.append(
+        state_module.JOBS_TOPIC,
+        [(state.job.id, None) for state in old],
+        owner.health.choose_timeout(owner.settings),
+    )
+    if appended.is_err():
+        detail = appended.err_value.detail
+        owner.health.record_failure(detail, clock.read_now())
+    return appended.is_ok()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -434,6 +434,23 @@
         assert [end[3] for end in runner.ends] == ["stopped"]
 
 
+async def test_forgotten_job_is_not_run_again():
+    # Guards against a job whose retention time has passed, and which the next
+    # owner takes for a new one: its record was kept, but not its end.
+    async with platform_system.run_system(
+        entries=2, runners=1, ended_job_retention_s=0.4
+    ) as system:
+        owner = await start_job(system, count=1, run_ms=60_000)
+        await platform_system.call(system.entries[0], "DELETE", ID)
+        await wait_until(lambda: ID not in owner.owner.table.jobs)
+        await owner.owner.journal.flush()
+        await system.kill(owner)
+        successor = await system.wait_owner()
+        reply = await platform_system.call(successor, "GET", ID)
+        assert reply.status_code == 410
+        assert len(system.list_starts()) == 1
+
+
 async def test_expired_promise_does_not_apply_to_later_leases(monkeypatch):
     # Guards against a successor that starts a task a second time, because the
     # log still holds the expiry of earlier leases on its slow runner.
