Send no retry of a start after its attempt was stopped

A task of a cancelled job could start up to two retries, 0.8 s and more, after the cancel was acknowledged (UNASKED), or after its attempt was dropped and the task started elsewhere (TWICE). A start order without an answer is retried without a look at what has happened to the attempt. The runner refuses the retry if it has seen the stop, but not if it has restarted since, or if the stop has not arrived.

The state of the attempt and of its job is now checked before each try, where capacity is. An attempt with a lost try stays charged and is stopped, as before; one whose tries reached nobody is released.

Evidence: the six cases of the new test send two starts on the code before, and one now. The test of the repeated stop covers that none is sent while the runner carries one out.

Ruled out: a first try, which was checked already.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -54,7 +54,7 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
-        reason = _find_obstacle(runner)
+        reason = _find_obstacle(runner, run)
         if reason:
             _withhold_start(owner, runner, run, reason, lost)
             return
@@ -88,8 +88,12 @@
     _apply_start_outcome(owner, runner, run, outcome, now, lost)
 
 
-def _find_obstacle(runner: runners_module.Runner) -> str:
+def _find_obstacle(runner: runners_module.Runner, run: attempts.Run) -> str:
     """Returns why a start that is charged must not be ordered, or empty."""
+    if run not in run.task.runs or run.phase is attempts.Phase.STOPPING:
+        return "attempt ended or is being stopped"
+    if run.task.job.ended:
+        return "job ended"
     if placement.exceeds_capacity(runner):
         return "over capacity"
     if not runner.listed:
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -6,10 +6,15 @@
 import result
 
 from plantainvane import outcomes
+from plantainvane.jobs import attempts
+from plantainvane.jobs import orders
 from plantainvane.jobs import retention
+from plantainvane.jobs import sessions
 from tests import test_jobs_capacity as capacity
+from tests import test_jobs_scheduling as passes
 
 pytestmark = pytest.mark.anyio
+OUTCOME = capacity.OUTCOME
 
 
 @pytest.fixture
@@ -21,11 +26,50 @@
     owner.table.cancel_job(run.task.job, 1)
 
 
+def cancel_and_stop(owner, run):
+    cancel(owner, run)
+    orders.stop_run(owner, run, "job ended")
+
+
 def drop(owner, run):
     owner.runners[run.runner].charge(run, -1)
     owner.table.drop_run(run, 2.0)
 
 
+@pytest.mark.parametrize("end", [cancel, cancel_and_stop, drop])
+@pytest.mark.parametrize("first", [OUTCOME.LOST, OUTCOME.UNREACHED])
+async def test_no_retry_of_a_start_is_sent_after_its_attempt_ended(end, first):
+    # Guards against a task of a cancelled job that is started by a retry, on
+    # a runner that has restarted since it answered the stop.
+    owner, runner, run = capacity.make_placed(first, OUTCOME.DONE)
+    runner.calls.on_start = lambda: end(owner, run)
+    await orders._start_run(owner, run)
+    assert len(runner.calls.starts) == 1
+    if first is OUTCOME.LOST and end is not drop:
+        assert run in runner.runs and passes.list_stopped(owner) == [run]
+    else:
+        assert run not in runner.runs
+
+
+@pytest.mark.parametrize(
+    ("answered_ago_s", "repeated"),
+    [(None, False), (0.5, False), (1.5, True)],
+)
+def test_a_stop_is_repeated_while_its_attempt_is_reported(
+    answered_ago_s, repeated
+):
+    # Guards against an attempt that runs on after the answer to its stop, and
+    # against stops that are sent with each poll while a runner carries one out.
+    owner, runner, run = capacity.make_placed()
+    run.phase, run.running_since = attempts.Phase.STOPPING, float("inf")
+    if answered_ago_s is not None:
+        run.running_since = 10.0 - answered_ago_s
+    status = capacity.make_status((run.task.name, run.attempt))
+    for _ in range(2):
+        sessions._apply_running(owner, runner, status, 9.9, 10.0)
+    assert passes.list_stopped(owner) == [run] * repeated
+
+
 def make_cancelled(answer):
     """Makes an owner with a cancelled job and an attempt; the log `answer`s."""
     owner, runner, run = capacity.make_placed()
