Poll a runner for 6 s after its restart, also without attempts

A start order is in doubt when its runner crashes. The runner's new incarnation knows nothing of the stop that the earlier one has answered, so it carries the order out late. The owner has dropped the attempt by then, and an idle runner is not polled, so nobody saw it before its lease expired.

A runner that has restarted is now polled for 6 s, as an order without an answer may be carried out seconds later. An attempt that shows up is stopped as any that the owner has not placed.

Evidence: the new test, with leases of 10 s, fails on the code before, as the attempt still runs 3.4 s after its late start; now it ends as stopped.

Ruled out: a runner with attempts, which is polled in any case, and late orders of earlier owners, which the first poll of the new incarnation fences off.

Cost: three or four polls that wait for an end, for each restart.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -32,6 +32,7 @@
       born_at: When this process learned of the present incarnation. An answer
         to a later poll comes from it or from one that followed; `born_ms` may
         be lower there, as the time of day may be set back.
+      restarted_at: When this process learned of its last restart, if any.
       last_stored_end: Sequence number of the newest stored end of an attempt.
       clock_read_at, clock_ms: When its clock was read, and the reading.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
@@ -65,6 +66,7 @@
     listed: bool = True
     fenced: bool = False
     born_at: float = 0.0
+    restarted_at: float = float("-inf")
     last_stored_end: int = 0
     clock_read_at: float = 0.0
     clock_ms: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -39,6 +39,9 @@
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
+# A start order without an answer may be carried out for this long. The present
+# incarnation does not refuse one that the earlier one was told to stop.
+_LATE_START_S = 6.0
 _UNANSWERED = (
     interfaces.OrderOutcome.LOST,
     interfaces.OrderOutcome.UNREACHED,
@@ -80,9 +83,9 @@
                 )
             pending = None
         wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
-        if not pending and not _needs_poll(runner):
+        if not pending and not _needs_poll(runner, now):
             await _wait_for_runs(owner, runner)
-            if not _needs_poll(runner):
+            if not _needs_poll(runner, clock.read_now()):
                 continue
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
@@ -96,17 +99,19 @@
     await runner.calls.aclose()
 
 
-def _needs_poll(runner: runners_module.Runner) -> bool:
+def _needs_poll(runner: runners_module.Runner, now: float) -> bool:
     """Tells whether a poll has anything to renew or to find out.
 
     A runner without attempts has no lease to renew: a start order carries a
     lease of its own. Placement leaves out a runner that is silent, not fenced
-    or runs a foreign attempt, and only a poll ends that.
+    or runs a foreign attempt, and only a poll ends that. A late start on a
+    runner that has restarted is found by a poll as well.
     """
     return (
         bool(runner.runs or runner.foreign)
         or runner.silent
         or not runner.fenced
+        or now - runner.restarted_at < _LATE_START_S
     )
 
 
@@ -302,7 +307,8 @@
         runs=len(runner.runs),
     )
     runner.foreign = frozenset()
-    runner.born_at, runner.last_stored_end = now, 0
+    runner.born_at = runner.restarted_at = now
+    runner.last_stored_end = 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
     ended = [run for run in runner.runs if run.reported and run not in running]
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -434,6 +434,30 @@
         assert [end[3] for end in runner.ends] == ["stopped"]
 
 
+async def test_late_start_on_an_idle_runner_that_restarted_is_stopped():
+    # Guards against an attempt of a cancelled job that an idle runner runs
+    # until its lease expires: the runner has restarted, so it does not refuse
+    # the late order, and nothing polls it.
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=0.3
+    ) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        runner.max_hold_ms = 10_000
+        runner.delayed_starts = [2.0, 60.0, 60.0]
+        body = platform_system.make_job(count=1, run_ms=60_000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(runner.delayed_starts) == 2)
+        reply = await platform_system.call(system.entries[0], "DELETE", ID)
+        assert reply.status_code == 200
+        await wait_until(lambda: not owner.owner.runners["i-0"].runs)
+        runner.restart()
+        platform_system.write_entry(system, runner)
+        await wait_until(lambda: runner.running)
+        await wait_until(lambda: not runner.running, limit_s=CANCEL_LIMIT_S)
+        assert [end[3] for end in runner.ends] == ["stopped"]
+
+
 async def test_forgotten_job_is_not_run_again():
     # Guards against a job whose retention time has passed, and which the next
     # owner takes for a new one: its record was kept, but not its end.
