--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -36,6 +36,12 @@
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
+# An attempt that a runner still reports this long after it has answered a stop
+# is stopped again. The platform allows a stop 0.4 s.
+_STOP_REPEAT_S = 1.0
+# A start order without an answer may be carried out for this long. The present
+# incarnation does not refuse one that the earlier one was told to stop.
+_LATE_START_S = 6.0
 _UNANSWERED = (
     interfaces.OrderOutcome.LOST,
     interfaces.OrderOutcome.UNREACHED,
@@ -77,9 +83,9 @@
                 )
             pending = None
         wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
-        if not pending and not _needs_poll(runner):
+        if not pending and not _needs_poll(runner, now):
             await _wait_for_runs(owner, runner)
-            if not _needs_poll(runner):
+            if not _needs_poll(runner, clock.read_now()):
                 continue
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
@@ -93,17 +99,19 @@
     await runner.calls.aclose()
 
 
-def _needs_poll(runner: runners_module.Runner) -> bool:
+def _needs_poll(runner: runners_module.Runner, now: float) -> bool:
     """Tells whether a poll has anything to renew or to find out.
 
     A runner without attempts has no lease to renew: a start order carries a
     lease of its own. Placement leaves out a runner that is silent, not fenced
-    or runs a foreign attempt, and only a poll ends that.
+    or runs a foreign attempt, and only a poll ends that. A late start on a
+    runner that has restarted is found by a poll as well.
     """
     return (
         bool(runner.runs or runner.foreign)
         or runner.silent
         or not runner.fenced
+        or now - runner.restarted_at < _LATE_START_S
     )
 
 
@@ -299,7 +307,8 @@
         runs=len(runner.runs),
     )
     runner.foreign = frozenset()
-    runner.born_at, runner.last_stored_end = now, 0
+    runner.born_at = runner.restarted_at = now
+    runner.last_stored_end = 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
     ended = [run for run in runner.runs if run.reported and run not in running]
@@ -432,6 +441,8 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
+        if _outlives_stop(run, now):
+            orders.repeat_stop(owner, run)
     if runner.foreign and not foreign:
         owner.request_pass()
     runner.foreign = frozenset(foreign)
@@ -454,6 +465,18 @@
     return run.ordered_at == 0 and not runner.fenced
 
 
+def _outlives_stop(run: attempts.Run, now: float) -> bool:
+    """Returns whether an attempt runs on although its stop was answered.
+
+    An earlier incarnation may have answered, and the present one have carried
+    out a start order late.
+    """
+    return (
+        run.phase is attempts.Phase.STOPPING
+        and now - run.running_since > _STOP_REPEAT_S
+    )
+
+
 def _update_run(
     run: attempts.Run, running: model.RunningAttempt, now: float
 ) -> None:
