Ignore runner entries that no call can use

Seen: nothing yet; found by reading and by trying each form. Any writer may put an entry into the topic of the runners. An address such as `..:80`, a label of 80 characters, a port of 99999 or with digits that are not ASCII raised UnicodeError, OverflowError or ValueError in the first poll, and an id that is not ASCII (also one whose bytes are no UTF-8, which is decoded with a replacement character) raised UnicodeEncodeError as its client was made. A clock of 400 digits raised OverflowError as the lease was computed. Nothing caught these, so the owner ended, and each successor read the same entry.

Cause: `decode_runner` only looked at whether the port is decimal.

Now an entry is used only if its address is an `ip:port`, its id can be sent in a header and its numbers are exact as floats; others are logged once, as other malformed entries are, and an earlier entry of that id holds. A negative amount is still read, as it means that nothing fits.

Ruled out: names as addresses (runners write IP addresses).

--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -3,9 +3,12 @@
 Runner entries may be written by other software, so malformed ones are ignored.
 """
 
+from typing import Annotated
+
 import msgspec
 import result
 
+from plantainvane import settings as product_settings
 from plantainvane.jobs import model
 
 _DRAINING = "draining"
@@ -14,6 +17,10 @@
 _MAX_SPEC_BYTES = 4000
 _MAX_TASKS = 20_000
 
+# Times and amounts of a runner; whole numbers up to here are exact as floats.
+_MAX_NUMBER = 2**53
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
 
 class _Advisor(msgspec.Struct, rename="pascal"):
     decision_ms: float = 0
@@ -53,9 +60,9 @@
 
 
 class _Capacity(msgspec.Struct, rename="pascal"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Number = 0
+    mem_mb: _Number = 0
+    gpu: _Number = 0
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
@@ -65,8 +72,8 @@
     address: str
     zone: str
     state: str
-    born: int = msgspec.field(name="born")
-    clock_ms: int = 0
+    born: _Number = msgspec.field(name="born")
+    clock_ms: _Number = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
 
@@ -151,8 +158,9 @@
         entry = _ENTRY_DECODER.decode(content)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in _STATES or not host or not port.isdecimal():
+    if entry.state not in _STATES:
+        return None
+    if not _is_callable(entry.address) or not _is_header_value(key):
         return None
     capacity = entry.capacity
     return model.RunnerEntry(
@@ -168,6 +176,21 @@
     )
 
 
+def _is_callable(address: str) -> bool:
+    """Tells whether `address` is an `ip:port` to which calls can be sent."""
+    port = address.rpartition(":")[2]
+    return (
+        _is_header_value(address)
+        and port.isdecimal()
+        and product_settings.is_address(address)
+    )
+
+
+def _is_header_value(text: str) -> bool:
+    """Tells whether calls can carry `text` in a header."""
+    return bool(text) and text.isascii() and text.isprintable()
+
+
 def is_job_id(text: str) -> bool:
     """Returns whether `text` is a job id: 16 hexadecimal digits."""
     digits = "0123456789abcdefABCDEF"
--- /dev/null
+++ b/tests/test_platform_malformed.py
@@ -0,0 +1,97 @@
+"""Malformed documents of other programs: skipped, and never a crash.
+
+An exception that nobody catches ends the process. A record stays in the log,
+so it would end each successor as well.
+"""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from plantainvane.jobs import runners as jobs_runners
+from plantainvane.platform import runners
+from plantainvane.platform import wire
+from tests import test_jobs_decisions as decisions
+from tests import test_platform_wire as wires
+
+_SETTINGS = hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True
+)
+_HUGE = 10**400
+_NUMBERS = strategies.one_of(
+    strategies.integers(-5, 5),
+    strategies.integers(),
+    strategies.sampled_from([2**63, -(2**64), _HUGE, -_HUGE, 1e308, -1e308]),
+)
+_VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(), strategies.booleans(), strategies.text(), _NUMBERS
+    ),
+    lambda inner: strategies.lists(inner, max_size=3),
+    max_leaves=4,
+)
+_ADDRESSES = strategies.one_of(
+    strategies.text(),
+    strategies.builds(
+        "{}:{}".format,
+        strategies.one_of(
+            strategies.text(), strategies.sampled_from(["10.0.0.9", "[::1]"])
+        ),
+        strategies.one_of(strategies.integers(), strategies.text()),
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Address": "10.0.0.9:99999"},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "..:80"},
+        {"Address": "a" * 80 + ":80"},
+        {"Address": "10.0.0.9:\u0663"},
+        {"Address": "\0:80"},
+        {"ClockMs": _HUGE},
+        {"born": _HUGE},
+        {"Capacity": {"Cpu": _HUGE}},
+    ],
+    ids=lambda change: str(change)[:40],
+)
+def test_an_entry_that_no_call_can_use_is_ignored(change):
+    # Guards against an entry of other software whose address or clock raises
+    # an exception at the first poll, in each owner in turn.
+    entry = json.dumps(wires.ENTRY | change).encode()
+    assert wire.decode_runner("i", entry) is None
+
+
+@pytest.mark.parametrize("key", ["", "i\ufffd", "\u4e2d", "i\r\nX: y"])
+def test_an_entry_under_an_unusable_id_is_ignored(key):
+    # Guards against a key that raises an exception as the client of the runner
+    # is created, since calls carry the id in a header.
+    assert wire.decode_runner(key, json.dumps(wires.ENTRY).encode()) is None
+
+
+@_SETTINGS
+@hypothesis.given(
+    key=strategies.text(max_size=20),
+    field=strategies.sampled_from(sorted(wires.ENTRY)),
+    value=_VALUES,
+    address=_ADDRESSES,
+)
+def test_an_entry_is_ignored_or_usable(key, field, value, address):
+    # Guards against fields of a type or size that raise an exception later.
+    document = {**wires.ENTRY, "Address": address, field: value}
+    for changed in ({**wires.ENTRY, field: value}, document):
+        entry = wire.decode_runner(key, json.dumps(changed).encode())
+        if entry is None:
+            continue
+        client = runners.RunnerClient(
+            decisions.SETTINGS, entry.address, entry.id
+        )
+        runner = jobs_runners.Runner(
+            entry, client, jobs_runners.find_rack(entry.labels)
+        )
+        runner.record_clock(entry.clock_ms, 1.0)
+        assert runner.extend_lease(5.5, 2.0) < 2**63
