Take deep nesting as malformed, not as an exception

Seen: nothing yet; found by trying. A document with 100,000 nested lists, also in a field that is not read, raises RecursionError in msgspec, which is not one of its own errors. None of the decoders caught it: a submission was answered 500, and a runner entry, a claim, a stored record or a reply of a runner ended the process that read it, and each successor after it.

All decoders of foreign documents now share `decoding.decode`, which returns the reason as a value. Text that is not UTF-8 and syntax errors were errors of msgspec already (ValueErrors), so they behave as before.

Ruled out: a limit of nesting before decoding (a second pass over each document). Before, each of the nine decoders raised RecursionError in the trial; after, the test passes.

--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from plantainvane import decoding
 from plantainvane.jobs import settings as settings_module
 
 TOPIC = "keyed.claims"
@@ -47,10 +48,8 @@
     """Decodes a record; returns None if it is not a claim."""
     if not value:
         return None
-    try:
-        return _DECODER.decode(value)
-    except msgspec.DecodeError:
-        return None
+    claim = decoding.decode(_DECODER, value)
+    return claim.ok_value if claim.is_ok() else None
 
 
 @dataclasses.dataclass(slots=True)
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 
+from plantainvane import decoding
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
@@ -19,8 +20,12 @@
 
 _JOB_DECODER = msgspec.json.Decoder(model.Job)
 _PROGRESS_DECODER = msgspec.json.Decoder(model.JobProgress)
-_EXPIRIES_DECODER = msgspec.json.Decoder(dict[str, float])
-_EFFECTS_DECODER = msgspec.json.Decoder(list[tuple[str, str, float]])
+_PROGRESS_DECODERS = {
+    state_module.EXPIRIES_KEY: msgspec.json.Decoder(dict[str, float]),
+    state_module.LEARNED_KEY: msgspec.json.Decoder(
+        list[tuple[str, str, float]]
+    ),
+}
 
 # Records applied between two turns of the event loop, in which pings are
 # answered and leases renewed.
@@ -73,25 +78,28 @@
 ) -> None:
     if value is None:
         return
-    try:
-        if key == state_module.LEARNED_KEY:
-            effects = _EFFECTS_DECODER.decode(value)
-            owner.interference_model.import_effects(effects, clock.read_now())
-        elif key == state_module.EXPIRIES_KEY:
-            owner.expiries.import_remaining_s(
-                _EXPIRIES_DECODER.decode(value),
-                owner.settings.old_lease_limit_s,
-                clock.read_now(),
-            )
-        else:
-            owner.progress[key] = _PROGRESS_DECODER.decode(value)
-    except msgspec.DecodeError as error:
-        _report_undecodable(state_module.PROGRESS_TOPIC, key, error)
+    decoder = _PROGRESS_DECODERS.get(key, _PROGRESS_DECODER)
+    decoded = decoding.decode(decoder, value)
+    if decoded.is_err():
+        topic = state_module.PROGRESS_TOPIC
+        _report_undecodable(topic, key, decoded.err_value)
+    elif key == state_module.LEARNED_KEY:
+        owner.interference_model.import_effects(
+            decoded.ok_value, clock.read_now()
+        )
+    elif key == state_module.EXPIRIES_KEY:
+        owner.expiries.import_remaining_s(
+            decoded.ok_value,
+            owner.settings.old_lease_limit_s,
+            clock.read_now(),
+        )
+    else:
+        owner.progress[key] = decoded.ok_value
 
 
-def _report_undecodable(topic: str, key: str, error: Exception) -> None:
+def _report_undecodable(topic: str, key: str, reason: str) -> None:
     events.log_event(
-        events.RECORD_UNDECODABLE, stream=topic, key=key, error=str(error)
+        events.RECORD_UNDECODABLE, stream=topic, key=key, error=reason
     )
 
 
@@ -115,11 +123,11 @@
 def _add_job(owner: state_module.Owner, key: str, value: bytes | None) -> None:
     if value is None or key in owner.table.jobs:
         return
-    try:
-        job = _JOB_DECODER.decode(value)
-    except msgspec.DecodeError as error:
-        _report_undecodable(state_module.JOBS_TOPIC, key, error)
+    decoded = decoding.decode(_JOB_DECODER, value)
+    if decoded.is_err():
+        _report_undecodable(state_module.JOBS_TOPIC, key, decoded.err_value)
         return
+    job = decoded.ok_value
     queue = state_module.find_queue(owner, job.queue) or model.Queue(
         job.queue, "", "", job.service, priority=9, max_failures=3
     )
--- a/plantainvane/platform/adviser.py
+++ b/plantainvane/platform/adviser.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainvane import decoding
 from plantainvane import http_client
 from plantainvane.jobs import settings as settings_module
 from plantainvane.platform import calls
@@ -13,6 +14,9 @@
     allowed: list[tuple[str, str]] = []
 
 
+_ADVICE_DECODER = msgspec.json.Decoder(_Advice)
+
+
 class Adviser:
     """Uses one connection, as the service handles one call at a time."""
 
@@ -34,8 +38,5 @@
         )
         if reply.is_err() or reply.ok_value.status_code != 200:
             return None
-        try:
-            advice = msgspec.json.decode(reply.ok_value.content, type=_Advice)
-        except msgspec.DecodeError:
-            return None
-        return dict(advice.allowed)
+        advice = decoding.decode(_ADVICE_DECODER, reply.ok_value.content)
+        return dict(advice.ok_value.allowed) if advice.is_ok() else None
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -5,6 +5,7 @@
 import msgspec
 import result
 
+from plantainvane import decoding
 from plantainvane import http_client
 from plantainvane import outcomes
 from plantainvane.jobs import interfaces
@@ -47,13 +48,29 @@
     finished: list[tuple[int, str, int, str, str]] = []
 
 
-def decode_poll_reply(content: bytes) -> model.RunnerStatus:
-    """Decodes the reply to a poll.
+_REFUSAL_DECODER = msgspec.json.Decoder(_Refusal)
+_POLL_DECODER = msgspec.json.Decoder(_PollReply)
+
+
+def decode_poll_reply(
+    content: bytes,
+) -> result.Result[model.RunnerStatus, str]:
+    """Decodes the reply to a poll; an error is its reason."""
+    decoded = decoding.decode(_POLL_DECODER, content)
+    if decoded.is_err():
+        return decoded
+    try:
+        return result.Ok(_make_status(decoded.ok_value))
+    except (ValueError, TypeError) as error:
+        return result.Err(str(error))
+
+
+def _make_status(reply: _PollReply) -> model.RunnerStatus:
+    """Makes the status of a runner.
 
     Raises:
-      msgspec.DecodeError, ValueError, TypeError: The content is malformed.
+      ValueError, TypeError: A row of the reply is malformed.
     """
-    reply = msgspec.json.decode(content, type=_PollReply)
     return model.RunnerStatus(
         reply.born,
         reply.clock_ms,
@@ -127,10 +144,8 @@
         outcome = _read_outcome(reply)
         if outcome is not _OUTCOME.DONE:
             return result.Err(outcome)
-        try:
-            return result.Ok(decode_poll_reply(reply.ok_value.content))
-        except (msgspec.DecodeError, ValueError, TypeError):
-            return result.Err(_OUTCOME.INVALID)
+        status = decode_poll_reply(reply.ok_value.content)
+        return status if status.is_ok() else result.Err(_OUTCOME.INVALID)
 
     async def start(self, order: model.StartOrder) -> interfaces.OrderOutcome:
         """Starts an attempt; idempotent."""
@@ -203,8 +218,7 @@
 
 
 def _read_reason(content: bytes) -> interfaces.OrderOutcome:
-    try:
-        reason = msgspec.json.decode(content, type=_Refusal).reason
-    except msgspec.DecodeError:
+    refusal = decoding.decode(_REFUSAL_DECODER, content)
+    if refusal.is_err():
         return _OUTCOME.INVALID
-    return _REASONS.get(reason, _OUTCOME.INVALID)
+    return _REASONS.get(refusal.ok_value.reason, _OUTCOME.INVALID)
--- a/plantainvane/platform/store.py
+++ b/plantainvane/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 import result
 
+from plantainvane import decoding
 from plantainvane import http_client
 from plantainvane import outcomes
 from plantainvane.jobs import interfaces
@@ -47,6 +48,10 @@
     end_offset: int = 0
 
 
+_APPEND_DECODER = msgspec.json.Decoder(_AppendReply)
+_PAGE_DECODER = msgspec.json.Decoder(_NewestPage)
+
+
 def encode_records(records: list[tuple[str, bytes | None]]) -> bytes:
     """Encodes records, each as length, key length, key and value."""
     parts: list[bytes] = []
@@ -156,9 +161,7 @@
         try:
             return result.Ok(decode_records(answer.content, offset))
         except ValueError as error:
-            return result.Err(
-                outcomes.CallError(outcomes.CallFailure.LOST, str(error))
-            )
+            return _make_lost_error(str(error))
 
     async def list_newest(
         self, topic: str, timeout_s: float
@@ -183,14 +186,10 @@
                 return result.Ok(interfaces.Page((), 0, 0))
             if reply.ok_value.status_code != 200:
                 return _make_refused_error(reply.ok_value)
-            try:
-                page = msgspec.json.decode(
-                    reply.ok_value.content, type=_NewestPage
-                )
-            except msgspec.DecodeError as error:
-                return result.Err(
-                    outcomes.CallError(outcomes.CallFailure.LOST, str(error))
-                )
+            decoded = decoding.decode(_PAGE_DECODER, reply.ok_value.content)
+            if decoded.is_err():
+                return _make_lost_error(decoded.err_value)
+            page = decoded.ok_value
             if end_offset < 0:
                 end_offset = page.end_offset
             records.extend(_decode_item(item) for item in page.items)
@@ -213,12 +212,10 @@
 ) -> result.Result[interfaces.Appended, outcomes.CallError]:
     if reply.status_code not in (200, 409, 412):
         return _make_refused_error(reply)
-    try:
-        answer = msgspec.json.decode(reply.content, type=_AppendReply)
-    except msgspec.DecodeError as error:
-        return result.Err(
-            outcomes.CallError(outcomes.CallFailure.LOST, str(error))
-        )
+    decoded = decoding.decode(_APPEND_DECODER, reply.content)
+    if decoded.is_err():
+        return _make_lost_error(decoded.err_value)
+    answer = decoded.ok_value
     if reply.status_code == 200:
         return result.Ok(
             interfaces.Appended(max(0, answer.offset), answer.end_offset)
@@ -238,6 +235,10 @@
     return result.Err(outcomes.CallError(outcomes.CallFailure.REFUSED, detail))
 
 
+def _make_lost_error(detail: str) -> result.Result:
+    return result.Err(outcomes.CallError(outcomes.CallFailure.LOST, detail))
+
+
 def _count_call(name: str, reply: result.Result) -> None:
     outcome = "answered"
     if reply.is_err():
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from plantainvane import decoding
 from plantainvane import settings as product_settings
 from plantainvane.jobs import model
 
@@ -120,10 +121,10 @@
 
 def decode_configuration(content: bytes) -> model.Configuration | None:
     """Decodes the operator's document; None if it is malformed."""
-    try:
-        document = _CONFIGURATION_DECODER.decode(content)
-    except msgspec.DecodeError:
+    decoded = decoding.decode(_CONFIGURATION_DECODER, content)
+    if decoded.is_err():
         return None
+    document = decoded.ok_value
     return model.Configuration(
         document.version,
         tuple(_make_queue(route) for route in document.routes),
@@ -154,10 +155,10 @@
 
 def decode_runner(key: str, content: bytes) -> model.RunnerEntry | None:
     """Decodes a runner's entry; None if it is malformed or unusable."""
-    try:
-        entry = _ENTRY_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decoding.decode(_ENTRY_DECODER, content)
+    if decoded.is_err():
         return None
+    entry = decoded.ok_value
     if entry.state not in _STATES:
         return None
     if not _is_callable(entry.address) or not _is_header_value(key):
@@ -201,10 +202,10 @@
     content: bytes, job_id: str, queue: model.Queue, accepted_ms: int
 ) -> result.Result[model.Job, str]:
     """Decodes and validates a submission; an error is its reason."""
-    try:
-        job = _JOB_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
+    decoded = decoding.decode(_JOB_DECODER, content)
+    if decoded.is_err():
+        return decoded
+    job = decoded.ok_value
     fault = _find_fault(job)
     if fault:
         return result.Err(fault)
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -10,10 +10,17 @@
 from hypothesis import strategies
 import pytest
 
+from plantainvane import http_client
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import ownership
+from plantainvane.jobs import recovery
 from plantainvane.jobs import runners as jobs_runners
+from plantainvane.jobs import state
 from plantainvane.platform import runners
+from plantainvane.platform import store
 from plantainvane.platform import wire
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as passes
 from tests import test_platform_wire as wires
 
 _SETTINGS = hypothesis.settings(
@@ -95,3 +102,23 @@
         )
         runner.record_clock(entry.clock_ms, 1.0)
         assert runner.extend_lease(5.5, 2.0) < 2**63
+
+
+_DEEP = b'{"X":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+
+
+def test_deep_nesting_is_malformed_and_no_exception():
+    # Guards against a document whose nesting ends the process: of any runner
+    # entry, claim, stored record, submission or reply.
+    assert wire.decode_runner("i", _DEEP) is None
+    assert wire.decode_configuration(_DEEP) is None
+    assert wire.decode_job(_DEEP, "0" * 16, wires.QUEUE, 0).is_err()
+    assert ownership.decode_claim(_DEEP) is None
+    assert runners.decode_poll_reply(_DEEP).is_err()
+    assert runners._read_reason(_DEEP) is interfaces.OrderOutcome.INVALID
+    assert store._decode_append(http_client.Reply(200, _DEEP)).is_err()
+    owner = passes.make_owner()
+    for key in ("j", state.LEARNED_KEY, state.EXPIRIES_KEY):
+        recovery._load_progress(owner, key, _DEEP)
+    recovery._add_job(owner, "j", _DEEP)
+    assert owner.table.jobs == {} == owner.progress
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -153,7 +153,7 @@
     reply = runners.decode_poll_reply(
         b'{"ClockMs":5,"born":7,"Active":[["t",2,"c",41],["u",1,"",100,9]],'
         b'"Finished":[[58,"t",1,"done",""]]}'
-    )
+    ).ok_value
     assert [r.measurement for r in reply.running] == [0.0, 9.0]
     assert reply.ends[0] == model.AttemptEnd(58, "t", 1, "done", "")
 
