Refuse numbers in a reply to a poll that no sum can hold

Seen: nothing yet; found with a property test. Each of them ended the owner, and each successor that polled the same runner.

Now rows have types and limits: numbers are exact as floats, a measurement is rounded to three digits, and a name with a longer number than any task has is unknown. A row that is too short makes the reply malformed; it was left out before, so its attempt counted as ended. A malformed reply counts as silence and is logged as such (`runner_silent`, failure "invalid"), as before.

Ruled out: catching everything around a poll, which would hide faults of ours. The test failed with the three exceptions named, and passes.

--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -10,6 +10,9 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import progress as progress_module
 
+# Longest number in the name of a task; runners may report any text as a name.
+_MAX_DIGITS = 9
+
 
 @dataclasses.dataclass(slots=True)
 class JobTable:
@@ -291,7 +294,7 @@
         state = self.jobs.get(parts[0])
         if state is None or len(parts) != 4:
             return None
-        if not all(part.isdecimal() for part in parts[1:]):
+        if not all(p.isdecimal() and len(p) <= _MAX_DIGITS for p in parts[1:]):
             return None
         step_state = state.steps.get((int(parts[1]), int(parts[2])))
         index = int(parts[3])
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -1,5 +1,6 @@
 """Client of one runner."""
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -34,18 +35,37 @@
     reason: str = ""
 
 
+# Whole numbers up to here are exact as floats, which no sum or product of them
+# exceeds.
+_MAX_NUMBER = 2**53
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_Measurement = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
+
+# A measurement is about a whole number; a smaller one than this is no divisor.
+_MEASUREMENT_DIGITS = 3
+
+
+class _Running(msgspec.Struct, array_like=True):
+    """A running attempt; its measurement is given on some deployments."""
+
+    task: str
+    attempt: _Number
+    checkpoint: str | None
+    progress_percent: _Measurement
+    measurement: _Measurement | None = None
+
+
 class _PollReply(msgspec.Struct, rename="pascal"):
     """Running and ended attempts of a runner.
 
-    A row of `active` holds task, attempt, checkpoint, progress in percent and,
-    on some deployments, a measurement. A row of `finished` holds number, task,
-    attempt, outcome and checkpoint.
+    A row of `finished` holds number, task, attempt, outcome and checkpoint.
     """
 
-    clock_ms: int
-    born: int = msgspec.field(name="born", default=0)
-    active: list[list[Any]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
+    clock_ms: _Number
+    born: _Number = msgspec.field(name="born", default=0)
+    active: list[_Running] = []
+    finished: list[tuple[_Number, str, _Number, str, str]] = []
 
 
 _REFUSAL_DECODER = msgspec.json.Decoder(_Refusal)
@@ -59,33 +79,24 @@
     decoded = decoding.decode(_POLL_DECODER, content)
     if decoded.is_err():
         return decoded
-    try:
-        return result.Ok(_make_status(decoded.ok_value))
-    except (ValueError, TypeError) as error:
-        return result.Err(str(error))
-
+    reply = decoded.ok_value
+    return result.Ok(
+        model.RunnerStatus(
+            reply.born,
+            reply.clock_ms,
+            tuple(_make_running(row) for row in reply.active),
+            tuple(model.AttemptEnd(*row) for row in reply.finished),
+        )
+    )
 
-def _make_status(reply: _PollReply) -> model.RunnerStatus:
-    """Makes the status of a runner.
 
-    Raises:
-      ValueError, TypeError: A row of the reply is malformed.
-    """
-    return model.RunnerStatus(
-        reply.born,
-        reply.clock_ms,
-        tuple(
-            model.RunningAttempt(
-                str(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                float(row[3]),
-                float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
-            )
-            for row in reply.active
-            if len(row) >= 4
-        ),
-        tuple(model.AttemptEnd(*row) for row in reply.finished),
+def _make_running(row: _Running) -> model.RunningAttempt:
+    return model.RunningAttempt(
+        row.task,
+        row.attempt,
+        row.checkpoint or "",
+        row.progress_percent,
+        round(row.measurement or 0.0, _MEASUREMENT_DIGITS),
     )
 
 
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -13,8 +13,10 @@
 from plantainvane import http_client
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import ownership
+from plantainvane.jobs import pacing
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runners as jobs_runners
+from plantainvane.jobs import sessions
 from plantainvane.jobs import state
 from plantainvane.platform import runners
 from plantainvane.platform import store
@@ -122,3 +124,69 @@
         recovery._load_progress(owner, key, _DEEP)
     recovery._add_job(owner, "j", _DEEP)
     assert owner.table.jobs == {} == owner.progress
+
+
+_NAMES = strategies.sampled_from(
+    ["other.0.0.0", "other.0.1.0", "other.0.0.-1", "other.0.0." + "9" * 5000]
+)
+_ROWS = strategies.lists(
+    strategies.tuples(
+        _NAMES,
+        strategies.sampled_from([1, 1, 2, _HUGE]),
+        strategies.sampled_from(["", "c", None]),
+        strategies.sampled_from([100, 100, -1, 1e308, _HUGE, "nan"]),
+        strategies.sampled_from(
+            [9, 200, 5e-324, -1, 2**53, 1e308, _HUGE, "nan", None]
+        ),
+    ),
+    max_size=4,
+)
+_ENDS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from([1, 2, -1, _HUGE]),
+        _NAMES,
+        strategies.sampled_from([1, 1, _HUGE]),
+        strategies.text(max_size=5),
+        strategies.text(max_size=5),
+    ),
+    max_size=2,
+)
+
+
+def make_runner_with_fills():
+    """Makes an owner whose runner has a serving task and a fill task."""
+    runner = decisions.make_runner()
+    owner = passes.make_owner(runner)
+    decisions.place_runs(
+        runner,
+        owner.table,
+        decisions.make_step(long_running=True, target_ms=40.0, image="s"),
+        decisions.make_step(fills=True, image="f"),
+    )
+    return owner, runner
+
+
+@_SETTINGS
+@hypothesis.given(
+    clock_ms=strategies.sampled_from([5, 0, -1, 2**53, _HUGE]),
+    born_ms=strategies.sampled_from([1, 2, _HUGE]),
+    rows=_ROWS,
+    ends=_ENDS,
+)
+def test_a_reply_to_a_poll_is_refused_or_applied(clock_ms, born_ms, rows, ends):
+    # Guards against numbers of a runner that raise an exception in the model of
+    # the interference, in the paces, in the lease or in the next poll.
+    owner, runner = make_runner_with_fills()
+    reply = {
+        "ClockMs": clock_ms,
+        "born": born_ms,
+        "Active": rows,
+        "Finished": ends,
+    }
+    for now in (1.0, 1.5, 2.0):
+        status = runners.decode_poll_reply(json.dumps(reply).encode())
+        if status.is_ok():
+            sessions._apply_reply(owner, runner, status.ok_value, now, now)
+            runner.extend_lease(5.5, now)
+            pacing.decide_paces(owner.interference_model, runner, 4.0, now)
+            assert runner.last_stored_end < 2**63
