Skip rows of stored progress that contradict the job

Seen: nothing yet; found with a property test. `restore_tasks` took each row as it was. A result that this version does not know raised ValueError, which ended the owner and each successor, since each loads the record again. A negative index was applied to another task, from the end of the list; a task or attempt named twice was charged twice and could end once; an attempt above the number of its task could be started a second time under the same number.

An unknown result, as a later version may write it, counts as open, and the attempts that it names stay charged, so that nothing starts beside them.

Ruled out: refusing the whole record, with which every task would start anew.

--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -8,12 +8,16 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from plantainvane import http_client
+from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
 from plantainvane.jobs import ownership
 from plantainvane.jobs import pacing
+from plantainvane.jobs import progress
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runners as jobs_runners
 from plantainvane.jobs import sessions
@@ -190,3 +194,113 @@
             runner.extend_lease(5.5, now)
             pacing.decide_paces(owner.interference_model, runner, 4.0, now)
             assert runner.last_stored_end < 2**63
+
+
+_ROW = {
+    "occurrence": 0,
+    "step": 0,
+    "index": 0,
+    "result": 0,
+    "attempt": 2,
+    "failures": 0,
+    "checkpoint": "c",
+    "runs": [(2, "r")],
+}
+
+
+def load_job(*rows):
+    """Loads a job with two tasks and stored rows of its progress."""
+    owner = passes.make_owner(decisions.make_runner())
+    stored = [list((_ROW | row).values()) for row in rows]
+    recovery._load_progress(owner, "j", json.dumps(["", 0, stored]).encode())
+    job = model.Job(
+        id="j",
+        queue="q",
+        service="s",
+        accepted_ms=0,
+        spec="",
+        steps=(decisions.make_step(count=2),),
+    )
+    recovery._add_job(owner, "j", msgspec.json.encode(job))
+    recovery._charge_recovered(owner)
+    return owner
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"index": -1},
+        {"index": 2},
+        {"step": 1},
+        {"occurrence": -1},
+        {"attempt": 1},
+        {"attempt": -1, "runs": []},
+        {"failures": -1},
+        {"runs": [(2, "r"), (2, "x")]},
+        {"runs": [(-1, "r")]},
+    ],
+    ids=str,
+)
+def test_a_contradictory_row_of_progress_is_skipped_and_logged(
+    row, monkeypatch
+):
+    # Guards against a record that ends each owner as it is loaded, or that is
+    # applied to another task, and against a job that is lost with the row.
+    lines = []
+    monkeypatch.setattr(
+        recovery.events,
+        "log_event",
+        lambda event, **fields: lines.append((event.name, fields)),
+    )
+    owner = load_job(row, {"index": 1})
+    assert sorted(owner.table.ready) == ["j.0.0.0"]
+    assert len(owner.runners["r"].runs) == 1
+    (fields,) = [f for name, f in lines if name == "progress_contradictory"]
+    assert fields["job"] == "j"
+
+
+def test_a_task_that_is_named_twice_is_restored_once():
+    # Guards against an attempt that is charged twice and ends once.
+    owner = load_job({}, {"attempt": 3, "runs": [(3, "r")]})
+    assert [run.attempt for run in owner.runners["r"].runs] == [2]
+
+
+def test_an_unknown_result_counts_as_open_and_keeps_its_attempts():
+    # Guards against progress of a later version that ends each earlier one that
+    # loads it, and against a second start beside the attempt that it names.
+    owner = load_job({"result": 9})
+    (run,) = owner.runners["r"].runs
+    assert (run.attempt, run.task.result) == (2, attempts.Result.OPEN)
+    assert list(owner.table.ready) == ["j.0.0.1"]
+
+
+@_SETTINGS
+@hypothesis.given(
+    strategies.lists(
+        strategies.fixed_dictionaries(
+            {},
+            optional={
+                **{name: strategies.integers(-2, 4) for name in list(_ROW)[:6]},
+                "runs": strategies.lists(
+                    strategies.tuples(
+                        strategies.integers(-1, 3),
+                        strategies.sampled_from(["r", "x", ""]),
+                    ),
+                    max_size=2,
+                ),
+            },
+        ),
+        max_size=3,
+    )
+)
+def test_any_progress_is_loaded_and_stored_again(rows):
+    # Guards against rows that raise an exception, and against a task or attempt
+    # of which two are made.
+    owner = load_job(*rows)
+    state = owner.table.jobs["j"]
+    again = progress.build_progress(state)
+    names = [(row.occurrence, row.step, row.index) for row in again.tasks]
+    assert len(set(names)) == len(names)
+    assert all(
+        run.attempt > 0 for r in owner.runners.values() for run in r.runs
+    )
