Check a job by the same limits when it is loaded as when it is submitted

Seen: nothing yet; found with a property test. The door let through a negative limit of tasks on a runner (such a job is never started and never ends), negative latency targets and intervals, and numbers of up to 4,300 digits, which raise OverflowError where they meet a float. A stored job was not checked at all: one without steps, or with a step that depends on a missing one, raised ValueError or IndexError in each owner that loaded it, and the tasks of a huge count were all made at once.

Now `jobs.checks` holds the limits, as named constants. The door refuses with 400 and the reason; the loader counts such a job as failed, logs it (event 872), and stores that, so that callers get an answer and the next owner goes on. A record whose id is not its key is skipped and logged. The limits on tasks and text are the ones of before; reasons name steps by their number instead of the fields of the platform.

Ruled out: skipping a job that exceeds a limit (callers would be told that it never existed); refusing large estimates (up to 2^53 ms nothing fails). Before, 8 of the 9 new cases at the door and the 5 tests of loading (without the two that only use up memory) failed; after, all pass. The two reasons that tests compare follow the new wording.

--- /dev/null
+++ b/plantainvane/jobs/checks.py
@@ -0,0 +1,56 @@
+"""Limits of a job, which hold when it is submitted and when it is loaded.
+
+All tasks of a job are kept in memory, so a job that exceeds a limit could end
+each owner that loads it.
+"""
+
+from plantainvane.jobs import model
+
+# Tasks of all occurrences; each takes about 0.4 KB of the owner's memory.
+MAX_TASKS = 20_000
+MAX_SPEC_BYTES = 4000
+# Labels, racks and images; pairs of images are stored in one record.
+MAX_NAME_BYTES = 1000
+# Amounts and times; whole numbers up to here are exact as floats.
+MAX_NUMBER = 2**53
+
+
+def find_fault(job: model.Job) -> str:
+    """Returns why a job cannot be run, or an empty string."""
+    if not job.steps:
+        return "there are no steps"
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        return f"the text for the tasks exceeds {MAX_SPEC_BYTES} bytes"
+    times = (job.repeat_count, job.start_at_ms, job.interval_ms)
+    if not all(0 <= time <= MAX_NUMBER for time in times):
+        return "a time or the number of occurrences is negative or too large"
+    for number, step in enumerate(job.steps):
+        fault = _find_step_fault(number, step)
+        if fault:
+            return f"step {number}: {fault}"
+    tasks = sum(step.count for step in job.steps) * max(1, job.repeat_count)
+    if tasks > MAX_TASKS:
+        return f"{tasks} tasks exceed {MAX_TASKS}"
+    return ""
+
+
+def _find_step_fault(number: int, step: model.Step) -> str:
+    if step.count < 1:
+        return "the number of tasks is below 1"
+    numbers = (
+        step.amounts.cpu,
+        step.amounts.memory_mb,
+        step.amounts.accelerators,
+        step.estimate_ms,
+        step.max_per_runner,
+        step.target_ms,
+        step.max_unavailable,
+    )
+    if not all(0 <= amount <= MAX_NUMBER for amount in numbers):
+        return "an amount, time or limit is negative or too large"
+    if any(not 0 <= other < number for other in step.depends_on):
+        return "it depends on no earlier step"
+    for name in (step.required_label, step.preferred_rack, step.image):
+        if len(name.encode()) > MAX_NAME_BYTES:
+            return f"a name exceeds {MAX_NAME_BYTES} bytes"
+    return ""
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -8,6 +8,7 @@
 from plantainvane import decoding
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
@@ -128,11 +129,22 @@
         _report_undecodable(state_module.JOBS_TOPIC, key, decoded.err_value)
         return
     job = decoded.ok_value
+    if job.id != key:
+        reason = f"the record holds job {job.id[:40]!r}"
+        _report_undecodable(state_module.JOBS_TOPIC, key, reason)
+        return
     queue = state_module.find_queue(owner, job.queue) or model.Queue(
         job.queue, "", "", job.service, priority=9, max_failures=3
     )
     now = clock.read_now()
     wall_ms = clock.read_wall_ms()
+    fault = checks.find_fault(job)
+    if fault:
+        events.log_event(
+            events.JOB_UNSERVABLE, job=key, queue=job.queue, reason=fault
+        )
+        owner.table.add_unservable_job(job, queue, now, wall_ms)
+        return
     state = owner.table.add_job(
         job, queue, owner.progress.get(key), now, wall_ms
     )
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -82,6 +82,14 @@
         self._initialize_state(state, now, wall_ms)
         return state
 
+    def add_unservable_job(
+        self, job: model.Job, queue: model.Queue, now: float, wall_ms: int
+    ) -> None:
+        """Adds a stored job that cannot be run, as failed and without tasks."""
+        state = attempts.JobState(job, queue, now, 0.0)
+        self.jobs[job.id] = state
+        self._end_job(state, "failed", wall_ms)
+
     def _add_occurrence(
         self,
         state: attempts.JobState,
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -10,13 +10,12 @@
 
 from plantainvane import decoding
 from plantainvane import settings as product_settings
+from plantainvane.jobs import checks
 from plantainvane.jobs import model
 
 _DRAINING = "draining"
 _STATES = ("ready", _DRAINING)
 _ID_LENGTH = 16
-_MAX_SPEC_BYTES = 4000
-_MAX_TASKS = 20_000
 
 # Times and amounts of a runner; whole numbers up to here are exact as floats.
 _MAX_NUMBER = 2**53
@@ -205,43 +204,20 @@
     decoded = decoding.decode(_JOB_DECODER, content)
     if decoded.is_err():
         return decoded
-    job = decoded.ok_value
-    fault = _find_fault(job)
-    if fault:
-        return result.Err(fault)
-    return result.Ok(
-        model.Job(
-            id=job_id,
-            queue=queue.name,
-            service=queue.service,
-            accepted_ms=accepted_ms,
-            spec=job.spec,
-            steps=tuple(_make_step(step) for step in job.steps),
-            repeat_count=job.repeat_count,
-            start_at_ms=job.start_at_ms,
-            interval_ms=job.interval_ms,
-        )
+    submission = decoded.ok_value
+    job = model.Job(
+        id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        accepted_ms=accepted_ms,
+        spec=submission.spec,
+        steps=tuple(_make_step(step) for step in submission.steps),
+        repeat_count=submission.repeat_count,
+        start_at_ms=submission.start_at_ms,
+        interval_ms=submission.interval_ms,
     )
-
-
-def _find_fault(job: _Job) -> str:
-    if not job.steps:
-        return "Steps is empty"
-    if len(job.spec.encode()) > _MAX_SPEC_BYTES:
-        return f"Spec exceeds {_MAX_SPEC_BYTES} bytes"
-    if job.repeat_count < 0:
-        return "RepeatCount is negative"
-    tasks = sum(step.count for step in job.steps) * max(1, job.repeat_count)
-    if tasks > _MAX_TASKS:
-        return f"{tasks} tasks exceed {_MAX_TASKS}"
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            return f"Steps[{number}].Count is below 1"
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            return f"Steps[{number}] has a negative amount"
-        if any(not 0 <= other < number for other in step.depends_on):
-            return f"Steps[{number}].DependsOn names no earlier step"
-    return ""
+    fault = checks.find_fault(job)
+    return result.Err(fault) if fault else result.Ok(job)
 
 
 def _make_step(step: _Step) -> model.Step:
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -20,6 +20,7 @@
 from plantainvane.jobs import progress
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runners as jobs_runners
+from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state
 from plantainvane.platform import runners
@@ -304,3 +305,107 @@
     assert all(
         run.attempt > 0 for r in owner.runners.values() for run in r.runs
     )
+
+
+def make_stored_job(**fields):
+    job = model.Job(
+        id="j",
+        queue="q",
+        service="s",
+        accepted_ms=0,
+        spec="",
+        steps=(decisions.make_step(),),
+    )
+    return msgspec.structs.replace(job, **fields)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"steps": ()},
+        {"steps": (decisions.make_step(depends_on=(1,)),)},
+        {"steps": (decisions.make_step(count=10**8),)},
+        {"repeat_count": 10**9},
+        {"repeat_count": 2, "start_at_ms": _HUGE},
+    ],
+    ids=lambda fields: str(fields)[:30],
+)
+def test_a_stored_job_that_cannot_be_run_has_failed(fields, monkeypatch):
+    # Guards against a stored job that ends each owner as it is loaded, by an
+    # exception or by its memory, and against one that callers lose track of.
+    lines = []
+    monkeypatch.setattr(
+        recovery.events,
+        "log_event",
+        lambda event, **f: lines.append(event.name),
+    )
+    owner = passes.make_owner(decisions.make_runner())
+    record = msgspec.json.encode(make_stored_job(**fields))
+    recovery._add_job(owner, "j", record)
+    assert lines == ["job_unservable"]
+    assert (owner.table.jobs["j"].ended, owner.table.ready) == ("failed", {})
+    assert list(owner.table.changed) == ["j"]
+
+
+def test_a_job_under_the_key_of_another_is_skipped():
+    # Guards against an id that is too long for the key of its progress, which
+    # would end each owner as it is stored.
+    owner = passes.make_owner()
+    record = msgspec.json.encode(make_stored_job(id="x" * 300))
+    recovery._add_job(owner, "j", record)
+    assert owner.table.jobs == {}
+
+
+_STEPS = strategies.lists(
+    strategies.fixed_dictionaries(
+        {"Count": strategies.sampled_from([1, 1, 3, 0, -1, _HUGE])},
+        optional={
+            **dict.fromkeys(
+                ("Cpu", "MemMb", "Gpu", "MaxPerServer", "MaxDisrupted"),
+                strategies.sampled_from([0, 1, 500, -1, 2**53, _HUGE]),
+            ),
+            **dict.fromkeys(
+                ("EstimateMs", "TargetMs"),
+                strategies.sampled_from([0, 5e-324, 40, -1, 2**53, 1e308]),
+            ),
+            **dict.fromkeys(
+                ("Gang", "SameRack", "LongRunning", "Fills", "Checkpointing"),
+                strategies.booleans(),
+            ),
+            "DependsOn": strategies.lists(
+                strategies.integers(-1, 2), max_size=2
+            ),
+            "RequiredLabel": strategies.sampled_from(["", "\0", "x" * 9999]),
+            "Image": strategies.text(max_size=3),
+        },
+    ),
+    max_size=3,
+)
+
+
+@_SETTINGS
+@hypothesis.given(
+    steps=_STEPS,
+    repeat_count=strategies.sampled_from([0, 0, 2, -1, _HUGE]),
+    start_at_ms=strategies.sampled_from([0, 5, -1, 2**53, _HUGE]),
+)
+def test_a_submission_is_refused_or_scheduled(steps, repeat_count, start_at_ms):
+    # Guards against a job that is accepted and then ends each owner: an amount
+    # or a time that raises an exception, or a dependency on no step.
+    body = {
+        "Steps": steps,
+        "RepeatCount": repeat_count,
+        "StartAtMs": start_at_ms,
+    }
+    job = wire.decode_job(json.dumps(body).encode(), "j", wires.QUEUE, 5)
+    if job.is_err():
+        return
+    owner = passes.make_owner(decisions.make_runner())
+    recovery._add_job(owner, "j", msgspec.json.encode(job.ok_value))
+    state = owner.table.jobs["j"]
+    for _ in range(3):
+        scheduling.place_ready_tasks(owner, 2.0**60)
+        for run in list(owner.runners["r"].runs):
+            owner.runners["r"].charge(run, -1)
+            owner.table.end_run(run, "done", "", 2.0**60, 9)
+    msgspec.json.encode(progress.build_progress(state))
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -109,12 +109,21 @@
     ("body", "fault"),
     [
         (b"{", "truncated"),
-        (b'{"Steps":[]}', "Steps is empty"),
-        (b'{"Steps":[{"Count":0}]}', "Count is below 1"),
+        (b'{"Steps":[]}', "there are no steps"),
+        (b'{"Steps":[{"Count":0}]}', "step 0: the number of tasks is below 1"),
         (b'{"Steps":[{"Count":"x"}]}', "Expected `int`"),
         (b'{"Steps":[{"Count":1,"Cpu":-1}]}', "negative"),
         (b'{"Steps":[{"Count":1,"DependsOn":[0]}]}', "no earlier step"),
         (b'{"Steps":[{"Count":1000000}]}', "exceed"),
+        (b'{"Steps":[{"Count":9}],"RepeatCount":9999}', "exceed"),
+        (b'{"Steps":[{"Count":1}],"RepeatCount":-1}', "negative"),
+        (b'{"Steps":[{"Count":1}],"IntervalMs":-1}', "negative"),
+        (b'{"Steps":[{"Count":1,"MaxPerServer":-1}]}', "negative"),
+        (b'{"Steps":[{"Count":1,"TargetMs":-1}]}', "negative"),
+        (b'{"Steps":[{"Count":1,"EstimateMs":1e300}]}', "too large"),
+        (b'{"Steps":[{"Count":1,"Cpu":1' + b"0" * 400 + b"}]}", "too large"),
+        (b'{"Steps":[{"Count":1,"Image":"' + b"i" * 1001 + b'"}]}', "name"),
+        (b'{"Spec":"' + b"x" * 4001 + b'","Steps":[{"Count":1}]}', "4000"),
     ],
 )
 def test_invalid_submission_is_refused_with_the_reason(body, fault):
