Release only the steps that depend on a finished one

Seen: nothing yet; found by reading and measured. When a step ended, every step of every occurrence of its job was visited to find those that wait for it. A body of 43 bytes (one task, 20,000 occurrences) is a legal job; after its tasks had ended, a successor took 18.0 s to load it, 33.9 s with 20,000 steps and 35.9 s with a chain of them, all in one turn of the event loop. It answers no ping and renews no lease in that time, so it is replaced, and the next one does the same.

Now each job lists the steps that depend on each step. Jobs of a few steps are unaffected.

Ruled out: loading in slices alone (the work would stay, and 20,000 ends cost the running owner as much).

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -142,6 +142,7 @@
         seconds of this process's clock.
       objective_s: Seconds from the submission to `deadline`.
       steps: The occurrences of all steps, by occurrence and step number.
+      dependents: Numbers of the steps that depend on each step.
       ended: completed, failed, cancelled, or empty while the job is open.
       ended_ms: Time of the end, Unix milliseconds, or 0.
       stored_ended: The value of `ended` that has been stored and may be shown
@@ -157,6 +158,7 @@
     steps: dict[tuple[int, int], StepState] = dataclasses.field(
         default_factory=dict
     )
+    dependents: list[list[int]] = dataclasses.field(default_factory=list)
     ended: str = ""
     ended_ms: int = 0
     stored_ended: str = ""
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -68,6 +68,7 @@
             job, queue, now - age_s + objective_s, objective_s
         )
         self.jobs[job.id] = state
+        state.dependents = list_dependents(job.steps)
         if progress is not None and progress.ended:
             state.ended = state.stored_ended = progress.ended
             state.ended_ms = progress.ended_ms
@@ -159,11 +160,11 @@
         self, state: attempts.JobState, occurrence: int, number: int
     ) -> list[attempts.StepState]:
         released = []
-        for (k, _), step_state in state.steps.items():
-            if k == occurrence and number in step_state.pending_dependencies:
-                step_state.pending_dependencies.discard(number)
-                if not step_state.pending_dependencies:
-                    released.append(step_state)
+        for dependent in state.dependents[number]:
+            step_state = state.steps[occurrence, dependent]
+            step_state.pending_dependencies.discard(number)
+            if not step_state.pending_dependencies:
+                released.append(step_state)
         return released
 
     def _mark_ready(self, task: attempts.Task, now: float) -> None:
@@ -321,6 +322,15 @@
         )
 
 
+def list_dependents(steps: tuple[model.Step, ...]) -> list[list[int]]:
+    """Returns the numbers of the steps that depend on each step."""
+    dependents: list[list[int]] = [[] for _ in steps]
+    for number, step in enumerate(steps):
+        for earlier in set(step.depends_on):
+            dependents[earlier].append(number)
+    return dependents
+
+
 def measure_critical_paths(steps: tuple[model.Step, ...]) -> list[float]:
     """Returns the critical path of each step to the job's end, in seconds."""
     critical_paths_s = [step.estimate_ms / 1000 for step in steps]
