Refuse a job that is larger than a record of the log

Seen on the stand-ins, once they refuse large records as the platform does: a submission of 6,000 steps (72 KB, allowed by every limit) is stored as 378 KB, and a record holds 262,144 bytes. Its append was refused each time, so its caller got 503 and came back, at one process after another; and every other job that arrived in the meantime was answered 503 with it, since one refused record refuses the whole append and holds up those behind it.

Now the job is answered 400 before it is queued, by the limit that the settings file names (`MaxRecordBytes`, 262,144 by default).

Ruled out: a limit on steps (names and lists of dependencies count as well); a body limit of a third (legal jobs of many tasks in few steps are small, but text and names are stored as they come). Before, the test got 503 for the large job and for jobs beside it; after, 400 and 200.

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -37,12 +37,14 @@
     """Answer to a caller.
 
     ACCEPTED: the job is stored. NOT_RUN: the job is not stored and will not
-    be, or the owner did not answer. UNKNOWN: the job may be stored. MISSING: no
-    such job or queue. DONE: the owner has answered.
+    be, or the owner did not answer. TOO_LARGE: the log cannot hold the job.
+    UNKNOWN: the job may be stored. MISSING: no such job or queue. DONE: the
+    owner has answered.
     """
 
     ACCEPTED = "accepted"
     NOT_RUN = "not_run"
+    TOO_LARGE = "too_large"
     UNKNOWN = "unknown"
     MISSING = "missing"
     DONE = "done"
@@ -77,6 +79,7 @@
     event = {
         Outcome.ACCEPTED: events.JOB_ACCEPTED,
         Outcome.NOT_RUN: events.JOB_REFUSED,
+        Outcome.TOO_LARGE: events.JOB_REFUSED,
         Outcome.UNKNOWN: events.JOB_UNKNOWN_OUTCOME,
     }[outcome]
     events.log_event(
@@ -99,6 +102,9 @@
         # behind it.
         return Outcome.NOT_RUN, "log unreachable"
     record = (job.id, _ENCODER.encode(job))
+    size = journal_module.measure_record(record)
+    if size > intake.settings.max_record_bytes:
+        return Outcome.TOO_LARGE, f"its record has {size} bytes"
     batch = journal.add([record])
     limit_s = max(0.1, deadline_s - _REPLY_MARGIN_S)
     with anyio.move_on_after(limit_s):
--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -18,6 +18,8 @@
 _TIMEOUT_FACTOR = 6
 # Keeps an append below the platform's limit of 2 MiB.
 _MAX_APPEND_BYTES = 1_000_000
+# Length that precedes each record of an append.
+_LENGTH_BYTES = 4
 
 Record = tuple[str, bytes | None]
 
@@ -197,11 +199,17 @@
         return False
 
 
+def measure_record(record: Record) -> int:
+    """Returns the bytes that the log counts for a record."""
+    key, value = record
+    return 1 + len(key.encode()) + len(value or b"")
+
+
 def _split_records(records: list[Record]) -> list[list[Record]]:
     parts: list[list[Record]] = []
     size = _MAX_APPEND_BYTES
     for record in records:
-        length = len(record[1] or b"") + len(record[0]) + 5
+        length = _LENGTH_BYTES + measure_record(record)
         if size + length > _MAX_APPEND_BYTES:
             parts.append([])
             size = 0
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -30,6 +30,7 @@
       max_impact_s: Longest time that fill tasks may keep a service above its
         latency target.
       ended_job_retention_s: How long the state of an ended job can be queried.
+      max_record_bytes: Largest record that the log takes, with its key.
       clock_rate_error: Largest fraction by which a runner's clock runs slow.
     """
 
@@ -48,6 +49,7 @@
     grace_s: float = 6.0
     max_impact_s: float = 4.0
     ended_job_retention_s: float = 120.0
+    max_record_bytes: int = 262_144
     clock_rate_error: float = 0.02
 
     # Log service. A call takes about 10 ms, or up to 60 times that on a slow
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -92,6 +92,8 @@
     outcome = await intake.submit_job(entry.intake, job.ok_value, deadline_s)
     if outcome is intake.Outcome.NOT_RUN:
         return _make_unavailable_reply(entry)
+    if outcome is intake.Outcome.TOO_LARGE:
+        return asgi.make_json_reply(400, {"Error": "the job is too large"})
     return asgi.HttpReply(_STATUS_CODES[outcome], b"{}")
 
 
--- a/plantainvane/platform/node.py
+++ b/plantainvane/platform/node.py
@@ -23,6 +23,7 @@
 
 class _Store(msgspec.Struct, rename="pascal"):
     address: str
+    max_record_bytes: int = 262_144
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -80,6 +81,7 @@
         lease_s=min(bounds.max_hold_ms / 1000, settings_module.LEASE_S),
         max_lease_s=bounds.max_hold_ms / 1000,
         grace_s=bounds.grace_s,
+        max_record_bytes=node.store.max_record_bytes,
         max_impact_s=bounds.impact_ms / 1000,
         ended_job_retention_s=bounds.status_s,
     )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,6 +13,7 @@
 _OFFSETS = struct.Struct(">QQ")
 _KEPT_ANSWERS = 5
 _PREFIX = "/plantainvane/log-"
+_MAX_RECORD_BYTES = 262_144
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +117,8 @@
     if "At" in query and int(query["At"]) != end:
         return asgi.make_json_reply(412, {"EndOffset": end})
     bodies = _split(request.body)
+    if any(len(body) > _MAX_RECORD_BYTES for body in bodies):
+        return asgi.HttpReply(400)
     answer = {"Offset": end, "EndOffset": end + len(bodies)}
     if "Producer" in query:
         refusal = _check_producer(topic, query, answer, bool(bodies))
--- /dev/null
+++ b/tests/test_platform_sizes.py
@@ -0,0 +1,38 @@
+"""Jobs whose records are as large as the log takes, on the stand-ins."""
+
+import anyio
+import pytest
+
+from standins import platform_system
+
+pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_a_job_that_no_record_can_hold_is_refused_for_good():
+    # Guards against a caller that is told to come back with a job that the log
+    # never takes, and against other jobs that are refused along with it.
+    body = {"Steps": [{"Count": 1}] * 6000}
+    replies = {}
+
+    async def submit(job_id, job):
+        reply = await platform_system.call(
+            system.entries[0], "POST", job_id, job
+        )
+        replies[job_id] = reply.status_code
+
+    async with platform_system.run_system(entries=1) as system:
+        await system.wait_owner()
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, ID, body)
+            for number in range(10, 30):
+                group.start_soon(
+                    submit, f"{ID[:-2]}{number}", platform_system.make_job()
+                )
+        assert replies.pop(ID) == 400
+        assert set(replies.values()) == {200}
