Store the progress of a large job in several records

Seen on the stand-ins, once they refuse large records as the platform does: the progress of a job was one record, and a record holds 262,144 bytes. The progress of 20,000 tasks that are done takes 468,898 bytes, and of fewer with attempts and checkpoints. The append of such a record is refused and repeated for good: nothing is stored any more, so nothing starts, no end is acknowledged and no job is shown as ended, of any job, and each successor gets into the same state. Besides, each end of a task encoded all tasks of its job.

Now a record holds 500 tasks, chosen by the position of a task in its job, and only the records of changed tasks are stored. The first keeps its key and tells whether the job has ended; it goes first, so that a successor never finds other records of an ended job dropped while it takes the job for open. A job of up to 500 tasks is stored as before.

Ruled out: a lower limit of tasks (large jobs are allowed); dropping done tasks from the record (they would be started again). The largest record of 20,000 running tasks with checkpoints is below half the limit.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -116,6 +116,7 @@
       critical_path_s: Estimated seconds of the longest dependency chain from
         the start of this step to the end of the job.
       due_at: The tasks do not start before this time.
+      first_position: Position of its first task among all tasks of the job.
       tasks: The tasks of this occurrence.
       remaining_tasks: Number of tasks that are not done.
     """
@@ -127,6 +128,7 @@
     pending_dependencies: set[int]
     critical_path_s: float
     due_at: float
+    first_position: int = 0
     tasks: list[Task] = dataclasses.field(default_factory=list)
     remaining_tasks: int = 0
 
@@ -149,6 +151,7 @@
         to callers.
       remaining_steps: Number of steps of all occurrences that are not done.
       started: A task of the job has been started.
+      changed_parts: Parts of its progress that have to be stored.
     """
 
     job: model.Job
@@ -164,3 +167,4 @@
     stored_ended: str = ""
     remaining_steps: int = 0
     started: bool = False
+    changed_parts: set[int] = dataclasses.field(default_factory=set)
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -130,8 +130,9 @@
     ]
     owner.table.changed.clear()
     return [
-        (state.job.id, _ENCODER.encode(progress_module.build_progress(state)))
+        (key, None if progress is None else _ENCODER.encode(progress))
         for state, _ in owner.appending
+        for key, progress in progress_module.take_changed(state)
     ]
 
 
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -1,35 +1,92 @@
 """The stored form of a job's progress, which the next owner loads."""
 
+from collections.abc import Iterator
+
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import model
 
+_PART_SEPARATOR = "."
+# Tasks in one record; each takes about 0.1 KB and a record holds 256 KB.
+TASKS_PER_RECORD = 500
+
+
+def count_parts(state: attempts.JobState) -> int:
+    """Returns the number of records that hold a job's progress."""
+    last = next(reversed(state.steps.values()), None)
+    tasks = last.first_position + len(last.tasks) if last else 0
+    return max(1, -(-tasks // TASKS_PER_RECORD))
+
+
+def find_part(task: attempts.Task) -> int:
+    """Returns the number of the record that holds a task."""
+    return (task.step.first_position + task.index) // TASKS_PER_RECORD
+
+
+def take_changed(
+    state: attempts.JobState,
+) -> list[tuple[str, model.JobProgress | None]]:
+    """Returns the records that have to be stored, by their keys.
+
+    Part 0 comes first: it tells that a job has ended, and the other parts of an
+    ended job are dropped.
+    """
+    parts, state.changed_parts = sorted(state.changed_parts), set()
+    records: list[tuple[str, model.JobProgress | None]] = []
+    for part in parts:
+        progress = build_progress(state, part)
+        if part == 0:
+            records.append((state.job.id, progress))
+        else:
+            key = f"{state.job.id}{_PART_SEPARATOR}{part}"
+            records.append((key, progress if progress.tasks else None))
+    return records
+
+
+def add_part(
+    stored: dict[str, model.JobProgress], key: str, progress: model.JobProgress
+) -> None:
+    """Adds a record to the progress of its job; any order will do."""
+    job_id, _, part = key.partition(_PART_SEPARATOR)
+    known = stored.setdefault(job_id, model.JobProgress())
+    known.tasks = [*known.tasks, *progress.tasks]
+    if not part:
+        known.ended, known.ended_ms = progress.ended, progress.ended_ms
+
 
-def build_progress(state: attempts.JobState) -> model.JobProgress:
-    """Returns the stored form of a job's progress."""
-    progress = model.JobProgress(state.ended, state.ended_ms)
+def _list_part(state: attempts.JobState, part: int) -> Iterator[attempts.Task]:
+    first = part * TASKS_PER_RECORD
+    end = first + TASKS_PER_RECORD
+    for step_state in state.steps.values():
+        start = step_state.first_position
+        if start < end and first < start + len(step_state.tasks):
+            yield from step_state.tasks[max(0, first - start) : end - start]
+
+
+def build_progress(state: attempts.JobState, part: int) -> model.JobProgress:
+    """Returns the stored form of one part of a job's progress."""
+    progress = model.JobProgress()
+    if part == 0:
+        progress.ended, progress.ended_ms = state.ended, state.ended_ms
     # The tasks of an ended job are stored only while attempts may be running.
-    for (occurrence, number), step_state in state.steps.items():
-        for task in step_state.tasks:
-            if task.attempt == 0 or (state.ended and not task.runs):
-                continue
-            progress.tasks.append(
-                model.TaskProgress(
-                    occurrence,
-                    number,
-                    task.index,
-                    int(task.result),
-                    task.attempt,
-                    task.failures,
-                    task.checkpoint
-                    if task.result is attempts.Result.OPEN
-                    else "",
-                    [
-                        model.RunProgress(run.attempt, run.runner)
-                        for run in task.runs
-                    ],
-                )
+    for task in _list_part(state, part):
+        if task.attempt == 0 or (state.ended and not task.runs):
+            continue
+        progress.tasks.append(
+            model.TaskProgress(
+                task.step.occurrence,
+                task.step.number,
+                task.index,
+                int(task.result),
+                task.attempt,
+                task.failures,
+                task.checkpoint if task.result is attempts.Result.OPEN else "",
+                [
+                    model.RunProgress(run.attempt, run.runner)
+                    for run in task.runs
+                ],
             )
+        )
     return progress
 
 
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -95,7 +96,7 @@
             clock.read_now(),
         )
     else:
-        owner.progress[key] = decoded.ok_value
+        progress_module.add_part(owner.progress, key, decoded.ok_value)
 
 
 def _report_undecodable(topic: str, key: str, reason: str) -> None:
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -104,6 +104,7 @@
         if job.repeat_count:
             due_ms = job.start_at_ms + occurrence * job.interval_ms
             due = now + (due_ms - wall_ms) / 1000
+        position = occurrence * sum(step.count for step in job.steps)
         for number, step in enumerate(job.steps):
             step_state = attempts.StepState(
                 state,
@@ -113,7 +114,9 @@
                 set(step.depends_on),
                 critical_paths_s[number],
                 due,
+                position,
             )
+            position += step.count
             prefix = f"{job.id}.{occurrence}.{number}."
             step_state.tasks = [
                 attempts.Task(
@@ -189,7 +192,7 @@
         task.runs.append(run)
         task.job.started = True
         self.ready.pop(task.name, None)
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         return run
 
     def drop_run(self, run: attempts.Run, now: float) -> None:
@@ -198,7 +201,7 @@
         if run not in task.runs:
             return
         task.runs.remove(run)
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         self._mark_ready(task, now)
 
     def end_run(
@@ -216,7 +219,7 @@
         task.runs.remove(run)
         if checkpoint and task.step.definition.checkpointing:
             task.checkpoint = checkpoint
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         if task.result is not attempts.Result.OPEN or task.job.ended:
             return
         step = task.step.definition
@@ -240,6 +243,7 @@
         if task.result is not attempts.Result.OPEN:
             return
         task.result = attempts.Result.DONE
+        self.mark_changed(task.job, task)
         self.tasks.pop(task.name, None)
         self.ready.pop(task.name, None)
         self.runs_to_stop.extend(task.runs)
@@ -278,9 +282,20 @@
                 self.ready.pop(task.name, None)
                 self.runs_to_stop.extend(task.runs)
 
-    def mark_changed(self, state: attempts.JobState) -> None:
-        """Marks a job whose progress has to be stored."""
+    def mark_changed(
+        self, state: attempts.JobState, task: attempts.Task | None = None
+    ) -> None:
+        """Marks a job whose progress has to be stored.
+
+        Of a large job only the part that holds `task` is stored; without a
+        task all parts are.
+        """
         self.changed[state.job.id] = state
+        if task is None:
+            parts = range(progress_module.count_parts(state))
+            state.changed_parts.update(parts)
+        else:
+            state.changed_parts.add(progress_module.find_part(task))
 
     def forget_job(self, job_id: str) -> None:
         """Removes an ended job whose retention time has passed."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,7 +13,6 @@
 _OFFSETS = struct.Struct(">QQ")
 _KEPT_ANSWERS = 5
 _PREFIX = "/plantainvane/log-"
-_MAX_RECORD_BYTES = 262_144
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +48,7 @@
       down: Every call is answered with status 503.
       append_delay_s: Time that an append takes.
       lose_answers: Number of coming appends that are stored but not answered.
+      max_record_bytes: An append with a larger record is refused.
       calls: Number of calls by name.
     """
 
@@ -56,6 +56,7 @@
     down: bool = False
     append_delay_s: float = 0.0
     lose_answers: int = 0
+    max_record_bytes: int = 262_144
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def find_topic(self, name: str) -> Topic:
@@ -117,7 +118,7 @@
     if "At" in query and int(query["At"]) != end:
         return asgi.make_json_reply(412, {"EndOffset": end})
     bodies = _split(request.body)
-    if any(len(body) > _MAX_RECORD_BYTES for body in bodies):
+    if any(len(body) > state.max_record_bytes for body in bodies):
         return asgi.HttpReply(400)
     answer = {"Offset": end, "EndOffset": end + len(bodies)}
     if "Producer" in query:
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -144,7 +144,7 @@
     first, second, third = start_all(table)
     table.end_run(first, "done", "", 1.0, 1)
     table.end_run(second, "stopped", "saved-2", 1.0, 1)
-    progress = progress_module.build_progress(state)
+    progress = progress_module.build_progress(state, 0)
     successor = table_module.JobTable()
     loaded = add_job(
         successor,
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -4,12 +4,19 @@
 it is replaced, and each successor loads the same job.
 """
 
+import random
+
+import msgspec
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import journal
 from plantainvane.jobs import model
+from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import recovery
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as passes
 
 
 class CountedSteps(dict):
@@ -81,3 +88,90 @@
     table.end_run(run, "done", "", 2.0, 2)
     assert sorted(table.ready) == ["j.0.0.0", "j.1.1.0"]
     assert run.task.result is attempts.Result.DONE
+
+
+def make_large_state():
+    """Makes a job of 20,000 tasks in several steps, all of them running."""
+    table = table_module.JobTable()
+    steps = tuple(decisions.make_step(count=n) for n in (1, 1500, 8499))
+    job = make_job(steps, repeat_count=2)
+    state = table.add_job(job, decisions.QUEUE, None, 1.0, 1)
+    for task in list(table.ready.values()):
+        table.begin_run(task, "i-0123456789", 1.0)
+        task.checkpoint = "0123456789abcdef"
+    return table, state
+
+
+def take_records(state):
+    """Returns the changed records of a job, encoded as the owner does."""
+    return [
+        (key, None if part is None else msgspec.json.encode(part))
+        for key, part in progress_module.take_changed(state)
+    ]
+
+
+def load_state(records):
+    """Loads the job of `make_large_state` from records in any order."""
+    owner = passes.make_owner()
+    for key, value in records:
+        recovery._load_progress(owner, key, value)
+    _, state = make_large_state()
+    record = msgspec.json.encode(state.job)
+    recovery._add_job(owner, state.job.id, record)
+    return owner.table.jobs[state.job.id]
+
+
+def list_tasks(state):
+    return [
+        (task.name, task.result, task.attempt, len(task.runs), task.checkpoint)
+        for step_state in state.steps.values()
+        for task in step_state.tasks
+    ]
+
+
+def test_each_record_of_a_large_job_fits_the_log():
+    # Guards against progress that the log never takes: its append is repeated
+    # for good, nothing is stored any more, and each successor does the same.
+    _, state = make_large_state()
+    records = take_records(state)
+    limit = decisions.SETTINGS.max_record_bytes
+    assert len(records) > 1
+    assert max(map(journal.measure_record, records)) < limit / 2
+    random.Random(1).shuffle(records)
+    assert list_tasks(load_state(records)) == list_tasks(state)
+
+
+def test_only_the_changed_part_of_a_large_job_is_stored():
+    # Guards against 20,000 tasks that are encoded and stored at each end.
+    table, state = make_large_state()
+    take_records(state)
+    task = state.steps[1, 2].tasks[-1]
+    table.end_run(task.runs[0], "done", "", 2.0, 2)
+    ((key, value),) = take_records(state)
+    assert key == f"j.{progress_module.count_parts(state) - 1}"
+    assert len(value) < 50_000
+
+
+def test_an_ended_large_job_is_known_to_have_ended_first():
+    # Guards against a successor that finds tasks dropped as done in a job that
+    # it takes for open, and starts them again.
+    table, state = make_large_state()
+    before = take_records(state)
+    for step_state in state.steps.values():
+        for task in step_state.tasks:
+            table.end_run(task.runs[0], "done", "", 2.0, 2)
+    records = take_records(state)
+    assert records[0][0] == "j" and b"completed" in records[0][1]
+    assert {value for _, value in records[1:]} == {None}
+    assert {key for key, _ in records} == {key for key, _ in before}
+
+
+def test_a_job_of_one_record_is_stored_as_before():
+    # Guards against progress that a process of the last release cannot load.
+    table = table_module.JobTable()
+    job = make_job((decisions.make_step(count=500),))
+    state = table.add_job(job, decisions.QUEUE, None, 1.0, 1)
+    table.begin_run(state.steps[0, 0].tasks[499], "r", 1.0)
+    assert take_records(state) == [
+        ("j", b'["",0,[[0,0,499,0,1,0,"",[[1,"r"]]]]]')
+    ]
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -299,7 +299,7 @@
     # of which two are made.
     owner = load_job(*rows)
     state = owner.table.jobs["j"]
-    again = progress.build_progress(state)
+    again = progress.build_progress(state, 0)
     names = [(row.occurrence, row.step, row.index) for row in again.tasks]
     assert len(set(names)) == len(names)
     assert all(
@@ -408,4 +408,4 @@
         for run in list(owner.runners["r"].runs):
             owner.runners["r"].charge(run, -1)
             owner.table.end_run(run, "done", "", 2.0**60, 9)
-    msgspec.json.encode(progress.build_progress(state))
+    msgspec.json.encode(progress.take_changed(state))
--- a/tests/test_platform_sizes.py
+++ b/tests/test_platform_sizes.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from plantainvane.jobs import progress
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -36,3 +37,21 @@
                 )
         assert replies.pop(ID) == 400
         assert set(replies.values()) == {200}
+
+
+async def test_a_large_job_completes_over_a_takeover(monkeypatch):
+    # Guards against progress that outgrows a record: nothing is stored any
+    # more, so nothing starts and no end is acknowledged, whoever is the owner.
+    monkeypatch.setattr(progress, "TASKS_PER_RECORD", 40, raising=False)
+    async with platform_system.run_system(entries=2) as system:
+        system.store.max_record_bytes = 2000
+        owner = await system.wait_owner()
+        body = platform_system.make_job(count=120, run_ms=300)
+        await platform_system.call(system.entries[-1], "POST", ID, body)
+        with anyio.fail_after(8.0):
+            while len(system.list_starts()) < 70:
+                await anyio.sleep(0.01)
+        await system.kill(owner)
+        await platform_system.wait_state(system, ID, "completed", 20.0)
+        starts = system.list_starts()
+        assert len({task for task, _ in starts}) == len(starts) == 120
