Treat a malformed message of a peer as a failed call

Seen: nothing yet; found by trying. A reply that msgspec cannot decode (a field of another type, as another release may send it, an empty or a deeply nested message) raised ValidationError, DecodeError or RecursionError from the call, and an address that is none, from a claim or a ping, ValueError, OverflowError or UnicodeError. A call runs in the tasks that watch the owner and follow the configuration, so each process that pinged such an owner, or read such a claim, ended.

Now a call to something that is no `ip:port` is unreached, as nothing is sent, so that a claim with such an address is replaced; a malformed reply is a lost call, and the owner is suspected as if it were silent.

Ruled out: catching in each caller.

--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -18,6 +18,7 @@
 from plantainvane import settings as product_settings
 
 _SERVICE = "/plantainvane.Jobs/"
+_MAX_SHOWN_CHARACTERS = 100
 
 
 class Ping(msgspec.Struct, array_like=True):
@@ -209,6 +210,9 @@
         grpclib.exceptions.StreamTerminatedError,
         OSError,
         TimeoutError,
+        # The reply is malformed, or of another release.
+        ValueError,
+        RecursionError,
     ) as error:
         failure = outcomes.CallFailure.LOST
         detail = f"{type(error).__name__}: {error}"
@@ -230,7 +234,17 @@
     async def call(
         self, address: str, message: Any, timeout_s: float
     ) -> result.Result[Any, outcomes.CallError]:
-        """Sends `message` and returns the reply; drops a failed channel."""
+        """Sends `message` and returns the reply; drops a failed channel.
+
+        Addresses come from records and messages, so any text is allowed.
+        """
+        if not product_settings.is_address(address):
+            return result.Err(
+                outcomes.CallError(
+                    outcomes.CallFailure.UNREACHED,
+                    f"{address[:_MAX_SHOWN_CHARACTERS]!r} is not an address",
+                )
+            )
         channel = self.channels.get(address)
         if channel is None:
             host, port = product_settings.split_address(address)
