Ignore claims and ping replies that no owner can have sent

Seen: nothing yet; found by reading. A claim record whose epoch is above its own offset counted as the highest epoch: each process that won a claim after it stepped down at its first renewal, and the next one claimed. A ping reply that asks for a pause of 1e9 s hid the failure of the owner for as long, and a negative capacity in it put off a claim without limit.

Now such a claim is no claim, which is logged as other undecodable records are; a standby pings at least every 1.4 s whatever it is asked for (the longest pause that an owner chooses), and waits for at most 0.6 s before a claim.

Ruled out: dropping the whole reply (its other fields are of use). Before, 5 of the 6 new cases failed; after, they pass.

--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -44,12 +44,17 @@
     return _ENCODER.encode(claim)
 
 
-def decode_claim(value: bytes | None) -> Claim | None:
-    """Decodes a record; returns None if it is not a claim."""
+def decode_claim(value: bytes | None, offset: int) -> Claim | None:
+    """Decodes the record at an offset; returns None if it is not a claim.
+
+    No claim has an epoch above the offset of its own record.
+    """
     if not value:
         return None
-    claim = decoding.decode(_DECODER, value)
-    return claim.ok_value if claim.is_ok() else None
+    decoded = decoding.decode(_DECODER, value)
+    if decoded.is_err() or decoded.ok_value.epoch > offset:
+        return None
+    return decoded.ok_value
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +95,7 @@
         self, offset: int, value: bytes | None, now: float
     ) -> None:
         """Applies a record of the topic; older records have no effect."""
-        claim = decode_claim(value)
+        claim = decode_claim(value, offset)
         if claim is None or offset <= self.offset:
             return
         epoch = claim.epoch if claim.epoch >= 0 else offset
@@ -130,7 +135,9 @@
 def _find_extra_interval(
     ownership: Ownership, settings: settings_module.Settings
 ) -> float:
-    return max(0.0, ownership.ping_after_s - settings.ping_s)
+    # A longer pause would hide that the owner has failed.
+    asked_s = min(settings.slow_ping_max_s, ownership.ping_after_s)
+    return max(0.0, asked_s - settings.ping_s)
 
 
 def find_takeover_reason(
@@ -177,7 +184,7 @@
     """
     ablest = ownership.ablest_capacity or settings.assumed_ablest_capacity
     lack = 1.0 - settings.capacity / ablest
-    return settings.claim_wait_max_s * max(0.0, lack)
+    return settings.claim_wait_max_s * min(1.0, max(0.0, lack))
 
 
 def may_claim(
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -190,7 +190,14 @@
         entry.health.record_failure(page.err_value.detail, now)
         return False
     entry.health.record_success(entry.health.latency_s, now)
-    for offset, _, value in page.ok_value.records:
+    for offset, key, value in page.ok_value.records:
+        if value and ownership_module.decode_claim(value, offset) is None:
+            events.log_event(
+                events.RECORD_UNDECODABLE,
+                stream=ownership_module.TOPIC,
+                key=key,
+                error="not a claim",
+            )
         entry.ownership.apply_record(offset, value, now)
     entry.ownership.end_offset = page.ok_value.end_offset
     entry.ownership.read_at = now
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -256,3 +256,31 @@
         await platform_system.call(last, "POST", "5c0e7a21d94b36f8", body)
         reply = await platform_system.call(last, "GET", "5c0e7a21d94b36f8")
         assert reply.status_code == 200
+
+
+@pytest.mark.parametrize("epoch", [8, 10**30])
+def test_a_claim_above_its_own_offset_is_none(epoch):
+    # Guards against a record after which no claim is the highest any more, so
+    # that each process that claims steps down and the next one claims.
+    claim = ownership.Claim("a", 1, "10.0.0.1:1", epoch)
+    state = ownership.Ownership()
+    state.apply_record(7, ownership.encode_claim(claim), 1.0)
+    assert (state.claim, state.epoch) == (None, -1)
+
+
+@pytest.mark.parametrize("asked_s", [1e9, float("inf"), float("nan")])
+def test_a_long_pause_between_pings_does_not_hide_a_failed_owner(asked_s):
+    # Guards against a malformed reply after which the owner is never suspected.
+    state = ownership.Ownership(ownership.Claim("a", 1, "10.0.0.1:1"), 1)
+    state.record_reply(True, 0.0, 10.0, ping_after_s=asked_s)
+    assert ownership.choose_ping_interval(state, SETTINGS, 10.0) < 1.5
+    assert ownership.find_takeover_reason(state, SETTINGS, 13.0) == "silent"
+
+
+def test_a_malformed_capacity_delays_no_claim():
+    # Guards against a standby that never claims, since a peer has reported a
+    # capacity that is none.
+    for ablest in (-1e-9, float("inf"), float("nan")):
+        state = ownership.Ownership(ablest_capacity=ablest)
+        wait_s = ownership.choose_claim_wait(state, SETTINGS)
+        assert 0 <= wait_s <= SETTINGS.claim_wait_max_s
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -120,7 +120,7 @@
     assert wire.decode_runner("i", _DEEP) is None
     assert wire.decode_configuration(_DEEP) is None
     assert wire.decode_job(_DEEP, "0" * 16, wires.QUEUE, 0).is_err()
-    assert ownership.decode_claim(_DEEP) is None
+    assert ownership.decode_claim(_DEEP, 9) is None
     assert runners.decode_poll_reply(_DEEP).is_err()
     assert runners._read_reason(_DEEP) is interfaces.OrderOutcome.INVALID
     assert store._decode_append(http_client.Reply(200, _DEEP)).is_err()
