Take over stored expiries and effects within their ranges only

Seen: nothing; found by reading. A stored expiry below 0 would lie in the past, so that attempts which may be running on a silent runner were started elsewhere at once; a stored effect outside its range would keep an image off each runner, as no value of the model itself does. We write neither; the records are read again by each successor.

Now both are limited on loading, as an expiry already was at its upper end. Before, the cases 1e308 and -1 for effects and the one for expiries failed (values taken as stored); after, they pass.

--- a/plantainvane/jobs/expiries.py
+++ b/plantainvane/jobs/expiries.py
@@ -58,4 +58,5 @@
         instances cannot be compared. No remaining time exceeds `longest_s`.
         """
         for runner, seconds in remaining_s.items():
-            self.expires_at[runner] = now + min(seconds, longest_s)
+            left_s = max(0.0, min(seconds, longest_s))
+            self.expires_at[runner] = now + left_s
--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -166,7 +166,9 @@
         """Takes over the effects that an earlier owner exported."""
         for serving_image, fill_image, value in effects:
             self.effects[serving_image, fill_image] = Effect(
-                value, _KNOWN_VARIANCE_SHARE * _PRIOR_VARIANCE / 2, now
+                max(0.0, min(_MAX_EFFECT, value)),
+                _KNOWN_VARIANCE_SHARE * _PRIOR_VARIANCE / 2,
+                now,
             )
 
     def learn(self, runner: runners_module.Runner, now: float) -> None:
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -253,6 +253,16 @@
     assert not successor.is_known("web", "new")
 
 
+@pytest.mark.parametrize(
+    ("stored", "taken"), [(1e308, 0.5), (-1.0, 0.0), (0.3, 0.3)]
+)
+def test_a_stored_effect_is_taken_over_within_its_range(stored, taken):
+    # Guards against a malformed record that keeps an image off every runner.
+    successor = interference.InterferenceModel()
+    successor.import_effects([("web", "noisy", stored)], 50.0)
+    assert successor.effects["web", "noisy"].value == taken
+
+
 def test_fill_goes_where_its_pairs_are_known():
     # Guards against a new fill image that is tried beside every service.
     interference_model = interference.InterferenceModel()
--- a/tests/test_jobs_expiries.py
+++ b/tests/test_jobs_expiries.py
@@ -48,6 +48,14 @@
     assert expiries.find_expiry("i-1", 61.0) == 61.0
 
 
+def test_no_promise_lies_in_the_past():
+    # Guards against a malformed record after which attempts that may be running
+    # on a silent runner are started elsewhere at once.
+    expiries = expiries_module.LeaseExpiries()
+    expiries.import_remaining_s({"i-1": -900.0}, 11.0, 50.0)
+    assert expiries.find_expiry("i-1", 61.0) == 50.0
+
+
 @pytest.mark.parametrize(
     "change", [{"silent": True}, {"expiry_promised": True}]
 )
