Keep the record of learned effects below the limit of the log

Seen: nothing yet; found by reading after large progress. The effects of all pairs of images are one record. Callers choose the images, so 900 pairs with names of 400 bytes make 375,309 bytes, which the log refuses; the append is repeated for good, and nothing else is stored any more.

Now the pairs that were seen last are stored, as many as fit. Before, the test found the record of 375,309 bytes; after, it is within 262,144.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -208,10 +208,14 @@
         return
     owner.next_effects_at = now + _EFFECTS_INTERVAL_S
     effects = owner.interference_model.export_effects(now)
+    record = (state_module.LEARNED_KEY, _ENCODER.encode(effects))
+    limit_bytes = owner.settings.max_record_bytes
+    while journal_module.measure_record(record) > limit_bytes:
+        # Those that come last were seen last.
+        effects = effects[len(effects) // 2 + 1 :]
+        record = (state_module.LEARNED_KEY, _ENCODER.encode(effects))
     if effects:
-        owner.journal.add(
-            [(state_module.LEARNED_KEY, _ENCODER.encode(effects))]
-        )
+        owner.journal.add([record])
 
 
 def _remove_old_jobs(owner: state_module.Owner) -> None:
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -10,8 +10,10 @@
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import interference
 from plantainvane.jobs import journal
 from plantainvane.jobs import model
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import table as table_module
@@ -175,3 +177,19 @@
     assert take_records(state) == [
         ("j", b'["",0,[[0,0,499,0,1,0,"",[[1,"r"]]]]]')
     ]
+
+
+def test_the_record_of_learned_effects_fits_the_log():
+    # Guards against images that are many, or have long names, and fill a record
+    # that the log never takes, so that nothing is stored any more.
+    owner = passes.make_owner()
+    for number in range(900):
+        pair = f"{number:04}" + "s" * 400, "f"
+        owner.interference_model.effects[pair] = interference.Effect(
+            0.2, 0.001, 9.0
+        )
+    owner_module._store_effects(owner, 10.0)
+    ((key, value),) = owner.journal._open.records
+    limit = owner.settings.max_record_bytes
+    assert limit / 4 < journal.measure_record((key, value)) <= limit
+    assert b'"0899s' in value and b'"0000s' not in value
