Limit the deadline that a caller may ask for

Seen on the stand-ins: a `Deadline-Ms` of 400 or 5,000 digits was answered 500 (OverflowError, ValueError), and one of years held a request for years where its append got no answer. Neither ended the process.

Now a deadline is at most 60 s; known callers wait for 3 s. Before, the three largest of the new cases failed; after, they pass.

--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -11,6 +11,8 @@
 _READY_PATH = "/plantainvane/readyz"
 _METRICS_PATH = "/metrics"
 _DEFAULT_DEADLINE_MS = 3000
+# No request is held for longer, whatever its caller would wait.
+_MAX_DEADLINE_MS = 60_000
 _NO_JOB = asgi.HttpReply(410)
 _NO_QUEUE = asgi.HttpReply(404)
 _STATUS_CODES = {
@@ -65,7 +67,9 @@
 def _read_deadline(text: str) -> float:
     if not text.isdecimal():
         text = str(_DEFAULT_DEADLINE_MS)
-    return int(text) / 1000
+    if len(text) > len(str(_MAX_DEADLINE_MS)):
+        return _MAX_DEADLINE_MS / 1000
+    return min(_MAX_DEADLINE_MS, int(text)) / 1000
 
 
 async def _answer_pending(
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -23,6 +23,7 @@
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state
+from plantainvane.platform import ingress
 from plantainvane.platform import runners
 from plantainvane.platform import store
 from plantainvane.platform import wire
@@ -409,3 +410,23 @@
             owner.runners["r"].charge(run, -1)
             owner.table.end_run(run, "done", "", 2.0**60, 9)
     msgspec.json.encode(progress.take_changed(state))
+
+
+@pytest.mark.parametrize(
+    ("text", "deadline_s"),
+    [
+        ("2500", 2.5),
+        ("", 3.0),
+        ("-1", 3.0),
+        ("1e9", 3.0),
+        ("\u00b2", 3.0),
+        ("99999999", 60.0),
+        ("9" * 400, 60.0),
+        ("9" * 5000, 60.0),
+    ],
+    ids=lambda value: str(value)[:12],
+)
+def test_any_deadline_of_a_caller_is_read(text, deadline_s):
+    # Guards against a request that is answered 500 because of its deadline, or
+    # that is held for as long as it asks.
+    assert ingress._read_deadline(text) == deadline_s
