--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -132,8 +132,9 @@
     ]
     owner.table.changed.clear()
     return [
-        (state.job.id, _ENCODER.encode(progress_module.build_progress(state)))
+        (key, None if progress is None else _ENCODER.encode(progress))
         for state, _ in owner.appending
+        for key, progress in progress_module.take_changed(state)
     ]
 
 
@@ -208,10 +209,14 @@
         return
     owner.next_effects_at = now + _EFFECTS_INTERVAL_S
     effects = owner.interference_model.export_effects(now)
+    record = (state_module.LEARNED_KEY, _ENCODER.encode(effects))
+    limit_bytes = owner.settings.max_record_bytes
+    while journal_module.measure_record(record) > limit_bytes:
+        # Those that come last were seen last.
+        effects = effects[len(effects) // 2 + 1 :]
+        record = (state_module.LEARNED_KEY, _ENCODER.encode(effects))
     if effects:
-        owner.journal.add(
-            [(state_module.LEARNED_KEY, _ENCODER.encode(effects))]
-        )
+        owner.journal.add([record])
 
 
 async def _schedule(owner: state_module.Owner) -> None:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -5,13 +5,16 @@
 import anyio
 import msgspec
 
+from plantainvane import decoding
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -19,8 +22,12 @@
 
 _JOB_DECODER = msgspec.json.Decoder(model.Job)
 _PROGRESS_DECODER = msgspec.json.Decoder(model.JobProgress)
-_EXPIRIES_DECODER = msgspec.json.Decoder(dict[str, float])
-_EFFECTS_DECODER = msgspec.json.Decoder(list[tuple[str, str, float]])
+_PROGRESS_DECODERS = {
+    state_module.EXPIRIES_KEY: msgspec.json.Decoder(dict[str, float]),
+    state_module.LEARNED_KEY: msgspec.json.Decoder(
+        list[tuple[str, str, float]]
+    ),
+}
 
 # Records applied between two turns of the event loop, in which pings are
 # answered and leases renewed.
@@ -73,25 +80,28 @@
 ) -> None:
     if value is None:
         return
-    try:
-        if key == state_module.LEARNED_KEY:
-            effects = _EFFECTS_DECODER.decode(value)
-            owner.interference_model.import_effects(effects, clock.read_now())
-        elif key == state_module.EXPIRIES_KEY:
-            owner.expiries.import_remaining_s(
-                _EXPIRIES_DECODER.decode(value),
-                owner.settings.old_lease_limit_s,
-                clock.read_now(),
-            )
-        else:
-            owner.progress[key] = _PROGRESS_DECODER.decode(value)
-    except msgspec.DecodeError as error:
-        _report_undecodable(state_module.PROGRESS_TOPIC, key, error)
+    decoder = _PROGRESS_DECODERS.get(key, _PROGRESS_DECODER)
+    decoded = decoding.decode(decoder, value)
+    if decoded.is_err():
+        topic = state_module.PROGRESS_TOPIC
+        _report_undecodable(topic, key, decoded.err_value)
+    elif key == state_module.LEARNED_KEY:
+        owner.interference_model.import_effects(
+            decoded.ok_value, clock.read_now()
+        )
+    elif key == state_module.EXPIRIES_KEY:
+        owner.expiries.import_remaining_s(
+            decoded.ok_value,
+            owner.settings.old_lease_limit_s,
+            clock.read_now(),
+        )
+    else:
+        progress_module.add_part(owner.progress, key, decoded.ok_value)
 
 
-def _report_undecodable(topic: str, key: str, error: Exception) -> None:
+def _report_undecodable(topic: str, key: str, reason: str) -> None:
     events.log_event(
-        events.RECORD_UNDECODABLE, stream=topic, key=key, error=str(error)
+        events.RECORD_UNDECODABLE, stream=topic, key=key, error=reason
     )
 
 
@@ -115,16 +125,27 @@
 def _add_job(owner: state_module.Owner, key: str, value: bytes | None) -> None:
     if value is None or key in owner.table.jobs:
         return
-    try:
-        job = _JOB_DECODER.decode(value)
-    except msgspec.DecodeError as error:
-        _report_undecodable(state_module.JOBS_TOPIC, key, error)
+    decoded = decoding.decode(_JOB_DECODER, value)
+    if decoded.is_err():
+        _report_undecodable(state_module.JOBS_TOPIC, key, decoded.err_value)
+        return
+    job = decoded.ok_value
+    if job.id != key:
+        reason = f"the record holds job {job.id[:40]!r}"
+        _report_undecodable(state_module.JOBS_TOPIC, key, reason)
         return
     queue = state_module.find_queue(owner, job.queue) or model.Queue(
         job.queue, "", "", job.service, priority=9, max_failures=3
     )
     now = clock.read_now()
     wall_ms = clock.read_wall_ms()
+    fault = checks.find_fault(job)
+    if fault:
+        events.log_event(
+            events.JOB_UNSERVABLE, job=key, queue=job.queue, reason=fault
+        )
+        owner.table.add_unservable_job(job, queue, now, wall_ms)
+        return
     state = owner.table.add_job(
         job, queue, owner.progress.get(key), now, wall_ms
     )
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -10,6 +10,9 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import progress as progress_module
 
+# Longest number in the name of a task; runners may report any text as a name.
+_MAX_DIGITS = 9
+
 
 @dataclasses.dataclass(slots=True)
 class JobTable:
@@ -65,6 +68,7 @@
             job, queue, now - age_s + objective_s, objective_s
         )
         self.jobs[job.id] = state
+        state.dependents = list_dependents(job.steps)
         if progress is not None and progress.ended:
             state.ended = state.stored_ended = progress.ended
             state.ended_ms = progress.ended_ms
@@ -79,6 +83,14 @@
         self._initialize_state(state, now, wall_ms)
         return state
 
+    def add_unservable_job(
+        self, job: model.Job, queue: model.Queue, now: float, wall_ms: int
+    ) -> None:
+        """Adds a stored job that cannot be run, as failed and without tasks."""
+        state = attempts.JobState(job, queue, now, 0.0)
+        self.jobs[job.id] = state
+        self._end_job(state, "failed", wall_ms)
+
     def _add_occurrence(
         self,
         state: attempts.JobState,
@@ -92,6 +104,7 @@
         if job.repeat_count:
             due_ms = job.start_at_ms + occurrence * job.interval_ms
             due = now + (due_ms - wall_ms) / 1000
+        position = occurrence * sum(step.count for step in job.steps)
         for number, step in enumerate(job.steps):
             step_state = attempts.StepState(
                 state,
@@ -101,7 +114,9 @@
                 set(step.depends_on),
                 critical_paths_s[number],
                 due,
+                position,
             )
+            position += step.count
             prefix = f"{job.id}.{occurrence}.{number}."
             step_state.tasks = [
                 attempts.Task(
@@ -148,11 +163,11 @@
         self, state: attempts.JobState, occurrence: int, number: int
     ) -> list[attempts.StepState]:
         released = []
-        for (k, _), step_state in state.steps.items():
-            if k == occurrence and number in step_state.pending_dependencies:
-                step_state.pending_dependencies.discard(number)
-                if not step_state.pending_dependencies:
-                    released.append(step_state)
+        for dependent in state.dependents[number]:
+            step_state = state.steps[occurrence, dependent]
+            step_state.pending_dependencies.discard(number)
+            if not step_state.pending_dependencies:
+                released.append(step_state)
         return released
 
     def _mark_ready(self, task: attempts.Task, now: float) -> None:
@@ -177,7 +192,7 @@
         task.runs.append(run)
         task.job.started = True
         self.ready.pop(task.name, None)
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         return run
 
     def drop_run(self, run: attempts.Run, now: float) -> None:
@@ -186,7 +201,7 @@
         if run not in task.runs:
             return
         task.runs.remove(run)
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         self._mark_ready(task, now)
 
     def end_run(
@@ -204,7 +219,7 @@
         task.runs.remove(run)
         if checkpoint and task.step.definition.checkpointing:
             task.checkpoint = checkpoint
-        self.mark_changed(task.job)
+        self.mark_changed(task.job, task)
         if task.result is not attempts.Result.OPEN or task.job.ended:
             return
         step = task.step.definition
@@ -228,6 +243,7 @@
         if task.result is not attempts.Result.OPEN:
             return
         task.result = attempts.Result.DONE
+        self.mark_changed(task.job, task)
         self.tasks.pop(task.name, None)
         self.ready.pop(task.name, None)
         self.runs_to_stop.extend(task.runs)
@@ -266,9 +282,20 @@
                 self.ready.pop(task.name, None)
                 self.runs_to_stop.extend(task.runs)
 
-    def mark_changed(self, state: attempts.JobState) -> None:
-        """Marks a job whose progress has to be stored."""
+    def mark_changed(
+        self, state: attempts.JobState, task: attempts.Task | None = None
+    ) -> None:
+        """Marks a job whose progress has to be stored.
+
+        Of a large job only the part that holds `task` is stored; without a
+        task all parts are.
+        """
         self.changed[state.job.id] = state
+        if task is None:
+            parts = range(progress_module.count_parts(state))
+            state.changed_parts.update(parts)
+        else:
+            state.changed_parts.add(progress_module.find_part(task))
 
     def forget_job(self, job_id: str) -> None:
         """Removes an ended job whose retention time has passed."""
@@ -291,7 +318,7 @@
         state = self.jobs.get(parts[0])
         if state is None or len(parts) != 4:
             return None
-        if not all(part.isdecimal() for part in parts[1:]):
+        if not all(p.isdecimal() and len(p) <= _MAX_DIGITS for p in parts[1:]):
             return None
         step_state = state.steps.get((int(parts[1]), int(parts[2])))
         index = int(parts[3])
@@ -310,6 +337,15 @@
         )
 
 
+def list_dependents(steps: tuple[model.Step, ...]) -> list[list[int]]:
+    """Returns the numbers of the steps that depend on each step."""
+    dependents: list[list[int]] = [[] for _ in steps]
+    for number, step in enumerate(steps):
+        for earlier in set(step.depends_on):
+            dependents[earlier].append(number)
+    return dependents
+
+
 def measure_critical_paths(steps: tuple[model.Step, ...]) -> list[float]:
     """Returns the critical path of each step to the job's end, in seconds."""
     critical_paths_s = [step.estimate_ms / 1000 for step in steps]
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -1,10 +1,12 @@
 """Client of one runner."""
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
 import result
 
+from plantainvane import decoding
 from plantainvane import http_client
 from plantainvane import outcomes
 from plantainvane.jobs import interfaces
@@ -33,42 +35,68 @@
     reason: str = ""
 
 
+# Whole numbers up to here are exact as floats, which no sum or product of them
+# exceeds.
+_MAX_NUMBER = 2**53
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_Measurement = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
+
+# A measurement is about a whole number; a smaller one than this is no divisor.
+_MEASUREMENT_DIGITS = 3
+
+
+class _Running(msgspec.Struct, array_like=True):
+    """A running attempt; its measurement is given on some deployments."""
+
+    task: str
+    attempt: _Number
+    checkpoint: str | None
+    progress_percent: _Measurement
+    measurement: _Measurement | None = None
+
+
 class _PollReply(msgspec.Struct, rename="pascal"):
     """Running and ended attempts of a runner.
 
-    A row of `active` holds task, attempt, checkpoint, progress in percent and,
-    on some deployments, a measurement. A row of `finished` holds number, task,
-    attempt, outcome and checkpoint.
+    A row of `finished` holds number, task, attempt, outcome and checkpoint.
     """
 
-    clock_ms: int
-    born: int = msgspec.field(name="born", default=0)
-    active: list[list[Any]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
-
+    clock_ms: _Number
+    born: _Number = msgspec.field(name="born", default=0)
+    active: list[_Running] = []
+    finished: list[tuple[_Number, str, _Number, str, str]] = []
+
+
+_REFUSAL_DECODER = msgspec.json.Decoder(_Refusal)
+_POLL_DECODER = msgspec.json.Decoder(_PollReply)
+
+
+def decode_poll_reply(
+    content: bytes,
+) -> result.Result[model.RunnerStatus, str]:
+    """Decodes the reply to a poll; an error is its reason."""
+    decoded = decoding.decode(_POLL_DECODER, content)
+    if decoded.is_err():
+        return decoded
+    reply = decoded.ok_value
+    return result.Ok(
+        model.RunnerStatus(
+            reply.born,
+            reply.clock_ms,
+            tuple(_make_running(row) for row in reply.active),
+            tuple(model.AttemptEnd(*row) for row in reply.finished),
+        )
+    )
 
-def decode_poll_reply(content: bytes) -> model.RunnerStatus:
-    """Decodes the reply to a poll.
 
-    Raises:
-      msgspec.DecodeError, ValueError, TypeError: The content is malformed.
-    """
-    reply = msgspec.json.decode(content, type=_PollReply)
-    return model.RunnerStatus(
-        reply.born,
-        reply.clock_ms,
-        tuple(
-            model.RunningAttempt(
-                str(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                float(row[3]),
-                float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
-            )
-            for row in reply.active
-            if len(row) >= 4
-        ),
-        tuple(model.AttemptEnd(*row) for row in reply.finished),
+def _make_running(row: _Running) -> model.RunningAttempt:
+    return model.RunningAttempt(
+        row.task,
+        row.attempt,
+        row.checkpoint or "",
+        row.progress_percent,
+        round(row.measurement or 0.0, _MEASUREMENT_DIGITS),
     )
 
 
@@ -127,10 +155,8 @@
         outcome = _read_outcome(reply)
         if outcome is not _OUTCOME.DONE:
             return result.Err(outcome)
-        try:
-            return result.Ok(decode_poll_reply(reply.ok_value.content))
-        except (msgspec.DecodeError, ValueError, TypeError):
-            return result.Err(_OUTCOME.INVALID)
+        status = decode_poll_reply(reply.ok_value.content)
+        return status if status.is_ok() else result.Err(_OUTCOME.INVALID)
 
     async def start(self, order: model.StartOrder) -> interfaces.OrderOutcome:
         """Starts an attempt; idempotent."""
@@ -203,8 +229,7 @@
 
 
 def _read_reason(content: bytes) -> interfaces.OrderOutcome:
-    try:
-        reason = msgspec.json.decode(content, type=_Refusal).reason
-    except msgspec.DecodeError:
+    refusal = decoding.decode(_REFUSAL_DECODER, content)
+    if refusal.is_err():
         return _OUTCOME.INVALID
-    return _REASONS.get(reason, _OUTCOME.INVALID)
+    return _REASONS.get(refusal.ok_value.reason, _OUTCOME.INVALID)
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -3,16 +3,23 @@
 Runner entries may be written by other software, so malformed ones are ignored.
 """
 
+from typing import Annotated
+
 import msgspec
 import result
 
+from plantainvane import decoding
+from plantainvane import settings as product_settings
+from plantainvane.jobs import checks
 from plantainvane.jobs import model
 
 _DRAINING = "draining"
 _STATES = ("ready", _DRAINING)
 _ID_LENGTH = 16
-_MAX_SPEC_BYTES = 4000
-_MAX_TASKS = 20_000
+
+# Times and amounts of a runner; whole numbers up to here are exact as floats.
+_MAX_NUMBER = 2**53
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 class _Advisor(msgspec.Struct, rename="pascal"):
@@ -53,9 +60,9 @@
 
 
 class _Capacity(msgspec.Struct, rename="pascal"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Number = 0
+    mem_mb: _Number = 0
+    gpu: _Number = 0
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
@@ -65,8 +72,8 @@
     address: str
     zone: str
     state: str
-    born: int = msgspec.field(name="born")
-    clock_ms: int = 0
+    born: _Number = msgspec.field(name="born")
+    clock_ms: _Number = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
 
@@ -113,10 +120,10 @@
 
 def decode_configuration(content: bytes) -> model.Configuration | None:
     """Decodes the operator's document; None if it is malformed."""
-    try:
-        document = _CONFIGURATION_DECODER.decode(content)
-    except msgspec.DecodeError:
+    decoded = decoding.decode(_CONFIGURATION_DECODER, content)
+    if decoded.is_err():
         return None
+    document = decoded.ok_value
     return model.Configuration(
         document.version,
         tuple(_make_queue(route) for route in document.routes),
@@ -147,12 +154,13 @@
 
 def decode_runner(key: str, content: bytes) -> model.RunnerEntry | None:
     """Decodes a runner's entry; None if it is malformed or unusable."""
-    try:
-        entry = _ENTRY_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decoding.decode(_ENTRY_DECODER, content)
+    if decoded.is_err():
+        return None
+    entry = decoded.ok_value
+    if entry.state not in _STATES:
         return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in _STATES or not host or not port.isdecimal():
+    if not _is_callable(entry.address) or not _is_header_value(key):
         return None
     capacity = entry.capacity
     return model.RunnerEntry(
@@ -168,6 +176,21 @@
     )
 
 
+def _is_callable(address: str) -> bool:
+    """Tells whether `address` is an `ip:port` to which calls can be sent."""
+    port = address.rpartition(":")[2]
+    return (
+        _is_header_value(address)
+        and port.isdecimal()
+        and product_settings.is_address(address)
+    )
+
+
+def _is_header_value(text: str) -> bool:
+    """Tells whether calls can carry `text` in a header."""
+    return bool(text) and text.isascii() and text.isprintable()
+
+
 def is_job_id(text: str) -> bool:
     """Returns whether `text` is a job id: 16 hexadecimal digits."""
     digits = "0123456789abcdefABCDEF"
@@ -178,46 +201,23 @@
     content: bytes, job_id: str, queue: model.Queue, accepted_ms: int
 ) -> result.Result[model.Job, str]:
     """Decodes and validates a submission; an error is its reason."""
-    try:
-        job = _JOB_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
-    fault = _find_fault(job)
-    if fault:
-        return result.Err(fault)
-    return result.Ok(
-        model.Job(
-            id=job_id,
-            queue=queue.name,
-            service=queue.service,
-            accepted_ms=accepted_ms,
-            spec=job.spec,
-            steps=tuple(_make_step(step) for step in job.steps),
-            repeat_count=job.repeat_count,
-            start_at_ms=job.start_at_ms,
-            interval_ms=job.interval_ms,
-        )
+    decoded = decoding.decode(_JOB_DECODER, content)
+    if decoded.is_err():
+        return decoded
+    submission = decoded.ok_value
+    job = model.Job(
+        id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        accepted_ms=accepted_ms,
+        spec=submission.spec,
+        steps=tuple(_make_step(step) for step in submission.steps),
+        repeat_count=submission.repeat_count,
+        start_at_ms=submission.start_at_ms,
+        interval_ms=submission.interval_ms,
     )
-
-
-def _find_fault(job: _Job) -> str:
-    if not job.steps:
-        return "Steps is empty"
-    if len(job.spec.encode()) > _MAX_SPEC_BYTES:
-        return f"Spec exceeds {_MAX_SPEC_BYTES} bytes"
-    if job.repeat_count < 0:
-        return "RepeatCount is negative"
-    tasks = sum(step.count for step in job.steps) * max(1, job.repeat_count)
-    if tasks > _MAX_TASKS:
-        return f"{tasks} tasks exceed {_MAX_TASKS}"
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            return f"Steps[{number}].Count is below 1"
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            return f"Steps[{number}] has a negative amount"
-        if any(not 0 <= other < number for other in step.depends_on):
-            return f"Steps[{number}].DependsOn names no earlier step"
-    return ""
+    fault = checks.find_fault(job)
+    return result.Err(fault) if fault else result.Ok(job)
 
 
 def _make_step(step: _Step) -> model.Step:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -48,6 +48,7 @@
       down: Every call is answered with status 503.
       append_delay_s: Time that an append takes.
       lose_answers: Number of coming appends that are stored but not answered.
+      max_record_bytes: An append with a larger record is refused.
       calls: Number of calls by name.
     """
 
@@ -55,6 +56,7 @@
     down: bool = False
     append_delay_s: float = 0.0
     lose_answers: int = 0
+    max_record_bytes: int = 262_144
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def find_topic(self, name: str) -> Topic:
@@ -116,6 +118,8 @@
     if "At" in query and int(query["At"]) != end:
         return asgi.make_json_reply(412, {"EndOffset": end})
     bodies = _split(request.body)
+    if any(len(body) > state.max_record_bytes for body in bodies):
+        return asgi.HttpReply(400)
     answer = {"Offset": end, "EndOffset": end + len(bodies)}
     if "Producer" in query:
         refusal = _check_producer(topic, query, answer, bool(bodies))
