Renew leases as soon as their promised expiry is withdrawn

Callers would see tasks that lapse on a runner that had answered again. When a silent runner answers, the withdrawal of its promised expiry is stored, and leases are not extended before that. The next poll left 10 ms later, extended nothing either, and waited for an end for up to 1.8 s, longer than what was left of the leases: a runner that polls at that interval is found silent after 2.2 s, and promised a second later, so 0.4 to 2.3 s are left of 5.5.

A poll now waits for 0.3 s at most while the expiry is promised. While the log does not answer that is 3 polls a second for each such runner.

Ruled out: the time of the last renewal, which the first answer advances although that poll extended nothing. The next poll extends in any case, so it is left.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -27,6 +27,9 @@
 # Listed runners are often silent for less than this, and withdrawing a promised
 # expiry takes an append to the log.
 _PROMISE_DELAY_S = 1.0
+# Longest poll while the withdrawal of a promised expiry is being stored: a poll
+# that was sent before extends no lease.
+_PROMISED_WAIT_S = 0.3
 # An unlisted runner without attempts is removed after this time.
 _REMOVE_AFTER_S = 8.0
 # A runner with this many more failures than successes gets one task at a time
@@ -134,6 +137,8 @@
         or now - runner.renewed_at > settings.lease_s / 2
     ):
         return 0.0
+    if runner.expiry_promised:
+        return _PROMISED_WAIT_S
     if not (serving and runner.fill_cpu):
         return min(settings.poll_wait_s, settings.lease_s / 3)
     if any(run.over_target_since is not None for run in serving):
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -262,6 +262,31 @@
         )
 
 
+async def test_leases_are_renewed_soon_after_a_silent_runner_answers(
+    monkeypatch,
+):
+    # Guards against tasks that lapse on a runner that answers again: its leases
+    # are not extended before the withdrawal of their promised expiry is stored,
+    # and the next poll waited for an end meanwhile.
+    monkeypatch.setattr(sessions, "_PROMISE_DELAY_S", 0.1)
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = await start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        known, runner = owner.owner.runners["i-0"], system.runners["i-0"]
+        await wait_until(lambda: known.renewed_at > 0)
+        runner.silent = True
+        await wait_until(lambda: known.expiry_promised, limit_s=8.0)
+        assert 500 < runner.lease_until_ms - runner.read_clock() < 1700
+        system.store.append_delay_s = 0.05
+        runner.silent = False
+        await wait_until(
+            lambda: runner.lease_until_ms - runner.read_clock() > 3000,
+            limit_s=1.0,
+        )
+        assert len(system.list_starts()) == 1
+
+
 async def test_runner_that_restarts_while_it_is_silent_is_used_again():
     # Guards against the same for a runner that crashed: its new entry drops
     # the attempts before it has answered a poll.
