Acknowledge ends also while an append takes longer than a poll

Ends were never acknowledged while an append took more than 0.5 s and the log was busy, so a runner lists the same 500 over and over and none behind them, and they count as not taken note of. A session polls each 0.5 s while ends are being stored; the runner lists them again, and the session then waited for the batch that was open at that time instead of the one it had waited for. That batch is stored later than the next poll, and so on.

A session now keeps to the first batch.

Test: failed before in three of three runs by its limit of 5 s, with appends of 0.56 s and a record each 0.02 s; passes after in three of three.

Ruled out: an idle log. An empty batch is stored without an append, and the same test without other records passed before.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -177,7 +177,10 @@
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
         runner.renewed_at = sent_at
-    return _apply_reply(owner, runner, reply.ok_value, sent_at, now) or pending
+    found = _apply_reply(owner, runner, reply.ok_value, sent_at, now)
+    # The later of two batches is stored later, and the runner lists the ends
+    # that came meanwhile again.
+    return pending or found
 
 
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import sessions
+from plantainvane.jobs import state
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -287,6 +288,21 @@
         assert len(system.list_starts()) == 1
 
 
+async def test_ends_are_acknowledged_while_the_log_is_slow():
+    # Guards against ends that are never acknowledged while an append takes
+    # longer than the pause between polls: each poll lists them again, and each
+    # time the wait for their storage began anew.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = (await start_job(system, count=1, run_ms=1500)).owner
+        system.store.append_delay_s = 0.56
+        runner = owner.runners["i-0"]
+        with anyio.fail_after(5.0):
+            while not runner.last_stored_end:
+                # Other records keep the log busy.
+                owner.journal.add([(state.LEARNED_KEY, b"[]")])
+                await anyio.sleep(0.02)
+
+
 async def test_runner_that_restarts_while_it_is_silent_is_used_again():
     # Guards against the same for a runner that crashed: its new entry drops
     # the attempts before it has answered a poll.
