Order a pace in doubt again after an order that did nothing

Callers would see a fill task that makes no progress until the next owner comes. The pace of an attempt is in doubt after a takeover and after an order without an answer, and is then ordered again with each report. An order that did not reach the runner, or that it refused with 429 or 503, ended the doubt as well. The task then counted as running at full speed while it was halted, and as no change was needed, no order was sent.

Such an outcome now leaves the doubt as it is.

Test: both cases failed before.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -310,6 +310,9 @@
         run.task.name, run.attempt, percent, owner.epoch
     )
     metrics.PACES.labels(outcome.value).inc()
+    if outcome in (_OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY):
+        # Nothing was done, so an earlier order may still be in doubt.
+        return
     run.pace_confirmed = outcome is not _OUTCOME.LOST
     if outcome is _OUTCOME.DONE:
         runner.change_pace(run, percent)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -237,6 +237,28 @@
     assert len(sent) == ordered
 
 
+@pytest.mark.parametrize(
+    "outcome",
+    [interfaces.OrderOutcome.UNREACHED, interfaces.OrderOutcome.UNHEALTHY],
+)
+async def test_a_pace_stays_in_doubt_after_an_order_that_did_nothing(outcome):
+    # Guards against a fill task that stays halted for ever, by an order of an
+    # earlier owner or one without an answer, while it counts as running at full
+    # speed.
+    owner = make_owner()
+    runner = make_paced_runner(owner)
+    owner.runners["r"] = runner
+    fill = next(r for r in runner.runs if r.task.step.definition.fills)
+    fill.pace_confirmed = False
+
+    async def answer(*unused):
+        return outcome
+
+    runner.calls = types.SimpleNamespace(pace=answer)
+    await orders.set_pace(owner, fill, 100)
+    assert not fill.pace_confirmed
+
+
 def make_running(owner, runner_id="r", **fields):
     """Returns a runner and an attempt there whose start was answered."""
     runner = decisions.make_runner(runner_id, **fields)
