Speed up fill tasks also while their owner stays late

Callers would see batch tasks that stay halted for as long as their owner is short of processor time. Such a process orders no increase of a pace, as that can wait; but a weak process may be late for as long as it is the owner, and nothing else ends a halt: tasks that do not save their progress are not moved either, and a halted one keeps its memory.

A task that has been at half its speed or less for 2 s is now sped up in any case.

Test: one of its two cases failed before; the other, a task that was slowed 0.5 s ago, guards what is postponed.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -26,6 +26,8 @@
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
+# A late process keeps a fill task slowed for this long at most.
+_MAX_POSTPONED_S = 2.0
 # Limit on the runners in one call to the adviser.
 _MAX_ADVISED_RUNNERS = 30
 _ADVICE_SLACK_S = 1.0
@@ -289,16 +291,23 @@
 ) -> None:
     """Orders new paces for the fill tasks of a runner.
 
-    A late process orders no increases, as they can wait.
+    A late process postpones increases, but not of a task that has long been
+    slowed, as the process may stay late.
     """
     late = owner.load.is_late(now)
     for run, percent in pacing.decide_paces(
         owner.interference_model, runner, owner.settings.max_impact_s, now
     ):
-        if not (late and run.pace_confirmed and percent > run.pace_percent):
+        increases = run.pace_confirmed and percent > run.pace_percent
+        if not (late and increases) or _is_long_slowed(run, now):
             owner.group.start_soon(set_pace, owner, run, percent)
 
 
+def _is_long_slowed(run: attempts.Run, now: float) -> bool:
+    since = run.slowed_since
+    return since is not None and now - since > _MAX_POSTPONED_S
+
+
 async def set_pace(
     owner: state_module.Owner, run: attempts.Run, percent: int
 ) -> None:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -237,6 +237,26 @@
     assert len(sent) == ordered
 
 
+@pytest.mark.parametrize(("slowed_s", "ordered"), [(0.5, 0), (3.0, 1)])
+def test_an_owner_that_stays_late_still_speeds_up_slowed_fills(
+    monkeypatch, slowed_s, ordered
+):
+    # Guards against fill tasks that stay halted for as long as their owner is
+    # short of processor time, which may be as long as it is the owner.
+    owner, sent = make_owner(), []
+    owner.interference_model = None
+    owner.group = types.SimpleNamespace(start_soon=lambda *call: sent.append(1))
+    runner = make_paced_runner(owner)
+    fill = next(r for r in runner.runs if r.task.step.definition.fills)
+    fill.pace_percent, fill.slowed_since = 0, 10.0 - slowed_s
+    owner.load.record_delay(0.5, 9.9)
+    monkeypatch.setattr(
+        orders.pacing, "decide_paces", lambda *unused: [(fill, 40)]
+    )
+    orders.pace_fills(owner, runner, 10.0)
+    assert len(sent) == ordered
+
+
 @pytest.mark.parametrize(
     "outcome",
     [interfaces.OrderOutcome.UNREACHED, interfaces.OrderOutcome.UNHEALTHY],
