Repeat a claim of a hand-over that a renewal has made fail

A weak owner kept the jobs for another 10 s, and one that is shut down asked the next peer, which may be weaker, although the first was willing. The peer reads the claims and then appends its own on the condition that the log still ends there. The owner goes on renewing its claim meanwhile; if a renewal comes between the two, the claim fails, and the hand-over with it.

The peer now reads and claims up to three times while the epoch is still the one that is handed over.

--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -19,6 +19,9 @@
 from plantainvane.jobs import state as state_module
 
 _HAND_OVER_TIMEOUT_S = 1.5
+# The owner goes on renewing its claim, and a renewal makes a claim fail that is
+# on its way.
+_HAND_OVER_TRIES = 3
 
 
 async def hand_over(entry: process_module.Entry) -> None:
@@ -358,9 +361,13 @@
 
     Returns the epoch that this process owns, or -1.
     """
-    if not _may_own(entry, clock.read_now()) or not await _read_claims(entry):
-        return peers_module.HandOverReply()
-    if entry.ownership.epoch == request.epoch:
-        await _claim(entry, "handed over")
+    for _ in range(_HAND_OVER_TRIES):
+        may_own = _may_own(entry, clock.read_now())
+        if not may_own or not await _read_claims(entry):
+            return peers_module.HandOverReply()
+        if entry.ownership.epoch != request.epoch:
+            break
+        if await _claim(entry, "handed over"):
+            break
     owner = entry.owner
     return peers_module.HandOverReply(owner.epoch if owner is not None else -1)
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import standbys
+from plantainvane.jobs import succession
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
 
@@ -164,6 +165,30 @@
         assert len(system.list_starts()) == 2
 
 
+async def test_hand_over_succeeds_beside_a_renewal(monkeypatch):
+    # Guards against a hand-over that fails because the owner renewed its claim
+    # after the peer had read the log: the weak owner then keeps the jobs for
+    # another 10 s.
+    append, delays = succession._append_claim, [0.0]
+
+    async def append_late(entry, claim):
+        if claim.epoch < 0 and delays:
+            renewed = weak.ownership.offset
+            delays.pop()
+            while weak.ownership.offset == renewed:
+                await anyio.sleep(0.01)
+        return await append(entry, claim)
+
+    async with platform_system.run_system(entries=1, capacity=0.3) as system:
+        weak = await system.wait_owner()
+        able = await platform_system.add_entry(system, 1, capacity=2.0)
+        monkeypatch.setattr(succession, "_append_claim", append_late)
+        with anyio.fail_after(3 * SETTINGS.abler_peer_wait_s):
+            while system.find_owner() is not able:
+                await anyio.sleep(0.01)
+        assert not delays and weak.owner is None
+
+
 async def test_renewals_do_not_wait_for_the_loop_that_pings():
     # Guards against a live owner whose renewals are overdue, and which is
     # replaced because it is slow to answer.
