Ignore a poll that ends after its runner has moved to a new address

A poll is mostly under way when a runner with attempts starts again at another address. When it then failed, the expiry of the leases was promised for the id, as the earlier address counts as unlisted, while the leases of the new incarnation went on being extended; a successor that the runner did not answer would have taken the promise for those leases and started its tasks elsewhere (TWICE). An answer or an expiry at the earlier address took attempts from the object with that address, while they stayed charged to the new one, for good if their start was still in doubt: a lost share of the capacity.

Such a poll now changes nothing; the session ends.

Test: both cases failed before.

Ruled out: a move between two polls; the session notices it before it polls.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -164,6 +164,9 @@
     now = clock.read_now()
     limit_s = wait_s + owner.settings.call_timeout_s
     owner.load.record_delay(now - sent_at - limit_s, now)
+    if owner.runners.get(runner.entry.id, runner) is not runner:
+        # Its attempts are charged to the object with the new address.
+        return None
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if reply.err_value is interfaces.OrderOutcome.FENCED:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -398,3 +398,48 @@
     )
     assert run.task.name in owner.table.ready
     assert not owner.runners["r"].runs
+
+
+async def move_during_poll(answer):
+    """Polls a runner that is listed at a new address meanwhile.
+
+    Returns the owner, the attempt there and the runner at its new address.
+    """
+    owner = scheduling.make_owner()
+    owner.adapters = types.SimpleNamespace(connect_runner=lambda *unused: None)
+    earlier, run = make_running(owner, clock_ms=1000, lease_until_ms=1000)
+    entry = msgspec.structs.replace(
+        earlier.entry, address="127.0.0.1:10", born_ms=2
+    )
+
+    async def poll(*unused):
+        recovery._add_runner(owner, entry, earlier, 11.0)
+        return answer(earlier, run)
+
+    earlier.calls = types.SimpleNamespace(poll=poll)
+    await sessions._poll(owner, earlier, 0.0, None)
+    return owner, run, owner.runners["r"]
+
+
+async def test_failed_poll_of_an_earlier_address_changes_nothing():
+    # Guards against a promise that is stored for a runner whose leases are
+    # extended at its new address, and against an attempt that is dropped but
+    # stays charged there, so that the room is lost.
+    owner, run, runner = await move_during_poll(
+        lambda *unused: result.Err(interfaces.OrderOutcome.LOST)
+    )
+    assert not owner.expiries.expires_at
+    assert (run in run.task.runs) == (run in runner.runs)
+
+
+async def test_answer_of_an_earlier_address_changes_nothing():
+    # Guards against an attempt that has ended but stays charged to the runner
+    # at its new address.
+    def answer(earlier, run):
+        end = model.AttemptEnd(1, run.task.name, run.attempt, "done", "")
+        return result.Ok(
+            msgspec.structs.replace(make_status(earlier), ends=(end,))
+        )
+
+    _, run, runner = await move_during_poll(answer)
+    assert (run in run.task.runs) == (run in runner.runs)
