Poll an idle runner that a start could not reach

Tasks waited while the idle runners of a domain that is cut off were tried one after the other. An idle runner is not polled, so its owner does not know that it is out of reach; a start that cannot connect takes three time-outs of 0.4 s, and after a backoff of 1 s the same runner is a candidate again, as often as the cut lasts.

One with attempts is polled anyway and keeps the backoff only, as its poll may wait 1.8 s for an end.

Test: the case of an idle runner failed before; the other guards the exception. Found by reading; the waits in a play were not measured.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -189,6 +189,8 @@
     elif outcome in (_OUTCOME.UNHEALTHY, _OUTCOME.UNREACHED):
         runner.backoff_until = now + _UNHEALTHY_BACKOFF_S
         runner.faults += 1
+        if outcome is _OUTCOME.UNREACHED and not _is_polled(runner):
+            runner.require_poll()
     elif outcome is _OUTCOME.OLD:
         # The runner knows a later attempt, which a poll will report.
         run.task.attempt += 1
@@ -206,6 +208,10 @@
         _release_run(owner, run)
 
 
+def _is_polled(runner: runners_module.Runner) -> bool:
+    return any(run.reported for run in runner.runs)
+
+
 def _release_run(owner: state_module.Owner, run: attempts.Run) -> None:
     # The runner may have a new address, and a new object, since the order.
     runner = owner.runners.get(run.runner)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -443,3 +443,22 @@
 
     _, run, runner = await move_during_poll(answer)
     assert (run in run.task.runs) == (run in runner.runs)
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_idle_runner_that_cannot_be_reached_is_polled_before_it_is_used(busy):
+    # Guards against tasks that try the idle runners of a domain that is cut off
+    # in turn, each for three time-outs, as nothing else polls an idle runner.
+    # One with attempts is polled anyway, and a poll there may wait for an end.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner()
+    run = charge_starting_run(owner, runner)
+    if busy:
+        step = decisions.make_step()
+        (other,) = decisions.place_runs(runner, owner.table, step)
+        other.reported = True
+    orders._apply_start_outcome(
+        owner, runner, run, interfaces.OrderOutcome.UNREACHED, 1.0
+    )
+    assert run not in runner.runs
+    assert runner.fenced is busy
