Ask the adviser about each runner, and not again while its answer holds

A step whose queue has an adviser may never have started although the adviser allows some runners: of more than 30 runners the 30 with the least load were asked for, those without a ticket first, and as a runner that is not allowed gets no ticket, the same 30 were asked for again. A step with more tasks than allowed runners asked without end as well, call after call, and other steps wait for these calls, as the service handles one at a time.

An answer that does not allow a runner is now kept like a ticket, for as long as tickets are valid; the runners whose answer is oldest are asked for first, and none whose answer is valid.

Test: failed before; ten calls did not find the two allowed of 70 runners. Renewals begin when a ticket has expired; before, they were asked for all the time.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -351,20 +351,39 @@
 ) -> list[runners_module.Runner]:
     """Returns the runners with a valid ticket for the step.
 
-    Asks the adviser for more tickets if there are fewer than tasks in the step.
+    Asks the adviser for more tickets if there are fewer than tasks in the step,
+    unless its last answers on all the others are valid.
     """
     name = _name_step(step)
-    advised = [
-        runner
-        for runner in candidates
-        if owner.tickets.get((name, runner.entry.id), ("", 0.0))[1] > now
-    ]
-    if len(advised) < len(step.tasks) and name not in owner.advice_in_flight:
+    advised, unknown = [], []
+    for runner in candidates:
+        ticket, until = _find_advice(owner, name, runner)
+        if until <= now:
+            if _may_ask_about(runner):
+                unknown.append(runner)
+        elif ticket:
+            advised.append(runner)
+    if (
+        len(advised) < len(step.tasks)
+        and unknown
+        and name not in owner.advice_in_flight
+    ):
         owner.advice_in_flight.add(name)
-        owner.group.start_soon(_ask_adviser, owner, step, candidates)
+        owner.group.start_soon(_ask_adviser, owner, step, unknown)
     return advised
 
 
+def _find_advice(
+    owner: state_module.Owner, name: str, runner: runners_module.Runner
+) -> tuple[str, float]:
+    """Returns the last ticket, empty without one, and until when it holds."""
+    return owner.tickets.get((name, runner.entry.id), ("", 0.0))
+
+
+def _may_ask_about(runner: runners_module.Runner) -> bool:
+    return runner.listed and runner.fenced and not runner.silent
+
+
 async def _ask_adviser(
     owner: state_module.Owner,
     step: attempts.StepState,
@@ -372,10 +391,9 @@
 ) -> None:
     name, advice = _name_step(step), step.job.queue.advice
     adviser = owner.adapters.adviser
-    known = {runner for step_name, runner in owner.tickets if step_name == name}
     wanted = sorted(
-        (r for r in candidates if r.listed and r.fenced and not r.silent),
-        key=lambda r: (r.entry.id in known, r.cpu),
+        filter(_may_ask_about, candidates),
+        key=lambda r: (_find_advice(owner, name, r)[1], r.cpu),
     )
     asked = [runner.entry.id for runner in wanted[:_MAX_ADVISED_RUNNERS]]
     started = clock.read_now()
@@ -400,7 +418,7 @@
         # Validity counts from the start of the call, as the reply took time to
         # arrive.
         until = started + advice.validity_s
-        for runner, ticket in tickets.items():
-            owner.tickets[name, runner] = (ticket, until)
+        for runner in asked:
+            owner.tickets[name, runner] = (tickets.get(runner, ""), until)
     owner.advice_in_flight.discard(name)
     owner.request_pass()
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -47,7 +47,8 @@
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
       runners_offset: Where the next read of the runners topic starts.
-      tickets: Ticket and its expiry, by name of the step and runner id.
+      tickets: Ticket and its expiry, by name of the step and runner id; an
+        empty ticket if the adviser does not allow the runner.
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
       paced_runners: Ids of the runners with serving tasks and fill tasks.
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -1,13 +1,17 @@
 """Scheduling passes: what starts where, in which order, and what moves."""
 
 import random as random_module
+import types
 
+import msgspec
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import model
+from plantainvane.jobs import orders
 from plantainvane.jobs import placement
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import state as state_module
@@ -17,6 +21,11 @@
 URGENT = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 class FakeGroup:
     """Records the calls that a task group would run in the background."""
 
@@ -491,3 +500,53 @@
     current.begin_slice(owner.runners, 1.0)
     next(work)
     assert [run.runner for run in current.placed] == ["a", "b"]
+
+
+class FakeAdviser:
+    """Gives tickets for some runners and records whom it was asked about."""
+
+    def __init__(self, allowed):
+        self.allowed, self.asked = allowed, []
+
+    async def advise(self, step, runners, timeout_s):
+        self.asked.append(runners)
+        return {r: f"ticket-{r}" for r in runners if r in self.allowed}
+
+
+async def ask_until_quiet(owner, step, limit=10):
+    """Asks for advice as passes do; returns the advised runners."""
+    runners = list(owner.runners.values())
+    for _ in range(limit):
+        owner.group.started.clear()
+        now = clock.read_now()
+        advised = orders.filter_advised(owner, step, runners, now)
+        if not owner.group.started:
+            return [runner.entry.id for runner in advised]
+        ((_, arguments),) = owner.group.started
+        await orders._ask_adviser(*arguments)
+    raise AssertionError(f"the adviser was asked {limit} times")
+
+
+@pytest.mark.anyio
+async def test_adviser_is_asked_about_each_runner_and_not_without_end():
+    # Guards against a step that never starts because the adviser is asked about
+    # the same runners again and again, which it does not allow, and against
+    # calls without end for a step that more tasks than runners are allowed for.
+    advice = model.AdviserTimings(0.01, 0.001, 60.0)
+    queue = msgspec.structs.replace(decisions.QUEUE, advice=advice)
+    runners = [decisions.make_runner(f"r-{i}") for i in range(70)]
+    owner = make_owner(*runners, queue=queue)
+    adviser = FakeAdviser({"r-66", "r-69"})
+    owner.adapters = types.SimpleNamespace(adviser=adviser)
+    state = decisions.add_job(
+        owner.table, decisions.make_step(count=5), queue=queue
+    )
+    (step,) = state.steps.values()
+    assert await ask_until_quiet(owner, step) == ["r-66", "r-69"]
+    asked = [runner for runners in adviser.asked for runner in runners]
+    assert sorted(asked) == sorted(owner.runners)
+    owner.tickets = {
+        key: (ticket, until - 60.0)
+        for key, (ticket, until) in owner.tickets.items()
+    }
+    assert await ask_until_quiet(owner, step) == ["r-66", "r-69"]
