Own the jobs under a new epoch only

A process that had stepped down, as the log was silent, and whose next claim got no answer and was not carried out, found its earlier claim as the newest and took it for the new one. It then owned the jobs under the epoch of before, so no runner rejects a start order of before that is carried out late, while the first poll drops the attempt as one that is not there.

A claim without an answer now counts as won only if the newest claim is later than the one that was known when it was made.

Test: the case of an earlier claim failed before; the other, a claim that was carried out, guards what is kept.

--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -235,6 +235,7 @@
         if entry.owner is not None or entry.draining:
             return entry.owner is not None
         ownership, settings = entry.ownership, entry.settings
+        before = ownership.epoch
         events.log_event(
             events.CLAIM_STARTED,
             reason=reason,
@@ -255,7 +256,8 @@
             await _read_claims(entry)
             newest = ownership.claim
             won = (
-                newest is not None
+                ownership.epoch > before
+                and newest is not None
                 and newest.incarnation == entry.incarnation
                 and newest.holder == settings.id
             )
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -1,11 +1,16 @@
 """Who becomes the owner, and when an owner is replaced."""
 
+import types
+
 import anyio
 import msgspec
 import pytest
+import result
 
+from plantainvane import outcomes
 from plantainvane.jobs import clock
 from plantainvane.jobs import entry as entry_module
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import ownership
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
@@ -189,6 +194,45 @@
         assert not delays and weak.owner is None
 
 
+class LossyStore:
+    """Answers reads with one claim, and no append."""
+
+    def __init__(self, offset, claim):
+        record = (offset, ownership.KEY, ownership.encode_claim(claim))
+        self.page = interfaces.Page((record,), offset + 1, offset + 1)
+
+    async def append(self, *unused, **unused_too):
+        lost = outcomes.CallError(outcomes.CallFailure.LOST, "no answer")
+        return result.Err(lost)
+
+    async def list_newest(self, *unused):
+        return result.Ok(self.page)
+
+
+@pytest.mark.parametrize(("newest", "won"), [(5, False), (9, True)])
+async def test_claim_without_an_answer_is_not_won_by_an_earlier_claim(
+    monkeypatch, newest, won
+):
+    # Guards against a process that owns the jobs again under its earlier epoch:
+    # runners do not reject orders of that epoch that are carried out late, so
+    # a task runs twice.
+    epochs = []
+
+    async def record_epoch(entry, epoch, ready):
+        epochs.append(epoch)
+        ready.set()
+
+    monkeypatch.setattr(succession, "_run_owner", record_epoch)
+    entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
+    claim = ownership.Claim(SETTINGS.id, entry.incarnation, "127.0.0.1:3")
+    entry.adapters.store = LossyStore(newest, claim)
+    entry.ownership.apply_record(5, ownership.encode_claim(claim), 10.0)
+    async with anyio.create_task_group() as group:
+        entry.group = group
+        assert await succession._claim(entry, "denied") is won
+    assert epochs == ([newest] if won else [])
+
+
 async def test_renewals_do_not_wait_for_the_loop_that_pings():
     # Guards against a live owner whose renewals are overdue, and which is
     # replaced because it is slow to answer.
