Repeat the stop of an attempt that runs on

A start without an answer is followed by a stop. If the runner restarts under its id between the two, the start that is carried out late may reach the new incarnation after the incarnation before has answered the stop. The next poll lists the attempt, but one that counts as being stopped is not stopped again, and the poll renews its lease. It is the class of fault of the silent runners: the mark that the stop is under way keeps a stop from being sent.

An attempt that a poll lists more than 1 s after its stop was answered is now stopped again.

Test: failed before; its other cases guard a stop that is still at work or has no answer.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -234,10 +234,21 @@
     if run.phase is attempts.Phase.STOPPING or run not in run.task.runs:
         return
     run.phase = attempts.Phase.STOPPING
-    run.running_since = float("inf")
     runner = owner.runners.get(run.runner)
     if runner is not None:
         runner.has_active.set()
+    _begin_stop(owner, run, reason)
+
+
+def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Stops an attempt again that runs on although a stop was answered."""
+    _begin_stop(owner, run, "runs on after a stop")
+
+
+def _begin_stop(
+    owner: state_module.Owner, run: attempts.Run, reason: str
+) -> None:
+    run.running_since = float("inf")
     events.log_event(
         events.TASK_STOPPED,
         task=run.task.name,
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -36,6 +36,9 @@
 # for _PROBATION_S, as a faulty runner fails all of its tasks.
 _PROBATION_FAULTS = 3
 _PROBATION_S = 3.0
+# A stop that was answered longer ago is repeated if the attempt still runs,
+# which changes nothing if it is still being stopped.
+_STOP_LIMIT_S = 1.0
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
@@ -443,6 +446,11 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
+        if (
+            run.phase is attempts.Phase.STOPPING
+            and sent_at - run.running_since > _STOP_LIMIT_S
+        ):
+            orders.repeat_stop(owner, run)
     if runner.foreign and not foreign:
         owner.request_pass()
     runner.foreign = frozenset(foreign)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -462,3 +462,24 @@
     )
     assert run not in runner.runs
     assert runner.fenced is busy
+
+
+@pytest.mark.parametrize(
+    ("answered_at", "repeated"), [(9.0, True), (9.9, False), (None, False)]
+)
+def test_stop_of_an_attempt_that_runs_on_is_repeated(answered_at, repeated):
+    # Guards against an attempt whose stop was answered by the incarnation
+    # before, while its start was carried out late by the present one: it counts
+    # as being stopped, is not stopped again, and each poll renews its lease.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    orders.stop_run(owner, run, "job ended")
+    if answered_at is not None:
+        run.running_since = answered_at
+    owner.group.started.clear()
+    for sent_at in (10.5, 10.6):
+        sessions._apply_reply(
+            owner, runner, make_status(runner, run), sent_at, sent_at + 0.1
+        )
+    assert len(scheduling.list_stopped(owner)) == repeated
+    assert run in runner.runs
