--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -26,6 +26,8 @@
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
+# A late process keeps a fill task slowed for this long at most.
+_MAX_POSTPONED_S = 2.0
 # Limit on the runners in one call to the adviser.
 _MAX_ADVISED_RUNNERS = 30
 _ADVICE_SLACK_S = 1.0
@@ -191,6 +193,8 @@
     elif outcome in (_OUTCOME.UNHEALTHY, _OUTCOME.UNREACHED):
         runner.backoff_until = now + _UNHEALTHY_BACKOFF_S
         runner.faults += 1
+        if outcome is _OUTCOME.UNREACHED and not _is_polled(runner):
+            runner.require_poll()
     elif outcome is _OUTCOME.OLD:
         # The runner knows a later attempt, which a poll will report.
         run.task.attempt += 1
@@ -208,6 +212,10 @@
         _release_run(owner, run)
 
 
+def _is_polled(runner: runners_module.Runner) -> bool:
+    return any(run.reported for run in runner.runs)
+
+
 def _release_run(owner: state_module.Owner, run: attempts.Run) -> None:
     # The runner may have a new address, and a new object, since the order.
     runner = owner.runners.get(run.runner)
@@ -230,10 +238,21 @@
     if run.phase is attempts.Phase.STOPPING or run not in run.task.runs:
         return
     run.phase = attempts.Phase.STOPPING
-    run.running_since = float("inf")
     runner = owner.runners.get(run.runner)
     if runner is not None:
         runner.has_active.set()
+    _begin_stop(owner, run, reason)
+
+
+def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Stops an attempt again that runs on although a stop was answered."""
+    _begin_stop(owner, run, "runs on after a stop")
+
+
+def _begin_stop(
+    owner: state_module.Owner, run: attempts.Run, reason: str
+) -> None:
+    run.running_since = float("inf")
     events.log_event(
         events.TASK_STOPPED,
         task=run.task.name,
@@ -272,20 +291,6 @@
         await anyio.sleep(_STOP_RETRY_S)
 
 
-def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Sends the stop of an attempt that runs on although it was answered."""
-    run.running_since = float("inf")
-    events.log_event(
-        events.TASK_STOPPED,
-        task=run.task.name,
-        attempt=run.attempt,
-        runner=run.runner,
-        reason="runs on after its stop",
-        epoch=owner.epoch,
-    )
-    owner.group.start_soon(_send_stop, owner, run)
-
-
 async def stop_unknown(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -308,16 +313,23 @@
 ) -> None:
     """Orders new paces for the fill tasks of a runner.
 
-    A late process orders no increases, as they can wait.
+    A late process postpones increases, but not of a task that has long been
+    slowed, as the process may stay late.
     """
     late = owner.load.is_late(now)
     for run, percent in pacing.decide_paces(
         owner.interference_model, runner, owner.settings.max_impact_s, now
     ):
-        if not (late and run.pace_confirmed and percent > run.pace_percent):
+        increases = run.pace_confirmed and percent > run.pace_percent
+        if not (late and increases) or _is_long_slowed(run, now):
             owner.group.start_soon(set_pace, owner, run, percent)
 
 
+def _is_long_slowed(run: attempts.Run, now: float) -> bool:
+    since = run.slowed_since
+    return since is not None and now - since > _MAX_POSTPONED_S
+
+
 async def set_pace(
     owner: state_module.Owner, run: attempts.Run, percent: int
 ) -> None:
@@ -329,6 +341,9 @@
         run.task.name, run.attempt, percent, owner.epoch
     )
     metrics.PACES.labels(outcome.value).inc()
+    if outcome in (_OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY):
+        # Nothing was done, so an earlier order may still be in doubt.
+        return
     run.pace_confirmed = outcome is not _OUTCOME.LOST
     if outcome is _OUTCOME.DONE:
         runner.change_pace(run, percent)
@@ -352,20 +367,39 @@
 ) -> list[runners_module.Runner]:
     """Returns the runners with a valid ticket for the step.
 
-    Asks the adviser for more tickets if there are fewer than tasks in the step.
+    Asks the adviser for more tickets if there are fewer than tasks in the step,
+    unless its last answers on all the others are valid.
     """
     name = _name_step(step)
-    advised = [
-        runner
-        for runner in candidates
-        if owner.tickets.get((name, runner.entry.id), ("", 0.0))[1] > now
-    ]
-    if len(advised) < len(step.tasks) and name not in owner.advice_in_flight:
+    advised, unknown = [], []
+    for runner in candidates:
+        ticket, until = _find_advice(owner, name, runner)
+        if until <= now:
+            if _may_ask_about(runner):
+                unknown.append(runner)
+        elif ticket:
+            advised.append(runner)
+    if (
+        len(advised) < len(step.tasks)
+        and unknown
+        and name not in owner.advice_in_flight
+    ):
         owner.advice_in_flight.add(name)
-        owner.group.start_soon(_ask_adviser, owner, step, candidates)
+        owner.group.start_soon(_ask_adviser, owner, step, unknown)
     return advised
 
 
+def _find_advice(
+    owner: state_module.Owner, name: str, runner: runners_module.Runner
+) -> tuple[str, float]:
+    """Returns the last ticket, empty without one, and until when it holds."""
+    return owner.tickets.get((name, runner.entry.id), ("", 0.0))
+
+
+def _may_ask_about(runner: runners_module.Runner) -> bool:
+    return runner.listed and runner.fenced and not runner.silent
+
+
 async def _ask_adviser(
     owner: state_module.Owner,
     step: attempts.StepState,
@@ -373,10 +407,9 @@
 ) -> None:
     name, advice = _name_step(step), step.job.queue.advice
     adviser = owner.adapters.adviser
-    known = {runner for step_name, runner in owner.tickets if step_name == name}
     wanted = sorted(
-        (r for r in candidates if r.listed and r.fenced and not r.silent),
-        key=lambda r: (r.entry.id in known, r.cpu),
+        filter(_may_ask_about, candidates),
+        key=lambda r: (_find_advice(owner, name, r)[1], r.cpu),
     )
     asked = [runner.entry.id for runner in wanted[:_MAX_ADVISED_RUNNERS]]
     started = clock.read_now()
@@ -401,7 +434,7 @@
         # Validity counts from the start of the call, as the reply took time to
         # arrive.
         until = started + advice.validity_s
-        for runner, ticket in tickets.items():
-            owner.tickets[name, runner] = (ticket, until)
+        for runner in asked:
+            owner.tickets[name, runner] = (tickets.get(runner, ""), until)
     owner.advice_in_flight.discard(name)
     owner.request_pass()
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -27,6 +27,9 @@
 # Listed runners are often silent for less than this, and withdrawing a promised
 # expiry takes an append to the log.
 _PROMISE_DELAY_S = 1.0
+# Longest poll while the withdrawal of a promised expiry is being stored: a poll
+# that was sent before extends no lease.
+_PROMISED_WAIT_S = 0.3
 # An unlisted runner without attempts is removed after this time.
 _REMOVE_AFTER_S = 8.0
 # A runner with this many more failures than successes gets one task at a time
@@ -142,6 +145,8 @@
         or now - runner.renewed_at > settings.lease_s / 2
     ):
         return 0.0
+    if runner.expiry_promised:
+        return _PROMISED_WAIT_S
     if not (serving and runner.fill_cpu):
         return min(settings.poll_wait_s, settings.lease_s / 3)
     if any(run.over_target_since is not None for run in serving):
@@ -167,6 +172,9 @@
     now = clock.read_now()
     limit_s = wait_s + owner.settings.call_timeout_s
     owner.load.record_delay(now - sent_at - limit_s, now)
+    if owner.runners.get(runner.entry.id, runner) is not runner:
+        # Its attempts are charged to the object with the new address.
+        return None
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if reply.err_value is interfaces.OrderOutcome.FENCED:
@@ -180,7 +188,10 @@
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
         runner.renewed_at = sent_at
-    return _apply_reply(owner, runner, reply.ok_value, sent_at, now) or pending
+    found = _apply_reply(owner, runner, reply.ok_value, sent_at, now)
+    # The later of two batches is stored later, and the runner lists the ends
+    # that came meanwhile again.
+    return pending or found
 
 
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
@@ -441,7 +452,7 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
-        if _outlives_stop(run, now):
+        if _outlives_stop(run, sent_at):
             orders.repeat_stop(owner, run)
     if runner.foreign and not foreign:
         owner.request_pass()
@@ -465,15 +476,15 @@
     return run.ordered_at == 0 and not runner.fenced
 
 
-def _outlives_stop(run: attempts.Run, now: float) -> bool:
-    """Returns whether an attempt runs on although its stop was answered.
+def _outlives_stop(run: attempts.Run, sent_at: float) -> bool:
+    """Returns whether an attempt ran after its stop, when a poll was sent.
 
     An earlier incarnation may have answered, and the present one have carried
     out a start order late.
     """
     return (
         run.phase is attempts.Phase.STOPPING
-        and now - run.running_since > _STOP_REPEAT_S
+        and sent_at - run.running_since > _STOP_REPEAT_S
     )
 
 
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -237,6 +237,48 @@
     assert len(sent) == ordered
 
 
+@pytest.mark.parametrize(("slowed_s", "ordered"), [(0.5, 0), (3.0, 1)])
+def test_an_owner_that_stays_late_still_speeds_up_slowed_fills(
+    monkeypatch, slowed_s, ordered
+):
+    # Guards against fill tasks that stay halted for as long as their owner is
+    # short of processor time, which may be as long as it is the owner.
+    owner, sent = make_owner(), []
+    owner.interference_model = None
+    owner.group = types.SimpleNamespace(start_soon=lambda *call: sent.append(1))
+    runner = make_paced_runner(owner)
+    fill = next(r for r in runner.runs if r.task.step.definition.fills)
+    fill.pace_percent, fill.slowed_since = 0, 10.0 - slowed_s
+    owner.load.record_delay(0.5, 9.9)
+    monkeypatch.setattr(
+        orders.pacing, "decide_paces", lambda *unused: [(fill, 40)]
+    )
+    orders.pace_fills(owner, runner, 10.0)
+    assert len(sent) == ordered
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [interfaces.OrderOutcome.UNREACHED, interfaces.OrderOutcome.UNHEALTHY],
+)
+async def test_a_pace_stays_in_doubt_after_an_order_that_did_nothing(outcome):
+    # Guards against a fill task that stays halted for ever, by an order of an
+    # earlier owner or one without an answer, while it counts as running at full
+    # speed.
+    owner = make_owner()
+    runner = make_paced_runner(owner)
+    owner.runners["r"] = runner
+    fill = next(r for r in runner.runs if r.task.step.definition.fills)
+    fill.pace_confirmed = False
+
+    async def answer(*unused):
+        return outcome
+
+    runner.calls = types.SimpleNamespace(pace=answer)
+    await orders.set_pace(owner, fill, 100)
+    assert not fill.pace_confirmed
+
+
 def make_running(owner, runner_id="r", **fields):
     """Returns a runner and an attempt there whose start was answered."""
     runner = decisions.make_runner(runner_id, **fields)
@@ -356,3 +398,88 @@
     )
     assert run.task.name in owner.table.ready
     assert not owner.runners["r"].runs
+
+
+async def move_during_poll(answer):
+    """Polls a runner that is listed at a new address meanwhile.
+
+    Returns the owner, the attempt there and the runner at its new address.
+    """
+    owner = scheduling.make_owner()
+    owner.adapters = types.SimpleNamespace(connect_runner=lambda *unused: None)
+    earlier, run = make_running(owner, clock_ms=1000, lease_until_ms=1000)
+    entry = msgspec.structs.replace(
+        earlier.entry, address="127.0.0.1:10", born_ms=2
+    )
+
+    async def poll(*unused):
+        recovery._add_runner(owner, entry, earlier, 11.0)
+        return answer(earlier, run)
+
+    earlier.calls = types.SimpleNamespace(poll=poll)
+    await sessions._poll(owner, earlier, 0.0, None)
+    return owner, run, owner.runners["r"]
+
+
+async def test_failed_poll_of_an_earlier_address_changes_nothing():
+    # Guards against a promise that is stored for a runner whose leases are
+    # extended at its new address, and against an attempt that is dropped but
+    # stays charged there, so that the room is lost.
+    owner, run, runner = await move_during_poll(
+        lambda *unused: result.Err(interfaces.OrderOutcome.LOST)
+    )
+    assert not owner.expiries.expires_at
+    assert (run in run.task.runs) == (run in runner.runs)
+
+
+async def test_answer_of_an_earlier_address_changes_nothing():
+    # Guards against an attempt that has ended but stays charged to the runner
+    # at its new address.
+    def answer(earlier, run):
+        end = model.AttemptEnd(1, run.task.name, run.attempt, "done", "")
+        return result.Ok(
+            msgspec.structs.replace(make_status(earlier), ends=(end,))
+        )
+
+    _, run, runner = await move_during_poll(answer)
+    assert (run in run.task.runs) == (run in runner.runs)
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_idle_runner_that_cannot_be_reached_is_polled_before_it_is_used(busy):
+    # Guards against tasks that try the idle runners of a domain that is cut off
+    # in turn, each for three time-outs, as nothing else polls an idle runner.
+    # One with attempts is polled anyway, and a poll there may wait for an end.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner()
+    run = charge_starting_run(owner, runner)
+    if busy:
+        step = decisions.make_step()
+        (other,) = decisions.place_runs(runner, owner.table, step)
+        other.reported = True
+    orders._apply_start_outcome(
+        owner, runner, run, interfaces.OrderOutcome.UNREACHED, 1.0
+    )
+    assert run not in runner.runs
+    assert runner.fenced is busy
+
+
+@pytest.mark.parametrize(
+    ("answered_at", "repeated"), [(9.0, True), (9.9, False), (None, False)]
+)
+def test_stop_of_an_attempt_that_runs_on_is_repeated(answered_at, repeated):
+    # Guards against an attempt whose stop was answered by the incarnation
+    # before, while its start was carried out late by the present one: it counts
+    # as being stopped, is not stopped again, and each poll renews its lease.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    orders.stop_run(owner, run, "job ended")
+    if answered_at is not None:
+        run.running_since = answered_at
+    owner.group.started.clear()
+    for sent_at in (10.5, 10.6):
+        sessions._apply_reply(
+            owner, runner, make_status(runner, run), sent_at, sent_at + 0.1
+        )
+    assert len(scheduling.list_stopped(owner)) == repeated
+    assert run in runner.runs
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import sessions
+from plantainvane.jobs import state
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -262,6 +263,48 @@
         )
 
 
+async def test_leases_are_renewed_soon_after_a_silent_runner_answers(
+    monkeypatch,
+):
+    # Guards against tasks that lapse on a runner that answers again: its leases
+    # are not extended before the withdrawal of their promised expiry is stored,
+    # and the next poll waited for an end meanwhile.
+    monkeypatch.setattr(sessions, "_PROMISE_DELAY_S", 0.1)
+    async with platform_system.run_system(
+        entries=1, runners=0, lease_s=8.0, max_lease_s=9.0
+    ) as system:
+        await platform_system.add_runner(system, "i-0", max_hold_ms=9000)
+        owner = await start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        known, runner = owner.owner.runners["i-0"], system.runners["i-0"]
+        await wait_until(lambda: known.renewed_at > 0)
+        runner.silent = True
+        await wait_until(lambda: known.expiry_promised, limit_s=8.0)
+        system.store.append_delay_s = 0.05
+        runner.silent = False
+        await wait_until(
+            lambda: runner.lease_until_ms - runner.read_clock() > 6000,
+            limit_s=1.5,
+        )
+        assert len(system.list_starts()) == 1
+
+
+async def test_ends_are_acknowledged_while_the_log_is_slow():
+    # Guards against ends that are never acknowledged while an append takes
+    # longer than the pause between polls: each poll lists them again, and each
+    # time the wait for their storage began anew.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = (await start_job(system, count=1, run_ms=1500)).owner
+        system.store.append_delay_s = 0.56
+        runner = owner.runners["i-0"]
+        with anyio.fail_after(5.0):
+            while not runner.last_stored_end:
+                # Other records keep the log busy.
+                owner.journal.add([(state.LEARNED_KEY, b"[]")])
+                await anyio.sleep(0.02)
+
+
 async def test_runner_that_restarts_while_it_is_silent_is_used_again():
     # Guards against the same for a runner that crashed: its new entry drops
     # the attempts before it has answered a poll.
@@ -270,6 +313,8 @@
             system, count=1, run_ms=60_000, LongRunning=True
         )
         known, runner = owner.owner.runners["i-0"], system.runners["i-0"]
+        # An attempt that no poll has listed is kept until its lease expires.
+        await wait_until(lambda: all(run.reported for run in known.runs))
         runner.silent = True
         await wait_until(lambda: known.silent)
         runner.restart()
