--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -49,6 +49,14 @@
         or None.
       slowed_since: Since when it has been paced to half its speed or less, or
         None.
+      sent_at: When its start was last sent to the runner; 0 if it has not been
+        sent by this owner.
+      start_answered: The runner has confirmed the start.
+      survived: Its runner was up some time after the start.
+      born_ms: Incarnation of the runner that was ordered to start it.
+      place: Machine of the runner, or its address.
+      ordered_ms: When its start was ordered, Unix milliseconds.
+      crash: Crash of the runner that is blamed on it, until it is counted.
     """
 
     task: "Task"
@@ -65,6 +73,13 @@
     pace_confirmed: bool = True
     over_target_since: float | None = None
     slowed_since: float | None = None
+    sent_at: float = 0.0
+    start_answered: bool = False
+    survived: bool = False
+    born_ms: int = 0
+    place: str = ""
+    ordered_ms: int = 0
+    crash: model.Crash | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -86,6 +101,7 @@
       ready_since: When the task last became ready to start.
       avoided_runners: Ids of runners on which an attempt failed or made no
         progress.
+      crashes: Crashes of runners that may be its fault.
     """
 
     job: "JobState"
@@ -100,6 +116,7 @@
     retry_at: float = 0.0
     ready_since: float = 0.0
     avoided_runners: tuple[str, ...] = ()
+    crashes: tuple[model.Crash, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- /dev/null
+++ b/plantainvane/jobs/crashes.py
@@ -0,0 +1,409 @@
+"""Decides which task crashed a runner, and when to give such a task up.
+
+A crash of a runner is blamed on the attempts that had been started there
+shortly before. They are suspects; the others are bystanders. The next attempt
+of a suspect is a trial, which starts apart from other attempts, so that a
+second crash separates the suspects. A task that survives a trial is not a
+suspect any more.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+
+from plantainvane import events
+from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
+from plantainvane.jobs import metrics
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
+
+# An attempt that was started this long before its runner was last known to be
+# up is a bystander.
+SUSPECT_WINDOW_S = 1.0
+# A suspect waits this long for a runner where it can start apart from others; a
+# long-running one is to run again within 3 s.
+TRIAL_WAIT_S = 4.0
+LONG_RUNNING_TRIAL_WAIT_S = 2.0
+# A runner that is kept for a trial is kept for this long after the last attempt
+# there has run for long enough.
+_KEEP_MARGIN_S = 0.5
+# Share of the candidates on which a trial may be under way.
+MAX_TRIALS_SHARE = 0.25
+# A runner is back some seconds after a crash. An attempt that an earlier owner
+# started longer than this before the next life of its runner is a bystander.
+_INHERITED_WINDOW_MS = 10_000
+# Runners that went down within this time of each other may have a common cause,
+# and do so if this many others went down.
+_COMMON_CAUSE_S = 0.3
+_COMMON_CAUSE_RUNNERS = 2
+# Crashes under a task after which it is given up: with one in which it was the
+# only suspect, and on at least two machines; the first number applies to a
+# long-running task. The last applies in any case.
+_LONG_RUNNING_LIMIT = 3
+_LIMIT = 2
+_MAX_CRASHES = 4
+
+
+def is_waiting_for_trial(task: attempts.Task, now: float) -> bool:
+    """Tells whether a task starts only where nothing else has just started.
+
+    The members of a gang start together, so they are not separated.
+    """
+    step = task.step.definition
+    if not task.crashes or step.gang:
+        return False
+    wait_s = LONG_RUNNING_TRIAL_WAIT_S if step.long_running else TRIAL_WAIT_S
+    return now - task.ready_since < wait_s
+
+
+def allows_trial(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> bool:
+    """Tells whether a suspect would be the only one on a runner.
+
+    A machine that crashed under the task would prove less than another one.
+    """
+    return not is_crash_site(task, runner) and all(
+        run.phase is not attempts.Phase.STARTING
+        and now - max(run.ordered_at, run.sent_at) >= SUSPECT_WINDOW_S
+        for run in runner.runs
+    )
+
+
+def is_kept_for_other(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> bool:
+    """Tells whether a runner is kept free for the trial of another task."""
+    return runner.trial_until > now and runner.kept_for != task.name
+
+
+def is_kept(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> bool:
+    """Tells whether a runner is kept free for the trial of a task."""
+    return runner.trial_until > now and runner.kept_for == task.name
+
+
+def keep_runner(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> None:
+    """Keeps other tasks away until the last one has run for long enough."""
+    runner.trial_until = now + SUSPECT_WINDOW_S + _KEEP_MARGIN_S
+    runner.kept_for = task.name
+
+
+def begin_trial(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> None:
+    """Keeps other tasks away while a suspect starts.
+
+    A suspect that has waited for too long starts as any other task, or many of
+    them would keep all runners closed.
+    """
+    if is_waiting_for_trial(task, now):
+        runner.trial_until, runner.kept_for = now + SUSPECT_WINDOW_S, ""
+
+
+def extend_trial(runner: runners_module.Runner, run: attempts.Run) -> None:
+    """Lets a trial begin when its start is sent, after it has been stored."""
+    begin_trial(runner, run.task, run.sent_at)
+
+
+def is_crash_site(task: attempts.Task, runner: runners_module.Runner) -> bool:
+    """Tells whether the machine of a runner has crashed under the task."""
+    place = find_place(runner.entry)
+    return any(crash.place == place for crash in task.crashes)
+
+
+def find_place(entry: model.RunnerEntry) -> str:
+    """Returns what successive lives of a machine have in common."""
+    return entry.machine or entry.address
+
+
+def _is_suspect(
+    run: attempts.Run, runner_up_at: float, until_ms: int | None
+) -> bool:
+    """Tells whether an attempt may have crashed its runner.
+
+    Args:
+      run: The attempt.
+      runner_up_at: When its runner was last known to be up.
+      until_ms: Unix milliseconds by which the runner had crashed. It is used
+        for an attempt that an earlier owner ordered.
+    """
+    if run.survived:
+        return False
+    if run.sent_at:
+        return (
+            not run.start_answered
+            or run.sent_at > runner_up_at - SUSPECT_WINDOW_S
+        )
+    if run.ordered_at or not run.ordered_ms or until_ms is None:
+        return False
+    return until_ms - run.ordered_ms < _INHERITED_WINDOW_MS
+
+
+def _list_suspects(
+    runner: runners_module.Runner, until_ms: int | None = None
+) -> list[attempts.Run]:
+    if runner.entry.draining:
+        # It was about to leave.
+        return []
+    return [r for r in runner.runs if _is_suspect(r, runner.up_at, until_ms)]
+
+
+def _name_unit(run: attempts.Run) -> str:
+    """Returns the name of what starts as a whole: a task, or a gang."""
+    step = run.task.step
+    if step.definition.gang:
+        return f"{step.job.job.id}.{step.occurrence}.{step.number}"
+    return run.task.name
+
+
+def mark_down(runner: runners_module.Runner, now: float) -> None:
+    """Records that a runner stopped answering, for `has_common_cause`."""
+    runner.down_from, runner.down_at = min(runner.up_at, now), now
+    runner.suspected = frozenset(map(_name_unit, _list_suspects(runner)))
+
+
+def _has_common_cause(
+    runner: runners_module.Runner,
+    unit: str,
+    runners: Iterable[runners_module.Runner],
+) -> bool:
+    """Tells whether other runners went down at the same time without `unit`."""
+    others = [
+        other
+        for other in runners
+        if other is not runner
+        and other.down_at > 0
+        and not other.entry.draining
+        and unit not in other.suspected
+        and other.down_from <= runner.down_at + _COMMON_CAUSE_S
+        and other.down_at >= runner.down_from - _COMMON_CAUSE_S
+    ]
+    return len(others) >= _COMMON_CAUSE_RUNNERS or any(
+        not other.suspected for other in others
+    )
+
+
+def blame_crash(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    evidence: str,
+    until_ms: int,
+    spared: Collection[attempts.Run] = (),
+) -> None:
+    """Marks the suspects among the attempts on a runner that has crashed.
+
+    The crash counts once the attempt is known to have ended.
+
+    Args:
+      owner: The owner.
+      runner: The runner.
+      evidence: What shows the crash; empty if only its leases have expired.
+      until_ms: Unix milliseconds by which it had crashed.
+      spared: Attempts that the next incarnation runs.
+    """
+    suspects = [
+        run for run in _list_suspects(runner, until_ms) if run not in spared
+    ]
+    units = set(map(_name_unit, suspects))
+    for run in suspects:
+        if run.crash is not None and (run.crash.confirmed or not evidence):
+            continue
+        # The time of a crash that an earlier owner saw is not known.
+        shared = run.sent_at > 0 and _has_common_cause(
+            runner, _name_unit(run), owner.runners.values()
+        )
+        run.crash = model.Crash(
+            run.runner,
+            run.born_ms,
+            run.place,
+            alone=len(units) == 1 and run.sent_at > 0 and not shared,
+            shared=shared,
+            confirmed=bool(evidence),
+        )
+    if evidence and not runner.entry.draining:
+        _report_crash(owner, runner, evidence, suspects)
+
+
+def _report_crash(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    evidence: str,
+    suspects: list[attempts.Run],
+) -> None:
+    metrics.RUNNER_CRASHES.inc()
+    events.log_event(
+        events.RUNNER_CRASHED,
+        runner=runner.entry.id,
+        evidence=evidence,
+        runs=len(runner.runs),
+        suspects=[run.task.name for run in suspects],
+        ages_ms=[
+            int((runner.up_at - run.sent_at) * 1000) if run.sent_at else None
+            for run in suspects
+        ],
+        shared=sum(r.crash is not None and r.crash.shared for r in suspects),
+        epoch=owner.epoch,
+    )
+
+
+def blame_earlier_life(runner: runners_module.Runner) -> None:
+    """Marks attempts of earlier owners that an earlier life had started."""
+    for run in runner.runs:
+        if run.born_ms and run.born_ms != runner.entry.born_ms:
+            blame_inherited(run, runner.entry.born_ms, True)
+
+
+def blame_inherited(run: attempts.Run, until_ms: int, confirmed: bool) -> None:
+    """Marks an attempt of an earlier owner if it may have crashed its runner.
+
+    Args:
+      run: The attempt.
+      until_ms: Unix milliseconds by which the runner had crashed.
+      confirmed: A later life of the runner is known.
+    """
+    if run.ordered_at or run.crash is not None:
+        return
+    if _is_suspect(run, 0.0, until_ms):
+        run.crash = model.Crash(
+            run.runner, run.born_ms, run.place, confirmed=confirmed
+        )
+
+
+def blame_unanswered(runner: runners_module.Runner, run: attempts.Run) -> None:
+    """Marks an attempt whose unanswered start may have crashed its runner.
+
+    A later try has reached another life at the address of the runner.
+    """
+    if not runner.entry.draining:
+        run.crash = model.Crash(
+            run.runner, run.born_ms, run.place, confirmed=True
+        )
+
+
+def count_crash(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Counts the crash that is blamed on an attempt which has ended."""
+    crash, run.crash = run.crash, None
+    if crash is None:
+        return
+    owner.table.record_crash(run.task, crash)
+    _give_up_if_due(owner, run.task)
+
+
+def settle_doubts(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
+    """Decides unconfirmed crashes, as the runner has answered a poll.
+
+    A crash is confirmed by another life of its machine, and is withdrawn if the
+    same life answers, which had only been out of reach.
+    """
+    for task in list(owner.table.suspects.values()):
+        for crash in task.crashes:
+            if crash.confirmed:
+                continue
+            if is_same_life(crash.runner, crash.born_ms, runner.entry):
+                owner.table.withdraw_crash(task, crash)
+            elif is_later_life(
+                crash.runner, crash.born_ms, crash.place, runner.entry
+            ):
+                owner.table.confirm_crash(task, crash)
+                _give_up_if_due(owner, task)
+
+
+def is_same_life(runner: str, born_ms: int, entry: model.RunnerEntry) -> bool:
+    """Tells whether an entry is that of a given life."""
+    return runner == entry.id and born_ms == entry.born_ms
+
+
+def is_later_life(
+    runner: str, born_ms: int, place: str, entry: model.RunnerEntry
+) -> bool:
+    """Tells whether an entry is that of a later life of the same machine."""
+    if runner == entry.id:
+        return born_ms != entry.born_ms
+    return place == find_place(entry) and born_ms <= entry.born_ms
+
+
+def find_later_life(
+    runner: runners_module.Runner, runners: Iterable[runners_module.Runner]
+) -> runners_module.Runner | None:
+    """Finds the runner that answers at the address of a silent runner.
+
+    Its answers, later than those of the silent runner, show that no process of
+    the earlier life has the address.
+    """
+    entry = runner.entry
+    for other in runners:
+        if (
+            other.entry.address == entry.address
+            and other is not runner
+            and other.entry.id != entry.id
+            and other.fenced
+            and not other.silent
+            and other.answered_at > runner.up_at
+            and is_later_life(
+                entry.id, entry.born_ms, find_place(entry), other.entry
+            )
+        ):
+            return other
+    return None
+
+
+def is_to_be_given_up(task: attempts.Task) -> bool:
+    """Tells whether a task has crashed as many runners as it may."""
+    counted = [c for c in task.crashes if c.confirmed and not c.shared]
+    long_running = task.step.definition.long_running
+    machines = len({crash.place for crash in counted})
+    if machines < 2 and (long_running or len(counted) < _MAX_CRASHES):
+        return False
+    if len(counted) >= _MAX_CRASHES:
+        return True
+    limit = _LONG_RUNNING_LIMIT if long_running else _LIMIT
+    return len(counted) >= limit and any(crash.alone for crash in counted)
+
+
+def _give_up_if_due(owner: state_module.Owner, task: attempts.Task) -> None:
+    if task.job.ended or not is_to_be_given_up(task):
+        return
+    metrics.TASKS_GIVEN_UP.inc()
+    events.log_event(
+        events.TASK_GIVEN_UP,
+        task=task.name,
+        attempt=task.attempt,
+        crashes=[
+            {
+                "runner": crash.runner,
+                "place": crash.place,
+                "alone": crash.alone,
+                "shared": crash.shared,
+                "confirmed": crash.confirmed,
+            }
+            for crash in task.crashes
+        ],
+        long_running=task.step.definition.long_running,
+        epoch=owner.epoch,
+    )
+    owner.table.give_up(task, clock.read_wall_ms())
+    owner.request_pass()
+
+
+def record_survival(
+    owner: state_module.Owner, run: attempts.Run, seen_at: float
+) -> None:
+    """Clears a task whose attempt is listed some time after its start.
+
+    Args:
+      owner: The owner.
+      run: An attempt that a poll has listed.
+      seen_at: When the poll was sent.
+    """
+    if run.survived:
+        return
+    if seen_at - (run.sent_at or run.running_since) >= SUSPECT_WINDOW_S:
+        run.survived = True
+        owner.table.clear_crashes(run.task)
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -29,6 +29,13 @@
     "Ends of attempts, by how they ended.",
     ["how"],
 )
+RUNNER_CRASHES = prometheus_client.Counter(
+    "plantainvane_runner_crashes_total", "Runners known to have crashed."
+)
+TASKS_GIVEN_UP = prometheus_client.Counter(
+    "plantainvane_tasks_given_up_total",
+    "Tasks that were given up because they crash the runners that start them.",
+)
 PACES = prometheus_client.Counter(
     "plantainvane_job_paces_total",
     "Orders that pace a filling task, by the runner's answer.",
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -177,6 +177,7 @@
       labels: Kind and rack.
       clock_ms: Reading of its monotonic clock when it wrote the entry, in
         milliseconds.
+      machine: Machine of which the runner is one life, or empty.
     """
 
     id: str
@@ -188,6 +189,7 @@
     capacity: Amounts
     labels: tuple[str, ...]
     clock_ms: int
+    machine: str = ""
 
 
 class RunningAttempt(msgspec.Struct, frozen=True):
@@ -268,10 +270,43 @@
 
 
 class RunProgress(msgspec.Struct, array_like=True):
-    """Stored form of an attempt that may be running: its number and runner."""
+    """Stored form of an attempt that may be running.
+
+    The fields from `born_ms` on are missing in records of earlier versions.
+
+    Attributes:
+      attempt: Its number.
+      runner: Id of its runner.
+      born_ms: Start of the incarnation of the runner, Unix milliseconds.
+      place: Machine or address of the runner.
+      ordered_ms: When its start was ordered, Unix milliseconds.
+    """
 
     attempt: int
     runner: str
+    born_ms: int = 0
+    place: str = ""
+    ordered_ms: int = 0
+
+
+class Crash(msgspec.Struct, array_like=True, frozen=True):
+    """A crash of a runner that is blamed on a task; also its stored form.
+
+    Attributes:
+      runner: Id of the runner.
+      born_ms: Start of the incarnation that crashed, Unix milliseconds.
+      place: Machine of the runner, or its address if that is not known.
+      alone: The task was the only suspect.
+      shared: Other runners went down at the same time for another reason.
+      confirmed: A later life of the runner has shown that it crashed.
+    """
+
+    runner: str
+    born_ms: int
+    place: str
+    alone: bool = False
+    shared: bool = False
+    confirmed: bool = False
 
 
 class TaskProgress(msgspec.Struct, array_like=True):
@@ -285,6 +320,7 @@
     failures: int
     checkpoint: str = ""
     runs: list[RunProgress] = []
+    crashes: list[Crash] = []
 
 
 class JobProgress(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -11,6 +11,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
@@ -32,6 +33,7 @@
 _ADVICE_RETRY_S = 0.3
 
 _OUTCOME = interfaces.OrderOutcome
+_NOT_HEARD = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.OTHER_INCARNATION)
 _RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
 
 
@@ -59,6 +61,8 @@
             _withhold_start(owner, runner, run, reason, lost)
             return
         order = _make_order(owner, runner, run)
+        run.sent_at = clock.read_now()
+        crashes.extend_trial(runner, run)
         outcome = await runner.calls.start(order)
         lost = lost or outcome is _OUTCOME.LOST
         if outcome not in (_OUTCOME.LOST, _OUTCOME.UNREACHED):
@@ -161,9 +165,12 @@
     lost: bool = False,
 ) -> None:
     """Applies the outcome of the last try; `lost` tells that one was lost."""
+    if outcome not in _NOT_HEARD:
+        runner.up_at = max(runner.up_at, now)
     if run not in run.task.runs:
         return
     if outcome is _OUTCOME.DONE:
+        run.start_answered = True
         if run.phase is attempts.Phase.STARTING:
             run.phase = attempts.Phase.RUNNING
             run.running_since = run.progress_changed_at = now
@@ -201,6 +208,8 @@
         # The rejection of a retry does not settle the earlier try.
         stop_run(owner, run, "start not answered")
     else:
+        if lost:
+            crashes.blame_unanswered(runner, run)
         _release_run(owner, run)
 
 
@@ -210,6 +219,7 @@
     if runner is not None:
         runner.charge(run, -1)
     owner.table.drop_run(run, clock.read_now())
+    crashes.count_crash(owner, run)
     if run.task.step.definition.gang:
         _stop_gang(owner, run)
     owner.request_pass()
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -14,6 +14,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import clock
+from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import load as load_module
@@ -177,14 +178,17 @@
 
 def _expire_orphans(owner: state_module.Owner, now: float) -> None:
     """Drops attempts on unlisted runners once their leases have expired."""
+    started_ms = clock.read_wall_ms() - int((now - owner.started_at) * 1000)
     for runner in list(owner.orphans):
         expiry = owner.find_expiry(runner)
         if now <= expiry:
             owner.expiries.promise(runner, expiry)
             continue
         for run in owner.orphans.pop(runner):
+            crashes.blame_inherited(run, started_ms, False)
             owner.table.drop_run(run, now)
             sessions.report_lost_run(owner, run, "lease expired")
+            crashes.count_crash(owner, run)
     unused = [
         runner
         for runner in owner.expiries.expires_at
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import crashes
 from plantainvane.jobs import interference
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
@@ -44,6 +45,10 @@
 FAULT_WEIGHT = 0.5
 DATA_RACK_WEIGHT = 2.0
 SAME_RACK_WEIGHT = 0.5
+# Score penalties of a task that may crash its runner: the share of the
+# processors that belongs to long-running tasks, and each attempt there.
+SUSPECT_SERVING_WEIGHT = 3.0
+SUSPECT_COMPANY_WEIGHT = 0.2
 # For long-running tasks: weight of the share of a runner's processors that is
 # charged, relative to its image similarity, and the similarity of an empty
 # runner, which is preferred to one with mixed images.
@@ -137,6 +142,7 @@
         not runner.foreign,
         runner.backoff_until > now,
         runner.probation_until > now,
+        (runner.trial_until > now, runner.kept_for),
         runner.faults,
         runner.speed,
         runner.fill_cpu,
@@ -222,6 +228,8 @@
     best, best_score = None, float("-inf")
     counts = _count_runs_by_runner(task) if step.max_per_runner else {}
     racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
+    if crashes.is_waiting_for_trial(task, now):
+        candidates = _list_trial_runners(task, candidates, now)
     for runner in candidates:
         if step.max_per_runner and (
             counts.get(runner.entry.id, 0) >= step.max_per_runner
@@ -235,6 +243,53 @@
     return best
 
 
+def _list_trial_runners(
+    task: attempts.Task,
+    candidates: list[runners_module.Runner],
+    now: float,
+) -> list[runners_module.Runner]:
+    """Returns the runners on which a suspect may start now."""
+    kept = [r for r in candidates if crashes.is_kept(r, task, now)]
+    if not kept and not _has_trial_left(candidates, now):
+        return []
+    return [
+        runner
+        for runner in kept or candidates
+        if crashes.allows_trial(runner, task, now)
+    ]
+
+
+def _has_trial_left(
+    candidates: list[runners_module.Runner], now: float
+) -> bool:
+    """Tells whether one more runner may be kept for a trial."""
+    trials = sum(runner.trial_until > now for runner in candidates)
+    return trials < max(1, crashes.MAX_TRIALS_SHARE * len(candidates))
+
+
+def choose_kept_runner(
+    task: attempts.Task,
+    candidates: list[runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+) -> runners_module.Runner | None:
+    """Returns the runner to keep free for a suspect that found none."""
+    if any(crashes.is_kept(r, task, now) for r in candidates) or (
+        not _has_trial_left(candidates, now)
+    ):
+        return None
+    best, best_score = None, float("-inf")
+    for runner in candidates:
+        if crashes.is_crash_site(task, runner):
+            continue
+        score = _evaluate_runner(
+            task, runner, {}, interference_model, Estimates(), now
+        )
+        if score is not None and score > best_score:
+            best, best_score = runner, score
+    return best
+
+
 def can_start(
     task: attempts.Task,
     candidates: Iterable[runners_module.Runner],
@@ -268,7 +323,12 @@
     The scores are kept for further tasks with the same requirements.
     """
     step = task.step.definition
-    if task.avoided_runners or step.same_rack or step.max_per_runner:
+    if (
+        task.avoided_runners
+        or task.crashes
+        or step.same_rack
+        or step.max_per_runner
+    ):
         candidates = [r for r in runners.values() if r.entry.service == service]
         return choose_runner(
             task, candidates, interference_model, now, estimates
@@ -339,7 +399,9 @@
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not has_capacity(runner, step, reserve):
         return None
-    if not accepts_step(runner, step, now):
+    if not accepts_step(runner, step, now) or (
+        crashes.is_kept_for_other(runner, task, now)
+    ):
         return None
     score = _score_runner(
         task, step, runner, racks, interference_model, estimates, now
@@ -380,6 +442,11 @@
         score = (unused - runner.fill_cpu - step.amounts.cpu) / capacity_cpu
     if runner.entry.id in task.avoided_runners:
         score -= AVOIDED_RUNNER_WEIGHT
+    if task.crashes:
+        if crashes.is_crash_site(task, runner):
+            score -= AVOIDED_RUNNER_WEIGHT
+        score -= SUSPECT_SERVING_WEIGHT * runner.serving_cpu / capacity_cpu
+        score -= SUSPECT_COMPANY_WEIGHT * len(runner.runs)
     if runner.runs and runner.faults:
         score -= FAULT_WEIGHT * runner.faults
     if step.preferred_rack and step.preferred_rack in runner.entry.labels:
@@ -598,7 +665,9 @@
     best: list[attempts.Run] = []
     best_cost = float("inf")
     for runner in candidates:
-        if not accepts_step(runner, step, now):
+        if not accepts_step(runner, step, now) or (
+            crashes.is_kept_for_other(runner, task, now)
+        ):
             continue
         victims, cost = _pick_victims(task, runner, now)
         if victims and cost < best_cost:
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -24,9 +24,16 @@
                     if task.result is attempts.Result.OPEN
                     else "",
                     [
-                        model.RunProgress(run.attempt, run.runner)
+                        model.RunProgress(
+                            run.attempt,
+                            run.runner,
+                            run.born_ms,
+                            run.place,
+                            run.ordered_ms,
+                        )
                         for run in task.runs
                     ],
+                    list(task.crashes),
                 )
             )
     return progress
@@ -49,6 +56,7 @@
         task.attempt = stored.attempt
         task.failures = stored.failures
         task.checkpoint = stored.checkpoint
+        task.crashes = tuple(stored.crashes)
         state.started = True
         for run in stored.runs:
             task.runs.append(
@@ -59,5 +67,8 @@
                     attempts.Phase.STARTING,
                     0.0,
                     pace_confirmed=False,
+                    born_ms=run.born_ms,
+                    place=run.place,
+                    ordered_ms=run.ordered_ms,
                 )
             )
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -8,6 +8,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -290,12 +291,15 @@
         runners_module.find_rack(entry.labels),
     )
     runner.record_clock(entry.clock_ms, now)
-    runner.answered_at = runner.born_at = now
+    runner.answered_at = runner.born_at = runner.up_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     if earlier is not None:
         # Attempts of the incarnation at the old address stay charged until
         # their leases expire.
         earlier.listed = False
+        if earlier.entry.born_ms != entry.born_ms:
+            crashes.mark_down(earlier, now)
+            crashes.blame_crash(owner, earlier, "moved", entry.born_ms)
         for run in list(earlier.runs):
             runner.charge(run)
     owner.runners[entry.id] = runner
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -37,6 +37,15 @@
       lease_until_ms: Latest end of a lease that was requested, on its clock.
       renewed_at: When the newest lease that it has accepted was requested.
       answered_at: When it last answered a poll.
+      up_at: When it was last known to be up.
+      down_from, down_at: Between these times it stopped answering, the last
+        time that it did.
+      replaced: Another life of its machine has answered.
+      suspected: Names of the tasks and gangs that had been started shortly
+        before that.
+      trial_until: Until this time nothing else is started there, because a task
+        that may crash runners has just been started.
+      kept_for: Name of the task for which it is kept free until then, or empty.
       silent: The last poll was not answered.
       silent_since: When it became silent.
       expiry_promised: The expiry of its leases is stored, so they must not be
@@ -71,6 +80,13 @@
     lease_until_ms: int = 0
     renewed_at: float = 0.0
     answered_at: float = 0.0
+    up_at: float = 0.0
+    down_from: float = 0.0
+    down_at: float = 0.0
+    replaced: bool = False
+    suspected: frozenset[str] = frozenset()
+    trial_until: float = 0.0
+    kept_for: str = ""
     silent: bool = False
     silent_since: float = 0.0
     expiry_promised: bool = False
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -5,6 +5,8 @@
 import enum
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
+from plantainvane.jobs import crashes
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
@@ -141,7 +143,8 @@
             if owner.table.ready.get(task.name) is not task:
                 continue
             runs = _place_task_or_gang(owner, task, current)
-            if not runs or task.step.definition.gang:
+            waits = crashes.is_waiting_for_trial(task, current.now)
+            if task.step.definition.gang or not (runs or waits):
                 blocked.add(id(task.step))
             current.placed.extend(runs)
             yield
@@ -189,10 +192,31 @@
         runner = _choose_unblocked(owner, task, queue.service, current)
     if runner is not None:
         return [_begin_run(owner, task, runner, current)]
+    if crashes.is_waiting_for_trial(task, current.now):
+        _keep_runner(owner, task, queue.service, candidates, current)
+        return []
     _preempt(owner, task, candidates, current)
     return []
 
 
+def _keep_runner(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    service: str,
+    candidates: list[runners_module.Runner] | None,
+    current: Pass,
+) -> None:
+    """Keeps a runner free for the trial of a task that found none."""
+    if candidates is None:
+        candidates = _list_runners(owner, service)
+    runner = placement.choose_kept_runner(
+        task, candidates, owner.interference_model, current.now
+    )
+    if runner is not None:
+        crashes.keep_runner(runner, task, current.now)
+        current.estimates.forget_runner(runner.entry.id)
+
+
 def _list_runners(
     owner: state_module.Owner, service: str
 ) -> list[runners_module.Runner]:
@@ -228,7 +252,8 @@
         current.now,
         current.estimates,
     )
-    if runner is None and not step.max_per_runner:
+    waits = crashes.is_waiting_for_trial(task, current.now)
+    if runner is None and not step.max_per_runner and not waits:
         current.blocked.setdefault(key, []).append(amounts)
     return runner
 
@@ -387,6 +412,10 @@
     current: Pass,
 ) -> attempts.Run:
     run = owner.table.begin_run(task, runner.entry.id, current.now)
+    run.born_ms = runner.entry.born_ms
+    run.place = crashes.find_place(runner.entry)
+    run.ordered_ms = clock.read_wall_ms()
+    crashes.begin_trial(runner, task, current.now)
     runner.charge(run)
     current.estimates.forget_runner(runner.entry.id)
     return run
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -9,6 +9,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal
@@ -24,6 +25,8 @@
 # attempts whose leases may expire, is polled at the second interval.
 _LONG_SILENCE_S = 1.0
 _LONG_SILENCE_RETRY_S = 0.4
+# A poll that failed this long before its time-out broke off.
+_TIMEOUT_MARGIN_S = 0.05
 # Listed runners are often silent for less than this, and withdrawing a promised
 # expiry takes an append to the log.
 _PROMISE_DELAY_S = 1.0
@@ -36,10 +39,8 @@
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
-_UNANSWERED = (
-    interfaces.OrderOutcome.LOST,
-    interfaces.OrderOutcome.UNREACHED,
-)
+_OUTCOME = interfaces.OrderOutcome
+_UNANSWERED = (_OUTCOME.LOST, _OUTCOME.UNREACHED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -166,6 +167,10 @@
             return pending
         if _is_own_delay(owner, runner, reply.err_value, sent_at, now):
             return pending
+        broke = now - sent_at < limit_s - _TIMEOUT_MARGIN_S
+        if broke and reply.err_value is _OUTCOME.LOST and not runner.silent:
+            # The connection broke, so the runner was up until then.
+            runner.up_at = now
         _handle_silence(owner, runner, reply.err_value, now)
         await anyio.sleep(_choose_silent_retry(runner, now))
         return pending
@@ -210,6 +215,7 @@
 ) -> None:
     if not runner.silent:
         runner.silent, runner.silent_since = True, now
+        crashes.mark_down(runner, now)
         events.log_event(
             events.RUNNER_SILENT,
             runner=runner.entry.id,
@@ -224,10 +230,27 @@
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
         _promise_expiry(owner, runner, expiry, now)
+    _blame_if_replaced(owner, runner)
     if now > expiry and runner.runs:
+        expired_ms = clock.read_wall_ms() - int(owner.settings.lease_s * 1000)
+        crashes.blame_crash(owner, runner, "", expired_ms)
         _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
 
 
+def _blame_if_replaced(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
+    """Blames the crash of a silent runner whose machine has a later life."""
+    later = None
+    if runner.runs and not runner.replaced:
+        later = crashes.find_later_life(runner, owner.runners.values())
+    if later is not None:
+        runner.replaced = True
+        crashes.blame_crash(
+            owner, runner, f"replaced by {later.entry.id}", later.entry.born_ms
+        )
+
+
 def _promise_expiry(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -253,6 +276,7 @@
         owner.interference_model.forget_run(run)
         owner.table.drop_run(run, now)
         report_lost_run(owner, run, reason)
+        crashes.count_crash(owner, run)
     owner.request_pass()
 
 
@@ -298,6 +322,9 @@
         born_ms=born_ms,
         runs=len(runner.runs),
     )
+    if not runner.silent:
+        crashes.mark_down(runner, now)
+    crashes.blame_crash(owner, runner, "restarted", born_ms, running)
     runner.foreign = frozenset()
     runner.born_at, runner.last_stored_end = now, 0
     # The new incarnation has seen no fencing token.
@@ -324,7 +351,8 @@
             return None
         _apply_restart(owner, runner, reply, now)
     runner.record_clock(reply.clock_ms, now)
-    runner.answered_at = now
+    runner.answered_at = runner.up_at = now
+    is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
         runner.silent = False
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
@@ -332,8 +360,13 @@
         owner.group.start_soon(
             state_module.withdraw_expiries, owner, [runner.entry.id], now
         )
+    if not runner.fenced:
+        crashes.blame_earlier_life(runner)
     number = _apply_ends(owner, runner, reply, now)
     _apply_running(owner, runner, reply, sent_at, now)
+    if is_heard_again:
+        crashes.settle_doubts(owner, runner)
+        _blame_orphans(owner, runner)
     if not runner.fenced:
         runner.fenced = True
         owner.request_pass()
@@ -346,6 +379,18 @@
     return _PendingEnds(owner.journal.add([]), number, reply.born_ms)
 
 
+def _blame_orphans(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
+    """Blames attempts of an earlier life of the machine, which is unlisted."""
+    for runs in owner.orphans.values():
+        for run in runs:
+            if crashes.is_later_life(
+                run.runner, run.born_ms, run.place, runner.entry
+            ):
+                crashes.blame_inherited(run, runner.entry.born_ms, True)
+
+
 def _apply_restart(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -403,6 +448,8 @@
         ran_ms=int((now - run.ordered_at) * 1000),
         epoch=owner.epoch,
     )
+    if end.outcome in ("done", "failed"):
+        owner.table.clear_crashes(run.task)
     if end.outcome == "done":
         runner.faults = max(0, runner.faults - 1)
     elif end.outcome == "failed":
@@ -432,6 +479,7 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
+        crashes.record_survival(owner, run, sent_at)
     if runner.foreign and not foreign:
         owner.request_pass()
     runner.foreign = frozenset(foreign)
@@ -457,7 +505,8 @@
 def _update_run(
     run: attempts.Run, running: model.RunningAttempt, now: float
 ) -> None:
-    run.reported = True
+    run.reported = run.start_answered = True
+    run.crash = None
     if run.phase is attempts.Phase.STARTING:
         run.phase = attempts.Phase.RUNNING
         run.running_since = now
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+import msgspec
+
 from plantainvane.jobs import attempts
 from plantainvane.jobs import model
 from plantainvane.jobs import progress as progress_module
@@ -23,6 +25,7 @@
       changed: Jobs whose progress has to be stored, by id.
       runs_to_stop: Runs that have to be stopped because their task is done or
         their job has ended.
+      suspects: Open tasks that may have crashed a runner, by name.
     """
 
     jobs: dict[str, attempts.JobState] = dataclasses.field(default_factory=dict)
@@ -32,6 +35,7 @@
         default_factory=dict
     )
     runs_to_stop: list[attempts.Run] = dataclasses.field(default_factory=list)
+    suspects: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
 
     def add_job(
         self,
@@ -135,6 +139,8 @@
             for task in step_state.tasks:
                 if task.result is attempts.Result.OPEN:
                     self.tasks[task.name] = task
+                    if task.crashes:
+                        self.suspects[task.name] = task
                     self._mark_ready(task, now)
         if state.remaining_steps == 0:
             self._end_job(state, "completed", wall_ms)
@@ -228,8 +234,10 @@
         if task.result is not attempts.Result.OPEN:
             return
         task.result = attempts.Result.DONE
+        task.crashes = ()
         self.tasks.pop(task.name, None)
         self.ready.pop(task.name, None)
+        self.suspects.pop(task.name, None)
         self.runs_to_stop.extend(task.runs)
         state, step_state = task.job, task.step
         step_state.remaining_tasks -= 1
@@ -245,6 +253,48 @@
             for waiting in released.tasks:
                 self._mark_ready(waiting, now)
 
+    def record_crash(self, task: attempts.Task, crash: model.Crash) -> None:
+        """Records a crash of a runner that may be the fault of a task."""
+        if task.name not in self.tasks:
+            return
+        others = [
+            c
+            for c in task.crashes
+            if (c.runner, c.born_ms) != (crash.runner, crash.born_ms)
+        ]
+        self._set_crashes(task, (*others, crash))
+
+    def withdraw_crash(self, task: attempts.Task, crash: model.Crash) -> None:
+        """Removes a crash that did not happen."""
+        self._set_crashes(task, tuple(c for c in task.crashes if c != crash))
+
+    def confirm_crash(self, task: attempts.Task, crash: model.Crash) -> None:
+        """Records that a crash has been proved."""
+        confirmed = msgspec.structs.replace(crash, confirmed=True)
+        self._set_crashes(
+            task, tuple(confirmed if c == crash else c for c in task.crashes)
+        )
+
+    def clear_crashes(self, task: attempts.Task) -> None:
+        """Removes all crashes of a task that does not crash its runner."""
+        if task.crashes:
+            self._set_crashes(task, ())
+
+    def _set_crashes(
+        self, task: attempts.Task, crashes: tuple[model.Crash, ...]
+    ) -> None:
+        task.crashes = crashes
+        if crashes:
+            self.suspects[task.name] = task
+        else:
+            self.suspects.pop(task.name, None)
+        self.mark_changed(task.job)
+
+    def give_up(self, task: attempts.Task, wall_ms: int) -> None:
+        """Ends a job as failed, as one of its tasks crashes its runners."""
+        task.result = attempts.Result.FAILED
+        self._end_job(task.job, "failed", wall_ms)
+
     def cancel_job(self, state: attempts.JobState, wall_ms: int) -> None:
         """Ends an open job as cancelled."""
         if not state.ended:
@@ -264,6 +314,7 @@
             for task in step_state.tasks:
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
+                self.suspects.pop(task.name, None)
                 self.runs_to_stop.extend(task.runs)
 
     def mark_changed(self, state: attempts.JobState) -> None:
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -69,6 +69,7 @@
     clock_ms: int = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
+    machine: str = ""
 
 
 class _Step(msgspec.Struct, rename="pascal"):
@@ -165,6 +166,7 @@
         model.Amounts(capacity.cpu, capacity.mem_mb, capacity.gpu),
         tuple(entry.labels),
         entry.clock_ms,
+        entry.machine,
     )
 
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -1,10 +1,12 @@
 """Stand-in for a runner: leases on its own clock, fencing tokens, ends, paces.
 
 A task's `Spec` is a JSON object: `run_ms` is its run time and `fails` makes it
-end as failed. `cpu`, `memory_mb` and `gpu` are what it needs, and `fills` means
-that its processors are not counted.
+end as failed. `crashes` lists the ends of the names of the tasks that crash the
+runner when they start. `cpu`, `memory_mb` and `gpu` are what it needs, and
+`fills` means that its processors are not counted.
 """
 
+from collections.abc import Callable
 import dataclasses
 import time
 from typing import Any
@@ -75,6 +77,10 @@
         with what ran then and that capacity; checked by the tests.
       peak: Highest amounts that ran at the same time.
       rejected: Number of starts that were rejected because they did not fit.
+      crashed: The runner is down. Its calls get a 500, as the server cannot
+        break a connection off.
+      crashed_under: Tasks that crashed the runner, in order.
+      on_crash: Called at each crash.
     """
 
     id: str
@@ -110,6 +116,9 @@
     )
     peak: Amounts = Amounts()
     rejected: int = 0
+    crashed: bool = False
+    crashed_under: list[str] = dataclasses.field(default_factory=list)
+    on_crash: Callable[[], None] = lambda: None
 
     def read_clock(self) -> int:
         """Returns the runner's monotonic clock in milliseconds."""
@@ -175,9 +184,16 @@
         self.ends.append([self.next_end, task, attempt.number, how, saved])
         self.next_end += 1
 
+    def crash(self) -> None:
+        """Ends everything that runs, unseen, and all service."""
+        self.crashed = True
+        self.running.clear()
+        self.on_crash()
+
     def restart(self) -> None:
         """Begins a new incarnation, which knows nothing of the earlier one."""
-        self.born_ms += 1
+        self.crashed = False
+        self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
         self.clock_started_at = time.monotonic()
         self.token, self.lease_until_ms = 0, 0
         self.running.clear()
@@ -210,6 +226,8 @@
     async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
         if state.silent:
             await anyio.sleep_forever()
+        if state.crashed:
+            return asgi.HttpReply(500)
         if request.headers.get("target-instance", state.id) != state.id:
             return asgi.HttpReply(421)
         body = msgspec.json.decode(request.body)
@@ -271,6 +289,10 @@
         state.rejected += 1
         return _answer(state, 409, Reason="room")
     state.starts.append((task, number))
+    if any(task.endswith(end) for end in spec.get("crashes", ())):
+        state.crashed_under.append(task)
+        state.crash()
+        return asgi.HttpReply(500)
     state.running[task] = Attempt(
         task,
         number,
@@ -313,9 +335,11 @@
     _extend(state, body)
     state.ends = [e for e in state.ends if e[0] > body["LastSeen"]]
     with anyio.move_on_after(body.get("WaitMs", 0) / 1000):
-        while not state.ends:
+        while not state.ends and not state.crashed:
             await anyio.sleep(_POLL_INTERVAL_S)
             state.end_due_attempts()
+    if state.crashed:
+        return asgi.HttpReply(500)
     now = time.monotonic()
     active = [
         [
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -151,6 +151,35 @@
     write_entry(system, state)
 
 
+async def _revive(
+    system: System,
+    state: platform_runner.RunnerState,
+    down_s: float,
+    renames: bool,
+) -> None:
+    await anyio.sleep(down_s)
+    if renames:
+        system.store.put("keyed.servers", state.id, None)
+        state.id = f"{state.id}x"
+    state.restart()
+    write_entry(system, state)
+
+
+def revive_after_crashes(
+    system: System, down_s: float = 0.5, renames: bool = True
+) -> None:
+    """Lets each runner come back after a crash, at the same address.
+
+    With `renames` it comes back under another id.
+    """
+    for state in system.runners.values():
+
+        def revive(state: platform_runner.RunnerState = state) -> None:
+            system.group.start_soon(_revive, system, state, down_s, renames)
+
+        state.on_crash = revive
+
+
 def write_entry(system: System, state: platform_runner.RunnerState) -> None:
     """Writes the present entry of a runner to the log."""
     entry = state.make_entry(state.address, SERVICE, "ready")
@@ -215,7 +244,9 @@
 
     With `measured`, the runners count what the tasks need.
     """
-    spec = {k: fields.pop(k) for k in ("run_ms", "fails") if k in fields}
+    spec = {
+        k: fields.pop(k) for k in ("run_ms", "fails", "crashes") if k in fields
+    }
     if measured:
         spec |= {
             "cpu": fields.get("Cpu", 500),
--- /dev/null
+++ b/tests/test_jobs_crashes.py
@@ -0,0 +1,436 @@
+"""Blame for the crash of a runner, without a network."""
+
+import asyncio
+
+import msgspec
+import pytest
+import result
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import crashes
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import orders
+from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import scheduling
+from plantainvane.jobs import sessions
+from plantainvane.jobs import table as table_module
+from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as passes
+
+NOW = 50.0
+# A long-running task is to run again after this time if there is room (LOST).
+IDLE_LIMIT_S = 3.0
+
+
+@pytest.fixture(autouse=True)
+def fixed_clock(monkeypatch):
+    monkeypatch.setattr(crashes.clock, "read_now", lambda: NOW)
+    monkeypatch.setattr(crashes.clock, "read_wall_ms", lambda: 1_000_000)
+
+
+def make_runners(count, **fields):
+    return [make_runner(f"r{number}", **fields) for number in range(count)]
+
+
+def make_runner(runner_id, address="", machine="", born_ms=1, **fields):
+    runner = decisions.make_runner(runner_id, **fields)
+    runner.entry = msgspec.structs.replace(
+        runner.entry,
+        address=address or f"{runner_id}:9",
+        machine=machine,
+        born_ms=born_ms,
+    )
+    return runner
+
+
+def start(owner, runner, task, age_s, answered=True):
+    """Starts a task on a runner, `age_s` before NOW."""
+    run = owner.table.begin_run(task, runner.entry.id, NOW - age_s)
+    run.born_ms = runner.entry.born_ms
+    run.place = crashes.find_place(runner.entry)
+    run.ordered_ms = int(1_000_000 - age_s * 1000)
+    run.sent_at = NOW - age_s
+    run.start_answered = answered
+    run.phase, run.running_since = attempts.Phase.RUNNING, NOW - age_s
+    runner.charge(run)
+    return run
+
+
+def add_task(owner, job_id, **fields):
+    state = decisions.add_job(
+        owner.table, decisions.make_step(**fields), job_id=job_id
+    )
+    return state.steps[0, 0].tasks[0]
+
+
+def crash(owner, runner, now=NOW):
+    """Lets a runner restart under its id and ends what ran there."""
+    runner.up_at = now
+    sessions.handle_restart(
+        owner, runner, runner.entry.born_ms + 1, 1, now + 3.0
+    )
+    runner.entry = msgspec.structs.replace(
+        runner.entry, born_ms=runner.entry.born_ms + 1
+    )
+    sessions._drop_runs(
+        owner, runner, list(runner.runs), "not running there", now
+    )
+
+
+def make_crash(number, **fields):
+    fields = {"alone": False, "confirmed": True} | fields
+    return model.Crash(f"i-{number}", number, f"m-{number}", **fields)
+
+
+def test_only_attempts_started_shortly_before_a_crash_are_suspects():
+    # Guards against a count for every attempt on the runner, which gives up
+    # long-running tasks that only had bad luck.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    old = add_task(owner, "old", long_running=True)
+    new, unanswered = add_task(owner, "new"), add_task(owner, "unanswered")
+    start(owner, runner, old, age_s=1.5)
+    start(owner, runner, new, age_s=0.6)
+    start(owner, runner, unanswered, age_s=2.0, answered=False)
+    crash(owner, runner)
+    assert [len(task.crashes) for task in (old, new, unanswered)] == [0, 1, 1]
+    assert not new.crashes[0].alone
+    assert owner.table.suspects == {
+        "new.0.0.0": new,
+        "unanswered.0.0.0": unanswered,
+    }
+
+
+def test_bystander_of_many_crashes_is_never_given_up():
+    # Guards against a service that is given up because its runners crash.
+    owner = passes.make_owner(*make_runners(9))
+    task = add_task(owner, "service", long_running=True)
+    for number, runner in enumerate(owner.runners.values()):
+        run = start(owner, runner, task, age_s=3.0)
+        start(owner, runner, add_task(owner, f"d{number}"), age_s=0.01)
+        crash(owner, runner)
+        assert run not in task.runs
+    assert task.job.ended == "" and not task.crashes
+
+
+@pytest.mark.parametrize(
+    ("long_running", "found", "given_up"),
+    [
+        (False, [{"alone": True}], False),
+        (False, [{}, {"alone": True}], True),
+        (False, [{}, {}], False),
+        (False, [{}, {"alone": True, "confirmed": False}], False),
+        (False, [{}, {"alone": True, "shared": True}], False),
+        (False, [{}, {}, {}], False),
+        (False, [{}, {}, {}, {}], True),
+        (True, [{}, {"alone": True}], False),
+        (True, [{}, {"alone": True}, {}], True),
+        (True, [{}, {}, {}], False),
+    ],
+)
+def test_task_is_given_up_after_enough_crashes(long_running, found, given_up):
+    # Guards against a task that is given up before two runners have crashed
+    # under it, or for crashes that others may have caused, and against one
+    # that is started more than five times.
+    owner = passes.make_owner()
+    task = add_task(owner, "t", long_running=long_running)
+    task.crashes = tuple(make_crash(n, **f) for n, f in enumerate(found))
+    assert crashes.is_to_be_given_up(task) is given_up
+
+
+def test_crashes_of_one_machine_do_not_end_a_long_running_task():
+    # Guards against a service that is given up because one machine flaps.
+    owner = passes.make_owner()
+    task = add_task(owner, "t", long_running=True)
+    task.crashes = tuple(
+        model.Crash(f"i-{n}", n, "m-1", alone=True, confirmed=True)
+        for n in range(9)
+    )
+    assert not crashes.is_to_be_given_up(task)
+
+
+def test_runners_that_go_down_together_prove_nothing():
+    # Guards against tasks that are given up because of a rack or a power loss.
+    runners = make_runners(3)
+    owner = passes.make_owner(*runners)
+    tasks = [add_task(owner, f"t{n}") for n in range(3)]
+    for runner, task in zip(runners, tasks, strict=True):
+        start(owner, runner, task, age_s=0.2)
+        runner.silent = True
+        runner.up_at = NOW
+        crashes.mark_down(runner, NOW + 0.01)
+    for runner in runners:
+        crash(owner, runner)
+    assert all(task.crashes[0].shared for task in tasks)
+
+
+def test_two_runners_that_crash_under_suspects_at_once_both_count():
+    # Guards against two tasks that hide each other by chance.
+    runners = make_runners(2)
+    owner = passes.make_owner(*runners)
+    tasks = [add_task(owner, f"t{n}") for n in range(2)]
+    for runner, task in zip(runners, tasks, strict=True):
+        start(owner, runner, task, age_s=0.01)
+        runner.silent = True
+        runner.up_at = NOW
+        crashes.mark_down(runner, NOW)
+    for runner in runners:
+        crash(owner, runner)
+    assert [task.crashes[0].alone for task in tasks] == [True, True]
+
+
+@pytest.mark.parametrize("same", ["address", "machine"])
+def test_later_life_under_another_id_shows_a_crash(same):
+    # Guards against a crash that is taken for silence because the runner came
+    # back under another id.
+    fields = {"address": "a:1"} if same == "address" else {"machine": "m"}
+    earlier = make_runner("r0", **fields, silent=True, up_at=NOW)
+    later = make_runner("r1", **fields, born_ms=9)
+    owner = passes.make_owner(earlier, later)
+    task = add_task(owner, "t")
+    task.crashes = (
+        model.Crash("r0", 1, crashes.find_place(earlier.entry), alone=True),
+    )
+    owner.table.suspects[task.name] = task
+    crashes.settle_doubts(owner, later)
+    assert task.crashes[0].confirmed
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"draining": True}, {"born_ms": 20}, {"address": "b:1"}],
+    ids=str,
+)
+def test_runner_that_left_or_is_elsewhere_has_not_crashed(fields):
+    # Guards against a planned departure, an old entry and an unrelated runner
+    # that are taken for a crash.
+    earlier = make_runner(
+        "r0", silent=True, up_at=NOW, **({"address": "a:1"} | fields)
+    )
+    later = make_runner("r1", address="a:1", born_ms=9)
+    owner = passes.make_owner(earlier, later)
+    later.answered_at = NOW + 3.0
+    task = add_task(owner, "t")
+    run = start(owner, earlier, task, age_s=0.1)
+    sessions._blame_if_replaced(owner, earlier)
+    assert run.crash is None
+
+
+@pytest.mark.parametrize(
+    ("answered_s", "crashed"), [(3.0, True), (-1.0, False)]
+)
+def test_only_a_life_that_answered_later_shows_a_crash(answered_s, crashed):
+    # Guards against a runner that is out of reach and taken for crashed,
+    # because the one that had its address before is still remembered.
+    earlier = make_runner("r0", address="a:1", silent=True, up_at=NOW)
+    later = make_runner("r1", address="a:1", born_ms=9)
+    owner = passes.make_owner(earlier, later)
+    later.answered_at = NOW + answered_s
+    run = start(owner, earlier, add_task(owner, "t"), age_s=0.1)
+    sessions._blame_if_replaced(owner, earlier)
+    assert (run.crash is not None) is crashed
+
+
+def test_runner_that_answers_again_has_not_crashed():
+    # Guards against a count for a runner that was only out of reach.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    owner.table.record_crash(task, model.Crash("r", 1, "r:9", alone=True))
+    crashes.settle_doubts(owner, runner)
+    assert not task.crashes and not owner.table.suspects
+
+
+def test_suspects_are_tried_apart_from_each_other():
+    # Guards against a second crash that leaves the suspects of the first one
+    # together, and against innocent tasks that start beside a suspect.
+    owner = passes.make_owner(*make_runners(8))
+    suspects = [add_task(owner, f"s{n}") for n in range(2)]
+    for task in suspects:
+        owner.table.record_crash(task, make_crash(1))
+    for number in range(6):
+        add_task(owner, f"t{number}", count=4)
+    for task in owner.table.ready.values():
+        task.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    placed = dict(passes.list_placed(owner))
+    assert len(placed) == 26
+    for task in suspects:
+        runner = placed.pop(task.name)
+        assert runner not in placed.values()
+
+
+def test_suspect_avoids_runners_with_long_running_tasks():
+    # Guards against a trial that takes services down although another runner
+    # is free.
+    runners = make_runners(4)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate(runners[1:]):
+        service = add_task(owner, f"l{number}", long_running=True)
+        start(owner, runner, service, age_s=20.0)
+    task = add_task(owner, "s")
+    owner.table.record_crash(task, make_crash(1))
+    task.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert dict(passes.list_placed(owner)) == {task.name: "r0"}
+
+
+def test_suspect_gets_a_runner_where_all_have_new_attempts():
+    # Guards against suspects that never start apart from others on busy
+    # runners.
+    runners = make_runners(4)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate(runners):
+        start(owner, runner, add_task(owner, f"b{number}"), age_s=0.1)
+    suspect = add_task(owner, "s")
+    owner.table.record_crash(suspect, make_crash(1))
+    suspect.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not passes.list_placed(owner)
+    (kept,) = [r.entry.id for r in runners if r.trial_until > NOW]
+    other = add_task(owner, "other", count=12)
+    other.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW + 1.1)
+    placed = passes.list_placed(owner)
+    assert [task for task, runner in placed if runner == kept] == [suspect.name]
+    assert len(placed) == 13
+
+
+@pytest.mark.parametrize("long_running", [True, False])
+def test_many_suspects_do_not_stall_placement(long_running):
+    # Guards against tasks that wait for trials after a power loss, in which
+    # most tasks had just been started.
+    runners = make_runners(4)
+    owner = passes.make_owner(*runners)
+    tasks = [
+        add_task(owner, f"s{n}", long_running=long_running) for n in range(30)
+    ]
+    for task in tasks:
+        owner.table.record_crash(task, make_crash(1))
+        task.ready_since = NOW
+    other = add_task(owner, "other")
+    other.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert other.name in dict(passes.list_placed(owner))
+    wait_s = IDLE_LIMIT_S if long_running else 6.0
+    for step in range(int(wait_s * 10)):
+        scheduling.place_ready_tasks(owner, NOW + step / 10)
+    assert not owner.table.ready
+
+
+def test_task_that_survives_its_trial_is_no_suspect():
+    # Guards against crashes that add up over the life of a service.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t", long_running=True)
+    owner.table.record_crash(task, make_crash(1))
+    run = start(owner, runner, task, age_s=1.2)
+    crashes.record_survival(owner, run, NOW - 0.5)
+    assert task.crashes
+    crashes.record_survival(owner, run, NOW)
+    assert not task.crashes and not owner.table.suspects
+    crash(owner, runner)
+    assert not task.crashes
+
+
+def test_giving_up_ends_the_job_and_stops_its_other_attempts():
+    # Guards against tasks of a failed job that are started or run on.
+    runners = make_runners(2)
+    owner = passes.make_owner(*runners)
+    state = decisions.add_job(owner.table, decisions.make_step(count=3))
+    deadly, running, waiting = state.steps[0, 0].tasks
+    other = start(owner, runners[1], running, age_s=5.0)
+    owner.table.record_crash(deadly, make_crash(1))
+    start(owner, runners[0], deadly, age_s=0.01)
+    crash(owner, runners[0])
+    assert state.ended == "failed"
+    assert not owner.table.ready and not owner.table.suspects
+    assert other in owner.table.runs_to_stop
+    assert waiting.name not in owner.table.tasks
+    assert state.job.id in owner.table.changed
+
+
+def test_crashes_survive_the_owner():
+    # Guards against a count that begins anew with each owner.
+    runner = make_runner("r", machine="m", born_ms=7)
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "j")
+    owner.table.record_crash(task, make_crash(1))
+    start(owner, runner, task, age_s=0.1)
+    stored = msgspec.json.encode(progress_module.build_progress(task.job))
+    progress = msgspec.json.decode(stored, type=model.JobProgress)
+    table = table_module.JobTable()
+    state = decisions.add_job(table, decisions.make_step(), progress=progress)
+    (loaded,) = state.steps[0, 0].tasks
+    assert loaded.crashes == task.crashes
+    assert table.suspects == {loaded.name: loaded}
+    (run,) = loaded.runs
+    assert (run.born_ms, run.place, run.ordered_ms) == (7, "m", 999_900)
+
+
+def test_progress_of_an_earlier_version_is_loaded():
+    # Guards against an update that loses the progress of every job.
+    stored = b'["",0,[[0,0,0,0,3,1,"saved",[[3,"r"]]]]]'
+    progress = msgspec.json.decode(stored, type=model.JobProgress)
+    table = table_module.JobTable()
+    state = decisions.add_job(table, decisions.make_step(), progress=progress)
+    (task,) = state.steps[0, 0].tasks
+    assert (task.attempt, task.failures, task.crashes) == (3, 1, ())
+    assert [(run.attempt, run.runner) for run in task.runs] == [(3, "r")]
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "suspected"), [(1_003_000, True), (1_040_000, False)]
+)
+def test_successor_blames_attempts_by_the_next_life_of_the_runner(
+    born_ms, suspected
+):
+    # Guards against a crash that is not counted because the runner was back
+    # before the next owner looked, and against one that is counted for an
+    # attempt that had run for long.
+    runner = make_runner("r", born_ms=born_ms, fenced=False)
+    owner = passes.make_owner(runner)
+    owner.interference_model = decisions.interference.InterferenceModel()
+    task = add_task(owner, "t", long_running=True)
+    run = owner.table.begin_run(task, "r", 0.0)
+    run.ordered_at, run.born_ms, run.place = 0.0, 1, "r:9"
+    run.ordered_ms = 1_000_000
+    runner.charge(run)
+    status = model.RunnerStatus(born_ms, 1, (), ())
+    sessions._apply_reply(owner, runner, status, NOW, NOW + 0.1)
+    assert not task.runs
+    assert bool(task.crashes) is suspected
+
+
+def test_start_without_an_answer_counts_if_another_life_refuses_the_retry():
+    # Guards against a start in doubt that is forgotten because the runner was
+    # back before the order was repeated.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    run = start(owner, runner, task, age_s=0.5, answered=False)
+    run.phase = attempts.Phase.STARTING
+    outcome = interfaces.OrderOutcome.OTHER_INCARNATION
+    orders._apply_start_outcome(owner, runner, run, outcome, NOW, lost=True)
+    assert [crash.confirmed for crash in task.crashes] == [True]
+
+
+@pytest.mark.parametrize("took_s", [0.01, 0.4])
+def test_broken_poll_tells_until_when_a_runner_was_up(monkeypatch, took_s):
+    # Guards against suspects that had been started long before a crash which
+    # broke the connection, and against bystanders that are cleared by a poll
+    # which was never answered.
+    runner = make_runner("r", up_at=NOW - 2.0)
+    owner = passes.make_owner(runner)
+    times = [NOW - took_s, NOW]
+
+    class Calls:
+        async def poll(self, *unused):
+            return result.Err(interfaces.OrderOutcome.LOST)
+
+    runner.calls = Calls()
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: times.pop(0))
+    monkeypatch.setattr(sessions, "_SILENT_RETRY_S", 0.0)
+    asyncio.run(sessions._poll(owner, runner, 0.0, None))
+    assert runner.up_at == (NOW if took_s < 0.4 else NOW - 2.0)
