End the attempts of a runner whose address answers for another life

Cause: a runner that is back under another id was a new runner; its earlier life was only silent.

Change: when another id answers polls at the address of a silent runner, later than that one and with a start that is not earlier, the attempts of the silent one end. It cannot lead to two runs: orders name the id, so the later life refuses those for the earlier one; an entry alone proves nothing, as its runner must answer under its id; the answer must be later than the last of the silent one, which rules out a runner that had the address before; a runner that is cut off does not free its address. Attempts on runners that are not even listed (after a takeover) still wait for their leases, as their address is not stored where the machine is.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -230,25 +230,29 @@
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
         _promise_expiry(owner, runner, expiry, now)
-    _blame_if_replaced(owner, runner)
+    _end_replaced(owner, runner, now)
     if now > expiry and runner.runs:
         expired_ms = clock.read_wall_ms() - int(owner.settings.lease_s * 1000)
         crashes.blame_crash(owner, runner, "", expired_ms)
         _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
 
 
-def _blame_if_replaced(
-    owner: state_module.Owner, runner: runners_module.Runner
+def _end_replaced(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
-    """Blames the crash of a silent runner whose machine has a later life."""
-    later = None
-    if runner.runs and not runner.replaced:
-        later = crashes.find_later_life(runner, owner.runners.values())
+    """Ends the attempts of a silent runner whose machine has a later life.
+
+    The later life answers at the same address, so nothing of the earlier one
+    runs any more, and its leases need not be waited for.
+    """
+    if not runner.runs:
+        return
+    later = crashes.find_later_life(runner, owner.runners.values())
     if later is not None:
-        runner.replaced = True
         crashes.blame_crash(
             owner, runner, f"replaced by {later.entry.id}", later.entry.born_ms
         )
+        _drop_runs(owner, runner, list(runner.runs), "runner replaced", now)
 
 
 def _promise_expiry(
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -109,6 +109,38 @@
         assert 2 <= count_deadly_starts(system) <= MAX_STARTS
 
 
+async def test_tasks_do_not_wait_for_the_leases_of_a_runner_that_was_replaced():
+    # Guards against services that wait for leases on a runner although another
+    # life of its machine already answers at its address.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        platform_system.revive_after_crashes(system)
+        await sessions.start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        system.runners["i-0"].crash()
+        await sessions.wait_until(
+            lambda: len(system.list_starts()) == 2,
+            limit_s=sessions.IDLE_LIMIT_S,
+        )
+
+
+async def test_attempts_of_a_runner_whose_address_answers_for_it_are_kept():
+    # Guards against a second copy of a task: an entry that names the address of
+    # a runner which is out of reach proves nothing until it answers.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = await sessions.start_job(system, count=1, run_ms=60_000)
+        first = next(r for r in system.runners.values() if r.starts)
+        first.silent = True
+        await sessions.wait_until(lambda: owner.owner.runners[first.id].silent)
+        entry = first.make_entry(
+            first.address, platform_system.SERVICE, "ready"
+        )
+        system.store.put("keyed.servers", "i-8", entry)
+        await anyio.sleep(1.5)
+        assert "i-8" in owner.owner.runners
+        assert len(system.list_starts()) == 1
+
+
 async def test_gang_that_no_runner_survives_is_given_up():
     # Guards against a gang that is started without end.
     async with platform_system.run_system(
