Let a suspect that waited too long avoid new attempts

Cause: after the wait the score counted the attempts on a runner, new or old.

Change: each new attempt there lowers the score by a penalty of its own. The test failed before. Not shown by a play of its own: whether a suspect waits that long differs from play to play.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -64,9 +64,14 @@
 
     A machine that crashed under the task would prove less than another one.
     """
-    return not is_crash_site(task, runner) and all(
-        run.phase is not attempts.Phase.STARTING
-        and now - max(run.ordered_at, run.sent_at) >= SUSPECT_WINDOW_S
+    return not is_crash_site(task, runner) and count_new(runner, now) == 0
+
+
+def count_new(runner: runners_module.Runner, now: float) -> int:
+    """Returns the number of attempts there that would be suspects."""
+    return sum(
+        run.phase is attempts.Phase.STARTING
+        or now - max(run.ordered_at, run.sent_at) < SUSPECT_WINDOW_S
         for run in runner.runs
     )
 
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -46,9 +46,11 @@
 DATA_RACK_WEIGHT = 2.0
 SAME_RACK_WEIGHT = 0.5
 # Score penalties of a task that may crash its runner: the share of the
-# processors that belongs to long-running tasks, and each attempt there.
+# processors that belongs to long-running tasks, each attempt there, and each
+# that has just started there.
 SUSPECT_SERVING_WEIGHT = 3.0
 SUSPECT_COMPANY_WEIGHT = 0.2
+SUSPECT_NEW_WEIGHT = 1.0
 # For long-running tasks: weight of the share of a runner's processors that is
 # charged, relative to its image similarity, and the similarity of an empty
 # runner, which is preferred to one with mixed images.
@@ -447,6 +449,7 @@
             score -= AVOIDED_RUNNER_WEIGHT
         score -= SUSPECT_SERVING_WEIGHT * runner.serving_cpu / capacity_cpu
         score -= SUSPECT_COMPANY_WEIGHT * len(runner.runs)
+        score -= SUSPECT_NEW_WEIGHT * crashes.count_new(runner, now)
     if runner.runs and runner.faults:
         score -= FAULT_WEIGHT * runner.faults
     if step.preferred_rack and step.preferred_rack in runner.entry.labels:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -436,3 +436,19 @@
     monkeypatch.setattr(sessions, "_SILENT_RETRY_S", 0.0)
     asyncio.run(sessions._poll(owner, runner, 0.0, None))
     assert runner.up_at == (NOW if took_s < 0.4 else NOW - 2.0)
+
+
+def test_suspect_that_waited_too_long_starts_beside_the_fewest_new_attempts():
+    # Guards against a task that is started beside ten others once it has waited
+    # too long for a runner of its own, so that its crash proves nothing.
+    runners = make_runners(3)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate((*runners, *runners[1:])):
+        start(owner, runner, add_task(owner, f"b{number}"), age_s=0.1)
+    for number in range(4):
+        start(owner, runners[0], add_task(owner, f"o{number}"), age_s=9.0)
+    suspect = add_task(owner, "s")
+    owner.table.record_crash(suspect, make_crash(1))
+    suspect.ready_since = NOW - 60.0
+    scheduling.place_ready_tasks(owner, NOW)
+    assert dict(passes.list_placed(owner)) == {suspect.name: "r0"}
