Repeat no start whose job has ended

The ended job was looked at before the first try alone.

Change: the end of the job is an obstacle before each try; a try that may still be carried out is stopped. The test failed before.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -56,7 +56,7 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
-        reason = _find_obstacle(runner)
+        reason = _find_obstacle(runner, run)
         if reason:
             _withhold_start(owner, runner, run, reason, lost)
             return
@@ -92,8 +92,10 @@
     _apply_start_outcome(owner, runner, run, outcome, now, lost)
 
 
-def _find_obstacle(runner: runners_module.Runner) -> str:
+def _find_obstacle(runner: runners_module.Runner, run: attempts.Run) -> str:
     """Returns why a start that is charged must not be ordered, or empty."""
+    if run.task.job.ended:
+        return "job ended"
     if placement.exceeds_capacity(runner):
         return "over capacity"
     if not runner.listed:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -418,6 +418,28 @@
     assert [crash.confirmed for crash in task.crashes] == [True]
 
 
+def test_start_is_not_repeated_after_its_job_has_ended():
+    # Guards against a start that is sent again, as it had no answer, after its
+    # job was given up or cancelled.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    run = owner.table.begin_run(task, "r", NOW)
+    runner.charge(run)
+    sent = []
+
+    class Calls:
+        async def start(self, order):
+            sent.append(order.attempt)
+            owner.table.give_up(task, 1)
+            return interfaces.OrderOutcome.LOST
+
+    runner.calls = Calls()
+    asyncio.run(orders._start_run(owner, run))
+    assert sent == [1]
+    assert passes.list_stopped(owner) == [run]
+
+
 @pytest.mark.parametrize("took_s", [0.01, 0.4])
 def test_broken_poll_tells_until_when_a_runner_was_up(monkeypatch, took_s):
     # Guards against suspects that had been started long before a crash which
