Give no task up for crashes that other runners shared

Cause: the bound of five noted crashes included those that are shared. A runner that is back is empty and attracts starts, so one task can meet several such crashes in a row.

Change: the bound includes unproved crashes, but no shared ones. A task that crashes its runners exactly when others crash may get a further start for each such moment.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -40,11 +40,11 @@
 # Crashes under a task after which it is given up: with one in which it was the
 # only suspect, and on at least two machines; the first number applies to a
 # long-running task. The third applies in any case, and the last also includes
-# crashes that do not count, but not those of a long-running task.
+# crashes that are not proved, but not those of a long-running task.
 _LONG_RUNNING_LIMIT = 3
 _LIMIT = 2
 _MAX_CRASHES = 4
-_MAX_NOTED_CRASHES = 5
+_MAX_UNPROVED_CRASHES = 5
 
 
 def is_waiting_for_trial(task: attempts.Task, now: float) -> bool:
@@ -363,11 +363,11 @@
 
 def is_to_be_given_up(task: attempts.Task) -> bool:
     """Tells whether a task has crashed as many runners as it may."""
-    confirmed = [c for c in task.crashes if c.confirmed]
-    counted = [c for c in confirmed if not c.shared]
+    own = [crash for crash in task.crashes if not crash.shared]
+    counted = [crash for crash in own if crash.confirmed]
     long_running = task.step.definition.long_running
-    if not long_running and len(task.crashes) >= _MAX_NOTED_CRASHES:
-        return len(confirmed) >= _LIMIT
+    if not long_running and len(own) >= _MAX_UNPROVED_CRASHES:
+        return len(counted) >= _LIMIT
     machines = len({crash.place for crash in counted})
     if machines < 2 and (long_running or len(counted) < _MAX_CRASHES):
         return False
