Leave runners that were never heard out of common causes

A new owner finds each runner that is down silent at the same moment, as it has heard none of them, and a crash within 0.3 s of that did not count.

Change: a runner that this owner has not heard has no time at which it went down.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -169,7 +169,12 @@
 
 
 def mark_down(runner: runners_module.Runner, now: float) -> None:
-    """Records that a runner stopped answering, for `has_common_cause`."""
+    """Records when a runner stopped answering, to find a common cause.
+
+    A runner that this owner has never heard may have been down for long.
+    """
+    if runner.answered_at <= runner.born_at:
+        return
     runner.down_from, runner.down_at = min(runner.up_at, now), now
     runner.suspected = frozenset(map(_name_unit, _list_suspects(runner)))
 
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -170,6 +170,19 @@
     assert all(task.crashes[0].shared for task in tasks)
 
 
+def test_runner_that_was_down_before_a_takeover_is_no_common_cause():
+    # Guards against crashes that do not count because the new owner finds other
+    # runners down at the same moment.
+    down, runner = make_runner("r0"), make_runner("r1")
+    owner = passes.make_owner(down, runner)
+    down.born_at = down.answered_at = down.up_at = NOW - 0.1
+    crashes.mark_down(down, NOW)
+    task = add_task(owner, "t")
+    start(owner, runner, task, age_s=0.01)
+    crash(owner, runner)
+    assert not task.crashes[0].shared and task.crashes[0].alone
+
+
 def test_two_runners_that_crash_under_suspects_at_once_both_count():
     # Guards against two tasks that hide each other by chance.
     runners = make_runners(2)
