--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -35,7 +35,7 @@
 _INHERITED_WINDOW_MS = 10_000
 # Runners that went down within this time of each other may have a common cause,
 # and do so if this many others went down.
-_COMMON_CAUSE_S = 0.3
+_COMMON_CAUSE_S = 0.12
 _COMMON_CAUSE_RUNNERS = 2
 # Crashes under a task after which it is given up: with one in which it was the
 # only suspect, and on at least two machines; the first number applies to a
