--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -82,9 +82,16 @@
                 task.failures,
                 task.checkpoint if task.result is attempts.Result.OPEN else "",
                 [
-                    model.RunProgress(run.attempt, run.runner)
+                    model.RunProgress(
+                        run.attempt,
+                        run.runner,
+                        run.born_ms,
+                        run.place,
+                        run.ordered_ms,
+                    )
                     for run in task.runs
                 ],
+                list(task.crashes),
             )
         )
     return progress
@@ -118,6 +125,7 @@
         task.attempt = stored.attempt
         task.failures = stored.failures
         task.checkpoint = stored.checkpoint
+        task.crashes = tuple(stored.crashes)
         state.started = True
         for run in stored.runs:
             task.runs.append(
@@ -128,6 +136,9 @@
                     attempts.Phase.STARTING,
                     0.0,
                     pace_confirmed=False,
+                    born_ms=run.born_ms,
+                    place=run.place,
+                    ordered_ms=run.ordered_ms,
                 )
             )
 
