Let a weak owner hand over also while it is held up

A weak owner may have kept the jobs for as long as it was overloaded, which is when an abler process is needed. When its event loop was held up, the pings of the peer had not been read and its own calls to the log had timed out, so for a moment it saw no able peer, and the wait began anew: the load that the hand-over would end prevented it.

While the process is late, an absence now leaves the wait as it is. A process also counts as late before the probe that measures it has resumed, as the check may come first.

Test: the case of a late owner failed before; the other, a peer that is gone although the owner is on time, guards the wait.

--- a/plantainvane/jobs/load.py
+++ b/plantainvane/jobs/load.py
@@ -74,7 +74,9 @@
 
     def is_late(self, now: float) -> bool:
         """Returns whether the process is short of processor time."""
-        return self.was_late_since(now - _RECENT_S)
+        return self.was_late_since(now - _RECENT_S) or (
+            self.measure_lag(now) >= LATE_S
+        )
 
     def record_lag(self, now: float) -> bool:
         """Ends a probe; returns whether its lag is to be logged."""
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -67,7 +67,11 @@
 async def _seek_abler_owner(
     entry: process_module.Entry, owner: state_module.Owner
 ) -> None:
-    """Hands over to a markedly abler peer that has been there for a while."""
+    """Hands over to a markedly abler peer that has been there for a while.
+
+    A process that is late takes its own delay for the absence of its peers, or
+    of the log, so its wait goes on; a weak owner may be late all the time.
+    """
     settings = entry.settings
     found_at = None
     while True:
@@ -75,7 +79,8 @@
         now = clock.read_now()
         peer = standbys.find_abler_peer(entry.known_peers, settings, now)
         if not peer or not owner.recovered or not _may_own(entry, now):
-            found_at = None
+            if not entry.load.is_late(now):
+                found_at = None
             continue
         if found_at is None:
             found_at = now
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -164,3 +164,11 @@
     assert first["append_ms"] == 20
     assert (second["passes"], second["lag_ms"]) == (0, 0)
     assert second["polls_per_s"] == 0.0
+
+
+@pytest.mark.parametrize(("now", "late"), [(10.05, False), (10.5, True)])
+def test_process_is_late_before_its_late_probe_has_resumed(now, late):
+    # Guards against a decision that is made first after a delay and takes the
+    # process for one that is on time.
+    load = load_module.Load(probe_due_at=10.0)
+    assert load.is_late(now) is late
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -194,6 +194,33 @@
         assert not delays and weak.owner is None
 
 
+@pytest.mark.parametrize("late", [True, False])
+async def test_weak_owner_that_is_held_up_still_hands_over(monkeypatch, late):
+    # Guards against a weak owner that keeps the jobs because it is too busy: at
+    # each delay of its own the able peer looked gone for a moment, and the wait
+    # began anew. A peer that is gone although the owner is on time is not able.
+    find, calls = standbys.find_abler_peer, []
+
+    def lose_at_times(known_peers, settings, now):
+        calls.append(now)
+        if len(calls) % 5 == 0:
+            if late:
+                weak.load.record_delay(0.5, now)
+            return ""
+        return find(known_peers, settings, now)
+
+    async with platform_system.run_system(
+        entries=1, capacity=0.3, ping_s=0.1, abler_peer_wait_s=1.0
+    ) as system:
+        weak = await system.wait_owner()
+        monkeypatch.setattr(standbys, "find_abler_peer", lose_at_times)
+        able = await platform_system.add_entry(system, 1, capacity=2.0)
+        with anyio.move_on_after(4.0):
+            while system.find_owner() is not able:
+                await anyio.sleep(0.01)
+        assert (weak.owner is None) is late
+
+
 class LossyStore:
     """Answers reads with one claim, and no append."""
 
