Let an attempt outlast the owners that a test of evictions kills

test_an_eviction_continues_after_two_owners_are_killed failed now and then on a loaded machine, with TimeoutError in evict_and_kill. Cause, in the test: leases of 0.45 s and 1 s of work. When the event loop is held up, the attempt lapses before its eviction has begun, or completes before the next owner acts, so the step at which an owner is to be killed never comes. That also explains [steps2], which a late second owner did not.

The leases of this test are now 3 s, and the work 2.8 s. The steps, the states, the checkpoint and the count of evictions that it demands are the same.

Ruled out: a fault of the scheduler; each attempt that lapsed was queued and started again.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -448,8 +448,8 @@
 SHORT = {"ttl_s": 0.2, "renew_s": 0.05, "margin_s": 0.05}
 
 
-async def evict_and_kill(session, steps, log_down=False):
-    total_steps = 40 + 30 * (len(steps) + log_down)
+async def evict_and_kill(session, steps, log_down=False, owner_steps=30):
+    total_steps = 40 + owner_steps * (len(steps) + log_down)
     session.add_workers("w1", "w2")
     process = session.add_process("p0")
     await session.submit("t1", steps=total_steps)
@@ -492,9 +492,13 @@
     ],
 )
 def test_an_eviction_continues_after_two_owners_are_killed(steps):
-    # The second owner may be killed during the eviction like the first.
+    # The second owner may be killed during the eviction like the first. The
+    # attempt must neither lapse nor complete before the third owner acts, also
+    # if the event loop of the test is held up for a while.
     batch_session.run_session(
-        lambda session: evict_and_kill(session, steps), claims=SHORT
+        lambda session: evict_and_kill(session, steps, owner_steps=120),
+        claims=SHORT,
+        tasks={"lease_s": 3.0},
     )
 
 
