Let no old entry bring the capacity of an earlier incarnation back

Seen: nothing yet; found by reading. When a poll tells of a new incarnation, nothing starts there before its own entry is read. But an entry of the incarnation before, which may be read after that poll (as after an outage of the log, during which the runner restarted), listed the runner again: after the next poll, tasks were started by the old capacity and the old labels until the new entry came. A runner without guard starts what it is told, which breaks the limit if the new incarnation is smaller.

Ruled out: ignoring every entry with an earlier start (a runner whose clock was set back would wait for another second).

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -244,8 +244,9 @@
         _add_runner(owner, entry, runner, now)
         return
     if entry.born_ms < runner.entry.born_ms:
-        # An old entry, or the time of day was set back; a poll tells.
-        runner.listed = True
+        # An old entry, or the time of day was set back; a poll tells. An entry
+        # that precedes the awaited one is old, and so is its capacity.
+        runner.listed = runner.listed or not runner.entry_awaited
         runner.require_poll()
         return
     if entry.draining and not runner.entry.draining:
@@ -254,7 +255,7 @@
         )
     restarted = entry.born_ms > runner.entry.born_ms
     before = runner.entry.capacity
-    runner.entry, runner.listed = entry, True
+    runner.entry, runner.listed, runner.entry_awaited = entry, True, False
     if entry.capacity != before:
         _report_capacity(runner, before)
         owner.request_pass()
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -27,6 +27,8 @@
       rack: Label that names its rack, or empty.
       listed: The entry is still in the list, and is that of the present
         incarnation.
+      entry_awaited: Only a poll has told of the present incarnation; its own
+        entry has not been read.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
       born_at: When this process learned of the present incarnation. An answer
@@ -63,6 +65,7 @@
     calls: interfaces.RunnerCalls
     rack: str
     listed: bool = True
+    entry_awaited: bool = False
     fenced: bool = False
     born_at: float = 0.0
     last_stored_end: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -357,7 +357,7 @@
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
     # Its capacity and labels are not known before its own entry is read.
-    runner.listed = False
+    runner.listed, runner.entry_awaited = False, True
 
 
 def _apply_ends(
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -378,3 +378,25 @@
     passes.scheduling.place_ready_tasks(owner, 2.0)
     assert passes.list_placed(owner) == []
     assert passes.list_stopped(owner) == runs[:3]
+
+
+def test_an_old_entry_does_not_bring_an_old_capacity_back():
+    # Guards against starts by the capacity of the incarnation before: a poll
+    # has told of the new one, and an entry that the earlier one wrote is read
+    # late, as after an outage of the log.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    old_entry = runner.entry
+    decisions.add_job(owner.table, decisions.make_step(count=8))
+    status = make_status(born_ms=2)
+    sessions._apply_reply(owner, runner, status, 1.0, 1.1)
+    recovery._apply_entry(owner, "r", old_entry)
+    sessions._apply_reply(owner, runner, status, 1.2, 1.3)
+    passes.scheduling.place_ready_tasks(owner, 1.4)
+    assert passes.list_placed(owner) == []
+    small = model.Amounts(2000, 64_000)
+    entry = msgspec.structs.replace(old_entry, born_ms=2, capacity=small)
+    recovery._apply_entry(owner, "r", entry)
+    sessions._apply_reply(owner, runner, status, 1.5, 1.6)
+    passes.scheduling.place_ready_tasks(owner, 1.7)
+    assert len(passes.list_placed(owner)) == 2
