Preempt only what makes the urgent task fit

Seen: nothing yet; found by reading. `has_capacity` and `_pick_victims` counted differently: victims were chosen by processors and memory, without the processors that a runner is short of when a fill task is placed, without the memory that fill tasks leave free, and without accelerators. So on a runner that has shrunk, an urgent task could stop others and still not fit, and stop the next ones a moment later; and an urgent task that lacks an accelerator never got one, however many less urgent tasks held them.

Now both count alike (`_Missing`). Nothing changes for tasks without accelerators that do not fill on runners within their capacity.

Ruled out: asking `has_capacity` on a copy of the runner after each victim (costs a copy for each candidate). Before, the four new cases failed; after, they pass.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -591,8 +591,8 @@
     """Finds the cheapest attempts to preempt for a task, all on one runner.
 
     Only attempts of less urgent queues are considered, and no long-running
-    ones. Only processors and memory are counted. The list is empty if no
-    runner can be made to fit the task that way.
+    ones. The list is empty if no runner can be made to fit the task that way,
+    by the same rules as `has_capacity`.
     """
     step = task.step.definition
     best: list[attempts.Run] = []
@@ -606,14 +606,43 @@
     return best
 
 
+class _Missing:
+    """What a runner lacks for a task of a step; not positive if it has it."""
+
+    __slots__ = ("accelerators", "cpu", "memory_mb")
+
+    def __init__(self, step: model.Step, runner: runners_module.Runner):
+        """Counts as `has_capacity` does."""
+        capacity, amounts = runner.entry.capacity, step.amounts
+        reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
+        self.cpu = runner.cpu + (0 if step.fills else amounts.cpu)
+        self.cpu -= capacity.cpu
+        self.memory_mb = runner.memory_mb + amounts.memory_mb
+        self.memory_mb -= capacity.memory_mb * (1 - reserve)
+        self.accelerators = runner.accelerators + amounts.accelerators
+        self.accelerators -= capacity.accelerators
+
+    def is_nothing(self) -> bool:
+        return max(self.cpu, self.memory_mb, self.accelerators) <= 0
+
+    def is_reduced_by(self, step: model.Step) -> bool:
+        """Tells whether the end of a task frees anything that is missing."""
+        return (
+            (self.cpu > 0 and not step.fills)
+            or self.memory_mb > 0
+            or (self.accelerators > 0 and step.amounts.accelerators > 0)
+        )
+
+    def release(self, step: model.Step) -> None:
+        self.cpu -= 0 if step.fills else step.amounts.cpu
+        self.memory_mb -= step.amounts.memory_mb
+        self.accelerators -= step.amounts.accelerators
+
+
 def _pick_victims(
     task: attempts.Task, runner: runners_module.Runner, now: float
 ) -> tuple[list[attempts.Run], float]:
-    step, capacity = task.step.definition, runner.entry.capacity
-    missing_cpu = 0
-    if not step.fills:
-        missing_cpu = runner.cpu + step.amounts.cpu - capacity.cpu
-    missing_mb = runner.memory_mb + step.amounts.memory_mb - capacity.memory_mb
+    missing = _Missing(task.step.definition, runner)
     priority = task.job.queue.priority
     chosen: list[attempts.Run] = []
     cost = 0.0
@@ -623,23 +652,18 @@
         other = run.task.step.definition
         if run.phase is attempts.Phase.STOPPING:
             # Its resources are about to be released.
-            missing_mb -= other.amounts.memory_mb
-            missing_cpu -= 0 if other.fills else other.amounts.cpu
+            missing.release(other)
             continue
         if run.task.job.queue.priority <= priority or other.long_running:
             continue
-        if missing_cpu <= 0 and missing_mb <= 0:
+        if missing.is_nothing():
             break
-        helps_cpu = missing_cpu > 0 and not other.fills
-        if not helps_cpu and missing_mb <= 0:
+        if not missing.is_reduced_by(other):
             continue
         chosen.append(run)
         cost += measure_preemption_cost(run, now)
-        missing_mb -= other.amounts.memory_mb
-        missing_cpu -= 0 if other.fills else other.amounts.cpu
-    if missing_cpu > 0 or missing_mb > 0:
-        return [], float("inf")
-    return chosen, cost
+        missing.release(other)
+    return (chosen, cost) if missing.is_nothing() else ([], float("inf"))
 
 
 def measure_preemption_cost(run: attempts.Run, now: float) -> float:
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -400,3 +400,57 @@
     sessions._apply_reply(owner, runner, status, 1.5, 1.6)
     passes.scheduling.place_ready_tasks(owner, 1.7)
     assert len(passes.list_placed(owner)) == 2
+
+
+@pytest.mark.parametrize(
+    ("shrunk", "fields"),
+    [
+        # A fill task does not fit on a runner that is over its processors.
+        ({"cpu": 1500, "memory_mb": 4000}, {"fills": True}),
+        # Nor where it would use the memory that fill tasks leave free.
+        ({"memory_mb": 4300}, {"fills": True}),
+        # Nothing fits on a runner that is over its accelerators.
+        ({"memory_mb": 4000, "accelerators": -1}, {}),
+    ],
+    ids=["processors", "reserve", "accelerators"],
+)
+def test_nothing_is_preempted_for_a_task_that_still_does_not_fit(
+    shrunk, fields
+):
+    # Guards against work that is stopped again and again for nothing: the task
+    # found no room by one rule, and victims were counted by another. What is
+    # over the processors or accelerators here is long-running, so no victim
+    # frees it.
+    runner = decisions.make_runner(cpu=8000, memory_mb=8000)
+    owner = passes.make_owner(runner, queue=passes.URGENT)
+    long_running = decisions.make_step(
+        count=2, memory_mb=500, long_running=True
+    )
+    victim = decisions.make_step(fills=True, checkpointing=True, memory_mb=3000)
+    decisions.place_runs(runner, owner.table, long_running, victim)
+    change_capacity(runner, **shrunk)
+    decisions.add_job(
+        owner.table,
+        decisions.make_step(memory_mb=3000, **fields),
+        job_id="u",
+        queue=passes.URGENT,
+    )
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_placed(owner) == []
+    assert passes.list_stopped(owner) == []
+
+
+def test_accelerators_are_preempted_if_that_makes_the_task_fit():
+    # Guards against an urgent task that waits behind less urgent ones which
+    # hold the accelerators that it needs.
+    runner = decisions.make_runner(cpu=8000)
+    change_capacity(runner, accelerators=1)
+    owner = passes.make_owner(runner, queue=passes.URGENT)
+    step = decisions.make_step()
+    accelerated = msgspec.structs.replace(
+        step, amounts=model.Amounts(1000, 1000, 1)
+    )
+    plain, held = decisions.place_runs(runner, owner.table, step, accelerated)
+    decisions.add_job(owner.table, accelerated, job_id="u", queue=passes.URGENT)
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_stopped(owner) == [held]
