Read runners and jobs with the time-out of a slow log

Seen: nothing yet; found by reading. An append waits for six times the present latency of the log, 2.5 s at most. The owner's reads of the runners and of the jobs waited for 0.6 s whatever the latency. On a log that takes longer than that, starts were stored and ordered while no entry was read, so they went by the capacity (and the list) of before, and new jobs were not seen.

Now both use the same time-out as appends. Nothing changes while an append takes 0.1 s or less on average.

Ruled out: the longest time-out at all times (a lost answer would be noticed 2 s later). Before, the test found no read answered; after, the smaller capacity counts.

--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -57,7 +57,7 @@
             events.log_event(events.STORE_LOST, detail=detail)
 
     def choose_timeout(self, settings: settings_module.Settings) -> float:
-        """Returns the append timeout in seconds; it grows with the latency."""
+        """Returns the time-out in seconds; it grows with the latency."""
         return min(
             settings.store_timeout_max_s,
             max(settings.store_timeout_s, _TIMEOUT_FACTOR * self.latency_s),
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -168,7 +168,7 @@
         state_module.JOBS_TOPIC,
         owner.jobs_offset,
         wait_s,
-        owner.settings.store_timeout_s,
+        owner.health.choose_timeout(owner.settings),
     )
     now = clock.read_now()
     if page.is_err():
@@ -198,7 +198,10 @@
     while True:
         await anyio.sleep(owner.settings.runner_list_poll_s)
         page = await owner.adapters.store.read(
-            topic, owner.runners_offset, 0, owner.settings.store_timeout_s
+            topic,
+            owner.runners_offset,
+            0,
+            owner.health.choose_timeout(owner.settings),
         )
         now = clock.read_now()
         if page.is_err():
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -7,6 +7,7 @@
 import pytest
 import result
 
+from plantainvane import outcomes
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
@@ -454,3 +455,43 @@
     decisions.add_job(owner.table, accelerated, job_id="u", queue=passes.URGENT)
     passes.scheduling.place_ready_tasks(owner, 2.0)
     assert passes.list_stopped(owner) == [held]
+
+
+class SlowStore:
+    """Answers each read after a time, unless the reader has given up."""
+
+    def __init__(self, latency_s, page):
+        self.latency_s, self.page, self.answered = latency_s, page, 0
+
+    async def read(self, topic, offset, wait_s, timeout_s):
+        if timeout_s < self.latency_s:
+            await anyio.sleep(0)
+            failure = outcomes.CallFailure.LOST
+            return result.Err(outcomes.CallError(failure, "time-out"))
+        self.answered += 1
+        return result.Ok(self.page)
+
+
+async def test_a_capacity_is_read_while_the_log_is_slow():
+    # Guards against starts that go by an old capacity for as long as the log is
+    # slow: appends wait longer then, so starts are stored and ordered, while
+    # each read of the entries times out.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    small = model.Amounts(2000, 64_000)
+    entry = msgspec.structs.replace(runner.entry, capacity=small)
+    page = interfaces.Page(((7, "r", entry),), 8, 8)
+    store = owner.adapters.store = SlowStore(1.0, page)
+    owner.settings = msgspec.structs.replace(
+        owner.settings, runner_list_poll_s=0.0
+    )
+    owner.health.latency_s = 0.9
+    async with anyio.create_task_group() as group:
+        group.start_soon(recovery.follow_runners, owner)
+        for _ in range(20):
+            await anyio.sleep(0)
+        group.cancel_scope.cancel()
+    assert store.answered > 0
+    assert runner.entry.capacity == small
+    store.page = interfaces.Page((), 8, 8)
+    assert await recovery.read_jobs(owner, 0)
