Limit the starts in flight

Seen in a trial without a deployment: 20,000 tasks that need nothing fit at once on 33 runners, and their 20,000 start orders took 137 MB of the owner's memory (52 to 189 MB resident) while the runners did not answer. A process has 300 MB. Two such jobs end the owner, and each successor, which loads the same jobs.

Now a pass places no further task while 2,000 starts have no outcome; the next pass, 0.25 s later at the latest, goes on. The design rate of 1,300 starts a second has 13 in flight at 10 ms a start, and 780 on a log that takes 0.6 s.

Ruled out: a limit of attempts on a runner (grows with the runners, and keeps small tasks off runners with room). Before, 5,000 tasks were placed in one pass; after, 2,000.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -39,9 +39,19 @@
     owner: state_module.Owner, runs: list[attempts.Run]
 ) -> None:
     """Stores the attempts, then sends their start orders."""
+    owner.starts_in_flight += len(runs)
     await owner.journal.flush()
     for run in runs:
-        owner.group.start_soon(_start_run, owner, run)
+        owner.group.start_soon(_start_counted_run, owner, run)
+
+
+async def _start_counted_run(
+    owner: state_module.Owner, run: attempts.Run
+) -> None:
+    try:
+        await _start_run(owner, run)
+    finally:
+        owner.starts_in_flight -= 1
 
 
 async def _start_run(owner: state_module.Owner, run: attempts.Run) -> None:
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -25,6 +25,9 @@
 # Interference is estimated again in a pass that lasts longer than this, as
 # status reports arrive every 0.5 s.
 _MAX_ESTIMATE_AGE_S = 0.5
+# Starts in flight at which a pass places no further task; each takes about
+# 7 KB of memory until its outcome is known.
+_MAX_STARTS = 2000
 # Time between two attempts to clear a runner of long-running tasks; one runner
 # is cleared at a time.
 _CLEAR_INTERVAL_S = 0.5
@@ -138,6 +141,8 @@
         for task in sorted(tasks, key=lambda task: task.name):
             if id(task.step) in blocked:
                 break
+            if owner.starts_in_flight + len(current.placed) >= _MAX_STARTS:
+                return
             if owner.table.ready.get(task.name) is not task:
                 continue
             runs = _place_task_or_gang(owner, task, current)
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -47,6 +47,7 @@
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
       runners_offset: Where the next read of the runners topic starts.
+      starts_in_flight: Number of attempts whose start has no outcome yet.
       tickets: Ticket and its expiry, by name of the step and runner id.
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
@@ -89,6 +90,7 @@
     next_effects_at: float = 0.0
     jobs_offset: int = 0
     runners_offset: int = 0
+    starts_in_flight: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -4,8 +4,11 @@
 it is replaced, and each successor loads the same job.
 """
 
+import contextlib
 import random
+import types
 
+import anyio
 import msgspec
 import pytest
 
@@ -13,14 +16,21 @@
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal
 from plantainvane.jobs import model
+from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import scheduling
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 class CountedSteps(dict):
     """Steps of a job; counts how many are visited."""
 
@@ -193,3 +203,39 @@
     limit = owner.settings.max_record_bytes
     assert limit / 4 < journal.measure_record((key, value)) <= limit
     assert b'"0899s' in value and b'"0000s' not in value
+
+
+def test_the_starts_in_flight_are_limited():
+    # Guards against tasks that need next to nothing, all of which fit at once:
+    # 20,000 start orders in flight take 137 MB of the owner's memory, and of
+    # that of each successor.
+    owner = passes.make_owner(decisions.make_runner())
+    step = decisions.make_step(count=5000, cpu=0, memory_mb=0)
+    decisions.add_job(owner.table, step)
+    counts = []
+    for in_flight in (0, 1990, 0):
+        owner.starts_in_flight = in_flight
+        scheduling.place_ready_tasks(owner, 1.0)
+        counts.append(len(passes.list_placed(owner)))
+    assert counts == [2000, 2010, 4010]
+
+
+@pytest.mark.anyio
+async def test_a_start_is_in_flight_until_its_outcome(monkeypatch):
+    # Guards against a count that keeps what has ended, after which nothing is
+    # started any more.
+    seen = []
+
+    async def start(owner, run):
+        seen.append(owner.starts_in_flight)
+        if run == "b":
+            raise OSError("not sent")
+
+    monkeypatch.setattr(orders, "_start_run", start)
+    owner = passes.make_owner()
+    owner.journal = types.SimpleNamespace(flush=lambda: anyio.sleep(0))
+    await orders.start_runs(owner, ["a", "b"])
+    for _, (_, run) in owner.group.started:
+        with contextlib.suppress(OSError):
+            await orders._start_counted_run(owner, run)
+    assert (seen, owner.starts_in_flight) == ([2, 1], 0)
