Ignore a configuration with numbers out of range

Seen: nothing; found by trying. A version of 400 digits raised OverflowError as it was written to its metric, and one beyond 64 bits as it was put into a ping, in every process that read the document, from the log or from a peer. The log takes valid documents only, and a peer passes on what it has; but it is the one document that all processes read at once.

Now version, priority and number of attempts are exact as floats, or the document is ignored and logged (event 845), and the one before stays in force. Before, the three cases were decoded; after, they are ignored.

--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -17,7 +17,7 @@
 _STATES = ("ready", _DRAINING)
 _ID_LENGTH = 16
 
-# Times and amounts of a runner; whole numbers up to here are exact as floats.
+# Whole numbers up to here are exact as floats.
 _MAX_NUMBER = 2**53
 _Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
@@ -39,8 +39,8 @@
     host: str
     path_prefix: str
     service: str = ""
-    priority: int = 0
-    attempts: int = 1
+    priority: _Number = 0
+    attempts: _Number = 1
     slack_factor: float = 1.0
     target_completion_ms: float = 0
     advisor: _Advisor | None = None
@@ -54,7 +54,7 @@
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Number
     routes: list[_Route] = []
     services: list[_Service] = []
 
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -430,3 +430,22 @@
     # Guards against a request that is answered 500 because of its deadline, or
     # that is held for as long as it asks.
     assert ingress._read_deadline(text) == deadline_s
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Version": _HUGE},
+        {"Routes": [{"Attempts": _HUGE}]},
+        {"Routes": [{"Priority": _HUGE}]},
+    ],
+    ids=lambda change: str(change)[:30],
+)
+def test_a_configuration_with_numbers_out_of_range_is_ignored(change):
+    # Guards against a version that no metric and no message to a peer can hold:
+    # each process that reads it would end.
+    route = {"Name": "q", "Host": "h", "PathPrefix": "/q/"}
+    document = {"Version": 1, "Routes": [{}]} | change
+    document["Routes"] = [route | fields for fields in document["Routes"]]
+    content = json.dumps(document).encode()
+    assert wire.decode_configuration(content) is None
