Let jobs wait for their tasks while the open jobs have too many

Now jobs that have not been started wait as queued, without tasks, once the open jobs have 120,000 (the design size has 89,000 running), in the order of their records; the owner looks for room once a second. A job with stored progress is loaded at once, since its attempts have to be charged. `job_loaded` tells which jobs wait.

Ruled out: refusing at the door (each process would have to know what the others have accepted within the last second); a lower limit on one job.

--- a/plantainvane/jobs/checks.py
+++ b/plantainvane/jobs/checks.py
@@ -6,8 +6,11 @@
 
 from plantainvane.jobs import model
 
-# Tasks of all occurrences; each takes about 0.4 KB of the owner's memory.
+# Tasks of all occurrences; each takes 0.4 KB of the owner's memory, and 0.9 KB
+# if it is a step of its own.
 MAX_TASKS = 20_000
+# Tasks of all open jobs that the owner keeps in memory; further jobs wait.
+MAX_HELD_TASKS = 120_000
 MAX_SPEC_BYTES = 4000
 # Labels, racks and images; pairs of images are stored in one record.
 MAX_NAME_BYTES = 1000
@@ -28,12 +31,17 @@
         fault = _find_step_fault(number, step)
         if fault:
             return f"step {number}: {fault}"
-    tasks = sum(step.count for step in job.steps) * max(1, job.repeat_count)
+    tasks = count_tasks(job)
     if tasks > MAX_TASKS:
         return f"{tasks} tasks exceed {MAX_TASKS}"
     return ""
 
 
+def count_tasks(job: model.Job) -> int:
+    """Returns the number of tasks of all occurrences of a job."""
+    return sum(step.count for step in job.steps) * max(1, job.repeat_count)
+
+
 def _find_step_fault(number: int, step: model.Step) -> str:
     if step.count < 1:
         return "the number of tasks is below 1"
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -164,6 +164,7 @@
         if now - owner.health.answered_at > settings.log_outage_limit_s:
             owner.step_down("log silent")
         _remove_old_jobs(owner)
+        owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
         load_module.summarize_owner(
             owner.load,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -156,6 +156,7 @@
         tasks=sum(step.count for step in job.steps),
         age_ms=wall_ms - job.accepted_ms,
         state=table_module.describe_state(state),
+        deferred=key in owner.table.deferred,
         epoch=owner.epoch,
     )
     owner.request_pass()
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import model
 from plantainvane.jobs import progress as progress_module
 
@@ -24,6 +25,9 @@
       ready: Open tasks without a run whose step has no pending dependency, by
         name.
       changed: Jobs whose progress has to be stored, by id.
+      deferred: Open jobs without tasks yet, by id, as the tasks of others are
+        at the limit. None of them has been started.
+      held_tasks: Number of tasks of open jobs, done ones included.
       runs_to_stop: Runs that have to be stopped because their task is done or
         their job has ended.
     """
@@ -34,6 +38,10 @@
     changed: dict[str, attempts.JobState] = dataclasses.field(
         default_factory=dict
     )
+    deferred: dict[str, attempts.JobState] = dataclasses.field(
+        default_factory=dict
+    )
+    held_tasks: int = 0
     runs_to_stop: list[attempts.Run] = dataclasses.field(default_factory=list)
 
     def add_job(
@@ -74,14 +82,41 @@
             state.ended_ms = progress.ended_ms
             if not progress.tasks:
                 return state
-        for occurrence in range(max(1, job.repeat_count)):
+        if progress is None and not self._has_room(job):
+            self.deferred[job.id] = state
+        else:
+            self._add_tasks(state, progress, now, wall_ms)
+        return state
+
+    def _has_room(self, job: model.Job) -> bool:
+        tasks = self.held_tasks + checks.count_tasks(job)
+        return not self.held_tasks or tasks <= checks.MAX_HELD_TASKS
+
+    def add_deferred_tasks(self, now: float, wall_ms: int) -> None:
+        """Adds the tasks of deferred jobs in their order, if there is room."""
+        for job_id, state in list(self.deferred.items()):
+            if not state.ended:
+                if not self._has_room(state.job):
+                    return
+                self._add_tasks(state, None, now, wall_ms)
+            del self.deferred[job_id]
+
+    def _add_tasks(
+        self,
+        state: attempts.JobState,
+        progress: model.JobProgress | None,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        self.held_tasks += checks.count_tasks(state.job)
+        critical_paths_s = measure_critical_paths(state.job.steps)
+        for occurrence in range(max(1, state.job.repeat_count)):
             self._add_occurrence(
                 state, occurrence, critical_paths_s, now, wall_ms
             )
         if progress is not None:
             progress_module.restore_tasks(state, progress)
         self._initialize_state(state, now, wall_ms)
-        return state
 
     def add_unservable_job(
         self, job: model.Job, queue: model.Queue, now: float, wall_ms: int
@@ -277,6 +312,7 @@
 
     def _close_tasks(self, state: attempts.JobState) -> None:
         for step_state in state.steps.values():
+            self.held_tasks -= len(step_state.tasks)
             for task in step_state.tasks:
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -13,6 +13,7 @@
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal
 from plantainvane.jobs import model
@@ -239,3 +240,67 @@
         with contextlib.suppress(OSError):
             await orders._start_counted_run(owner, run)
     assert (seen, owner.starts_in_flight) == ([2, 1], 0)
+
+
+def make_full_table(monkeypatch):
+    """Makes a table with room for 10 tasks, and jobs a to d of 6 tasks each."""
+    monkeypatch.setattr(checks, "MAX_HELD_TASKS", 10)
+    table = table_module.JobTable()
+    step = decisions.make_step(count=6)
+    return table, [
+        decisions.add_job(table, step, job_id=name) for name in "abcd"
+    ]
+
+
+def end_all(table, state):
+    for task in state.steps[0, 0].tasks:
+        run = table.begin_run(task, "r", 1.0)
+        table.end_run(run, "done", "", 2.0, 2)
+
+
+def test_jobs_wait_for_their_tasks_while_there_are_too_many(monkeypatch):
+    # Guards against large jobs whose tasks exceed the memory of a process: it
+    # ends, and so does each successor, which loads the same jobs.
+    table, (first, second, third, fourth) = make_full_table(monkeypatch)
+    small = decisions.add_job(table, decisions.make_step(), job_id="e")
+    assert [len(table.tasks), list(table.deferred)] == [7, ["b", "c", "d"]]
+    assert table_module.describe_state(second) == "queued"
+    assert table.count_pending("q") == 5
+    table.cancel_job(third, 3)
+    table.add_deferred_tasks(3.0, 3)
+    assert list(table.deferred) == ["b", "c", "d"]
+    end_all(table, first)
+    table.add_deferred_tasks(4.0, 4)
+    assert list(table.deferred) == ["d"]
+    assert len(table.ready) == 7 and third.ended == "cancelled"
+    for state in (small, second):
+        end_all(table, state)
+    assert table.held_tasks == 0
+    table.add_deferred_tasks(5.0, 5)
+    end_all(table, fourth)
+    assert (fourth.ended, table.held_tasks) == ("completed", 0)
+
+
+def test_a_job_that_has_been_started_does_not_wait(monkeypatch):
+    # Guards against attempts that may be running and are charged to no runner
+    # after a takeover.
+    table, _ = make_full_table(monkeypatch)
+    row = model.TaskProgress(0, 0, 0, 0, 1, 0, "", [model.RunProgress(1, "r")])
+    state = decisions.add_job(
+        table,
+        decisions.make_step(count=6),
+        job_id="s",
+        progress=model.JobProgress(tasks=[row]),
+    )
+    assert len(state.steps[0, 0].tasks[0].runs) == 1
+
+
+def test_an_ended_job_holds_no_room_after_a_takeover(monkeypatch):
+    # Guards against a count that grows with each job that is loaded as ended.
+    table, _ = make_full_table(monkeypatch)
+    row = model.TaskProgress(0, 0, 0, 0, 1, 0, "", [model.RunProgress(1, "r")])
+    progress = model.JobProgress("cancelled", 5, [row])
+    decisions.add_job(
+        table, decisions.make_step(count=6), job_id="s", progress=progress
+    )
+    assert table.held_tasks == 6
