Try no gang that the declared resources cannot hold

Seen in a trial without a deployment (33 runners, one job): a gang of 2,000 tasks that fits nowhere took 45 ms of each pass, and 283 ms with tasks that prefer one rack, as each rack is tried first; a pass is not interrupted within a gang, and follows the one before at once while anything changes. On the 0.43 of a core of an entry instance that is two thirds of a second, in which no ping is answered, by the owner and by each successor. Each try also marked the job as changed, so that its progress was stored again.

A gang that fits is placed as before.

Ruled out: interrupting a try (charges of half a gang would be seen by others). Before, the new cases called for a runner for each member; after, for none.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -188,6 +188,39 @@
     return runner.accelerators + amounts.accelerators <= capacity.accelerators
 
 
+def may_fit(
+    step: model.Step,
+    members: int,
+    candidates: Iterable[runners_module.Runner],
+    now: float,
+) -> bool:
+    """Tells whether declared resources could hold all members of a gang.
+
+    It costs a few divisions a runner, whatever the number of members.
+    """
+    places = 0
+    for runner in candidates:
+        if has_capacity(runner, step) and accepts_step(runner, step, now):
+            places += _count_places(runner, step, members - places)
+        if places >= members:
+            return True
+    return False
+
+
+def _count_places(
+    runner: runners_module.Runner, step: model.Step, limit: int
+) -> int:
+    capacity, amounts = runner.entry.capacity, step.amounts
+    unused = (
+        (0 if step.fills else amounts.cpu, capacity.cpu - runner.cpu),
+        (amounts.memory_mb, capacity.memory_mb - runner.memory_mb),
+        (amounts.accelerators, capacity.accelerators - runner.accelerators),
+    )
+    if step.max_per_runner:
+        limit = min(limit, step.max_per_runner)
+    return min([limit, *(left // need for need, left in unused if need)])
+
+
 def exceeds_capacity(runner: runners_module.Runner) -> bool:
     """Tells whether more is charged to the runner than it has."""
     capacity = runner.entry.capacity
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -432,6 +432,9 @@
     current: Pass,
 ) -> list[attempts.Run]:
     """Places a gang on the candidates, or restores the state before the try."""
+    members = len(step.tasks)
+    if not placement.may_fit(step.definition, members, candidates, current.now):
+        return []
     runs: list[attempts.Run] = []
     attempt = max(task.attempt for task in step.tasks)
     before = [task.attempt for task in step.tasks]
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -304,3 +304,40 @@
         table, decisions.make_step(count=6), job_id="s", progress=progress
     )
     assert table.held_tasks == 6
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"count": 33}, {"count": 500}, {"count": 3, "max_per_runner": 1}],
+    ids=str,
+)
+def test_a_gang_that_fits_nowhere_is_not_tried(fields, monkeypatch):
+    # Guards against a gang whose tries, one in each rack in each pass, take all
+    # of the owner's time: it answers no ping then, nor does its successor.
+    tried = []
+    choose = scheduling.placement.choose_runner
+    monkeypatch.setattr(
+        scheduling.placement,
+        "choose_runner",
+        lambda *given: tried.append(given[0].name) or choose(*given),
+    )
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{n}", cpu=16_000) for n in range(2))
+    )
+    step = decisions.make_step(gang=True, same_rack=True, **fields)
+    decisions.add_job(owner.table, step)
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert (tried, owner.table.changed) == ([], {})
+
+
+@pytest.mark.parametrize(
+    "fields", [{"count": 32}, {"count": 40, "cpu": 0, "memory_mb": 0}], ids=str
+)
+def test_a_gang_that_fits_is_placed(fields):
+    # Guards against an estimate that keeps a gang from the room that it needs.
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{n}", cpu=16_000) for n in range(2))
+    )
+    decisions.add_job(owner.table, decisions.make_step(gang=True, **fields))
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(passes.list_placed(owner)) == fields["count"]
