--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -166,6 +166,7 @@
         _expire_orphans(owner, now)
         if now - owner.health.answered_at > settings.log_outage_limit_s:
             owner.step_down("log silent")
+        owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
         load_module.summarize_owner(
             owner.load,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -157,6 +157,7 @@
         tasks=sum(step.count for step in job.steps),
         age_ms=wall_ms - job.accepted_ms,
         state=table_module.describe_state(state),
+        deferred=key in owner.table.deferred,
         epoch=owner.epoch,
     )
     owner.request_pass()
@@ -169,7 +170,7 @@
         state_module.JOBS_TOPIC,
         owner.jobs_offset,
         wait_s,
-        owner.settings.store_timeout_s,
+        owner.health.choose_timeout(owner.settings),
     )
     now = clock.read_now()
     if page.is_err():
@@ -199,7 +200,10 @@
     while True:
         await anyio.sleep(owner.settings.runner_list_poll_s)
         page = await owner.adapters.store.read(
-            topic, owner.runners_offset, 0, owner.settings.store_timeout_s
+            topic,
+            owner.runners_offset,
+            0,
+            owner.health.choose_timeout(owner.settings),
         )
         now = clock.read_now()
         if page.is_err():
@@ -245,8 +249,9 @@
         _add_runner(owner, entry, runner, now)
         return
     if entry.born_ms < runner.entry.born_ms:
-        # An old entry, or the time of day was set back; a poll tells.
-        runner.listed = True
+        # An old entry, or the time of day was set back; a poll tells. An entry
+        # that precedes the awaited one is old, and so is its capacity.
+        runner.listed = runner.listed or not runner.entry_awaited
         runner.require_poll()
         return
     if entry.draining and not runner.entry.draining:
@@ -255,7 +260,7 @@
         )
     restarted = entry.born_ms > runner.entry.born_ms
     before = runner.entry.capacity
-    runner.entry, runner.listed = entry, True
+    runner.entry, runner.listed, runner.entry_awaited = entry, True, False
     if entry.capacity != before:
         _report_capacity(runner, before)
         owner.request_pass()
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -7,6 +7,7 @@
 import pytest
 import result
 
+from plantainvane import outcomes
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
@@ -378,3 +379,119 @@
     passes.scheduling.place_ready_tasks(owner, 2.0)
     assert passes.list_placed(owner) == []
     assert passes.list_stopped(owner) == runs[:3]
+
+
+def test_an_old_entry_does_not_bring_an_old_capacity_back():
+    # Guards against starts by the capacity of the incarnation before: a poll
+    # has told of the new one, and an entry that the earlier one wrote is read
+    # late, as after an outage of the log.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    old_entry = runner.entry
+    decisions.add_job(owner.table, decisions.make_step(count=8))
+    status = make_status(born_ms=2)
+    sessions._apply_reply(owner, runner, status, 1.0, 1.1)
+    recovery._apply_entry(owner, "r", old_entry)
+    sessions._apply_reply(owner, runner, status, 1.2, 1.3)
+    passes.scheduling.place_ready_tasks(owner, 1.4)
+    assert passes.list_placed(owner) == []
+    small = model.Amounts(2000, 64_000)
+    entry = msgspec.structs.replace(old_entry, born_ms=2, capacity=small)
+    recovery._apply_entry(owner, "r", entry)
+    sessions._apply_reply(owner, runner, status, 1.5, 1.6)
+    passes.scheduling.place_ready_tasks(owner, 1.7)
+    assert len(passes.list_placed(owner)) == 2
+
+
+@pytest.mark.parametrize(
+    ("shrunk", "fields"),
+    [
+        # A fill task does not fit on a runner that is over its processors.
+        ({"cpu": 1500, "memory_mb": 4000}, {"fills": True}),
+        # Nor where it would use the memory that fill tasks leave free.
+        ({"memory_mb": 4300}, {"fills": True}),
+        # Nothing fits on a runner that is over its accelerators.
+        ({"memory_mb": 4000, "accelerators": -1}, {}),
+    ],
+    ids=["processors", "reserve", "accelerators"],
+)
+def test_nothing_is_preempted_for_a_task_that_still_does_not_fit(
+    shrunk, fields
+):
+    # Guards against work that is stopped again and again for nothing: the task
+    # found no room by one rule, and victims were counted by another. What is
+    # over the processors or accelerators here is long-running, so no victim
+    # frees it.
+    runner = decisions.make_runner(cpu=8000, memory_mb=8000)
+    owner = passes.make_owner(runner, queue=passes.URGENT)
+    long_running = decisions.make_step(
+        count=2, memory_mb=500, long_running=True
+    )
+    victim = decisions.make_step(fills=True, checkpointing=True, memory_mb=3000)
+    decisions.place_runs(runner, owner.table, long_running, victim)
+    change_capacity(runner, **shrunk)
+    decisions.add_job(
+        owner.table,
+        decisions.make_step(memory_mb=3000, **fields),
+        job_id="u",
+        queue=passes.URGENT,
+    )
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_placed(owner) == []
+    assert passes.list_stopped(owner) == []
+
+
+def test_accelerators_are_preempted_if_that_makes_the_task_fit():
+    # Guards against an urgent task that waits behind less urgent ones which
+    # hold the accelerators that it needs.
+    runner = decisions.make_runner(cpu=8000)
+    change_capacity(runner, accelerators=1)
+    owner = passes.make_owner(runner, queue=passes.URGENT)
+    step = decisions.make_step()
+    accelerated = msgspec.structs.replace(
+        step, amounts=model.Amounts(1000, 1000, 1)
+    )
+    plain, held = decisions.place_runs(runner, owner.table, step, accelerated)
+    decisions.add_job(owner.table, accelerated, job_id="u", queue=passes.URGENT)
+    passes.scheduling.place_ready_tasks(owner, 2.0)
+    assert passes.list_stopped(owner) == [held]
+
+
+class SlowStore:
+    """Answers each read after a time, unless the reader has given up."""
+
+    def __init__(self, latency_s, page):
+        self.latency_s, self.page, self.answered = latency_s, page, 0
+
+    async def read(self, topic, offset, wait_s, timeout_s):
+        if timeout_s < self.latency_s:
+            await anyio.sleep(0)
+            failure = outcomes.CallFailure.LOST
+            return result.Err(outcomes.CallError(failure, "time-out"))
+        self.answered += 1
+        return result.Ok(self.page)
+
+
+async def test_a_capacity_is_read_while_the_log_is_slow():
+    # Guards against starts that go by an old capacity for as long as the log is
+    # slow: appends wait longer then, so starts are stored and ordered, while
+    # each read of the entries times out.
+    runner = decisions.make_runner()
+    owner = make_entry_owner(runner)
+    small = model.Amounts(2000, 64_000)
+    entry = msgspec.structs.replace(runner.entry, capacity=small)
+    page = interfaces.Page(((7, "r", entry),), 8, 8)
+    store = owner.adapters.store = SlowStore(1.0, page)
+    owner.settings = msgspec.structs.replace(
+        owner.settings, runner_list_poll_s=0.0
+    )
+    owner.health.latency_s = 0.9
+    async with anyio.create_task_group() as group:
+        group.start_soon(recovery.follow_runners, owner)
+        for _ in range(20):
+            await anyio.sleep(0)
+        group.cancel_scope.cancel()
+    assert store.answered > 0
+    assert runner.entry.capacity == small
+    store.page = interfaces.Page((), 8, 8)
+    assert await recovery.read_jobs(owner, 0)
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -4,24 +4,35 @@
 it is replaced, and each successor loads the same job.
 """
 
+import contextlib
 import random
+import types
 
+import anyio
 import msgspec
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import crashes
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal
 from plantainvane.jobs import model
+from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import scheduling
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 class CountedSteps(dict):
     """Steps of a job; counts how many are visited."""
 
@@ -247,3 +258,140 @@
     limit = owner.settings.max_record_bytes
     assert limit / 4 < journal.measure_record((key, value)) <= limit
     assert b'"0899s' in value and b'"0000s' not in value
+
+
+def test_the_starts_in_flight_are_limited():
+    # Guards against tasks that need next to nothing, all of which fit at once:
+    # 20,000 start orders in flight take 137 MB of the owner's memory, and of
+    # that of each successor.
+    owner = passes.make_owner(decisions.make_runner())
+    step = decisions.make_step(count=5000, cpu=0, memory_mb=0)
+    decisions.add_job(owner.table, step)
+    counts = []
+    for in_flight in (0, 1990, 0):
+        owner.starts_in_flight = in_flight
+        scheduling.place_ready_tasks(owner, 1.0)
+        counts.append(len(passes.list_placed(owner)))
+    assert counts == [2000, 2010, 4010]
+
+
+@pytest.mark.anyio
+async def test_a_start_is_in_flight_until_its_outcome(monkeypatch):
+    # Guards against a count that keeps what has ended, after which nothing is
+    # started any more.
+    seen = []
+
+    async def start(owner, run):
+        seen.append(owner.starts_in_flight)
+        if run == "b":
+            raise OSError("not sent")
+
+    monkeypatch.setattr(orders, "_start_run", start)
+    owner = passes.make_owner()
+    owner.journal = types.SimpleNamespace(flush=lambda: anyio.sleep(0))
+    await orders.start_runs(owner, ["a", "b"])
+    for _, (_, run) in owner.group.started:
+        with contextlib.suppress(OSError):
+            await orders._start_counted_run(owner, run)
+    assert (seen, owner.starts_in_flight) == ([2, 1], 0)
+
+
+def make_full_table(monkeypatch):
+    """Makes a table with room for 10 tasks, and jobs a to d of 6 tasks each."""
+    monkeypatch.setattr(checks, "MAX_HELD_TASKS", 10)
+    table = table_module.JobTable()
+    step = decisions.make_step(count=6)
+    return table, [
+        decisions.add_job(table, step, job_id=name) for name in "abcd"
+    ]
+
+
+def end_all(table, state):
+    for task in state.steps[0, 0].tasks:
+        run = table.begin_run(task, "r", 1.0)
+        table.end_run(run, "done", "", 2.0, 2)
+
+
+def test_jobs_wait_for_their_tasks_while_there_are_too_many(monkeypatch):
+    # Guards against large jobs whose tasks exceed the memory of a process: it
+    # ends, and so does each successor, which loads the same jobs.
+    table, (first, second, third, fourth) = make_full_table(monkeypatch)
+    small = decisions.add_job(table, decisions.make_step(), job_id="e")
+    assert [len(table.tasks), list(table.deferred)] == [7, ["b", "c", "d"]]
+    assert table_module.describe_state(second) == "queued"
+    assert table.count_pending("q") == 5
+    table.cancel_job(third, 3)
+    table.add_deferred_tasks(3.0, 3)
+    assert list(table.deferred) == ["b", "c", "d"]
+    end_all(table, first)
+    table.add_deferred_tasks(4.0, 4)
+    assert list(table.deferred) == ["d"]
+    assert len(table.ready) == 7 and third.ended == "cancelled"
+    for state in (small, second):
+        end_all(table, state)
+    assert table.held_tasks == 0
+    table.add_deferred_tasks(5.0, 5)
+    end_all(table, fourth)
+    assert (fourth.ended, table.held_tasks) == ("completed", 0)
+
+
+def test_a_job_that_has_been_started_does_not_wait(monkeypatch):
+    # Guards against attempts that may be running and are charged to no runner
+    # after a takeover.
+    table, _ = make_full_table(monkeypatch)
+    row = model.TaskProgress(0, 0, 0, 0, 1, 0, "", [model.RunProgress(1, "r")])
+    state = decisions.add_job(
+        table,
+        decisions.make_step(count=6),
+        job_id="s",
+        progress=model.JobProgress(tasks=[row]),
+    )
+    assert len(state.steps[0, 0].tasks[0].runs) == 1
+
+
+def test_an_ended_job_holds_no_room_after_a_takeover(monkeypatch):
+    # Guards against a count that grows with each job that is loaded as ended.
+    table, _ = make_full_table(monkeypatch)
+    row = model.TaskProgress(0, 0, 0, 0, 1, 0, "", [model.RunProgress(1, "r")])
+    progress = model.JobProgress("cancelled", 5, [row])
+    decisions.add_job(
+        table, decisions.make_step(count=6), job_id="s", progress=progress
+    )
+    assert table.held_tasks == 6
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"count": 33}, {"count": 500}, {"count": 3, "max_per_runner": 1}],
+    ids=str,
+)
+def test_a_gang_that_fits_nowhere_is_not_tried(fields, monkeypatch):
+    # Guards against a gang whose tries, one in each rack in each pass, take all
+    # of the owner's time: it answers no ping then, nor does its successor.
+    tried = []
+    choose = scheduling.placement.choose_runner
+    monkeypatch.setattr(
+        scheduling.placement,
+        "choose_runner",
+        lambda *given: tried.append(given[0].name) or choose(*given),
+    )
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{n}", cpu=16_000) for n in range(2))
+    )
+    step = decisions.make_step(gang=True, same_rack=True, **fields)
+    decisions.add_job(owner.table, step)
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert (tried, owner.table.changed) == ([], {})
+
+
+@pytest.mark.parametrize(
+    "fields", [{"count": 32}, {"count": 40, "cpu": 0, "memory_mb": 0}], ids=str
+)
+def test_a_gang_that_fits_is_placed(fields):
+    # Guards against an estimate that keeps a gang from the room that it needs.
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{n}", cpu=16_000) for n in range(2))
+    )
+    decisions.add_job(owner.table, decisions.make_step(gang=True, **fields))
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(passes.list_placed(owner)) == fields["count"]
