Count the wait for a trial only while a runner has room

Cause: the wait for a trial was counted from when the task became ready, so it was over before any runner had room.

Change: it is counted from when a runner has room. While none has, the task may preempt as any other, and tasks that need no less are not tried in that pass.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -102,6 +102,8 @@
       avoided_runners: Ids of runners on which an attempt failed or made no
         progress.
       crashes: Crashes of runners that may be its fault.
+      trial_since: Since when it has waited for a trial although a runner has
+        room for it, or 0.
     """
 
     job: "JobState"
@@ -117,6 +119,7 @@
     ready_since: float = 0.0
     avoided_runners: tuple[str, ...] = ()
     crashes: tuple[model.Crash, ...] = ()
+    trial_since: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -50,13 +50,14 @@
 def is_waiting_for_trial(task: attempts.Task, now: float) -> bool:
     """Tells whether a task starts only where nothing else has just started.
 
-    The members of a gang start together, so they are not separated.
+    The members of a gang start together, so they are not separated. The time in
+    which no runner has room does not count.
     """
     step = task.step.definition
     if not task.crashes or step.gang:
         return False
     wait_s = LONG_RUNNING_TRIAL_WAIT_S if step.long_running else TRIAL_WAIT_S
-    return now - task.ready_since < wait_s
+    return not task.trial_since or now - task.trial_since < wait_s
 
 
 def allows_trial(
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -192,29 +192,43 @@
         runner = _choose_unblocked(owner, task, queue.service, current)
     if runner is not None:
         return [_begin_run(owner, task, runner, current)]
-    if crashes.is_waiting_for_trial(task, current.now):
-        _keep_runner(owner, task, queue.service, candidates, current)
+    if crashes.is_waiting_for_trial(task, current.now) and (
+        _wait_for_trial(owner, task, queue.service, candidates, current)
+    ):
         return []
     _preempt(owner, task, candidates, current)
     return []
 
 
-def _keep_runner(
+def _wait_for_trial(
     owner: state_module.Owner,
     task: attempts.Task,
     service: str,
     candidates: list[runners_module.Runner] | None,
     current: Pass,
-) -> None:
-    """Keeps a runner free for the trial of a task that found none."""
+) -> bool:
+    """Keeps a runner free for the trial of a task that found none.
+
+    Returns whether the task waits for its trial; if not, no runner has room.
+    """
+    if _is_blocked(task, service, current):
+        return False
     if candidates is None:
         candidates = _list_runners(owner, service)
+    if not task.trial_since:
+        if not placement.can_start(
+            task, candidates, owner.interference_model, current.now
+        ):
+            _mark_blocked(task, service, current)
+            return False
+        task.trial_since = current.now
     runner = placement.choose_kept_runner(
         task, candidates, owner.interference_model, current.now
     )
     if runner is not None:
         crashes.keep_runner(runner, task, current.now)
         current.estimates.forget_runner(runner.entry.id)
+    return True
 
 
 def _list_runners(
@@ -234,16 +248,8 @@
     During a pass the resources of a runner are only charged, so what does not
     fit once does not fit later either.
     """
-    step = task.step.definition
-    key = _find_requirements(task, service, current.now)
-    amounts = step.amounts
-    for other in current.blocked.get(key, ()):
-        if (
-            other.cpu <= amounts.cpu
-            and other.memory_mb <= amounts.memory_mb
-            and other.accelerators <= amounts.accelerators
-        ):
-            return None
+    if _is_blocked(task, service, current):
+        return None
     runner = placement.choose_ranked_runner(
         task,
         service,
@@ -253,11 +259,31 @@
         current.estimates,
     )
     waits = crashes.is_waiting_for_trial(task, current.now)
-    if runner is None and not step.max_per_runner and not waits:
-        current.blocked.setdefault(key, []).append(amounts)
+    if runner is None and not waits:
+        _mark_blocked(task, service, current)
     return runner
 
 
+def _is_blocked(task: attempts.Task, service: str, current: Pass) -> bool:
+    """Tells whether an easier task has found no runner in this pass."""
+    key = _find_requirements(task, service, current.now)
+    amounts = task.step.definition.amounts
+    return any(
+        other.cpu <= amounts.cpu
+        and other.memory_mb <= amounts.memory_mb
+        and other.accelerators <= amounts.accelerators
+        for other in current.blocked.get(key, ())
+    )
+
+
+def _mark_blocked(task: attempts.Task, service: str, current: Pass) -> None:
+    """Records that no runner has room for a task."""
+    step = task.step.definition
+    if not step.max_per_runner:
+        key = _find_requirements(task, service, current.now)
+        current.blocked.setdefault(key, []).append(step.amounts)
+
+
 def _find_requirements(
     task: attempts.Task, service: str, now: float
 ) -> tuple[object, ...]:
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -168,7 +168,7 @@
             and not task.step.pending_dependencies
             and not task.job.ended
         ):
-            task.ready_since = now
+            task.ready_since, task.trial_since = now, 0.0
             self.ready[task.name] = task
 
     def begin_run(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -339,6 +339,28 @@
     assert not owner.table.ready
 
 
+def test_time_without_room_does_not_end_the_wait_for_a_trial():
+    # Guards against a suspect that starts beside new attempts, because all
+    # runners were full for longer than it may wait for a trial.
+    runners = make_runners(2, cpu=1000)
+    owner = passes.make_owner(*runners)
+    runs = [
+        start(owner, runner, add_task(owner, f"b{number}"), age_s=9.0)
+        for number, runner in enumerate(runners)
+    ]
+    suspect = add_task(owner, "s", cpu=500)
+    owner.table.record_crash(suspect, make_crash(1))
+    suspect.ready_since = NOW - 60.0
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not passes.list_placed(owner) and not suspect.trial_since
+    runners[0].charge(runs[0], -1)
+    start(owner, runners[0], add_task(owner, "n", cpu=500), age_s=0.1)
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not passes.list_placed(owner) and runners[0].trial_until > NOW
+    scheduling.place_ready_tasks(owner, NOW + 1.1)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
+
+
 def test_task_that_survives_its_trial_is_no_suspect():
     # Guards against crashes that add up over the life of a service.
     runner = make_runner("r")
@@ -489,6 +511,6 @@
         start(owner, runners[0], add_task(owner, f"o{number}"), age_s=9.0)
     suspect = add_task(owner, "s")
     owner.table.record_crash(suspect, make_crash(1))
-    suspect.ready_since = NOW - 60.0
+    suspect.ready_since = suspect.trial_since = NOW - 60.0
     scheduling.place_ready_tasks(owner, NOW)
     assert dict(passes.list_placed(owner)) == {suspect.name: "r0"}
