Count a crash of a machine that is back at another address

Change: when the leases expire, a later life of the machine at any address proves the crash. Only one at the same address ends the attempts sooner. The test failed before.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -345,16 +345,15 @@
 def find_later_life(
     runner: runners_module.Runner, runners: Iterable[runners_module.Runner]
 ) -> runners_module.Runner | None:
-    """Finds the runner that answers at the address of a silent runner.
+    """Finds a later life of the machine of a silent runner.
 
-    Its answers, later than those of the silent runner, show that no process of
-    the earlier life has the address.
+    It has answered later than the silent runner. At the same address, that
+    shows that no process of the earlier life has the address.
     """
     entry = runner.entry
     for other in runners:
         if (
-            other.entry.address == entry.address
-            and other is not runner
+            other is not runner
             and other.entry.id != entry.id
             and other.fenced
             and not other.silent
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -232,9 +232,7 @@
         _promise_expiry(owner, runner, expiry, now)
     _end_replaced(owner, runner, now)
     if now > expiry and runner.runs:
-        expired_ms = clock.read_wall_ms() - int(owner.settings.lease_s * 1000)
-        crashes.blame_crash(owner, runner, "", expired_ms)
-        _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
+        _end_expired(owner, runner, now)
 
 
 def _end_replaced(
@@ -248,13 +246,30 @@
     if not runner.runs:
         return
     later = crashes.find_later_life(runner, owner.runners.values())
-    if later is not None:
+    if later is not None and later.entry.address == runner.entry.address:
         crashes.blame_crash(
             owner, runner, f"replaced by {later.entry.id}", later.entry.born_ms
         )
         _drop_runs(owner, runner, list(runner.runs), "runner replaced", now)
 
 
+def _end_expired(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Ends the attempts of a silent runner whose leases have expired."""
+    later = crashes.find_later_life(runner, owner.runners.values())
+    if later is not None:
+        evidence, until_ms = (
+            f"replaced by {later.entry.id}",
+            later.entry.born_ms,
+        )
+    else:
+        lease_ms = int(owner.settings.lease_s * 1000)
+        evidence, until_ms = "", clock.read_wall_ms() - lease_ms
+    crashes.blame_crash(owner, runner, evidence, until_ms)
+    _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
+
+
 def _promise_expiry(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -252,6 +252,24 @@
     assert (run not in task.runs) is bool(task.crashes) is crashed
 
 
+@pytest.mark.parametrize("machine", ["m", "other"])
+def test_later_life_at_another_address_shows_a_crash(machine):
+    # Guards against a crash that is never counted, because the machine was back
+    # at another address before the leases of its earlier life had expired, and
+    # against tasks that are started again before that.
+    earlier = make_runner("r0", machine="m", silent=True, up_at=NOW)
+    later = make_runner("r1", machine=machine, born_ms=9)
+    owner = passes.make_owner(earlier, later)
+    later.answered_at = NOW + 3.0
+    task = add_task(owner, "t")
+    run = start(owner, earlier, task, age_s=0.1)
+    crashes.settle_doubts(owner, later)
+    sessions._end_replaced(owner, earlier, NOW + 3.0)
+    assert run in task.runs
+    sessions._end_expired(owner, earlier, NOW + 6.0)
+    assert [crash.confirmed for crash in task.crashes] == [machine == "m"]
+
+
 def test_runner_that_answers_again_has_not_crashed():
     # Guards against a count for a runner that was only out of reach.
     runner = make_runner("r")
