Cut paths between processes, runners and peers in the stand-ins

A runner stand-in could only be silent for everybody, so a test could not show a process that reaches other runners than its peers do. Adapters of a process are now wrapped: a call on a path that is cut takes its time limit and is not answered.

--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -1,6 +1,7 @@
 """Complete deployment on the platform's stand-ins, within one process."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 from typing import Any
@@ -16,6 +17,7 @@
 from plantainvane.jobs import settings as settings_module
 from plantainvane.platform import __main__ as platform_main
 from plantainvane.platform import ingress
+from standins import platform_paths
 from standins import platform_runner
 from standins import platform_store
 from standins import serving
@@ -27,7 +29,12 @@
 
 @dataclasses.dataclass(slots=True)
 class System:
-    """A running deployment."""
+    """A running deployment.
+
+    Attributes:
+      cuts: Paths on which nothing arrives, from the id of an entry process to
+        the id of a runner or the peer address of another entry process.
+    """
 
     group: anyio.abc.TaskGroup
     store: platform_store.StoreState
@@ -37,6 +44,20 @@
         default_factory=list
     )
     stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+
+    def cut(
+        self,
+        entry: process_module.Entry,
+        runners: Iterable[str] = (),
+        peers: Iterable[process_module.Entry] = (),
+    ) -> None:
+        """Cuts paths of a process to runners, and to and from peers."""
+        own = entry.settings
+        self.cuts.update((own.id, runner) for runner in runners)
+        for peer in peers:
+            self.cuts.add((own.id, peer.settings.peer_address))
+            self.cuts.add((peer.settings.id, own.peer_address))
 
     def find_owner(self) -> process_module.Entry | None:
         """Returns the entry process that is the owner and has recovered."""
@@ -182,9 +203,11 @@
         grace_s=0.4,
         **fields,
     )
-    entry = entry_module.make_entry(
-        settings, platform_main.make_adapters(settings)
+    adapters = platform_paths.cut_adapters(
+        platform_main.make_adapters(settings), settings, system.cuts
     )
+    entry = entry_module.make_entry(settings, adapters)
+    entry.peers = platform_paths.PeerClient(settings.id, system.cuts)
     system.group.start_soon(entry_module.run_components, entry, ingress.serve)
     system.entries.append(entry)
     await wait_listening(settings.callers_address)
