Replace an owner that reaches the log but few of its runners

Callers saw tasks run again, and long-running tasks away, while many runners did not answer the owner but would have answered every other process: leases lapsed there although nothing was down.

Cause: a standby claims when the owner does not answer, does not renew its claim or has lost the log. An owner that reaches the log and not its runners does neither, and no standby can know that it would reach more.

The owner now reports in its claim and its replies to pings that it hears fewer than 0.85 of its listed runners, until it hears 0.92, with a sample of both. A standby that reads the report waits as before each claim (the ablest first), polls the sample and claims if it would hear more by 0.12 of all runners. The log's claim decides, as for every takeover.

What a poll of a standby does: it carries the present owner's token, no lease and acknowledges no end, so the runner keeps all (tested).

Bounds: nobody claims where runners are down, or where each side of a cut reaches its half (tested with stand-ins). Comparisons of one epoch are 3, 6, 12 and 24 s apart. For 20 s an owner that was replaced while it reported is no candidate, and its successor does not hand over to an abler process; without the second part the ownership went to another able process that heard few (test_process_that_hears_more_runners_stays_the_owner[2] failed). A failure by the owner's own delay is no silence, and while it is late its report stays as it is.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -192,6 +192,7 @@
         silent_for_s,
         ablest_capacity,
         status.ping_after_s,
+        is_owner and owner.reach is not None,
     )
 
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -20,6 +20,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import scheduling
@@ -116,6 +117,7 @@
         in_doubt=sum(map(len, owner.orphans.values())),
     )
     owner.group.start_soon(_sweep, owner)
+    owner.group.start_soon(probes.watch_reach, owner)
     await _schedule(owner)
 
 
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import settings as settings_module
 
 TOPIC = "keyed.claims"
@@ -25,6 +26,7 @@
       address: Peer address of the holder.
       epoch: Offset of the first record of this claim; -1 in that record.
       released: The holder gives up the ownership.
+      reach: What the holder hears of its runners, if that is few.
     """
 
     holder: str
@@ -32,6 +34,7 @@
     address: str
     epoch: int = -1
     released: bool = False
+    reach: reach_module.Reach | msgspec.UnsetType = msgspec.UNSET
 
 
 _ENCODER = msgspec.json.Encoder()
@@ -73,6 +76,7 @@
         reported it; 0 if none has.
       ping_after_s: Time between pings that the owner has asked for; 0 for the
         default.
+      few_runners: The owner hears few of its runners, as it last replied.
     """
 
     claim: Claim | None = None
@@ -86,6 +90,7 @@
     silent_for_s: float = 0.0
     ablest_capacity: float = 0.0
     ping_after_s: float = 0.0
+    few_runners: bool = False
 
     def apply_record(
         self, offset: int, value: bytes | None, now: float
@@ -99,7 +104,7 @@
             return
         if epoch != self.epoch:
             self.heard_at, self.denied, self.silent_for_s = now, False, 0.0
-            self.ping_after_s = 0.0
+            self.ping_after_s, self.few_runners = 0.0, False
         self.claim, self.epoch, self.offset = claim, epoch, offset
         self.renewed_at = now
 
@@ -110,6 +115,7 @@
         now: float,
         ablest_capacity: float = 0.0,
         ping_after_s: float = 0.0,
+        few_runners: bool = False,
     ) -> None:
         """Records the reply of the process at the owner's address."""
         self.denied = not is_owner
@@ -117,6 +123,17 @@
             self.heard_at, self.silent_for_s = now, silent_for_s
             self.ablest_capacity = ablest_capacity or self.ablest_capacity
             self.ping_after_s = ping_after_s
+            self.few_runners = few_runners
+
+    def find_reach(self) -> reach_module.Reach | None:
+        """Returns what the owner last reported in the log, or None."""
+        if self.claim is None or self.claim.released:
+            return None
+        return self.claim.reach or None
+
+    def is_reach_low(self) -> bool:
+        """Tells whether the owner last reported that it hears few runners."""
+        return self.few_runners or self.find_reach() is not None
 
 
 def choose_ping_interval(
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -49,6 +49,8 @@
       ablest_capacity: Highest capacity of the peers that are able to become the
         owner; 0 if the receiver is not the owner.
       ping_after_s: Time until the sender's next ping; 0 for the default.
+      few_runners: The receiver is the owner and hears few of its runners; its
+        claim in the log names some of them.
     """
 
     is_owner: bool
@@ -57,6 +59,7 @@
     silent_for_s: float
     ablest_capacity: float = 0.0
     ping_after_s: float = 0.0
+    few_runners: bool = False
 
 
 class Ask(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/plantainvane/jobs/probes.py
@@ -0,0 +1,91 @@
+"""Watches which runners an owner hears, and asks runners for a standby."""
+
+import anyio
+
+from plantainvane import events
+from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import load as load_module
+from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import state as state_module
+
+_INTERVAL_S = 0.2
+
+
+async def watch_reach(owner: state_module.Owner) -> None:
+    """Keeps `owner.reach` up to date while the owner hears few runners."""
+    few_since = None
+    while True:
+        await anyio.sleep(_INTERVAL_S)
+        now = clock.read_now()
+        heard, silent = reach_module.list_heard_and_silent(
+            owner.runners.values(), now
+        )
+        few = reach_module.hears_few(
+            len(heard),
+            len(silent),
+            few_since is not None,
+            owner.load.measure_lag(now) >= load_module.LATE_S,
+            owner.settings,
+        )
+        owner.reach = (
+            reach_module.make_report(heard, silent, owner.settings)
+            if few
+            else None
+        )
+        if few == (few_since is not None):
+            continue
+        owner.reach_changed.set()
+        events.log_event(
+            events.FEW_RUNNERS_HEARD if few else events.ENOUGH_RUNNERS_HEARD,
+            epoch=owner.epoch,
+            heard=len(heard),
+            silent=len(silent),
+            lasted_s=0.0 if few else round(now - few_since, 3),
+        )
+        few_since = now if few else None
+
+
+async def ask_runners(
+    adapters: interfaces.Adapters,
+    settings: settings_module.Settings,
+    epoch: int,
+    reach: reach_module.Reach,
+) -> reach_module.Answers:
+    """Polls the runners of a report until enough answered, or time is up."""
+    answers = reach_module.Answers()
+
+    async def ask(runner: reach_module.SampledRunner, is_silent: bool) -> None:
+        if not await _ask_runner(adapters, epoch, runner):
+            return
+        answers.record(is_silent)
+        if reach_module.hears_enough(reach, answers, settings):
+            group.cancel_scope.cancel()
+
+    with anyio.move_on_after(settings.reach_timeout_s):
+        async with anyio.create_task_group() as group:
+            for runner in reach.silent_sample:
+                group.start_soon(ask, runner, True)
+            for runner in reach.heard_sample:
+                group.start_soon(ask, runner, False)
+    return answers
+
+
+async def _ask_runner(
+    adapters: interfaces.Adapters,
+    epoch: int,
+    runner: reach_module.SampledRunner,
+) -> bool:
+    """Polls a runner once; returns whether it answered.
+
+    The poll carries the present owner's token, so it fences off nobody that the
+    owner would not. It renews no lease and acknowledges no end.
+    """
+    calls = adapters.connect_runner(runner.address, runner.id)
+    try:
+        reply = await calls.poll(epoch, 0, None, 0.0)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await calls.aclose()
+    return reply.is_ok()
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -12,6 +12,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
 
@@ -54,6 +55,7 @@
       claim_lock: Serializes claims of this process.
       group: Task group of the components, or None while they do not run.
       load: Load of this process.
+      comparisons: Comparisons of this process's reach with that of the owner.
     """
 
     settings: settings_module.Settings
@@ -74,6 +76,9 @@
     claim_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     group: anyio.abc.TaskGroup | None = None
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
+    comparisons: reach_module.Comparisons = dataclasses.field(
+        default_factory=reach_module.Comparisons
+    )
 
     @property
     def ready(self) -> bool:
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -92,6 +92,21 @@
     abler_peer_share: float = 0.6
     abler_peer_wait_s: float = 3.0
     abler_peer_retry_s: float = 10.0
+    # An owner reports that it hears few runners below the first share of them,
+    # until it hears the second. A rack is less than what is missing there.
+    few_runners_share: float = 0.85
+    enough_runners_share: float = 0.92
+    # A standby claims if it would hear more, by this share of all runners. It
+    # polls up to reach_sample runners that the owner hears, and as many that it
+    # does not.
+    reach_gain_share: float = 0.12
+    reach_sample: int = 8
+    reach_timeout_s: float = 0.3
+    reach_retry_s: float = 3.0
+    reach_retry_max_s: float = 24.0
+    # An owner that was replaced while it heard few runners is not a candidate
+    # for this time, and its successor does not hand over to an abler process.
+    reach_stand_back_s: float = 20.0
 
     # Runners. A call within the deployment takes 1 to 3 ms.
     call_timeout_s: float = 0.4
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
+from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import table as table_module
@@ -53,6 +54,8 @@
       paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
+      reach: What this process hears of its runners, if that is few.
+      reach_changed: Set to report at once that `reach` begins or ends.
     """
 
     settings: settings_module.Settings
@@ -99,6 +102,8 @@
         default_factory=list
     )
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
+    reach: reach_module.Reach | None = None
+    reach_changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def step_down(self, reason: str) -> None:
         """Ends this ownership; only the first `reason` is logged."""
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import msgspec
 import result
 
 from plantainvane import events
@@ -14,7 +15,9 @@
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import probes
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 
@@ -71,7 +74,12 @@
         await anyio.sleep(settings.ping_s)
         now = clock.read_now()
         peer = standbys.find_abler_peer(entry.known_peers, settings, now)
-        if not peer or not owner.recovered or not _may_own(entry, now):
+        if (
+            not peer
+            or not owner.recovered
+            or not _may_own(entry, now)
+            or now < entry.comparisons.keeps_until
+        ):
             found_at = None
             continue
         if found_at is None:
@@ -113,6 +121,8 @@
             ownership, settings, clock.read_now()
         ):
             await _read_claims(entry)
+        if ownership.is_reach_low():
+            await _compare_reach(entry)
 
 
 async def _wait_for_ping(entry: process_module.Entry) -> None:
@@ -164,6 +174,7 @@
         now,
         answer.ablest_capacity,
         answer.ping_after_s,
+        answer.few_runners,
     )
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
@@ -177,6 +188,7 @@
         not entry.draining
         and entry.configuration is not None
         and entry.health.failing_since is None
+        and now >= entry.comparisons.stands_back_until
     )
 
 
@@ -226,6 +238,72 @@
         await _claim(entry, reason)
 
 
+async def _compare_reach(entry: process_module.Entry) -> None:
+    """Claims if this process hears markedly more runners than the owner."""
+    ownership, settings = entry.ownership, entry.settings
+    epoch, now = ownership.epoch, clock.read_now()
+    if (
+        entry.owner is not None
+        or not _may_own(entry, now)
+        or not entry.comparisons.is_due(epoch, now)
+    ):
+        return
+    if await _read_reach(entry, epoch) is None:
+        return
+    # The ablest that hears more claims first.
+    await anyio.sleep(
+        ownership_module.choose_claim_wait(ownership, settings)
+        + random.random() * settings.claim_jitter_s
+    )
+    reach = await _read_reach(entry, epoch)
+    if reach is None:
+        return
+    answers = await probes.ask_runners(entry.adapters, settings, epoch, reach)
+    hears_more = reach_module.hears_markedly_more(reach, answers, settings)
+    _log_comparison(entry, reach, answers, hears_more)
+    if not hears_more:
+        entry.comparisons.record(epoch, settings, clock.read_now())
+        return
+    if await _read_reach(entry, epoch) is None:
+        return
+    # A claim that lost against a renewal is made again after the next ping.
+    if await _claim(entry, "few runners heard"):
+        # Abler processes had their turn, but may not have heard more.
+        entry.comparisons.keeps_until = (
+            clock.read_now() + settings.reach_stand_back_s
+        )
+
+
+def _log_comparison(
+    entry: process_module.Entry,
+    reach: reach_module.Reach,
+    answers: reach_module.Answers,
+    hears_more: bool,
+) -> None:
+    events.log_event(
+        events.REACH_COMPARED,
+        epoch=entry.ownership.epoch,
+        holder=entry.ownership.claim.holder,
+        owner_heard=reach.heard,
+        owner_silent=reach.silent,
+        heard_asked=len(reach.heard_sample),
+        heard_answered=answers.heard_sample,
+        silent_asked=len(reach.silent_sample),
+        silent_answered=answers.silent_sample,
+        estimate=round(reach_module.estimate_heard(reach, answers), 1),
+        hears_more=hears_more,
+    )
+
+
+async def _read_reach(
+    entry: process_module.Entry, epoch: int
+) -> reach_module.Reach | None:
+    """Reads the report of the owner of `epoch`; None without a present one."""
+    if not await _read_claims(entry) or entry.ownership.epoch != epoch:
+        return None
+    return entry.ownership.find_reach()
+
+
 async def _claim(entry: process_module.Entry, reason: str) -> bool:
     """Appends a claim if the topic is unchanged; returns whether it won."""
     async with entry.claim_lock:
@@ -308,6 +386,10 @@
             )
             group.cancel_scope.cancel()
     finally:
+        if entry.owner is not None and entry.owner.reach is not None:
+            entry.comparisons.stands_back_until = (
+                clock.read_now() + entry.settings.reach_stand_back_s
+            )
         entry.owner = None
         ready.set()
 
@@ -324,7 +406,9 @@
     while True:
         due_at = entry.ownership.renewed_at + settings.renew_s
         left_s = due_at - clock.read_now()
-        await anyio.sleep(max(settings.store_retry_s, left_s))
+        with anyio.move_on_after(max(settings.store_retry_s, left_s)):
+            await owner.reach_changed.wait()
+        owner.reach_changed = anyio.Event()
         await _renew_claim(entry, owner)
 
 
@@ -333,7 +417,11 @@
 ) -> None:
     ownership, settings = entry.ownership, entry.settings
     claim = ownership_module.Claim(
-        settings.id, entry.incarnation, settings.peer_address, owner.epoch
+        settings.id,
+        entry.incarnation,
+        settings.peer_address,
+        owner.epoch,
+        reach=owner.reach or msgspec.UNSET,
     )
     appended = await _append_claim(entry, claim)
     now = clock.read_now()
--- /dev/null
+++ b/tests/test_jobs_reach.py
@@ -0,0 +1,340 @@
+"""An owner that reaches the log but few of its runners is replaced."""
+
+import anyio
+import msgspec
+import pytest
+
+from plantainvane.jobs import ownership
+from plantainvane.jobs import peers as peers_module
+from plantainvane.jobs import probes
+from plantainvane.jobs import reach as reach_module
+from standins import platform_system
+from tests import test_jobs_decisions as decisions
+
+pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
+_RUNNERS = 8
+SETTINGS = decisions.SETTINGS
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def start_long_running(system):
+    """Starts a long-running task on each runner; returns the owner."""
+    owner = await system.wait_owner()
+    body = platform_system.make_job(
+        count=_RUNNERS, run_ms=60_000, LongRunning=True, MaxPerServer=1
+    )
+    await platform_system.call(owner, "POST", ID, body)
+    with anyio.fail_after(5.0):
+        while not all(r.running for r in system.runners.values()):
+            await anyio.sleep(0.01)
+    return owner
+
+
+def list_others(system, entry):
+    return [e for e in system.entries if e is not entry]
+
+
+async def watch_for(seconds, condition):
+    """Fails as soon as the condition does not hold within the time."""
+    with anyio.move_on_after(seconds):
+        while True:
+            assert condition()
+            await anyio.sleep(0.02)
+
+
+def keeps_attempts(system, runners):
+    return all(
+        len(runner.starts) == 1
+        and len(runner.running) == 1
+        and runner.lease_until_ms > runner.read_clock()
+        for runner in (system.runners[name] for name in runners)
+    )
+
+
+@pytest.mark.parametrize("peers_too", [False, True])
+async def test_owner_that_reaches_few_runners_is_replaced_in_time(peers_too):
+    # Guards against leases that lapse on runners that every process but the
+    # owner reaches. The owner reaches the log, and with `peers_too` no standby.
+    async with platform_system.run_system(
+        entries=3, runners=_RUNNERS
+    ) as system:
+        owner = await start_long_running(system)
+        others = [e for e in system.entries if e is not owner]
+        near, far = list(system.runners)[:2], list(system.runners)[2:]
+        system.cut(owner, far, others if peers_too else ())
+        for other in others if peers_too else ():
+            system.cut(other, near)
+        await watch_for(8.0, lambda: keeps_attempts(system, far))
+        assert system.find_owner() in others
+
+
+async def test_owner_of_runners_that_are_down_stays():
+    # Guards against an owner that is replaced, again and again, because of
+    # runners that answer nobody.
+    async with platform_system.run_system(
+        entries=3, runners=_RUNNERS, reach_retry_s=0.3, reach_retry_max_s=0.3
+    ) as system:
+        owner = await start_long_running(system)
+        epoch = owner.owner.epoch
+        for name in list(system.runners)[2:]:
+            system.runners[name].silent = True
+        await wait_compared(system, owner)
+        await watch_for(
+            2.0,
+            lambda: system.find_owner() is owner and owner.owner.epoch == epoch,
+        )
+
+
+async def wait_compared(system, owner):
+    """Waits until each standby has compared its reach with the owner's."""
+    with anyio.fail_after(20.0):
+        while any(
+            entry.comparisons.epoch != owner.owner.epoch
+            for entry in system.entries
+            if entry is not owner
+        ):
+            await anyio.sleep(0.01)
+
+
+async def test_owner_stays_where_each_side_reaches_its_half():
+    # Guards against an ownership that goes back and forth over a cut that no
+    # process is on the better side of.
+    async with platform_system.run_system(
+        entries=3, runners=_RUNNERS, reach_retry_s=0.3, reach_retry_max_s=0.3
+    ) as system:
+        owner = await start_long_running(system)
+        epoch = owner.owner.epoch
+        others = [e for e in system.entries if e is not owner]
+        names = list(system.runners)
+        system.cut(owner, names[4:], others)
+        for other in others:
+            system.cut(other, names[:4])
+        await wait_compared(system, owner)
+        await watch_for(
+            2.0,
+            lambda: system.find_owner() is owner and owner.owner.epoch == epoch,
+        )
+
+
+@pytest.mark.parametrize("able", [1, 2])
+async def test_process_that_hears_more_runners_stays_the_owner(able):
+    # Guards against a hand-over back to the process that was replaced, or to
+    # another that hears few runners, because it has more processors.
+    async with platform_system.run_system(
+        entries=able, runners=_RUNNERS, capacity=4.0, abler_peer_wait_s=0.3
+    ) as system:
+        await start_long_running(system)
+        weak = await platform_system.add_entry(
+            system, 7, capacity=0.5, abler_peer_wait_s=0.3
+        )
+        for entry in system.entries[:able]:
+            system.cut(entry, list(system.runners)[2:])
+        with anyio.fail_after(20.0):
+            while system.find_owner() is not weak:
+                await anyio.sleep(0.01)
+        await watch_for(3.0, lambda: system.find_owner() is weak)
+
+
+async def test_asking_runners_changes_nothing_there():
+    # Guards against a standby that fences off the owner, extends a lease or
+    # makes a runner forget ends that are not stored.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = await system.wait_owner()
+        sample = []
+        for name, runner in system.runners.items():
+            await wait_fenced(owner, name)
+            sample.append(reach_module.SampledRunner(name, runner.address))
+            runner.token, runner.lease_until_ms = 5, 12_345
+            runner.ends = [[1, "unknown.0.0.0", 1, "done", ""]]
+        owner.owner.runners.clear()
+        reach = reach_module.Reach(0, 2, (), tuple(sample))
+        answers = await probes.ask_runners(owner.adapters, SETTINGS, 5, reach)
+        assert answers.silent_sample == 2
+        for runner in system.runners.values():
+            assert (runner.token, runner.lease_until_ms) == (5, 12_345)
+            assert [end[0] for end in runner.ends] == [1]
+        # An earlier token is refused, which is no answer.
+        answers = await probes.ask_runners(owner.adapters, SETTINGS, 4, reach)
+        assert answers.silent_sample == 0
+        assert all(r.token == 5 for r in system.runners.values())
+
+
+async def wait_fenced(owner, name):
+    with anyio.fail_after(3.0):
+        while not owner.owner.runners[name].fenced:
+            await anyio.sleep(0.01)
+
+
+def make_runners(heard, silent, now=100.0, **fields):
+    """Returns runners of which the first ones are heard."""
+    runners = [
+        decisions.make_runner(f"h{n}", answered_at=now - 1.0)
+        for n in range(heard)
+    ]
+    runners += [
+        decisions.make_runner(
+            f"s{n}", silent=True, **{"silent_since": now - 1.0, **fields}
+        )
+        for n in range(silent)
+    ]
+    return runners
+
+
+def is_few(heard, silent, before=False, is_late=False):
+    return reach_module.hears_few(heard, silent, before, is_late, SETTINGS)
+
+
+def test_only_known_states_of_listed_runners_count():
+    # Guards against a report because of reset connections, of runners that
+    # have left, and of runners that were not polled lately.
+    def count(runners):
+        heard, silent = reach_module.list_heard_and_silent(runners, 100.0)
+        return len(heard), len(silent)
+
+    assert count(make_runners(3, 5)) == (3, 5)
+    assert count(make_runners(3, 5, silent_since=99.9)) == (3, 0)
+    assert count(make_runners(3, 5, listed=False)) == (3, 0)
+    assert count([decisions.make_runner(answered_at=90.0)]) == (0, 0)
+    unfenced = decisions.make_runner(answered_at=99.0, fenced=False)
+    assert count([unfenced]) == (0, 0)
+
+
+def test_sample_is_small_and_spread_over_the_domains():
+    # Guards against an estimate from one domain, and against a claim record
+    # that grows with the deployment.
+    runners = make_runners(0, 240)
+    for number, runner in enumerate(runners):
+        # One large domain and three small ones.
+        domain = f"d{number}" if number < 3 else "large"
+        runner.entry = msgspec.structs.replace(runner.entry, domain=domain)
+    sample = reach_module.make_report([], runners, SETTINGS).silent_sample
+    assert len(sample) == SETTINGS.reach_sample
+    assert {"s0", "s1", "s2"} < {runner.id for runner in sample}
+
+
+def test_report_begins_and_ends_at_different_shares():
+    # Guards against a report that begins and ends with each runner, and
+    # against one because a rack has failed.
+    assert is_few(84, 16)
+    assert not is_few(85, 15)
+    assert not is_few(234, 12)
+    assert is_few(91, 9, before=True)
+    assert not is_few(92, 8, before=True)
+    assert not is_few(0, 0)
+
+
+def test_own_delay_is_no_reason_for_a_report():
+    # Guards against an overloaded owner that takes its own late polls for
+    # silent runners, and against a report that ends because of such a delay.
+    assert not is_few(10, 90, is_late=True)
+    assert is_few(90, 10, before=True, is_late=True)
+
+
+@pytest.mark.parametrize(
+    ("heard", "silent", "heard_answers", "silent_answers", "expected"),
+    [
+        (62, 184, 0, 8, True),  # one of four domains cut off, seen from outside
+        (62, 184, 8, 0, False),  # seen from inside
+        (62, 184, 8, 8, True),  # only the owner is cut off
+        (58, 118, 0, 8, True),  # one of three domains cut off
+        (58, 118, 0, 6, True),  # two of these are down
+        (58, 118, 0, 5, False),
+        (196, 50, 8, 8, True),  # the path to a fifth is lost for the owner
+        (196, 50, 7, 8, False),
+        (50, 50, 0, 8, False),  # each side reaches its half
+        (62, 184, 8, 1, False),  # nearly all silent runners are down
+        (0, 10, 0, 0, False),
+        (0, 10, 0, 2, True),
+    ],
+)
+def test_only_a_process_that_hears_markedly_more_claims(
+    heard, silent, heard_answers, silent_answers, expected
+):
+    # Guards against an owner that is replaced by one that is no better, and
+    # against one that stays although another reaches most of its runners.
+    sample = tuple(
+        reach_module.SampledRunner(str(n), "127.0.0.1:1") for n in range(8)
+    )
+    reach = reach_module.Reach(
+        heard, silent, sample if heard else (), sample if silent else ()
+    )
+    answers = reach_module.Answers(heard_answers, silent_answers)
+    found = reach_module.hears_markedly_more(reach, answers, SETTINGS)
+    assert found is expected
+
+
+def test_process_that_hears_nearly_all_runners_asks_no_further():
+    # Guards against a claim of the first process that hears a few more while
+    # another hears all.
+    sample = tuple(
+        reach_module.SampledRunner(str(n), "127.0.0.1:1") for n in range(8)
+    )
+    reach = reach_module.Reach(62, 184, sample, sample)
+    for heard_answers, silent_answers, expected in (
+        (0, 8, False),
+        (5, 8, False),
+        (6, 8, True),
+        (8, 7, False),
+    ):
+        answers = reach_module.Answers(heard_answers, silent_answers)
+        found = reach_module.hears_enough(reach, answers, SETTINGS)
+        assert found is expected
+
+
+def test_comparisons_get_rarer_until_the_owner_changes():
+    # Guards against standbys that poll runners which are down for as long as
+    # these are down, and against one that does not look at the next owner.
+    comparisons = reach_module.Comparisons()
+    assert comparisons.is_due(3, 10.0)
+    now, waits = 10.0, []
+    for _ in range(6):
+        comparisons.record(3, SETTINGS, now)
+        assert not comparisons.is_due(3, now)
+        waits.append(comparisons.next_at - now)
+        now = comparisons.next_at
+        assert comparisons.is_due(3, now)
+    assert waits == sorted(waits) and waits[0] == SETTINGS.reach_retry_s
+    assert waits[-1] == SETTINGS.reach_retry_max_s
+    comparisons.record(3, SETTINGS, now)
+    assert comparisons.is_due(9, now)
+    comparisons.record(9, SETTINGS, now)
+    assert comparisons.next_at == now + SETTINGS.reach_retry_s
+    comparisons.stands_back_until = now + 20.0
+    assert not comparisons.is_due(12, now + 19.0)
+    assert comparisons.is_due(12, now + 20.0)
+
+
+def test_report_is_known_from_the_log_and_from_a_reply():
+    # Guards against a standby that does not learn of the report because it
+    # does not reach the owner, and against one that keeps an old report.
+    state = ownership.Ownership()
+    claim = ownership.Claim("a", 1, "10.0.0.1:1")
+    state.apply_record(3, ownership.encode_claim(claim), 10.0)
+    assert not state.is_reach_low()
+    state.record_reply(True, 0.0, 10.1, few_runners=True)
+    assert state.is_reach_low() and state.find_reach() is None
+    state.record_reply(True, 0.0, 10.2)
+    assert not state.is_reach_low()
+    report = msgspec.structs.replace(
+        claim, epoch=3, reach=reach_module.Reach(2, 6)
+    )
+    state.apply_record(4, ownership.encode_claim(report), 11.0)
+    assert state.is_reach_low() and state.find_reach().silent == 6
+    renewal = msgspec.structs.replace(claim, epoch=3)
+    state.apply_record(5, ownership.encode_claim(renewal), 12.0)
+    assert not state.is_reach_low()
+    state.record_reply(True, 0.0, 12.1, few_runners=True)
+    state.apply_record(6, ownership.encode_claim(claim), 13.0)
+    assert not state.is_reach_low()
+
+
+def test_reply_without_a_report_decodes():
+    # Guards against processes of two versions that take each other for silent.
+    pong = msgspec.msgpack.encode([True, 3, 1, 0.0, 2.15, 0.35])
+    decoded = msgspec.msgpack.decode(pong, type=peers_module.Pong)
+    assert not decoded.few_runners
