End attempts of replaced runners after a takeover, too

Seen in tests: with the owner and a runner lost together, and the runner back under another id, each task waited 11 s for the leases of a runner that was not listed any more (17 s for test_crashes_count_after_the_owner_is_lost with renamed runners).

Cause: the address of the runner was not stored, so the successor could not tell that another one answers there.

Change: it is stored with each attempt, and attempts of an unlisted runner end as those of a silent one, once a later life of the machine has answered the successor at that address. The answer comes after the takeover, and the attempt was ordered before it, so that the earlier life cannot be up.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -56,6 +56,7 @@
       born_ms: Incarnation of the runner that was ordered to start it.
       place: Machine of the runner, or its address.
       ordered_ms: When its start was ordered, Unix milliseconds.
+      address: Address of the runner that was ordered to start it.
       crash: Crash of the runner that is blamed on it, until it is counted.
     """
 
@@ -79,6 +80,7 @@
     born_ms: int = 0
     place: str = ""
     ordered_ms: int = 0
+    address: str = ""
     crash: model.Crash | None = None
 
 
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -280,6 +280,7 @@
       born_ms: Start of the incarnation of the runner, Unix milliseconds.
       place: Machine or address of the runner.
       ordered_ms: When its start was ordered, Unix milliseconds.
+      address: Address of the runner.
     """
 
     attempt: int
@@ -287,6 +288,7 @@
     born_ms: int = 0
     place: str = ""
     ordered_ms: int = 0
+    address: str = ""
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -30,6 +30,7 @@
                             run.born_ms,
                             run.place,
                             run.ordered_ms,
+                            run.address,
                         )
                         for run in task.runs
                     ],
@@ -70,5 +71,6 @@
                     born_ms=run.born_ms,
                     place=run.place,
                     ordered_ms=run.ordered_ms,
+                    address=run.address,
                 )
             )
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -440,6 +440,7 @@
     run = owner.table.begin_run(task, runner.entry.id, current.now)
     run.born_ms = runner.entry.born_ms
     run.place = crashes.find_place(runner.entry)
+    run.address = runner.entry.address
     run.ordered_ms = clock.read_wall_ms()
     crashes.begin_trial(runner, task, current.now)
     runner.charge(run)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -385,7 +385,7 @@
     _apply_running(owner, runner, reply, sent_at, now)
     if is_heard_again:
         crashes.settle_doubts(owner, runner)
-        _blame_orphans(owner, runner)
+        _end_orphans(owner, runner, now)
     if not runner.fenced:
         runner.fenced = True
         owner.request_pass()
@@ -398,16 +398,28 @@
     return _PendingEnds(owner.journal.add([]), number, reply.born_ms)
 
 
-def _blame_orphans(
-    owner: state_module.Owner, runner: runners_module.Runner
+def _end_orphans(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
-    """Blames attempts of an earlier life of the machine, which is unlisted."""
-    for runs in owner.orphans.values():
-        for run in runs:
-            if crashes.is_later_life(
+    """Blames attempts of an earlier life of the machine, which is unlisted.
+
+    Those that were ordered at the same address end, as in `_end_replaced`.
+    """
+    for earlier, runs in list(owner.orphans.items()):
+        for run in list(runs):
+            if not crashes.is_later_life(
                 run.runner, run.born_ms, run.place, runner.entry
             ):
-                crashes.blame_inherited(run, runner.entry.born_ms, True)
+                continue
+            crashes.blame_inherited(run, runner.entry.born_ms, True)
+            if run.address == runner.entry.address:
+                runs.remove(run)
+                owner.table.drop_run(run, now)
+                report_lost_run(owner, run, "runner replaced")
+                crashes.count_crash(owner, run)
+                owner.request_pass()
+        if not runs:
+            del owner.orphans[earlier]
 
 
 def _apply_restart(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -532,3 +532,32 @@
     suspect.ready_since = suspect.trial_since = NOW - 60.0
     scheduling.place_ready_tasks(owner, NOW)
     assert dict(passes.list_placed(owner)) == {suspect.name: "r0"}
+
+
+@pytest.mark.parametrize(
+    ("fields", "ended", "blamed"),
+    [
+        ({}, True, True),
+        ({"address": "b:1"}, False, True),
+        ({"machine": "other"}, False, False),
+        ({"born_ms": 999_000}, False, False),
+    ],
+    ids=str,
+)
+def test_successor_ends_attempts_of_replaced_runners_only(
+    fields, ended, blamed
+):
+    # Guards against a second copy of a task whose unlisted runner may still be
+    # up: another machine, another address or an earlier life proves nothing.
+    fields = {"address": "a:1", "machine": "m", "born_ms": 1_003_000} | fields
+    runner = make_runner("r1", fenced=False, **fields)
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    run = owner.table.begin_run(task, "r0", 0.0)
+    run.ordered_at, run.born_ms, run.place = 0.0, 999_500, "m"
+    run.address, run.ordered_ms = "a:1", 1_000_000
+    owner.orphans["r0"] = [run]
+    sessions._end_orphans(owner, runner, NOW)
+    assert (run not in task.runs) is ended
+    assert ("r0" not in owner.orphans) is ended
+    assert bool(task.crashes or run.crash) is blamed
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -124,6 +124,22 @@
         )
 
 
+async def test_successor_does_not_wait_for_leases_of_a_replaced_runner():
+    # Guards against services that wait 11 s after a takeover for the leases of
+    # an unlisted runner, although another one answers at its address.
+    async with platform_system.run_system(entries=2, runners=1) as system:
+        platform_system.revive_after_crashes(system, down_s=0.1)
+        owner = await sessions.start_job(
+            system, count=1, run_ms=60_000, LongRunning=True
+        )
+        await system.kill(owner)
+        system.runners["i-0"].crash()
+        await sessions.wait_until(
+            lambda: len(system.list_starts()) == 2,
+            limit_s=sessions.TAKEOVER_LIMIT_S + sessions.IDLE_LIMIT_S,
+        )
+
+
 async def test_attempts_of_a_runner_whose_address_answers_for_it_are_kept():
     # Guards against a second copy of a task: an entry that names the address of
     # a runner which is out of reach proves nothing until it answers.
