Keep no task among the suspects once its job has ended

By reading: a later life that confirms several crashes of one task ends its job with the first, and put the task back among the suspects with the next. The test failed before.

--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -284,7 +284,7 @@
         self, task: attempts.Task, crashes: tuple[model.Crash, ...]
     ) -> None:
         task.crashes = crashes
-        if crashes:
+        if crashes and task.name in self.tasks:
             self.suspects[task.name] = task
         else:
             self.suspects.pop(task.name, None)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -411,6 +411,21 @@
     assert state.job.id in owner.table.changed
 
 
+def test_task_that_was_given_up_is_no_suspect_any_more():
+    # Guards against ended jobs that are kept and examined for good, because
+    # several crashes of one task were confirmed at once.
+    later = make_runner("r1", address="a:1", born_ms=9)
+    owner = passes.make_owner(later)
+    task = add_task(owner, "t")
+    owner.table.record_crash(task, make_crash(1, alone=True))
+    for number in range(2):
+        doubt = model.Crash(f"x{number}", number, "a:1")
+        owner.table.record_crash(task, doubt)
+    crashes.settle_doubts(owner, later)
+    assert task.job.ended == "failed"
+    assert not owner.table.suspects
+
+
 def test_crashes_survive_the_owner():
     # Guards against a count that begins anew with each owner.
     runner = make_runner("r", machine="m", born_ms=7)
