--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -88,6 +88,7 @@
                         run.born_ms,
                         run.place,
                         run.ordered_ms,
+                        run.address,
                     )
                     for run in task.runs
                 ],
@@ -139,6 +140,7 @@
                     born_ms=run.born_ms,
                     place=run.place,
                     ordered_ms=run.ordered_ms,
+                    address=run.address,
                 )
             )
 
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -122,6 +122,7 @@
         for run in task.runs:
             run.born_ms = run.ordered_ms = 1_768_235_695_304
             run.place = "m-0123456789"
+            run.address = "10.200.200.200:65535"
 
 
 def take_records(state):
@@ -225,7 +226,7 @@
     table.begin_run(state.steps[0, 0].tasks[499], "r", 1.0)
     ((key, value),) = take_records(state)
     assert key == "j"
-    assert value == b'["",0,[[0,0,499,0,1,0,"",[[1,"r",0,"",0]],[]]]]'
+    assert value == b'["",0,[[0,0,499,0,1,0,"",[[1,"r",0,"",0,""]],[]]]]'
     assert msgspec.json.decode(value, type=EarlierProgress) == EarlierProgress(
         "", 0, [EarlierTask(0, 0, 499, 0, 1, 0, "", [EarlierRun(1, "r")])]
     )
