--- a/tests/test_platform_sizes.py
+++ b/tests/test_platform_sizes.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from plantainvane.jobs import checks
 from plantainvane.jobs import progress
 from standins import platform_system
 
@@ -55,3 +56,23 @@
         await platform_system.wait_state(system, ID, "completed", 20.0)
         starts = system.list_starts()
         assert len({task for task, _ in starts}) == len(starts) == 120
+
+
+async def test_jobs_that_wait_for_room_complete_over_a_takeover(monkeypatch):
+    # Guards against jobs that wait for good, or that a successor forgets, as
+    # nothing of them is stored but the job.
+    monkeypatch.setattr(checks, "MAX_HELD_TASKS", 10)
+    jobs = [f"{ID[:-1]}{number}" for number in range(4)]
+    async with platform_system.run_system(entries=2) as system:
+        owner = await system.wait_owner()
+        body = platform_system.make_job(count=6, run_ms=1000)
+        for job_id in jobs:
+            await platform_system.call(system.entries[-1], "POST", job_id, body)
+        with anyio.fail_after(8.0):
+            while len(owner.owner.table.deferred) < 3:
+                await anyio.sleep(0.01)
+        await system.kill(owner)
+        for job_id in jobs:
+            await platform_system.wait_state(system, job_id, "completed", 20.0)
+        starts = system.list_starts()
+        assert len({task for task, _ in starts}) == len(starts) == 24
