Take over the progress of a large job that is stored in one record

Found by reading again, which splits the progress of jobs of more than 500 tasks: the last release stored all tasks under the first key. After an update in place, the first change rewrote one part only. If that was part 0, the rows of the other parts were dropped with it, and their tasks were started again by the next owner; if not, a task had two rows, and the older one could win.

Now the first change after loading stores all parts; those of an open job are stored from the last to the first, so that no row is dropped before it is stored elsewhere, also if the records reach the log in several appends; and where a task is named by part 0 and its own part, its own part counts.

Before, the test failed for a change in each of the three parts (one record written instead of three); after, the state is whole after each of the records.

--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -28,10 +28,12 @@
 ) -> list[tuple[str, model.JobProgress | None]]:
     """Returns the records that have to be stored, by their keys.
 
-    Part 0 comes first: it tells that a job has ended, and the other parts of an
-    ended job are dropped.
+    Part 0 of an ended job comes first: it tells the end, and the other parts
+    are dropped then. That of an open job comes last, as the last release stored
+    all tasks there, and they are dropped from it.
     """
-    parts, state.changed_parts = sorted(state.changed_parts), set()
+    parts = sorted(state.changed_parts, reverse=not state.ended)
+    state.changed_parts = set()
     records: list[tuple[str, model.JobProgress | None]] = []
     for part in parts:
         progress = build_progress(state, part)
@@ -46,12 +48,18 @@
 def add_part(
     stored: dict[str, model.JobProgress], key: str, progress: model.JobProgress
 ) -> None:
-    """Adds a record to the progress of its job; any order will do."""
+    """Adds a record to the progress of its job; any order will do.
+
+    If part 0, as the last release stored it, names the same tasks as a later
+    part, the rows of the later part come first.
+    """
     job_id, _, part = key.partition(_PART_SEPARATOR)
     known = stored.setdefault(job_id, model.JobProgress())
+    if part:
+        known.tasks = [*progress.tasks, *known.tasks]
+        return
     known.tasks = [*known.tasks, *progress.tasks]
-    if not part:
-        known.ended, known.ended_ms = progress.ended, progress.ended_ms
+    known.ended, known.ended_ms = progress.ended, progress.ended_ms
 
 
 def _list_part(state: attempts.JobState, part: int) -> Iterator[attempts.Task]:
@@ -104,6 +112,7 @@
         step_state = state.steps.get((stored.occurrence, stored.step))
         fault = _find_fault(step_state, stored)
         if not fault and step_state.tasks[stored.index].name in restored:
+            # A row in part 0 that precedes the one in the part of the task.
             fault = "names a task twice"
         if fault:
             _report_row(state, stored, fault)
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -116,6 +116,10 @@
             )
         if progress is not None:
             progress_module.restore_tasks(state, progress)
+            # The next change stores all parts, also if the last release has
+            # stored them as one.
+            parts = range(progress_module.count_parts(state))
+            state.changed_parts.update(parts)
         self._initialize_state(state, now, wall_ms)
 
     def add_unservable_job(
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -341,3 +341,41 @@
     decisions.add_job(owner.table, decisions.make_step(gang=True, **fields))
     scheduling.place_ready_tasks(owner, 1.0)
     assert len(passes.list_placed(owner)) == fields["count"]
+
+
+@pytest.mark.parametrize("index", [0, 700, 1400])
+def test_progress_in_one_record_is_taken_over_at_any_point(index):
+    # Guards against tasks of a large job that are started again after an update
+    # from the last release, which stored all of them in one record: the records
+    # that replace it may reach the log in several appends.
+    table = table_module.JobTable()
+    job = make_job((decisions.make_step(count=1500),))
+    state = table.add_job(job, decisions.QUEUE, None, 1.0, 1)
+    for task in list(table.ready.values()):
+        table.begin_run(task, "r", 1.0)
+    whole = [
+        row
+        for _, part in progress_module.take_changed(state)
+        for row in part.tasks
+    ]
+    stored = {"j": msgspec.json.encode(model.JobProgress(tasks=whole))}
+
+    def load():
+        owner = passes.make_owner()
+        for key, value in stored.items():
+            recovery._load_progress(owner, key, value)
+        recovery._add_job(owner, "j", msgspec.json.encode(job))
+        return owner.table
+
+    loaded = load()
+    run = loaded.jobs["j"].steps[0, 0].tasks[index].runs[0]
+    loaded.end_run(run, "done", "", 2.0, 2)
+    records = take_records(loaded.jobs["j"])
+    assert len(records) == 3
+    for key, value in records:
+        stored[key] = value
+        tasks = load().jobs["j"].steps[0, 0].tasks
+        assert min(task.attempt for task in tasks) == 1
+        counts = {len(task.runs) for task in tasks if task.index != index}
+        assert counts == {1}
+    assert tasks[index].result is attempts.Result.DONE
