--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -270,8 +270,7 @@
             system, count=1, run_ms=60_000, LongRunning=True
         )
         known, runner = owner.owner.runners["i-0"], system.runners["i-0"]
-        # An attempt that no poll has listed may be one of the new incarnation,
-        # and stays charged for the time of its lease.
+        # An attempt that no poll has listed outlives the new entry.
         await wait_until(lambda: all(run.reported for run in known.runs))
         runner.silent = True
         await wait_until(lambda: known.silent)
