Check the disruption budget again after a search that ran in slices

Since scheduling passes run in slices, the search for a runner to clear yields before each runner, and everything else may change in the pauses. The budget was checked while the search looked at a runner, the tasks were stopped at its end, and another task of the step may have failed in between.

The budget of each task that is to move is now checked again at the end; if one does not hold, nothing moves and the next search decides.

Test: the case of a task that is no longer at work failed before.

Not checked again: that no long-running task waits for a runner, which is a preference and not a bound.

--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -208,12 +208,12 @@
         for runner in runners
         if runner.entry.id != run.runner and _is_disturbed(runner, images)
     )
-    return _respects_disruption_budget(run, runners, now) and (
+    return respects_disruption_budget(run, runners, now) and (
         placement.can_start(run.task, others, interference_model, now)
     )
 
 
-def _respects_disruption_budget(
+def respects_disruption_budget(
     run: attempts.Run, runners: list[runners_module.Runner], now: float
 ) -> bool:
     """Tells whether every task of the step is known to be fully at work."""
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -354,6 +354,13 @@
     moves = yield from relocation.search_moves(
         demand, runners, owner.interference_model, current.now
     )
+    # Tasks may have ended since the search looked at their steps.
+    runners = list(owner.runners.values())
+    if not all(
+        relocation.respects_disruption_budget(run, runners, current.now)
+        for run in moves
+    ):
+        return
     for run in moves:
         run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
         orders.stop_run(owner, run, "moved to clear the runner for fill tasks")
--- a/tests/test_jobs_relocation.py
+++ b/tests/test_jobs_relocation.py
@@ -1,11 +1,15 @@
 """Which long-running tasks move so that fill tasks find a runner."""
 
+import pytest
+
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import placement
 from plantainvane.jobs import relocation
+from plantainvane.jobs import scheduling as scheduling_module
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling
 
 DEMAND = {"noisy": 20_000}
 
@@ -148,3 +152,27 @@
             task, candidates, interference_model, 10.0
         )
         assert chosen is runners[1]
+
+
+@pytest.mark.parametrize(("percent", "moves"), [(100.0, 1), (40.0, 0)])
+def test_budget_is_checked_again_after_a_search_in_slices(percent, moves):
+    # Guards against a step with more interrupted tasks than its disruption
+    # budget allows, as one has failed while the search went on.
+    table, interference_model, runners, movable = make_pool()
+    other = decisions.make_runner("c", answered_at=10.0)
+    owner = scheduling.make_owner(*runners, other)
+    for runner in owner.runners.values():
+        runner.answered_at = 10.0
+    owner.table, owner.interference_model = table, interference_model
+    fill = decisions.make_step(
+        count=10, fills=True, image="noisy", cpu=2000, memory_mb=90_000
+    )
+    decisions.add_job(table, fill, job_id="waiting")
+    current = scheduling_module.Pass(10.0)
+    work = scheduling_module._clear_one(owner, current)
+    # One turn for the demand, and one before each runner.
+    for _ in range(4):
+        next(work)
+    movable[0].progress_percent = percent
+    assert not list(work)
+    assert len(scheduling.list_stopped(owner)) == moves
