Stop the rest of a gang when a member is lost

A gang may have never run again. Its members start together, so none is placed while an attempt of another is left. When an attempt was lost (its lease has expired, its runner has restarted or does not list it), the others were not stopped, as they are when a member ends or its start is refused. The gang then depended on the runners to end them; while they are renewed and wait for the lost one, they keep it from starting.

Test: the two cases of a gang, on a known and on an unlisted runner, failed before; those of other steps guard that nothing else is stopped.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -218,12 +218,17 @@
     if runner is not None:
         runner.charge(run, -1)
     owner.table.drop_run(run, clock.read_now())
-    if run.task.step.definition.gang:
-        _stop_gang(owner, run)
+    stop_rest_of_gang(owner, run)
     owner.request_pass()
 
 
-def _stop_gang(owner: state_module.Owner, run: attempts.Run) -> None:
+def stop_rest_of_gang(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Stops the other members of the gang of an attempt, if it is in one.
+
+    A gang starts as a whole, so a member that is left keeps it from starting.
+    """
+    if not run.task.step.definition.gang:
+        return
     for member in run.task.step.tasks:
         for other in member.runs:
             stop_run(owner, other, "gang incomplete")
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -182,9 +182,12 @@
         if now <= expiry:
             owner.expiries.promise(runner, expiry)
             continue
-        for run in owner.orphans.pop(runner):
+        lost = owner.orphans.pop(runner)
+        for run in lost:
             owner.table.drop_run(run, now)
             sessions.report_lost_run(owner, run, "lease expired")
+        for run in lost:
+            orders.stop_rest_of_gang(owner, run)
     unused = [
         runner
         for runner in owner.expiries.expires_at
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -267,6 +267,8 @@
         owner.interference_model.forget_run(run)
         owner.table.drop_run(run, now)
         report_lost_run(owner, run, reason)
+    for run in runs:
+        orders.stop_rest_of_gang(owner, run)
     owner.request_pass()
 
 
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table as table_module
@@ -483,3 +484,31 @@
         )
     assert len(scheduling.list_stopped(owner)) == repeated
     assert run in runner.runs
+
+
+@pytest.mark.parametrize(("gang", "stopped"), [(True, 1), (False, 0)])
+@pytest.mark.parametrize("orphan", [True, False])
+def test_rest_of_a_gang_is_stopped_when_a_member_is_lost(gang, stopped, orphan):
+    # Guards against a gang that never runs again: its members start together,
+    # so those that are left keep the lost one from starting.
+    owner = scheduling.make_owner(*map(decisions.make_runner, ("a", "b")))
+    state = decisions.add_job(owner.table, decisions.make_step(count=2))
+    (step,) = state.steps.values()
+    step.definition = msgspec.structs.replace(step.definition, gang=gang)
+    runs = [
+        owner.table.begin_run(task, runner, 1.0)
+        for task, runner in zip(step.tasks, "ab", strict=True)
+    ]
+    for run in runs:
+        run.phase, run.running_since = attempts.Phase.RUNNING, 1.0
+    owner.runners["b"].charge(runs[1])
+    if orphan:
+        owner.runners.pop("a")
+        owner.orphans["a"] = [runs[0]]
+        owner_module._expire_orphans(owner, 1000.0)
+    else:
+        owner.runners["a"].charge(runs[0])
+        sessions._drop_runs(
+            owner, owner.runners["a"], [runs[0]], "lease expired", 2.0
+        )
+    assert len(scheduling.list_stopped(owner)) == stopped
