Offer the jobs to a second able peer if the ablest declines

A weak owner may have kept the jobs although an able process stood by: it offered them to the ablest peer only, every 10 s to the same one, so a single peer that pings but does not take the jobs kept them from all others.

The owner now asks the next of the markedly abler peers as well. Two at most, as nothing starts meanwhile.

Test: failed before by its limit of 5 s.

--- a/plantainvane/jobs/standbys.py
+++ b/plantainvane/jobs/standbys.py
@@ -49,11 +49,21 @@
     now: float,
 ) -> str:
     """Returns an ablest peer that is markedly abler, or an empty string."""
-    for address in list_successors(known_peers, settings, now)[:1]:
-        limit = settings.abler_peer_share * known_peers[address].capacity
-        if settings.capacity < limit:
-            return address
-    return ""
+    return next(iter(list_abler_peers(known_peers, settings, now)), "")
+
+
+def list_abler_peers(
+    known_peers: dict[str, process_module.PeerStatus],
+    settings: settings_module.Settings,
+    now: float,
+) -> list[str]:
+    """Returns the markedly abler peers, the ablest first."""
+    return [
+        address
+        for address in list_successors(known_peers, settings, now)
+        if settings.capacity
+        < settings.abler_peer_share * known_peers[address].capacity
+    ]
 
 
 def choose_ping_interval(
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -19,6 +19,8 @@
 from plantainvane.jobs import state as state_module
 
 _HAND_OVER_TIMEOUT_S = 1.5
+# Most peers that a weak owner asks in turn, as nothing starts meanwhile.
+_MAX_OFFERS = 2
 # The owner goes on renewing its claim, and a renewal makes a claim fail that is
 # on its way.
 _HAND_OVER_TRIES = 3
@@ -94,7 +96,9 @@
             peer_capacity=entry.known_peers[peer].capacity,
             owned_s=round(now - owner.started_at, 3),
         )
-        await _offer_ownership(entry, owner, [peer])
+        others = standbys.list_abler_peers(entry.known_peers, settings, now)
+        candidates = dict.fromkeys([peer, *others])
+        await _offer_ownership(entry, owner, [*candidates][:_MAX_OFFERS])
         # Only a failed offer gets here; a step-down cancels this task.
         owner.draining = entry.draining
         await anyio.sleep(settings.abler_peer_retry_s)
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -220,6 +220,32 @@
         assert (weak.owner is None) is late
 
 
+async def test_weak_owner_asks_the_next_able_peer_if_the_ablest_declines(
+    monkeypatch,
+):
+    # Guards against a weak owner that keeps the jobs because the only peer that
+    # it asks, each time the same, does not take them.
+    answer = succession.answer_hand_over
+
+    async def decline(entry, request):
+        if entry.settings.capacity == 4.0:
+            return peers_module.HandOverReply()
+        return await answer(entry, request)
+
+    monkeypatch.setattr(succession, "answer_hand_over", decline)
+    async with platform_system.run_system(
+        entries=1, capacity=0.3, abler_peer_wait_s=1.0
+    ) as system:
+        await system.wait_owner()
+        for number, capacity in ((1, 0.4), (2, 4.0), (3, 2.0)):
+            able = await platform_system.add_entry(
+                system, number, capacity=capacity, abler_peer_wait_s=60.0
+            )
+        with anyio.fail_after(5.0):
+            while system.find_owner() is not able:
+                await anyio.sleep(0.01)
+
+
 class LossyStore:
     """Answers reads with one claim, and no append."""
 
