Accept no job whose progress is too large for a record of the log

One job could have stopped all jobs for good. Jobs of up to 20,000 tasks were accepted. The progress of a job is one record; with an attempt and a checkpoint of each task that is 1,328,898 bytes, with all tasks done 468,898, and the log takes 262,144. The append of an owner is tried until it is answered, so a record that the log refuses each time keeps all others from being stored: no start is ordered and no end acknowledged any more, and the next owner stores the same record. No event ends that state.

Jobs of more than 2,500 tasks are now refused like other malformed ones; the largest record is then 163,898 bytes.

Test: failed before.

Left: a submission whose record is larger than its body, which the sender withdraws, and learned effects of very many images.

--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -12,7 +12,9 @@
 _STATES = ("ready", _DRAINING)
 _ID_LENGTH = 16
 _MAX_SPEC_BYTES = 4000
-_MAX_TASKS = 20_000
+# The progress of a job is one record, which the log limits to 262,144 bytes. A
+# task with an attempt and a checkpoint takes less than 100.
+_MAX_TASKS = 2500
 
 
 class _Advisor(msgspec.Struct, rename="pascal"):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -4,15 +4,20 @@
 import pathlib
 import tomllib
 
+import msgspec
 import pytest
 
 from plantainvane.jobs import model
+from plantainvane.jobs import progress
+from plantainvane.jobs import table
 from plantainvane.platform import node
 from plantainvane.platform import runners
 from plantainvane.platform import store
 from plantainvane.platform import wire
 
 QUEUE = model.Queue("q", "h", "/q/", "s")
+# Largest record that the platform's log takes.
+MAX_RECORD_BYTES = 262_144
 ENTRY = {
     "Service": "s",
     "Address": "10.0.0.9:8080",
@@ -182,3 +187,23 @@
 def test_unusable_settings_are_refused_with_the_reason(text):
     # Guards against a process that starts with incomplete settings.
     assert node.decode_settings(text).err_value
+
+
+def test_progress_of_the_largest_job_fits_a_record():
+    # Guards against a job whose progress the log refuses: the append is tried
+    # for ever, and no progress of any job is stored, by this owner or the next.
+    largest = wire._MAX_TASKS
+    for count, accepted in ((largest, True), (largest + 1, False)):
+        body = json.dumps({"Steps": [{"Count": count}]}).encode()
+        assert wire.decode_job(body, "f" * 16, QUEUE, 0).is_ok() is accepted
+    body = json.dumps(
+        {"Steps": [{"Count": 1, "Checkpointing": True}], "RepeatCount": largest}
+    ).encode()
+    job = wire.decode_job(body, "f" * 16, QUEUE, 0).ok_value
+    job_table = table.JobTable()
+    state = job_table.add_job(job, QUEUE, None, 0.0, 0)
+    for task in list(job_table.tasks.values()):
+        task.attempt, task.failures, task.checkpoint = 999, 99, "f" * 16
+        job_table.begin_run(task, "i-ffffffffffff", 0.0)
+    size = len(msgspec.json.encode(progress.build_progress(state)))
+    assert size <= MAX_RECORD_BYTES
