--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -315,6 +315,8 @@
         owner.table.drop_run(run, now)
         report_lost_run(owner, run, reason)
         crashes.count_crash(owner, run)
+    for run in runs:
+        orders.stop_rest_of_gang(owner, run)
     owner.request_pass()
 
 
@@ -437,6 +439,7 @@
                 owner.table.drop_run(run, now)
                 report_lost_run(owner, run, "runner replaced")
                 crashes.count_crash(owner, run)
+                orders.stop_rest_of_gang(owner, run)
                 owner.request_pass()
         if not runs:
             del owner.orphans[earlier]
