Take attempts that a new owner finds at work for bystanders

Cause: an inherited attempt survived its start only once a poll had listed it 1 s after the first one.

Change: its age is also taken from the stored time of its order. The test failed before.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -412,6 +412,9 @@
 ) -> None:
     """Clears a task whose attempt is listed some time after its start.
 
+    The age of an attempt that an earlier owner ordered is known from the time
+    of day, as far as the clocks of both agree.
+
     Args:
       owner: The owner.
       run: An attempt that a poll has listed.
@@ -419,6 +422,9 @@
     """
     if run.survived:
         return
-    if seen_at - (run.sent_at or run.running_since) >= SUSPECT_WINDOW_S:
+    age_s = seen_at - (run.sent_at or run.running_since)
+    if not run.sent_at and run.ordered_ms:
+        age_s = max(age_s, (clock.read_wall_ms() - run.ordered_ms) / 1000)
+    if age_s >= SUSPECT_WINDOW_S:
         run.survived = True
         owner.table.clear_crashes(run.task)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -394,6 +394,23 @@
     assert not task.crashes
 
 
+@pytest.mark.parametrize(("age_s", "suspected"), [(3.0, False), (0.5, True)])
+def test_inherited_attempt_that_is_listed_is_a_bystander(age_s, suspected):
+    # Guards against a trial that proves nothing, because the attempts that a
+    # new owner found there count as just started.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    run = owner.table.begin_run(task, "r", 0.0)
+    run.ordered_at, run.born_ms, run.place = 0.0, 1, "r:9"
+    run.ordered_ms = int(1_000_000 - age_s * 1000)
+    runner.charge(run)
+    run.running_since = NOW - 0.1
+    crashes.record_survival(owner, run, NOW)
+    crash(owner, runner)
+    assert bool(task.crashes) is suspected
+
+
 def test_giving_up_ends_the_job_and_stops_its_other_attempts():
     # Guards against tasks of a failed job that are started or run on.
     runners = make_runners(2)
