Pass the time of day to the functions that judge crashes

They read the clock themselves; the house rule is that a function that decides gets the present time. It is read once for each poll now. Nothing else changes; the tests of crashes pass the time as well.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -12,7 +12,6 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
-from plantainvane.jobs import clock
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
@@ -298,17 +297,22 @@
         )
 
 
-def count_crash(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Counts the crash that is blamed on an attempt which has ended."""
+def count_crash(
+    owner: state_module.Owner, run: attempts.Run, wall_ms: int
+) -> None:
+    """Counts the crash that is blamed on an attempt which has ended.
+
+    `wall_ms` is the present time, Unix milliseconds.
+    """
     crash, run.crash = run.crash, None
     if crash is None:
         return
     owner.table.record_crash(run.task, crash)
-    _give_up_if_due(owner, run.task)
+    _give_up_if_due(owner, run.task, wall_ms)
 
 
 def settle_doubts(
-    owner: state_module.Owner, runner: runners_module.Runner
+    owner: state_module.Owner, runner: runners_module.Runner, wall_ms: int
 ) -> None:
     """Decides unconfirmed crashes, as the runner has answered a poll.
 
@@ -325,7 +329,7 @@
                 crash.runner, crash.born_ms, crash.place, runner.entry
             ):
                 owner.table.confirm_crash(task, crash)
-                _give_up_if_due(owner, task)
+                _give_up_if_due(owner, task, wall_ms)
 
 
 def is_same_life(runner: str, born_ms: int, entry: model.RunnerEntry) -> bool:
@@ -382,7 +386,9 @@
     return len(counted) >= limit and any(crash.alone for crash in counted)
 
 
-def _give_up_if_due(owner: state_module.Owner, task: attempts.Task) -> None:
+def _give_up_if_due(
+    owner: state_module.Owner, task: attempts.Task, wall_ms: int
+) -> None:
     if task.job.ended or not is_to_be_given_up(task):
         return
     metrics.TASKS_GIVEN_UP.inc()
@@ -403,12 +409,15 @@
         long_running=task.step.definition.long_running,
         epoch=owner.epoch,
     )
-    owner.table.give_up(task, clock.read_wall_ms())
+    owner.table.give_up(task, wall_ms)
     owner.request_pass()
 
 
 def record_survival(
-    owner: state_module.Owner, run: attempts.Run, seen_at: float
+    owner: state_module.Owner,
+    run: attempts.Run,
+    seen_at: float,
+    wall_ms: int,
 ) -> None:
     """Clears a task whose attempt is listed some time after its start.
 
@@ -419,12 +428,13 @@
       owner: The owner.
       run: An attempt that a poll has listed.
       seen_at: When the poll was sent.
+      wall_ms: Present time, Unix milliseconds.
     """
     if run.survived:
         return
     age_s = seen_at - (run.sent_at or run.running_since)
     if not run.sent_at and run.ordered_ms:
-        age_s = max(age_s, (clock.read_wall_ms() - run.ordered_ms) / 1000)
+        age_s = max(age_s, (wall_ms - run.ordered_ms) / 1000)
     if age_s >= SUSPECT_WINDOW_S:
         run.survived = True
         owner.table.clear_crashes(run.task)
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -241,7 +241,7 @@
     if runner is not None:
         runner.charge(run, -1)
     owner.table.drop_run(run, clock.read_now())
-    crashes.count_crash(owner, run)
+    crashes.count_crash(owner, run, clock.read_wall_ms())
     stop_rest_of_gang(owner, run)
     owner.request_pass()
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -194,7 +194,7 @@
             crashes.blame_inherited(run, started_ms, False)
             owner.table.drop_run(run, now)
             sessions.report_lost_run(owner, run, "lease expired")
-            crashes.count_crash(owner, run)
+            crashes.count_crash(owner, run, clock.read_wall_ms())
         for run in lost:
             orders.stop_rest_of_gang(owner, run)
     unused = [
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -314,7 +314,7 @@
         owner.interference_model.forget_run(run)
         owner.table.drop_run(run, now)
         report_lost_run(owner, run, reason)
-        crashes.count_crash(owner, run)
+        crashes.count_crash(owner, run, clock.read_wall_ms())
     for run in runs:
         orders.stop_rest_of_gang(owner, run)
     owner.request_pass()
@@ -406,7 +406,7 @@
     number = _apply_ends(owner, runner, reply, now)
     _apply_running(owner, runner, reply, sent_at, now)
     if is_heard_again:
-        crashes.settle_doubts(owner, runner)
+        crashes.settle_doubts(owner, runner, clock.read_wall_ms())
         _end_orphans(owner, runner, now)
     if not runner.fenced:
         runner.fenced = True
@@ -438,7 +438,7 @@
                 runs.remove(run)
                 owner.table.drop_run(run, now)
                 report_lost_run(owner, run, "runner replaced")
-                crashes.count_crash(owner, run)
+                crashes.count_crash(owner, run, clock.read_wall_ms())
                 orders.stop_rest_of_gang(owner, run)
                 owner.request_pass()
         if not runs:
@@ -525,6 +525,7 @@
 ) -> None:
     reported: set[attempts.Run] = set()
     foreign: set[tuple[str, int]] = set()
+    wall_ms = clock.read_wall_ms()
     for running in reply.running:
         run = owner.table.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
@@ -535,7 +536,7 @@
         _update_run(run, running, now)
         if _outlives_stop(run, sent_at):
             orders.repeat_stop(owner, run)
-        crashes.record_survival(owner, run, sent_at)
+        crashes.record_survival(owner, run, sent_at, wall_ms)
     if runner.foreign and not foreign:
         owner.request_pass()
     runner.foreign = frozenset(foreign)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -19,14 +19,15 @@
 from tests import test_jobs_scheduling as passes
 
 NOW = 50.0
+WALL_MS = 1_000_000
 # A long-running task is to run again after this time if there is room (LOST).
 IDLE_LIMIT_S = 3.0
 
 
 @pytest.fixture(autouse=True)
 def fixed_clock(monkeypatch):
-    monkeypatch.setattr(crashes.clock, "read_now", lambda: NOW)
-    monkeypatch.setattr(crashes.clock, "read_wall_ms", lambda: 1_000_000)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: NOW)
+    monkeypatch.setattr(sessions.clock, "read_wall_ms", lambda: WALL_MS)
 
 
 def make_runners(count, **fields):
@@ -49,7 +50,7 @@
     run = owner.table.begin_run(task, runner.entry.id, NOW - age_s)
     run.born_ms = runner.entry.born_ms
     run.place = crashes.find_place(runner.entry)
-    run.ordered_ms = int(1_000_000 - age_s * 1000)
+    run.ordered_ms = int(WALL_MS - age_s * 1000)
     run.sent_at = NOW - age_s
     run.start_answered = answered
     run.phase, run.running_since = attempts.Phase.RUNNING, NOW - age_s
@@ -211,7 +212,7 @@
         model.Crash("r0", 1, crashes.find_place(earlier.entry), alone=True),
     )
     owner.table.suspects[task.name] = task
-    crashes.settle_doubts(owner, later)
+    crashes.settle_doubts(owner, later, WALL_MS)
     assert task.crashes[0].confirmed
 
 
@@ -263,7 +264,7 @@
     later.answered_at = NOW + 3.0
     task = add_task(owner, "t")
     run = start(owner, earlier, task, age_s=0.1)
-    crashes.settle_doubts(owner, later)
+    crashes.settle_doubts(owner, later, WALL_MS)
     sessions._end_replaced(owner, earlier, NOW + 3.0)
     assert run in task.runs
     sessions._end_expired(owner, earlier, NOW + 6.0)
@@ -276,7 +277,7 @@
     owner = passes.make_owner(runner)
     task = add_task(owner, "t")
     owner.table.record_crash(task, model.Crash("r", 1, "r:9", alone=True))
-    crashes.settle_doubts(owner, runner)
+    crashes.settle_doubts(owner, runner, WALL_MS)
     assert not task.crashes and not owner.table.suspects
 
 
@@ -386,9 +387,9 @@
     task = add_task(owner, "t", long_running=True)
     owner.table.record_crash(task, make_crash(1))
     run = start(owner, runner, task, age_s=1.2)
-    crashes.record_survival(owner, run, NOW - 0.5)
+    crashes.record_survival(owner, run, NOW - 0.5, WALL_MS)
     assert task.crashes
-    crashes.record_survival(owner, run, NOW)
+    crashes.record_survival(owner, run, NOW, WALL_MS)
     assert not task.crashes and not owner.table.suspects
     crash(owner, runner)
     assert not task.crashes
@@ -403,10 +404,10 @@
     task = add_task(owner, "t")
     run = owner.table.begin_run(task, "r", 0.0)
     run.ordered_at, run.born_ms, run.place = 0.0, 1, "r:9"
-    run.ordered_ms = int(1_000_000 - age_s * 1000)
+    run.ordered_ms = int(WALL_MS - age_s * 1000)
     runner.charge(run)
     run.running_since = NOW - 0.1
-    crashes.record_survival(owner, run, NOW)
+    crashes.record_survival(owner, run, NOW, WALL_MS)
     crash(owner, runner)
     assert bool(task.crashes) is suspected
 
@@ -438,7 +439,7 @@
     for number in range(2):
         doubt = model.Crash(f"x{number}", number, "a:1")
         owner.table.record_crash(task, doubt)
-    crashes.settle_doubts(owner, later)
+    crashes.settle_doubts(owner, later, WALL_MS)
     assert task.job.ended == "failed"
     assert not owner.table.suspects
 
