--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -1,4 +1,4 @@
-"""Decides which runner starts a task, and which attempts are preempted for it.
+"""Decides which runner starts a task.
 
 Serving tasks are long-running tasks with a latency target. Fill tasks use the
 processors that all other tasks leave idle, and may interfere with the serving
@@ -56,9 +56,6 @@
 # runner, which is preferred to one with mixed images.
 PACKING_WEIGHT = 0.3
 EMPTY_RUNNER_SIMILARITY = 0.5
-# Core-seconds that a stop costs in addition to the lost work: the call to the
-# runner and the restart.
-STOP_COST_CORE_S = 0.1
 # Share of the memory that fill tasks leave free for urgent work.
 FILL_MEMORY_RESERVE = 0.08
 
@@ -684,99 +681,3 @@
             rack = racks.get(run.runner, "")
             counts[rack] = counts.get(rack, 0) + 1
     return counts
-
-
-def find_victims(
-    task: attempts.Task,
-    candidates: list[runners_module.Runner],
-    now: float,
-) -> list[attempts.Run]:
-    """Finds the cheapest attempts to preempt for a task, all on one runner.
-
-    Only attempts of less urgent queues are considered, and no long-running
-    ones. The list is empty if no runner can be made to fit the task that way,
-    by the same rules as `has_capacity`.
-    """
-    step = task.step.definition
-    best: list[attempts.Run] = []
-    best_cost = float("inf")
-    for runner in candidates:
-        if not accepts_step(runner, step, now) or (
-            crashes.is_kept_for_other(runner, task, now)
-        ):
-            continue
-        victims, cost = _pick_victims(task, runner, now)
-        if victims and cost < best_cost:
-            best, best_cost = victims, cost
-    return best
-
-
-class _Missing:
-    """What a runner lacks for a task of a step; not positive if it has it."""
-
-    __slots__ = ("accelerators", "cpu", "memory_mb")
-
-    def __init__(self, step: model.Step, runner: runners_module.Runner):
-        """Counts as `has_capacity` does."""
-        capacity, amounts = runner.entry.capacity, step.amounts
-        reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
-        self.cpu = runner.cpu + (0 if step.fills else amounts.cpu)
-        self.cpu -= capacity.cpu
-        self.memory_mb = runner.memory_mb + amounts.memory_mb
-        self.memory_mb -= capacity.memory_mb * (1 - reserve)
-        self.accelerators = runner.accelerators + amounts.accelerators
-        self.accelerators -= capacity.accelerators
-
-    def is_nothing(self) -> bool:
-        return max(self.cpu, self.memory_mb, self.accelerators) <= 0
-
-    def is_reduced_by(self, step: model.Step) -> bool:
-        """Tells whether the end of a task frees anything that is missing."""
-        return (
-            (self.cpu > 0 and not step.fills)
-            or self.memory_mb > 0
-            or (self.accelerators > 0 and step.amounts.accelerators > 0)
-        )
-
-    def release(self, step: model.Step) -> None:
-        self.cpu -= 0 if step.fills else step.amounts.cpu
-        self.memory_mb -= step.amounts.memory_mb
-        self.accelerators -= step.amounts.accelerators
-
-
-def _pick_victims(
-    task: attempts.Task, runner: runners_module.Runner, now: float
-) -> tuple[list[attempts.Run], float]:
-    missing = _Missing(task.step.definition, runner)
-    priority = task.job.queue.priority
-    chosen: list[attempts.Run] = []
-    cost = 0.0
-    for run in sorted(
-        runner.runs, key=lambda r: measure_preemption_cost(r, now)
-    ):
-        other = run.task.step.definition
-        if run.phase is attempts.Phase.STOPPING:
-            # Its resources are about to be released.
-            missing.release(other)
-            continue
-        if run.task.job.queue.priority <= priority or other.long_running:
-            continue
-        if missing.is_nothing():
-            break
-        if not missing.is_reduced_by(other):
-            continue
-        chosen.append(run)
-        cost += measure_preemption_cost(run, now)
-        missing.release(other)
-    return (chosen, cost) if missing.is_nothing() else ([], float("inf"))
-
-
-def measure_preemption_cost(run: attempts.Run, now: float) -> float:
-    """Returns the core-seconds that are lost by stopping an attempt."""
-    if run.phase is not attempts.Phase.RUNNING:
-        return 0.0
-    step = run.task.step.definition
-    worked_s = now - run.running_since
-    if step.checkpointing:
-        worked_s = 0.0
-    return worked_s * step.amounts.cpu / 1000 + STOP_COST_CORE_S
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import preemption
 from plantainvane.jobs import relocation
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
@@ -328,7 +329,7 @@
             for runner in current.preemptible[key]
             if runner in owner.runners
         ]
-    for run in placement.find_victims(task, candidates, current.now):
+    for run in preemption.find_victims(task, candidates, current.now):
         orders.stop_run(owner, run, f"preempted for {task.name}")
 
 
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -8,6 +8,7 @@
 from plantainvane.jobs import ownership
 from plantainvane.jobs import pacing
 from plantainvane.jobs import placement
+from plantainvane.jobs import preemption
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
@@ -408,7 +409,7 @@
     urgent = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
     state = add_job(table, make_step(memory_mb=1500), job_id="u", queue=urgent)
     task = state.steps[0, 0].tasks[0]
-    assert placement.find_victims(task, [runner], 1.0) == [cheap]
+    assert preemption.find_victims(task, [runner], 1.0) == [cheap]
 
 
 def test_long_running_task_is_never_preempted():
@@ -421,7 +422,7 @@
     urgent = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
     state = add_job(table, make_step(memory_mb=1500), job_id="u", queue=urgent)
     task = state.steps[0, 0].tasks[0]
-    assert placement.find_victims(task, [runner], 1.0) == []
+    assert preemption.find_victims(task, [runner], 1.0) == []
 
 
 def test_lease_expiry_allows_for_a_slow_clock():
