Count crashes of trials that start in one pass

Callers would see: a job with three or more tasks that crash their runners is run on and on, and its tasks are started more than five times (BUDGET).

Cause: a crash is shared, and does not count, if two other runners went down within 0.12 s without the same task. The lists of runners are read every 0.4 s, so runners that are back at about the same time are found together, their attempts end together and the suspects start again in one pass. As each crashes its runner some 10 ms after the start, the crashes of the trials hide each other again, and shared crashes have no bound.

Change: a runner that goes down with a single task or gang under suspicion that was a suspect before is no sign of a common cause. A runner that goes down without a suspect, or with new ones only, still is, as in a rack or a power loss.

Before, the test found the crashes of three trials shared; after, each counts with its task as the only suspect, and with a fourth runner that goes down without a suspect all three are shared.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -176,7 +176,11 @@
     if runner.answered_at <= runner.born_at:
         return
     runner.down_from, runner.down_at = min(runner.up_at, now), now
-    runner.suspected = frozenset(map(_name_unit, _list_suspects(runner)))
+    suspects = _list_suspects(runner)
+    runner.suspected = frozenset(map(_name_unit, suspects))
+    runner.down_in_trial = len(runner.suspected) == 1 and all(
+        run.task.crashes for run in suspects
+    )
 
 
 def _has_common_cause(
@@ -184,13 +188,18 @@
     unit: str,
     runners: Iterable[runners_module.Runner],
 ) -> bool:
-    """Tells whether other runners went down at the same time without `unit`."""
+    """Tells whether other runners went down at the same time without `unit`.
+
+    A runner that went down in a trial does not count: its suspect explains it,
+    and several trials may start in one pass.
+    """
     others = [
         other
         for other in runners
         if other is not runner
         and other.down_at > 0
         and not other.entry.draining
+        and not other.down_in_trial
         and unit not in other.suspected
         and other.down_from <= runner.down_at + _COMMON_CAUSE_S
         and other.down_at >= runner.down_from - _COMMON_CAUSE_S
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -45,6 +45,8 @@
         time that it did.
       suspected: Names of the tasks and gangs that had been started shortly
         before that.
+      down_in_trial: One task or gang had been started shortly before that, and
+        it was a suspect already.
       trial_until: Until this time nothing else is started there, because a task
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
@@ -88,6 +90,7 @@
     down_from: float = 0.0
     down_at: float = 0.0
     suspected: frozenset[str] = frozenset()
+    down_in_trial: bool = False
     trial_until: float = 0.0
     kept_for: str = ""
     silent: bool = False
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -199,6 +199,27 @@
     assert [task.crashes[0].alone for task in tasks] == [True, True]
 
 
+@pytest.mark.parametrize("bystander", [False, True])
+def test_trials_that_crash_at_once_do_not_hide_each_other(bystander):
+    # Guards against tasks of one job that start again in the same pass, crash
+    # their runners at the same moment each time, and are never given up. A
+    # runner that goes down without a suspect still shows another cause.
+    runners = make_runners(4)
+    owner = passes.make_owner(*runners)
+    tasks = [add_task(owner, f"t{n}") for n in range(3)]
+    for number, task in enumerate(tasks):
+        owner.table.record_crash(task, make_crash(number, shared=True))
+        start(owner, runners[number], task, age_s=0.01)
+    for runner in runners[: 4 if bystander else 3]:
+        runner.silent = True
+        runner.up_at = NOW
+        crashes.mark_down(runner, NOW)
+    for runner in runners[:3]:
+        crash(owner, runner)
+    assert [task.crashes[-1].shared for task in tasks] == 3 * [bystander]
+    assert [task.crashes[-1].alone for task in tasks] == 3 * [not bystander]
+
+
 @pytest.mark.parametrize("same", ["address", "machine"])
 def test_later_life_under_another_id_shows_a_crash(same):
     # Guards against a crash that is taken for silence because the runner came
