End nothing for an entry of the incarnation before

Callers would see: a task runs twice at the same time (TWICE).

Cause: a runner restarts under its id with its time of day set back, and a poll tells so. Its new incarnation carries out a start late, and the poll lists the attempt. Then an entry of the incarnation before is read, as after an outage of the log. It has a later start, so it was taken for a further restart: the listed attempt was dropped, and its task was ready to start elsewhere.

Change: the owner remembers the incarnation that preceded the one that a poll has told of. Its entries are old, whatever their time, and a poll decides, as for entries with an earlier start. A start that is neither is a restart, as before.

Before, the test found the attempt dropped; after, it stays until another incarnation is known.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -248,7 +248,8 @@
     if runner is None or runner.entry.address != entry.address:
         _add_runner(owner, entry, runner, now)
         return
-    if entry.born_ms < runner.entry.born_ms:
+    is_earlier = entry.born_ms == runner.earlier_born_ms
+    if is_earlier or entry.born_ms < runner.entry.born_ms:
         # An old entry, or the time of day was set back; a poll tells. An entry
         # that precedes the awaited one is old, and so is its capacity.
         runner.listed = runner.listed or not runner.entry_awaited
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -454,6 +454,7 @@
     listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
+    runner.earlier_born_ms = runner.entry.born_ms
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
     # Its capacity and labels are not known before its own entry is read.
     runner.listed, runner.entry_awaited = False, True
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -495,3 +495,28 @@
     assert runner.entry.capacity == small
     store.page = interfaces.Page((), 8, 8)
     assert await recovery.read_jobs(owner, 0)
+
+
+def test_an_old_entry_ends_nothing_after_the_time_of_day_was_set_back():
+    # Guards against a second copy of a task: the new incarnation, whose clock
+    # was set back, has carried out a start late, and an entry that the earlier
+    # one wrote is read after the poll that lists the attempt. It looks newer.
+    runner = decisions.make_runner()
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=100)
+    owner = make_entry_owner(runner)
+    old_entry = runner.entry
+    state = decisions.add_job(owner.table, decisions.make_step())
+    task = state.steps[0, 0].tasks[0]
+    run = owner.table.begin_run(task, "r", 1.0)
+    runner.charge(run)
+    status = make_status((task.name, run.attempt), born_ms=50)
+    sessions._apply_reply(owner, runner, status, 1.0, 1.1)
+    assert run.reported
+    recovery._apply_entry(owner, "r", old_entry)
+    assert task.runs == [run]
+    sessions._apply_reply(owner, runner, status, 1.2, 1.3)
+    assert task.runs == [run]
+    assert not runner.listed
+    newer = msgspec.structs.replace(old_entry, born_ms=150)
+    recovery._apply_entry(owner, "r", newer)
+    assert not task.runs
