--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -29,6 +29,8 @@
         incarnation.
       entry_awaited: Only a poll has told of the present incarnation; its own
         entry has not been read.
+      earlier_born_ms: Incarnation before the last one that a poll has told of,
+        or None. Its entries are old, also if the time of day was set back.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
       born_at: When this process learned of the present incarnation. An answer
@@ -45,6 +47,8 @@
         time that it did.
       suspected: Names of the tasks and gangs that had been started shortly
         before that.
+      down_in_trial: One task or gang had been started shortly before that, and
+        it was a suspect already.
       trial_until: Until this time nothing else is started there, because a task
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
@@ -75,6 +79,7 @@
     rack: str
     listed: bool = True
     entry_awaited: bool = False
+    earlier_born_ms: int | None = None
     fenced: bool = False
     born_at: float = 0.0
     restarted_at: float = float("-inf")
@@ -88,6 +93,7 @@
     down_from: float = 0.0
     down_at: float = 0.0
     suspected: frozenset[str] = frozenset()
+    down_in_trial: bool = False
     trial_until: float = 0.0
     kept_for: str = ""
     silent: bool = False
