Give up a long-running task after five crashes of one machine

Cause: a long-running task was given up only if two machines had crashed. A machine that is back is empty, so it may be the only one with room, and after the wait for a trial the task starts there again.

Change: five proved crashes that no other runner shared end the job, whichever machine it was.

The test that allowed nine crashes of one machine was wrong in that it asked for starts without end; four crashes, and nine that are unproved or shared, still end nothing, and five do.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -39,7 +39,8 @@
 # Crashes under a task after which it is given up: with one in which it was the
 # only suspect, and on at least two machines; the first number applies to a
 # long-running task. The third applies in any case, and the last also includes
-# crashes that are not proved, but not those of a long-running task.
+# crashes that are not proved, but not those of a long-running task. So many
+# proved ones also end a long-running task that has crashed only one machine.
 _LONG_RUNNING_LIMIT = 3
 _LIMIT = 2
 _MAX_CRASHES = 4
@@ -386,6 +387,8 @@
     long_running = task.step.definition.long_running
     if not long_running and len(own) >= MAX_UNPROVED_CRASHES:
         return len(counted) >= _LIMIT
+    if len(counted) >= MAX_UNPROVED_CRASHES:
+        return True
     machines = len({crash.place for crash in counted})
     if machines < 2 and (long_running or len(counted) < _MAX_CRASHES):
         return False
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -145,15 +145,27 @@
     assert crashes.is_to_be_given_up(task) is given_up
 
 
-def test_crashes_of_one_machine_do_not_end_a_long_running_task():
-    # Guards against a service that is given up because one machine flaps.
+@pytest.mark.parametrize(
+    ("count", "fields", "given_up"),
+    [
+        (4, {}, False),
+        (5, {}, True),
+        (9, {"confirmed": False}, False),
+        (9, {"shared": True}, False),
+    ],
+)
+def test_few_crashes_of_one_machine_do_not_end_a_long_running_task(
+    count, fields, given_up
+):
+    # Guards against a service that is given up because one machine flaps, and
+    # against one that fits on a single machine and crashes it without end.
     owner = passes.make_owner()
     task = add_task(owner, "t", long_running=True)
+    fields = {"alone": True, "confirmed": True} | fields
     task.crashes = tuple(
-        model.Crash(f"i-{n}", n, "m-1", alone=True, confirmed=True)
-        for n in range(9)
+        model.Crash(f"i-{n}", n, "m-1", **fields) for n in range(count)
     )
-    assert not crashes.is_to_be_given_up(task)
+    assert crashes.is_to_be_given_up(task) is given_up
 
 
 def test_runners_that_go_down_together_prove_nothing():
