Take no idle runner for a sign of a common cause

Cause: a runner without attempts is not polled. When it is found down or has restarted, it may have gone down at any time since its last answer, which may be minutes ago, and all crashes of that time that were not yet blamed counted as shared with it.

Change: a runner that was last heard more than 3 s before it was found down is left out, as one that was never heard is. A poll takes 2.4 s at most. It still counts for the crash of another idle runner, so that a task that is sent to one of several that are down is not blamed for it (second test).

Before, a runner that was last heard 20 s ago made the crash of another shared; after, it does not, and those heard 0.2 and 2.2 s ago do as before.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -36,6 +36,8 @@
 # and do so if this many others went down.
 _COMMON_CAUSE_S = 0.12
 _COMMON_CAUSE_RUNNERS = 2
+# A runner that is polled is heard, or found silent, within this time.
+_LONGEST_LOOK_S = 3.0
 # Crashes under a task after which it is given up: with one in which it was the
 # only suspect, and on at least two machines; the first number applies to a
 # long-running task. The third applies in any case, and the last also includes
@@ -184,6 +186,15 @@
     )
 
 
+def _was_polled(runner: runners_module.Runner) -> bool:
+    """Tells whether a runner was polled when it went down.
+
+    An idle runner is not, so it may have gone down at any time since its last
+    answer.
+    """
+    return runner.down_at - runner.down_from <= _LONGEST_LOOK_S
+
+
 def _has_common_cause(
     runner: runners_module.Runner,
     unit: str,
@@ -201,6 +212,7 @@
         and other.down_at > 0
         and not other.entry.draining
         and not other.down_in_trial
+        and (_was_polled(other) or not _was_polled(runner))
         and unit not in other.suspected
         and other.down_from <= runner.down_at + _COMMON_CAUSE_S
         and other.down_at >= runner.down_from - _COMMON_CAUSE_S
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -211,6 +211,41 @@
     assert [task.crashes[0].alone for task in tasks] == [True, True]
 
 
+@pytest.mark.parametrize(
+    ("unheard_s", "shared"), [(0.2, True), (2.2, True), (20.0, False)]
+)
+def test_runner_that_was_not_polled_is_no_common_cause(unheard_s, shared):
+    # Guards against crashes that do not count because an idle runner, which is
+    # not polled, is found down or restarted and may have crashed at any time.
+    runner, idle = make_runners(2)
+    owner = passes.make_owner(runner, idle)
+    idle.born_at, idle.answered_at = NOW - 60.0, NOW + 0.1 - unheard_s
+    idle.up_at = idle.answered_at
+    task = add_task(owner, "t")
+    start(owner, runner, task, age_s=0.01)
+    runner.silent, runner.up_at = True, NOW
+    crashes.mark_down(runner, NOW)
+    crashes.mark_down(idle, NOW + 0.1)
+    crash(owner, runner)
+    assert task.crashes[0].shared is shared
+
+
+def test_start_on_an_idle_runner_that_was_down_is_shared_with_others():
+    # Guards against a task that is blamed for idle runners that went down
+    # together before it was sent there.
+    runner, idle = make_runners(2)
+    owner = passes.make_owner(runner, idle)
+    for down in (runner, idle):
+        down.born_at, down.answered_at = NOW - 60.0, NOW - 20.0
+        down.up_at, down.silent = NOW - 20.0, True
+    task = add_task(owner, "t")
+    run = start(owner, runner, task, age_s=0.01, answered=False)
+    crashes.mark_down(runner, NOW)
+    crashes.mark_down(idle, NOW + 0.1)
+    sessions.handle_restart(owner, runner, 2, 1, NOW + 3.0)
+    assert run.crash.shared
+
+
 @pytest.mark.parametrize("bystander", [False, True])
 def test_trials_that_crash_at_once_do_not_hide_each_other(bystander):
     # Guards against tasks of one job that start again in the same pass, crash
