--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -36,10 +36,13 @@
 # and do so if this many others went down.
 _COMMON_CAUSE_S = 0.12
 _COMMON_CAUSE_RUNNERS = 2
+# A runner that is polled is heard, or found silent, within this time.
+_LONGEST_LOOK_S = 3.0
 # Crashes under a task after which it is given up: with one in which it was the
 # only suspect, and on at least two machines; the first number applies to a
 # long-running task. The third applies in any case, and the last also includes
-# crashes that are not proved, but not those of a long-running task.
+# crashes that are not proved, but not those of a long-running task. So many
+# proved ones also end a long-running task that has crashed only one machine.
 _LONG_RUNNING_LIMIT = 3
 _LIMIT = 2
 _MAX_CRASHES = 4
@@ -183,6 +186,15 @@
     )
 
 
+def _was_polled(runner: runners_module.Runner) -> bool:
+    """Tells whether a runner was polled when it went down.
+
+    An idle runner is not, so it may have gone down at any time since its last
+    answer.
+    """
+    return runner.down_at - runner.down_from <= _LONGEST_LOOK_S
+
+
 def _has_common_cause(
     runner: runners_module.Runner,
     unit: str,
@@ -200,6 +212,7 @@
         and other.down_at > 0
         and not other.entry.draining
         and not other.down_in_trial
+        and (_was_polled(other) or not _was_polled(runner))
         and unit not in other.suspected
         and other.down_from <= runner.down_at + _COMMON_CAUSE_S
         and other.down_at >= runner.down_from - _COMMON_CAUSE_S
@@ -386,6 +399,8 @@
     long_running = task.step.definition.long_running
     if not long_running and len(own) >= MAX_UNPROVED_CRASHES:
         return len(counted) >= _LIMIT
+    if len(counted) >= MAX_UNPROVED_CRASHES:
+        return True
     machines = len({crash.place for crash in counted})
     if machines < 2 and (long_running or len(counted) < _MAX_CRASHES):
         return False
