Count only usable runners in the share that trials may close

Callers would see: after a power loss, other tasks wait beside room until the trials are over, for some seconds.

Cause: trials may close a quarter of the candidates, and runners that are down, not listed any more or not heard yet were counted among them. While most are down, trials closed all that are up.

Change: the share is that of the listed runners that have answered.

Before, with 4 of 16 runners up and 30 suspects, trials closed all 4 in one pass; after, one, and a long-running task is placed at once.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -298,8 +298,9 @@
     candidates: list[runners_module.Runner], now: float
 ) -> bool:
     """Tells whether one more runner may be kept for a trial."""
-    trials = sum(runner.trial_until > now for runner in candidates)
-    return trials < max(1, crashes.MAX_TRIALS_SHARE * len(candidates))
+    usable = [r for r in candidates if r.listed and r.fenced and not r.silent]
+    trials = sum(runner.trial_until > now for runner in usable)
+    return trials < max(1, crashes.MAX_TRIALS_SHARE * len(usable))
 
 
 def choose_kept_runner(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -426,6 +426,25 @@
     assert not owner.table.ready
 
 
+def test_trials_leave_runners_open_while_most_are_down():
+    # Guards against trials that close all runners that are up, as after a power
+    # loss: those that are down were counted in the share that may be closed.
+    runners = make_runners(16)
+    for runner in runners[4:]:
+        runner.silent = True
+    owner = passes.make_owner(*runners)
+    for number in range(30):
+        task = add_task(owner, f"s{number}")
+        owner.table.record_crash(task, make_crash(1))
+        task.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert sum(runner.trial_until > NOW for runner in runners) == 1
+    other = add_task(owner, "other", long_running=True)
+    other.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert other.name in dict(passes.list_placed(owner))
+
+
 def test_time_without_room_does_not_end_the_wait_for_a_trial():
     # Guards against a suspect that starts beside new attempts, because all
     # runners were full for longer than it may wait for a trial.
