Move the trials of suspects out of the module that blames crashes

crashes had 480 lines and two jobs. Moved as they are, but for a local variable that had the name of the new module; the place of a runner is found in runners.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -19,6 +19,7 @@
 from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import trials
 
 # Time without start orders after a runner has rejected one.
 _NO_ROOM_BACKOFF_S = 0.25
@@ -74,7 +75,7 @@
             return
         order = _make_order(owner, runner, run)
         run.sent_at = clock.read_now()
-        crashes.extend_trial(runner, run)
+        trials.extend_trial(runner, run)
         outcome = await runner.calls.start(order)
         lost = lost or outcome is _OUTCOME.LOST
         if outcome not in (_OUTCOME.LOST, _OUTCOME.UNREACHED):
--- a/plantainvane/jobs/preemption.py
+++ b/plantainvane/jobs/preemption.py
@@ -1,10 +1,10 @@
 """Decides which attempts are stopped to make room for a more urgent task."""
 
 from plantainvane.jobs import attempts
-from plantainvane.jobs import crashes
 from plantainvane.jobs import model
 from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import trials
 
 # Core-seconds that a stop costs in addition to the lost work: the call to the
 # runner and the restart.
@@ -27,7 +27,7 @@
     best_cost = float("inf")
     for runner in candidates:
         if not placement.accepts_step(runner, step, now) or (
-            crashes.is_kept_for_other(runner, task, now)
+            trials.is_kept_for_other(runner, task, now)
         ):
             continue
         victims, cost = _pick_victims(task, runner, now)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -187,3 +187,8 @@
 def find_rack(labels: tuple[str, ...]) -> str:
     """Returns the label of the rack, which the platform lists last."""
     return labels[-1] if labels else ""
+
+
+def find_place(entry: model.RunnerEntry) -> str:
+    """Returns what successive lives of a machine have in common."""
+    return entry.machine or entry.address
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -6,7 +6,6 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
-from plantainvane.jobs import crashes
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
@@ -14,6 +13,7 @@
 from plantainvane.jobs import relocation
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import trials
 
 # Estimated run times are off by half, so a job counts as late only when its
 # latest start has passed by this share of its objective.
@@ -149,7 +149,7 @@
             if owner.table.ready.get(task.name) is not task:
                 continue
             runs = _place_task_or_gang(owner, task, current)
-            waits = crashes.is_waiting_for_trial(task, current.now)
+            waits = trials.is_waiting_for_trial(task, current.now)
             if task.step.definition.gang or not (runs or waits):
                 blocked.add(id(task.step))
             current.placed.extend(runs)
@@ -198,7 +198,7 @@
         runner = _choose_unblocked(owner, task, queue.service, current)
     if runner is not None:
         return [_begin_run(owner, task, runner, current)]
-    if crashes.is_waiting_for_trial(task, current.now) and (
+    if trials.is_waiting_for_trial(task, current.now) and (
         _wait_for_trial(owner, task, queue.service, candidates, current)
     ):
         return []
@@ -232,7 +232,7 @@
         task, candidates, owner.interference_model, current.now
     )
     if runner is not None:
-        crashes.keep_runner(runner, task, current.now)
+        trials.keep_runner(runner, task, current.now)
         current.estimates.forget_runner(runner.entry.id)
     return True
 
@@ -264,7 +264,7 @@
         current.now,
         current.estimates,
     )
-    waits = crashes.is_waiting_for_trial(task, current.now)
+    waits = trials.is_waiting_for_trial(task, current.now)
     if runner is None and not waits:
         _mark_blocked(task, service, current)
     return runner
@@ -452,10 +452,10 @@
 ) -> attempts.Run:
     run = owner.table.begin_run(task, runner.entry.id, current.now)
     run.born_ms = runner.entry.born_ms
-    run.place = crashes.find_place(runner.entry)
+    run.place = runners_module.find_place(runner.entry)
     run.address = runner.entry.address
     run.ordered_ms = clock.read_wall_ms()
-    crashes.begin_trial(runner, task, current.now)
+    trials.begin_trial(runner, task, current.now)
     runner.charge(run)
     current.estimates.forget_runner(runner.entry.id)
     return run
