Name the limits of crashes after what they count

The constants and their one comment did not tell which limit counts proved crashes. Only names and comments change.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -26,15 +26,16 @@
 _COMMON_CAUSE_RUNNERS = 2
 # A runner that is polled is heard, or found silent, within this time.
 _LONGEST_LOOK_S = 3.0
-# Crashes under a task after which it is given up: with one in which it was the
-# only suspect, and on at least two machines; the first number applies to a
-# long-running task. The third applies in any case, and the last also includes
-# crashes that are not proved, but not those of a long-running task. So many
-# proved ones also end a long-running task that has crashed only one machine.
-_LONG_RUNNING_LIMIT = 3
+# Proved crashes after which a task is given up, if they hit two machines and it
+# was the only suspect of one of them.
 _LIMIT = 2
-_MAX_CRASHES = 4
-MAX_UNPROVED_CRASHES = 5
+_LONG_RUNNING_LIMIT = 3
+# Proved crashes that are enough without an only suspect; those of a
+# long-running task still have to hit two machines.
+_PROVED_LIMIT = 4
+# Crashes that are enough in any case, of a long-running task if all are proved,
+# of another one if `_LIMIT` of them are.
+MAX_CRASHES = 5
 
 
 def _is_suspect(
@@ -305,20 +306,20 @@
 
 def is_to_be_given_up(task: attempts.Task) -> bool:
     """Tells whether a task has crashed as many runners as it may."""
-    own = [crash for crash in task.crashes if not crash.shared]
-    counted = [crash for crash in own if crash.confirmed]
+    unshared = [crash for crash in task.crashes if not crash.shared]
+    proved = [crash for crash in unshared if crash.confirmed]
     long_running = task.step.definition.long_running
-    if not long_running and len(own) >= MAX_UNPROVED_CRASHES:
-        return len(counted) >= _LIMIT
-    if len(counted) >= MAX_UNPROVED_CRASHES:
+    if not long_running and len(unshared) >= MAX_CRASHES:
+        return len(proved) >= _LIMIT
+    if len(proved) >= MAX_CRASHES:
         return True
-    machines = len({crash.place for crash in counted})
-    if machines < 2 and (long_running or len(counted) < _MAX_CRASHES):
+    machines = len({crash.place for crash in proved})
+    if machines < 2 and (long_running or len(proved) < _PROVED_LIMIT):
         return False
-    if len(counted) >= _MAX_CRASHES:
+    if len(proved) >= _PROVED_LIMIT:
         return True
     limit = _LONG_RUNNING_LIMIT if long_running else _LIMIT
-    return len(counted) >= limit and any(crash.alone for crash in counted)
+    return len(proved) >= limit and any(crash.alone for crash in proved)
 
 
 def _give_up_if_due(
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -240,7 +240,7 @@
     for task in list_all_tasks(state):
         (run,) = task.runs
         crash = model.Crash(run.runner, run.born_ms, run.place, confirmed=True)
-        task.crashes = (crash,) * crashes.MAX_UNPROVED_CRASHES
+        task.crashes = (crash,) * crashes.MAX_CRASHES
     limit = decisions.SETTINGS.max_record_bytes
     assert max(map(journal.measure_record, take_records(state))) < limit
 
