Count the leases of earlier owners until one of this owner is accepted

Likely cause: a successor that inherits a promised expiry extends no lease with its first poll. If that is answered, the runner counts as fenced, and then only leases of this owner counted, of which there were none. When the next poll failed, which leaves 10 ms later and carries a lease only if the withdrawal of the promise has been stored by then, the attempts were dropped as expired after 0.3 s and their tasks started elsewhere. The same held for a runner that had moved to a new address.

A runner now keeps the time until which such leases may last, and it binds until the runner has accepted a lease of this owner.

Ruled out: progress without the attempt (the second start has number 2).

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -320,7 +320,13 @@
     runner.record_clock(entry.clock_ms, now)
     runner.answered_at = runner.born_at = runner.up_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
+    runner.earlier_leases_until = owner.find_expiry(entry.id)
     if earlier is not None:
+        runner.earlier_leases_until = max(
+            runner.earlier_leases_until,
+            earlier.earlier_leases_until,
+            earlier.find_lease_expiry(owner.settings),
+        )
         # Attempts of the incarnation at the old address stay charged until
         # their leases expire.
         earlier.listed = False
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -41,6 +41,8 @@
       clock_read_at, clock_ms: When its clock was read, and the reading.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
       renewed_at: When the newest lease that it has accepted was requested.
+      earlier_leases_until: When the leases that earlier owners have granted, or
+        that were granted at its earlier address, have certainly expired.
       answered_at: When it last answered a poll.
       up_at: When it was last known to be up.
       down_from, down_at: Between these times it stopped answering, the last
@@ -88,6 +90,7 @@
     clock_ms: int = 0
     lease_until_ms: int = 0
     renewed_at: float = 0.0
+    earlier_leases_until: float = float("-inf")
     answered_at: float = 0.0
     up_at: float = 0.0
     down_from: float = 0.0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -246,6 +246,9 @@
     if not runner.fenced:
         # Leases granted by an earlier owner are not known to this one.
         expiry = max(expiry, owner.find_expiry(runner.entry.id))
+    if not runner.renewed_at:
+        # It may have answered without a lease, while its expiry was promised.
+        expiry = max(expiry, runner.earlier_leases_until)
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
         _promise_expiry(owner, runner, expiry, now)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -512,3 +512,40 @@
             owner, owner.runners["a"], [runs[0]], "lease expired", 2.0
         )
     assert len(scheduling.list_stopped(owner)) == stopped
+
+
+def test_leases_of_an_earlier_owner_outlast_an_answer_that_renewed_none():
+    # Guards against a second start of a task on a runner that answers a new
+    # owner once: its promised expiry keeps the poll from renewing the leases,
+    # and they counted as expired as soon as the runner fell silent again.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    runner.expiry_promised = True
+    runner.earlier_leases_until = 15.0
+    runner.clock_ms, runner.clock_read_at = 500, 9.0
+    assert runner.extend_lease(5.5, 10.0) == 0
+    sessions._apply_reply(owner, runner, make_status(runner, run), 10.5, 10.6)
+    runner.expiry_promised = False
+    for now, charged in ((11.0, True), (14.9, True), (15.1, False)):
+        sessions._handle_silence(
+            owner, runner, interfaces.OrderOutcome.LOST, now
+        )
+        assert (run in runner.runs) is charged
+
+
+def test_earlier_leases_are_known_when_a_runner_is_added():
+    # Guards against the same where the promise was withdrawn meanwhile, and
+    # where the runner has moved to a new address.
+    owner = scheduling.make_owner()
+    owner.adapters = types.SimpleNamespace(connect_runner=lambda *unused: None)
+    owner.expiries.promise("r", 14.0)
+    entry = decisions.make_runner("r").entry
+    recovery._add_runner(owner, entry, None, 10.0)
+    assert owner.runners["r"].earlier_leases_until == 14.0
+    earlier = owner.runners["r"]
+    earlier.expiry_promised = False
+    earlier.record_clock(1000, 40.0)
+    earlier.extend_lease(5.5, 40.0)
+    moved = msgspec.structs.replace(entry, address="r:10")
+    recovery._add_runner(owner, moved, earlier, 41.0)
+    assert owner.runners["r"].earlier_leases_until > 45.0
