Log why a ready task waits, and why an open one is not ready

Three metrics count the same.

The reasons come from the deciding functions: accepts_step is find_refusal without its answer, and the expiry of a silent runner is now computed by find_last_expiry, which both the session and the line call. A test compares the explanation with the choice on random fleets. The order of the checks in accepts_step changed (silent before not fenced), its answer did not.

Bounds: one look a second after a pass, one line in 2 s for each service and kind or state, at most 8 and 8 in a look.

--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -71,6 +71,22 @@
 TASKS_PLACED = prometheus_client.Counter(
     "plantainvane_tasks_placed_total", "Tasks placed by scheduling passes."
 )
+TASK_WAIT_SECONDS = prometheus_client.Histogram(
+    "plantainvane_task_wait_seconds",
+    "Time from when a task could start to its placement, by kind.",
+    ["kind"],
+    buckets=(0.01, 0.05, 0.25, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 20.0, 60.0),
+)
+TASK_WAITS = prometheus_client.Counter(
+    "plantainvane_task_waits_total",
+    "Reports of a ready task that waits, by kind and reason.",
+    ["kind", "reason"],
+)
+TASKS_NOT_AT_WORK = prometheus_client.Counter(
+    "plantainvane_tasks_not_at_work_total",
+    "Reports of long-running tasks that are neither ready nor known to run.",
+    ["state"],
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "plantainvane_queue_configuration_version",
     "Version of the queue configuration in force.",
@@ -81,6 +97,11 @@
 )
 
 
+def name_kind(long_running: bool) -> str:
+    """Returns the label of the kind of a task."""
+    return "long_running" if long_running else "other"
+
+
 def sum_counter(counter: prometheus_client.Counter) -> int:
     """Returns the sum of a counter over all its labels."""
     return sum(
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -422,6 +422,17 @@
     return owner.tickets.get((name, runner.entry.id), ("", 0.0))
 
 
+def is_advised(
+    owner: state_module.Owner,
+    step: attempts.StepState,
+    runner: runners_module.Runner,
+    now: float,
+) -> bool:
+    """Tells whether there is a valid ticket for a step on a runner."""
+    ticket, until = _find_advice(owner, _name_step(step), runner)
+    return bool(ticket) and until > now
+
+
 def _may_ask_about(runner: runners_module.Runner) -> bool:
     return runner.listed and runner.fenced and not runner.silent
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane.jobs import absences
 from plantainvane.jobs import clock
 from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
@@ -30,6 +31,7 @@
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import table as table_module
+from plantainvane.jobs import waits
 
 _PRODUCER = "owner"
 
@@ -117,6 +119,7 @@
         runners=len(owner.runners),
         unreached=sum(not r.fenced for r in owner.runners.values()),
         in_doubt=sum(map(len, owner.orphans.values())),
+        **absences.describe_restored(owner, now),
     )
     owner.group.start_soon(_sweep, owner)
     owner.group.start_soon(retention.run_retention, owner)
@@ -230,6 +233,7 @@
 
 
 async def _schedule(owner: state_module.Owner) -> None:
+    waiting, absent = waits.Reporter(), absences.Reporter()
     while True:
         with anyio.move_on_after(_PASS_INTERVAL_S):
             await owner.pass_requested.wait()
@@ -237,10 +241,12 @@
         owner.pass_requested = anyio.Event()
         _stop_ended(owner)
         if not owner.draining:
-            await _run_pass(owner)
+            current = await _run_pass(owner)
+            waits.report_waits(waiting, owner, current)
+            absences.report_absences(absent, owner, current.now)
 
 
-async def _run_pass(owner: state_module.Owner) -> None:
+async def _run_pass(owner: state_module.Owner) -> scheduling.Pass:
     """Runs one pass in slices, each followed by a pause of the same length.
 
     Renewals and answers are handled in the pauses.
@@ -259,6 +265,7 @@
         took_s = clock.read_now() - began
         await anyio.sleep(min(took_s, _MAX_PAUSE_S))
     _record_pass(owner, ready, placed, started_at)
+    return current
 
 
 def _run_slice(work: Iterator[None], until: float) -> bool:
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import enum
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
@@ -60,6 +61,26 @@
 FILL_MEMORY_RESERVE = 0.08
 
 
+class Obstacle(enum.StrEnum):
+    """Why a runner cannot start a task now."""
+
+    UNLISTED = "unlisted"
+    NOT_FENCED = "not_fenced"
+    SILENT = "silent"
+    EXPIRY_PROMISED = "expiry_promised"
+    DRAINING = "draining"
+    FOREIGN_ATTEMPT = "foreign_attempt"
+    BACKOFF = "backoff"
+    PROBATION = "probation"
+    LABEL = "label"
+    NO_ROOM = "no_room"
+    NO_FILL_ROOM = "no_fill_room"
+    LIMIT_PER_RUNNER = "limit_per_runner"
+    KEPT_FOR_TRIAL = "kept_for_trial"
+    NO_TRIAL = "no_trial"
+    INTERFERENCE = "interference"
+
+
 @dataclasses.dataclass(slots=True)
 class Ranking:
     """Scores of the runners for tasks with the same requirements.
@@ -152,26 +173,40 @@
 def accepts_step(
     runner: runners_module.Runner, step: model.Step, now: float
 ) -> bool:
-    """Tells whether the runner accepts tasks of this step if they fit.
+    """Tells whether the runner accepts tasks of this step if they fit."""
+    return find_refusal(runner, step, now) is None
+
+
+def find_refusal(
+    runner: runners_module.Runner, step: model.Step, now: float
+) -> Obstacle | None:
+    """Returns why the runner accepts no task of this step, or None.
 
     What a foreign attempt uses is charged to nobody, so nothing is added to it.
     A runner on probation accepts a task only while nothing else runs there.
     """
-    if (
-        not runner.listed
-        or not runner.fenced
-        or runner.silent
-        or runner.expiry_promised
-        or runner.entry.draining
-        or runner.foreign
-        or runner.backoff_until > now
+    refusal = None
+    if not runner.listed:
+        refusal = Obstacle.UNLISTED
+    elif runner.silent:
+        refusal = Obstacle.SILENT
+    elif not runner.fenced:
+        refusal = Obstacle.NOT_FENCED
+    elif runner.expiry_promised:
+        refusal = Obstacle.EXPIRY_PROMISED
+    elif runner.entry.draining:
+        refusal = Obstacle.DRAINING
+    elif runner.foreign:
+        refusal = Obstacle.FOREIGN_ATTEMPT
+    elif runner.backoff_until > now:
+        refusal = Obstacle.BACKOFF
+    elif runner.probation_until > now and runner.runs:
+        refusal = Obstacle.PROBATION
+    elif step.required_label and (
+        step.required_label not in runner.entry.labels
     ):
-        return False
-    if runner.probation_until > now and runner.runs:
-        return False
-    return not step.required_label or (
-        step.required_label in runner.entry.labels
-    )
+        refusal = Obstacle.LABEL
+    return refusal
 
 
 def has_capacity(
@@ -242,6 +277,11 @@
     return runner.entry.capacity.cpu - busy
 
 
+def measure_fill_room(runner: runners_module.Runner) -> float:
+    """Returns the thousandths of a core that more fill tasks may ask for."""
+    return measure_unused_cpu(runner) * FILL_OVERCOMMIT - runner.fill_cpu
+
+
 def has_waited(task: attempts.Task, now: float) -> bool:
     """Tells whether a fill task waits no longer for less interference."""
     return now - task.ready_since >= INTERFERENCE_WAIT_S
@@ -343,6 +383,58 @@
     )
 
 
+def list_obstacles(
+    task: attempts.Task,
+    candidates: list[runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+) -> list[tuple[runners_module.Runner, Obstacle | None]]:
+    """Returns why `choose_runner` leaves out each candidate, if it does."""
+    limit = task.step.definition.max_per_runner
+    counts = _count_runs_by_runner(task) if limit else {}
+    trial_runners = None
+    if trials.is_waiting_for_trial(task, now):
+        trial_runners = _list_trial_runners(task, candidates, now)
+    estimates = Estimates()
+    found: list[tuple[runners_module.Runner, Obstacle | None]] = []
+    for runner in candidates:
+        obstacle = _find_obstacle(
+            task, runner, interference_model, estimates, now
+        )
+        if obstacle is None:
+            if limit and counts.get(runner.entry.id, 0) >= limit:
+                obstacle = Obstacle.LIMIT_PER_RUNNER
+            elif trial_runners is not None and runner not in trial_runners:
+                obstacle = Obstacle.NO_TRIAL
+        found.append((runner, obstacle))
+    return found
+
+
+def _find_obstacle(
+    task: attempts.Task,
+    runner: runners_module.Runner,
+    interference_model: interference.InterferenceModel,
+    estimates: Estimates,
+    now: float,
+) -> Obstacle | None:
+    """Returns why `_evaluate_runner` gives no score, or None if it does."""
+    step = task.step.definition
+    reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
+    refusal = find_refusal(runner, step, now)
+    if refusal is not None:
+        return refusal
+    if not has_capacity(runner, step, reserve):
+        return Obstacle.NO_ROOM
+    if trials.is_kept_for_other(runner, task, now):
+        return Obstacle.KEPT_FOR_TRIAL
+    if step.fills and measure_fill_room(runner) < step.amounts.cpu:
+        return Obstacle.NO_FILL_ROOM
+    score = _evaluate_runner(
+        task, runner, {}, interference_model, estimates, now
+    )
+    return Obstacle.INTERFERENCE if score is None else None
+
+
 def choose_ranked_runner(
     task: attempts.Task,
     service: str,
@@ -459,8 +551,7 @@
     capacity_cpu = max(1, runner.entry.capacity.cpu)
     unused = measure_unused_cpu(runner)
     if step.fills:
-        allowed = unused * FILL_OVERCOMMIT - runner.fill_cpu - step.amounts.cpu
-        if allowed < 0:
+        if measure_fill_room(runner) < step.amounts.cpu:
             return None
         score = (unused - runner.fill_cpu) / capacity_cpu
     elif step.long_running:
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -6,6 +6,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
@@ -104,10 +105,19 @@
 def start_placed(owner: state_module.Owner, current: Pass) -> None:
     """Orders the start of the attempts placed since the last call."""
     placed, current.placed = current.placed, []
+    for run in placed:
+        metrics.TASK_WAIT_SECONDS.labels(
+            metrics.name_kind(run.task.step.definition.long_running)
+        ).observe(run.ordered_at - find_wait_start(run.task))
     if placed:
         owner.group.start_soon(orders.start_runs, owner, placed)
 
 
+def find_wait_start(task: attempts.Task) -> float:
+    """Returns when a ready task could have started at the earliest."""
+    return max(task.ready_since, task.step.due_at)
+
+
 def place_ready_tasks(owner: state_module.Owner, now: float) -> None:
     """Starts the ready tasks that fit, most urgent first.
 
@@ -183,7 +193,7 @@
         candidates = orders.filter_advised(
             owner,
             task.step,
-            _list_runners(owner, queue.service),
+            list_runners(owner, queue.service),
             current.now,
         )
         runner = placement.choose_runner(
@@ -217,10 +227,10 @@
 
     Returns whether the task waits for its trial; if not, no runner has room.
     """
-    if _is_blocked(task, service, current):
+    if is_blocked(task, service, current):
         return False
     if candidates is None:
-        candidates = _list_runners(owner, service)
+        candidates = list_runners(owner, service)
     if not task.trial_since:
         if not placement.can_start(
             task, candidates, owner.interference_model, current.now
@@ -237,9 +247,10 @@
     return True
 
 
-def _list_runners(
+def list_runners(
     owner: state_module.Owner, service: str
 ) -> list[runners_module.Runner]:
+    """Returns the known runners of a service."""
     return [r for r in owner.runners.values() if r.entry.service == service]
 
 
@@ -254,7 +265,7 @@
     During a pass the resources of a runner are only charged, so what does not
     fit once does not fit later either.
     """
-    if _is_blocked(task, service, current):
+    if is_blocked(task, service, current):
         return None
     runner = placement.choose_ranked_runner(
         task,
@@ -270,7 +281,7 @@
     return runner
 
 
-def _is_blocked(task: attempts.Task, service: str, current: Pass) -> bool:
+def is_blocked(task: attempts.Task, service: str, current: Pass) -> bool:
     """Tells whether an easier task has found no runner in this pass."""
     key = _find_requirements(task, service, current.now)
     amounts = task.step.definition.amounts
@@ -321,7 +332,7 @@
         if key not in current.preemptible:
             current.preemptible[key] = [
                 runner.entry.id
-                for runner in _list_runners(owner, queue.service)
+                for runner in list_runners(owner, queue.service)
                 if _has_less_urgent_run(runner, queue.priority)
             ]
         candidates = [
@@ -386,7 +397,7 @@
         return False
     if not placement.find_full_speed_runner(
         run,
-        _list_runners(owner, service),
+        list_runners(owner, service),
         owner.interference_model,
         now,
         current.estimates,
@@ -473,7 +484,7 @@
     """
     if any(task.runs for task in step.tasks):
         return []
-    candidates = _list_runners(owner, service)
+    candidates = list_runners(owner, service)
     if step.job.queue.advice is not None:
         candidates = orders.filter_advised(owner, step, candidates, current.now)
     groups = [candidates]
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -242,6 +242,19 @@
             runs=len(runner.runs),
             answered_ago_s=round(now - runner.answered_at, 3),
         )
+    expiry = find_last_expiry(owner, runner)
+    lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
+    if lasts and runner.runs:
+        _promise_expiry(owner, runner, expiry, now)
+    _end_replaced(owner, runner, now)
+    if now > expiry and runner.runs:
+        _end_expired(owner, runner, now)
+
+
+def find_last_expiry(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> float:
+    """Returns when the leases of this and of earlier owners have expired."""
     expiry = runner.find_lease_expiry(owner.settings)
     if not runner.fenced:
         # Leases granted by an earlier owner are not known to this one.
@@ -249,12 +262,7 @@
     if not runner.renewed_at:
         # It may have answered without a lease, while its expiry was promised.
         expiry = max(expiry, runner.earlier_leases_until)
-    lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
-    if lasts and runner.runs:
-        _promise_expiry(owner, runner, expiry, now)
-    _end_replaced(owner, runner, now)
-    if now > expiry and runner.runs:
-        _end_expired(owner, runner, now)
+    return expiry
 
 
 def _end_replaced(
