Bound the end of a lease by what a runner can grant

Callers would see a long-running task that is missing although its runner is gone and another has room: a silent runner kept its attempts until the believed end of their leases, which had no upper bound.

Cause: the end of a lease was lease_until_ms - clock_ms, and the first lease of a runner is requested on the clock in its entry. If that clock is ahead of the one in the runner's answers (an entry by another writer), the requested end stays where it is, as leases never shorten. No runner grants more than max_lease_s. A lease on the clock of an entry was also sent again with each poll of a silent runner, which such a runner would grant anew each time.

A runner now keeps whether its clock is known from an entry only.

Ruled out: an entry of the same life whose clock is behind, and a clock that is 2% slow (tests pass before and after). The first poll still requests a lease, as the leases of an earlier owner have little left after a takeover.

Evidence: nine of the tests in test_jobs_leases.py failed before: entry 20 s ahead, dropped at 28 s for a bound of 22 s (restart: 27.0 for 15.6); 2**50 ms ahead, never dropped; a runner that receives but does not answer, never dropped.

test_polls_of_runners_that_refuse_connections_are_bounded gave its runner a lease of 1000 s with a longest lease of 6 s, which cannot be. It now sets the longest lease to match; what it asserts is unchanged.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -317,7 +317,7 @@
         owner.adapters.connect_runner(entry.address, entry.id),
         runners_module.find_rack(entry.labels),
     )
-    runner.record_clock(entry.clock_ms, now)
+    runner.record_clock(entry.clock_ms, now, listed=True)
     runner.answered_at = runner.born_at = runner.up_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     runner.earlier_leases_until = owner.find_expiry(entry.id)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -39,7 +39,10 @@
       restarted_at: When this process learned of its last restart, if any.
       last_stored_end: Sequence number of the newest stored end of an attempt.
       clock_read_at, clock_ms: When its clock was read, and the reading.
+      clock_listed: The reading is from its entry, which may be of another life
+        or by another writer. Its own answers may show any other time.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
+      lease_requested_at: When that was requested.
       renewed_at: When the newest lease that it has accepted was requested.
       earlier_leases_until: When the leases that earlier owners have granted, or
         that were granted at its earlier address, have certainly expired.
@@ -88,7 +91,9 @@
     last_stored_end: int = 0
     clock_read_at: float = 0.0
     clock_ms: int = 0
+    clock_listed: bool = False
     lease_until_ms: int = 0
+    lease_requested_at: float = float("-inf")
     renewed_at: float = 0.0
     earlier_leases_until: float = float("-inf")
     answered_at: float = 0.0
@@ -152,9 +157,26 @@
         self.fenced = False
         self.has_active.set()
 
-    def record_clock(self, clock_ms: int, now: float) -> None:
-        """Records a reading of the runner's clock, received at `now`."""
+    def record_clock(
+        self, clock_ms: int, now: float, listed: bool = False
+    ) -> None:
+        """Records a reading of the runner's clock, received at `now`.
+
+        `listed` tells that it was read from its entry, not from an answer.
+        """
         self.clock_read_at, self.clock_ms = now, clock_ms
+        self.clock_listed = listed
+
+    def limit_lease(self, settings: settings_module.Settings) -> bool:
+        """Limits the known lease to what the runner can have granted.
+
+        Returns whether it exceeded that, because it was requested on another
+        clock than the runner's.
+        """
+        granted_ms = self.clock_ms + int(settings.max_lease_s * 1000)
+        exceeded = self.lease_until_ms > granted_ms
+        self.lease_until_ms = min(self.lease_until_ms, granted_ms)
+        return exceeded
 
     def extend_lease(self, lease_s: float, now: float) -> int:
         """Returns the end of a lease sent now, on the runner's clock.
@@ -169,16 +191,24 @@
         self.lease_until_ms = max(
             self.lease_until_ms, int(clock + lease_s * 1000)
         )
+        self.lease_requested_at = now
         return self.lease_until_ms
 
     def find_lease_expiry(self, settings: settings_module.Settings) -> float:
         """Returns the time after which every lease has certainly expired.
 
-        The runner's clock may be slow by up to `clock_rate_error`.
+        The runner's clock may be slow by up to `clock_rate_error`. No lease
+        lasts longer than `max_lease_s` on it.
         """
+        slowest_rate = 1 - settings.clock_rate_error
+        margin_s = settings_module.LEASE_MARGIN_S
+        longest_s = settings.max_lease_s / slowest_rate + margin_s
+        latest = self.lease_requested_at + longest_s
+        if self.clock_listed:
+            return latest
         remaining_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
-        remaining_s /= 1 - settings.clock_rate_error
-        return self.clock_read_at + remaining_s + settings_module.LEASE_MARGIN_S
+        expiry = self.clock_read_at + remaining_s / slowest_rate + margin_s
+        return min(expiry, latest)
 
 
 def _compute_fill_charge(run: attempts.Run) -> int:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -164,9 +164,7 @@
     pending: _PendingEnds | None,
 ) -> _PendingEnds | None:
     sent_at = clock.read_now()
-    lease = None
-    if runner.clock_ms:
-        lease = runner.extend_lease(owner.settings.lease_s, sent_at) or None
+    lease = _choose_lease(owner, runner, sent_at)
     reply = await runner.calls.poll(
         owner.epoch, runner.last_stored_end, lease, wait_s
     )
@@ -199,6 +197,19 @@
     return pending or found
 
 
+def _choose_lease(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> int | None:
+    """Returns the end of the lease that a poll requests, or None.
+
+    A lease on the clock of an entry is requested once. A runner whose clock is
+    far behind that one would grant the longest lease each time.
+    """
+    if not runner.clock_ms or (runner.silent and runner.clock_listed):
+        return None
+    return runner.extend_lease(owner.settings.lease_s, now) or None
+
+
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
     """Returns the seconds until a silent runner is polled again."""
     if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
@@ -375,11 +386,12 @@
     runner.require_poll()
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
-    runner.record_clock(clock_ms, now)
+    runner.record_clock(clock_ms, now, listed=True)
     # Orders named times on the earlier incarnation's clock, which the new one
     # takes for the longest lease.
     longest_ms = int(owner.settings.max_lease_s * 1000)
     runner.lease_until_ms = clock_ms + longest_ms if runner.runs else 0
+    runner.lease_requested_at = now
 
 
 def _apply_reply(
@@ -394,7 +406,7 @@
             # A late answer of the earlier incarnation.
             return None
         _apply_restart(owner, runner, reply, now)
-    runner.record_clock(reply.clock_ms, now)
+    _read_clock(owner, runner, reply, now)
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
@@ -423,6 +435,24 @@
     return _PendingEnds(owner.journal.add([]), number, reply.born_ms)
 
 
+def _read_clock(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    reply: model.RunnerStatus,
+    now: float,
+) -> None:
+    was_listed, listed_ms = runner.clock_listed, runner.clock_ms
+    runner.record_clock(reply.clock_ms, now)
+    if was_listed and runner.limit_lease(owner.settings):
+        events.log_event(
+            events.RUNNER_CLOCK_CORRECTED,
+            runner=runner.entry.id,
+            listed_clock_ms=listed_ms,
+            clock_ms=reply.clock_ms,
+            runs=len(runner.runs),
+        )
+
+
 def _end_orphans(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
--- /dev/null
+++ b/tests/test_jobs_leases.py
@@ -0,0 +1,212 @@
+"""What the owner believes of leases, against a runner that grants them."""
+
+import types
+
+import pytest
+import result
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import clock as clock_module
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import recovery
+from plantainvane.jobs import sessions
+from plantainvane.jobs import settings as settings_module
+from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling
+
+pytestmark = pytest.mark.anyio
+
+_LONGEST_S = decisions.SETTINGS.max_lease_s
+_SLOWEST = 1 - decisions.SETTINGS.clock_rate_error
+_STEP_S = 0.2
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class LeasingRunner:
+    """A runner that grants leases on its own clock, and its client.
+
+    Attributes:
+      now: Present time of the owner, in seconds.
+      offset_ms, rate: Its clock shows `offset_ms` at time 0 and has this rate.
+      born_ms: Its incarnation.
+      lease_until_ms: End of the lease that it has granted, on its clock.
+      answers: It answers calls.
+      receives: It receives calls.
+      runs: Attempts that it lists.
+    """
+
+    def __init__(self, offset_ms=500_000, rate=1.0):
+        self.now = 0.0
+        self.offset_ms, self.rate = offset_ms, rate
+        self.born_ms = 1
+        self.lease_until_ms = 0
+        self.answers = self.receives = True
+        self.runs = []
+
+    def read_clock_ms(self):
+        return int(self.offset_ms + self.now * 1000 * self.rate)
+
+    def find_true_expiry(self):
+        """Returns the time at which the granted lease expires."""
+        return (self.lease_until_ms - self.offset_ms) / 1000 / self.rate
+
+    def grant(self, lease_until_ms):
+        longest_ms = self.read_clock_ms() + int(_LONGEST_S * 1000)
+        self.lease_until_ms = max(
+            self.lease_until_ms, min(lease_until_ms, longest_ms)
+        )
+
+    async def poll(self, token, last_stored_end, lease_until_ms, wait_s):
+        del token, last_stored_end, wait_s
+        if self.receives and lease_until_ms is not None:
+            self.grant(lease_until_ms)
+        if not (self.receives and self.answers):
+            return result.Err(interfaces.OrderOutcome.LOST)
+        running = tuple(
+            model.RunningAttempt(run.task.name, run.attempt, "", 100.0, 0.0)
+            for run in self.runs
+        )
+        return result.Ok(
+            model.RunnerStatus(self.born_ms, self.read_clock_ms(), running, ())
+        )
+
+    async def start(self, order):
+        self.grant(order.lease_until_ms)
+        return interfaces.OrderOutcome.DONE
+
+
+@pytest.fixture
+def machine(monkeypatch):
+    """A runner whose time is that of the owner too."""
+    machine = LeasingRunner()
+    monkeypatch.setattr(clock_module, "read_now", lambda: machine.now)
+    for name in ("_SILENT_RETRY_S", "_LONG_SILENCE_RETRY_S"):
+        monkeypatch.setattr(sessions, name, 0.0)
+    return machine
+
+
+def make_entry(clock_ms, born_ms=1, address="127.0.0.1:9"):
+    entry = decisions.make_runner().entry
+    return model.RunnerEntry(
+        entry.id,
+        born_ms,
+        entry.service,
+        address,
+        entry.domain,
+        False,
+        entry.capacity,
+        entry.labels,
+        clock_ms,
+    )
+
+
+def make_owner(machine):
+    """Makes an owner to which entries are given as they are."""
+    owner = scheduling.make_owner()
+    owner.adapters = types.SimpleNamespace(
+        decode_runner=lambda key, value: value,
+        connect_runner=lambda address, key: machine,
+    )
+    return owner
+
+
+def charge_running_task(owner, machine):
+    """Charges a long-running attempt that the runner runs."""
+    runner = owner.runners["r"]
+    step = decisions.make_step(long_running=True)
+    (run,) = decisions.place_runs(runner, owner.table, step)
+    run.phase, run.running_since = attempts.Phase.RUNNING, machine.now
+    machine.runs.append(run)
+    return run
+
+
+async def poll_for(owner, machine, seconds):
+    """Polls for some seconds; returns when the last poll was sent."""
+    end = machine.now + seconds
+    sent_at = machine.now
+    while machine.now < end:
+        sent_at = machine.now
+        await sessions._poll(owner, owner.runners["r"], 0.0, None)
+        machine.now += _STEP_S
+    return sent_at
+
+
+async def find_drop(owner, machine, run, limit_s=60.0):
+    """Polls a runner until its attempt is given up; returns the time."""
+    end = machine.now + limit_s
+    while run in run.task.runs and machine.now < end:
+        await poll_for(owner, machine, _STEP_S)
+    return machine.now if run not in run.task.runs else float("inf")
+
+
+def find_bound(sent_at):
+    """Returns when any lease that was requested by `sent_at` has expired."""
+    margin_s = settings_module.LEASE_MARGIN_S + 2 * _STEP_S
+    return sent_at + _LONGEST_S / _SLOWEST + margin_s
+
+
+@pytest.mark.parametrize("ahead_ms", [-20_000, 0, 20_000, 2**50])
+@pytest.mark.parametrize("rate", [1.0, _SLOWEST])
+async def test_clock_of_an_entry_does_not_put_off_the_end_of_a_lease(
+    machine, ahead_ms, rate
+):
+    # Guards against a long-running task that stays on a silent runner for ever,
+    # because its entry gave a clock that is ahead of that in its answers.
+    machine.rate = rate
+    owner = make_owner(machine)
+    entry = make_entry(machine.offset_ms + ahead_ms)
+    recovery._apply_entry(owner, "r", entry)
+    run = charge_running_task(owner, machine)
+    sent_at = await poll_for(owner, machine, 15.0)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
+
+
+@pytest.mark.parametrize("ahead_ms", [0, 20_000, 2**50])
+async def test_runner_that_never_answers_is_given_up_in_time(machine, ahead_ms):
+    # Guards against the same where no poll has read the clock: each poll sent
+    # the lease again, which a runner with a clock far behind grants each time.
+    owner = make_owner(machine)
+    entry = make_entry(machine.offset_ms + ahead_ms)
+    recovery._apply_entry(owner, "r", entry)
+    run = charge_running_task(owner, machine)
+    machine.answers = False
+    dropped_at = await find_drop(owner, machine, run)
+    limit_s = owner.settings.old_lease_limit_s
+    assert machine.find_true_expiry() <= dropped_at <= limit_s + 2 * _STEP_S
+
+
+async def test_lease_on_a_clock_too_far_ahead_is_corrected(machine):
+    # Guards against leases of the longest time that a runner grants, on which
+    # no successor counts, for as long as the owner lasts.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(2**50))
+    charge_running_task(owner, machine)
+    sent_at = await poll_for(owner, machine, 15.0)
+    assert machine.find_true_expiry() == pytest.approx(
+        sent_at + owner.settings.lease_s, abs=0.002
+    )
+
+
+@pytest.mark.parametrize("ahead_ms", [20_000, 2**50])
+async def test_entry_of_a_restart_does_not_put_off_the_end_of_a_lease(
+    machine, ahead_ms
+):
+    # Guards against the same where an entry tells of a new incarnation.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    run = charge_running_task(owner, machine)
+    machine.born_ms = 9
+    entry = make_entry(machine.offset_ms + ahead_ms, born_ms=9)
+    recovery._apply_entry(owner, "r", entry)
+    sent_at = await poll_for(owner, machine, 8.0)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -134,7 +134,11 @@
     owner, runner = scheduling.make_owner(), decisions.make_runner()
     if has_runs:
         charge_starting_run(owner, runner)
+        owner.settings = msgspec.structs.replace(
+            owner.settings, max_lease_s=1000.0
+        )
         runner.lease_until_ms = 1_000_000
+        runner.lease_requested_at = 0.0
     rate = count_silent_polls_per_s(owner, runner, monkeypatch, 20.0)
     assert rate >= least
     if not has_runs:
