Let a poll, not an entry, tell that a runner has started again

Callers would see a task that runs twice: an entry under the id of a live runner that names a later start (`born`) dropped the attempts that its polls had listed, and they were started elsewhere at once while they ran on there.

Cause: the restart was taken from the entry alone, although an entry may be written by another program and its number be in range and wrong. An answer names the incarnation too, and a poll follows at once, since the runner is not used before it answers one.

An entry of another incarnation is now kept until an answer names the same one. Its attempts then end as before, and the entry (capacity, labels, state) is applied at once, so that the runner need not wait for its next entry. If no answer comes, the attempts end with their leases. `earlier_born_ms` told old entries from new ones after the time of day was set back; an entry ends nothing now, so it is not needed. Applying an entry moved to runner_entries, which the sessions use too.

Evidence: test_entry_does_not_end_what_a_live_runner_runs failed before, in both forms: the attempt was dropped with the entry, 1 s after a poll had listed it and with its lease running. A runner that answers with the announced start is usable after that answer (test_runner_that_has_started_again_..., which passed before too).

Two tests asserted that the entry alone ends attempts, which is the fault. They now assert that it ends none, and that the answer that follows ends the same attempts as before.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -14,8 +14,8 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
-from plantainvane.jobs import placement
 from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -233,6 +233,8 @@
     runner = owner.runners.get(key)
     if value is None:
         owner.malformed_runners.discard(key)
+        if runner is not None:
+            runner.announced = None
         if runner is not None and runner.listed:
             runner.listed = False
             events.log_event(
@@ -248,48 +250,14 @@
     if runner is None or runner.entry.address != entry.address:
         _add_runner(owner, entry, runner, now)
         return
-    is_earlier = entry.born_ms == runner.earlier_born_ms
-    if is_earlier or entry.born_ms < runner.entry.born_ms:
-        # An old entry, or the time of day was set back; a poll tells. An entry
-        # that precedes the awaited one is old, and so is its capacity.
+    if entry.born_ms != runner.entry.born_ms:
+        # An earlier or a later incarnation, or another writer; a poll tells. An
+        # entry that precedes the awaited one is old, and so is its capacity.
+        runner.announced = entry
         runner.listed = runner.listed or not runner.entry_awaited
         runner.require_poll()
         return
-    if entry.draining and not runner.entry.draining:
-        events.log_event(
-            events.RUNNER_DRAINING, runner=key, runs=len(runner.runs)
-        )
-    restarted = entry.born_ms > runner.entry.born_ms
-    before = runner.entry.capacity
-    runner.entry, runner.listed, runner.entry_awaited = entry, True, False
-    if entry.capacity != before:
-        _report_capacity(runner, before)
-        owner.request_pass()
-    if restarted:
-        sessions.handle_restart(
-            owner, runner, entry.born_ms, entry.clock_ms, now
-        )
-
-
-def _report_capacity(
-    runner: runners_module.Runner, before: model.Amounts
-) -> None:
-    after = runner.entry.capacity
-    events.log_event(
-        events.RUNNER_CAPACITY_CHANGED,
-        runner=runner.entry.id,
-        before_cpu=before.cpu,
-        before_memory_mb=before.memory_mb,
-        before_accelerators=before.accelerators,
-        cpu=after.cpu,
-        memory_mb=after.memory_mb,
-        accelerators=after.accelerators,
-        charged_cpu=runner.cpu,
-        charged_memory_mb=runner.memory_mb,
-        charged_accelerators=runner.accelerators,
-        runs=len(runner.runs),
-        exceeded=placement.exceeds_capacity(runner),
-    )
+    runner_entries.adopt(owner, runner, entry)
 
 
 def _report_malformed_runner(
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -29,8 +29,8 @@
         incarnation.
       entry_awaited: Only a poll has told of the present incarnation; its own
         entry has not been read.
-      earlier_born_ms: Incarnation before the last one that a poll has told of,
-        or None. Its entries are old, also if the time of day was set back.
+      announced: Entry of another incarnation than the present one, or None. A
+        poll tells whether that one runs.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
       born_at: When this process learned of the present incarnation. An answer
@@ -84,7 +84,7 @@
     rack: str
     listed: bool = True
     entry_awaited: bool = False
-    earlier_born_ms: int | None = None
+    announced: model.RunnerEntry | None = None
     fenced: bool = False
     born_at: float = 0.0
     restarted_at: float = float("-inf")
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import pacing
+from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -364,7 +365,7 @@
 
     Args:
       owner: The owner.
-      runner: The runner, which may still answer as the earlier incarnation.
+      runner: The runner.
       born_ms: Start of the new incarnation, Unix milliseconds.
       clock_ms: Reading of its clock.
       now: Present time, in seconds.
@@ -487,7 +488,10 @@
     listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
-    runner.earlier_born_ms = runner.entry.born_ms
+    announced, runner.announced = runner.announced, None
+    if announced is not None and announced.born_ms == reply.born_ms:
+        runner_entries.adopt(owner, runner, announced)
+        return
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=reply.born_ms)
     # Its capacity and labels are not known before its own entry is read.
     runner.listed, runner.entry_awaited = False, True
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -519,4 +519,6 @@
     assert not runner.listed
     newer = msgspec.structs.replace(old_entry, born_ms=150)
     recovery._apply_entry(owner, "r", newer)
+    assert task.runs == [run]
+    sessions._apply_reply(owner, runner, make_status(born_ms=150), 1.4, 1.5)
     assert not task.runs
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -210,3 +210,46 @@
     machine.receives = False
     dropped_at = await find_drop(owner, machine, run)
     assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
+
+
+@pytest.mark.parametrize("heard", [True, False])
+async def test_entry_does_not_end_what_a_live_runner_runs(machine, heard):
+    # Guards against a second start of a task: an entry by another writer that
+    # named a later start under the id of a live runner ended its attempts.
+    owner = make_owner(machine)
+    owner.started_at = -60.0
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    run = charge_running_task(owner, machine)
+    sent_at = await poll_for(owner, machine, 1.0)
+    entry = make_entry(machine.offset_ms, born_ms=2**53)
+    recovery._apply_entry(owner, "r", entry)
+    assert run in run.task.runs
+    machine.receives = heard
+    if heard:
+        await poll_for(owner, machine, 8.0)
+        assert run in run.task.runs and run in owner.runners["r"].runs
+        assert owner.runners["r"].fenced and owner.runners["r"].listed
+        machine.receives, sent_at = False, machine.now
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
+
+
+async def test_runner_that_has_started_again_is_usable_once_it_answers(machine):
+    # Guards against attempts that count as running after a restart, and against
+    # room that is not used until the entry has been written once more.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    run = charge_running_task(owner, machine)
+    await poll_for(owner, machine, 1.0)
+    machine.born_ms = 9
+    machine.runs.clear()
+    entry = make_entry(machine.offset_ms, born_ms=9)
+    recovery._apply_entry(owner, "r", entry)
+    assert not owner.runners["r"].fenced
+    await poll_for(owner, machine, _STEP_S)
+    runner = owner.runners["r"]
+    assert run not in runner.runs and run not in run.task.runs
+    assert runner.entry is entry
+    assert runner.listed and runner.fenced and not runner.entry_awaited
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -308,6 +308,10 @@
     entry = msgspec.structs.replace(runner.entry, born_ms=9)
     owner.adapters = types.SimpleNamespace(decode_runner=lambda key, _: entry)
     recovery._apply_entry(owner, "r", b"")
+    assert run in run.task.runs and run in runner.runs
+    running = () if reported else (run,)
+    status = make_status(runner, *running, born_ms=9)
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
     assert (run in run.task.runs) is not reported
     assert (run in runner.runs) is not reported
 
