--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -134,7 +134,11 @@
     owner, runner = scheduling.make_owner(), decisions.make_runner()
     if has_runs:
         charge_starting_run(owner, runner)
+        owner.settings = msgspec.structs.replace(
+            owner.settings, max_lease_s=1000.0
+        )
         runner.lease_until_ms = 1_000_000
+        runner.lease_requested_at = 0.0
     rate = count_silent_polls_per_s(owner, runner, monkeypatch, 20.0)
     assert rate >= least
     if not has_runs:
@@ -304,6 +308,10 @@
     entry = msgspec.structs.replace(runner.entry, born_ms=9)
     owner.adapters = types.SimpleNamespace(decode_runner=lambda key, _: entry)
     recovery._apply_entry(owner, "r", b"")
+    assert run in run.task.runs and run in runner.runs
+    running = () if reported else (run,)
+    status = make_status(runner, *running, born_ms=9)
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
     assert (run in run.task.runs) is not reported
     assert (run in runner.runs) is not reported
 
