Charge restored attempts wherever a job is added

Callers would see a task that never starts again: a job whose record is read after the stored attempts were charged had attempts that belonged to no runner and were no orphans, so neither a poll, nor silence, nor the loss of the runner ended them.

Cause: recover() charged the attempts of all jobs once, but jobs that are read later (read_jobs, also after an expired offset) are restored from the same stored progress by _add_job, which charged nothing. An attempt charged to a runner that is fenced already would not have ended by a poll either, as only polls of runners that are not fenced ended what earlier owners had ordered.

Restoring and charging are now one step in _add_job. During recovery the runners are not known yet, so the attempts begin as orphans, and adding a runner takes them over, as it does for a runner that is listed late. An attempt of an earlier owner ends by the first poll that was sent after it was restored and does not list it, whether the runner is fenced or not: a runner that has seen this owner's token refuses the starts that earlier owners ordered. An answer to an older poll does not end it. The runner is polled at once, so that an idle session renews the lease.

Ruled out as the cause of the incident, by reading: recovery fences the progress topic, then lists it, then lists the jobs. Answers of the log are linearizable, an owner stores progress only of jobs that it has read, and list_newest takes the end offset of its first page, so the list of jobs holds every job with progress. What is left is an answer that is wrong (404, or a record that is malformed at first), for which the state is now sound as well.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -34,7 +34,8 @@
       runner: Id of the runner that was ordered to start it.
       phase: Last known phase.
       ordered_at: When its start was ordered; 0 if an earlier owner ordered it.
-      running_since: When it was first reported as running; infinity while a
+      running_since: When it was first reported as running, or restored if an
+        earlier owner ordered it and no poll has listed it yet; infinity while a
         stop has no answer yet, then when the stop was answered.
       reported: A poll of its runner has listed it.
       progress_percent: Last reported progress.
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -107,7 +107,7 @@
 
 
 def restore_tasks(
-    state: attempts.JobState, progress: model.JobProgress
+    state: attempts.JobState, progress: model.JobProgress, now: float
 ) -> None:
     """Restores the tasks of a job from its stored progress.
 
@@ -145,6 +145,7 @@
                     run.runner,
                     attempts.Phase.STARTING,
                     0.0,
+                    now,
                     pace_confirmed=False,
                     born_ms=run.born_ms,
                     place=run.place,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -63,7 +63,6 @@
     owner.runners_offset = page.end_offset
     for _, key, value in page.records:
         _apply_entry(owner, key, value)
-    _charge_recovered(owner)
 
 
 async def _apply_records(
@@ -106,21 +105,24 @@
     )
 
 
-def _charge_recovered(owner: state_module.Owner) -> None:
-    """Charges stored attempts to their runners until a poll corrects it."""
-    for state in owner.table.jobs.values():
-        for step_state in state.steps.values():
-            for task in step_state.tasks:
-                for run in task.runs:
-                    _charge_run(owner, run)
+def _charge_restored(
+    owner: state_module.Owner, state: attempts.JobState
+) -> None:
+    """Charges the restored attempts of a job until a poll corrects it."""
+    for step_state in state.steps.values():
+        for task in step_state.tasks:
+            for run in task.runs:
+                _charge_run(owner, run)
 
 
 def _charge_run(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Charges a restored attempt to its runner, or to none if it is unknown."""
     runner = owner.runners.get(run.runner)
     if runner is None:
         owner.orphans.setdefault(run.runner, []).append(run)
     else:
         runner.charge(run)
+        runner.require_poll()
 
 
 def _add_job(owner: state_module.Owner, key: str, value: bytes | None) -> None:
@@ -150,6 +152,7 @@
     state = owner.table.add_job(
         job, queue, owner.progress.get(key), now, wall_ms
     )
+    _charge_restored(owner, state)
     events.log_event(
         events.JOB_LOADED,
         job=job.id,
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -547,20 +547,19 @@
     missing = [
         run
         for run in runner.runs
-        if run not in reported and _has_ended(runner, run, sent_at)
+        if run not in reported and _has_ended(run, sent_at)
     ]
     if missing:
         _drop_runs(owner, runner, missing, "not running there", now)
 
 
-def _has_ended(
-    runner: runners_module.Runner, run: attempts.Run, sent_at: float
-) -> bool:
+def _has_ended(run: attempts.Run, sent_at: float) -> bool:
     """Returns whether an attempt that a poll did not report has ended."""
-    if run.phase is not attempts.Phase.STARTING:
-        return run.running_since < sent_at
-    # Ordered by an earlier owner, which the runner now fences off.
-    return run.ordered_at == 0 and not runner.fenced
+    if run.phase is attempts.Phase.STARTING and run.ordered_at > 0:
+        # Its start may still be carried out. A runner that has answered a poll
+        # refuses the starts that earlier owners ordered.
+        return False
+    return run.running_since < sent_at
 
 
 def _outlives_stop(run: attempts.Run, sent_at: float) -> bool:
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -119,7 +119,7 @@
                 state, occurrence, critical_paths_s, now, wall_ms
             )
         if progress is not None:
-            progress_module.restore_tasks(state, progress)
+            progress_module.restore_tasks(state, progress, now)
             # The next change stores all parts, also if the last release has
             # stored them as one.
             parts = range(progress_module.count_parts(state))
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -224,7 +224,6 @@
         steps=(decisions.make_step(count=2),),
     )
     recovery._add_job(owner, "j", msgspec.json.encode(job))
-    recovery._charge_recovered(owner)
     return owner
 
 
