Ignore an entry of a runner whose address has a zone

Callers would see: a process that is the owner ends with an exception, and each successor ends in the same way at its first poll, until the entry has left the list. Tasks whose leases lapse meanwhile are lost.

Cause: `ipaddress` accepts any text as the zone of an IPv6 address, for example `[fe80::1%a..b]:80`. The event loop resolves such a host by name, and its encoding raises UnicodeError for an empty label or one of more than 63 characters. The HTTP client turned only OSError into an error value, so the exception left the session of the runner and ended the task group of the owner.

Ruled out: the decoder (it accepts the entry without an exception) and usual zones such as `%eth0`, which give an OSError that was handled.

Evidence: both odd zones ended the owner of a session on the stand-ins (UnicodeError: "label empty or too long" and "label too long"; the entry written afterwards was never followed). The test of the HTTP client failed with the same exceptions. A usual zone was polled for ever and failed the last assertion.

Fix: an address with a zone is unusable, as a zone has a meaning only on the machine that wrote it. The client reports a host that it cannot encode as an error of the connection, which also holds for addresses from elsewhere.

--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -366,7 +366,8 @@
                 )
         except TimeoutError as error:
             raise httpx.ConnectTimeout("could not connect in time") from error
-        except OSError as error:
+        except (OSError, UnicodeError) as error:
+            # Text that is no host name is a UnicodeError.
             raise httpx.ConnectError(str(error)) from error
         return connection
 
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -179,11 +179,16 @@
 
 
 def _is_callable(address: str) -> bool:
-    """Tells whether `address` is an `ip:port` to which calls can be sent."""
+    """Tells whether `address` is an `ip:port` to which calls can be sent.
+
+    An address with a zone, such as `[fe80::1%eth0]:80`, has a meaning only on
+    the machine that it comes from, and the zone may be any text.
+    """
     port = address.rpartition(":")[2]
     return (
         _is_header_value(address)
         and port.isdecimal()
+        and "%" not in address
         and product_settings.is_address(address)
     )
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -76,6 +76,15 @@
             await anyio.sleep(0.01)
 
 
+@pytest.mark.parametrize("host", ["[fe80::1%a..b]", "a" * 80])
+async def test_a_host_that_is_no_name_is_not_reached(host):
+    # Guards against an exception that no caller handles, for a host that the
+    # resolver cannot encode.
+    client = http_client.Client(f"{host}:80", 0.3)
+    with pytest.raises(httpx.ConnectError):
+        await client.post("/x")
+
+
 async def test_a_refused_connection_sent_nothing():
     async with run_server() as (client, _):
         refusing = http_client.Client("127.0.0.1:1", 0.3)
--- /dev/null
+++ b/tests/test_platform_entries.py
@@ -0,0 +1,91 @@
+"""Odd entries that another writer leaves among those of the runners.
+
+Each session runs on the stand-ins; an exception in any process fails it.
+"""
+
+import anyio
+import msgspec
+import pytest
+
+from plantainvane.jobs import clock
+from standins import platform_system
+
+pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
+# The list is polled every 0.2 s; the rest is for a busy machine.
+FOLLOW_LIMIT_S = 2.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def wait_until(condition, limit_s=5.0):
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def make_entry(**fields):
+    """Makes an entry that nothing is wrong with, except for `fields`."""
+    entry = {
+        "Service": platform_system.SERVICE,
+        "Address": "127.0.0.1:9",
+        "Zone": "east",
+        "State": "ready",
+        "born": clock.read_wall_ms(),
+        "ClockMs": 1000,
+        "Capacity": {"Cpu": 16_000, "MemMb": 64_000, "Gpu": 0},
+        "Labels": ["a", "r1-1"],
+        **fields,
+    }
+    return msgspec.json.encode(entry)
+
+
+def write_entry(system, key, content):
+    system.store.put("keyed.servers", key, content)
+
+
+async def check_is_followed(system, owner, runner_id):
+    """Checks that the owner uses a runner whose entry is written now."""
+    await platform_system.add_runner(system, runner_id)
+    await wait_until(
+        lambda: (
+            runner_id in owner.owner.runners
+            and owner.owner.runners[runner_id].fenced
+        ),
+        FOLLOW_LIMIT_S,
+    )
+
+
+async def check_runs_job(system, *runner_ids):
+    """Checks that a job completes, on these runners only."""
+    body = platform_system.make_job(count=4)
+    reply = await platform_system.call(system.entries[0], "POST", ID, body)
+    assert reply.status_code == 200
+    await platform_system.wait_state(system, ID, "completed")
+    used = {r.id for r in system.runners.values() if r.starts}
+    assert used <= set(runner_ids)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "[fe80::1%a..b]:80",
+        "[fe80::1%" + "a" * 80 + "]:80",
+        "fe80::1%" + "\u00e9" * 70 + ":80",
+        "[fe80::1%eth0]:80",
+    ],
+    ids=["empty label", "long label", "not ascii", "usual zone"],
+)
+async def test_an_entry_with_an_address_zone_ends_no_process(address):
+    # Guards against an address that raises an exception at the first poll: the
+    # entry stays in the list, so it would end each successor as well.
+    async with platform_system.run_system(entries=2, runners=1) as system:
+        owner = await system.wait_owner()
+        write_entry(system, "odd", make_entry(Address=address))
+        await check_is_followed(system, owner, "i-later")
+        await check_runs_job(system, "i-0", "i-later")
+        assert system.find_owner() is owner
+        assert "odd" not in owner.owner.runners
