Skip items of a list of newest records that cannot be read

Callers would see: no process becomes a working owner. Each recovers by reading three such lists, and one bad item refuses the whole list, for ever, or ends the process.

Cause: two faults of the same list. A page was decoded as a whole, so one key that is not text, or holds a lone surrogate, refused it; and an error of base64 left `list_newest` as an exception, which ended the process that read it. A page that repeats its last key was read again without end.

Ruled out: reads from an offset. They replace bytes of a key that are not UTF-8, and their values are raw.

How the platform encodes such a key is not specified; the stand-in writes lone surrogates as JSON escapes.

Fix: a page that is not sound is decoded item by item, with a log line for each item that is skipped. A key with bytes that are not text keeps the replacement character, as in a read, so its reader reports it. The next page starts after the last sound key; a list that cannot go on is an error, not a part of a list.

--- a/plantainvane/platform/store.py
+++ b/plantainvane/platform/store.py
@@ -1,13 +1,17 @@
 """Client of the platform's log: topics of keyed records."""
 
 import base64
+import json
+import re
 import struct
+from typing import Any
 import urllib.parse
 
 import msgspec
 import result
 
 from plantainvane import decoding
+from plantainvane import events
 from plantainvane import http_client
 from plantainvane import outcomes
 from plantainvane.jobs import interfaces
@@ -48,6 +52,16 @@
     end_offset: int = 0
 
 
+class _AnyPage(msgspec.Struct, rename="pascal"):
+    """A page whose items have not been checked."""
+
+    items: list[Any] = msgspec.field(name="items", default_factory=list)
+    has_more: bool = False
+    end_offset: int = 0
+
+
+_SURROGATE = re.compile("[\ud800-\udfff]")
+
 _APPEND_DECODER = msgspec.json.Decoder(_AppendReply)
 _PAGE_DECODER = msgspec.json.Decoder(_NewestPage)
 
@@ -186,25 +200,79 @@
                 return result.Ok(interfaces.Page((), 0, 0))
             if reply.ok_value.status_code != 200:
                 return _make_refused_error(reply.ok_value)
-            decoded = decoding.decode(_PAGE_DECODER, reply.ok_value.content)
+            decoded = _decode_page(topic, reply.ok_value.content)
             if decoded.is_err():
                 return _make_lost_error(decoded.err_value)
             page = decoded.ok_value
             if end_offset < 0:
                 end_offset = page.end_offset
-            records.extend(_decode_item(item) for item in page.items)
+            records.extend(_decode_items(topic, page.items))
             if not page.has_more or not page.items:
                 return result.Ok(
                     interfaces.Page(tuple(records), end_offset, end_offset)
                 )
+            last_key = _find_last_key(page.items)
+            if last_key in ("", query.get("DependsOn")):
+                return _make_lost_error("no key from which the list goes on")
             # DependsOn is the platform's name for the key after which the next
             # page starts.
-            query["DependsOn"] = page.items[-1].key
+            query["DependsOn"] = last_key
+
+
+def _decode_page(topic: str, content: bytes) -> result.Result[_NewestPage, str]:
+    """Decodes a page; other writers' items that cannot be read are skipped."""
+    decoded = decoding.decode(_PAGE_DECODER, content)
+    if decoded.is_ok():
+        return decoded
+    try:
+        # Unlike msgspec, this decodes lone surrogates, with which a key that is
+        # not UTF-8 may be written.
+        document = json.loads(content.decode("utf-8", "replace"))
+        page = msgspec.convert(document, _AnyPage)
+    except (ValueError, RecursionError):
+        return decoded
+    items = []
+    for item in page.items:
+        try:
+            items.append(_convert_item(item))
+        except msgspec.ValidationError as error:
+            _report_undecodable(topic, "", str(error))
+    if page.items and not items:
+        return decoded
+    return result.Ok(_NewestPage(items, page.has_more, page.end_offset))
+
+
+def _convert_item(item: Any) -> _Item:
+    converted = msgspec.convert(item, _Item)
+    converted.key = _SURROGATE.sub("\ufffd", converted.key)
+    return converted
 
 
-def _decode_item(item: _Item) -> tuple[int, str, bytes | None]:
-    value = base64.b64decode(item.value) if item.value else None
-    return item.offset, item.key, value
+def _find_last_key(items: list[_Item]) -> str:
+    """Returns the last key that the platform knows by its text, or ""."""
+    return next(
+        (item.key for item in reversed(items) if "\ufffd" not in item.key), ""
+    )
+
+
+def _decode_items(
+    topic: str, items: list[_Item]
+) -> list[tuple[int, str, bytes | None]]:
+    records = []
+    for item in items:
+        try:
+            value = base64.b64decode(item.value) if item.value else None
+        except ValueError as error:
+            _report_undecodable(topic, item.key, str(error))
+            continue
+        records.append((item.offset, item.key, value))
+    return records
+
+
+def _report_undecodable(topic: str, key: str, reason: str) -> None:
+    events.log_event(
+        events.RECORD_UNDECODABLE, stream=topic, key=key, error=reason
+    )
 
 
 def _decode_append(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import json
 import struct
 from typing import Any
 
@@ -49,6 +50,8 @@
       append_delay_s: Time that an append takes.
       lose_answers: Number of coming appends that are stored but not answered.
       max_record_bytes: An append with a larger record is refused.
+      broken_values: Base64 of the values in a list of newest records that
+        replace the sound ones, by key.
       calls: Number of calls by name.
     """
 
@@ -57,6 +60,7 @@
     append_delay_s: float = 0.0
     lose_answers: int = 0
     max_record_bytes: int = 262_144
+    broken_values: dict[str, str] = dataclasses.field(default_factory=dict)
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def find_topic(self, name: str) -> Topic:
@@ -69,11 +73,20 @@
         body = bytes((len(name),)) + name + (value or b"")
         return _append(self.find_topic(topic), [body])
 
+    def put_raw(self, topic: str, body: bytes) -> int:
+        """Writes one record, of any bytes, as another writer may."""
+        return _append(self.find_topic(topic), [body])
+
     def list_newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
-        """Returns offset and newest value of each key."""
+        """Returns offset and newest value of each key.
+
+        Bytes of a key that are not UTF-8 are lone surrogates.
+        """
         newest: dict[str, tuple[int, bytes]] = {}
         for offset, body in enumerate(self.find_topic(topic).records):
-            key = body[1 : 1 + body[0]].decode()
+            if not body:
+                continue
+            key = body[1 : 1 + body[0]].decode("utf-8", "surrogateescape")
             value = body[1 + body[0] :]
             newest.pop(key, None)
             if value:
@@ -195,16 +208,17 @@
     items = [
         {
             "Key": key,
-            "Value": base64.b64encode(value).decode(),
+            "Value": state.broken_values.get(
+                key, base64.b64encode(value).decode()
+            ),
             "Offset": offset,
         }
         for key, (offset, value) in state.list_newest(name).items()
     ]
-    return asgi.make_json_reply(
-        200,
-        {
-            "items": items,
-            "HasMore": False,
-            "EndOffset": len(state.find_topic(name).records),
-        },
-    )
+    document = {
+        "items": items,
+        "HasMore": False,
+        "EndOffset": len(state.find_topic(name).records),
+    }
+    # Unlike msgspec, this encodes lone surrogates, as escapes.
+    return asgi.HttpReply(200, json.dumps(document).encode())
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -198,6 +198,43 @@
     assert service.calls[1][1]["DependsOn"] == "a"
 
 
+async def test_items_that_cannot_be_read_do_not_end_a_list():
+    # Guards against a list that is refused, that ends early or that is read
+    # for ever because of the items of another writer.
+    first = (
+        b'{"items":[{"Key":7,"Offset":0},{"Key":"a","Value":"MQ==","Offset":1},'
+        b'{"Key":"b","Value":"M","Offset":2},'
+        b'{"Key":"\\udcff","Value":"MQ==","Offset":3}],"HasMore":true,'
+        b'"EndOffset":9}'
+    )
+    second = b'{"items":[{"Key":"c\xff","Value":"Mg==","Offset":4}]}'
+    async with run_service(reply(200, first), reply(200, second)) as service:
+        store = store_module.Store(make_settings(store_address=service.address))
+        page = (await store.list_newest("keyed.t", 0.3)).ok_value
+        await store.aclose()
+    assert page.records == (
+        (1, "a", b"1"),
+        (3, "\ufffd", b"1"),
+        (4, "c\ufffd", b"2"),
+    )
+    assert page.end_offset == 9
+    assert service.calls[1][1]["DependsOn"] == "b"
+
+
+@pytest.mark.parametrize(
+    "item", ['{"Key":7}', '{"Key":"\\udcff"}', '{"Key":"a"}']
+)
+async def test_a_list_that_cannot_go_on_is_an_error(item):
+    # Guards against the same page that is read again and again, and against a
+    # part of the list that is taken for the whole.
+    body = f'{{"items":[{item}],"HasMore":true}}'.encode()
+    async with run_service(*[reply(200, body)] * 2) as service:
+        store = store_module.Store(make_settings(store_address=service.address))
+        page = await store.list_newest("keyed.t", 0.3)
+        await store.aclose()
+    assert page.err_value.failure is _FAILURE.LOST
+
+
 async def start(answer, order=ORDER):
     async with run_service(answer) as service:
         settings = make_settings(call_timeout_s=0.3)
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -89,3 +89,38 @@
         await check_runs_job(system, "i-0", "i-later")
         assert system.find_owner() is owner
         assert "odd" not in owner.owner.runners
+
+
+def make_record(key, value):
+    return bytes((len(key),)) + key + value
+
+
+@pytest.mark.parametrize(
+    "key",
+    [b"i-\xff", b"\xed\xa0\x80", b"\xfe" * 255],
+    ids=["byte", "surrogate", "long"],
+)
+async def test_an_owner_recovers_beside_a_key_that_is_not_utf_8(key):
+    # Guards against a list that is refused for one of its keys: no process
+    # could recover before the entry has left the list.
+    async with platform_system.run_system(entries=0, runners=1) as system:
+        for topic in ("keyed.servers", "keyed.op", "keyed.claims"):
+            system.store.put_raw(topic, make_record(key, make_entry()))
+        await platform_system.add_entry(system, 0)
+        owner = await system.wait_owner()
+        assert list(owner.owner.runners) == ["i-0"]
+        await check_is_followed(system, owner, "i-later")
+        await check_runs_job(system, "i-0", "i-later")
+
+
+@pytest.mark.parametrize("text", ["abc", "\u00e9\u00e9\u00e9\u00e9"])
+async def test_an_owner_recovers_beside_a_value_that_is_not_base64(text):
+    # Guards against an exception for one bad item, which ends each process
+    # that reads the list.
+    async with platform_system.run_system(entries=0, runners=1) as system:
+        write_entry(system, "odd", make_entry())
+        system.store.broken_values["odd"] = text
+        await platform_system.add_entry(system, 0)
+        owner = await system.wait_owner()
+        assert list(owner.owner.runners) == ["i-0"]
+        await check_is_followed(system, owner, "i-later")
