Let a suspect without tickets block no other task

Callers see: while the adviser does not answer, or allows no runner, tasks of other steps on the same service start again beside a task that is suspected of a crash; also its own kind gets a runner kept for a trial.

Cause: a suspect that finds no runner marks its amounts as "no runner has room" for the rest of the pass. In a queue with an adviser its candidates are only the runners with a ticket, so the mark said that no runner of the service has room, and every task that needs as much or more, with or without adviser, was skipped in each pass for as long as the tickets were missing. A suspect with tickets was skipped as well, so its wait for a trial never began. Tasks of queues with an adviser neither set nor read the marks any more, as for their first try.

--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -227,7 +227,10 @@
 
     Returns whether the task waits for its trial; if not, no runner has room.
     """
-    if is_blocked(task, service, current):
+    # Runners without a ticket for the step are no candidates, which tells
+    # nothing about other tasks.
+    limited = candidates is not None
+    if not limited and is_blocked(task, service, current):
         return False
     if candidates is None:
         candidates = list_runners(owner, service)
@@ -235,7 +238,8 @@
         if not placement.can_start(
             task, candidates, owner.interference_model, current.now
         ):
-            _mark_blocked(task, service, current)
+            if not limited:
+                _mark_blocked(task, service, current)
             return False
         task.trial_since = current.now
     runner = placement.choose_kept_runner(
--- a/plantainvane/jobs/waits.py
+++ b/plantainvane/jobs/waits.py
@@ -160,7 +160,9 @@
     accepting = len(candidates) - left_out.total()
     if len(candidates) < len(runners):
         left_out[Reason.NO_TICKET.value] = len(runners) - len(candidates)
-    blocked = scheduling.is_blocked(task, service, current)
+    blocked = task.job.queue.advice is None and (
+        scheduling.is_blocked(task, service, current)
+    )
     return Wait(
         _choose_reason(task, left_out, accepting, blocked, now),
         dict(left_out),
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -684,3 +684,44 @@
     assert (run not in task.runs) is ended
     assert ("r0" not in owner.orphans) is ended
     assert bool(task.crashes or run.crash) is blamed
+
+
+def test_suspect_without_a_ticket_keeps_no_other_task_waiting():
+    # Guards against a service that waits while the adviser does not answer: a
+    # suspect that waits for tickets counted as a task that fits nowhere.
+    owner = passes.make_owner(
+        *make_runners(2),
+        queue=msgspec.structs.replace(decisions.QUEUE, name="none"),
+    )
+    suspect = add_task(owner, "s", cpu=500, long_running=True)
+    suspect.job.queue = msgspec.structs.replace(
+        decisions.QUEUE, advice=model.AdviserTimings(0.01, 0.001, 60.0)
+    )
+    owner.table.record_crash(suspect, make_crash(1))
+    other = add_task(owner, "z", cpu=500, long_running=True)
+    suspect.ready_since, other.ready_since = NOW - 9.0, NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert [name for name, _ in passes.list_placed(owner)] == [other.name]
+
+
+def test_a_suspect_with_tickets_is_not_blocked_by_one_without():
+    # Guards against a suspect whose wait for a trial never begins, as it is
+    # skipped while another one waits for tickets.
+    runners = make_runners(2)
+    unused = msgspec.structs.replace(decisions.QUEUE, name="none")
+    owner = passes.make_owner(*runners, queue=unused)
+    queue = msgspec.structs.replace(
+        decisions.QUEUE, advice=model.AdviserTimings(0.01, 0.001, 60.0)
+    )
+    for number, runner in enumerate(runners):
+        start(owner, runner, add_task(owner, f"b{number}"), age_s=0.1)
+    tasks = [add_task(owner, name, long_running=True) for name in ("s", "t")]
+    for task, ready_since in zip(tasks, (NOW - 9.0, NOW), strict=True):
+        task.job.queue, task.ready_since = queue, ready_since
+        owner.table.record_crash(task, make_crash(1))
+    for runner in runners:
+        owner.tickets["t.0.0", runner.entry.id] = ("ticket", NOW + 60.0)
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not tasks[0].trial_since
+    assert tasks[1].trial_since == NOW
+    assert [r.kept_for for r in runners if r.kept_for] == [tasks[1].name]
