Start a suspect on the runner that is kept for it

Callers see: a task that is suspected of a crash starts on the runner that is kept for its trial, also while other tasks wait for room.

Cause: an easier task, or another task of the same step, that is tried first may not use the kept runner and finds none. The pass then skipped the suspect, as if it could not use that runner either. The suspect now is not blocked while a runner is kept for it, and goes first in its step.

Ruled out: other ways in which a task is blocked by one that failed for another reason. Avoided runners and crash sites only lower a score, steps with max_per_runner set no mark, label, image and the wait for less interference are part of the key, and a task that waits for its trial sets none (read). Amounts that never fit block only tasks that need as much in each amount, so a suspect's wait cannot be put off by them if it fits itself (read).

Evidence: both tests failed before, with nothing placed.

--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -151,7 +151,7 @@
 def _place_ready(owner: state_module.Owner, current: Pass) -> Iterator[None]:
     blocked: set[int] = set()
     for tasks in _list_by_urgency(owner, current.now):
-        for task in sorted(tasks, key=lambda task: task.name):
+        for task in sorted(tasks, key=_rank_in_step):
             if id(task.step) in blocked:
                 break
             if owner.starts_in_flight + len(current.placed) >= _MAX_STARTS:
@@ -166,6 +166,15 @@
             yield
 
 
+def _rank_in_step(task: attempts.Task) -> tuple[bool, str]:
+    """Returns the sort key of a task in its step.
+
+    Suspects go first, as a runner may be kept for one of them when the others
+    find none.
+    """
+    return not task.crashes, task.name
+
+
 def _list_by_urgency(
     owner: state_module.Owner, now: float
 ) -> list[list[attempts.Task]]:
@@ -230,7 +239,7 @@
     # Runners without a ticket for the step are no candidates, which tells
     # nothing about other tasks.
     limited = candidates is not None
-    if not limited and is_blocked(task, service, current):
+    if not limited and is_blocked(owner, task, service, current):
         return False
     if candidates is None:
         candidates = list_runners(owner, service)
@@ -269,7 +278,7 @@
     During a pass the resources of a runner are only charged, so what does not
     fit once does not fit later either.
     """
-    if is_blocked(task, service, current):
+    if is_blocked(owner, task, service, current):
         return None
     runner = placement.choose_ranked_runner(
         task,
@@ -285,16 +294,31 @@
     return runner
 
 
-def is_blocked(task: attempts.Task, service: str, current: Pass) -> bool:
-    """Tells whether an easier task has found no runner in this pass."""
+def is_blocked(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    service: str,
+    current: Pass,
+) -> bool:
+    """Tells whether an easier task has found no runner in this pass.
+
+    The easier task could not use a runner that is kept for this one.
+    """
     key = _find_requirements(task, service, current.now)
     amounts = task.step.definition.amounts
-    return any(
+    blocked = any(
         other.cpu <= amounts.cpu
         and other.memory_mb <= amounts.memory_mb
         and other.accelerators <= amounts.accelerators
         for other in current.blocked.get(key, ())
     )
+    return blocked and not (
+        task.crashes
+        and any(
+            trials.is_kept(runner, task, current.now)
+            for runner in owner.runners.values()
+        )
+    )
 
 
 def _mark_blocked(task: attempts.Task, service: str, current: Pass) -> None:
--- a/plantainvane/jobs/waits.py
+++ b/plantainvane/jobs/waits.py
@@ -161,7 +161,7 @@
     if len(candidates) < len(runners):
         left_out[Reason.NO_TICKET.value] = len(runners) - len(candidates)
     blocked = task.job.queue.advice is None and (
-        scheduling.is_blocked(task, service, current)
+        scheduling.is_blocked(owner, task, service, current)
     )
     return Wait(
         _choose_reason(task, left_out, accepting, blocked, now),
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table as table_module
+from plantainvane.jobs import trials
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
 
@@ -725,3 +726,38 @@
     assert not tasks[0].trial_since
     assert tasks[1].trial_since == NOW
     assert [r.kept_for for r in runners if r.kept_for] == [tasks[1].name]
+
+
+def keep_runner_for(suspect, runner):
+    suspect.trial_since = NOW - 1.2
+    trials.keep_runner(runner, suspect, NOW - 1.0)
+
+
+def test_suspect_starts_on_its_kept_runner_after_an_easier_task_found_none():
+    # Guards against a runner that is kept for a trial and stays unused, because
+    # the pass skips the suspect once an easier task has found no runner.
+    runners = make_runners(2, cpu=1000)
+    owner = passes.make_owner(*runners)
+    start(owner, runners[1], add_task(owner, "b"), age_s=9.0)
+    easier = add_task(owner, "e", cpu=500, long_running=True)
+    suspect = add_task(owner, "s", cpu=500, long_running=True)
+    owner.table.record_crash(suspect, make_crash(1))
+    easier.ready_since, suspect.ready_since = NOW - 9.0, NOW - 2.0
+    keep_runner_for(suspect, runners[0])
+    scheduling.place_ready_tasks(owner, NOW)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
+
+
+def test_suspect_starts_on_its_kept_runner_before_others_of_its_step():
+    # Guards against a runner that is kept for a trial and stays unused, because
+    # the pass skips a step once a task of it has found no runner.
+    runners = make_runners(2, cpu=1000)
+    owner = passes.make_owner(*runners)
+    start(owner, runners[1], add_task(owner, "b"), age_s=9.0)
+    first = add_task(owner, "s", count=2, cpu=500)
+    suspect = first.step.tasks[1]
+    owner.table.record_crash(suspect, make_crash(1))
+    first.ready_since = suspect.ready_since = NOW - 2.0
+    keep_runner_for(suspect, runners[0])
+    scheduling.place_ready_tasks(owner, NOW)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
