Free no turn for a call that was refused one

Callers see: the limit on connections to a service holds. Cause: a call that waits for a pooled connection is refused by its time-out and cancelled before it runs again; its cancellation passed on a turn that it never had, so the count of calls fell below the calls under way for the rest of the process.

Evidence: the test failed before with a count of 0 while a call was under way. Not seen in a log; calls are cancelled when an owner steps down.

--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -332,7 +332,7 @@
         try:
             await turn
         except asyncio.CancelledError:
-            if not turn.cancelled():
+            if not turn.cancelled() and turn.exception() is None:
                 self._pass_turn()
             raise
         finally:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -246,3 +246,22 @@
         with pytest.raises(httpx.LocalProtocolError):
             await client.post("/x HTTP/1.1\r\nA: b")
         assert seen == []
+
+
+async def test_a_waiter_that_is_refused_and_cancelled_frees_no_turn():
+    # Guards against more connections than the limit after a call that is
+    # cancelled in the moment in which its wait for a connection times out.
+    async with run_server([None], [None]) as (client, _):
+        client.max_connections = 1
+        async with anyio.create_task_group() as group:
+            group.start_soon(client.post, "/x")
+            await anyio.wait_all_tasks_blocked()
+            waiter = asyncio.ensure_future(client.post("/y"))
+            await anyio.wait_all_tasks_blocked()
+            http_client._refuse_turn(client._waiting[0])
+            waiter.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await waiter
+            assert client._calls == 1
+            group.cancel_scope.cancel()
+        assert client._calls == 0
