Test that calls to servers that stall end in their time-out

Ruled out by these tests, which passed at once: a session that hangs in a call to a runner or to the log. A server that accepts and then stalls before, in or after the head, in the body, that trickles bytes or interim replies without an end, or whose connection is never opened, ends the call in its time-out, and no turn of the pool is lost. A GET is repeated only after a broken connection, so it takes at most twice as long.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -265,3 +265,80 @@
             assert client._calls == 1
             group.cancel_scope.cancel()
         assert client._calls == 0
+
+
+STALLS = {
+    "nothing": b"",
+    "a part of the head": HEAD + b"Content-Le",
+    "no body": HEAD + b"Content-Length: 2\r\n\r\n",
+    "a part of the body": HEAD + b"Content-Length: 2\r\n\r\no",
+    "a chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n",
+    "a body without an end": HEAD + b"\r\no",
+    "an interim reply": b"HTTP/1.1 100 Continue\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("sent", STALLS.values(), ids=STALLS)
+@pytest.mark.parametrize("method", ["get", "post"])
+async def test_a_call_to_a_server_that_stalls_ends_in_its_time_out(
+    sent, method
+):
+    # Guards against a session that hangs in a call, and neither renews leases
+    # nor finds its runner silent.
+    async with run_server([sent, None], [sent, None]) as (client, _):
+        started = time.monotonic()
+        with anyio.fail_after(5.0), pytest.raises(httpx.ReadTimeout):
+            await getattr(client, method)("/x", timeout=0.3)
+        assert time.monotonic() - started >= 0.25
+        assert not client._calls
+
+
+@pytest.mark.parametrize(
+    ("head", "part"),
+    [
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\no\r\n"),
+        (HEAD + b"\r\n", b"o"),
+    ],
+)
+async def test_a_reply_that_trickles_without_an_end_is_given_up(head, part):
+    # Guards against a time-out that begins anew with each byte.
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(head or part)
+            while True:
+                await stream.send(part)
+                await anyio.sleep(0.05)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+
+        async def serve_until_broken(stream):
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await serve(stream)
+
+        group.start_soon(listener.serve, serve_until_broken)
+        client = http_client.Client(f"127.0.0.1:{port}", 0.3)
+        with anyio.fail_after(5.0), pytest.raises(httpx.ReadTimeout):
+            await client.post("/x")
+        group.cancel_scope.cancel()
+
+
+async def test_a_connection_that_is_never_opened_is_given_up():
+    # Guards against a call that waits for a peer whose packets are lost.
+    full = socket.socket()
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    address = full.getsockname()
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(address)
+    client = http_client.Client(f"{address[0]}:{address[1]}", 0.3)
+    with anyio.fail_after(5.0), pytest.raises(httpx.ConnectTimeout):
+        await client.post("/x")
+    assert not client._calls
+    for stream in (full, *fillers):
+        stream.close()
