--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table as table_module
+from plantainvane.jobs import trials
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
 
@@ -684,3 +685,79 @@
     assert (run not in task.runs) is ended
     assert ("r0" not in owner.orphans) is ended
     assert bool(task.crashes or run.crash) is blamed
+
+
+def test_suspect_without_a_ticket_keeps_no_other_task_waiting():
+    # Guards against a service that waits while the adviser does not answer: a
+    # suspect that waits for tickets counted as a task that fits nowhere.
+    owner = passes.make_owner(
+        *make_runners(2),
+        queue=msgspec.structs.replace(decisions.QUEUE, name="none"),
+    )
+    suspect = add_task(owner, "s", cpu=500, long_running=True)
+    suspect.job.queue = msgspec.structs.replace(
+        decisions.QUEUE, advice=model.AdviserTimings(0.01, 0.001, 60.0)
+    )
+    owner.table.record_crash(suspect, make_crash(1))
+    other = add_task(owner, "z", cpu=500, long_running=True)
+    suspect.ready_since, other.ready_since = NOW - 9.0, NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert [name for name, _ in passes.list_placed(owner)] == [other.name]
+
+
+def test_a_suspect_with_tickets_is_not_blocked_by_one_without():
+    # Guards against a suspect whose wait for a trial never begins, as it is
+    # skipped while another one waits for tickets.
+    runners = make_runners(2)
+    unused = msgspec.structs.replace(decisions.QUEUE, name="none")
+    owner = passes.make_owner(*runners, queue=unused)
+    queue = msgspec.structs.replace(
+        decisions.QUEUE, advice=model.AdviserTimings(0.01, 0.001, 60.0)
+    )
+    for number, runner in enumerate(runners):
+        start(owner, runner, add_task(owner, f"b{number}"), age_s=0.1)
+    tasks = [add_task(owner, name, long_running=True) for name in ("s", "t")]
+    for task, ready_since in zip(tasks, (NOW - 9.0, NOW), strict=True):
+        task.job.queue, task.ready_since = queue, ready_since
+        owner.table.record_crash(task, make_crash(1))
+    for runner in runners:
+        owner.tickets["t.0.0", runner.entry.id] = ("ticket", NOW + 60.0)
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not tasks[0].trial_since
+    assert tasks[1].trial_since == NOW
+    assert [r.kept_for for r in runners if r.kept_for] == [tasks[1].name]
+
+
+def keep_runner_for(suspect, runner):
+    suspect.trial_since = NOW - 1.2
+    trials.keep_runner(runner, suspect, NOW - 1.0)
+
+
+def test_suspect_starts_on_its_kept_runner_after_an_easier_task_found_none():
+    # Guards against a runner that is kept for a trial and stays unused, because
+    # the pass skips the suspect once an easier task has found no runner.
+    runners = make_runners(2, cpu=1000)
+    owner = passes.make_owner(*runners)
+    start(owner, runners[1], add_task(owner, "b"), age_s=9.0)
+    easier = add_task(owner, "e", cpu=500, long_running=True)
+    suspect = add_task(owner, "s", cpu=500, long_running=True)
+    owner.table.record_crash(suspect, make_crash(1))
+    easier.ready_since, suspect.ready_since = NOW - 9.0, NOW - 2.0
+    keep_runner_for(suspect, runners[0])
+    scheduling.place_ready_tasks(owner, NOW)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
+
+
+def test_suspect_starts_on_its_kept_runner_before_others_of_its_step():
+    # Guards against a runner that is kept for a trial and stays unused, because
+    # the pass skips a step once a task of it has found no runner.
+    runners = make_runners(2, cpu=1000)
+    owner = passes.make_owner(*runners)
+    start(owner, runners[1], add_task(owner, "b"), age_s=9.0)
+    first = add_task(owner, "s", count=2, cpu=500)
+    suspect = first.step.tasks[1]
+    owner.table.record_crash(suspect, make_crash(1))
+    first.ready_since = suspect.ready_since = NOW - 2.0
+    keep_runner_for(suspect, runners[0])
+    scheduling.place_ready_tasks(owner, NOW)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
