Request leases on the slowest clock that a runner can have

Callers would see a task that runs twice, or a long-running one that is missing for longer than its lease: a runner that has no attempts is not polled, and the first start there after a long idle time requested a lease on a clock that was taken to run at full speed since its last reading.

Cause: a runner's clock may be 2% slow. After 600 s it is 12 s behind, so the runner granted its longest lease in place of lease_s, anew with each request for the next 12 s, also with one that is carried out seconds late, and a successor counts on lease_s.

A lease is now requested on the clock as it would be if it had been slow since the reading. An idle runner is polled every 30 s, so that a first lease is short by 0.6 s at most.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -166,7 +166,7 @@
         task=task.name,
         attempt=run.attempt,
         spec=task.job.job.spec,
-        lease_until_ms=runner.extend_lease(owner.settings.lease_s, now),
+        lease_until_ms=runner.extend_lease(owner.settings, now),
         token=owner.epoch,
         checkpoint=task.checkpoint,
         ticket=ticket,
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -22,6 +22,9 @@
 from plantainvane.jobs import state as state_module
 
 _SILENT_RETRY_S = 0.1
+# A lease is requested for less by what a slow clock may have lost since its
+# last reading, which is not to grow on an idle runner.
+_CLOCK_AGE_S = 30.0
 # A runner that has been silent for longer than the first time, and has no
 # attempts whose leases may expire, is polled at the second interval.
 _LONG_SILENCE_S = 1.0
@@ -110,13 +113,15 @@
     A runner without attempts has no lease to renew: a start order carries a
     lease of its own. Placement leaves out a runner that is silent, not fenced
     or runs a foreign attempt, and only a poll ends that. A late start on a
-    runner that has restarted is found by a poll as well.
+    runner that has restarted is found by a poll as well, and a start needs a
+    reading of the clock that is not old.
     """
     return (
         bool(runner.runs or runner.foreign)
         or runner.silent
         or not runner.fenced
         or now - runner.restarted_at < _LATE_START_S
+        or now - runner.clock_read_at > _CLOCK_AGE_S
     )
 
 
@@ -208,7 +213,7 @@
     """
     if not runner.clock_ms or (runner.silent and runner.clock_listed):
         return None
-    return runner.extend_lease(owner.settings.lease_s, now) or None
+    return runner.extend_lease(owner.settings, now) or None
 
 
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
