Bound the wait for an unlisted runner over a series of owners

Callers would see a long-running task that waits for as long as owners are lost one after the other: each began the wait for the leases of earlier owners anew, or added the time between two owners to it.

A new owner now drops or promises what is left on unlisted runners as soon as it has recovered, so the promise is in its first append. Each promise also names the epoch since which no owner has extended a lease there. All leases of owners before that epoch end old_lease_limit_s after the first later claim; a process that has seen this claim, no earlier than it was made, counts from there on its own clock, and takes the lesser of that and the stored remaining time. No two clocks are compared.

Why no lease is taken for expired early: the bound is the one that held before, counted from a claim that ends the earlier owners just as the present one does; a promise binds each owner until its withdrawal is stored, so no owner since the named epoch has extended a lease; an owner that has polled the runner names the epoch after its own; a withdrawal drops the epoch. Processes that have not seen the claim wait as before. The epoch is in the record of the promises and below 0, so that the last release drops it and can leave no stale one behind.

Not bounded: a runner that is listed and does not answer is promised after 1 s of silence, as its leases are extended by the first poll of each owner. Owners that are all lost sooner leave its wait to their successors until it leaves the list.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -99,6 +99,7 @@
         owner.step_down("log")
         return
     await recovery.recover(owner)
+    settle_orphans(owner, clock.read_now())
     owner.group.start_soon(_run_journal, owner)
     owner.group.start_soon(recovery.follow_jobs, owner)
     owner.group.start_soon(recovery.follow_runners, owner)
@@ -181,13 +182,34 @@
         owner.request_pass()
 
 
+def settle_orphans(owner: state_module.Owner, now: float) -> None:
+    """Drops or promises what a new owner knows of unlisted runners.
+
+    The promises are stored with its first records, so that a successor does not
+    begin the wait anew, however soon it follows.
+    """
+    _promise_orphans(owner, owner.epoch)
+    _expire_orphans(owner, now)
+
+
+def _promise_orphans(owner: state_module.Owner, since: int) -> None:
+    """Promises when the leases on unlisted runners have expired.
+
+    No owner of the epoch `since` or of a later one has extended them.
+    """
+    for runner in owner.orphans:
+        if not owner.expiries.is_binding(runner):
+            expiry = owner.find_expiry(runner)
+            owner.expiries.promise(runner, expiry, since)
+
+
 def _expire_orphans(owner: state_module.Owner, now: float) -> None:
     """Drops attempts on unlisted runners once their leases have expired."""
+    # This owner may have extended leases there before the runner was removed.
+    _promise_orphans(owner, owner.epoch + 1)
     started_ms = clock.read_wall_ms() - int((now - owner.started_at) * 1000)
     for runner in list(owner.orphans):
-        expiry = owner.find_expiry(runner)
-        if now <= expiry:
-            owner.expiries.promise(runner, expiry)
+        if now <= owner.find_expiry(runner):
             continue
         lost = owner.orphans.pop(runner)
         for run in lost:
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -16,6 +16,8 @@
 
 TOPIC = "keyed.claims"
 KEY = "0"
+# Claims whose time is kept; they bound how long leases may last.
+_MAX_CLAIMS_SEEN = 64
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -73,6 +75,7 @@
       end_offset: End of the topic when it was last read.
       heard_at: When the owner last confirmed its ownership.
       renewed_at: When the newest record of the claim was first seen.
+      seen_at: When the last claims were first seen, by epoch.
       read_at: When the topic was last read.
       denied: The process at the owner's address has denied being the owner.
       silent_for_s: How long the owner has not reached the log, as it reports.
@@ -89,6 +92,7 @@
     end_offset: int = 0
     heard_at: float = 0.0
     renewed_at: float = 0.0
+    seen_at: dict[int, float] = dataclasses.field(default_factory=dict)
     read_at: float = 0.0
     denied: bool = False
     silent_for_s: float = 0.0
@@ -109,9 +113,15 @@
         if epoch != self.epoch:
             self.heard_at, self.denied, self.silent_for_s = now, False, 0.0
             self.ping_after_s, self.few_runners = 0.0, False
+            self._record_sight(epoch, now)
         self.claim, self.epoch, self.offset = claim, epoch, offset
         self.renewed_at = now
 
+    def _record_sight(self, epoch: int, now: float) -> None:
+        self.seen_at[epoch] = now
+        if len(self.seen_at) > _MAX_CLAIMS_SEEN:
+            del self.seen_at[min(self.seen_at)]
+
     def record_reply(
         self,
         is_owner: bool,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -94,6 +94,7 @@
             decoded.ok_value,
             owner.settings.old_lease_limit_s,
             clock.read_now(),
+            owner.find_lease_limit,
         )
     else:
         progress_module.add_part(owner.progress, key, decoded.ok_value)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -301,7 +301,9 @@
     """Stores when the leases expire, so that a successor can rely on it."""
     if not runner.expiry_promised:
         runner.expiry_promised = True
-        owner.expiries.promise(runner.entry.id, expiry)
+        # This owner has extended its leases, the next ones have not.
+        since = owner.epoch + 1
+        owner.expiries.promise(runner.entry.id, expiry, since)
         state_module.store_expiries(owner, now)
 
 
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -36,6 +36,7 @@
     Attributes:
       epoch: Offset of the claim record; the fencing token for runners.
       started_at: When the claim was won.
+      claims_seen: When this process first saw each claim, by epoch.
       orphans: Attempts on unlisted runners, by runner id.
       expiries: When the leases on unresponsive runners have expired.
       progress: Stored progress by job id, as loaded at recovery.
@@ -78,6 +79,7 @@
     expiries: expiries_module.LeaseExpiries = dataclasses.field(
         default_factory=expiries_module.LeaseExpiries
     )
+    claims_seen: dict[int, float] = dataclasses.field(default_factory=dict)
     progress: dict[str, model.JobProgress] = dataclasses.field(
         default_factory=dict
     )
@@ -122,6 +124,17 @@
             runner, self.started_at + self.settings.old_lease_limit_s
         )
 
+    def find_lease_limit(self, since: int) -> float:
+        """Returns when the leases of owners before `since` have expired.
+
+        Each later claim ends them, and this process saw it no earlier than it
+        was made. Unlike a stored remaining time, that includes the time between
+        two owners.
+        """
+        seen = [at for epoch, at in self.claims_seen.items() if epoch >= since]
+        claimed_at = min(seen, default=self.started_at)
+        return claimed_at + self.settings.old_lease_limit_s
+
     def request_pass(self) -> None:
         """Requests a scheduling pass."""
         self.pass_requested.set()
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -387,6 +387,7 @@
 ) -> None:
     def on_created(owner: state_module.Owner) -> None:
         entry.owner, owner.load = owner, entry.load
+        owner.claims_seen = entry.ownership.seen_at
         ready.set()
         group.start_soon(_renew_claims, entry, owner)
         group.start_soon(_seek_abler_owner, entry, owner)
