Forget the tickets of a job with the job

Callers see nothing; an owner's memory stays bounded by its jobs. Cause: a ticket, or the adviser's refusal, is kept for each step and runner that was asked about, and only a start that is refused for its ticket removed one. Advice in flight cannot leak: each call ends in its time-out, also while it waits for the single connection, and the name is removed after it (read).

Evidence: the test failed before, with the tickets of the forgotten job left.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -433,6 +433,15 @@
     return bool(ticket) and until > now
 
 
+def forget_tickets(owner: state_module.Owner, jobs: set[str]) -> None:
+    """Forgets the tickets of all steps of some jobs."""
+    owner.tickets = {
+        (step, runner): ticket
+        for (step, runner), ticket in owner.tickets.items()
+        if step.partition(".")[0] not in jobs
+    }
+
+
 def _may_ask_about(runner: runners_module.Runner) -> bool:
     return runner.listed and runner.fenced and not runner.silent
 
--- a/plantainvane/jobs/retention.py
+++ b/plantainvane/jobs/retention.py
@@ -4,6 +4,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import orders
 from plantainvane.jobs import state as state_module
 
 _INTERVAL_S = 1.0
@@ -28,6 +29,7 @@
     for state in old:
         owner.table.forget_job(state.job.id)
         owner.progress.pop(state.job.id, None)
+    orders.forget_tickets(owner, {state.job.id for state in old})
     owner.journal.add([(state.job.id, None) for state in old])
 
 
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -103,6 +103,20 @@
     assert appended == [("keyed.jobs", [(run.task.job.job.id, None)])]
 
 
+async def test_tickets_of_a_job_are_forgotten_with_it():
+    # Guards against an owner whose memory grows with each step that the adviser
+    # was asked about.
+    owner, run, _ = make_cancelled(result.Ok(None))
+    drop(owner, run)
+    job = run.task.job.job.id
+    owner.tickets = {
+        (f"{job}.0.0", "r"): ("ticket", 1.0),
+        (f"{job}0.0.0", "r"): ("other", 1.0),
+    }
+    await retention.forget_jobs(owner, make_late_ms(owner))
+    assert list(owner.tickets.values()) == [("other", 1.0)]
+
+
 async def test_progress_is_kept_until_the_record_of_its_job_is_dropped():
     # Guards against a job without progress, which the next owner would run.
     failure = outcomes.CallError(outcomes.CallFailure.LOST, "no answer")
