--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -60,12 +60,14 @@
     Attributes:
       next_look_at: Earliest time of the next look at the tasks.
       next_line_at: Earliest time of the next line, by state.
-      seen_since: Since when a task is seen to be absent, by its name.
+      seen_since: Since when a task is seen to be absent, by `find_key`.
     """
 
     next_look_at: float = float("-inf")
     next_line_at: dict[State, float] = dataclasses.field(default_factory=dict)
-    seen_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    seen_since: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def report_absences(
@@ -77,21 +79,28 @@
     reporter.next_look_at = now + _LOOK_INTERVAL_S
     found = list_absences(owner)
     known = reporter.seen_since
-    since = {a.task.name: known.get(a.task.name, now) for a in found}
+    since = {find_key(a): known.get(find_key(a), now) for a in found}
     reporter.seen_since = since
     by_state = collections.defaultdict(list)
-    for absence in sorted(found, key=lambda a: since[a.task.name]):
-        if now - since[absence.task.name] >= _ABSENCE_S:
+    for absence in sorted(found, key=lambda a: since[find_key(a)]):
+        if now - since[find_key(absence)] >= _ABSENCE_S:
             by_state[absence.state].append(absence)
     for state, absences in by_state.items():
         if now < reporter.next_line_at.get(state, now):
             continue
         reporter.next_line_at[state] = now + _LINE_INTERVAL_S
         metrics.TASKS_NOT_AT_WORK.labels(state.value).inc()
-        seen_for_s = now - since[absences[0].task.name]
+        seen_for_s = now - since[find_key(absences[0])]
         _log_absences(owner, absences, seen_for_s, now)
 
 
+def find_key(absence: Absence) -> tuple[str, int]:
+    """Returns the task and its last attempt; it may have run between two."""
+    run = absence.run
+    number = absence.task.attempt if run is None else run.attempt
+    return absence.task.name, number
+
+
 def list_absences(owner: state_module.Owner) -> list[Absence]:
     """Returns the open long-running tasks that are not at work nor ready."""
     return [
--- a/tests/test_jobs_waits.py
+++ b/tests/test_jobs_waits.py
@@ -288,6 +288,19 @@
     assert absences.list_absences(owner) == []
 
 
+def test_two_attempts_that_are_seen_to_stop_are_no_long_absence(lines):
+    # Guards against a line about a task that ran between two looks.
+    owner = make_absent_owner(set_stopping)
+    reporter = absences.Reporter()
+    absences.report_absences(reporter, owner, 1.0)
+    (run,) = owner.table.tasks["j.0.0.0"].runs
+    run.attempt += 1
+    absences.report_absences(reporter, owner, 2.0)
+    assert not find_lines(lines, "tasks_not_at_work")
+    absences.report_absences(reporter, owner, 3.0)
+    assert len(find_lines(lines, "tasks_not_at_work")) == 1
+
+
 def test_a_far_believed_expiry_shows_in_the_line(lines):
     # Guards against a belief about a lease that outlasts every lease and cannot
     # be told from a runner that is silent for a moment.
