Test that an entry with another address ends and delays nothing

A runner that moves, or whose entry names another address by mistake, keeps its attempts until its leases end: no second start, and no later than the bound, also with a later start or a clock far ahead in that entry.

--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -310,3 +310,52 @@
     left_s = (until - machine.read_clock_ms()) / 1000
     assert 0.8 * owner.settings.lease_s <= left_s
     assert left_s <= owner.settings.lease_s
+
+
+@pytest.mark.parametrize("born_ms", [1, 9, 2**53])
+@pytest.mark.parametrize("ahead_ms", [0, 2**50])
+async def test_entry_with_another_address_ends_nothing_and_delays_nothing(
+    machine, born_ms, ahead_ms
+):
+    # Guards against a second start, and against a lease that counts for ever,
+    # if an entry by another writer gives a live runner another address.
+    owner = make_owner(machine)
+    owner.started_at = -60.0
+    elsewhere = LeasingRunner()
+    elsewhere.receives = False
+    owner.adapters.connect_runner = lambda address, key: (
+        machine if address == "127.0.0.1:9" else elsewhere
+    )
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    run = charge_running_task(owner, machine)
+    await poll_for(owner, machine, 1.0)
+    entry = make_entry(machine.offset_ms + ahead_ms, born_ms, "127.0.0.1:10")
+    recovery._apply_entry(owner, "r", entry)
+    await poll_for(owner, machine, 0.9)
+    assert run in run.task.runs
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    sent_at = await poll_for(owner, machine, 8.0)
+    assert run in owner.runners["r"].runs and run.crash is None
+    assert owner.runners["r"].fenced and owner.runners["r"].listed
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
+
+
+async def test_runner_that_is_gone_from_its_address_is_given_up_in_time(
+    machine,
+):
+    # Guards against the same where nothing answers at the new address.
+    owner = make_owner(machine)
+    owner.started_at = -60.0
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    run = charge_running_task(owner, machine)
+    await poll_for(owner, machine, 1.0)
+    machine.receives = False
+    moved_at = machine.now
+    entry = make_entry(2**50, 9, "127.0.0.1:10")
+    recovery._apply_entry(owner, "r", entry)
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(moved_at)
