Log attempts that are charged to no runner

An attempt that belongs to no runner is ended by nothing, and the record of the incident cannot tell this from other waits, as no line would show it. The owner now checks every 5 s that each attempt of an open task is charged to its runner or in doubt, and logs event 881 with the count and at most five names if not.

It is also part of the test of charges.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane.jobs import charges
 from plantainvane.jobs import clock
 from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
@@ -49,6 +50,8 @@
 _SWEEP_INTERVAL_S = 1.0
 # Interval at which learned interference effects are stored for a successor.
 _EFFECTS_INTERVAL_S = 2.0
+# Interval at which all attempts are checked, which costs a look at each task.
+_CHARGES_INTERVAL_S = 5.0
 # Time for the first polls after a takeover. Scheduling starts without the
 # runners that have not answered by then.
 _FENCING_TIMEOUT_S = 0.6
@@ -162,7 +165,7 @@
 
     Steps down when the log has not answered for too long.
     """
-    settings = owner.settings
+    settings, next_check_at = owner.settings, owner.started_at
     while True:
         await anyio.sleep(_SWEEP_INTERVAL_S)
         now = clock.read_now()
@@ -171,6 +174,9 @@
             owner.step_down("log silent")
         owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
+        if now >= next_check_at:
+            next_check_at = now + _CHARGES_INTERVAL_S
+            charges.report_uncharged(owner)
         load_module.summarize_owner(
             owner.load,
             owner.epoch,
--- a/tests/test_jobs_charges.py
+++ b/tests/test_jobs_charges.py
@@ -7,6 +7,7 @@
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import charges
 from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
@@ -254,9 +255,7 @@
             *[self.place] * 3,
             *[self.answer_poll] * 3,
         )
-        operation = self.random.choice(operations)
-        operation()
-        return operation.__name__
+        self.random.choice(operations)()
 
     def lose_all_runners(self):
         """Lets all runners leave for longer than any lease."""
@@ -286,10 +285,33 @@
     times = [100.0]
     monkeypatch.setattr(clock, "read_now", lambda: times[0])
     world = World(seed, times)
-    done = []
     for _ in range(STEPS):
-        done.append(world.run_step())
+        world.run_step()
         check_charges(world.owner)
+        assert not charges.list_uncharged(world.owner)
     world.lose_all_runners()
     check_charges(world.owner)
     assert not list_runs(world.owner)
+
+
+def test_an_attempt_that_is_charged_to_nobody_is_logged(monkeypatch):
+    # Guards against a task that waits for ever without a line that tells why.
+    lines = []
+    monkeypatch.setattr(
+        charges.events,
+        "log_event",
+        lambda event, **fields: lines.append((event.name, fields)),
+    )
+    owner = passes.make_owner(decisions.make_runner("a"))
+    decisions.add_job(owner.table, decisions.make_step(count=8))
+    runs = decisions.start_all(owner.table, runner="a")
+    owner.runners["a"].charge(runs[0])
+    owner.orphans["gone"] = [runs[1]]
+    charges.report_uncharged(owner)
+    ((name, fields),) = lines
+    assert (name, fields["count"]) == ("attempts_uncharged", 6)
+    assert len(fields["tasks"]) == 5
+    for run in runs:
+        owner.runners["a"].charge(run)
+    charges.report_uncharged(owner)
+    assert len(lines) == 1
