Keep a runner that answers when an entry names another address

Callers would see: tasks of a live runner lapse and are started again, because another writer left an entry under its id with another address.

Cause: an entry with another address replaced the runner at once. Its session polled the wrong address, so nobody renewed the leases at the right one, and the runner was reported as crashed. An entry of its own brings it back, but not one that is always followed by the odd one, and each change reported a crash.

Ruled out: a second start of a running task, and a session that is left over (a session of 8 such changes within 8 s: one start of each attempt, one session for each runner afterwards, 16 reports of a crash).

Evidence: after one such entry, with a later and with an earlier `born`, two tasks of 7 s had not completed within 12 s. The stand-in does not rewrite its entry, which stands for a writer that follows each own entry.

Fix: a runner that is not known to be silent is asked at its own address first, with one poll that renews nothing, and is moved only if it does not answer. One question at a time is asked for each runner, about the newest such entry; an entry with the present address cancels it. A runner that has moved is found at its new address as before, also if the old address does not answer (both tests of that passed before and after).

--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -57,7 +57,7 @@
     answers = reach_module.Answers()
 
     async def ask(runner: reach_module.SampledRunner, is_silent: bool) -> None:
-        if not await _ask_runner(adapters, epoch, runner):
+        if not await ask_runner(adapters, epoch, runner):
             return
         answers.record(is_silent)
         if reach_module.hears_enough(reach, answers, settings):
@@ -72,15 +72,15 @@
     return answers
 
 
-async def _ask_runner(
+async def ask_runner(
     adapters: interfaces.Adapters,
     epoch: int,
     runner: reach_module.SampledRunner,
 ) -> bool:
     """Polls a runner once; returns whether it answered.
 
-    The poll carries the present owner's token, so it fences off nobody that the
-    owner would not. It renews no lease and acknowledges no end.
+    The poll carries the token of the owner of `epoch`, so it fences off nobody
+    that the owner would not. It renews no lease and acknowledges no end.
     """
     calls = adapters.connect_runner(runner.address, runner.id)
     try:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -15,7 +15,9 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import reach
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
@@ -233,6 +235,7 @@
     runner = owner.runners.get(key)
     if value is None:
         owner.malformed_runners.discard(key)
+        owner.moved_entries.pop(key, None)
         if runner is not None and runner.listed:
             runner.listed = False
             events.log_event(
@@ -245,9 +248,13 @@
         return
     owner.malformed_runners.discard(key)
     now = clock.read_now()
-    if runner is None or runner.entry.address != entry.address:
-        _add_runner(owner, entry, runner, now)
+    if runner is None:
+        _add_runner(owner, entry, None, now)
+        return
+    if runner.entry.address != entry.address:
+        _handle_move(owner, runner, entry, now)
         return
+    owner.moved_entries.pop(key, None)
     is_earlier = entry.born_ms == runner.earlier_born_ms
     if is_earlier or entry.born_ms < runner.entry.born_ms:
         # An old entry, or the time of day was set back; a poll tells. An entry
@@ -271,6 +278,48 @@
         )
 
 
+def _handle_move(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    entry: model.RunnerEntry,
+    now: float,
+) -> None:
+    """Replaces a runner by that of an entry with another address.
+
+    One that is not known to be silent is asked first: the entry may come from
+    another writer, and the runner would get no leases at the wrong address.
+    """
+    if runner.silent:
+        owner.moved_entries.pop(entry.id, None)
+        _add_runner(owner, entry, runner, now)
+        return
+    is_asked = entry.id in owner.moved_entries
+    owner.moved_entries[entry.id] = entry
+    if not is_asked:
+        owner.group.start_soon(_confirm_move, owner, runner)
+
+
+async def _confirm_move(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> None:
+    key, address = runner.entry.id, runner.entry.address
+    answers = await probes.ask_runner(
+        owner.adapters, owner.epoch, reach.SampledRunner(key, address)
+    )
+    entry = owner.moved_entries.pop(key, None)
+    if entry is None or owner.runners.get(key) is not runner:
+        return
+    if not answers:
+        _add_runner(owner, entry, runner, clock.read_now())
+        return
+    events.log_event(
+        events.RUNNER_MOVE_REFUSED,
+        runner=key,
+        address=address,
+        named=entry.address,
+    )
+
+
 def _report_capacity(
     runner: runners_module.Runner, before: model.Amounts
 ) -> None:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -53,6 +53,8 @@
         empty ticket if the adviser does not allow the runner.
       advice_in_flight: Names of the steps that the adviser is being asked for.
       malformed_runners: Runners whose malformed entry has been reported.
+      moved_entries: Newest entry that names another address of a runner, by
+        runner id, while the runner is being asked at its own address.
       paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
@@ -100,6 +102,9 @@
     )
     advice_in_flight: set[str] = dataclasses.field(default_factory=set)
     malformed_runners: set[str] = dataclasses.field(default_factory=set)
+    moved_entries: dict[str, model.RunnerEntry] = dataclasses.field(
+        default_factory=dict
+    )
     paced_runners: set[str] = dataclasses.field(default_factory=set)
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -124,3 +124,47 @@
         owner = await system.wait_owner()
         assert list(owner.owner.runners) == ["i-0"]
         await check_is_followed(system, owner, "i-later")
+
+
+# Longer than a lease, which a runner at a wrong address would not get renewed.
+OUTLASTS_LEASE_MS = 7000
+
+
+@pytest.mark.parametrize(
+    "fields", [{}, {"born": 5}], ids=["later born", "earlier born"]
+)
+async def test_an_entry_with_another_address_moves_no_runner_that_answers(
+    fields,
+):
+    # Guards against a live runner that gets no leases, so that its tasks end,
+    # because another writer names another address for it.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = (await system.wait_owner()).owner
+        body = platform_system.make_job(count=2, run_ms=OUTLASTS_LEASE_MS)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(system.list_starts()) == 2)
+        await wait_until(lambda: owner.runners["i-0"].renewed_at)
+        runner = owner.runners["i-0"]
+        write_entry(system, "i-0", make_entry(**fields))
+        await platform_system.wait_state(system, ID, "completed", 12.0)
+        assert len(system.list_starts()) == 2
+        assert owner.runners["i-0"] is runner
+        assert owner.moved_entries == {}
+
+
+@pytest.mark.parametrize("silent", [False, True])
+async def test_a_runner_that_moved_is_used_at_its_new_address(silent):
+    # Guards against a runner that is ignored after a restart elsewhere, whether
+    # its old address refuses calls or does not answer them.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = (await system.wait_owner()).owner
+        old = system.runners["i-0"]
+        old.silent, old.id = silent, "i-0-old"
+        await platform_system.add_runner(system, "i-0")
+        new = system.runners["i-0"]
+        await wait_until(
+            lambda: owner.runners["i-0"].entry.address == new.address,
+            FOLLOW_LIMIT_S,
+        )
+        await wait_until(lambda: owner.runners["i-0"].fenced, FOLLOW_LIMIT_S)
+        await check_runs_job(system, "i-0")
