Write random odd entries to a running system in a test

A seeded test writes some hundred odd entries in the topic of the runners: before the first process starts, while two of them run, and under the id of a runner that is alive. Entries are cut off, deeply nested, 200 KB, of unusable numbers, addresses, labels and keys. An entry written afterwards is followed, a job runs, and nothing is placed on the odd entries.

--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -3,6 +3,8 @@
 Each session runs on the stand-ins; an exception in any process fails it.
 """
 
+import random
+
 import anyio
 import msgspec
 import pytest
@@ -168,3 +170,79 @@
         )
         await wait_until(lambda: owner.runners["i-0"].fenced, FOLLOW_LIMIT_S)
         await check_runs_job(system, "i-0")
+
+
+_NUMBERS = (
+    *(b"1" * 400, b"1" * 100_000, b"1e400", b"1e-400", b"-0", b"NaN"),
+    *(b"-5", b"0", b"-9007199254740992", b"null", b'"7"', b"[]"),
+)
+_ADDRESSES = (
+    *("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:" + "9" * 20, "", ":"),
+    *("nowhere.invalid:80", "224.0.0.1:80", "0.0.0.0:80", "[::]:80", "]::1[:9"),
+    *("\ufeff127.0.0.1:80", "fe80::1%a..b:80", "127.0.0.1:9", "[::1]:9"),
+)
+_LABELS = (["x"] * 10_000, [1, None], ["\0"], [""], [], ["\u4e2d" * 1000])
+_KEYS = (
+    *(b"", b"k" * 255, b"\xff\xfe", b"a b", b"a\r\nX: y", b"a/../b", b"%41"),
+    *(b"i-0\0", b"odd-1", b"odd-2", b"odd-3", b"odd-4"),
+)
+_NUMBER_FIELDS = (b'"Cpu":16000', b'"MemMb":64000', b'"ClockMs":1000')
+_DEEP = b'{"X":' + b"[" * 200_000 + b"]" * 200_000 + b"}"
+
+
+def make_odd_entry(choices):
+    """Makes an entry that cannot be read, or that names no runner."""
+    kind = choices.randrange(6)
+    entry = make_entry(
+        Address=choices.choice(_ADDRESSES),
+        Labels=choices.choice(_LABELS) if kind == 0 else ["r1-1"],
+        State=choices.choice(["ready", "draining", "odd", ""]),
+    )
+    if kind == 1:
+        field = choices.choice(_NUMBER_FIELDS)
+        name = field.partition(b":")[0]
+        return entry.replace(field, name + b":" + choices.choice(_NUMBERS))
+    if kind == 2:
+        return choices.choice([_DEEP, b"\xff" * 200_000, b"{", b"\xef\xbb\xbf"])
+    if kind == 3:
+        return entry.replace(b'"east"', b'"\\ud800"')
+    if kind == 4:
+        return entry[: choices.randrange(len(entry))]
+    return entry
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_odd_entries_of_every_kind_change_nothing(seed):
+    # Guards against any odd entry that ends a process, before its start or
+    # later, that stops the list, or that gets a task.
+    choices = random.Random(seed)
+
+    def write_odd(count):
+        for _ in range(count):
+            record = make_record(choices.choice(_KEYS), make_odd_entry(choices))
+            system.store.put_raw("keyed.servers", record)
+
+    async with platform_system.run_system(entries=0, runners=2) as system:
+        write_odd(40)
+        for number in range(2):
+            await platform_system.add_entry(system, number)
+        owner = await system.wait_owner()
+        for _ in range(10):
+            write_odd(5)
+            await anyio.sleep(0.1)
+        # Under the id of a runner that is alive, too.
+        for _ in range(10):
+            record = make_record(b"i-0", make_odd_entry(choices))
+            system.store.put_raw("keyed.servers", record)
+        # A runner writes about once a second, also if a poll was late here.
+        platform_system.write_entry(system, system.runners["i-0"])
+        await check_is_followed(system, owner, "i-later")
+        await check_runs_job(system, "i-0", "i-1", "i-later")
+        assert system.find_owner() is owner
+        known = owner.owner.runners
+        assert not any(r.runs for r in known.values())
+        assert len(known) <= len(_KEYS) + 3
+        sound = {"i-0", "i-1", "i-later"}
+        await wait_until(
+            lambda: sound == {k for k, r in known.items() if r.fenced}
+        )
