--- a/plantainvane/jobs/logs.py
+++ b/plantainvane/jobs/logs.py
@@ -17,6 +17,9 @@
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 # Lines that may wait for a slow reader; further ones are dropped.
 _MAX_BUFFERED_BYTES = 262_144
+# Longest write, unless a line is longer. Readers that take a pipe in blocks may
+# cut what is written in one piece.
+_MAX_WRITE_BYTES = 8192
 # Time until the next write after the reader took only a part.
 _RETRY_S = 0.05
 # Longest wait for a slow reader when the process ends.
@@ -64,8 +67,9 @@
     def flush(self) -> None:
         """Writes as much as the reader takes, without waiting for it."""
         while self.buffer:
+            size = _find_block_end(self.buffer)
             try:
-                written = os.write(self.output, self.buffer)
+                written = os.write(self.output, self.buffer[:size])
             except OSError:
                 # Logging must neither block nor end the process.
                 return
@@ -93,6 +97,12 @@
             self.loop = None
 
 
+def _find_block_end(buffer: bytearray) -> int:
+    """Returns the end of the last line that fits into a write, or the first."""
+    end = buffer.rfind(b"\n", 0, _MAX_WRITE_BYTES) + 1
+    return end or buffer.find(b"\n") + 1
+
+
 def start_logging() -> None:
     """Writes every event as one JSON line to standard output.
 
--- a/tests/test_jobs_logs.py
+++ b/tests/test_jobs_logs.py
@@ -194,3 +194,31 @@
     monkeypatch.setattr(logs.select, "poll", FakePoll)
     writer.finish()
     assert len(polls) == 1
+
+
+def test_many_lines_are_written_in_blocks_that_end_with_a_line(
+    pipe, monkeypatch
+):
+    # Guards against lines that a reader cuts, because they came in a write that
+    # was larger than the block that it reads.
+    read_end, write_end = pipe
+    writer = logs.LineWriter(write_end)
+    blocks = []
+    write = os.write
+
+    def keep_block(output, data):
+        blocks.append(bytes(data))
+        return write(output, data)
+
+    async def log_lines():
+        for number in range(100):
+            writer.write_line({"n": number, "text": "x" * 300})
+        writer.write_line({"n": 100, "text": "x" * 9000})
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(logs.os, "write", keep_block)
+    anyio.run(log_lines)
+    assert decode_numbers(read_available(read_end)) == list(range(101))
+    assert all(block.endswith(b"\n") for block in blocks)
+    assert all(len(b) <= 8192 or b.count(b"\n") == 1 for b in blocks)
