Log no run time of an attempt that an earlier owner has started

The order of an inherited attempt has no time on this process's clock, so the line gave the time since the start of that clock; it is null now. The test failed before (8000 in place of null). Only the line was wrong.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -552,7 +552,7 @@
         how=end.outcome,
         number=end.number,
         failures=run.task.failures,
-        ran_ms=int((now - run.ordered_at) * 1000),
+        ran_ms=_measure_run_ms(run, now),
         epoch=owner.epoch,
     )
     if end.outcome in ("done", "failed"):
@@ -569,6 +569,11 @@
                 orders.stop_run(owner, other, "gang member ended")
 
 
+def _measure_run_ms(run: attempts.Run, now: float) -> int | None:
+    """Returns the time since the order; None if an earlier owner sent it."""
+    return int((now - run.ordered_at) * 1000) if run.ordered_at else None
+
+
 def _apply_running(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/tests/test_jobs_waits.py
+++ b/tests/test_jobs_waits.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import placement
 from plantainvane.jobs import scheduling
+from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import waits
 from tests import test_jobs_decisions as decisions
@@ -351,3 +352,20 @@
         group.cancel_scope.cancel()
     assert find_lines(lines, "task_waits")[0]["task"] == "j.0.0.0"
     assert find_lines(lines, "tasks_not_at_work")[0]["names"] == ["held.0.0.0"]
+
+
+@pytest.mark.parametrize(("ordered_at", "ran_ms"), [(2.0, 6000), (0.0, None)])
+def test_run_time_of_an_inherited_attempt_is_not_guessed(
+    lines, ordered_at, ran_ms
+):
+    # Guards against a run time since the start of the clock in the line of an
+    # attempt that an earlier owner has ordered.
+    owner = make_absent_owner(lambda *unused: None)
+    runner = owner.runners["a"]
+    (run,) = runner.runs
+    run.ordered_at = ordered_at
+    end = model.AttemptEnd(1, run.task.name, run.attempt, "lapsed", "")
+    status = model.RunnerStatus(runner.entry.born_ms, 9000, (), (end,))
+    sessions._apply_reply(owner, runner, status, 7.9, 8.0)
+    (line,) = find_lines(lines, "task_ended")
+    assert line["ran_ms"] == ran_ms
