Keep earlier leases in mind until a poll has extended one

Callers would see a task run twice: a new owner takes a runner's leases for expired while the lease that an earlier owner granted still holds.

Cause: earlier_leases_until bound only until renewed_at was set, and a poll sets that whenever it carries the end of a lease. While the expiry of a runner is promised, polls repeat the end that was requested before, which extends nothing. So a runner that was silent, was promised, answered two polls and fell silent again before the withdrawal of the promise was stored was judged by the first lease that this owner had requested, which may be seconds older than the last lease of an owner that was cut off from the log.

The bound is now cleared by an answered poll that has extended the lease, and holds until then. It is a fixed time, so no wait grows beyond old_lease_limit_s from the claim, or the promised expiry.

Ruled out: the same with a poll that carries no lease, which test_leases_of_an_earlier_owner_outlast_an_answer_that_renewed_none guards.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -45,7 +45,8 @@
       lease_requested_at: When that was requested.
       renewed_at: When the newest lease that it has accepted was requested.
       earlier_leases_until: When the leases that earlier owners have granted, or
-        that were granted at its earlier address, have certainly expired.
+        that were granted at its earlier address, have certainly expired; minus
+        infinity once it has accepted a lease that covers them.
       answered_at: When it last answered a poll.
       up_at: When it was last known to be up.
       down_from, down_at: Between these times it stopped answering, the last
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -171,6 +171,7 @@
 ) -> _PendingEnds | None:
     sent_at = clock.read_now()
     lease = _choose_lease(owner, runner, sent_at)
+    extends = lease is not None and runner.lease_requested_at == sent_at
     reply = await runner.calls.poll(
         owner.epoch, runner.last_stored_end, lease, wait_s
     )
@@ -197,6 +198,8 @@
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
         runner.renewed_at = sent_at
+    if extends:
+        runner.earlier_leases_until = float("-inf")
     found = _apply_reply(owner, runner, reply.ok_value, sent_at, now)
     # The later of two batches is stored later, and the runner lists the ends
     # that came meanwhile again.
@@ -276,10 +279,8 @@
     if not runner.fenced:
         # Leases granted by an earlier owner are not known to this one.
         expiry = max(expiry, owner.find_expiry(runner.entry.id))
-    if not runner.renewed_at:
-        # It may have answered without a lease, while its expiry was promised.
-        expiry = max(expiry, runner.earlier_leases_until)
-    return expiry
+    # It may have answered without a new lease, while its expiry was promised.
+    return max(expiry, runner.earlier_leases_until)
 
 
 def _end_replaced(
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -310,3 +310,24 @@
     left_s = (until - machine.read_clock_ms()) / 1000
     assert 0.8 * owner.settings.lease_s <= left_s
     assert left_s <= owner.settings.lease_s
+
+
+async def test_leases_of_an_earlier_owner_outlast_a_poll_that_extended_none(
+    machine,
+):
+    # Guards against a second start of a task on a runner that fell silent again
+    # before the withdrawal of its expiry was stored: a poll that repeats the
+    # end of a lease counted as a renewal, and the earlier leases as covered.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    run = charge_running_task(owner, machine)
+    machine.receives = False
+    await poll_for(owner, machine, 2.0)
+    assert owner.runners["r"].expiry_promised
+    # An owner that is cut off from the log still reaches the runner.
+    machine.grant(machine.read_clock_ms() + 5500)
+    machine.receives = True
+    await poll_for(owner, machine, 3 * _STEP_S)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() < dropped_at
