Test that earlier leases outlast a poll by an old clock

Ruled out as a fault: an entry that gives a clock of the past lets the first poll of a new owner request a short lease, which counts as covering those of earlier owners. The next poll asks for a whole lease by the clock that the first one has read, and its request counts even if it is lost. The test passed at once.

--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -331,3 +331,21 @@
     machine.receives = False
     dropped_at = await find_drop(owner, machine, run)
     assert machine.find_true_expiry() < dropped_at
+
+
+@pytest.mark.parametrize("behind_ms", [1000, 3000, 20_000])
+async def test_leases_of_an_earlier_owner_outlast_a_poll_by_an_old_clock(
+    machine, behind_ms
+):
+    # Guards against a second start of a task on a runner that answers one poll
+    # of a new owner: its entry gave an old clock, so the poll asked for a short
+    # lease or a past one, which counted as covering the earlier leases.
+    owner = make_owner(machine)
+    entry = make_entry(machine.offset_ms - behind_ms)
+    recovery._apply_entry(owner, "r", entry)
+    run = charge_running_task(owner, machine)
+    machine.grant(machine.read_clock_ms() + 5500)
+    await poll_for(owner, machine, _STEP_S)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() < dropped_at
