Extend no lease after the limit for an owner without the log

Callers would see a task run twice: on a runner that only an owner without the log reaches, and on another that the successor has chosen.

Cause: a successor counts log_outage_limit_s, and one lease, from its claim.

An owner that the log has not answered for the limit now repeats the leases that it has granted until it steps down or the log answers. Stepping down earlier was not chosen: an owner that reaches the log again within that second stays it, as before. The price: in an outage of the whole log of more than 10.5 s, leases end up to 1 s earlier than they did by chance; the limit itself is unchanged.

The fake owner of test_jobs_sessions has a health now, as every owner.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -216,9 +216,24 @@
     """
     if not runner.clock_ms or (runner.silent and runner.clock_listed):
         return None
+    if _is_cut_off(owner, now):
+        return runner.lease_until_ms or None
     return runner.extend_lease(owner.settings, now) or None
 
 
+def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
+    """Tells whether a successor may count on it that no lease is extended.
+
+    The owner steps down somewhat later.
+    """
+    health = owner.health
+    silent_s = now - health.answered_at
+    return (
+        health.failing_since is not None
+        and silent_s > owner.settings.log_outage_limit_s
+    )
+
+
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
     """Returns the seconds until a silent runner is polled again."""
     if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
@@ -349,3 +350,26 @@
     machine.receives = False
     dropped_at = await find_drop(owner, machine, run)
     assert machine.find_true_expiry() < dropped_at
+
+
+@pytest.mark.parametrize("rate", [1.0, _SLOWEST])
+async def test_owner_that_is_cut_off_from_the_log_leaves_no_late_lease(
+    machine, rate
+):
+    # Guards against a second start: an owner steps down at a sweep, up to a
+    # second after the limit for its cut, and its successor counts from the
+    # limit.
+    machine.rate = rate
+    owner = make_owner(machine)
+    entry = make_entry(machine.read_clock_ms())
+    recovery._apply_entry(owner, "r", entry)
+    charge_running_task(owner, machine)
+    owner.health.record_success(0.01, machine.now)
+    owner.health.record_failure("cut off", machine.now + 0.5)
+    limit_s = owner.settings.log_outage_limit_s
+    await poll_for(owner, machine, limit_s + owner_module._SWEEP_INTERVAL_S)
+    assert machine.find_true_expiry() <= owner.settings.old_lease_limit_s
+    # It renews them as soon as the log answers.
+    owner.health.record_success(0.01, machine.now)
+    sent_at = await poll_for(owner, machine, _STEP_S)
+    assert machine.find_true_expiry() >= sent_at + owner.settings.lease_s - 0.1
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -10,6 +10,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -39,6 +40,7 @@
     return types.SimpleNamespace(
         settings=settings,
         epoch=1,
+        health=journal_module.Health(),
         runners={},
         table=table_module.JobTable(),
         load=load_module.Load(),
