Wait for a lease on a wrong clock that is granted late

Callers would see a task run twice, on a runner whose entry gave a clock far ahead of its own: an entry of an earlier life, or by another writer.

Cause: the first poll asks for a lease on the clock of the entry. A call without an answer may be carried out seconds later, after newer calls. A lease on the right clock ends at the same moment then; one that lies ahead of the clock gives the longest lease from the moment at which it is carried out, while the owner counted that from the moment of the request.

If an answer shows that the clock of the entry was too far ahead, and the poll that asked for the lease is not the one that was answered, the lease counts as granted up to 6 s after its request, as a start order does.

Ruled out: to request no lease before the clock has been read. It takes an answer more until the first lease after each takeover, and a runner whose answers are lost would lapse.

Not covered: the same on a runner that answers as another incarnation than the entry named, as a restart resets the leases (sessions.handle_restart).

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -12,6 +12,8 @@
 # A slowed fill task stays charged with at least this share of its processors,
 # so that it can speed up again.
 _MIN_CHARGED_PACE_PERCENT = 20
+# A call without an answer may be carried out for this long.
+LATE_CALL_S = 6.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -43,6 +45,8 @@
         or by another writer. Its own answers may show any other time.
       lease_until_ms: Latest end of a lease that was requested, on its clock.
       lease_requested_at: When that was requested.
+      late_lease_until: When a lease that was requested on a wrong clock, by a
+        call without an answer, has expired even if it is granted late.
       renewed_at: When the newest lease that it has accepted was requested.
       earlier_leases_until: When the leases that earlier owners have granted, or
         that were granted at its earlier address, have certainly expired; minus
@@ -95,6 +99,7 @@
     clock_listed: bool = False
     lease_until_ms: int = 0
     lease_requested_at: float = float("-inf")
+    late_lease_until: float = float("-inf")
     renewed_at: float = 0.0
     earlier_leases_until: float = float("-inf")
     answered_at: float = 0.0
@@ -179,6 +184,11 @@
         self.lease_until_ms = min(self.lease_until_ms, granted_ms)
         return exceeded
 
+    def expect_late_lease(self, settings: settings_module.Settings) -> None:
+        """Records that the last lease may be granted late, for any time."""
+        granted_by = self.lease_requested_at + LATE_CALL_S
+        self.late_lease_until = granted_by + _find_longest_lease_s(settings)
+
     def extend_lease(
         self, settings: settings_module.Settings, now: float
     ) -> int:
@@ -206,13 +216,18 @@
         """
         slowest_rate = 1 - settings.clock_rate_error
         margin_s = settings_module.LEASE_MARGIN_S
-        longest_s = settings.max_lease_s / slowest_rate + margin_s
-        latest = self.lease_requested_at + longest_s
+        latest = self.lease_requested_at + _find_longest_lease_s(settings)
         if self.clock_listed:
-            return latest
+            return max(latest, self.late_lease_until)
         remaining_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
         expiry = self.clock_read_at + remaining_s / slowest_rate + margin_s
-        return min(expiry, latest)
+        return max(min(expiry, latest), self.late_lease_until)
+
+
+def _find_longest_lease_s(settings: settings_module.Settings) -> float:
+    """Returns the seconds after which a lease granted now has expired."""
+    slowest_rate = 1 - settings.clock_rate_error
+    return settings.max_lease_s / slowest_rate + settings_module.LEASE_MARGIN_S
 
 
 def _compute_fill_charge(run: attempts.Run) -> int:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -49,9 +49,9 @@
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
-# A start order without an answer may be carried out for this long. The present
+# A start order without an answer may be carried out late. The present
 # incarnation does not refuse one that the earlier one was told to stop.
-_LATE_START_S = 6.0
+_LATE_START_S = runners_module.LATE_CALL_S
 _OUTCOME = interfaces.OrderOutcome
 _UNANSWERED = (_OUTCOME.LOST, _OUTCOME.UNREACHED)
 
@@ -438,7 +438,7 @@
             # A late answer of the earlier incarnation.
             return None
         _apply_restart(owner, runner, reply, now)
-    _read_clock(owner, runner, reply, now)
+    _read_clock(owner, runner, reply, sent_at, now)
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
@@ -471,11 +471,14 @@
     owner: state_module.Owner,
     runner: runners_module.Runner,
     reply: model.RunnerStatus,
+    sent_at: float,
     now: float,
 ) -> None:
     was_listed, listed_ms = runner.clock_listed, runner.clock_ms
     runner.record_clock(reply.clock_ms, now)
     if was_listed and runner.limit_lease(owner.settings):
+        if runner.lease_requested_at < sent_at:
+            runner.expect_late_lease(owner.settings)
         events.log_event(
             events.RUNNER_CLOCK_CORRECTED,
             runner=runner.entry.id,
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -12,6 +12,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import runners
 from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
 from tests import test_jobs_decisions as decisions
@@ -373,3 +374,28 @@
     owner.health.record_success(0.01, machine.now)
     sent_at = await poll_for(owner, machine, _STEP_S)
     assert machine.find_true_expiry() >= sent_at + owner.settings.lease_s - 0.1
+
+
+@pytest.mark.parametrize("late_s", [1.0, 2.0, 4.0])
+async def test_late_lease_on_a_clock_too_far_ahead_is_waited_for(
+    machine, late_s
+):
+    # Guards against a second start of a task: a first poll without an answer
+    # asked for a time that the runner never reaches, and was carried out after
+    # newer polls, which gave the longest lease once more.
+    owner = make_owner(machine)
+    owner.started_at = -60.0
+    recovery._apply_entry(owner, "r", make_entry(2**50))
+    machine.receives = False
+    await poll_for(owner, machine, _STEP_S)
+    late_lease_ms = owner.runners["r"].lease_until_ms
+    machine.receives = True
+    await poll_for(owner, machine, 2 * _STEP_S)
+    run = charge_running_task(owner, machine)
+    await poll_for(owner, machine, _STEP_S)
+    machine.receives = False
+    await poll_for(owner, machine, late_s)
+    machine.grant(late_lease_ms)
+    dropped_at = await find_drop(owner, machine, run)
+    late_by_s = runners.LATE_CALL_S + 2 * _STEP_S
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(late_by_s)
