Keep a runner open after an entry that a poll has refuted

Callers would see tasks wait beside room: a runner that another writer names with a wrong start accepts no task until its next answer, each time that the entry is written, and a poll under way may wait for up to 1.8 s.

Cause: each entry of another incarnation than the present one closed the runner until a poll was answered, also if it repeated one that polls had contradicted.

An answer to a poll that was sent after the entry was read settles that incarnation: the runner was another one later, and no start returns. Entries that repeat it no longer close the runner. Another start, and an answer to a poll that was sent before, close it as they did; a restart drops what was settled.

Evidence: test_entry_that_a_poll_has_refuted_does_not_close_a_runner failed before (not fenced after the repeated entry). The second test guards the fix and passed before, as every entry closed the runner.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -255,11 +255,9 @@
         _add_runner(owner, entry, runner, now)
         return
     if entry.born_ms != runner.entry.born_ms:
-        # An earlier or a later incarnation, or another writer; a poll tells. An
-        # entry that precedes the awaited one is old, and so is its capacity.
-        runner.announced = entry
+        # An entry that precedes the awaited one is old, and so is its capacity.
         runner.listed = runner.listed or not runner.entry_awaited
-        runner.require_poll()
+        runner_entries.announce(runner, entry, now)
         return
     runner_entries.adopt(owner, runner, entry)
 
--- a/plantainvane/jobs/runner_entries.py
+++ b/plantainvane/jobs/runner_entries.py
@@ -1,4 +1,4 @@
-"""Applies the entry of a runner's present incarnation."""
+"""Applies the entries of known runners."""
 
 from plantainvane import events
 from plantainvane.jobs import model
@@ -24,6 +24,27 @@
         owner.request_pass()
 
 
+def announce(
+    runner: runners_module.Runner, entry: model.RunnerEntry, now: float
+) -> None:
+    """Has a poll tell whether the incarnation of an entry is the present one.
+
+    The entry may be of an earlier or a later one, or by another writer.
+    """
+    known = runner.announced
+    if known is None or known.born_ms != entry.born_ms:
+        runner.announced_at = now
+    runner.announced = entry
+    if entry.born_ms != runner.refuted_born_ms:
+        runner.require_poll()
+
+
+def refute(runner: runners_module.Runner, sent_at: float) -> None:
+    """Records that a poll sent at a time found the incarnation unchanged."""
+    if runner.announced is not None and sent_at > runner.announced_at:
+        runner.refuted_born_ms = runner.announced.born_ms
+
+
 def _report_capacity(
     runner: runners_module.Runner, before: model.Amounts
 ) -> None:
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -33,6 +33,9 @@
         entry has not been read.
       announced: Entry of another incarnation than the present one, or None. A
         poll tells whether that one runs.
+      announced_at: When an entry of that incarnation was first read.
+      refuted_born_ms: Incarnation of an entry that a later poll did not find,
+        or None.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
       born_at: When this process learned of the present incarnation. An answer
@@ -90,6 +93,8 @@
     listed: bool = True
     entry_awaited: bool = False
     announced: model.RunnerEntry | None = None
+    announced_at: float = float("-inf")
+    refuted_born_ms: int | None = None
     fenced: bool = False
     born_at: float = 0.0
     restarted_at: float = float("-inf")
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -438,6 +438,8 @@
             # A late answer of the earlier incarnation.
             return None
         _apply_restart(owner, runner, reply, now)
+    else:
+        runner_entries.refute(runner, sent_at)
     _read_clock(owner, runner, reply, sent_at, now)
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
@@ -523,6 +525,7 @@
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
     announced, runner.announced = runner.announced, None
+    runner.refuted_born_ms = None
     if announced is not None and announced.born_ms == reply.born_ms:
         runner_entries.adopt(owner, runner, announced)
         return
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -399,3 +399,38 @@
     dropped_at = await find_drop(owner, machine, run)
     late_by_s = runners.LATE_CALL_S + 2 * _STEP_S
     assert machine.find_true_expiry() <= dropped_at <= find_bound(late_by_s)
+
+
+async def test_entry_that_a_poll_has_refuted_does_not_close_a_runner(machine):
+    # Guards against a runner that accepts no task for most of the time: another
+    # writer names another start every second, and a poll may wait for 2 s.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, _STEP_S)
+    runner = owner.runners["r"]
+    wrong = make_entry(machine.offset_ms, born_ms=2**53)
+    recovery._apply_entry(owner, "r", wrong)
+    assert not runner.fenced
+    machine.now += _STEP_S
+    await poll_for(owner, machine, _STEP_S)
+    for entry in (make_entry(machine.offset_ms), wrong):
+        recovery._apply_entry(owner, "r", entry)
+        assert runner.fenced and runner.listed
+    # Another start may be a true one.
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms, born_ms=9))
+    assert not runner.fenced
+
+
+async def test_answer_to_an_older_poll_does_not_refute_an_entry(machine):
+    # Guards against a restart that is not noticed, because a poll that was sent
+    # before it was answered after its entry.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    sent_at, runner = machine.now - 0.1, owner.runners["r"]
+    entry = make_entry(machine.offset_ms, born_ms=9)
+    recovery._apply_entry(owner, "r", entry)
+    status = model.RunnerStatus(1, machine.read_clock_ms(), (), ())
+    sessions._apply_reply(owner, runner, status, sent_at, machine.now)
+    recovery._apply_entry(owner, "r", entry)
+    assert not runner.fenced
