--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -49,9 +49,9 @@
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
-# A start order without an answer may be carried out for this long. The present
+# A start order without an answer may be carried out late. The present
 # incarnation does not refuse one that the earlier one was told to stop.
-_LATE_START_S = 6.0
+_LATE_START_S = runners_module.LATE_CALL_S
 _OUTCOME = interfaces.OrderOutcome
 _UNANSWERED = (_OUTCOME.LOST, _OUTCOME.UNREACHED)
 
@@ -171,6 +171,7 @@
 ) -> _PendingEnds | None:
     sent_at = clock.read_now()
     lease = _choose_lease(owner, runner, sent_at)
+    extends = lease is not None and runner.lease_requested_at == sent_at
     reply = await runner.calls.poll(
         owner.epoch, runner.last_stored_end, lease, wait_s
     )
@@ -197,6 +198,8 @@
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
         runner.renewed_at = sent_at
+    if extends:
+        runner.earlier_leases_until = float("-inf")
     found = _apply_reply(owner, runner, reply.ok_value, sent_at, now)
     # The later of two batches is stored later, and the runner lists the ends
     # that came meanwhile again.
@@ -213,9 +216,24 @@
     """
     if not runner.clock_ms or (runner.silent and runner.clock_listed):
         return None
+    if _is_cut_off(owner, now):
+        return runner.lease_until_ms or None
     return runner.extend_lease(owner.settings, now) or None
 
 
+def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
+    """Tells whether a successor may count on it that no lease is extended.
+
+    The owner steps down somewhat later.
+    """
+    health = owner.health
+    silent_s = now - health.answered_at
+    return (
+        health.failing_since is not None
+        and silent_s > owner.settings.log_outage_limit_s
+    )
+
+
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
     """Returns the seconds until a silent runner is polled again."""
     if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
@@ -276,10 +294,8 @@
     if not runner.fenced:
         # Leases granted by an earlier owner are not known to this one.
         expiry = max(expiry, owner.find_expiry(runner.entry.id))
-    if not runner.renewed_at:
-        # It may have answered without a lease, while its expiry was promised.
-        expiry = max(expiry, runner.earlier_leases_until)
-    return expiry
+    # It may have answered without a new lease, while its expiry was promised.
+    return max(expiry, runner.earlier_leases_until)
 
 
 def _end_replaced(
@@ -422,7 +438,9 @@
             # A late answer of the earlier incarnation.
             return None
         _apply_restart(owner, runner, reply, now)
-    _read_clock(owner, runner, reply, now)
+    else:
+        runner_entries.refute(runner, sent_at)
+    _read_clock(owner, runner, reply, sent_at, now)
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
@@ -455,11 +473,14 @@
     owner: state_module.Owner,
     runner: runners_module.Runner,
     reply: model.RunnerStatus,
+    sent_at: float,
     now: float,
 ) -> None:
     was_listed, listed_ms = runner.clock_listed, runner.clock_ms
     runner.record_clock(reply.clock_ms, now)
     if was_listed and runner.limit_lease(owner.settings):
+        if runner.lease_requested_at < sent_at:
+            runner.expect_late_lease(owner.settings)
         events.log_event(
             events.RUNNER_CLOCK_CORRECTED,
             runner=runner.entry.id,
@@ -504,6 +525,7 @@
     running = [run for run in listed if run in runner.runs]
     handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
     announced, runner.announced = runner.announced, None
+    runner.refuted_born_ms = None
     if announced is not None and announced.born_ms == reply.born_ms:
         runner_entries.adopt(owner, runner, announced)
         return
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -10,7 +10,9 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import runners
 from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
 from tests import test_jobs_decisions as decisions
@@ -359,3 +361,125 @@
     recovery._apply_entry(owner, "r", entry)
     dropped_at = await find_drop(owner, machine, run)
     assert machine.find_true_expiry() <= dropped_at <= find_bound(moved_at)
+
+
+async def test_leases_of_an_earlier_owner_outlast_a_poll_that_extended_none(
+    machine,
+):
+    # Guards against a second start of a task on a runner that fell silent again
+    # before the withdrawal of its expiry was stored: a poll that repeats the
+    # end of a lease counted as a renewal, and the earlier leases as covered.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    run = charge_running_task(owner, machine)
+    machine.receives = False
+    await poll_for(owner, machine, 2.0)
+    assert owner.runners["r"].expiry_promised
+    # An owner that is cut off from the log still reaches the runner.
+    machine.grant(machine.read_clock_ms() + 5500)
+    machine.receives = True
+    await poll_for(owner, machine, 3 * _STEP_S)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() < dropped_at
+
+
+@pytest.mark.parametrize("behind_ms", [1000, 3000, 20_000])
+async def test_leases_of_an_earlier_owner_outlast_a_poll_by_an_old_clock(
+    machine, behind_ms
+):
+    # Guards against a second start of a task on a runner that answers one poll
+    # of a new owner: its entry gave an old clock, so the poll asked for a short
+    # lease or a past one, which counted as covering the earlier leases.
+    owner = make_owner(machine)
+    entry = make_entry(machine.offset_ms - behind_ms)
+    recovery._apply_entry(owner, "r", entry)
+    run = charge_running_task(owner, machine)
+    machine.grant(machine.read_clock_ms() + 5500)
+    await poll_for(owner, machine, _STEP_S)
+    machine.receives = False
+    dropped_at = await find_drop(owner, machine, run)
+    assert machine.find_true_expiry() < dropped_at
+
+
+@pytest.mark.parametrize("rate", [1.0, _SLOWEST])
+async def test_owner_that_is_cut_off_from_the_log_leaves_no_late_lease(
+    machine, rate
+):
+    # Guards against a second start: an owner steps down at a sweep, up to a
+    # second after the limit for its cut, and its successor counts from the
+    # limit.
+    machine.rate = rate
+    owner = make_owner(machine)
+    entry = make_entry(machine.read_clock_ms())
+    recovery._apply_entry(owner, "r", entry)
+    charge_running_task(owner, machine)
+    owner.health.record_success(0.01, machine.now)
+    owner.health.record_failure("cut off", machine.now + 0.5)
+    limit_s = owner.settings.log_outage_limit_s
+    await poll_for(owner, machine, limit_s + owner_module._SWEEP_INTERVAL_S)
+    assert machine.find_true_expiry() <= owner.settings.old_lease_limit_s
+    # It renews them as soon as the log answers.
+    owner.health.record_success(0.01, machine.now)
+    sent_at = await poll_for(owner, machine, _STEP_S)
+    assert machine.find_true_expiry() >= sent_at + owner.settings.lease_s - 0.1
+
+
+@pytest.mark.parametrize("late_s", [1.0, 2.0, 4.0])
+async def test_late_lease_on_a_clock_too_far_ahead_is_waited_for(
+    machine, late_s
+):
+    # Guards against a second start of a task: a first poll without an answer
+    # asked for a time that the runner never reaches, and was carried out after
+    # newer polls, which gave the longest lease once more.
+    owner = make_owner(machine)
+    owner.started_at = -60.0
+    recovery._apply_entry(owner, "r", make_entry(2**50))
+    machine.receives = False
+    await poll_for(owner, machine, _STEP_S)
+    late_lease_ms = owner.runners["r"].lease_until_ms
+    machine.receives = True
+    await poll_for(owner, machine, 2 * _STEP_S)
+    run = charge_running_task(owner, machine)
+    await poll_for(owner, machine, _STEP_S)
+    machine.receives = False
+    await poll_for(owner, machine, late_s)
+    machine.grant(late_lease_ms)
+    dropped_at = await find_drop(owner, machine, run)
+    late_by_s = runners.LATE_CALL_S + 2 * _STEP_S
+    assert machine.find_true_expiry() <= dropped_at <= find_bound(late_by_s)
+
+
+async def test_entry_that_a_poll_has_refuted_does_not_close_a_runner(machine):
+    # Guards against a runner that accepts no task for most of the time: another
+    # writer names another start every second, and a poll may wait for 2 s.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, _STEP_S)
+    runner = owner.runners["r"]
+    wrong = make_entry(machine.offset_ms, born_ms=2**53)
+    recovery._apply_entry(owner, "r", wrong)
+    assert not runner.fenced
+    machine.now += _STEP_S
+    await poll_for(owner, machine, _STEP_S)
+    for entry in (make_entry(machine.offset_ms), wrong):
+        recovery._apply_entry(owner, "r", entry)
+        assert runner.fenced and runner.listed
+    # Another start may be a true one.
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms, born_ms=9))
+    assert not runner.fenced
+
+
+async def test_answer_to_an_older_poll_does_not_refute_an_entry(machine):
+    # Guards against a restart that is not noticed, because a poll that was sent
+    # before it was answered after its entry.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    await poll_for(owner, machine, 1.0)
+    sent_at, runner = machine.now - 0.1, owner.runners["r"]
+    entry = make_entry(machine.offset_ms, born_ms=9)
+    recovery._apply_entry(owner, "r", entry)
+    status = model.RunnerStatus(1, machine.read_clock_ms(), (), ())
+    sessions._apply_reply(owner, runner, status, sent_at, machine.now)
+    recovery._apply_entry(owner, "r", entry)
+    assert not runner.fenced
