Move what a runner accepts, and has room for, out of placement

placement had two jobs: which runners may start a task, and which of them is best. The first is in eligibility now, which orders, preemption, scheduling and waits use as well. A move only; the tests count calls of the moved function under its new module and assert the same.

--- /dev/null
+++ b/plantainvane/jobs/eligibility.py
@@ -0,0 +1,128 @@
+"""Decides whether a runner accepts tasks of a step, and has room for them."""
+
+from collections.abc import Iterable
+import enum
+
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+
+
+class Obstacle(enum.StrEnum):
+    """Why a runner cannot start a task now."""
+
+    UNLISTED = "unlisted"
+    NOT_FENCED = "not_fenced"
+    SILENT = "silent"
+    EXPIRY_PROMISED = "expiry_promised"
+    DRAINING = "draining"
+    FOREIGN_ATTEMPT = "foreign_attempt"
+    BACKOFF = "backoff"
+    PROBATION = "probation"
+    LABEL = "label"
+    NO_ROOM = "no_room"
+    NO_FILL_ROOM = "no_fill_room"
+    LIMIT_PER_RUNNER = "limit_per_runner"
+    KEPT_FOR_TRIAL = "kept_for_trial"
+    NO_TRIAL = "no_trial"
+    INTERFERENCE = "interference"
+
+
+def accepts_step(
+    runner: runners_module.Runner, step: model.Step, now: float
+) -> bool:
+    """Tells whether the runner accepts tasks of this step if they fit."""
+    return find_refusal(runner, step, now) is None
+
+
+def find_refusal(
+    runner: runners_module.Runner, step: model.Step, now: float
+) -> Obstacle | None:
+    """Returns why the runner accepts no task of this step, or None.
+
+    What a foreign attempt uses is charged to nobody, so nothing is added to it.
+    A runner on probation accepts a task only while nothing else runs there.
+    """
+    refusal = None
+    if not runner.listed:
+        refusal = Obstacle.UNLISTED
+    elif runner.silent:
+        refusal = Obstacle.SILENT
+    elif not runner.fenced:
+        refusal = Obstacle.NOT_FENCED
+    elif runner.expiry_promised:
+        refusal = Obstacle.EXPIRY_PROMISED
+    elif runner.entry.draining:
+        refusal = Obstacle.DRAINING
+    elif runner.foreign:
+        refusal = Obstacle.FOREIGN_ATTEMPT
+    elif runner.backoff_until > now:
+        refusal = Obstacle.BACKOFF
+    elif runner.probation_until > now and runner.runs:
+        refusal = Obstacle.PROBATION
+    elif step.required_label and (
+        step.required_label not in runner.entry.labels
+    ):
+        refusal = Obstacle.LABEL
+    return refusal
+
+
+def has_capacity(
+    runner: runners_module.Runner, step: model.Step, reserve: float = 0.0
+) -> bool:
+    """Tells whether the declared resources of one more task fit.
+
+    Nothing fits on a runner that is over its capacity, not even a task that
+    needs none of what is short there. `reserve` is the share of the memory that
+    has to stay free.
+    """
+    capacity, amounts = runner.entry.capacity, step.amounts
+    if runner.cpu + (0 if step.fills else amounts.cpu) > capacity.cpu:
+        return False
+    if runner.memory_mb + amounts.memory_mb > capacity.memory_mb * (
+        1 - reserve
+    ):
+        return False
+    return runner.accelerators + amounts.accelerators <= capacity.accelerators
+
+
+def may_fit(
+    step: model.Step,
+    members: int,
+    candidates: Iterable[runners_module.Runner],
+    now: float,
+) -> bool:
+    """Tells whether declared resources could hold all members of a gang.
+
+    It costs a few divisions a runner, whatever the number of members.
+    """
+    places = 0
+    for runner in candidates:
+        if has_capacity(runner, step) and accepts_step(runner, step, now):
+            places += _count_places(runner, step, members - places)
+        if places >= members:
+            return True
+    return False
+
+
+def _count_places(
+    runner: runners_module.Runner, step: model.Step, limit: int
+) -> int:
+    capacity, amounts = runner.entry.capacity, step.amounts
+    unused = (
+        (0 if step.fills else amounts.cpu, capacity.cpu - runner.cpu),
+        (amounts.memory_mb, capacity.memory_mb - runner.memory_mb),
+        (amounts.accelerators, capacity.accelerators - runner.accelerators),
+    )
+    if step.max_per_runner:
+        limit = min(limit, step.max_per_runner)
+    return min([limit, *(left // need for need, left in unused if need)])
+
+
+def exceeds_capacity(runner: runners_module.Runner) -> bool:
+    """Tells whether more is charged to the runner than it has."""
+    capacity = runner.entry.capacity
+    return (
+        runner.cpu > capacity.cpu
+        or runner.memory_mb > capacity.memory_mb
+        or runner.accelerators > capacity.accelerators
+    )
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -12,11 +12,11 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import crashes
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
-from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import trials
@@ -111,7 +111,7 @@
         return "attempt ended or is being stopped"
     if run.task.job.ended:
         return "job ended"
-    if placement.exceeds_capacity(runner):
+    if eligibility.exceeds_capacity(runner):
         return "over capacity"
     if not runner.listed:
         return "not listed"
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import enum
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import interference
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
@@ -61,26 +61,6 @@
 FILL_MEMORY_RESERVE = 0.08
 
 
-class Obstacle(enum.StrEnum):
-    """Why a runner cannot start a task now."""
-
-    UNLISTED = "unlisted"
-    NOT_FENCED = "not_fenced"
-    SILENT = "silent"
-    EXPIRY_PROMISED = "expiry_promised"
-    DRAINING = "draining"
-    FOREIGN_ATTEMPT = "foreign_attempt"
-    BACKOFF = "backoff"
-    PROBATION = "probation"
-    LABEL = "label"
-    NO_ROOM = "no_room"
-    NO_FILL_ROOM = "no_fill_room"
-    LIMIT_PER_RUNNER = "limit_per_runner"
-    KEPT_FOR_TRIAL = "kept_for_trial"
-    NO_TRIAL = "no_trial"
-    INTERFERENCE = "interference"
-
-
 @dataclasses.dataclass(slots=True)
 class Ranking:
     """Scores of the runners for tasks with the same requirements.
@@ -170,107 +150,6 @@
     )
 
 
-def accepts_step(
-    runner: runners_module.Runner, step: model.Step, now: float
-) -> bool:
-    """Tells whether the runner accepts tasks of this step if they fit."""
-    return find_refusal(runner, step, now) is None
-
-
-def find_refusal(
-    runner: runners_module.Runner, step: model.Step, now: float
-) -> Obstacle | None:
-    """Returns why the runner accepts no task of this step, or None.
-
-    What a foreign attempt uses is charged to nobody, so nothing is added to it.
-    A runner on probation accepts a task only while nothing else runs there.
-    """
-    refusal = None
-    if not runner.listed:
-        refusal = Obstacle.UNLISTED
-    elif runner.silent:
-        refusal = Obstacle.SILENT
-    elif not runner.fenced:
-        refusal = Obstacle.NOT_FENCED
-    elif runner.expiry_promised:
-        refusal = Obstacle.EXPIRY_PROMISED
-    elif runner.entry.draining:
-        refusal = Obstacle.DRAINING
-    elif runner.foreign:
-        refusal = Obstacle.FOREIGN_ATTEMPT
-    elif runner.backoff_until > now:
-        refusal = Obstacle.BACKOFF
-    elif runner.probation_until > now and runner.runs:
-        refusal = Obstacle.PROBATION
-    elif step.required_label and (
-        step.required_label not in runner.entry.labels
-    ):
-        refusal = Obstacle.LABEL
-    return refusal
-
-
-def has_capacity(
-    runner: runners_module.Runner, step: model.Step, reserve: float = 0.0
-) -> bool:
-    """Tells whether the declared resources of one more task fit.
-
-    Nothing fits on a runner that is over its capacity, not even a task that
-    needs none of what is short there. `reserve` is the share of the memory that
-    has to stay free.
-    """
-    capacity, amounts = runner.entry.capacity, step.amounts
-    if runner.cpu + (0 if step.fills else amounts.cpu) > capacity.cpu:
-        return False
-    if runner.memory_mb + amounts.memory_mb > capacity.memory_mb * (
-        1 - reserve
-    ):
-        return False
-    return runner.accelerators + amounts.accelerators <= capacity.accelerators
-
-
-def may_fit(
-    step: model.Step,
-    members: int,
-    candidates: Iterable[runners_module.Runner],
-    now: float,
-) -> bool:
-    """Tells whether declared resources could hold all members of a gang.
-
-    It costs a few divisions a runner, whatever the number of members.
-    """
-    places = 0
-    for runner in candidates:
-        if has_capacity(runner, step) and accepts_step(runner, step, now):
-            places += _count_places(runner, step, members - places)
-        if places >= members:
-            return True
-    return False
-
-
-def _count_places(
-    runner: runners_module.Runner, step: model.Step, limit: int
-) -> int:
-    capacity, amounts = runner.entry.capacity, step.amounts
-    unused = (
-        (0 if step.fills else amounts.cpu, capacity.cpu - runner.cpu),
-        (amounts.memory_mb, capacity.memory_mb - runner.memory_mb),
-        (amounts.accelerators, capacity.accelerators - runner.accelerators),
-    )
-    if step.max_per_runner:
-        limit = min(limit, step.max_per_runner)
-    return min([limit, *(left // need for need, left in unused if need)])
-
-
-def exceeds_capacity(runner: runners_module.Runner) -> bool:
-    """Tells whether more is charged to the runner than it has."""
-    capacity = runner.entry.capacity
-    return (
-        runner.cpu > capacity.cpu
-        or runner.memory_mb > capacity.memory_mb
-        or runner.accelerators > capacity.accelerators
-    )
-
-
 def measure_unused_cpu(runner: runners_module.Runner) -> float:
     """Returns the thousandths of a core that fill tasks can expect to use."""
     busy = runner.cpu - runner.serving_cpu * (1 - SERVING_CPU_UTILIZATION)
@@ -388,7 +267,7 @@
     candidates: list[runners_module.Runner],
     interference_model: interference.InterferenceModel,
     now: float,
-) -> list[tuple[runners_module.Runner, Obstacle | None]]:
+) -> list[tuple[runners_module.Runner, eligibility.Obstacle | None]]:
     """Returns why `choose_runner` leaves out each candidate, if it does."""
     limit = task.step.definition.max_per_runner
     counts = _count_runs_by_runner(task) if limit else {}
@@ -396,16 +275,16 @@
     if trials.is_waiting_for_trial(task, now):
         trial_runners = _list_trial_runners(task, candidates, now)
     estimates = Estimates()
-    found: list[tuple[runners_module.Runner, Obstacle | None]] = []
+    found: list[tuple[runners_module.Runner, eligibility.Obstacle | None]] = []
     for runner in candidates:
         obstacle = _find_obstacle(
             task, runner, interference_model, estimates, now
         )
         if obstacle is None:
             if limit and counts.get(runner.entry.id, 0) >= limit:
-                obstacle = Obstacle.LIMIT_PER_RUNNER
+                obstacle = eligibility.Obstacle.LIMIT_PER_RUNNER
             elif trial_runners is not None and runner not in trial_runners:
-                obstacle = Obstacle.NO_TRIAL
+                obstacle = eligibility.Obstacle.NO_TRIAL
         found.append((runner, obstacle))
     return found
 
@@ -416,23 +295,23 @@
     interference_model: interference.InterferenceModel,
     estimates: Estimates,
     now: float,
-) -> Obstacle | None:
+) -> eligibility.Obstacle | None:
     """Returns why `_evaluate_runner` gives no score, or None if it does."""
     step = task.step.definition
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
-    refusal = find_refusal(runner, step, now)
+    refusal = eligibility.find_refusal(runner, step, now)
     if refusal is not None:
         return refusal
-    if not has_capacity(runner, step, reserve):
-        return Obstacle.NO_ROOM
+    if not eligibility.has_capacity(runner, step, reserve):
+        return eligibility.Obstacle.NO_ROOM
     if trials.is_kept_for_other(runner, task, now):
-        return Obstacle.KEPT_FOR_TRIAL
+        return eligibility.Obstacle.KEPT_FOR_TRIAL
     if step.fills and measure_fill_room(runner) < step.amounts.cpu:
-        return Obstacle.NO_FILL_ROOM
+        return eligibility.Obstacle.NO_FILL_ROOM
     score = _evaluate_runner(
         task, runner, {}, interference_model, estimates, now
     )
-    return Obstacle.INTERFERENCE if score is None else None
+    return eligibility.Obstacle.INTERFERENCE if score is None else None
 
 
 def choose_ranked_runner(
@@ -522,9 +401,9 @@
     """Scores a runner for a task; None if it cannot start the task now."""
     step = task.step.definition
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
-    if not has_capacity(runner, step, reserve):
+    if not eligibility.has_capacity(runner, step, reserve):
         return None
-    if not accepts_step(runner, step, now) or (
+    if not eligibility.accepts_step(runner, step, now) or (
         trials.is_kept_for_other(runner, task, now)
     ):
         return None
--- a/plantainvane/jobs/preemption.py
+++ b/plantainvane/jobs/preemption.py
@@ -1,6 +1,7 @@
 """Decides which attempts are stopped to make room for a more urgent task."""
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import model
 from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
@@ -20,13 +21,13 @@
 
     Only attempts of less urgent queues are considered, and no long-running
     ones. The list is empty if no runner can be made to fit the task that way,
-    by the same rules as `placement.has_capacity`.
+    by the same rules as `eligibility.has_capacity`.
     """
     step = task.step.definition
     best: list[attempts.Run] = []
     best_cost = float("inf")
     for runner in candidates:
-        if not placement.accepts_step(runner, step, now) or (
+        if not eligibility.accepts_step(runner, step, now) or (
             trials.is_kept_for_other(runner, task, now)
         ):
             continue
@@ -42,7 +43,7 @@
     __slots__ = ("accelerators", "cpu", "memory_mb")
 
     def __init__(self, step: model.Step, runner: runners_module.Runner):
-        """Counts as `placement.has_capacity` does."""
+        """Counts as `eligibility.has_capacity` does."""
         capacity, amounts = runner.entry.capacity, step.amounts
         reserve = placement.FILL_MEMORY_RESERVE if step.fills else 0.0
         self.cpu = runner.cpu + (0 if step.fills else amounts.cpu)
--- a/plantainvane/jobs/runner_entries.py
+++ b/plantainvane/jobs/runner_entries.py
@@ -1,8 +1,8 @@
 """Applies the entries of known runners."""
 
 from plantainvane import events
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import model
-from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -62,5 +62,5 @@
         charged_memory_mb=runner.memory_mb,
         charged_accelerators=runner.accelerators,
         runs=len(runner.runs),
-        exceeded=placement.exceeds_capacity(runner),
+        exceeded=eligibility.exceeds_capacity(runner),
     )
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -6,6 +6,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -536,7 +537,9 @@
 ) -> list[attempts.Run]:
     """Places a gang on the candidates, or restores the state before the try."""
     members = len(step.tasks)
-    if not placement.may_fit(step.definition, members, candidates, current.now):
+    if not eligibility.may_fit(
+        step.definition, members, candidates, current.now
+    ):
         return []
     runs: list[attempts.Run] = []
     attempt = max(task.attempt for task in step.tasks)
--- a/plantainvane/jobs/waits.py
+++ b/plantainvane/jobs/waits.py
@@ -11,6 +11,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -195,10 +196,10 @@
 
 def _find_largest_room(
     step: model.Step,
-    obstacles: list[tuple[runners_module.Runner, placement.Obstacle | None]],
+    obstacles: list[tuple[runners_module.Runner, eligibility.Obstacle | None]],
 ) -> Room | None:
     """Returns the room where the scarcest amount is covered best."""
-    full = (placement.Obstacle.NO_ROOM, placement.Obstacle.NO_FILL_ROOM)
+    full = (eligibility.Obstacle.NO_ROOM, eligibility.Obstacle.NO_FILL_ROOM)
     rooms = [
         _measure_room(runner, step)
         for runner, obstacle in obstacles
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -8,6 +8,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import model
@@ -339,7 +340,7 @@
 def test_work_of_a_pass_does_not_grow_with_waiting_jobs(monkeypatch):
     # Guards against passes of seconds: 400 waiting jobs that were each compared
     # with 246 runners, one by one.
-    calls = count_calls(monkeypatch, placement, "has_capacity")
+    calls = count_calls(monkeypatch, eligibility, "has_capacity")
     counts = []
     for jobs in (2, 200):
         runners = [decisions.make_runner(f"r{i}", cpu=900) for i in range(50)]
@@ -355,7 +356,7 @@
 
 def test_equal_tasks_are_scored_once(monkeypatch):
     # Guards against a step of many tasks that scores every runner for each.
-    calls = count_calls(monkeypatch, placement, "has_capacity")
+    calls = count_calls(monkeypatch, eligibility, "has_capacity")
     runners = [decisions.make_runner(f"r{i}") for i in range(50)]
     owner = make_owner(*runners)
     decisions.add_job(owner.table, decisions.make_step(count=100))
