Extend no lease in the first polls of an owner that was suspended

Callers would see a task run twice: an owner whose process was suspended goes on with a poll that extends leases by a whole time, after a successor has counted them as expired on a runner that it could not reach.

Cause: an owner stopped extending leases only if a call to the log had failed. A process that was suspended has made none; its next poll is due at once.

The time since the log last answered decides alone. A running owner has an answer of the log every 0.4 to 1.6 s; after a pause the first answer lets it go on.

Not covered: a start order that is repeated at once after the pause, which extends the lease as well (orders._make_order).

The log of the fake owners always answers now, where it never had.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -224,14 +224,11 @@
 def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
     """Tells whether a successor may count on it that no lease is extended.
 
-    The owner steps down somewhat later.
+    The owner steps down somewhat later. One that was suspended has not called
+    the log yet.
     """
-    health = owner.health
-    silent_s = now - health.answered_at
-    return (
-        health.failing_since is not None
-        and silent_s > owner.settings.log_outage_limit_s
-    )
+    silent_s = now - owner.health.answered_at
+    return silent_s > owner.settings.log_outage_limit_s
 
 
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -434,3 +434,17 @@
     sessions._apply_reply(owner, runner, status, sent_at, machine.now)
     recovery._apply_entry(owner, "r", entry)
     assert not runner.fenced
+
+
+async def test_owner_that_was_suspended_extends_no_lease_at_once(machine):
+    # Guards against a second start: an owner that goes on after its successor
+    # has counted on expired leases polls before it has heard of that.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    charge_running_task(owner, machine)
+    owner.health.record_success(0.01, machine.now)
+    await poll_for(owner, machine, 1.0)
+    expiry = machine.find_true_expiry()
+    machine.now += owner.settings.log_outage_limit_s
+    await poll_for(owner, machine, _STEP_S)
+    assert machine.find_true_expiry() == expiry
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -38,7 +38,7 @@
 
 def make_owner(*runners, queue=decisions.QUEUE):
     configuration = model.Configuration(1, (queue,))
-    health = journal_module.Health()
+    health = journal_module.Health(answered_at=float("inf"))
     owner = state_module.Owner(
         decisions.SETTINGS,
         None,
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -40,7 +40,7 @@
     return types.SimpleNamespace(
         settings=settings,
         epoch=1,
-        health=journal_module.Health(),
+        health=journal_module.Health(answered_at=float("inf")),
         runners={},
         table=table_module.JobTable(),
         load=load_module.Load(),
