Move the requests and ends of leases out of sessions

sessions polls runners and applies what they report; leases decides which lease a poll requests and when all of them have expired. A move only, with the functions that other modules use made public.

--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -12,8 +12,8 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import leases
 from plantainvane.jobs import metrics
-from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
 
 _LOOK_INTERVAL_S = 1.0
@@ -151,7 +151,7 @@
         return None
     if state is State.ORPHAN:
         return owner.find_expiry(run.runner)
-    return sessions.find_last_expiry(owner, owner.runners[run.runner])
+    return leases.find_last_expiry(owner, owner.runners[run.runner])
 
 
 def describe_restored(owner: state_module.Owner, now: float) -> dict[str, Any]:
--- /dev/null
+++ b/plantainvane/jobs/leases.py
@@ -0,0 +1,86 @@
+"""Leases of runners: what is requested, and when it has expired.
+
+No lease may be taken for expired before it is, as its task would run twice.
+"""
+
+from plantainvane import events
+from plantainvane.jobs import model
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
+
+
+def choose_lease(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> int | None:
+    """Returns the end of the lease that a poll requests, or None.
+
+    A lease on the clock of an entry is requested once. A runner whose clock is
+    far behind that one would grant the longest lease each time.
+    """
+    if not runner.clock_ms or (runner.silent and runner.clock_listed):
+        return None
+    if _is_cut_off(owner, now):
+        return runner.lease_until_ms or None
+    return runner.extend_lease(owner.settings, now) or None
+
+
+def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
+    """Tells whether a successor may count on it that no lease is extended.
+
+    The owner steps down somewhat later. One that was suspended has not called
+    the log yet.
+    """
+    silent_s = now - owner.health.answered_at
+    return silent_s > owner.settings.log_outage_limit_s
+
+
+def find_last_expiry(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> float:
+    """Returns when the leases of this and of earlier owners have expired."""
+    expiry = runner.find_lease_expiry(owner.settings)
+    if not runner.fenced:
+        # Leases granted by an earlier owner are not known to this one.
+        expiry = max(expiry, owner.find_expiry(runner.entry.id))
+    # It may have answered without a new lease, while its expiry was promised.
+    return max(expiry, runner.earlier_leases_until)
+
+
+def promise_expiry(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    expiry: float,
+    now: float,
+) -> None:
+    """Stores when the leases expire, so that a successor can rely on it."""
+    if not runner.expiry_promised:
+        runner.expiry_promised = True
+        # This owner has extended its leases, the next ones have not.
+        since = owner.epoch + 1
+        owner.expiries.promise(runner.entry.id, expiry, since)
+        state_module.store_expiries(owner, now)
+
+
+def read_clock(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    reply: model.RunnerStatus,
+    sent_at: float,
+    now: float,
+) -> None:
+    """Records the clock of an answer to a poll, and corrects the known lease.
+
+    The lease may have been requested on the clock of an entry.
+    """
+    was_listed, listed_ms = runner.clock_listed, runner.clock_ms
+    runner.record_clock(reply.clock_ms, now)
+    if was_listed and runner.limit_lease(owner.settings):
+        if runner.lease_requested_at < sent_at:
+            runner.expect_late_lease(owner.settings)
+        events.log_event(
+            events.RUNNER_CLOCK_CORRECTED,
+            runner=runner.entry.id,
+            listed_clock_ms=listed_ms,
+            clock_ms=reply.clock_ms,
+            runs=len(runner.runs),
+        )
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
 from plantainvane.jobs import journal
+from plantainvane.jobs import leases
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -170,7 +171,7 @@
     pending: _PendingEnds | None,
 ) -> _PendingEnds | None:
     sent_at = clock.read_now()
-    lease = _choose_lease(owner, runner, sent_at)
+    lease = leases.choose_lease(owner, runner, sent_at)
     extends = lease is not None and runner.lease_requested_at == sent_at
     reply = await runner.calls.poll(
         owner.epoch, runner.last_stored_end, lease, wait_s
@@ -206,31 +207,6 @@
     return pending or found
 
 
-def _choose_lease(
-    owner: state_module.Owner, runner: runners_module.Runner, now: float
-) -> int | None:
-    """Returns the end of the lease that a poll requests, or None.
-
-    A lease on the clock of an entry is requested once. A runner whose clock is
-    far behind that one would grant the longest lease each time.
-    """
-    if not runner.clock_ms or (runner.silent and runner.clock_listed):
-        return None
-    if _is_cut_off(owner, now):
-        return runner.lease_until_ms or None
-    return runner.extend_lease(owner.settings, now) or None
-
-
-def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
-    """Tells whether a successor may count on it that no lease is extended.
-
-    The owner steps down somewhat later. One that was suspended has not called
-    the log yet.
-    """
-    silent_s = now - owner.health.answered_at
-    return silent_s > owner.settings.log_outage_limit_s
-
-
 def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
     """Returns the seconds until a silent runner is polled again."""
     if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
@@ -274,27 +250,15 @@
             runs=len(runner.runs),
             answered_ago_s=round(now - runner.answered_at, 3),
         )
-    expiry = find_last_expiry(owner, runner)
+    expiry = leases.find_last_expiry(owner, runner)
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
-        _promise_expiry(owner, runner, expiry, now)
+        leases.promise_expiry(owner, runner, expiry, now)
     _end_replaced(owner, runner, now)
     if now > expiry and runner.runs:
         _end_expired(owner, runner, now)
 
 
-def find_last_expiry(
-    owner: state_module.Owner, runner: runners_module.Runner
-) -> float:
-    """Returns when the leases of this and of earlier owners have expired."""
-    expiry = runner.find_lease_expiry(owner.settings)
-    if not runner.fenced:
-        # Leases granted by an earlier owner are not known to this one.
-        expiry = max(expiry, owner.find_expiry(runner.entry.id))
-    # It may have answered without a new lease, while its expiry was promised.
-    return max(expiry, runner.earlier_leases_until)
-
-
 def _end_replaced(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
@@ -330,21 +294,6 @@
     _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
 
 
-def _promise_expiry(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    expiry: float,
-    now: float,
-) -> None:
-    """Stores when the leases expire, so that a successor can rely on it."""
-    if not runner.expiry_promised:
-        runner.expiry_promised = True
-        # This owner has extended its leases, the next ones have not.
-        since = owner.epoch + 1
-        owner.expiries.promise(runner.entry.id, expiry, since)
-        state_module.store_expiries(owner, now)
-
-
 def _drop_runs(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -437,7 +386,7 @@
         _apply_restart(owner, runner, reply, now)
     else:
         runner_entries.refute(runner, sent_at)
-    _read_clock(owner, runner, reply, sent_at, now)
+    leases.read_clock(owner, runner, reply, sent_at, now)
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
@@ -466,27 +415,6 @@
     return _PendingEnds(owner.journal.add([]), number, reply.born_ms)
 
 
-def _read_clock(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    reply: model.RunnerStatus,
-    sent_at: float,
-    now: float,
-) -> None:
-    was_listed, listed_ms = runner.clock_listed, runner.clock_ms
-    runner.record_clock(reply.clock_ms, now)
-    if was_listed and runner.limit_lease(owner.settings):
-        if runner.lease_requested_at < sent_at:
-            runner.expect_late_lease(owner.settings)
-        events.log_event(
-            events.RUNNER_CLOCK_CORRECTED,
-            runner=runner.entry.id,
-            listed_clock_ms=listed_ms,
-            clock_ms=reply.clock_ms,
-            runs=len(runner.runs),
-        )
-
-
 def _end_orphans(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -8,6 +8,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock as clock_module
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
@@ -288,7 +289,7 @@
     run = await start_after_idle_time(owner, machine, 600.0)
     await poll_for(owner, machine, 1.0)
     runner = owner.runners["r"]
-    late = sessions._choose_lease(owner, runner, machine.now)
+    late = leases.choose_lease(owner, runner, machine.now)
     machine.receives = False
     await poll_for(owner, machine, 4.0)
     machine.grant(late)
--- a/tests/test_jobs_series.py
+++ b/tests/test_jobs_series.py
@@ -6,10 +6,10 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import expiries as expiries_module
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import ownership
 from plantainvane.jobs import recovery
-from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_recovery as restored
@@ -184,7 +184,7 @@
     # leases itself, after its claim.
     runner = decisions.make_runner(silent=True, silent_since=0.0)
     owner = scheduling.make_owner(runner)
-    sessions._promise_expiry(owner, runner, 30.0, 20.0)
+    leases.promise_expiry(owner, runner, 30.0, 20.0)
     assert owner.expiries.since == {"r": owner.epoch + 1}
 
 
