Log attempts that outlive their job, and the answers of stops

Callers see: tasks of a cancelled job run on, and no line tells why.

The gauge of the oldest such attempt can raise an alert. No decision changes; tests/test_jobs_outliving.py covers each state.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -22,6 +22,23 @@
     STOPPING = 2
 
 
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """The stop of an attempt, as ordered by this owner.
+
+    Attributes:
+      ordered_at: When it was ordered, in seconds of this process's clock.
+      sent: How often it has been sent.
+      outcome: How the runner answered the last order, or empty.
+      answered_at: When an order was answered, or 0.
+    """
+
+    ordered_at: float
+    sent: int = 0
+    outcome: str = ""
+    answered_at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
     """An attempt of a task that may be running.
@@ -59,6 +76,7 @@
       ordered_ms: When its start was ordered, Unix milliseconds.
       address: Address of the runner that was ordered to start it.
       crash: Crash of the runner that is blamed on it, until it is counted.
+      stop: Its stop, or None if none has been ordered.
     """
 
     task: "Task"
@@ -83,6 +101,7 @@
     ordered_ms: int = 0
     address: str = ""
     crash: model.Crash | None = None
+    stop: Stop | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -87,6 +87,14 @@
     "Reports of long-running tasks that are neither ready nor known to run.",
     ["state"],
 )
+STOP_ANSWER_SECONDS = prometheus_client.Histogram(
+    "plantainvane_stop_answer_seconds",
+    "Time from the order to stop an attempt to the runner's answer.",
+)
+OLDEST_OUTLIVING_SECONDS = prometheus_client.Gauge(
+    "plantainvane_oldest_outliving_attempt_seconds",
+    "How long the oldest attempt has outlived its task or job; 0 without one.",
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "plantainvane_queue_configuration_version",
     "Version of the queue configuration in force.",
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -279,6 +279,8 @@
     owner: state_module.Owner, run: attempts.Run, reason: str
 ) -> None:
     run.running_since = float("inf")
+    if run.stop is None:
+        run.stop = attempts.Stop(clock.read_now())
     events.log_event(
         events.TASK_STOPPED,
         task=run.task.name,
@@ -303,20 +305,38 @@
         runner = owner.runners.get(run.runner)
         if runner is None:
             return
+        run.stop.sent += 1
         outcome = await runner.calls.stop(
             run.task.name, run.attempt, owner.epoch
         )
+        run.stop.outcome = outcome.value
         if outcome is _OUTCOME.FENCED:
             owner.step_down("runner")
             return
         if outcome not in _RETRIED:
             # A poll sent after this reports the attempt unless it has ended.
             # One that reports it for longer has the stop sent again.
-            run.running_since = clock.read_now()
+            run.running_since = run.stop.answered_at = clock.read_now()
+            _report_answer(owner, run)
             return
         await anyio.sleep(_STOP_RETRY_S)
 
 
+def _report_answer(owner: state_module.Owner, run: attempts.Run) -> None:
+    took_s = run.stop.answered_at - run.stop.ordered_at
+    metrics.STOP_ANSWER_SECONDS.observe(took_s)
+    events.log_event(
+        events.STOP_ANSWERED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        outcome=run.stop.outcome,
+        sent=run.stop.sent,
+        took_ms=int(took_s * 1000),
+        epoch=owner.epoch,
+    )
+
+
 async def stop_unknown(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -23,6 +23,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import outliving
 from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
@@ -164,11 +165,12 @@
 
 
 async def _sweep(owner: state_module.Owner) -> None:
-    """Expires orphaned attempts and watches the log.
+    """Expires orphaned attempts, reports those that run on, watches the log.
 
     Steps down when the log has not answered for too long.
     """
     settings, next_check_at = owner.settings, owner.started_at
+    reporter = outliving.Reporter()
     while True:
         await anyio.sleep(_SWEEP_INTERVAL_S)
         now = clock.read_now()
@@ -177,6 +179,7 @@
             owner.step_down("log silent")
         owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
+        outliving.report_outliving(reporter, owner, now)
         if now >= next_check_at:
             next_check_at = now + _CHARGES_INTERVAL_S
             charges.report_uncharged(owner)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -500,6 +500,7 @@
         number=end.number,
         failures=run.task.failures,
         ran_ms=_measure_run_ms(run, now),
+        stopping_ms=_measure_stop_ms(run, now),
         epoch=owner.epoch,
     )
     if end.outcome in ("done", "failed"):
@@ -521,6 +522,11 @@
     return int((now - run.ordered_at) * 1000) if run.ordered_at else None
 
 
+def _measure_stop_ms(run: attempts.Run, now: float) -> int | None:
+    """Returns the time since the order of its stop; None without one."""
+    return int((now - run.stop.ordered_at) * 1000) if run.stop else None
+
+
 def _apply_running(
     owner: state_module.Owner,
     runner: runners_module.Runner,
