Close idle connections to a server after a time-out on one of them

Callers see: after connections to runners have gone silent without a reset, starts and stops wait. Cause: each of up to 16 idle connections of a client cost one call its time-out of 0.4 s, four in a row for the orders to a runner, so that all tries of a start could be lost on connections that were long dead.

A connection that was idle while a call timed out has proved nothing since; it is closed, and the next call opens a new one. One that has replied meanwhile is kept, so that a slow call alone opens no connections. test_a_time_out_closes_the_connections_that_were_idle_meanwhile failed before with a second ReadTimeout.

--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -294,10 +294,13 @@
         timeout_s = timeout_s or self.timeout.read
         request = self._encode_request(method, path, body, headers)
         timeout_s -= await self._take_turn(timeout_s)
-        connection = None
+        connection, started = None, asyncio.get_running_loop().time()
         try:
             connection = self._pop_idle() or await self._connect()
             return await connection.exchange(request, timeout_s)
+        except httpx.ReadTimeout:
+            self._close_unused_since(started)
+            raise
         finally:
             if connection is not None:
                 self._return_connection(connection)
@@ -356,6 +359,18 @@
             connection.close()
         return None
 
+    def _close_unused_since(self, started: float) -> None:
+        """Closes idle connections that no reply has proved to work since.
+
+        Connections to a server may go silent together, without a reset, and
+        each of them would cost a call its time-out.
+        """
+        used = [c for c in self._idle if c.idle_since >= started]
+        for connection in self._idle:
+            if connection.idle_since < started:
+                connection.close()
+        self._idle = used
+
     async def _connect(self) -> _Connection:
         host, port = settings_module.split_address(self._address)
         loop = asyncio.get_running_loop()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -351,3 +351,32 @@
     assert not client._calls
     for stream in (full, *fillers):
         stream.close()
+
+
+async def test_a_time_out_closes_the_connections_that_were_idle_meanwhile():
+    # Guards against one time-out after another, when all open connections to a
+    # server have gone silent without a reset.
+    async with run_server(*[[REPLY, None]] * 3, [REPLY]) as (client, seen):
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(client.post, "/x")
+        with pytest.raises(httpx.ReadTimeout):
+            await client.post("/x")
+        assert (await client.post("/x")).content == b"ok"
+    assert len(seen) == 5
+
+
+async def test_a_time_out_keeps_a_connection_that_has_replied_meanwhile():
+    # Guards against new connections to a server of which one call is slow.
+    async with run_server([None], [REPLY, REPLY]) as (client, seen):
+        async with anyio.create_task_group() as group:
+            group.start_soon(_time_out, client)
+            await anyio.sleep(0.1)
+            await client.post("/x")
+        await client.post("/x")
+    assert len(seen) == 3
+
+
+async def _time_out(client):
+    with pytest.raises(httpx.ReadTimeout):
+        await client.post("/x")
