Order the stops of ended jobs while a scheduling pass goes on

Cause: the runs to stop were drained once before each pass. A pass runs in slices, so cancels are stored and acknowledged, and leases renewed, while no stop is ordered.

A task of its own now orders them, woken by the table: in slices of 6 ms, each followed by as long a pause, and while fewer than 400 stops at runners that answer polls have no outcome of their first order. A process that drains does so as well.

Ruled out: ordering the stops between the slices of a pass, which a pass that blocks one slice would hold up, and which does nothing while a process drains.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -25,6 +25,10 @@
 _NO_ROOM_BACKOFF_S = 0.25
 _UNHEALTHY_BACKOFF_S = 1.0
 _STOP_RETRY_S = 0.05
+# Stops under way at which no more are ordered for ended jobs. Each takes some
+# memory, and more of them would not be answered within the time limit of a call
+# by an owner of a third of a core.
+_MAX_STOPS = 400
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
@@ -270,6 +274,11 @@
     _begin_stop(owner, run, reason)
 
 
+def is_full(owner: state_module.Owner) -> bool:
+    """Tells whether many stops have been sent and have no outcome yet."""
+    return owner.stops_in_flight >= _MAX_STOPS
+
+
 def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
     """Stops an attempt again that runs on although a stop was answered."""
     _begin_stop(owner, run, "runs on after a stop")
@@ -301,25 +310,37 @@
 
 async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
     """Sends a stop until it is answered, or the runner is not known."""
-    while run in run.task.runs:
-        runner = owner.runners.get(run.runner)
-        if runner is None:
-            return
-        run.stop.sent += 1
-        outcome = await runner.calls.stop(
-            run.task.name, run.attempt, owner.epoch
-        )
-        run.stop.outcome = outcome.value
-        if outcome is _OUTCOME.FENCED:
-            owner.step_down("runner")
-            return
-        if outcome not in _RETRIED:
-            # A poll sent after this reports the attempt unless it has ended.
-            # One that reports it for longer has the stop sent again.
-            run.running_since = run.stop.answered_at = clock.read_now()
-            _report_answer(owner, run)
-            return
+    runner = owner.runners.get(run.runner)
+    # A runner that does not answer is not to keep others from being stopped.
+    counted = runner is not None and not runner.silent
+    owner.stops_in_flight += counted
+    try:
+        settled = await _try_stop(owner, run)
+    finally:
+        owner.stops_in_flight -= counted
+    while not settled:
         await anyio.sleep(_STOP_RETRY_S)
+        settled = await _try_stop(owner, run)
+
+
+async def _try_stop(owner: state_module.Owner, run: attempts.Run) -> bool:
+    """Sends a stop once; returns whether it need not be sent again."""
+    runner = owner.runners.get(run.runner)
+    if runner is None or run not in run.task.runs:
+        return True
+    run.stop.sent += 1
+    outcome = await runner.calls.stop(run.task.name, run.attempt, owner.epoch)
+    run.stop.outcome = outcome.value
+    if outcome is _OUTCOME.FENCED:
+        owner.step_down("runner")
+        return True
+    if outcome in _RETRIED:
+        return False
+    # A poll sent after this reports the attempt unless it has ended. One that
+    # reports it for longer has the stop sent again.
+    run.running_since = run.stop.answered_at = clock.read_now()
+    _report_answer(owner, run)
+    return True
 
 
 def _report_answer(owner: state_module.Owner, run: attempts.Run) -> None:
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -50,6 +50,8 @@
 # which takes several turns, within 0.5 s.
 _SLICE_S = 0.006
 _MAX_PAUSE_S = 0.05
+# Pause while so many stops are under way that no more are ordered.
+_FULL_PAUSE_S = 0.01
 _SWEEP_INTERVAL_S = 1.0
 # Interval at which learned interference effects are stored for a successor.
 _EFFECTS_INTERVAL_S = 2.0
@@ -107,6 +109,7 @@
     await recovery.recover(owner)
     settle_orphans(owner, clock.read_now())
     owner.group.start_soon(_run_journal, owner)
+    owner.group.start_soon(_stop_ended_runs, owner)
     owner.group.start_soon(recovery.follow_jobs, owner)
     owner.group.start_soon(recovery.follow_runners, owner)
     with anyio.move_on_after(_FENCING_TIMEOUT_S):
@@ -270,7 +273,6 @@
             await owner.pass_requested.wait()
         await anyio.sleep(_PASS_DEBOUNCE_S)
         owner.pass_requested = anyio.Event()
-        _stop_ended(owner)
         if not owner.draining:
             current = await _run_pass(owner)
             waits.report_waits(waiting, owner, current)
@@ -320,7 +322,27 @@
     )
 
 
+async def _stop_ended_runs(owner: state_module.Owner) -> None:
+    """Orders the stops of what has ended, however long a pass goes on."""
+    table = owner.table
+    while True:
+        await table.has_runs_to_stop.wait()
+        table.has_runs_to_stop = anyio.Event()
+        while table.runs_to_stop:
+            began = clock.read_now()
+            _stop_ended(owner)
+            took_s = clock.read_now() - began
+            pause_s = _FULL_PAUSE_S if orders.is_full(owner) else took_s
+            await anyio.sleep(min(pause_s, _MAX_PAUSE_S))
+
+
 def _stop_ended(owner: state_module.Owner) -> None:
-    runs, owner.table.runs_to_stop = owner.table.runs_to_stop, []
+    """Orders stops for the time of a slice, while few have no outcome."""
+    runs, until = owner.table.runs_to_stop, clock.read_now() + _SLICE_S
+    ordered = 0
     for run in runs:
+        if orders.is_full(owner) or clock.read_now() > until:
+            break
         orders.stop_run(owner, run, "job ended")
+        ordered += 1
+    del runs[:ordered]
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -50,6 +50,8 @@
       jobs_offset: Where the next read of the jobs topic starts.
       runners_offset: Where the next read of the runners topic starts.
       starts_in_flight: Number of attempts whose start has no outcome yet.
+      stops_in_flight: Number of stops whose first order has no outcome yet, at
+        runners that answer polls.
       tickets: Ticket and its expiry, by name of the step and runner id; an
         empty ticket if the adviser does not allow the runner.
       advice_in_flight: Names of the steps that the adviser is being asked for.
@@ -99,6 +101,7 @@
     jobs_offset: int = 0
     runners_offset: int = 0
     starts_in_flight: int = 0
+    stops_in_flight: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+import anyio
 import msgspec
 
 from plantainvane.jobs import attempts
@@ -32,6 +33,7 @@
       held_tasks: Number of tasks of open jobs, done ones included.
       runs_to_stop: Runs that have to be stopped because their task is done or
         their job has ended.
+      has_runs_to_stop: Set when there are any.
       suspects: Open tasks that may have crashed a runner, by name.
     """
 
@@ -46,6 +48,9 @@
     )
     held_tasks: int = 0
     runs_to_stop: list[attempts.Run] = dataclasses.field(default_factory=list)
+    has_runs_to_stop: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
     suspects: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
 
     def add_job(
@@ -293,7 +298,7 @@
         self.tasks.pop(task.name, None)
         self.ready.pop(task.name, None)
         self.suspects.pop(task.name, None)
-        self.runs_to_stop.extend(task.runs)
+        self._stop_runs(task)
         state, step_state = task.job, task.step
         step_state.remaining_tasks -= 1
         if step_state.remaining_tasks:
@@ -371,7 +376,12 @@
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
                 self.suspects.pop(task.name, None)
-                self.runs_to_stop.extend(task.runs)
+                self._stop_runs(task)
+
+    def _stop_runs(self, task: attempts.Task) -> None:
+        if task.runs:
+            self.runs_to_stop.extend(task.runs)
+            self.has_runs_to_stop.set()
 
     def mark_changed(
         self, state: attempts.JobState, task: attempts.Task | None = None
