Stop an attempt of an ended job whenever a poll lists it

Callers see: a task of a cancelled job runs on, its lease renewed by each poll, until the next owner. Cause: the stop was an event of the end of the job. Afterwards a poll had it repeated only for an attempt that counted as being stopped and whose stop had been answered.

Now each poll decides anew. It orders the stop of an attempt that has outlived its job or task in any phase, and repeats one that was given up, because the runner was not known, and that nobody resumed. `Stop.under_way` keeps it to one sender.

Evidence: five ways to get there, a test each, all of which ended without an order before: an end whose stop was never ordered, a stop that was given up, an attempt added after the end, the copy of a finished task, an attempt charged to no runner. Only the first and the last two need a defect elsewhere. An attempt of an open job is left alone. Ruled out: to look at all attempts once a second, which finds nothing that a poll does not, as a lease that is not renewed by a poll ends.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -28,12 +28,14 @@
 
     Attributes:
       ordered_at: When it was ordered, in seconds of this process's clock.
+      under_way: It is being sent, and sent again, until it is answered.
       sent: How often it has been sent.
       outcome: How the runner answered the last order, or empty.
       answered_at: When an order was answered, or 0.
     """
 
     ordered_at: float
+    under_way: bool = False
     sent: int = 0
     outcome: str = ""
     answered_at: float = 0.0
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -279,9 +279,11 @@
     return owner.stops_in_flight >= _MAX_STOPS
 
 
-def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Stops an attempt again that runs on although a stop was answered."""
-    _begin_stop(owner, run, "runs on after a stop")
+def repeat_stop(
+    owner: state_module.Owner, run: attempts.Run, reason: str
+) -> None:
+    """Stops an attempt again that runs on, if no stop of it is under way."""
+    _begin_stop(owner, run, reason)
 
 
 def _begin_stop(
@@ -298,18 +300,32 @@
         reason=reason,
         epoch=owner.epoch,
     )
+    run.stop.under_way = True
     owner.group.start_soon(_send_stop, owner, run)
 
 
+def is_abandoned(run: attempts.Run) -> bool:
+    """Tells whether the stop of an attempt was given up without an answer."""
+    return (
+        run.stop is not None
+        and not run.stop.under_way
+        and run.running_since == float("inf")
+    )
+
+
 def resume_stops(owner: state_module.Owner, runs: list[attempts.Run]) -> None:
     """Sends the stops that were ordered before their runner was known."""
     for run in runs:
-        if run.phase is attempts.Phase.STOPPING:
+        if is_abandoned(run):
+            run.stop.under_way = True
             owner.group.start_soon(_send_stop, owner, run)
 
 
 async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Sends a stop until it is answered, or the runner is not known."""
+    """Sends a stop until it is answered, or the runner is not known.
+
+    A poll of the runner that lists the attempt has it sent again.
+    """
     runner = owner.runners.get(run.runner)
     # A runner that does not answer is not to keep others from being stopped.
     counted = runner is not None and not runner.silent
@@ -321,6 +337,7 @@
     while not settled:
         await anyio.sleep(_STOP_RETRY_S)
         settled = await _try_stop(owner, run)
+    run.stop.under_way = False
 
 
 async def _try_stop(owner: state_module.Owner, run: attempts.Run) -> bool:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import outliving
 from plantainvane.jobs import pacing
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
@@ -545,8 +546,7 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
-        if _outlives_stop(run, sent_at):
-            orders.repeat_stop(owner, run)
+        _order_due_stop(owner, run, sent_at)
         crashes.record_survival(owner, run, sent_at, wall_ms)
     if runner.foreign and not foreign:
         owner.request_pass()
@@ -560,6 +560,22 @@
         _drop_runs(owner, runner, missing, "not running there", now)
 
 
+def _order_due_stop(
+    owner: state_module.Owner, run: attempts.Run, sent_at: float
+) -> None:
+    """Stops an attempt that a poll has listed, if nothing needs it any more.
+
+    This does not rely on what was done when its job or task ended.
+    """
+    if run.phase is not attempts.Phase.STOPPING:
+        if outliving.is_outliving(run) and not orders.is_full(owner):
+            orders.stop_run(owner, run, "runs on after its end")
+    elif orders.is_abandoned(run):
+        orders.repeat_stop(owner, run, "runs on and no stop is under way")
+    elif _outlives_stop(run, sent_at):
+        orders.repeat_stop(owner, run, "runs on after a stop")
+
+
 def _has_ended(run: attempts.Run, sent_at: float) -> bool:
     """Returns whether an attempt that a poll did not report has ended."""
     if run.phase is attempts.Phase.STARTING and run.ordered_at > 0:
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -9,8 +9,11 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import model
+from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import scheduling
+from plantainvane.jobs import sessions
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
@@ -25,6 +28,10 @@
 TURN_LIMIT_S = 0.1
 # Memory that the stops of one job may take, at 7 KB for each under way.
 STOPS_LIMIT_MB = 8
+# Orders that a runner without answers may cost in a second, as its polls do.
+MAX_REPEATS_PER_S = 12
+# Three looks fit into the time until a task has to be gone.
+LOOK_LIMIT_S = 1.0
 
 
 @pytest.fixture
@@ -152,3 +159,98 @@
     unanswered = sum(len(r.runs) for r in silent)
     assert max(turns) < TURN_LIMIT_S
     assert (max(counts) - unanswered) * 7 / 1024 < STOPS_LIMIT_MB
+
+
+class HeldCalls:
+    """Answers stops after `hangs` calls that never end; keeps their times."""
+
+    def __init__(self, hangs=0, outcome=interfaces.OrderOutcome.DONE):
+        self.hangs, self.outcome, self.times = hangs, outcome, []
+
+    async def stop(self, *unused):
+        self.times.append(time.monotonic())
+        if len(self.times) <= self.hangs:
+            await anyio.sleep_forever()
+        return self.outcome
+
+
+def make_running(**fields):
+    """Makes an owner with a runner that runs the task of an open job."""
+    runner = decisions.make_runner("a")
+    runner.calls = HeldCalls()
+    owner = passes.make_owner(runner)
+    step = decisions.make_step(long_running=True, **fields)
+    runs = decisions.place_runs(runner, owner.table, step)
+    return owner, runner, runs
+
+
+def report_running(owner, runner, runs, sent_at):
+    """Applies a poll that lists attempts."""
+    status = make_status(runner, runs)
+    sessions._apply_running(owner, runner, status, sent_at, sent_at + 0.1)
+
+
+def make_status(runner, runs):
+    listed = tuple(
+        model.RunningAttempt(run.task.name, run.attempt, "", 1.0, 0.0)
+        for run in runs
+    )
+    return model.RunnerStatus(runner.entry.born_ms, 1, listed, ())
+
+
+async def end_unseen(owner, runner, run):
+    """Ends the job without a stop."""
+    owner.table.cancel_job(run.task.job, 1)
+    owner.table.runs_to_stop.clear()
+
+
+async def give_up(owner, runner, run):
+    """Orders the stop while the runner is not known."""
+    owner.table.cancel_job(run.task.job, 1)
+    del owner.runners["a"]
+    owner_module._stop_ended(owner)
+    await orders._send_stop(owner, run)
+    owner.runners["a"] = runner
+
+
+async def add_after_end(owner, runner, run):
+    """Adds an attempt to the task of a job that has ended."""
+    await end_unseen(owner, runner, run)
+    other = owner.table.begin_run(run.task, "a", 1.0)
+    other.phase = attempts.Phase.RUNNING
+    runner.charge(other)
+
+
+async def finish_elsewhere(owner, runner, run):
+    """Ends the task, of which a copy is left."""
+    owner.table._finish_task(run.task, 1.0, 1)
+    owner.table.runs_to_stop.clear()
+
+
+async def fail_to_charge(owner, runner, run):
+    """Ends the job; the attempt is charged to no runner."""
+    await give_up(owner, runner, run)
+    runner.charge(run, -1)
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [end_unseen, give_up, add_after_end, finish_elsewhere, fail_to_charge],
+)
+async def test_what_outlives_its_job_is_stopped_when_a_poll_lists_it(trouble):
+    # Guards against an attempt of an ended job that every poll lists, which
+    # renews its lease, and that is not stopped again, whatever went before.
+    owner, runner, (run,) = make_running()
+    await trouble(owner, runner, run)
+    runs = list(run.task.runs)
+    owner.group.started.clear()
+    for sent_at in (10.0, 10.2):
+        report_running(owner, runner, runs, sent_at)
+    assert passes.list_stopped(owner) == runs
+
+
+async def test_an_attempt_of_an_open_job_is_not_stopped():
+    # Guards against a poll that stops what is to run.
+    owner, runner, runs = make_running(count=3)
+    report_running(owner, runner, runs, 10.0)
+    assert passes.list_stopped(owner) == []
