End a call of a stop that hangs, and send one stop of a foreign attempt at a time

Callers see: a task of a cancelled job runs on while its runner answers polls. Cause: a stop waited for the end of its call without a limit of its own, also when the runner had moved to another address meanwhile; while it waited, no poll repeated it. The stop of an attempt that is not charged to the runner was sent with each poll that listed it, however many were under way.

A stop of a foreign attempt is not sent while one is under way.

No call is known to hang: the HTTP client has its own limits, so this is a safeguard. Ruled out: a second sender after that time, which would add to the calls that hang.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -29,6 +29,8 @@
 # memory, and more of them would not be answered within the time limit of a call
 # by an owner of a third of a core.
 _MAX_STOPS = 400
+# A call may wait for a connection, open one and wait for the reply.
+_MAX_CALL_TIMEOUTS = 3
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
@@ -346,7 +348,7 @@
     if runner is None or run not in run.task.runs:
         return True
     run.stop.sent += 1
-    outcome = await runner.calls.stop(run.task.name, run.attempt, owner.epoch)
+    outcome = await _call_stop(owner, runner, run.task.name, run.attempt)
     run.stop.outcome = outcome.value
     if outcome is _OUTCOME.FENCED:
         owner.step_down("runner")
@@ -360,6 +362,27 @@
     return True
 
 
+async def _call_stop(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    task: str,
+    attempt: int,
+) -> interfaces.OrderOutcome:
+    """Sends a stop once; a call that does not end in time counts as lost."""
+    limit_s = _MAX_CALL_TIMEOUTS * owner.settings.call_timeout_s
+    with anyio.move_on_after(limit_s):
+        return await runner.calls.stop(task, attempt, owner.epoch)
+    events.log_event(
+        events.STOP_CALL_HUNG,
+        task=task,
+        attempt=attempt,
+        runner=runner.entry.id,
+        limit_s=limit_s,
+        epoch=owner.epoch,
+    )
+    return _OUTCOME.LOST
+
+
 def _report_answer(owner: state_module.Owner, run: attempts.Run) -> None:
     took_s = run.stop.answered_at - run.stop.ordered_at
     metrics.STOP_ANSWER_SECONDS.observe(took_s)
@@ -380,7 +403,15 @@
     runner: runners_module.Runner,
     running: model.RunningAttempt,
 ) -> None:
-    """Stops an attempt that this owner has not placed on the runner."""
+    """Stops an attempt that this owner has not placed on the runner.
+
+    Does nothing while such a stop is under way; a later poll lists the attempt
+    again if it is in vain.
+    """
+    stopped = (running.task, running.attempt)
+    if stopped in runner.foreign_stops:
+        return
+    runner.foreign_stops.add(stopped)
     events.log_event(
         events.TASK_STOPPED,
         task=running.task,
@@ -389,7 +420,8 @@
         reason="not ordered by this owner",
         epoch=owner.epoch,
     )
-    await runner.calls.stop(running.task, running.attempt, owner.epoch)
+    await _call_stop(owner, runner, *stopped)
+    runner.foreign_stops.discard(stopped)
 
 
 def pace_fills(
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -72,6 +72,7 @@
       runs: Attempts that are charged to it.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
+      foreign_stops: Those whose stop is under way.
       cpu: Processors charged to tasks other than fill tasks.
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
@@ -120,6 +121,7 @@
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     foreign: frozenset[tuple[str, int]] = frozenset()
+    foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     cpu: int = 0
     memory_mb: int = 0
     accelerators: int = 0
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -81,8 +81,10 @@
 
     async def stop(self, task, *unused):
         self.counts.append(self.counts[-1] + 1)
-        await anyio.sleep(self.took_s)
-        self.counts.append(self.counts[-1] - 1)
+        try:
+            await anyio.sleep(self.took_s)
+        finally:
+            self.counts.append(self.counts[-1] - 1)
         if self.took_s >= 1.0:
             return interfaces.OrderOutcome.LOST
         self.stopped.append(task)
@@ -254,3 +256,54 @@
     owner, runner, runs = make_running(count=3)
     report_running(owner, runner, runs, 10.0)
     assert passes.list_stopped(owner) == []
+
+
+async def run_stop(owner, run):
+    """Ends the job, and sends its stop until it is answered."""
+    owner.table.cancel_job(run.task.job, 1)
+    owner_module._stop_ended(owner)
+    await orders._send_stop(owner, run)
+
+
+async def test_a_stop_whose_call_hangs_is_sent_again():
+    # Guards against a stop that waits for ever for the end of one call.
+    owner, runner, (run,) = make_running()
+    runner.calls.hangs = 1
+    with anyio.fail_after(GONE_LIMIT_S):
+        await run_stop(owner, run)
+    assert run.stop.sent == 2
+
+
+async def test_a_stop_that_hangs_follows_its_runner_to_a_new_address():
+    # Guards against the same while the runner is replaced by one at another
+    # address, where the attempt runs.
+    owner, runner, (run,) = make_running()
+    runner.calls.hangs = 100
+    moved = decisions.make_runner("a")
+    moved.calls = HeldCalls()
+    with anyio.fail_after(GONE_LIMIT_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_stop, owner, run)
+            while not runner.calls.times:
+                await anyio.sleep(0.01)
+            moved.charge(run)
+            owner.runners["a"] = moved
+    assert moved.calls.times
+
+
+async def test_the_stop_of_a_foreign_attempt_is_under_way_once():
+    # Guards against calls that pile up at a runner that answers polls and no
+    # orders, and against one that hangs and is the last.
+    owner, runner, (run,) = make_running()
+    runner.charge(run, -1)
+    owner.table.drop_run(run, 1.0)
+    runner.calls.hangs = 1
+    async with anyio.create_task_group() as owner.group:
+        for _ in range(20):
+            report_running(owner, runner, [run], 10.0)
+            await anyio.sleep(0.01)
+        assert len(runner.calls.times) == 1
+        with anyio.fail_after(GONE_LIMIT_S):
+            while len(runner.calls.times) < 2:
+                report_running(owner, runner, [run], 10.0)
+                await anyio.sleep(0.05)
