Bound the repeats of stops at a runner that answers none

Callers see: an owner that falls behind when a job is cancelled many of whose tasks are on runners that are down. Cause: each stop was repeated every 0.05 s, whatever the others to the same runner had met.

The first orders are all sent.

Ruled out: to wait for a poll instead, as a runner may answer orders and no polls.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -65,6 +65,7 @@
       trial_until: Until this time nothing else is started there, because a task
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
+      next_repeat_at: No stop without an answer is sent again before this time.
       silent: The last poll was not answered.
       silent_since: When it became silent.
       expiry_promised: The expiry of its leases is stored, so they must not be
@@ -116,6 +117,7 @@
     down_in_trial: bool = False
     trial_until: float = 0.0
     kept_for: str = ""
+    next_repeat_at: float = 0.0
     silent: bool = False
     silent_since: float = 0.0
     expiry_promised: bool = False
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -291,6 +291,26 @@
     assert moved.calls.times
 
 
+async def test_stops_to_a_runner_that_answers_nothing_are_few():
+    # Guards against a storm of orders: 40 stops to one runner that refuses each
+    # connection were sent 20 times a second each.
+    owner, runner, runs = make_running(count=40)
+    runner.calls.outcome = interfaces.OrderOutcome.UNREACHED
+    async with anyio.create_task_group() as owner.group:
+        owner.table.cancel_job(runs[0].task.job, 1)
+        owner_module._stop_ended(owner)
+        await anyio.sleep(1.0)
+        first = len(runner.calls.times)
+        await anyio.sleep(1.0)
+        assert first <= 40 + MAX_REPEATS_PER_S
+        assert len(runner.calls.times) - first <= MAX_REPEATS_PER_S
+        runner.calls.outcome = interfaces.OrderOutcome.DONE
+        with anyio.fail_after(GONE_LIMIT_S / 2):
+            while not all(run.stop.answered_at for run in runs):
+                await anyio.sleep(0.01)
+        owner.group.cancel_scope.cancel()
+
+
 async def test_the_stop_of_a_foreign_attempt_is_under_way_once():
     # Guards against calls that pile up at a runner that answers polls and no
     # orders, and against one that hangs and is the last.
