--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -25,6 +25,16 @@
 _NO_ROOM_BACKOFF_S = 0.25
 _UNHEALTHY_BACKOFF_S = 1.0
 _STOP_RETRY_S = 0.05
+_MAX_STOP_RETRY_S = 0.4
+# Least time between repeated stops to a runner that has answered none of them;
+# a silent runner is polled as often.
+_STOP_REPEAT_GAP_S = 0.1
+# Stops under way at which no more are ordered for ended jobs. Each takes some
+# memory, and more of them would not be answered within the time limit of a call
+# by an owner of a third of a core.
+_MAX_STOPS = 400
+# A call may wait for a connection, open one and wait for the reply.
+_MAX_CALL_TIMEOUTS = 3
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
@@ -270,9 +280,16 @@
     _begin_stop(owner, run, reason)
 
 
-def repeat_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Stops an attempt again that runs on although a stop was answered."""
-    _begin_stop(owner, run, "runs on after a stop")
+def is_full(owner: state_module.Owner) -> bool:
+    """Tells whether many stops have been sent and have no outcome yet."""
+    return owner.stops_in_flight >= _MAX_STOPS
+
+
+def repeat_stop(
+    owner: state_module.Owner, run: attempts.Run, reason: str
+) -> None:
+    """Stops an attempt again that runs on, if no stop of it is under way."""
+    _begin_stop(owner, run, reason)
 
 
 def _begin_stop(
@@ -289,37 +306,105 @@
         reason=reason,
         epoch=owner.epoch,
     )
+    run.stop.under_way = True
     owner.group.start_soon(_send_stop, owner, run)
 
 
+def is_abandoned(run: attempts.Run) -> bool:
+    """Tells whether the stop of an attempt was given up without an answer."""
+    return (
+        run.stop is not None
+        and not run.stop.under_way
+        and run.running_since == float("inf")
+    )
+
+
 def resume_stops(owner: state_module.Owner, runs: list[attempts.Run]) -> None:
     """Sends the stops that were ordered before their runner was known."""
     for run in runs:
-        if run.phase is attempts.Phase.STOPPING:
+        if is_abandoned(run):
+            run.stop.under_way = True
             owner.group.start_soon(_send_stop, owner, run)
 
 
 async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Sends a stop until it is answered, or the runner is not known."""
-    while run in run.task.runs:
-        runner = owner.runners.get(run.runner)
-        if runner is None:
-            return
-        run.stop.sent += 1
-        outcome = await runner.calls.stop(
-            run.task.name, run.attempt, owner.epoch
-        )
-        run.stop.outcome = outcome.value
-        if outcome is _OUTCOME.FENCED:
-            owner.step_down("runner")
-            return
-        if outcome not in _RETRIED:
-            # A poll sent after this reports the attempt unless it has ended.
-            # One that reports it for longer has the stop sent again.
-            run.running_since = run.stop.answered_at = clock.read_now()
-            _report_answer(owner, run)
-            return
-        await anyio.sleep(_STOP_RETRY_S)
+    """Sends a stop until it is answered, or the runner is not known.
+
+    A poll of the runner that lists the attempt has it sent again.
+    """
+    runner = owner.runners.get(run.runner)
+    # A runner that does not answer is not to keep others from being stopped.
+    counted = runner is not None and not runner.silent
+    owner.stops_in_flight += counted
+    try:
+        settled = await _try_stop(owner, run)
+    finally:
+        owner.stops_in_flight -= counted
+    pause_s = _STOP_RETRY_S
+    while not settled:
+        await anyio.sleep(pause_s)
+        pause_s = min(2 * pause_s, _MAX_STOP_RETRY_S)
+        if _takes_turn(owner, run, clock.read_now()):
+            settled = await _try_stop(owner, run)
+    run.stop.under_way = False
+
+
+def _takes_turn(
+    owner: state_module.Owner, run: attempts.Run, now: float
+) -> bool:
+    """Tells whether a stop may be repeated now, and has the others wait.
+
+    All stops of a runner that answers none share few orders a second.
+    """
+    runner = owner.runners.get(run.runner)
+    if runner is None or run not in run.task.runs:
+        return True
+    if now < runner.next_repeat_at:
+        return False
+    runner.next_repeat_at = now + _STOP_REPEAT_GAP_S
+    return True
+
+
+async def _try_stop(owner: state_module.Owner, run: attempts.Run) -> bool:
+    """Sends a stop once; returns whether it need not be sent again."""
+    runner = owner.runners.get(run.runner)
+    if runner is None or run not in run.task.runs:
+        return True
+    run.stop.sent += 1
+    outcome = await _call_stop(owner, runner, run.task.name, run.attempt)
+    run.stop.outcome = outcome.value
+    if outcome is _OUTCOME.FENCED:
+        owner.step_down("runner")
+        return True
+    if outcome in _RETRIED:
+        return False
+    # A poll sent after this reports the attempt unless it has ended. One that
+    # reports it for longer has the stop sent again.
+    run.running_since = run.stop.answered_at = clock.read_now()
+    runner.next_repeat_at = 0.0
+    _report_answer(owner, run)
+    return True
+
+
+async def _call_stop(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    task: str,
+    attempt: int,
+) -> interfaces.OrderOutcome:
+    """Sends a stop once; a call that does not end in time counts as lost."""
+    limit_s = _MAX_CALL_TIMEOUTS * owner.settings.call_timeout_s
+    with anyio.move_on_after(limit_s):
+        return await runner.calls.stop(task, attempt, owner.epoch)
+    events.log_event(
+        events.STOP_CALL_HUNG,
+        task=task,
+        attempt=attempt,
+        runner=runner.entry.id,
+        limit_s=limit_s,
+        epoch=owner.epoch,
+    )
+    return _OUTCOME.LOST
 
 
 def _report_answer(owner: state_module.Owner, run: attempts.Run) -> None:
@@ -342,7 +427,15 @@
     runner: runners_module.Runner,
     running: model.RunningAttempt,
 ) -> None:
-    """Stops an attempt that this owner has not placed on the runner."""
+    """Stops an attempt that this owner has not placed on the runner.
+
+    Does nothing while such a stop is under way; a later poll lists the attempt
+    again if it is in vain.
+    """
+    stopped = (running.task, running.attempt)
+    if stopped in runner.foreign_stops:
+        return
+    runner.foreign_stops.add(stopped)
     events.log_event(
         events.TASK_STOPPED,
         task=running.task,
@@ -351,7 +444,8 @@
         reason="not ordered by this owner",
         epoch=owner.epoch,
     )
-    await runner.calls.stop(running.task, running.attempt, owner.epoch)
+    await _call_stop(owner, runner, *stopped)
+    runner.foreign_stops.discard(stopped)
 
 
 def pace_fills(
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -65,6 +65,7 @@
       trial_until: Until this time nothing else is started there, because a task
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
+      next_repeat_at: No stop without an answer is sent again before this time.
       silent: The last poll was not answered.
       silent_since: When it became silent.
       expiry_promised: The expiry of its leases is stored, so they must not be
@@ -72,6 +73,7 @@
       runs: Attempts that are charged to it.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
+      foreign_stops: Those whose stop is under way.
       cpu: Processors charged to tasks other than fill tasks.
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
@@ -115,11 +117,13 @@
     down_in_trial: bool = False
     trial_until: float = 0.0
     kept_for: str = ""
+    next_repeat_at: float = 0.0
     silent: bool = False
     silent_since: float = 0.0
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     foreign: frozenset[tuple[str, int]] = frozenset()
+    foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     cpu: int = 0
     memory_mb: int = 0
     accelerators: int = 0
