Take an append for stored only if the log's answer says so

Callers: a cancel (or a job) is acknowledged, and the next owner does not know it. The adapter makes -1 of a `seq` answer without a number, which is how a 0 may be written, of any other 409 and of 412. A 200 was believed although it named fewer records than were sent, or an offset before those stored last, as the answer to another append under the same number does. The opening of an epoch counted as done in the same way, so that the predecessor could still store. The drop of ended jobs took 412 and 409 for done; then the successor takes the job for a new one.

Now only a 200 whose offsets fit counts. Everything else is sent again, under the number that the log names; the records are the newest of their keys then, so a second copy changes nothing.

test_retry_of_a_stored_append_counts_as_stored is replaced: it asked for an append to count as stored when the next number is expected, but the log repeats the answer to an append that it has carried out.

--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -101,6 +101,7 @@
     sequence: int = 0
     fenced: bool = False
     stalled_since: float | None = None
+    _stored_end: int = 0
     _open: Batch = dataclasses.field(default_factory=Batch)
     _wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
@@ -144,13 +145,14 @@
         return not self.fenced
 
     async def _append(self, records: list[Record], batch: Batch) -> bool:
-        """Retries an append until it is answered.
+        """Retries an append until the log says that it is carried out.
 
-        Records of `batch` may be withdrawn as long as no try can have reached
+        Records of `batch` may be withdrawn as long as none can have reached
         the log. Returns whether anything was written.
         """
         has_records = bool(records)
         maybe_written = False
+        adopted = False
         while True:
             batch.sent = True
             started = clock.read_now()
@@ -163,12 +165,17 @@
             now = clock.read_now()
             if appended.is_ok():
                 self.health.record_success(now - started, now)
-                if self._apply_answer(appended.ok_value, has_records):
+                answer = appended.ok_value
+                if self._apply_answer(answer, len(records)):
                     return has_records
-                continue
-            failure = appended.err_value
-            maybe_written |= failure.failure is outcomes.CallFailure.LOST
-            self.health.record_failure(failure.detail, now)
+                maybe_written = True
+                if answer.next_sequence >= 0 and not adopted:
+                    adopted = True
+                    continue
+            else:
+                failure = appended.err_value
+                maybe_written |= failure.failure is outcomes.CallFailure.LOST
+                self.health.record_failure(failure.detail, now)
             if self.stalled_since is None:
                 self.stalled_since = now
             batch.sent = maybe_written
@@ -182,22 +189,46 @@
                     self.stalled_since = None
                     return False
 
-    def _apply_answer(
-        self, answer: interfaces.Appended, has_records: bool
-    ) -> bool:
-        """Applies the log's answer; returns whether the append is complete."""
+    def _apply_answer(self, answer: interfaces.Appended, count: int) -> bool:
+        """Applies the log's answer; returns whether the append is complete.
+
+        Any other answer than that `count` records were appended, also that the
+        log expects the next sequence number, makes the records be sent again.
+        That is harmless, as they are the newest of their keys by then.
+        """
         if answer.fenced:
             self.fenced = True
             return True
-        if answer.next_sequence < 0 or (
-            answer.next_sequence == self.sequence + 1
-        ):
+        if self._confirms(answer, count):
             self.stalled_since = None
-            self.sequence += has_records
+            self.sequence += count > 0
+            self._stored_end = max(self._stored_end, answer.offset + count)
             return True
-        self.sequence = answer.next_sequence
+        events.log_event(
+            events.APPEND_UNCONFIRMED,
+            stream=self.topic,
+            epoch=self.epoch,
+            sequence=self.sequence,
+            records=count,
+            offset=answer.offset,
+            end_offset=answer.end_offset,
+            next_sequence=answer.next_sequence,
+        )
+        if answer.next_sequence >= 0:
+            self.sequence = answer.next_sequence
+            # A sequence is compared only within the epoch that is open.
+            return count == 0
+        # The number is taken by another append, whose answer this is.
+        self.sequence += answer.offset >= 0
         return False
 
+    def _confirms(self, answer: interfaces.Appended, count: int) -> bool:
+        """Returns whether an answer says that `count` records were appended."""
+        if answer.offset < 0 or not count:
+            return answer.offset >= 0
+        appended = answer.end_offset - answer.offset
+        return appended >= count and answer.offset >= self._stored_end
+
 
 def measure_record(record: Record) -> int:
     """Returns the bytes that the log counts for a record."""
--- a/plantainvane/jobs/retention.py
+++ b/plantainvane/jobs/retention.py
@@ -58,7 +58,7 @@
 async def _drop_records(
     owner: state_module.Owner, old: list[attempts.JobState]
 ) -> bool:
-    """Drops the records of jobs; returns whether the log has answered.
+    """Drops the records of jobs; returns whether the log says that it did.
 
     Their progress goes later, as a successor takes a job without progress for
     a new one.
@@ -71,4 +71,5 @@
     if appended.is_err():
         detail = appended.err_value.detail
         owner.health.record_failure(detail, clock.read_now())
-    return appended.is_ok()
+        return False
+    return appended.ok_value.offset >= 0
--- a/plantainvane/platform/store.py
+++ b/plantainvane/platform/store.py
@@ -284,18 +284,18 @@
     if decoded.is_err():
         return _make_lost_error(decoded.err_value)
     answer = decoded.ok_value
+    # Numbers that are 0 may be left out.
+    end_offset = max(0, answer.end_offset)
     if reply.status_code == 200:
-        return result.Ok(
-            interfaces.Appended(max(0, answer.offset), answer.end_offset)
-        )
-    return result.Ok(
-        interfaces.Appended(
-            -1,
-            answer.end_offset,
-            fenced=answer.reason == "fenced",
-            next_sequence=answer.sequence if answer.reason == "seq" else -1,
-        )
-    )
+        return result.Ok(interfaces.Appended(max(0, answer.offset), end_offset))
+    if reply.status_code == 412:
+        return result.Ok(interfaces.Appended(-1, end_offset))
+    if reply.status_code == 409 and answer.reason == "fenced":
+        return result.Ok(interfaces.Appended(-1, -1, fenced=True))
+    if reply.status_code == 409 and answer.reason == "seq":
+        expected = max(0, answer.sequence)
+        return result.Ok(interfaces.Appended(-1, -1, next_sequence=expected))
+    return _make_lost_error(f"status {reply.status_code}: {reply.text[:200]}")
 
 
 def _make_refused_error(reply: http_client.Reply) -> result.Result:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -49,6 +49,12 @@
       down: Every call is answered with status 503.
       append_delay_s: Time that an append takes.
       lose_answers: Number of coming appends that are stored but not answered.
+      late_appends: Delays in seconds of the coming appends; such an append is
+        not answered, and carried out after its delay if it still can be.
+      odd_answers: Status and document of the answers to the coming appends that
+        have records, which are not carried out.
+      counts_empty: An empty append takes its sequence number.
+      page_items: Most records in a page of the newest records.
       max_record_bytes: An append with a larger record is refused.
       broken_values: Base64 of the values in a list of newest records that
         replace the sound ones, by key.
@@ -59,6 +65,12 @@
     down: bool = False
     append_delay_s: float = 0.0
     lose_answers: int = 0
+    late_appends: list[float] = dataclasses.field(default_factory=list)
+    odd_answers: list[tuple[int, dict[str, Any]]] = dataclasses.field(
+        default_factory=list
+    )
+    counts_empty: bool = False
+    page_items: int = 500
     max_record_bytes: int = 262_144
     broken_values: dict[str, str] = dataclasses.field(default_factory=dict)
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -67,6 +79,13 @@
         """Returns a topic; creates it on first use."""
         return self.topics.setdefault(name, Topic())
 
+    def forget_sequences(self) -> None:
+        """Forgets the sequences of all producers, but not their epochs."""
+        for topic in self.topics.values():
+            for producer in topic.producers.values():
+                producer.sequence = -1
+                producer.answers.clear()
+
     def put(self, topic: str, key: str, value: bytes | None) -> int:
         """Writes one record, as the operator or a runner does."""
         name = key.encode()
@@ -112,6 +131,10 @@
             return asgi.HttpReply(503)
         if name == "append":
             await anyio.sleep(state.append_delay_s)
+            if state.late_appends:
+                await anyio.sleep(state.late_appends.pop(0))
+                await _handle_append(state, request)
+                await anyio.sleep_forever()
             return await _handle_append(state, request)
         if name == "read":
             return await _handle_read(state, request)
@@ -133,9 +156,12 @@
     bodies = _split(request.body)
     if any(len(body) > state.max_record_bytes for body in bodies):
         return asgi.HttpReply(400)
+    if bodies and state.odd_answers:
+        return asgi.make_json_reply(*state.odd_answers.pop(0))
     answer = {"Offset": end, "EndOffset": end + len(bodies)}
     if "Producer" in query:
-        refusal = _check_producer(topic, query, answer, bool(bodies))
+        counted = bool(bodies) or state.counts_empty
+        refusal = _check_producer(topic, query, answer, counted)
         if refusal is not None:
             return refusal
     _append(topic, bodies)
@@ -149,7 +175,7 @@
     topic: Topic,
     query: dict[str, str],
     answer: dict[str, int],
-    has_records: bool,
+    counted: bool,
 ) -> asgi.HttpReply | None:
     producer = topic.producers.setdefault(query["Producer"], Producer())
     epoch, sequence = int(query["epoch"]), int(query["Sequence"])
@@ -158,7 +184,7 @@
     if epoch > producer.epoch:
         producer.epoch, producer.sequence = epoch, sequence - 1
         producer.answers.clear()
-    if not has_records:
+    if not counted:
         return None
     if sequence in producer.answers:
         return asgi.make_json_reply(200, producer.answers[sequence])
@@ -196,7 +222,10 @@
         while len(topic.records) <= offset:
             await topic.appended.wait()
     content = _OFFSETS.pack(len(topic.records), topic.first)
-    for body in topic.records[offset:]:
+    limit = 1024 * int(request.query.get("MaxSize", 1024))
+    for number, body in enumerate(topic.records[offset:]):
+        if number and len(content) + _LENGTH.size + len(body) > limit:
+            break
         content += _LENGTH.pack(len(body)) + body
     return asgi.HttpReply(200, content, "application/octet-stream")
 
@@ -205,6 +234,9 @@
     state: StoreState, request: asgi.HttpRequest
 ) -> asgi.HttpReply:
     name = request.query["Topic"]
+    after = request.query.get("DependsOn", "")
+    newest = state.list_newest(name)
+    keys = sorted(key for key in newest if key > after)
     items = [
         {
             "Key": key,
@@ -213,11 +245,12 @@
             ),
             "Offset": offset,
         }
-        for key, (offset, value) in state.list_newest(name).items()
+        for key in keys[: state.page_items]
+        for offset, value in [newest[key]]
     ]
     document = {
         "items": items,
-        "HasMore": False,
+        "HasMore": len(keys) > state.page_items,
         "EndOffset": len(state.find_topic(name).records),
     }
     # Unlike msgspec, this encodes lone surrogates, as escapes.
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -7,6 +7,7 @@
 
 from plantainvane import outcomes
 from plantainvane.jobs import attempts
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import orders
 from plantainvane.jobs import retention
 from plantainvane.jobs import sessions
@@ -15,6 +16,7 @@
 
 pytestmark = pytest.mark.anyio
 OUTCOME = capacity.OUTCOME
+DROPPED = result.Ok(interfaces.Appended(3, 4))
 
 
 @pytest.fixture
@@ -93,7 +95,7 @@
 async def test_a_job_is_kept_while_an_attempt_may_be_running():
     # Guards against progress that is stored again, at the end of the attempt,
     # for a job that was forgotten.
-    owner, run, appended = make_cancelled(result.Ok(None))
+    owner, run, appended = make_cancelled(DROPPED)
     late_ms = make_late_ms(owner)
     await retention.forget_jobs(owner, late_ms)
     assert owner.table.jobs and not appended
@@ -106,7 +108,7 @@
 async def test_tickets_of_a_job_are_forgotten_with_it():
     # Guards against an owner whose memory grows with each step that the adviser
     # was asked about.
-    owner, run, _ = make_cancelled(result.Ok(None))
+    owner, run, _ = make_cancelled(DROPPED)
     drop(owner, run)
     job = run.task.job.job.id
     owner.tickets = {
@@ -117,10 +119,17 @@
     assert list(owner.tickets.values()) == [("other", 1.0)]
 
 
-async def test_progress_is_kept_until_the_record_of_its_job_is_dropped():
+@pytest.mark.parametrize(
+    "answer",
+    [
+        result.Err(outcomes.CallError(outcomes.CallFailure.LOST, "no answer")),
+        result.Ok(interfaces.Appended(-1, 4)),
+        result.Ok(interfaces.Appended(-1, -1, next_sequence=2)),
+    ],
+)
+async def test_progress_is_kept_until_the_record_of_its_job_is_dropped(answer):
     # Guards against a job without progress, which the next owner would run.
-    failure = outcomes.CallError(outcomes.CallFailure.LOST, "no answer")
-    owner, run, appended = make_cancelled(result.Err(failure))
+    owner, run, appended = make_cancelled(answer)
     drop(owner, run)
     batch = owner.journal.add([])
     await retention.forget_jobs(owner, make_late_ms(owner))
--- a/tests/test_jobs_journal.py
+++ b/tests/test_jobs_journal.py
@@ -25,6 +25,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.appends = []
+        self.end = 7
 
     async def append(
         self, topic, records, timeout_s, producer=None, expected_end=None
@@ -34,7 +35,10 @@
         answer = self.answers.pop(0) if self.answers else None
         if isinstance(answer, outcomes.CallError):
             return result.Err(answer)
-        return result.Ok(answer or interfaces.Appended(7, 8))
+        if answer is None:
+            answer = interfaces.Appended(self.end, self.end + len(records))
+            self.end = answer.end_offset
+        return result.Ok(answer)
 
 
 def make_journal(*answers):
@@ -82,13 +86,15 @@
     assert journal.sequence == 6
 
 
-async def test_retry_of_a_stored_append_counts_as_stored():
-    # Guards against an append that is stored twice after a lost reply.
-    done = interfaces.Appended(-1, 0, next_sequence=1)
-    journal, store = make_journal(LOST, done)
+async def test_append_is_stored_only_once_the_log_says_so():
+    # Guards against an acknowledged record that the log does not hold. An
+    # append that was carried out gets its first answer again, so another
+    # sequence that is expected, also the next one, does not tell that it was.
+    expected = interfaces.Appended(-1, 0, next_sequence=1)
+    journal, store = make_journal(LOST, expected, LOST)
     await run_until_stored(journal, journal.add([("a", b"v")]))
-    assert len(store.appends) == 2
-    assert journal.sequence == 1
+    assert store.appends == [(0, ["a"])] * 2 + [(1, ["a"])] * 2
+    assert journal.sequence == 2
 
 
 async def test_higher_epoch_ends_the_journal():
