Do not withdraw a record of a batch of which a part is stored

Callers: a submission is answered 503 ("not accepted") and its job runs. Cause: a batch of over 1,000,000 bytes is appended in parts, and a refusal of a later part allowed to withdraw any record of the batch, also one of a part that is stored. It takes some hundred jobs of 4 KB that wait for one append, as during an outage or on a slow log. Now nothing of such a batch is withdrawn.

Evidence: the test fails on the code before (the record of the stored part is withdrawn between two refusals of the second part).

--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -71,11 +71,13 @@
     Attributes:
       stored: Set when all records are stored.
       sent: The records may have reached the log.
+      begun: Some of the records are stored.
     """
 
     records: list[Record] = dataclasses.field(default_factory=list)
     stored: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     sent: bool = False
+    begun: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,7 +153,7 @@
         the log. Returns whether anything was written.
         """
         has_records = bool(records)
-        maybe_written = False
+        maybe_written = batch.begun
         adopted = False
         while True:
             batch.sent = True
@@ -167,6 +169,7 @@
                 self.health.record_success(now - started, now)
                 answer = appended.ok_value
                 if self._apply_answer(answer, len(records)):
+                    batch.begun |= has_records
                     return has_records
                 maybe_written = True
                 if answer.next_sequence >= 0 and not adopted:
--- a/tests/test_jobs_journal.py
+++ b/tests/test_jobs_journal.py
@@ -153,6 +153,25 @@
     assert store.appends == [(0, ["a", "b"]), (1, ["c", "d"]), (2, ["e"])]
 
 
+async def test_no_record_of_a_batch_of_which_a_part_is_stored_is_withdrawn():
+    # Guards against a job that is refused although it is stored, and runs, as
+    # the log refused a later part of its batch.
+    journal, store = make_journal(None, REFUSED, REFUSED)
+    records = [(key, b"v" * 400_000) for key in "abc"]
+    batch = journal.add(records)
+    withdrawn = False
+    async with anyio.create_task_group() as group:
+        group.start_soon(journal.run)
+        with anyio.fail_after(5):
+            while not (batch.stored.is_set() or withdrawn):
+                if len(store.appends) > 1:
+                    withdrawn = journal.withdraw(batch, records[0])
+                await anyio.sleep(0.001)
+        group.cancel_scope.cancel()
+    assert not withdrawn
+    assert [keys for _, keys in store.appends] == [["a", "b"]] + [["c"]] * 3
+
+
 async def test_records_are_collected_right_before_the_append():
     # Guards against stored progress that is older than its append.
     journal, store = make_journal()
