Look at a runner often while something is being stopped there

Callers see: a task whose stop was answered without effect, or lost, runs on for more than the 3.4 s that a cancel may take. Cause: only a poll finds it, and a poll of a runner without service tasks lasts 1.8 s; one that was sent before the stop told nothing, the next one had the stop repeated 1.8 s later, and so on for each loss.

A poll lasts 0.5 s at most while an attempt there is being stopped or is foreign. Ruled out: to break off the poll under way, which loses the ends that it may bring.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -39,6 +39,9 @@
 # Longest poll while the withdrawal of a promised expiry is being stored: a poll
 # that was sent before extends no lease.
 _PROMISED_WAIT_S = 0.3
+# Longest poll while anything is being stopped: what is found to run on is to be
+# stopped again and to end within 3.4 s of its cancel.
+_STOPPING_WAIT_S = 0.5
 # An unlisted runner without attempts is removed after this time.
 _REMOVE_AFTER_S = 8.0
 # A runner with this many more failures than successes gets one task at a time
@@ -156,6 +159,8 @@
         return 0.0
     if runner.expiry_promised:
         return _PROMISED_WAIT_S
+    if _stops_any(runner):
+        return _STOPPING_WAIT_S
     if not (serving and runner.fill_cpu):
         return min(settings.poll_wait_s, settings.lease_s / 3)
     if any(run.over_target_since is not None for run in serving):
@@ -165,6 +170,12 @@
     )
 
 
+def _stops_any(runner: runners_module.Runner) -> bool:
+    return bool(runner.foreign) or any(
+        run.phase is attempts.Phase.STOPPING for run in runner.runs
+    )
+
+
 async def _poll(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -311,6 +311,20 @@
         owner.group.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("foreign", [False, True])
+def test_a_runner_that_stops_something_is_looked_at_often(foreign):
+    # Guards against a lost or ineffective stop that is found out only after a
+    # long poll, later than the task has to be gone.
+    owner, runner, (run,) = make_running()
+    runner.renewed_at = 9.9
+    assert sessions._choose_wait(owner, runner, 10.0) > LOOK_LIMIT_S
+    if foreign:
+        runner.foreign = frozenset({("other", 1)})
+    else:
+        orders.stop_run(owner, run, "moved")
+    assert sessions._choose_wait(owner, runner, 10.0) <= LOOK_LIMIT_S
+
+
 async def test_the_stop_of_a_foreign_attempt_is_under_way_once():
     # Guards against calls that pile up at a runner that answers polls and no
     # orders, and against one that hangs and is the last.
