Start nothing at a runner that answers polls and ignores stops

Callers see: tasks that cannot be stopped, on a runner that answers polls and no orders. Cause: it counts as healthy, so it gets more tasks, and its lease is renewed as long as it answers.

Its leases are withheld only if all that runs there is of ended jobs. docs/platform.md has what was weighed: it has one lease for all of its tasks.

Evidence: with the note left out, four of the new tests fail: a start is accepted after 2.5 s, and the lease of a runner with nothing but the cancelled task is renewed. tests/test_jobs_waits.py lists the new reason beside the others.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -28,14 +28,15 @@
 
     Attributes:
       ordered_at: When it was ordered, in seconds of this process's clock.
-      under_way: It is being sent, and sent again, until it is answered.
+      under_way_since: Since when it is being sent, until it is answered; None
+        once it was answered or given up.
       sent: How often it has been sent.
       outcome: How the runner answered the last order, or empty.
       answered_at: When an order was answered, or 0.
     """
 
     ordered_at: float
-    under_way: bool = False
+    under_way_since: float | None = None
     sent: int = 0
     outcome: str = ""
     answered_at: float = 0.0
--- a/plantainvane/jobs/eligibility.py
+++ b/plantainvane/jobs/eligibility.py
@@ -16,6 +16,7 @@
     EXPIRY_PROMISED = "expiry_promised"
     DRAINING = "draining"
     FOREIGN_ATTEMPT = "foreign_attempt"
+    IGNORES_STOPS = "ignores_stops"
     BACKOFF = "backoff"
     PROBATION = "probation"
     LABEL = "label"
@@ -55,6 +56,8 @@
         refusal = Obstacle.DRAINING
     elif runner.foreign:
         refusal = Obstacle.FOREIGN_ATTEMPT
+    elif runner.ignores_stops:
+        refusal = Obstacle.IGNORES_STOPS
     elif runner.backoff_until > now:
         refusal = Obstacle.BACKOFF
     elif runner.probation_until > now and runner.runs:
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -5,6 +5,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import model
+from plantainvane.jobs import outliving
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
@@ -14,11 +15,17 @@
 ) -> int | None:
     """Returns the end of the lease that a poll requests, or None.
 
+    No lease is renewed for attempts of ended jobs alone, at a runner that does
+    not answer their stops.
+
     A lease on the clock of an entry is requested once. A runner whose clock is
     far behind that one would grant the longest lease each time.
     """
     if not runner.clock_ms or (runner.silent and runner.clock_listed):
         return None
+    if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
+        # Nothing but what cannot be stopped otherwise is to lapse.
+        return None
     if _is_cut_off(owner, now):
         return runner.lease_until_ms or None
     return runner.extend_lease(owner.settings, now) or None
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -306,7 +306,7 @@
         reason=reason,
         epoch=owner.epoch,
     )
-    run.stop.under_way = True
+    run.stop.under_way_since = clock.read_now()
     owner.group.start_soon(_send_stop, owner, run)
 
 
@@ -314,7 +314,7 @@
     """Tells whether the stop of an attempt was given up without an answer."""
     return (
         run.stop is not None
-        and not run.stop.under_way
+        and run.stop.under_way_since is None
         and run.running_since == float("inf")
     )
 
@@ -323,7 +323,7 @@
     """Sends the stops that were ordered before their runner was known."""
     for run in runs:
         if is_abandoned(run):
-            run.stop.under_way = True
+            run.stop.under_way_since = clock.read_now()
             owner.group.start_soon(_send_stop, owner, run)
 
 
@@ -346,7 +346,7 @@
         pause_s = min(2 * pause_s, _MAX_STOP_RETRY_S)
         if _takes_turn(owner, run, clock.read_now()):
             settled = await _try_stop(owner, run)
-    run.stop.under_way = False
+    run.stop.under_way_since = None
 
 
 def _takes_turn(
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -68,6 +68,9 @@
       next_repeat_at: No stop without an answer is sent again before this time.
       silent: The last poll was not answered.
       silent_since: When it became silent.
+      heard_since: Since when it has answered its polls.
+      ignores_stops: A stop has had no answer for some seconds, although polls
+        were answered. Nothing is started there.
       expiry_promised: The expiry of its leases is stored, so they must not be
         extended.
       runs: Attempts that are charged to it.
@@ -120,6 +123,8 @@
     next_repeat_at: float = 0.0
     silent: bool = False
     silent_since: float = 0.0
+    heard_since: float = 0.0
+    ignores_stops: bool = False
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     foreign: frozenset[tuple[str, int]] = frozenset()
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -54,6 +54,9 @@
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
+# A runner that answers polls, but no stop for this long, gets no starts; a call
+# that is lost now and then is repeated much earlier.
+_IGNORED_STOP_S = 2.0
 # A start order without an answer may be carried out late. The present
 # incarnation does not refuse one that the earlier one was told to stop.
 _LATE_START_S = runners_module.LATE_CALL_S
@@ -116,13 +119,13 @@
     """Tells whether a poll has anything to renew or to find out.
 
     A runner without attempts has no lease to renew: a start order carries a
-    lease of its own. Placement leaves out a runner that is silent, not fenced
-    or runs a foreign attempt, and only a poll ends that. A late start on a
-    runner that has restarted is found by a poll as well, and a start needs a
-    reading of the clock that is not old.
+    lease of its own. Placement leaves out a runner that is silent, not fenced,
+    runs a foreign attempt or ignores stops, and only a poll ends that. A late
+    start on a runner that has restarted is found by a poll as well, and a start
+    needs a reading of the clock that is not old.
     """
     return (
-        bool(runner.runs or runner.foreign)
+        bool(runner.runs or runner.foreign or runner.ignores_stops)
         or runner.silent
         or not runner.fenced
         or now - runner.restarted_at < _LATE_START_S
@@ -151,6 +154,8 @@
         paced_runners.add(runner.entry.id)
     else:
         paced_runners.discard(runner.entry.id)
+    if runner.ignores_stops and runner.fenced and not runner.silent:
+        return _STOPPING_WAIT_S
     if (
         not runner.fenced
         or runner.silent
@@ -402,7 +407,7 @@
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
-        runner.silent = False
+        runner.silent, runner.heard_since = False, now
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
     if runner.entry.id in owner.expiries.expires_at:
         owner.group.start_soon(
@@ -412,6 +417,7 @@
         crashes.blame_earlier_life(runner)
     number = _apply_ends(owner, runner, reply, now)
     _apply_running(owner, runner, reply, sent_at, now)
+    _note_ignored_stops(owner, runner, now)
     if is_heard_again:
         crashes.settle_doubts(owner, runner, clock.read_wall_ms())
         _end_orphans(owner, runner, now)
@@ -587,6 +593,35 @@
         orders.repeat_stop(owner, run, "runs on after a stop")
 
 
+def _note_ignored_stops(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Notes whether a runner that answers polls answers no order to stop."""
+    ignored = [run for run in runner.runs if _ignores_stop(runner, run, now)]
+    if ignored and not runner.ignores_stops:
+        events.log_event(
+            events.RUNNER_IGNORES_STOPS,
+            runner=runner.entry.id,
+            task=ignored[0].task.name,
+            attempt=ignored[0].attempt,
+            count=len(ignored),
+            runs=len(runner.runs),
+            epoch=owner.epoch,
+        )
+    elif runner.ignores_stops and not ignored:
+        owner.request_pass()
+    runner.ignores_stops = bool(ignored)
+
+
+def _ignores_stop(
+    runner: runners_module.Runner, run: attempts.Run, now: float
+) -> bool:
+    since = run.stop.under_way_since if run.stop is not None else None
+    if since is None:
+        return False
+    return now - max(since, runner.heard_since) > _IGNORED_STOP_S
+
+
 def _has_ended(run: attempts.Run, sent_at: float) -> bool:
     """Returns whether an attempt that a poll did not report has ended."""
     if run.phase is attempts.Phase.STARTING and run.ordered_at > 0:
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -8,7 +8,9 @@
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import eligibility
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
@@ -341,3 +343,77 @@
             while len(runner.calls.times) < 2:
                 report_running(owner, runner, [run], 10.0)
                 await anyio.sleep(0.05)
+
+
+def answer_polls(owner, runner, runs, *times):
+    for now in times:
+        status = make_status(runner, runs)
+        sessions._apply_reply(owner, runner, status, now - 0.1, now)
+
+
+def may_start(runner, now):
+    return eligibility.accepts_step(runner, decisions.make_step(), now)
+
+
+def ignore_stop(owner, runner, run):
+    """Cancels the job of an attempt; its stop, of 10.0, has no answer."""
+    owner.table.cancel_job(run.task.job, 1)
+    orders.stop_run(owner, run, "job ended")
+    run.stop.under_way_since = 10.0
+
+
+def test_nothing_is_started_where_a_stop_has_no_answer():
+    # Guards against more tasks on a runner that answers polls and no orders,
+    # where none of them could be stopped either.
+    owner, runner, (run,) = make_running()
+    ignore_stop(owner, runner, run)
+    answer_polls(owner, runner, [run], 10.5, 11.0, 11.9)
+    assert may_start(runner, 11.9)
+    answer_polls(owner, runner, [run], 12.5)
+    assert not may_start(runner, 12.5)
+    assert 0.0 < sessions._choose_wait(owner, runner, 20.0) <= LOOK_LIMIT_S
+    run.stop.under_way_since, run.running_since = None, 12.6
+    answer_polls(owner, runner, [run], 12.7)
+    assert may_start(runner, 12.7)
+
+
+def test_a_runner_that_ignored_stops_is_used_again_without_its_attempts():
+    # Guards against an idle runner that is left out for ever, as none of its
+    # attempts is left and nothing polls it.
+    owner, runner, (run,) = make_running()
+    ignore_stop(owner, runner, run)
+    answer_polls(owner, runner, [run], 11.0, 12.5)
+    runner.charge(run, -1)
+    owner.table.drop_run(run, 12.6)
+    assert sessions._needs_poll(runner, 12.7)
+    answer_polls(owner, runner, [], 12.7)
+    assert may_start(runner, 12.7) and not sessions._needs_poll(runner, 12.8)
+
+
+def test_a_runner_that_was_silent_has_time_to_answer_a_stop():
+    # Guards against a runner that is taken for one that ignores stops because
+    # nothing could reach it before.
+    owner, runner, (run,) = make_running()
+    ignore_stop(owner, runner, run)
+    runner.silent = True
+    answer_polls(owner, runner, [run], 13.0, 14.9)
+    assert may_start(runner, 14.9)
+    answer_polls(owner, runner, [run], 15.1)
+    assert not may_start(runner, 15.1)
+
+
+@pytest.mark.parametrize("beside", [False, True])
+def test_leases_are_withheld_only_if_nothing_else_runs_there(beside):
+    # Guards against a task of an ended job that runs for as long as its runner
+    # ignores its stop, and against tasks of open jobs that lapse for it.
+    owner, runner, (run,) = make_running()
+    runs = [run]
+    if beside:
+        step = decisions.make_step(long_running=True)
+        runs += decisions.place_runs(runner, owner.table, step, job_id="open")
+    answer_polls(owner, runner, runs, 9.9)
+    ignore_stop(owner, runner, run)
+    answer_polls(owner, runner, runs, 10.1)
+    assert leases.choose_lease(owner, runner, 10.2) is not None
+    answer_polls(owner, runner, runs, 12.5)
+    assert (leases.choose_lease(owner, runner, 12.6) is not None) is beside
--- a/tests/test_jobs_waits.py
+++ b/tests/test_jobs_waits.py
@@ -70,6 +70,7 @@
     "expiry_promised": {"expiry_promised": True},
     "draining": {"draining": True},
     "foreign_attempt": {"foreign": frozenset({("x.0.0.0", 1)})},
+    "ignores_stops": {"ignores_stops": True},
     "backoff": {"backoff_until": 9.0},
     "kept_for_trial": {"trial_until": 9.0},
     "no_room": {"cpu": 500},
