Keep the choice of a runner between the tasks of a step with a limit

What callers see: while a step with `max_per_runner` is placed, one pass goes on for many seconds, and a more urgent job that arrives meanwhile waits for its end. Cause: `choose_ranked_runner` evaluated every runner anew for each task of such a step, and counted the attempts of all its tasks for each. Steps with a limit that fit nowhere were not recorded as blocked either, so each was compared with all runners. Now the ranking is kept as for other steps; a runner at the limit is left out by a count that is kept with the estimates and grows with each start. A step that no runner could take even without its limit is recorded as blocked.

That a pass of seconds holds up an urgent job is not mended here.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -78,8 +78,10 @@
 class Estimates:
     """Intermediate results, valid for one time and state of the runners.
 
-    Whoever charges a runner in the meantime has to call `forget_runner`.
-    Runners that are added, or get room, in the meantime are left out.
+    Whoever charges a runner in the meantime has to call `forget_runner`, and
+    `count_run` for an attempt that is begun or dropped.
+    Runners that are added, or get room, in the meantime are left out, and so
+    are the places of attempts of a step with a limit that end.
 
     Attributes:
       effects: Effects by serving image and fill image.
@@ -91,6 +93,7 @@
       rankings: Rankings by requirements.
       charged: Ids of the runners that have changed in the meantime, in order.
       stamps: State of each runner that scores depend on, by runner id.
+      counts: Attempts by runner id, of each step with a limit on a runner.
     """
 
     effects: dict[tuple[str, str], float] = dataclasses.field(
@@ -113,6 +116,15 @@
     stamps: dict[str, tuple[object, ...]] = dataclasses.field(
         default_factory=dict
     )
+    counts: dict[attempts.StepState, dict[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def count_run(self, run: attempts.Run, sign: int = 1) -> None:
+        """Counts an attempt that was begun, or dropped with `sign` -1."""
+        counts = self.counts.get(run.task.step)
+        if counts is not None:
+            counts[run.runner] = counts.get(run.runner, 0) + sign
 
     def forget_runner(self, runner: str) -> None:
         """Drops what depends on the attempts that are charged to a runner."""
@@ -177,14 +189,12 @@
     estimates = estimates or Estimates()
     step = task.step.definition
     best, best_score = None, float("-inf")
-    counts = _count_runs_by_runner(task) if step.max_per_runner else {}
+    has_place = _check_places(task, estimates)
     racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
     if trials.is_waiting_for_trial(task, now):
         candidates = _list_trial_runners(task, candidates, now)
     for runner in candidates:
-        if step.max_per_runner and (
-            counts.get(runner.entry.id, 0) >= step.max_per_runner
-        ):
+        if not has_place(runner.entry.id):
             continue
         score = _evaluate_runner(
             task, runner, racks, interference_model, estimates, now
@@ -327,12 +337,7 @@
     The scores are kept for further tasks with the same requirements.
     """
     step = task.step.definition
-    if (
-        task.avoided_runners
-        or task.crashes
-        or step.same_rack
-        or step.max_per_runner
-    ):
+    if task.avoided_runners or task.crashes or step.same_rack:
         candidates = [r for r in runners.values() if r.entry.service == service]
         return choose_runner(
             task, candidates, interference_model, now, estimates
@@ -345,16 +350,7 @@
             task, runner, {}, interference_model, estimates, now
         )
 
-    key = (
-        service,
-        step.amounts,
-        step.fills,
-        step.long_running,
-        step.image,
-        step.required_label,
-        step.preferred_rack,
-        has_waited(task, now),
-    )
+    key = _find_ranking_key(task, service, now)
     ranking = estimates.rankings.get(key)
     if ranking is None:
         ranking = Ranking({}, len(estimates.charged))
@@ -364,9 +360,39 @@
             if score is not None:
                 ranking.scores[runner.entry.id] = score
     _renew_scores(ranking, runners, estimates, evaluate)
-    if not ranking.scores:
-        return None
-    return runners[max(ranking.scores, key=ranking.scores.__getitem__)]
+    places: Iterable[str] = ranking.scores
+    if step.max_per_runner:
+        places = filter(_check_places(task, estimates), places)
+    best = max(places, key=ranking.scores.__getitem__, default=None)
+    return None if best is None else runners[best]
+
+
+def may_have_room(
+    task: attempts.Task, service: str, now: float, estimates: Estimates
+) -> bool:
+    """Tells whether a runner may have room but for the limit of the step.
+
+    It does not evaluate anything; True if the runners have not been ranked.
+    """
+    key = _find_ranking_key(task, service, now)
+    ranking = estimates.rankings.get(key)
+    return ranking is None or bool(ranking.scores)
+
+
+def _find_ranking_key(
+    task: attempts.Task, service: str, now: float
+) -> tuple[object, ...]:
+    step = task.step.definition
+    return (
+        service,
+        step.amounts,
+        step.fills,
+        step.long_running,
+        step.image,
+        step.required_label,
+        step.preferred_rack,
+        has_waited(task, now),
+    )
 
 
 def _renew_scores(
@@ -634,6 +660,19 @@
     return runner if excess <= 0 else None
 
 
+def _check_places(
+    task: attempts.Task, estimates: Estimates
+) -> Callable[[str], bool]:
+    """Returns whether the step may have one more attempt on a runner."""
+    limit = task.step.definition.max_per_runner
+    if not limit:
+        return lambda runner: True
+    counts = estimates.counts.get(task.step)
+    if counts is None:
+        counts = estimates.counts[task.step] = _count_runs_by_runner(task)
+    return lambda runner: counts.get(runner, 0) < limit
+
+
 def _count_runs_by_runner(task: attempts.Task) -> dict[str, int]:
     counts: dict[str, int] = {}
     for other in task.step.tasks:
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -323,9 +323,14 @@
 
 
 def _mark_blocked(task: attempts.Task, service: str, current: Pass) -> None:
-    """Records that no runner has room for a task."""
+    """Records that no runner has room for a task.
+
+    A runner where a step is at its limit may have room for other steps.
+    """
     step = task.step.definition
-    if not step.max_per_runner:
+    if not step.max_per_runner or not placement.may_have_room(
+        task, service, current.now, current.estimates
+    ):
         key = _find_requirements(task, service, current.now)
         current.blocked.setdefault(key, []).append(step.amounts)
 
@@ -498,6 +503,7 @@
     trials.begin_trial(runner, task, current.now)
     runner.charge(run)
     current.estimates.forget_runner(runner.entry.id)
+    current.estimates.count_run(run)
     return run
 
 
@@ -562,6 +568,7 @@
     for run in runs:
         owner.runners[run.runner].charge(run, -1)
         current.estimates.forget_runner(run.runner)
+        current.estimates.count_run(run, -1)
         owner.table.drop_run(run, current.now)
     for task, number in zip(step.tasks, before, strict=True):
         task.attempt = number
--- /dev/null
+++ b/tests/test_jobs_passes.py
@@ -0,0 +1,194 @@
+"""Length of scheduling passes: the work of a pass, and its bound."""
+
+import random as random_module
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import interference
+from plantainvane.jobs import placement
+from plantainvane.jobs import scheduling
+from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as passes
+
+_FILLS = ("f1", "f2")
+_IMAGES = ("s1", "s2")
+
+
+def choose_by_evaluating_all(task, service, runners, model, now):
+    """Evaluates each runner anew; what a kept choice has to agree with."""
+    limit = task.step.definition.max_per_runner
+    best, best_score = None, float("-inf")
+    for runner in runners.values():
+        there = sum(
+            run.runner == runner.entry.id
+            for other in task.step.tasks
+            for run in other.runs
+        )
+        if runner.entry.service != service or (limit and there >= limit):
+            continue
+        score = placement._evaluate_runner(
+            task, runner, {}, model, placement.Estimates(), now
+        )
+        if score is not None and score > best_score:
+            best, best_score = runner, score
+    return best
+
+
+def make_random_fleet(random):
+    """Makes an owner with busy runners and steps with limits on a runner."""
+    owner = passes.make_owner(
+        *(
+            decisions.make_runner(
+                f"r{number}",
+                cpu=random.choice((2000, 4000, 8000)),
+                memory_mb=random.choice((4000, 16_000)),
+                rack=f"k{number % 3}",
+                speed=random.choice((0.7, 1.0, 1.0)),
+                faults=random.choice((0, 0, 2)),
+            )
+            for number in range(random.randint(1, 9))
+        )
+    )
+    for image in _IMAGES:
+        for fill in _FILLS:
+            effect = interference.Effect(random.choice((0.0, 0.2)), 0.001, 1.0)
+            owner.interference_model.effects[image, fill] = effect
+    for runner in owner.runners.values():
+        for number in range(random.randint(0, 2)):
+            step = decisions.make_step(
+                cpu=1000,
+                long_running=True,
+                image=random.choice(_IMAGES),
+                target_ms=20,
+            )
+            name = f"{runner.entry.id}x{number}"
+            decisions.place_runs(runner, owner.table, step, job_id=name)
+    for number in range(random.randint(1, 8)):
+        add_random_job(owner, random, f"j{number}")
+    return owner
+
+
+def add_random_job(owner, random, job_id):
+    fields = random.choice(
+        (
+            {"fills": True, "image": random.choice(_FILLS)},
+            {"long_running": True, "image": "s1", "target_ms": 20},
+            {"long_running": True},
+            {"preferred_rack": "k1"},
+            {},
+        )
+    )
+    steps = [
+        decisions.make_step(
+            count=random.randint(1, 9),
+            cpu=random.choice((0, 500, 1000)),
+            memory_mb=random.choice((0, 500)),
+            max_per_runner=random.choice((0, 1, 2, 3)),
+            **fields,
+        )
+        for _ in range(random.choice((1, 2)))
+    ]
+    state = decisions.add_job(owner.table, *steps, job_id=job_id)
+    for step_state in state.steps.values():
+        running = random.randint(0, 2)
+        for task in step_state.tasks[:running]:
+            runner = random.choice(list(owner.runners.values()))
+            run = owner.table.begin_run(task, runner.entry.id, 0.0)
+            run.phase = attempts.Phase.RUNNING
+            runner.charge(run)
+    return state
+
+
+def interrupt_pass(owner, random, current):
+    """Lets other things happen between two slices of a pass."""
+    runner = random.choice(list(owner.runners.values()))
+    change = random.randint(0, 4)
+    if change == 0:
+        runner.silent = True
+    elif change == 1:
+        runner.backoff_until = current.now + 5.0
+    elif change == 2 and len(owner.runners) > 1:
+        del owner.runners[runner.entry.id]
+    elif change == 3:
+        add_random_job(owner, random, f"late{len(owner.table.jobs)}")
+    current.begin_slice(owner.runners, current.now + 0.01)
+
+
+@hypothesis.given(seed=strategies.integers(0, 2**32))
+@hypothesis.settings(deadline=None, max_examples=150)
+def test_a_kept_choice_is_the_one_of_evaluating_all_runners(seed):
+    # Guards against tasks that start elsewhere, or more of them on a runner
+    # than its step allows, because a choice is kept between the tasks.
+    random = random_module.Random(seed)
+    owner = make_random_fleet(random)
+    hypothesis.assume(owner.table.ready)
+    choose, compared = placement.choose_ranked_runner, []
+
+    def compare(task, service, runners, model, now, estimates):
+        expected = choose_by_evaluating_all(task, service, runners, model, now)
+        chosen = choose(task, service, runners, model, now, estimates)
+        compared.append((task.name, chosen, expected))
+        return chosen
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placement, "choose_ranked_runner", compare)
+        current = scheduling.Pass(10.0)
+        current.begin_slice(owner.runners, 10.0)
+        for _ in scheduling.run_pass(owner, current):
+            if random.random() < 0.15:
+                interrupt_pass(owner, random, current)
+    assert compared
+    assert [row for row in compared if row[1] is not row[2]] == []
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+@pytest.mark.parametrize("limit", [1, 20])
+def test_a_step_with_a_limit_evaluates_a_runner_once_and_after_each_start(
+    limit, long_running, monkeypatch
+):
+    # Guards against passes of many seconds: a step with a limit on a runner
+    # that evaluates every runner for each of its tasks.
+    evaluated = passes.count_calls(monkeypatch, placement, "_evaluate_runner")
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{number}") for number in range(50))
+    )
+    step = decisions.make_step(
+        count=60 * limit,
+        cpu=10,
+        memory_mb=1,
+        max_per_runner=limit,
+        long_running=long_running,
+    )
+    decisions.add_job(owner.table, step)
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(passes.list_placed(owner)) == 50 * limit
+    assert len(evaluated) <= 50 + 50 * limit
+
+
+def test_steps_with_a_limit_that_fit_nowhere_are_tried_once(monkeypatch):
+    # Guards against passes that compare each of many steps with a limit with
+    # every runner although an easier one has found no room.
+    evaluated = passes.count_calls(monkeypatch, placement, "_evaluate_runner")
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{number}", cpu=900) for number in range(50))
+    )
+    for number in range(200):
+        step = decisions.make_step(cpu=1000 + number, max_per_runner=2)
+        decisions.add_job(owner.table, step, job_id=f"j{number:03}")
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(evaluated) <= 50
+
+
+def test_a_step_at_its_limit_does_not_block_others():
+    # Guards against tasks that wait although there is room, because a step
+    # with a limit on a runner has used up its places.
+    owner = passes.make_owner(decisions.make_runner("a", cpu=2000))
+    for job_id, limit in (("first", 1), ("second", 2)):
+        step = decisions.make_step(count=2, max_per_runner=limit)
+        decisions.add_job(owner.table, step, job_id=job_id)
+    scheduling.place_ready_tasks(owner, 1.0)
+    placed = [name for name, _ in passes.list_placed(owner)]
+    assert placed == ["first.0.0.0", "second.0.0.0"]
