Read all jobs before a job counts as unknown

Callers: 410 for an accepted job, which also acknowledges its cancel. Cause: for a job that it does not know, the owner read the jobs topic once more, and a reply ends after 1 MB (some 250 jobs of 4 KB), so a job further on remained unknown. Now it reads up to where the topic ended when the question came.

Evidence: test_job_is_known_to_an_owner_that_is_far_behind fails on the code before (600 jobs, the last one unknown). Ruled out, by tests that pass on both: a place that has expired, a log that is down or late (no answer is given), jobs that are accepted and dropped between the pages of a listing, a cancel of a job of 1 to 1,200 tasks of which only the first one, two or three records are stored, and a cancelled job that is read after its progress was loaded. The log's stand-in cuts replies and lists in pages, as the platform does.

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -156,7 +156,7 @@
     state = owner.table.jobs.get(question.subject)
     if state is None:
         # Another process may have stored it after the last read.
-        if not await recovery.read_jobs(owner, 0):
+        if not await recovery.read_all_jobs(owner):
             return peers.AskReply(owner=False)
         state = owner.table.jobs.get(question.subject)
         if state is None:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -171,6 +171,30 @@
 
 async def read_jobs(owner: state_module.Owner, wait_s: float) -> bool:
     """Reads new jobs once; returns whether the log answered."""
+    return await _read_jobs(owner, wait_s) is not None
+
+
+async def read_all_jobs(owner: state_module.Owner) -> bool:
+    """Reads all jobs that are stored by now; returns whether it could.
+
+    One reply may hold only a part of them.
+    """
+    first_end_offset = None
+    while True:
+        before = owner.jobs_offset
+        end_offset = await _read_jobs(owner, 0)
+        if end_offset is None:
+            return False
+        if first_end_offset is None:
+            first_end_offset = end_offset
+        if owner.jobs_offset >= first_end_offset:
+            return True
+        if owner.jobs_offset == before:
+            return False
+
+
+async def _read_jobs(owner: state_module.Owner, wait_s: float) -> int | None:
+    """Reads new jobs once; returns where the topic ends, or None."""
     started = clock.read_now()
     page = await owner.adapters.store.read(
         state_module.JOBS_TOPIC,
@@ -181,16 +205,14 @@
     now = clock.read_now()
     if page.is_err():
         owner.health.record_failure(page.err_value.detail, now)
-        return False
+        return None
     owner.health.record_success(min(now - started, owner.health.latency_s), now)
-    if page.ok_value.expired:
-        newest = await _list_newest(owner, state_module.JOBS_TOPIC)
-        await _apply_records(owner, newest, _add_job)
-        owner.jobs_offset = max(owner.jobs_offset, newest.end_offset)
-        return True
-    await _apply_records(owner, page.ok_value, _add_job)
-    owner.jobs_offset = max(owner.jobs_offset, page.ok_value.next_offset)
-    return True
+    found = page.ok_value
+    if found.expired:
+        found = await _list_newest(owner, state_module.JOBS_TOPIC)
+    await _apply_records(owner, found, _add_job)
+    owner.jobs_offset = max(owner.jobs_offset, found.next_offset)
+    return found.end_offset
 
 
 async def follow_jobs(owner: state_module.Owner) -> None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
 """In-memory stand-in for the platform's partitioned log."""
 
 import base64
+from collections.abc import Callable
 import dataclasses
 import json
 import struct
@@ -48,6 +49,7 @@
     Attributes:
       down: Every call is answered with status 503.
       append_delay_s: Time that an append takes.
+      read_delay_s: Time that a read takes.
       lose_answers: Number of coming appends that are stored but not answered.
       late_appends: Delays in seconds of the coming appends; such an append is
         not answered, and carried out after its delay if it still can be.
@@ -55,6 +57,7 @@
         have records, which are not carried out.
       counts_empty: An empty append takes its sequence number.
       page_items: Most records in a page of the newest records.
+      on_page: Called with the topic before each such page is made.
       max_record_bytes: An append with a larger record is refused.
       broken_values: Base64 of the values in a list of newest records that
         replace the sound ones, by key.
@@ -64,6 +67,7 @@
     topics: dict[str, Topic] = dataclasses.field(default_factory=dict)
     down: bool = False
     append_delay_s: float = 0.0
+    read_delay_s: float = 0.0
     lose_answers: int = 0
     late_appends: list[float] = dataclasses.field(default_factory=list)
     odd_answers: list[tuple[int, dict[str, Any]]] = dataclasses.field(
@@ -71,6 +75,7 @@
     )
     counts_empty: bool = False
     page_items: int = 500
+    on_page: Callable[[str], None] = lambda topic: None
     max_record_bytes: int = 262_144
     broken_values: dict[str, str] = dataclasses.field(default_factory=dict)
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -137,6 +142,7 @@
                 await anyio.sleep_forever()
             return await _handle_append(state, request)
         if name == "read":
+            await anyio.sleep(state.read_delay_s)
             return await _handle_read(state, request)
         if name == "newest":
             return _handle_newest(state, request)
@@ -234,6 +240,7 @@
     state: StoreState, request: asgi.HttpRequest
 ) -> asgi.HttpReply:
     name = request.query["Topic"]
+    state.on_page(name)
     after = request.query.get("DependsOn", "")
     newest = state.list_newest(name)
     keys = sorted(key for key in newest if key > after)
--- /dev/null
+++ b/tests/test_jobs_takeovers.py
@@ -0,0 +1,195 @@
+"""What a later owner knows of accepted and of cancelled jobs."""
+
+import contextlib
+import types
+
+import msgspec
+import pytest
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import intake
+from plantainvane.jobs import model
+from plantainvane.jobs import peers
+from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import recovery
+from plantainvane.jobs import state as state_module
+from plantainvane.jobs import table as table_module
+from tests import test_jobs_appends as appends
+from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling
+
+pytestmark = pytest.mark.anyio
+JOBS, PROGRESS = state_module.JOBS_TOPIC, state_module.PROGRESS_TOPIC
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def put_job(state, job_id, spec="", count=1):
+    """Stores a job as an entry process does that accepts it."""
+    step = decisions.make_step(count=count)
+    job = model.Job(
+        id=job_id,
+        queue="q",
+        service="s",
+        accepted_ms=0,
+        spec=spec,
+        steps=(step,),
+    )
+    state.put(JOBS, job_id, msgspec.json.encode(job))
+    return job
+
+
+def make_owner(address, epoch=appends.EPOCH):
+    owner = scheduling.make_owner(decisions.make_runner())
+    owner.epoch = epoch
+    owner.journal = appends.make_journal(address, epoch)
+    owner.adapters = types.SimpleNamespace(
+        store=owner.journal.store, runners_topic="keyed.servers"
+    )
+    owner.settings = owner.journal.settings
+    return owner
+
+
+@contextlib.asynccontextmanager
+async def run_successor():
+    """Yields the log and an owner that has not loaded anything yet."""
+    async with appends.run_log() as (state, address):
+        owner = make_owner(address)
+        yield state, owner
+        await owner.journal.store.aclose()
+
+
+async def ask(owner, what, job_id):
+    owner.recovered = True
+    return await intake.answer_question(owner, peers.Ask(what, job_id))
+
+
+async def test_job_is_known_to_an_owner_that_is_far_behind():
+    # Guards against "no such job", which also acknowledges a cancel, for a job
+    # that comes after the end of the first page that the owner reads.
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        for number in range(600):
+            put_job(state, f"{number:04}", "x" * 4000)
+        for number in (599, 0):
+            reply = await ask(owner, "state", f"{number:04}")
+            assert reply.known and reply.state == "queued"
+        reply = await ask(owner, "state", "none")
+        assert reply == peers.AskReply()
+
+
+async def test_job_is_known_to_an_owner_whose_place_has_expired():
+    # Guards against the same after the log has dropped what comes next.
+    async with run_successor() as (state, owner):
+        state.page_items = 2
+        put_job(state, "0")
+        await recovery.recover(owner)
+        for number in range(1, 8):
+            put_job(state, f"{number}")
+        state.find_topic(JOBS).first = 5
+        reply = await ask(owner, "state", "7")
+        assert reply.known
+        assert len(owner.table.jobs) == 8
+
+
+@pytest.mark.parametrize("fault", ["down", "late"])
+async def test_owner_that_cannot_read_the_jobs_does_not_answer(fault):
+    # Guards against "no such job" by an owner that cannot know it.
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        put_job(state, "0")
+        if fault == "down":
+            state.down = True
+        else:
+            state.read_delay_s = 1.0
+        assert not (await ask(owner, "state", "0")).owner
+        assert not (await ask(owner, "cancel", "0")).owner
+
+
+async def test_jobs_that_change_between_two_pages_are_known():
+    # Guards against a job that is not listed, as others are accepted and
+    # dropped while an owner lists them; the pages are not a snapshot.
+    async with run_successor() as (state, owner):
+        state.page_items = 2
+        for number in range(0, 20, 2):
+            put_job(state, f"{number:02}")
+        pages, kept = [], {f"{n:02}" for n in range(0, 20, 2)}
+
+        def change(topic):
+            if topic != JOBS:
+                return
+            page = len(pages)
+            pages.append(page)
+            # The last key of each page is dropped, and both ahead of and
+            # behind the place of the next page a job is accepted.
+            state.put(JOBS, f"{2 * page:02}", None)
+            kept.discard(f"{2 * page:02}")
+            for number in (1, 19 - 2 * page):
+                put_job(state, f"{number:02}.{page}")
+                kept.add(f"{number:02}.{page}")
+
+        state.on_page = change
+        await recovery.recover(owner)
+        state.on_page = lambda topic: None
+        assert len(pages) > 3
+        for job_id in sorted(kept):
+            assert (await ask(owner, "state", job_id)).known
+
+
+def make_cancelled(job):
+    """Returns progress records of a cancelled job whose attempts may run."""
+    table = table_module.JobTable()
+    state = table.add_job(job, decisions.QUEUE, None, 0.0, 0)
+    decisions.start_all(table)
+    opened = progress_module.take_changed(state)
+    table.cancel_job(state, 7)
+    return opened, progress_module.take_changed(state)
+
+
+def put_progress(state, records):
+    for key, progress in records:
+        state.put(PROGRESS, key, progress and msgspec.json.encode(progress))
+
+
+@pytest.mark.parametrize("count", [1, 500, 501, 1200])
+@pytest.mark.parametrize("stored", [1, 2, 3])
+async def test_cancel_of_which_only_the_first_parts_are_stored_holds(
+    count, stored
+):
+    # Guards against tasks that run on, or start anew, after an owner that died
+    # while it stored the cancel of a large job.
+    async with run_successor() as (state, owner):
+        state.page_items = 1
+        opened, ended = make_cancelled(put_job(state, "j", count=count))
+        put_progress(state, opened)
+        put_progress(state, ended[:stored])
+        await recovery.recover(owner)
+        known = owner.table.jobs["j"]
+        assert known.ended == known.stored_ended == "cancelled"
+        assert not owner.table.ready and not owner.table.held_tasks
+        assert len(owner.table.runs_to_stop) == count
+
+
+@pytest.mark.parametrize("count", [1, 1200])
+async def test_cancel_of_a_job_that_is_read_late_holds(count):
+    # Guards against tasks that start again, as the record of their job comes in
+    # after the jobs were listed.
+    async with run_successor() as (state, owner):
+        job = put_job(state, "j", count=count)
+        opened, ended = make_cancelled(job)
+        put_progress(state, opened)
+        put_progress(state, ended)
+        state.put(JOBS, "j", None)
+        await recovery.recover(owner)
+        assert not owner.table.jobs
+        state.put(JOBS, "j", msgspec.json.encode(job))
+        assert await recovery.read_jobs(owner, 0.0)
+        assert owner.table.jobs["j"].stored_ended == "cancelled"
+        assert not owner.table.ready
+        assert len(owner.table.runs_to_stop) == count
+        (runner,) = owner.runners.values()
+        assert len(runner.runs) == count
+        assert {r.phase for r in runner.runs} == {attempts.Phase.STARTING}
