Count the retention of ended jobs on the monotonic clock

Callers: GET of a job that ended a moment ago, and a second DELETE of it, are answered 410 ("no such job") after a jump of the time of day by over a minute, though its state has to be known for status_s (120 s). Cause: the retention compared the time of day with that of the end, which another process may have stored. Now each owner counts from when it first found the end stored, by the clock that cannot be set; after a takeover the time begins anew.

The tests of retention pass the monotonic time and let it pass in two calls, otherwise they ask for the same.

--- a/plantainvane/jobs/retention.py
+++ b/plantainvane/jobs/retention.py
@@ -18,34 +18,46 @@
     """Removes jobs whose retention time has passed, until cancelled."""
     while True:
         await anyio.sleep(_INTERVAL_S)
-        await forget_jobs(owner, clock.read_wall_ms())
+        await forget_jobs(owner, clock.read_now())
 
 
-async def forget_jobs(owner: state_module.Owner, wall_ms: int) -> None:
-    """Removes the jobs whose retention time has passed at `wall_ms`."""
-    old = _list_expired_jobs(owner, wall_ms)
+async def forget_jobs(owner: state_module.Owner, now: float) -> None:
+    """Removes the jobs whose retention time has passed.
+
+    The time counts from when this process first found the end stored, by its
+    monotonic clock, as the time of day may jump and differs between processes.
+    It begins anew with each owner.
+    """
+    _note_ends(owner, now)
+    old = _list_expired_jobs(owner, now)
     if not old or not await _drop_records(owner, old):
         return
     for state in old:
         owner.table.forget_job(state.job.id)
         owner.progress.pop(state.job.id, None)
+        owner.ended_since.pop(state.job.id, None)
     orders.forget_tickets(owner, {state.job.id for state in old})
     owner.journal.add([(state.job.id, None) for state in old])
 
 
+def _note_ends(owner: state_module.Owner, now: float) -> None:
+    for job_id, state in owner.table.jobs.items():
+        if state.stored_ended:
+            owner.ended_since.setdefault(job_id, now)
+
+
 def _list_expired_jobs(
-    owner: state_module.Owner, wall_ms: int
+    owner: state_module.Owner, now: float
 ) -> list[attempts.JobState]:
     """Returns jobs to remove; none of which an attempt may be running."""
     retention_s = _SLACK_FACTOR * owner.settings.ended_job_retention_s
-    limit_ms = wall_ms - retention_s * 1000
-    old = [
-        state
-        for state in owner.table.jobs.values()
-        if state.stored_ended
-        and state.ended_ms < limit_ms
-        and not _has_runs(state)
+    # In the order of their ends.
+    ended = [
+        owner.table.jobs[job_id]
+        for job_id, since in owner.ended_since.items()
+        if now - since > retention_s
     ]
+    old = [state for state in ended if not _has_runs(state)]
     return old[:_MAX_RECORDS]
 
 
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -2,11 +2,13 @@
 
 import types
 
+import anyio
 import pytest
 import result
 
 from plantainvane import outcomes
 from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import orders
 from plantainvane.jobs import retention
@@ -88,23 +90,55 @@
     return owner, run, appended
 
 
-def make_late_ms(owner):
-    return int(2000 * owner.settings.ended_job_retention_s)
+async def forget_late(owner):
+    """Lets the retention time of the jobs that have ended pass."""
+    await retention.forget_jobs(owner, 100.0)
+    late = 100.0 + 2 * owner.settings.ended_job_retention_s
+    await retention.forget_jobs(owner, late)
 
 
 async def test_a_job_is_kept_while_an_attempt_may_be_running():
     # Guards against progress that is stored again, at the end of the attempt,
     # for a job that was forgotten.
     owner, run, appended = make_cancelled(DROPPED)
-    late_ms = make_late_ms(owner)
-    await retention.forget_jobs(owner, late_ms)
+    await forget_late(owner)
     assert owner.table.jobs and not appended
     drop(owner, run)
-    await retention.forget_jobs(owner, late_ms)
+    await forget_late(owner)
     assert not owner.table.jobs
     assert appended == [("keyed.jobs", [(run.task.job.job.id, None)])]
 
 
+@pytest.mark.parametrize("jump_s", [-600, 130, 600])
+async def test_a_job_is_kept_for_its_time_whatever_the_time_of_day(
+    jump_s, monkeypatch
+):
+    # Guards against a job that is forgotten, and whose state or cancel is
+    # answered with "no such job", as the time of day jumps ahead, or as its end
+    # was stored by an owner whose clock was behind.
+    owner, run, appended = make_cancelled(DROPPED)
+    run.task.job.ended_ms = clock.read_wall_ms()
+    drop(owner, run)
+    wall_ms, now = clock.read_wall_ms() + 1000 * jump_s, [0.0]
+    monkeypatch.setattr(
+        clock, "read_wall_ms", lambda: wall_ms + int(1000 * now[0])
+    )
+    monkeypatch.setattr(clock, "read_now", lambda: now[0])
+    monkeypatch.setattr(retention, "_INTERVAL_S", 0.001)
+    async with anyio.create_task_group() as group:
+        group.start_soon(retention.run_retention, owner)
+        await anyio.sleep(0.05)
+        now[0] += owner.settings.ended_job_retention_s + 1.0
+        await anyio.sleep(0.05)
+        assert owner.table.jobs and not appended
+        now[0] += owner.settings.ended_job_retention_s
+        with anyio.fail_after(5):
+            while owner.table.jobs:
+                await anyio.sleep(0.001)
+        group.cancel_scope.cancel()
+    assert not owner.ended_since
+
+
 async def test_tickets_of_a_job_are_forgotten_with_it():
     # Guards against an owner whose memory grows with each step that the adviser
     # was asked about.
@@ -115,7 +149,7 @@
         (f"{job}.0.0", "r"): ("ticket", 1.0),
         (f"{job}0.0.0", "r"): ("other", 1.0),
     }
-    await retention.forget_jobs(owner, make_late_ms(owner))
+    await forget_late(owner)
     assert list(owner.tickets.values()) == [("other", 1.0)]
 
 
@@ -132,5 +166,5 @@
     owner, run, appended = make_cancelled(answer)
     drop(owner, run)
     batch = owner.journal.add([])
-    await retention.forget_jobs(owner, make_late_ms(owner))
+    await forget_late(owner)
     assert appended and owner.table.jobs and batch.records == []
