Test odd runner entries of every kind beside running tasks

About 400 records: each field with values of other types and sizes, numbers of 100,000 digits, ports out of range, fields named twice, other encodings, with and without a takeover.

--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -3,6 +3,8 @@
 Each session runs on the stand-ins; an exception in any process fails it.
 """
 
+import gzip
+import json
 import random
 
 import anyio
@@ -246,3 +248,104 @@
         await wait_until(
             lambda: sound == {k for k, r in known.items() if r.fenced}
         )
+
+
+def _replace_field(name, text):
+    """Returns a sound entry in which the value of a field is `text`."""
+    entry = msgspec.json.decode(make_entry(Machine="m"))
+    parts = [
+        json.dumps(key).encode()
+        + b":"
+        + (text if key == name else msgspec.json.encode(value))
+        for key, value in entry.items()
+    ]
+    return b"{" + b",".join(parts) + b"}"
+
+
+def _list_texts():
+    """Lists JSON values, and texts that are none, by what is odd in them."""
+    return {
+        "missing": b"null",
+        "empty": b'""',
+        "text": b'"1733400000000"',
+        "number": b"7",
+        "truth": b"true",
+        "array": b"[[]]",
+        "object": b'{"Cpu":"x","MemMb":[]}',
+        "nan": b"NaN",
+        "infinity": b"-Infinity",
+        "negative": b"-5",
+        "fraction": b"1.5",
+        "exponent": b"1e400",
+        "64 bits": b"18446744073709551616",
+        "400 digits": b"9" * 400,
+        "100,000 digits": b"9" * 100_000,
+        "surrogate": b'"\\ud800"',
+        "bytes": b'"\xff\xfe"',
+        "control": b'"a\\r\\nX: y\\u0000"',
+        "long": b'"' + b"x" * 250_000 + b'"',
+        "deep": b"[" * 120_000 + b"]" * 120_000,
+        "broken": b'"',
+    }
+
+
+def list_odd_records():
+    """Lists odd records of every kind, by name."""
+    records = {
+        f"{field}: {kind}": _replace_field(field, text)
+        for field in msgspec.json.decode(make_entry(Machine="m"))
+        for kind, text in _list_texts().items()
+    }
+    for kind, text in _list_texts().items():
+        amounts = b'{"Cpu":' + text + b',"MemMb":64000,"Gpu":' + text + b"}"
+        records[f"amounts: {kind}"] = _replace_field("Capacity", amounts)
+        records[f"record: {kind}"] = text
+    for port in ("0", "65536", "9" * 20, "-1", "8 0", "\u0665"):
+        records[f"port {port}"] = make_entry(Address=f"127.0.0.1:{port}")
+    sound = make_entry()
+    twice = b',"Address":"127.0.0.1:65536","born":"x"}'
+    return records | {
+        "field twice": sound[:-1] + twice,
+        "other state": make_entry(State="odd"),
+        "other service": make_entry(Service="odd"),
+        "200,000 levels": _DEEP,
+        "bytes": bytes(range(256)) * 4,
+        "compressed": gzip.compress(sound),
+        "two documents": sound + sound,
+        "byte order mark": b"\xef\xbb\xbf" + sound,
+        "utf-16": sound.decode().encode("utf-16"),
+        "near the limit": sound + b" " * (262_000 - len(sound)),
+    }
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_each_kind_of_odd_record_is_borne_beside_running_tasks(takeover):
+    # Guards against an odd record that ends a process, that stops the list,
+    # that gets a task, or that disturbs what runs, also at a takeover.
+    records = list_odd_records()
+    async with platform_system.run_system(entries=2, runners=2) as system:
+        first = await system.wait_owner()
+        body = platform_system.make_job(
+            count=4, run_ms=60_000, LongRunning=True, MaxPerServer=2
+        )
+        lasting = ID[::-1]
+        await platform_system.call(system.entries[0], "POST", lasting, body)
+        await wait_until(lambda: len(system.list_starts()) == 4)
+        for number, record in enumerate(records.values()):
+            write_entry(system, f"odd-{number}", record)
+        if takeover:
+            await system.kill(first)
+        owner = await system.wait_owner()
+        await check_is_followed(system, owner, "i-later")
+        await check_runs_job(system, *system.runners)
+        assert system.find_owner() is owner
+        known = owner.owner.runners
+        sound = {"i-0", "i-1", "i-later"}
+        await wait_until(
+            lambda: sound == {k for k, r in known.items() if r.fenced}
+        )
+        assert not any(r.runs for k, r in known.items() if k not in sound)
+        starts = [s for s in system.list_starts() if s[0].startswith(lasting)]
+        assert len(starts) == 4
+        running = [k for r in system.runners.values() for k in r.running]
+        assert sum(name.startswith(lasting) for name in running) == 4
