Count no jobs as pending before all stored ones have been read

Cause: an owner lists the jobs, then loads them, and answers as soon as it has polled the runners.

An owner whose last read of the jobs topic did not reach its end reads on before it counts, and refuses the question while it cannot. The question goes to the owner again until the caller's deadline. Both new tests failed before (a count of 1 of 601, and an answer during an outage). test_state_and_pending_reflect_the_jobs has no log; its owner now says that it has read all. States and cancels of single jobs were right: an unknown job is looked for in the log.

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -150,6 +150,9 @@
     if not owner.recovered:
         return peers.AskReply(owner=False)
     if question.what == "pending":
+        # Jobs that were stored during a slow recovery have not been read.
+        if owner.jobs_behind and not await recovery.read_all_jobs(owner):
+            return peers.AskReply(owner=False)
         return peers.AskReply(
             known=True, count=owner.table.count_pending(question.subject)
         )
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -212,6 +212,7 @@
         found = await _list_newest(owner, state_module.JOBS_TOPIC)
     await _apply_records(owner, found, _add_job)
     owner.jobs_offset = max(owner.jobs_offset, found.next_offset)
+    owner.jobs_behind = owner.jobs_offset < found.end_offset
     return found.end_offset
 
 
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -49,6 +49,7 @@
       next_move_at, next_clear_at, next_effects_at: Earliest time to move slowed
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
+      jobs_behind: The last read of the jobs topic did not reach its end.
       runners_offset: Where the next read of the runners topic starts.
       starts_in_flight: Number of attempts whose start has no outcome yet.
       stops_in_flight: Number of stops whose first order has no outcome yet, at
@@ -101,6 +102,7 @@
     next_clear_at: float = 0.0
     next_effects_at: float = 0.0
     jobs_offset: int = 0
+    jobs_behind: bool = True
     runners_offset: int = 0
     starts_in_flight: int = 0
     stops_in_flight: int = 0
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -118,7 +118,7 @@
 async def test_state_and_pending_reflect_the_jobs():
     # Guards against pending counts that include started or ended jobs.
     owner = scheduling.make_owner(decisions.make_runner())
-    owner.recovered = True
+    owner.recovered, owner.jobs_behind = True, False
     waiting = decisions.add_job(owner.table, decisions.make_step(), job_id="a")
     decisions.add_job(owner.table, decisions.make_step(), job_id="b")
     decisions.start_all(owner.table)
--- a/tests/test_jobs_takeovers.py
+++ b/tests/test_jobs_takeovers.py
@@ -81,6 +81,32 @@
         assert reply == peers.AskReply()
 
 
+async def test_jobs_that_came_during_the_recovery_are_counted_as_pending():
+    # Guards against a count without the jobs that were accepted while a slow
+    # owner recovered, until it has read them.
+    async with run_successor() as (state, owner):
+        put_job(state, "first")
+        await recovery.recover(owner)
+        for number in range(600):
+            put_job(state, f"{number:04}", "x" * 4000)
+        reply = await ask(owner, "pending", "q")
+        assert (reply.owner, reply.count) == (True, 601)
+
+
+async def test_a_count_is_refused_while_the_jobs_cannot_be_read():
+    # Guards against a count that leaves out jobs, from an owner that took over
+    # right before an outage of the log.
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        put_job(state, "later")
+        state.down = True
+        assert not (await ask(owner, "pending", "q")).owner
+        state.down = False
+        assert (await ask(owner, "pending", "q")).count == 1
+        state.down = True
+        assert (await ask(owner, "pending", "q")).count == 1
+
+
 async def test_job_is_known_to_an_owner_whose_place_has_expired():
     # Guards against the same after the log has dropped what comes next.
     async with run_successor() as (state, owner):
