Store a cancel before it is answered with "no such job"

Callers: a job runs after its cancel was acknowledged with 410. Cause: a caller that gives up on a submission (504) may cancel it while the append is being repeated by its process, or is carried out late by the log; the owner found no record, answered 410, and started the job when the record came in.

Now the owner stores a progress record with the end `cancelled` first, and adds a job that comes in later as cancelled; a successor finds the record as well.

Evidence: test_cancel_of_a_job_that_is_stored_later_holds fails on the code before, with and without a takeover (the job runs, its state never becomes `cancelled`).

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -15,6 +15,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import early_cancels
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
@@ -159,6 +160,11 @@
         if not await recovery.read_all_jobs(owner):
             return peers.AskReply(owner=False)
         state = owner.table.jobs.get(question.subject)
+    if state is None:
+        if question.what == "cancel":
+            # It may be stored later, and this answer acknowledges the cancel.
+            await early_cancels.store_cancel(owner, question.subject)
+        state = owner.table.jobs.get(question.subject)
         if state is None:
             return peers.AskReply()
     if question.what == "cancel":
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -11,6 +11,7 @@
 from plantainvane.jobs import checks
 from plantainvane.jobs import clock
 from plantainvane.jobs import crashes
+from plantainvane.jobs import early_cancels
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -61,6 +62,7 @@
     page = await _list_newest(owner, state_module.JOBS_TOPIC)
     owner.jobs_offset = page.end_offset
     await _apply_records(owner, page, _add_job)
+    early_cancels.restore_cancels(owner, clock.read_now())
     page = await _list_newest(owner, owner.adapters.runners_topic)
     owner.runners_offset = page.end_offset
     for _, key, value in page.records:
--- a/plantainvane/jobs/retention.py
+++ b/plantainvane/jobs/retention.py
@@ -4,6 +4,7 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import early_cancels
 from plantainvane.jobs import orders
 from plantainvane.jobs import state as state_module
 
@@ -29,6 +30,7 @@
     It begins anew with each owner.
     """
     _note_ends(owner, now)
+    early_cancels.forget_cancels(owner, now, _find_retention_s(owner))
     old = _list_expired_jobs(owner, now)
     if not old or not await _drop_records(owner, old):
         return
@@ -46,11 +48,15 @@
             owner.ended_since.setdefault(job_id, now)
 
 
+def _find_retention_s(owner: state_module.Owner) -> float:
+    return _SLACK_FACTOR * owner.settings.ended_job_retention_s
+
+
 def _list_expired_jobs(
     owner: state_module.Owner, now: float
 ) -> list[attempts.JobState]:
     """Returns jobs to remove; none of which an attempt may be running."""
-    retention_s = _SLACK_FACTOR * owner.settings.ended_job_retention_s
+    retention_s = _find_retention_s(owner)
     # In the order of their ends.
     ended = [
         owner.table.jobs[job_id]
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -41,6 +41,8 @@
       expiries: When the leases on unresponsive runners have expired.
       progress: Stored progress by job id, as loaded at recovery.
       ended_since: When the end of each job was first found stored, by job id.
+      early_cancels: When the cancel of each job was stored whose record had not
+        been found, by job id.
       queues: Each queue as last configured, by name; removed queues stay.
       interference_model: Learned effects of fill images on serving images.
       recovered: Stored state is loaded; runners were fenced or timed out.
@@ -87,6 +89,7 @@
         default_factory=dict
     )
     ended_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    early_cancels: dict[str, float] = dataclasses.field(default_factory=dict)
     queues: dict[str, model.Queue] = dataclasses.field(default_factory=dict)
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -51,8 +51,8 @@
       append_delay_s: Time that an append takes.
       read_delay_s: Time that a read takes.
       lose_answers: Number of coming appends that are stored but not answered.
-      late_appends: Delays in seconds of the coming appends; such an append is
-        not answered, and carried out after its delay if it still can be.
+      late_appends: Delays in seconds of the coming appends, by topic; such an
+        append is not answered, and carried out later if it still can be.
       odd_answers: Status and document of the answers to the coming appends that
         have records, which are not carried out.
       counts_empty: An empty append takes its sequence number.
@@ -69,7 +69,9 @@
     append_delay_s: float = 0.0
     read_delay_s: float = 0.0
     lose_answers: int = 0
-    late_appends: list[float] = dataclasses.field(default_factory=list)
+    late_appends: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     odd_answers: list[tuple[int, dict[str, Any]]] = dataclasses.field(
         default_factory=list
     )
@@ -136,8 +138,9 @@
             return asgi.HttpReply(503)
         if name == "append":
             await anyio.sleep(state.append_delay_s)
-            if state.late_appends:
-                await anyio.sleep(state.late_appends.pop(0))
+            delays_s = state.late_appends.get(request.query["Topic"])
+            if delays_s:
+                await anyio.sleep(delays_s.pop(0))
                 await _handle_append(state, request)
                 await anyio.sleep_forever()
             return await _handle_append(state, request)
--- a/tests/test_jobs_appends.py
+++ b/tests/test_jobs_appends.py
@@ -186,7 +186,7 @@
     # cancel of its job, also when the log has forgotten the answer to it.
     async with run_owner() as (state, journal, _):
         assert await journal.open_epoch()
-        state.late_appends = [delay_s]
+        state.late_appends = {TOPIC: [delay_s]}
         async with run_journal(journal):
             await store_records(journal, ("j", b"open"))
             for _ in range(newer):
@@ -203,7 +203,7 @@
         successor = make_journal(address, EPOCH + 1)
         assert await journal.open_epoch()
         async with run_journal(journal), run_journal(successor):
-            state.late_appends = [0.3]
+            state.late_appends = {TOPIC: [0.3]}
             batch = journal.add([("j", b"open")])
             await anyio.sleep(0.1)
             assert await successor.open_epoch()
--- a/tests/test_jobs_takeovers.py
+++ b/tests/test_jobs_takeovers.py
@@ -3,22 +3,29 @@
 import contextlib
 import types
 
+import anyio
 import msgspec
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
+from plantainvane.jobs import early_cancels
 from plantainvane.jobs import intake
 from plantainvane.jobs import model
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import peers
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import retention
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import table as table_module
+from standins import platform_system
 from tests import test_jobs_appends as appends
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling
 
 pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
 JOBS, PROGRESS = state_module.JOBS_TOPIC, state_module.PROGRESS_TOPIC
 
 
@@ -193,3 +200,99 @@
         (runner,) = owner.runners.values()
         assert len(runner.runs) == count
         assert {r.phase for r in runner.runs} == {attempts.Phase.STARTING}
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_cancel_of_a_job_that_is_stored_later_holds(takeover):
+    # Guards against a job that runs after its cancel was acknowledged with "no
+    # such job": the caller had given up on its submission, the append of which
+    # is repeated, or carried out late.
+    async with platform_system.run_system(entries=2) as system:
+        owner = await system.wait_owner()
+        system.store.late_appends = {JOBS: [3.0]}
+        body = platform_system.make_job(count=2, run_ms=5000)
+        entry = next(e for e in system.entries if e is not owner)
+        reply = await platform_system.call(
+            entry, "POST", ID, body, deadline_ms=400
+        )
+        assert reply.status_code == 504
+        reply = await platform_system.call(entry, "DELETE", ID)
+        assert reply.status_code == 410
+        if takeover:
+            await system.kill(owner)
+            owner = await system.wait_owner()
+        await platform_system.wait_state(system, ID, "cancelled")
+        for _ in range(2):
+            reply = await platform_system.call(entry, "DELETE", ID)
+            assert reply.status_code == 200
+        await anyio.sleep(0.3)
+        assert not system.list_starts()
+
+
+async def test_job_that_comes_in_while_its_cancel_is_stored_is_cancelled():
+    # Guards against a job that starts between the question and the answer.
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        owner.journal.collect = lambda: owner_module._collect_progress(owner)
+        owner.journal.on_stored = lambda: owner_module._handle_stored(owner)
+        replies = []
+
+        async def cancel():
+            replies.append(await ask(owner, "cancel", "j"))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(cancel)
+            await anyio.sleep(0.05)
+            put_job(state, "j")
+            assert await recovery.read_jobs(owner, 0.0)
+            decisions.start_all(owner.table)
+            assert not replies
+            async with appends.run_journal(owner.journal):
+                with anyio.fail_after(5):
+                    while not replies:
+                        await anyio.sleep(0.01)
+        assert replies == [peers.AskReply(known=True, state="cancelled")]
+        value = state.list_newest(PROGRESS)["j"][1]
+        progress = msgspec.json.decode(value, type=model.JobProgress)
+        assert progress.ended == "cancelled" and len(progress.tasks) == 1
+        assert not owner.early_cancels
+
+
+async def test_cancel_of_an_unknown_job_is_acknowledged_once_stored():
+    # Guards against the same after an owner that dies at that moment.
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        with anyio.move_on_after(0.1):
+            await ask(owner, "cancel", "j")
+            raise AssertionError("answered")
+        async with appends.run_journal(owner.journal):
+            assert await ask(owner, "cancel", "j") == peers.AskReply()
+        assert "j" in state.list_newest(PROGRESS)
+
+
+async def test_early_cancels_are_forgotten_and_bounded(monkeypatch):
+    # Guards against records and memory that grow with each cancel of a job
+    # that does not exist, also over takeovers.
+    monkeypatch.setattr(early_cancels, "_MAX_CANCELS", 3)
+    async with run_successor() as (state, owner):
+        await recovery.recover(owner)
+        async with appends.run_journal(owner.journal):
+            for number in range(5):
+                await ask(owner, "cancel", f"{number}")
+            await owner.journal.flush()
+            assert sorted(state.list_newest(PROGRESS)) == ["2", "3", "4"]
+        successor = make_owner(owner.settings.store_address, appends.EPOCH + 1)
+        await recovery.recover(successor)
+        put_job(state, "3")
+        assert await recovery.read_jobs(successor, 0.0)
+        await successor.journal.open_epoch()
+        limit_s = 2 * successor.settings.ended_job_retention_s
+        async with appends.run_journal(successor.journal):
+            now = clock.read_now()
+            for later_s, left in ((0.0, 3), (limit_s, 0)):
+                await retention.forget_jobs(successor, now + later_s)
+                await successor.journal.flush()
+                assert len(state.list_newest(PROGRESS)) == left
+        assert successor.early_cancels == successor.progress == {}
+        assert not state.list_newest(JOBS) and not successor.table.jobs
+        await successor.journal.store.aclose()
