Test that the cancel of a deferred job holds over a takeover

No fault was found: the job is cancelled while its tasks are not made yet, by its owner or by the next one, and does not start when there is room.

--- a/tests/test_jobs_takeovers.py
+++ b/tests/test_jobs_takeovers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import clock
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import intake
@@ -296,3 +297,37 @@
         assert successor.early_cancels == successor.progress == {}
         assert not state.list_newest(JOBS) and not successor.table.jobs
         await successor.journal.store.aclose()
+
+
+@pytest.mark.parametrize("takeover_first", [False, True])
+async def test_cancel_of_a_deferred_job_holds(takeover_first, monkeypatch):
+    # Guards against a job that starts once there is room for its tasks, though
+    # it was cancelled before, by this owner or by an earlier one.
+    monkeypatch.setattr(checks, "MAX_HELD_TASKS", 5)
+    async with run_successor() as (state, owner):
+        for job_id in "abc":
+            put_job(state, job_id, count=4)
+        for cancels in (not takeover_first, takeover_first):
+            owner.journal.collect = lambda o=owner: (
+                owner_module._collect_progress(o)
+            )
+            owner.journal.on_stored = lambda o=owner: (
+                owner_module._handle_stored(o)
+            )
+            assert await owner.journal.open_epoch()
+            await recovery.recover(owner)
+            assert "a" not in owner.table.deferred
+            async with appends.run_journal(owner.journal):
+                if cancels:
+                    assert "b" in owner.table.deferred
+                    reply = await ask(owner, "cancel", "b")
+                    assert reply.state == "cancelled"
+            earlier = owner
+            owner = make_owner(owner.settings.store_address, owner.epoch + 1)
+        last = earlier.table
+        assert last.jobs["b"].stored_ended == "cancelled"
+        last.cancel_job(last.jobs["a"], 1)
+        last.add_deferred_tasks(1.0, 1)
+        assert {task.job.job.id for task in last.ready.values()} == {"c"}
+        assert last.held_tasks == 4 and not last.deferred
+        await earlier.journal.store.aclose()
