Bound the time for which a pass places tasks

Cause: a pass tried all tasks that were ready when it began. A pass now places for 0.1 s after it has listed the ready tasks, and the next one is requested at once. What was not reached is kept. Each of the next passes begins with the most urgent tasks; after half of its time, at the first of them that finds no runner, it goes on with what is kept. Nothing is added to that, and at least one task of it is tried in each pass, so every task in it has its turn, whatever becomes ready in front. Urgent tasks that do find runners may use the whole time but that one task. Listing and ordering yield every 1,000 tasks, the tasks of a step are taken from a heap that outlives the pass, and long-running tasks of a step that became ready at the same time are listed together.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -284,7 +284,9 @@
     """
     started_at = clock.read_now()
     ready, placed = len(owner.table.ready), 0
-    current = scheduling.Pass(started_at)
+    current = scheduling.Pass(
+        started_at, placing_limit_s=scheduling.PLACING_LIMIT_S
+    )
     work = scheduling.run_pass(owner, current)
     unfinished = True
     while unfinished and not owner.draining:
@@ -296,6 +298,8 @@
         took_s = clock.read_now() - began
         await anyio.sleep(min(took_s, _MAX_PAUSE_S))
     _record_pass(owner, ready, placed, started_at)
+    if current.out_of_time:
+        owner.request_pass()
     return current
 
 
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -1,8 +1,13 @@
 """Scheduling passes: start ready tasks, and move running ones."""
 
+import collections
+from collections.abc import Callable
+from collections.abc import Generator
 from collections.abc import Iterator
 import dataclasses
 import enum
+import heapq
+from typing import Any
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
@@ -33,6 +38,15 @@
 # Starts in flight at which a pass places no further task; each takes about
 # 7 KB of memory until its outcome is known.
 _MAX_STARTS = 2000
+# Time for which a pass places tasks once it has listed those that are ready. A
+# job is to be done 0.25 s after its own run time, so an urgent one must not
+# wait for longer than a part of that until the next pass begins.
+PLACING_LIMIT_S = 0.1
+# Part of that time after which a pass goes on where the last one ended, if the
+# most urgent tasks find no runner.
+_URGENT_SHARE = 0.5
+# Items that are listed or sorted in one turn of a pass.
+_LISTED_PER_TURN = 1000
 # Time between two attempts to clear a runner of long-running tasks; one runner
 # is cleared at a time.
 _CLEAR_INTERVAL_S = 0.5
@@ -67,6 +81,9 @@
         requirements.
       preemptible: Runners with attempts of less urgent queues at the first use,
         by service and priority.
+      placing_limit_s: Time for which it places tasks.
+      placing_since: When it had listed the ready tasks, or None.
+      out_of_time: It has ended before it has tried all ready tasks.
     """
 
     now: float
@@ -81,6 +98,15 @@
     preemptible: dict[tuple[str, int], list[str]] = dataclasses.field(
         default_factory=dict
     )
+    placing_limit_s: float = float("inf")
+    placing_since: float | None = None
+    out_of_time: bool = False
+
+    def has_placed_for(self, share: float) -> bool:
+        """Tells whether a share of the time for placing tasks has passed."""
+        if self.placing_since is None:
+            return False
+        return self.now - self.placing_since >= share * self.placing_limit_s
 
     def begin_slice(
         self, runners: dict[str, runners_module.Runner], now: float
@@ -150,46 +176,123 @@
 
 
 def _place_ready(owner: state_module.Owner, current: Pass) -> Iterator[None]:
-    blocked: set[int] = set()
-    for tasks in _list_by_urgency(owner, current.now):
-        for task in sorted(tasks, key=_rank_in_step):
-            if id(task.step) in blocked:
-                break
+    """Places the ready tasks that fit, most urgent first, while there is time.
+
+    What is not reached is kept for the next passes. Each begins with the tasks
+    that are most urgent by then; as soon as they find no runner, it goes on
+    where the last one ended. Tasks that become ready in between are not added
+    to what is kept, so all of it has its turn however many do.
+    """
+    kept = owner.unvisited
+    listed = yield from _list_by_urgency(owner, current.now)
+    current.placing_since = current.now
+    blocked: set[attempts.StepState] = set()
+    share = _URGENT_SHARE if kept else 1.0
+    yield from _place_listed(owner, listed, blocked, current, share)
+    if kept and listed:
+        yield from _place_listed(owner, kept, blocked, current, 1.0)
+    else:
+        owner.unvisited = listed
+    current.out_of_time = bool(owner.unvisited) and current.has_placed_for(1.0)
+
+
+def _place_listed(
+    owner: state_module.Owner,
+    groups: collections.deque[state_module.ReadyGroup],
+    blocked: set[attempts.StepState],
+    current: Pass,
+    share: float,
+) -> Iterator[None]:
+    """Places groups of tasks while there is time, and removes those.
+
+    Args:
+      owner: The owner.
+      groups: Tasks by step, in order; at least one task is tried.
+      blocked: Steps of which a task has found no runner in this pass.
+      current: The scheduling pass.
+      share: Part of the time for placing, after which the first task that finds
+        no runner ends the placing.
+    """
+    while groups:
+        group = groups[0]
+        if group.step not in blocked and not group.heap:
+            yield from _order_tasks(group)
+        while group.heap and group.step not in blocked:
             if owner.starts_in_flight + len(current.placed) >= _MAX_STARTS:
                 return
+            *_, task = heapq.heappop(group.heap)
             if owner.table.ready.get(task.name) is not task:
                 continue
             runs = _place_task_or_gang(owner, task, current)
             waits = trials.is_waiting_for_trial(task, current.now)
             if task.step.definition.gang or not (runs or waits):
-                blocked.add(id(task.step))
+                blocked.add(group.step)
             current.placed.extend(runs)
             yield
+            if current.has_placed_for(1.0 if runs else share):
+                if not group.heap or group.step in blocked:
+                    groups.popleft()
+                return
+        groups.popleft()
 
 
-def _rank_in_step(task: attempts.Task) -> tuple[bool, str]:
-    """Returns the sort key of a task in its step.
+def _order_tasks(group: state_module.ReadyGroup) -> Iterator[None]:
+    """Makes the heap of a group, which costs less than to sort all of it.
 
     Suspects go first, as a runner may be kept for one of them when the others
     find none.
     """
-    return not task.crashes, task.name
+    for number, task in enumerate(group.tasks, 1):
+        group.heap.append((not task.crashes, task.name, task))
+        if not number % _LISTED_PER_TURN:
+            yield
+    heapq.heapify(group.heap)
+    group.tasks.clear()
 
 
 def _list_by_urgency(
     owner: state_module.Owner, now: float
-) -> list[list[attempts.Task]]:
+) -> Generator[None, None, collections.deque[state_module.ReadyGroup]]:
     """Returns the ready tasks that are due, most urgent first.
 
-    Tasks of one step are listed together, unless they are long-running, as
-    they differ only in their names.
+    Tasks of one step are listed together, as they differ only in their names;
+    long-running ones only if they became ready at the same time.
     """
-    groups: dict[object, list[attempts.Task]] = {}
-    for task in owner.table.ready.values():
-        if task.retry_at <= now and task.step.due_at <= now:
-            alone = task.step.definition.long_running
-            groups.setdefault(task if alone else task.step, []).append(task)
-    return sorted(groups.values(), key=lambda tasks: _rank_task(tasks[0], now))
+    groups: dict[object, state_module.ReadyGroup] = {}
+    for number, task in enumerate(list(owner.table.ready.values()), 1):
+        step = task.step
+        if task.retry_at <= now and step.due_at <= now:
+            key: object = step
+            if step.definition.long_running:
+                key = task if task.crashes else (step, task.ready_since)
+            group = groups.get(key)
+            if group is None:
+                groups[key] = state_module.ReadyGroup(step, [task])
+            else:
+                group.tasks.append(task)
+        if not number % _LISTED_PER_TURN:
+            yield
+    ordered = yield from _sort_in_turns(
+        list(groups.values()), lambda group: _rank_task(group.tasks[0], now)
+    )
+    listed: collections.deque[state_module.ReadyGroup] = collections.deque()
+    for group in ordered:
+        listed.append(group)
+        if not len(listed) % _LISTED_PER_TURN:
+            yield
+    return listed
+
+
+def _sort_in_turns(
+    items: list[Any], key: Callable[[Any], Any]
+) -> Generator[None, None, Iterator[Any]]:
+    """Returns the items as `sorted` would; yields between parts of the work."""
+    parts = []
+    for start in range(0, len(items), _LISTED_PER_TURN):
+        if start:
+            yield
+        parts.append(sorted(items[start : start + _LISTED_PER_TURN], key=key))
+    return heapq.merge(*parts, key=key)
 
 
 def _place_task_or_gang(
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -1,5 +1,6 @@
 """State of the process that owns the jobs, for one epoch."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
@@ -29,6 +30,24 @@
 EXPIRIES_KEY = "expiries"
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class ReadyGroup:
+    """Ready tasks of a step that a scheduling pass tries together.
+
+    Attributes:
+      step: The step.
+      tasks: The tasks as they were listed; empty once they are in the heap.
+      heap: Heap of the tasks that have not been tried, suspects first and then
+        by name.
+    """
+
+    step: attempts.StepState
+    tasks: list[attempts.Task]
+    heap: list[tuple[bool, str, attempts.Task]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Owner:
     """State of the owner of one epoch.
@@ -45,6 +64,8 @@
       recovered: Stored state is loaded; runners were fenced or timed out.
       stepped_down: Set when this process stops being the owner.
       pass_requested: Set to start a scheduling pass.
+      unvisited: Ready tasks that an earlier scheduling pass has listed and none
+        has tried since, in their order.
       next_move_at, next_clear_at, next_effects_at: Earliest time to move slowed
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
@@ -93,6 +114,9 @@
     draining: bool = False
     stepped_down: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     pass_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    unvisited: collections.deque[ReadyGroup] = dataclasses.field(
+        default_factory=collections.deque
+    )
     next_move_at: float = 0.0
     next_clear_at: float = 0.0
     next_effects_at: float = 0.0
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -1,13 +1,17 @@
 """Length of scheduling passes: the work of a pass, and its bound."""
 
+import math
 import random as random_module
 
+import anyio
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
 from plantainvane.jobs import interference
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import placement
 from plantainvane.jobs import scheduling
 from tests import test_jobs_decisions as decisions
@@ -15,6 +19,13 @@
 
 _FILLS = ("f1", "f2")
 _IMAGES = ("s1", "s2")
+# The objective of a job is its own run time and this much.
+_LEAST_OBJECTIVE_S = 0.25
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
 
 
 def choose_by_evaluating_all(task, service, runners, model, now):
@@ -192,3 +203,135 @@
     scheduling.place_ready_tasks(owner, 1.0)
     placed = [name for name, _ in passes.list_placed(owner)]
     assert placed == ["first.0.0.0", "second.0.0.0"]
+
+
+def add_blocked_steps(owner, count, first, prefix):
+    """Adds steps that fit nowhere, less urgent and easier with the number."""
+    for number in range(first, first + count):
+        step = decisions.make_step(cpu=10**6 - number)
+        job = decisions.add_job(owner.table, step, job_id=f"{prefix}{number}")
+        job.deadline = number * 1e-3
+
+
+class SlowClock:
+    """A clock on which each reading takes a fixed time, and little else."""
+
+    def __init__(self, step_s):
+        self.now, self.step_s = 100.0, step_s
+
+    def read_now(self):
+        self.now += self.step_s
+        return self.now
+
+
+def run_limited_pass(owner, now, turn_s):
+    """Runs a pass on which each turn takes a fixed time; returns its end."""
+    current = scheduling.Pass(now, placing_limit_s=scheduling.PLACING_LIMIT_S)
+    current.begin_slice(owner.runners, now)
+    for _ in scheduling.run_pass(owner, current):
+        now += turn_s
+        current.begin_slice(owner.runners, now)
+    scheduling.start_placed(owner, current)
+    return now, current
+
+
+def test_a_task_that_fits_is_reached_behind_a_stream_of_blocked_ones():
+    # Guards against tasks at the end of the list that never start, because
+    # each pass ends before it has tried all that is more urgent.
+    owner = passes.make_owner(decisions.make_runner())
+    waiting, turn_s = 200, 1 / 128
+    add_blocked_steps(owner, waiting, 0, "first")
+    last = decisions.add_job(owner.table, decisions.make_step(), job_id="last")
+    last.deadline = 50.0
+    now = 128.0
+    # Half of each pass, down to a whole turn, is for what the last one has not
+    # reached.
+    turns = scheduling.PLACING_LIMIT_S / turn_s
+    passes_needed = 1 + math.ceil((waiting + 1 - turns) / (turns // 2))
+    count = 0
+    while not passes.list_placed(owner) and count < waiting:
+        now, _ = run_limited_pass(owner, now, turn_s)
+        count += 1
+        add_blocked_steps(owner, 20, -20 * count, "more")
+    assert passes.list_placed(owner) == [("last.0.0.0", "r")]
+    assert count <= passes_needed
+
+
+def test_passes_that_run_out_of_time_start_tasks_in_order():
+    # Guards against tasks that start before more urgent ones, or twice, because
+    # a pass goes on where the last one ended.
+    owner = passes.make_owner(decisions.make_runner(cpu=10**6))
+    for number in range(40):
+        step = decisions.make_step(count=3, cpu=1, memory_mb=1)
+        state = decisions.add_job(owner.table, step, job_id=f"j{number:02}")
+        state.deadline = 200.0 + number
+    expected = [f"j{n:02}.0.0.{i}" for n in range(40) for i in range(3)]
+    now, unfinished, count = 128.0, True, 0
+    while unfinished:
+        now, current = run_limited_pass(owner, now, 1 / 128)
+        unfinished, count = current.out_of_time, count + 1
+    assert [name for name, _ in passes.list_placed(owner)] == expected
+    # Each pass takes its time, and one more task of those that were kept.
+    turns = scheduling.PLACING_LIMIT_S * 128
+    assert len(expected) / (turns + 2) <= count <= len(expected) / turns + 1
+    assert not owner.unvisited
+
+
+def test_a_long_running_task_is_tried_once_its_step_has_found_no_runner(
+    monkeypatch,
+):
+    # Guards against lists with an entry for each long-running task of a step.
+    owner = passes.make_owner(decisions.make_runner())
+    step = decisions.make_step(count=500, cpu=10**6, long_running=True)
+    decisions.add_job(owner.table, step)
+    assert len(passes.list_by_urgency(owner, 1.0)) == 1
+    tried = passes.count_calls(monkeypatch, scheduling, "_place_task_or_gang")
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(tried) == 1
+
+
+@pytest.mark.anyio
+async def test_an_urgent_job_does_not_wait_for_the_work_of_a_pass(monkeypatch):
+    # Guards against an urgent job that waits for seconds until a pass has tried
+    # all the tasks that were ready when it began.
+    slow_clock = SlowClock(0.002)
+    monkeypatch.setattr(clock, "read_now", slow_clock.read_now)
+    owner = passes.make_owner(decisions.make_runner())
+    add_blocked_steps(owner, 1000, 0, "j")
+    owner.request_pass()
+    async with anyio.create_task_group() as group:
+        group.start_soon(owner_module._schedule, owner)
+        while slow_clock.now < 100.05:
+            await anyio.sleep(0)
+        urgent = decisions.add_job(
+            owner.table,
+            decisions.make_step(),
+            job_id="urgent",
+            queue=passes.URGENT,
+        )
+        owner.request_pass()
+        arrived_at, (task,) = slow_clock.now, urgent.steps[0, 0].tasks
+        with anyio.fail_after(20):
+            while not task.runs:
+                await anyio.sleep(0)
+        group.cancel_scope.cancel()
+    assert slow_clock.now - arrived_at < _LEAST_OBJECTIVE_S
+
+
+@pytest.mark.anyio
+async def test_a_pass_ends_when_the_process_drains(monkeypatch):
+    # Guards against a process that goes on placing tasks after it was told to
+    # leave.
+    monkeypatch.setattr(clock, "read_now", SlowClock(0.002).read_now)
+    owner = passes.make_owner(decisions.make_runner())
+    add_blocked_steps(owner, 300, 0, "j")
+    slices, begin_slice = [], scheduling.Pass.begin_slice
+
+    def begin(current, runners, now):
+        slices.append(now)
+        owner.draining = len(slices) == 3
+        begin_slice(current, runners, now)
+
+    monkeypatch.setattr(scheduling.Pass, "begin_slice", begin)
+    await owner_module._run_pass(owner)
+    assert len(slices) == 3
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -418,6 +418,15 @@
     return owner
 
 
+def list_by_urgency(owner, now):
+    listing = scheduling._list_by_urgency(owner, now)
+    while True:
+        try:
+            next(listing)
+        except StopIteration as end:
+            return end.value
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_reused_results_do_not_change_a_choice(seed):
     # Guards against a placement that follows from scores or obstacles that a
@@ -428,8 +437,8 @@
     ready = list(owner.table.ready.values())
     expected, blocked = [], set()
     current = scheduling.Pass(10.0)
-    for tasks in scheduling._list_by_urgency(owner, current.now):
-        for task in sorted(tasks, key=lambda task: task.name):
+    for group in list_by_urgency(owner, current.now):
+        for task in sorted(group.tasks, key=lambda task: task.name):
             if id(task.step) in blocked:
                 continue
             runners = list(owner.runners.values())
