Hand over while a weak owner still recovers

Callers' cancels and questions have no answer and nothing is stopped until an owner has recovered. The owner now asks it once it has been there for 0.7 s while it recovers. No takeover is added: the owner would hand over after its recovery in any case, and the abler peer has less to catch up with.

--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -18,6 +18,7 @@
 from plantainvane.jobs import probes
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 
@@ -27,6 +28,9 @@
 # The owner goes on renewing its claim, and a renewal makes a claim fail that is
 # on its way.
 _HAND_OVER_TRIES = 3
+# Nobody is answered during a recovery, and a weak owner hands over after it
+# anyway. Two pings show that the peer is there.
+_RECOVERING_WAIT_S = 0.7
 
 
 async def hand_over(entry: process_module.Entry) -> None:
@@ -47,8 +51,10 @@
 ) -> None:
     """Stops scheduling and asks `candidates` in turn to claim ownership."""
     owner.draining = True
-    with anyio.move_on_after(0.5):
-        await owner.journal.flush()
+    # The journal is not written before the recovery is complete.
+    if owner.recovered:
+        with anyio.move_on_after(0.5):
+            await owner.journal.flush()
     for address in candidates:
         reply = await entry.peers.call(
             address,
@@ -69,6 +75,15 @@
     )
 
 
+def choose_abler_peer_wait(
+    owner: state_module.Owner, settings: settings_module.Settings
+) -> float:
+    """Returns how long an abler peer has to be there before a handover."""
+    if owner.recovered:
+        return settings.abler_peer_wait_s
+    return min(_RECOVERING_WAIT_S, settings.abler_peer_wait_s)
+
+
 async def _seek_abler_owner(
     entry: process_module.Entry, owner: state_module.Owner
 ) -> None:
@@ -84,13 +99,13 @@
         now = clock.read_now()
         peer = standbys.find_abler_peer(entry.known_peers, settings, now)
         keeps = now < entry.comparisons.keeps_until
-        if not peer or not owner.recovered or not _may_own(entry, now) or keeps:
+        if not peer or not _may_own(entry, now) or keeps:
             if keeps or not entry.load.is_late(now):
                 found_at = None
             continue
         if found_at is None:
             found_at = now
-        if now - found_at < settings.abler_peer_wait_s:
+        if now - found_at < choose_abler_peer_wait(owner, settings):
             continue
         events.log_event(
             events.ABLER_PEER_FOUND,
@@ -99,6 +114,7 @@
             peer=peer,
             peer_capacity=entry.known_peers[peer].capacity,
             owned_s=round(now - owner.started_at, 3),
+            recovered=owner.recovered,
         )
         others = standbys.list_abler_peers(entry.known_peers, settings, now)
         candidates = dict.fromkeys([peer, *others])
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import ownership
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import recovery
 from plantainvane.jobs import standbys
 from plantainvane.jobs import succession
 from standins import platform_system
@@ -246,6 +247,52 @@
                 await anyio.sleep(0.01)
 
 
+async def test_weak_owner_hands_over_while_it_still_recovers(monkeypatch):
+    # Guards against cancels without an acknowledgement and tasks that are not
+    # stopped for as long as a weak owner takes to load many jobs, although an
+    # able process stands by.
+    recover, held = recovery.recover, []
+
+    async def recover_slowly(owner):
+        if owner.settings.capacity == 0.3:
+            held.append(owner)
+            await anyio.sleep(60.0)
+        await recover(owner)
+
+    monkeypatch.setattr(recovery, "recover", recover_slowly)
+    async with platform_system.run_system(
+        entries=1, capacity=0.3, abler_peer_wait_s=60.0
+    ) as system:
+        with anyio.fail_after(5.0):
+            while not held:
+                await anyio.sleep(0.01)
+        able = await platform_system.add_entry(
+            system, 1, capacity=2.0, abler_peer_wait_s=60.0
+        )
+        with anyio.fail_after(4.0):
+            while able.owner is None or not able.owner.recovered:
+                await anyio.sleep(0.01)
+        assert held[0].stepped_down.is_set()
+        assert len(held) == 1
+
+
+@pytest.mark.parametrize("recovered", [True, False])
+async def test_the_wait_for_an_abler_peer_is_short_during_a_recovery(
+    recovered,
+):
+    # Guards against a handover that follows a recovery at once, before the peer
+    # has proved stable, and one that waits as long during a recovery.
+    owner = types.SimpleNamespace(recovered=recovered)
+    wait_s = succession.choose_abler_peer_wait(owner, SETTINGS)
+    # The peer has pinged more than once.
+    assert wait_s > SETTINGS.ping_s
+    if recovered:
+        assert wait_s == SETTINGS.abler_peer_wait_s
+    else:
+        # It adds little to a takeover.
+        assert wait_s <= 1.0
+
+
 class LossyStore:
     """Answers reads with one claim, and no append."""
 
