Read the list of runners on at once while it is behind

Callers see: a runner that is added gets no tasks for seconds after much has been written to the list. Cause: one read of the list holds 1 MB, and the owner made one every 0.4 s, also when it had not reached the end.

--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -226,10 +226,16 @@
 
 
 async def follow_runners(owner: state_module.Owner) -> None:
-    """Polls the runners topic; one read returns many heartbeats."""
+    """Polls the runners topic; one read returns many heartbeats.
+
+    A read that does not reach the end, as replies are limited, is followed by
+    the next one at once.
+    """
     topic = owner.adapters.runners_topic
+    behind = False
     while True:
-        await anyio.sleep(owner.settings.runner_list_poll_s)
+        await anyio.sleep(0 if behind else owner.settings.runner_list_poll_s)
+        behind = False
         page = await owner.adapters.store.read(
             topic,
             owner.runners_offset,
@@ -247,6 +253,7 @@
             _remove_unlisted(owner, {key for _, key, _ in found.records})
             owner.runners_offset = found.end_offset
         else:
+            behind = owner.runners_offset < found.next_offset < found.end_offset
             owner.runners_offset = max(owner.runners_offset, found.next_offset)
         for _, key, value in found.records:
             _apply_entry(owner, key, value)
