Ask for the state of those tasks only that are not at work

Cause: once a second the report of absences asked for the state of each attempt of each long-running task, in one turn of the event loop. Now the tasks at work are listed from the runners first, which needs no call for a task. It still grows with the tasks.

--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -103,14 +103,27 @@
 
 def list_absences(owner: state_module.Owner) -> list[Absence]:
     """Returns the open long-running tasks that are not at work nor ready."""
+    at_work = _list_at_work(owner)
     return [
         absence
         for task in owner.table.tasks.values()
         if task.step.definition.long_running
+        and task not in at_work
         and (absence := find_absence(owner, task)) is not None
     ]
 
 
+def _list_at_work(owner: state_module.Owner) -> set[attempts.Task]:
+    """Returns the tasks with an attempt for which `find_state` is None."""
+    return {
+        run.task
+        for runner in owner.runners.values()
+        if runner.fenced and not runner.silent
+        for run in runner.runs
+        if run.phase is attempts.Phase.RUNNING and run in run.task.runs
+    }
+
+
 def find_absence(
     owner: state_module.Owner, task: attempts.Task
 ) -> Absence | None:
--- a/tests/test_jobs_waits.py
+++ b/tests/test_jobs_waits.py
@@ -290,6 +290,40 @@
     assert absences.list_absences(owner) == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_absences_are_those_of_looking_at_each_task(seed, monkeypatch):
+    # Guards against a look that blocks the event loop as it asks for the state
+    # of each task that is at work, and against one that misses an absence.
+    random = random_module.Random(seed)
+    owner = scheduling_tests.make_owner(
+        *(decisions.make_runner(f"r{number}") for number in range(4))
+    )
+    names = list(owner.runners)
+    step = decisions.make_step(count=40, cpu=1, memory_mb=1, long_running=True)
+    decisions.add_job(owner.table, step)
+    for task in list(owner.table.tasks.values())[:36]:
+        for name in random.sample(names, random.choice((1, 1, 1, 2))):
+            run = owner.table.begin_run(task, name, 0.0)
+            run.phase = random.choice(list(attempts.Phase))
+            if random.random() < 0.8:
+                owner.runners[name].charge(run)
+            if random.random() < 0.2:
+                task.runs.remove(run)
+    set_silent(owner, owner.runners["r0"], None)
+    set_unfenced(owner, owner.runners["r1"], None)
+    if random.random() < 0.5:
+        del owner.runners["r2"]
+    expected = [
+        absence
+        for task in owner.table.tasks.values()
+        if (absence := absences.find_absence(owner, task)) is not None
+    ]
+    looked = scheduling_tests.count_calls(monkeypatch, absences, "find_absence")
+    assert absences.list_absences(owner) == expected
+    assert len(looked) <= len(expected) + len(owner.table.ready)
+    assert 0 < len(expected) < 36
+
+
 def test_two_attempts_that_are_seen_to_stop_are_no_long_absence(lines):
     # Guards against a line about a task that ran between two looks.
     owner = make_absent_owner(set_stopping)
