Preempt nothing on a runner where the step is at its limit

What callers see: attempts of less urgent queues are stopped for a task that cannot start on their runner, since its step already has `max_per_runner` attempts there; what starts in the room is stopped again in a later pass. Cause: the search for victims did not know the limit. Now those runners are no candidates. Evidence: before, the new test fails with one stopped attempt instead of none; the case in which the limit leaves room passes before and after.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -200,7 +200,7 @@
     estimates = estimates or Estimates()
     step = task.step.definition
     best, best_score = None, float("-inf")
-    has_place = _check_places(task, estimates)
+    has_place = check_places(task, estimates)
     if racks is None:
         racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
     if trials.is_waiting_for_trial(task, now):
@@ -261,7 +261,7 @@
                 heapq.heapify(heap)
             return runner
         push_stale(task)
-        has_place = _check_places(task, estimates)
+        has_place = check_places(task, estimates)
         while heap:
             number = heapq.heappop(heap)[1]
             if has_place(candidates[number].entry.id):
@@ -430,7 +430,7 @@
     _renew_scores(ranking, runners, estimates, evaluate)
     places: Iterable[str] = ranking.scores
     if step.max_per_runner:
-        places = filter(_check_places(task, estimates), places)
+        places = filter(check_places(task, estimates), places)
     best = max(places, key=ranking.scores.__getitem__, default=None)
     return None if best is None else runners[best]
 
@@ -728,7 +728,7 @@
     return runner if excess <= 0 else None
 
 
-def _check_places(
+def check_places(
     task: attempts.Task, estimates: Estimates
 ) -> Callable[[str], bool]:
     """Returns whether the step may have one more attempt on a runner."""
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -477,6 +477,8 @@
             for runner in current.preemptible[key]
             if runner in owner.runners
         ]
+    has_place = placement.check_places(task, current.estimates)
+    candidates = [r for r in candidates if has_place(r.entry.id)]
     for run in preemption.find_victims(task, candidates, current.now):
         orders.stop_run(owner, run, f"preempted for {task.name}")
 
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -123,6 +123,20 @@
     assert running[0].phase is attempts.Phase.STOPPING
 
 
+@pytest.mark.parametrize(("limit", "stopped"), [(1, 0), (2, 1)])
+def test_nothing_is_preempted_where_a_step_is_at_its_limit(limit, stopped):
+    # Guards against attempts that are stopped, in each pass again, for a task
+    # that may not start on their runner.
+    runner = decisions.make_runner("a", cpu=2000)
+    owner = make_owner(runner, queue=URGENT)
+    decisions.place_runs(runner, owner.table, decisions.make_step(cpu=1000))
+    step = decisions.make_step(count=2, cpu=1000, max_per_runner=limit)
+    decisions.add_job(owner.table, step, job_id="urgent", queue=URGENT)
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert list_placed(owner) == [("urgent.0.0.0", "a")]
+    assert len(list_stopped(owner)) == stopped
+
+
 def test_gang_starts_as_a_whole_with_one_attempt_number():
     # Guards against gang members that occupy resources while they wait for
     # others.
