Share the scores of runners between tasks that avoid some of them

Cause: a task that avoids runners, on which an attempt has failed or was moved from, was compared with every runner anew; a large step whose tasks have failed once takes as long as a step with a limit on a runner did. Now such tasks use the ranking of the others, and only the runners that they avoid are evaluated for them. Evidence: before, the new test fails with 25,000 evaluations for 500 tasks on 50 runners (bound: 1,050). The property tests compare the choices, now also of steps with a limit and avoided runners; without the scores of the avoided runners the new test and the earlier test of reused results fail.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -405,7 +405,7 @@
     The scores are kept for further tasks with the same requirements.
     """
     step = task.step.definition
-    if task.avoided_runners or task.crashes or step.same_rack:
+    if task.crashes or step.same_rack:
         candidates = [r for r in runners.values() if r.entry.service == service]
         return choose_runner(
             task, candidates, interference_model, now, estimates
@@ -415,7 +415,7 @@
         if runner.entry.service != service:
             return None
         return _evaluate_runner(
-            task, runner, {}, interference_model, estimates, now
+            task, runner, {}, interference_model, estimates, now, avoids=False
         )
 
     key = _find_ranking_key(task, service, now)
@@ -428,10 +428,20 @@
             if score is not None:
                 ranking.scores[runner.entry.id] = score
     _renew_scores(ranking, runners, estimates, evaluate)
-    places: Iterable[str] = ranking.scores
+    scores = ranking.scores
+    avoided = {
+        name: _evaluate_runner(
+            task, runners[name], {}, interference_model, estimates, now
+        )
+        for name in task.avoided_runners
+        if name in scores
+    }
+    if avoided:
+        scores = scores | avoided
+    places: Iterable[str] = scores
     if step.max_per_runner:
         places = filter(check_places(task, estimates), places)
-    best = max(places, key=ranking.scores.__getitem__, default=None)
+    best = max(places, key=scores.__getitem__, default=None)
     return None if best is None else runners[best]
 
 
@@ -491,8 +501,13 @@
     interference_model: interference.InterferenceModel,
     estimates: Estimates,
     now: float,
+    *,
+    avoids: bool = True,
 ) -> float | None:
-    """Scores a runner for a task; None if it cannot start the task now."""
+    """Scores a runner for a task; None if it cannot start the task now.
+
+    With `avoids` false, the runners that the task avoids count as any other.
+    """
     step = task.step.definition
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not eligibility.has_capacity(runner, step, reserve):
@@ -502,7 +517,7 @@
     ):
         return None
     score = _score_runner(
-        task, step, runner, racks, interference_model, estimates, now
+        task, step, runner, racks, interference_model, estimates, now, avoids
     )
     if step.fills and score is not None:
         score = _apply_interference_penalty(
@@ -519,6 +534,7 @@
     interference_model: interference.InterferenceModel,
     estimates: Estimates,
     now: float,
+    avoids: bool,
 ) -> float | None:
     """Scores a runner; higher is better, None means not to use it now."""
     capacity_cpu = max(1, runner.entry.capacity.cpu)
@@ -537,7 +553,7 @@
         )
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / capacity_cpu
-    if runner.entry.id in task.avoided_runners:
+    if avoids and runner.entry.id in task.avoided_runners:
         score -= AVOIDED_RUNNER_WEIGHT
     if task.crashes:
         if trials.is_crash_site(task, runner):
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -111,6 +111,12 @@
             run = owner.table.begin_run(task, runner.entry.id, 0.0)
             run.phase = attempts.Phase.RUNNING
             runner.charge(run)
+        for task in step_state.tasks:
+            if random.random() < 0.2:
+                number = random.randint(1, 4)
+                task.avoided_runners = tuple(
+                    f"r{random.randint(0, 9)}" for _ in range(number)
+                )
     return state
 
 
@@ -435,3 +441,22 @@
     runner.charge(runs[0])
     current.begin_slice(owner.runners, 1.1)
     assert current.estimates.charged[changes:] == ["r"]
+
+
+def test_tasks_that_avoid_a_runner_share_the_scores_of_the_others(monkeypatch):
+    # Guards against a large step whose tasks have all failed once, and that
+    # compares every runner with each of them from then on.
+    evaluated = passes.count_calls(monkeypatch, placement, "_evaluate_runner")
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{number}") for number in range(50))
+    )
+    step = decisions.make_step(count=500, cpu=10, memory_mb=1)
+    state = decisions.add_job(owner.table, step)
+    for number, task in enumerate(state.steps[0, 0].tasks):
+        task.avoided_runners = (f"r{number % 50}",)
+    scheduling.place_ready_tasks(owner, 1.0)
+    placed = passes.list_placed(owner)
+    assert len(placed) == 500
+    assert len(evaluated) <= 50 + 2 * 500
+    avoided = {t.name: t.avoided_runners for t in state.steps[0, 0].tasks}
+    assert not [name for name, runner in placed if runner in avoided[name]]
