--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -65,14 +65,19 @@
       trial_until: Until this time nothing else is started there, because a task
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
+      next_repeat_at: No stop without an answer is sent again before this time.
       silent: The last poll was not answered.
       silent_since: When it became silent.
+      heard_since: Since when it has answered its polls.
+      ignores_stops: A stop has had no answer for some seconds, although polls
+        were answered. Nothing is started there.
       expiry_promised: The expiry of its leases is stored, so they must not be
         extended.
       runs: Attempts that are charged to it.
       charges: How often that has changed.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
+      foreign_stops: Those whose stop is under way.
       cpu: Processors charged to tasks other than fill tasks.
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
@@ -116,12 +121,16 @@
     down_in_trial: bool = False
     trial_until: float = 0.0
     kept_for: str = ""
+    next_repeat_at: float = 0.0
     silent: bool = False
     silent_since: float = 0.0
+    heard_since: float = 0.0
+    ignores_stops: bool = False
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     charges: int = 0
     foreign: frozenset[tuple[str, int]] = frozenset()
+    foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     cpu: int = 0
     memory_mb: int = 0
     accelerators: int = 0
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -59,6 +59,9 @@
       orphans: Attempts on unlisted runners, by runner id.
       expiries: When the leases on unresponsive runners have expired.
       progress: Stored progress by job id, as loaded at recovery.
+      ended_since: When the end of each job was first found stored, by job id.
+      early_cancels: When the cancel of each job was stored whose record had not
+        been found, by job id.
       queues: Each queue as last configured, by name; removed queues stay.
       interference_model: Learned effects of fill images on serving images.
       recovered: Stored state is loaded; runners were fenced or timed out.
@@ -69,8 +72,11 @@
       next_move_at, next_clear_at, next_effects_at: Earliest time to move slowed
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
+      jobs_behind: The last read of the jobs topic did not reach its end.
       runners_offset: Where the next read of the runners topic starts.
       starts_in_flight: Number of attempts whose start has no outcome yet.
+      stops_in_flight: Number of stops whose first order has no outcome yet, at
+        runners that answer polls.
       tickets: Ticket and its expiry, by name of the step and runner id; an
         empty ticket if the adviser does not allow the runner.
       advice_in_flight: Names of the steps that the adviser is being asked for.
@@ -106,6 +112,8 @@
     progress: dict[str, model.JobProgress] = dataclasses.field(
         default_factory=dict
     )
+    ended_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    early_cancels: dict[str, float] = dataclasses.field(default_factory=dict)
     queues: dict[str, model.Queue] = dataclasses.field(default_factory=dict)
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
@@ -121,8 +129,10 @@
     next_clear_at: float = 0.0
     next_effects_at: float = 0.0
     jobs_offset: int = 0
+    jobs_behind: bool = True
     runners_offset: int = 0
     starts_in_flight: int = 0
+    stops_in_flight: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
