Yield while a pass skips tasks that are not ready any more

Cause: the tasks kept for later passes may have been cancelled since; up to 20,000 of a group were skipped in one turn of the event loop, and groups one after another.

--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -213,6 +213,7 @@
       share: Part of the time for placing, after which the first task that finds
         no runner ends the placing.
     """
+    skipped = 0
     while groups:
         group = groups[0]
         if group.step not in blocked and not group.heap:
@@ -222,6 +223,9 @@
                 return
             *_, task = heapq.heappop(group.heap)
             if owner.table.ready.get(task.name) is not task:
+                skipped += 1
+                if not skipped % _LISTED_PER_TURN:
+                    yield
                 continue
             runs = _place_task_or_gang(owner, task, current)
             waits = trials.is_waiting_for_trial(task, current.now)
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -460,3 +460,22 @@
     assert len(evaluated) <= 50 + 2 * 500
     avoided = {t.name: t.avoided_runners for t in state.steps[0, 0].tasks}
     assert not [name for name, runner in placed if runner in avoided[name]]
+
+
+def test_a_pass_yields_while_it_skips_tasks_that_are_not_ready_any_more():
+    # Guards against a turn that grows with the tasks that have been kept for
+    # later passes and were cancelled since.
+    owner = passes.make_owner(decisions.make_runner())
+    step = decisions.make_step(count=5000)
+    state = decisions.add_job(owner.table, step)
+    current = scheduling.Pass(1.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        pass
+    assert len(owner.unvisited[0].heap) == 4999
+    owner.table.cancel_job(state, 1)
+    decisions.add_job(owner.table, decisions.make_step(count=2), job_id="k")
+    turns, current = 0, scheduling.Pass(2.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        turns += 1
+    assert turns >= 4999 // 1000
+    assert not owner.unvisited
