Try a kept task again only when its next try is due

Cause: a task that an earlier pass has listed may be placed by a later one from the new list, be refused and wait for its next try (`retry_at`); what was kept from the earlier list did not look at that and started it at once. Evidence: before, the new test finds the task among those started at 2.0 s although its next try is at 2.5 s; found by reading, not seen in a play.

--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -222,7 +222,8 @@
             if owner.starts_in_flight + len(current.placed) >= _MAX_STARTS:
                 return
             *_, task = heapq.heappop(group.heap)
-            if owner.table.ready.get(task.name) is not task:
+            ready = owner.table.ready.get(task.name) is task
+            if not ready or not _is_due(task, current.now):
                 skipped += 1
                 if not skipped % _LISTED_PER_TURN:
                     yield
@@ -265,7 +266,7 @@
     groups: dict[object, state_module.ReadyGroup] = {}
     for number, task in enumerate(list(owner.table.ready.values()), 1):
         step = task.step
-        if task.retry_at <= now and step.due_at <= now:
+        if _is_due(task, now):
             key: object = step
             if step.definition.long_running:
                 key = task if task.crashes else (step, task.ready_since)
@@ -287,6 +288,11 @@
     return listed
 
 
+def _is_due(task: attempts.Task, now: float) -> bool:
+    """Tells whether a ready task may start, also after an earlier try."""
+    return task.retry_at <= now and task.step.due_at <= now
+
+
 def _sort_in_turns(
     items: list[Any], key: Callable[[Any], Any]
 ) -> Generator[None, None, Iterator[Any]]:
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -479,3 +479,29 @@
         turns += 1
     assert turns >= 4999 // 1000
     assert not owner.unvisited
+
+
+@pytest.mark.parametrize(("retry_at", "started"), [(1.5, True), (2.5, False)])
+def test_a_kept_task_that_was_refused_since_waits_for_its_next_try(
+    retry_at, started
+):
+    # Guards against a start that follows a refused one at once, because an
+    # earlier pass has listed the task.
+    owner = passes.make_owner(decisions.make_runner())
+    for job_id in ("a", "b"):
+        step = decisions.make_step(count=3)
+        decisions.add_job(owner.table, step, job_id=job_id)
+    for _ in scheduling.run_pass(
+        owner, scheduling.Pass(1.0, placing_limit_s=0.0)
+    ):
+        pass
+    for task in owner.table.ready.values():
+        if task.name.startswith("a"):
+            task.retry_at = retry_at
+    # The first of the list and the first of what is kept are tried.
+    current = scheduling.Pass(2.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        pass
+    names = [run.task.name for run in current.placed]
+    assert ("a.0.0.1" in names) is started
+    assert len(names) == len(set(names)) == 2
