--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -74,6 +74,7 @@
       expiry_promised: The expiry of its leases is stored, so they must not be
         extended.
       runs: Attempts that are charged to it.
+      charges: How often that has changed.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
       foreign_stops: Those whose stop is under way.
@@ -127,6 +128,7 @@
     ignores_stops: bool = False
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
+    charges: int = 0
     foreign: frozenset[tuple[str, int]] = frozenset()
     foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     cpu: int = 0
@@ -147,6 +149,7 @@
         """
         if (sign > 0) == (run in self.runs):
             return
+        self.charges += 1
         if sign > 0:
             self.runs[run] = None
             if run.phase is not attempts.Phase.STARTING:
