--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -67,6 +67,8 @@
       delayed_starts: Delays of the next starts in seconds. Each of these starts
         is carried out after its delay and never answered.
       silent: No call is answered.
+      ignores_orders: Polls are answered, and nothing else.
+      answer_delay_s: Each call is carried out, and answered after this time.
       address: `ip:port` in its entry.
       gpu: Accelerators.
       guards: A start that does not fit is rejected.
@@ -103,6 +105,8 @@
     paces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     delayed_starts: list[float] = dataclasses.field(default_factory=list)
     silent: bool = False
+    ignores_orders: bool = False
+    answer_delay_s: float = 0.0
     address: str = ""
     gpu: int = 0
     guards: bool = False
@@ -215,8 +219,11 @@
                 self.end(task, "failed" if attempt.fails else "done")
 
 
-def make_handler(state: RunnerState) -> asgi.Handler:
-    """Creates the HTTP handler of a runner."""
+def make_handler(state: RunnerState, address: str = "") -> asgi.Handler:
+    """Creates the HTTP handler of a runner.
+
+    With an address, it answers nothing once the runner has another one.
+    """
     orders = {
         "/plantainvane/run-start": _start,
         "/plantainvane/run-stop": _stop,
@@ -224,7 +231,14 @@
     }
 
     async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
-        if state.silent:
+        reply = await carry_out(request)
+        await anyio.sleep(state.answer_delay_s)
+        return reply
+
+    async def carry_out(request: asgi.HttpRequest) -> asgi.HttpReply:
+        if state.silent or (address and address != state.address):
+            await anyio.sleep_forever()
+        if state.ignores_orders and request.path in orders:
             await anyio.sleep_forever()
         if state.crashed:
             return asgi.HttpReply(500)
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -166,12 +166,24 @@
 async def add_runner(system: System, runner_id: str, **fields: Any) -> None:
     """Starts a runner and writes its entry to the log."""
     state = platform_runner.RunnerState(runner_id, **fields)
-    state.address = serving.find_free_address()
     system.runners[runner_id] = state
-    await _serve(system, platform_runner.make_handler(state), state.address)
+    await move_runner(system, runner_id)
+
+
+async def move_runner(system: System, runner_id: str) -> None:
+    """Gives a runner a new address, the only one at which it answers."""
+    state = system.runners[runner_id]
+    state.address = serving.find_free_address()
+    handler = platform_runner.make_handler(state, state.address)
+    await _serve(system, handler, state.address)
     write_entry(system, state)
 
 
+def unlist_runner(system: System, runner_id: str) -> None:
+    """Removes the entry of a runner from the log."""
+    system.store.put("keyed.servers", runner_id, None)
+
+
 async def _revive(
     system: System,
     state: platform_runner.RunnerState,
