Keep the capacity of the standbys that was told before an outage of the log

A wait of 0.46 s was due. During an outage no standby may own anything, and the owner told the highest capacity among those that had not noticed yet: the large ones noticed at 56.4 to 57.9, the last small one at 58.78, so 0.516 was what stayed, and no small process lacked anything against it. The owner now tells no capacity while the log does not answer it; what it told before holds.

Without the change the test fails: 0.516 instead of 2.15. Ruled out: retry intervals (claims came 25 ms after the log was back, too early for any wait), and the assumed capacity (2.0, which makes a wait of 0.45 s).

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -179,9 +179,12 @@
     is_owner = owner is not None and not entry.draining
     ablest_capacity = 0.0
     if is_owner:
-        ablest_capacity = standbys.find_ablest_capacity(
-            entry.known_peers, entry.settings, now
-        )
+        # Without the log fewer and fewer peers are able, the ablest perhaps
+        # first, but they are there again once it answers.
+        if entry.health.failing_since is None:
+            ablest_capacity = standbys.find_ablest_capacity(
+                entry.known_peers, entry.settings, now
+            )
         status.ping_after_s = standbys.choose_ping_interval(
             entry.known_peers, ping.address, entry.settings, now
         )
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -293,6 +293,33 @@
         assert wait_s <= 1.0
 
 
+async def test_capacity_of_standbys_outlives_an_outage_of_the_log():
+    # Guards against a weak process that claims as soon as the log is back,
+    # although able ones live: none of them can own anything while the log is
+    # away, and those that notice it last, the weak ones, counted as the ablest.
+    entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
+    entry.owner = types.SimpleNamespace(epoch=3, reach=None)
+    state = ownership.Ownership()
+
+    async def ping(address, capacity, may_own=True):
+        request = peers_module.Ping(address, 3, -1, may_own, capacity)
+        pong = await entry_module._answer_ping(entry, request)
+        now = clock.read_now()
+        state.record_reply(True, pong.silent_for_s, now, pong.ablest_capacity)
+
+    await ping("127.0.0.1:1", 2.15)
+    await ping("127.0.0.2:1", 0.516)
+    assert state.ablest_capacity == 2.15
+    entry.health.record_failure("status 503", clock.read_now())
+    await ping("127.0.0.1:1", 2.15, may_own=False)
+    await ping("127.0.0.2:1", 0.516)
+    assert state.ablest_capacity == 2.15
+    # What has changed meanwhile counts once the log is back.
+    entry.health.record_success(0.01, clock.read_now())
+    await ping("127.0.0.2:1", 0.516)
+    assert state.ablest_capacity == 0.516
+
+
 class LossyStore:
     """Answers reads with one claim, and no append."""
 
