Let questions wait for the end of a recovery

An owner that recovers refused each question at once, and the peers asked again after 60 ms, 20 times and more for one caller.

A question now waits at the owner up to 0.3 s, which leaves 0.3 s of the call's time limit to a late owner, and is answered as soon as the recovery ends.

Without the change the tests fail: 25 tries for one question instead of at most 6, and no answer at the end of a recovery (the owner has no such event).

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -27,6 +27,10 @@
 
 _ENCODER = msgspec.json.Encoder()
 _ASK_RETRY_S = 0.06
+# Longest time that a question waits for the end of a recovery. A refusal is
+# followed by the next try, and a call is given up after `ask_timeout_s`, also
+# if the owner is late.
+_RECOVERY_WAIT_S = 0.3
 # Shorter than the pause between two tries of an append, as a job can be
 # withdrawn only during that pause.
 _WITHDRAW_POLL_S = 0.02
@@ -148,6 +152,9 @@
     owner: state_module.Owner, question: peers.Ask
 ) -> peers.AskReply:
     """Answers as the owner; refuses with a reply whose `owner` is False."""
+    if not owner.recovered:
+        with anyio.move_on_after(_RECOVERY_WAIT_S):
+            await owner.recovery_ended.wait()
     if not owner.recovered:
         return peers.AskReply(owner=False)
     if question.what == "pending":
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -115,7 +115,7 @@
     with anyio.move_on_after(_FENCING_TIMEOUT_S):
         while any(not r.fenced for r in owner.runners.values()):
             await anyio.sleep(0.01)
-    owner.recovered = True
+    owner.end_recovery()
     now = clock.read_now()
     metrics.TAKEOVER_SECONDS.observe(now - owner.started_at)
     events.log_event(
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -65,6 +65,7 @@
       queues: Each queue as last configured, by name; removed queues stay.
       interference_model: Learned effects of fill images on serving images.
       recovered: Stored state is loaded; runners were fenced or timed out.
+      recovery_ended: Set when the owner has recovered, or has stepped down.
       stepped_down: Set when this process stops being the owner.
       pass_requested: Set to start a scheduling pass.
       unvisited: Ready tasks that an earlier scheduling pass has listed and none
@@ -119,6 +120,7 @@
         default_factory=interference.InterferenceModel
     )
     recovered: bool = False
+    recovery_ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     draining: bool = False
     stepped_down: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     pass_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -149,8 +151,14 @@
     reach: reach_module.Reach | None = None
     reach_changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
+    def end_recovery(self) -> None:
+        """Lets questions be answered and tasks be started."""
+        self.recovered = True
+        self.recovery_ended.set()
+
     def step_down(self, reason: str) -> None:
         """Ends this ownership; only the first `reason` is logged."""
+        self.recovery_ended.set()
         if not self.stepped_down.is_set():
             events.log_event(
                 events.OWNER_FENCED, epoch=self.epoch, reason=reason
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -115,6 +115,60 @@
     assert reply.owner is False
 
 
+async def test_question_during_a_recovery_is_answered_after_it():
+    # Guards against an owner that spends its recovery on refusals, as each
+    # question that it refuses at once is asked again every 60 ms.
+    owner = scheduling.make_owner()
+    owner.jobs_behind = False
+    decisions.add_job(owner.table, decisions.make_step(), job_id="j")
+    question, replies = peers.Ask("state", "j"), []
+
+    async def ask_owner():
+        replies.append(await intake_module.answer_question(owner, question))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(ask_owner)
+        await anyio.sleep(0.05)
+        assert not replies
+        owner.end_recovery()
+        with anyio.fail_after(0.1):
+            while not replies:
+                await anyio.sleep(0.001)
+    assert replies[0].owner and replies[0].state == "queued"
+
+
+async def test_owner_that_recovers_for_long_is_asked_few_times():
+    # Guards against the load of hundreds of questions, each of which is asked
+    # 20 times, and against calls that time out at the peers.
+    owner, settings, asked = scheduling.make_owner(), decisions.SETTINGS, []
+
+    async def ask_owner(question):
+        asked.append(question)
+        with anyio.fail_after(settings.ask_timeout_s / 1.5):
+            reply = await intake_module.answer_question(owner, question)
+        return reply if reply.owner else None
+
+    intake = intake_module.Intake(settings, None, ask_owner)
+    outcome, _ = await intake_module.ask(intake, "state", "j", 3.0)
+    assert outcome is _OUTCOME.NOT_RUN
+    assert len(asked) <= 6
+
+
+async def test_question_is_refused_at_once_when_the_owner_steps_down():
+    # Guards against questions that the next owner gets late.
+    owner = scheduling.make_owner()
+
+    async def step_down():
+        owner.step_down("handed over")
+
+    async with anyio.create_task_group() as group:
+        with anyio.fail_after(0.2):
+            group.start_soon(step_down)
+            question = peers.Ask("state", "j")
+            reply = await intake_module.answer_question(owner, question)
+    assert reply.owner is False
+
+
 async def test_state_and_pending_reflect_the_jobs():
     # Guards against pending counts that include started or ended jobs.
     owner = scheduling.make_owner(decisions.make_runner())
