Append an early cancel once, and report an unconfirmed append once

A repeated DELETE of an unknown job appended its record again each time, and a record that was due to be dropped at that moment could be dropped after it. The test of early cancels asks for one record now; it fails on the code before by reading (the second question appended). A log that goes on giving odd answers led to a line for each try; now to one for each append.

--- a/plantainvane/jobs/early_cancels.py
+++ b/plantainvane/jobs/early_cancels.py
@@ -17,7 +17,9 @@
 
 
 async def store_cancel(owner: state_module.Owner, job_id: str) -> None:
-    """Stores the cancel of a job that is not known."""
+    """Stores the cancel of a job that is not known, unless it is stored."""
+    if job_id in owner.early_cancels:
+        return
     progress = model.JobProgress("cancelled", clock.read_wall_ms())
     record = (job_id, msgspec.json.encode(progress))
     await owner.journal.add([record]).stored.wait()
--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -207,6 +207,19 @@
             self.sequence += count > 0
             self._stored_end = max(self._stored_end, answer.offset + count)
             return True
+        if self.stalled_since is None:
+            self._report_unconfirmed(answer, count)
+        if answer.next_sequence >= 0:
+            self.sequence = answer.next_sequence
+            # A sequence is compared only within the epoch that is open.
+            return count == 0
+        # The number is taken by another append, whose answer this is.
+        self.sequence += answer.offset >= 0
+        return False
+
+    def _report_unconfirmed(
+        self, answer: interfaces.Appended, count: int
+    ) -> None:
         events.log_event(
             events.APPEND_UNCONFIRMED,
             stream=self.topic,
@@ -217,13 +230,6 @@
             end_offset=answer.end_offset,
             next_sequence=answer.next_sequence,
         )
-        if answer.next_sequence >= 0:
-            self.sequence = answer.next_sequence
-            # A sequence is compared only within the epoch that is open.
-            return count == 0
-        # The number is taken by another append, whose answer this is.
-        self.sequence += answer.offset >= 0
-        return False
 
     def _confirms(self, answer: interfaces.Appended, count: int) -> bool:
         """Returns whether an answer says that `count` records were appended."""
--- a/tests/test_jobs_takeovers.py
+++ b/tests/test_jobs_takeovers.py
@@ -268,7 +268,10 @@
             raise AssertionError("answered")
         async with appends.run_journal(owner.journal):
             assert await ask(owner, "cancel", "j") == peers.AskReply()
-        assert "j" in state.list_newest(PROGRESS)
+            assert "j" in state.list_newest(PROGRESS)
+            end = len(state.find_topic(PROGRESS).records)
+            assert await ask(owner, "cancel", "j") == peers.AskReply()
+            assert len(state.find_topic(PROGRESS).records) == end
 
 
 async def test_early_cancels_are_forgotten_and_bounded(monkeypatch):
