--- a/standins/platform_paths.py
+++ b/standins/platform_paths.py
@@ -1,4 +1,4 @@
-"""Paths from an entry process to runners and peers that a test can cut.
+"""Paths from an entry process to others that a test can cut.
 
 A call on a path that is cut takes its time limit and is not answered, like one
 to an instance in a failure domain that is out of reach.
@@ -16,7 +16,10 @@
 from plantainvane.jobs import peers
 from plantainvane.jobs import settings as settings_module
 
+# Names the log in a path.
+STORE = "store"
 _LOST = interfaces.OrderOutcome.LOST
+_CUT = result.Err(outcomes.CallError(outcomes.CallFailure.LOST, "path is cut"))
 
 
 class RunnerClient:
@@ -82,6 +85,61 @@
         return True
 
 
+class StoreClient:
+    """Client of the log; its calls are lost while the path is cut.
+
+    A call that waits for a record is lost as well if the path is cut meanwhile.
+    """
+
+    def __init__(self, store: Any, path: tuple[str, str], cuts: set):
+        """Creates a client for `path`, from an entry process to `STORE`."""
+        self._store = store
+        self._path = path
+        self._cuts = cuts
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes | None]],
+        timeout_s: float,
+        *arguments: Any,
+        **fields: Any,
+    ) -> result.Result[interfaces.Appended, outcomes.CallError]:
+        """Appends records."""
+        call = self._store.append
+        return await self._call(
+            call, timeout_s, topic, records, timeout_s, *arguments, **fields
+        )
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float, timeout_s: float
+    ) -> result.Result[interfaces.Page, outcomes.CallError]:
+        """Reads records."""
+        call = self._store.read
+        limit_s = wait_s + timeout_s
+        return await self._call(call, limit_s, topic, offset, wait_s, timeout_s)
+
+    async def list_newest(
+        self, topic: str, timeout_s: float
+    ) -> result.Result[interfaces.Page, outcomes.CallError]:
+        """Lists the newest records."""
+        call = self._store.list_newest
+        return await self._call(call, timeout_s, topic, timeout_s)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._store.aclose()
+
+    async def _call(
+        self, call: Any, limit_s: float, *arguments: Any, **fields: Any
+    ) -> result.Result[Any, outcomes.CallError]:
+        if self._path in self._cuts:
+            await anyio.sleep(limit_s)
+            return _CUT
+        reply = await call(*arguments, **fields)
+        return _CUT if self._path in self._cuts else reply
+
+
 class PeerClient(peers.PeerClient):
     """Client of the other entry processes, with paths that can be cut."""
 
@@ -98,8 +156,7 @@
         if (self._entry_id, address) not in self._cuts:
             return await super().call(address, message, timeout_s)
         await anyio.sleep(timeout_s)
-        lost = outcomes.CallError(outcomes.CallFailure.LOST, "path is cut")
-        return result.Err(lost)
+        return _CUT
 
 
 def cut_adapters(
@@ -107,7 +164,7 @@
     settings: settings_module.Settings,
     cuts: set[tuple[str, str]],
 ) -> interfaces.Adapters:
-    """Returns adapters with runner clients that lose calls on cut paths."""
+    """Returns adapters with clients that lose calls on cut paths."""
 
     def connect_runner(address: str, runner_id: str) -> interfaces.RunnerCalls:
         return RunnerClient(
@@ -117,4 +174,8 @@
             settings.call_timeout_s,
         )
 
-    return msgspec.structs.replace(adapters, connect_runner=connect_runner)
+    return msgspec.structs.replace(
+        adapters,
+        connect_runner=connect_runner,
+        store=StoreClient(adapters.store, (settings.id, STORE), cuts),
+    )
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -33,7 +33,8 @@
 
     Attributes:
       cuts: Paths on which nothing arrives, from the id of an entry process to
-        the id of a runner or the peer address of another entry process.
+        the id of a runner, the peer address of another entry process or the
+        log.
     """
 
     group: anyio.abc.TaskGroup
@@ -59,6 +60,16 @@
             self.cuts.add((own.id, peer.settings.peer_address))
             self.cuts.add((peer.settings.id, own.peer_address))
 
+    def cut_from_log(self, entry: process_module.Entry) -> None:
+        """Cuts the path of a process to the log."""
+        self.cuts.add((entry.settings.id, platform_paths.STORE))
+
+    def isolate(self, entry: process_module.Entry) -> None:
+        """Cuts all paths of a process, as a freeze does."""
+        others = [peer for peer in self.entries if peer is not entry]
+        self.cut(entry, self.runners, others)
+        self.cut_from_log(entry)
+
     def find_owner(self) -> process_module.Entry | None:
         """Returns the entry process that is the owner and has recovered."""
         for entry in self.entries:
