--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import outliving
 from plantainvane.jobs import pacing
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
@@ -38,6 +39,9 @@
 # Longest poll while the withdrawal of a promised expiry is being stored: a poll
 # that was sent before extends no lease.
 _PROMISED_WAIT_S = 0.3
+# Longest poll while anything is being stopped: what is found to run on is to be
+# stopped again and to end within 3.4 s of its cancel.
+_STOPPING_WAIT_S = 0.5
 # An unlisted runner without attempts is removed after this time.
 _REMOVE_AFTER_S = 8.0
 # A runner with this many more failures than successes gets one task at a time
@@ -50,6 +54,9 @@
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
+# A runner that answers polls, but no stop for this long, gets no starts; a call
+# that is lost now and then is repeated much earlier.
+_IGNORED_STOP_S = 2.0
 # A start order without an answer may be carried out late. The present
 # incarnation does not refuse one that the earlier one was told to stop.
 _LATE_START_S = runners_module.LATE_CALL_S
@@ -112,13 +119,13 @@
     """Tells whether a poll has anything to renew or to find out.
 
     A runner without attempts has no lease to renew: a start order carries a
-    lease of its own. Placement leaves out a runner that is silent, not fenced
-    or runs a foreign attempt, and only a poll ends that. A late start on a
-    runner that has restarted is found by a poll as well, and a start needs a
-    reading of the clock that is not old.
+    lease of its own. Placement leaves out a runner that is silent, not fenced,
+    runs a foreign attempt or ignores stops, and only a poll ends that. A late
+    start on a runner that has restarted is found by a poll as well, and a start
+    needs a reading of the clock that is not old.
     """
     return (
-        bool(runner.runs or runner.foreign)
+        bool(runner.runs or runner.foreign or runner.ignores_stops)
         or runner.silent
         or not runner.fenced
         or now - runner.restarted_at < _LATE_START_S
@@ -147,6 +154,8 @@
         paced_runners.add(runner.entry.id)
     else:
         paced_runners.discard(runner.entry.id)
+    if runner.ignores_stops and runner.fenced and not runner.silent:
+        return _STOPPING_WAIT_S
     if (
         not runner.fenced
         or runner.silent
@@ -155,6 +164,8 @@
         return 0.0
     if runner.expiry_promised:
         return _PROMISED_WAIT_S
+    if _stops_any(runner):
+        return _STOPPING_WAIT_S
     if not (serving and runner.fill_cpu):
         return min(settings.poll_wait_s, settings.lease_s / 3)
     if any(run.over_target_since is not None for run in serving):
@@ -164,6 +175,12 @@
     )
 
 
+def _stops_any(runner: runners_module.Runner) -> bool:
+    return bool(runner.foreign) or any(
+        run.phase is attempts.Phase.STOPPING for run in runner.runs
+    )
+
+
 async def _poll(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -390,7 +407,7 @@
     runner.answered_at = runner.up_at = now
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
-        runner.silent = False
+        runner.silent, runner.heard_since = False, now
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
     if runner.entry.id in owner.expiries.expires_at:
         owner.group.start_soon(
@@ -400,6 +417,7 @@
         crashes.blame_earlier_life(runner)
     number = _apply_ends(owner, runner, reply, now)
     _apply_running(owner, runner, reply, sent_at, now)
+    _note_ignored_stops(owner, runner, now)
     if is_heard_again:
         crashes.settle_doubts(owner, runner, clock.read_wall_ms())
         _end_orphans(owner, runner, now)
@@ -545,8 +563,7 @@
             continue
         reported.add(run)
         _update_run(run, running, now)
-        if _outlives_stop(run, sent_at):
-            orders.repeat_stop(owner, run)
+        _order_due_stop(owner, run, sent_at)
         crashes.record_survival(owner, run, sent_at, wall_ms)
     if runner.foreign and not foreign:
         owner.request_pass()
@@ -560,6 +577,51 @@
         _drop_runs(owner, runner, missing, "not running there", now)
 
 
+def _order_due_stop(
+    owner: state_module.Owner, run: attempts.Run, sent_at: float
+) -> None:
+    """Stops an attempt that a poll has listed, if nothing needs it any more.
+
+    This does not rely on what was done when its job or task ended.
+    """
+    if run.phase is not attempts.Phase.STOPPING:
+        if outliving.is_outliving(run) and not orders.is_full(owner):
+            orders.stop_run(owner, run, "runs on after its end")
+    elif orders.is_abandoned(run):
+        orders.repeat_stop(owner, run, "runs on and no stop is under way")
+    elif _outlives_stop(run, sent_at):
+        orders.repeat_stop(owner, run, "runs on after a stop")
+
+
+def _note_ignored_stops(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Notes whether a runner that answers polls answers no order to stop."""
+    ignored = [run for run in runner.runs if _ignores_stop(runner, run, now)]
+    if ignored and not runner.ignores_stops:
+        events.log_event(
+            events.RUNNER_IGNORES_STOPS,
+            runner=runner.entry.id,
+            task=ignored[0].task.name,
+            attempt=ignored[0].attempt,
+            count=len(ignored),
+            runs=len(runner.runs),
+            epoch=owner.epoch,
+        )
+    elif runner.ignores_stops and not ignored:
+        owner.request_pass()
+    runner.ignores_stops = bool(ignored)
+
+
+def _ignores_stop(
+    runner: runners_module.Runner, run: attempts.Run, now: float
+) -> bool:
+    since = run.stop.under_way_since if run.stop is not None else None
+    if since is None:
+        return False
+    return now - max(since, runner.heard_since) > _IGNORED_STOP_S
+
+
 def _has_ended(run: attempts.Run, sent_at: float) -> bool:
     """Returns whether an attempt that a poll did not report has ended."""
     if run.phase is attempts.Phase.STARTING and run.ordered_at > 0:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -1,5 +1,6 @@
 """State of the process that owns the jobs, for one epoch."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
@@ -29,6 +30,24 @@
 EXPIRIES_KEY = "expiries"
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class ReadyGroup:
+    """Ready tasks of a step that a scheduling pass tries together.
+
+    Attributes:
+      step: The step.
+      tasks: The tasks as they were listed; empty once they are in the heap.
+      heap: Heap of the tasks that have not been tried, suspects first and then
+        by name.
+    """
+
+    step: attempts.StepState
+    tasks: list[attempts.Task]
+    heap: list[tuple[bool, str, attempts.Task]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Owner:
     """State of the owner of one epoch.
@@ -48,11 +67,16 @@
       recovered: Stored state is loaded; runners were fenced or timed out.
       stepped_down: Set when this process stops being the owner.
       pass_requested: Set to start a scheduling pass.
+      unvisited: Ready tasks that an earlier scheduling pass has listed and none
+        has tried since, in their order.
       next_move_at, next_clear_at, next_effects_at: Earliest time to move slowed
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
+      jobs_behind: The last read of the jobs topic did not reach its end.
       runners_offset: Where the next read of the runners topic starts.
       starts_in_flight: Number of attempts whose start has no outcome yet.
+      stops_in_flight: Number of stops whose first order has no outcome yet, at
+        runners that answer polls.
       tickets: Ticket and its expiry, by name of the step and runner id; an
         empty ticket if the adviser does not allow the runner.
       advice_in_flight: Names of the steps that the adviser is being asked for.
@@ -98,12 +122,17 @@
     draining: bool = False
     stepped_down: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     pass_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    unvisited: collections.deque[ReadyGroup] = dataclasses.field(
+        default_factory=collections.deque
+    )
     next_move_at: float = 0.0
     next_clear_at: float = 0.0
     next_effects_at: float = 0.0
     jobs_offset: int = 0
+    jobs_behind: bool = True
     runners_offset: int = 0
     starts_in_flight: int = 0
+    stops_in_flight: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
