Leave out an avoided runner that takes no starts any more

Callers see: the owner ends. Cause: the ranking keeps scores while time passes, and the runners that a task avoids are evaluated anew; one that has refused a start since has no score, and None was compared with a number.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -437,7 +437,12 @@
         if name in scores
     }
     if avoided:
-        scores = scores | avoided
+        # None if the runner no longer accepts the task, as time has passed.
+        scores = {
+            name: avoided.get(name, score)
+            for name, score in scores.items()
+            if avoided.get(name, score) is not None
+        }
     places: Iterable[str] = scores
     if step.max_per_runner:
         places = filter(check_places(task, estimates), places)
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -505,3 +505,26 @@
     names = [run.task.name for run in current.placed]
     assert ("a.0.0.1" in names) is started
     assert len(names) == len(set(names)) == 2
+
+
+def test_an_avoided_runner_that_has_refused_since_is_left_out():
+    # Guards against an exception, which ends the owner, when a runner that the
+    # task avoids was ranked and takes no starts any more.
+    runners = [decisions.make_runner(name) for name in ("a", "b")]
+    owner = passes.make_owner(*runners)
+    state = decisions.add_job(owner.table, decisions.make_step(count=2))
+    first, second = state.steps[0, 0].tasks
+    estimates = placement.Estimates()
+    second.avoided_runners = ("a",)
+
+    def choose(task):
+        return placement.choose_ranked_runner(
+            task, "s", owner.runners, owner.interference_model, 1.0, estimates
+        )
+
+    assert choose(first) is not None
+    runners[0].backoff_until = 2.0
+    assert choose(second) is runners[1]
+    runners[1].backoff_until = 2.0
+    second.avoided_runners = ("a", "b")
+    assert choose(second) is None
