Bound the polls of runners to which nobody answers in total

Cause: the interval of a poll is chosen for each runner by itself, and an entry counts like a runner that had been heard.

Now silent runners without attempts share 200 polls a second, and those that have never answered this owner and whose entry nobody has rewritten for 5 s share 20. A rewritten entry ends that wait. Only a runner that has answered, or whose entry is being rewritten, counts as silent in a report: one that an owner cannot reach from its start on writes its entry every 1.5 s. A runner that answers again beside 300 odd entries is used within 1.6 s (test), whether it was heard before or writes its entry.

--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -22,7 +22,7 @@
 _HEARD_WITHIN_S = 3.0
 # A runner is counted as silent after this time, in which a poll on a new
 # connection has failed as well. Connections may be reset while paths are sound.
-_SILENT_AFTER_S = 0.25
+SILENT_AFTER_S = 0.25
 
 
 class SampledRunner(msgspec.Struct, array_like=True, frozen=True):
@@ -102,14 +102,20 @@
 def list_heard_and_silent(
     runners: Iterable[runners_module.Runner], now: float
 ) -> tuple[list[runners_module.Runner], list[runners_module.Runner]]:
-    """Returns the listed runners that are heard, and those that are silent."""
+    """Returns the listed runners that are heard, and those that are silent.
+
+    A runner that an owner cannot reach from its start on goes on writing its
+    entry. Entries to which nobody answers and that nobody rewrites count as
+    neither, or they would hide what the owner does not reach.
+    """
     heard: list[runners_module.Runner] = []
     silent: list[runners_module.Runner] = []
     for runner in runners:
         if not runner.listed:
             continue
         if runner.silent:
-            if now - runner.silent_since >= _SILENT_AFTER_S:
+            lasts = now - runner.silent_since >= SILENT_AFTER_S
+            if lasts and runner.shows_life(now):
                 silent.append(runner)
         elif runner.fenced and now - runner.answered_at <= _HEARD_WITHIN_S:
             heard.append(runner)
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -261,6 +261,9 @@
         _handle_move(owner, runner, entry, now)
         return
     owner.moved_entries.pop(key, None)
+    runner.entry_read_at = now
+    if runner.silent:
+        runner.has_active.set()
     if entry.born_ms != runner.entry.born_ms:
         # An entry that precedes the awaited one is old, and so is its capacity.
         runner.listed = runner.listed or not runner.entry_awaited
@@ -338,6 +341,7 @@
     )
     runner.record_clock(entry.clock_ms, now, listed=True)
     runner.answered_at = runner.born_at = runner.up_at = now
+    runner.entry_read_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     runner.earlier_leases_until = owner.find_expiry(entry.id)
     if earlier is not None:
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -14,6 +14,9 @@
 _MIN_CHARGED_PACE_PERCENT = 20
 # A call without an answer may be carried out for this long.
 LATE_CALL_S = 6.0
+# A runner writes its entry about once in 1.5 s, and the platform removes it
+# after three times that.
+_ENTRY_AGE_S = 5.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -36,6 +39,8 @@
       announced_at: When an entry of that incarnation was first read.
       refuted_born_ms: Incarnation of an entry that a later poll did not find,
         or None.
+      entry_read_at: When an entry under its id and address was last read.
+      heard: It has answered a poll of this owner.
       fenced: Its present incarnation has answered a poll that carried the
         present fencing token, so it rejects orders of earlier owners.
       born_at: When this process learned of the present incarnation. An answer
@@ -95,6 +100,8 @@
     announced: model.RunnerEntry | None = None
     announced_at: float = float("-inf")
     refuted_born_ms: int | None = None
+    entry_read_at: float = float("-inf")
+    heard: bool = False
     fenced: bool = False
     born_at: float = 0.0
     restarted_at: float = float("-inf")
@@ -163,6 +170,13 @@
         if charged:
             self.fill_cpu += _compute_fill_charge(run)
 
+    def shows_life(self, now: float) -> bool:
+        """Tells whether it has answered, or its entry has just been written.
+
+        An entry that another writer has left does neither.
+        """
+        return self.heard or now - self.entry_read_at <= _ENTRY_AGE_S
+
     def require_poll(self) -> None:
         """Keeps tasks away until a poll is answered, and ends an idle wait."""
         self.fenced = False
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -18,6 +18,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import pacing
+from plantainvane.jobs import reach
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
@@ -194,7 +195,7 @@
             # The connection broke, so the runner was up until then.
             runner.up_at = now
         _handle_silence(owner, runner, reply.err_value, now)
-        await anyio.sleep(_choose_silent_retry(runner, now))
+        await _wait_for_retry(owner, runner, now)
         return pending
     metrics.RUNNER_POLLS.labels("done").inc()
     if lease is not None:
@@ -207,11 +208,30 @@
     return pending or found
 
 
-def _choose_silent_retry(runner: runners_module.Runner, now: float) -> float:
-    """Returns the seconds until a silent runner is polled again."""
-    if runner.runs or now - runner.silent_since < _LONG_SILENCE_S:
-        return _SILENT_RETRY_S
-    return _LONG_SILENCE_RETRY_S
+async def _wait_for_retry(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Waits until a silent runner is polled again.
+
+    Without attempts it waits its turn, as there may be any number of entries
+    to which nobody answers. One that shows no life is polled rarely until its
+    entry is written again.
+    """
+    silent_s = now - runner.silent_since
+    if runner.runs or (runner.heard and silent_s < reach.SILENT_AFTER_S):
+        await anyio.sleep(_SILENT_RETRY_S)
+        return
+    if not runner.shows_life(now):
+        runner.has_active = anyio.Event()
+        wait_s = owner.lifeless_polls.reserve(_LONG_SILENCE_RETRY_S, now)
+        with anyio.move_on_after(wait_s) as scope:
+            await runner.has_active.wait()
+        if scope.cancelled_caught:
+            return
+        now = clock.read_now()
+    is_long = silent_s >= _LONG_SILENCE_S
+    shortest_s = _LONG_SILENCE_RETRY_S if is_long else _SILENT_RETRY_S
+    await anyio.sleep(owner.silent_polls.reserve(shortest_s, now))
 
 
 def _is_own_delay(
@@ -388,6 +408,7 @@
         runner_entries.refute(runner, sent_at)
     leases.read_clock(owner, runner, reply, sent_at, now)
     runner.answered_at = runner.up_at = now
+    runner.heard = True
     is_heard_again = runner.silent or not runner.fenced
     if runner.silent:
         runner.silent = False
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -10,6 +10,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import budgets
 from plantainvane.jobs import expiries as expiries_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
@@ -27,6 +28,10 @@
 # topic. They cannot collide with job ids.
 LEARNED_KEY = "learned"
 EXPIRIES_KEY = "expiries"
+# A poll of a runner that does not answer costs about 0.3 ms. The first rate
+# keeps 80 runners that refuse calls at their shortest interval.
+_SILENT_POLLS_PER_S = 200.0
+_LIFELESS_POLLS_PER_S = 20.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -56,6 +61,8 @@
       malformed_runners: Runners whose malformed entry has been reported.
       moved_entries: Newest entry that names another address of a runner, by
         runner id, while the runner is being asked at its own address.
+      silent_polls: Limits the polls of silent runners without attempts.
+      lifeless_polls: Limits those of runners that show no life.
       paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
@@ -107,6 +114,12 @@
     moved_entries: dict[str, model.RunnerEntry] = dataclasses.field(
         default_factory=dict
     )
+    silent_polls: budgets.Budget = dataclasses.field(
+        default_factory=lambda: budgets.Budget(_SILENT_POLLS_PER_S)
+    )
+    lifeless_polls: budgets.Budget = dataclasses.field(
+        default_factory=lambda: budgets.Budget(_LIFELESS_POLLS_PER_S)
+    )
     paced_runners: set[str] = dataclasses.field(default_factory=set)
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -67,7 +67,9 @@
         ("a", fields.pop("rack", "r1")),
         0,
     )
-    runner = runners_module.Runner(entry, None, entry.labels[-1], fenced=True)
+    runner = runners_module.Runner(
+        entry, None, entry.labels[-1], heard=True, fenced=True
+    )
     for name, value in fields.items():
         setattr(runner, name, value)
     return runner
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -8,6 +8,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import probes
 from plantainvane.jobs import reach as reach_module
+from standins import platform_runner
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
 
@@ -204,6 +205,59 @@
     assert count([unfenced]) == (0, 0)
 
 
+@pytest.mark.parametrize(("age_s", "count"), [(1.5, 5), (60.0, 0)])
+def test_a_runner_never_heard_counts_while_its_entry_is_rewritten(age_s, count):
+    # Guards against left-over entries, to which nobody answers, that hide what
+    # an owner does not reach, and against runners that it has never reached
+    # and that do not count.
+    runners = make_runners(3, 5, entry_read_at=100.0 - age_s)
+    for runner in runners:
+        runner.heard = False
+    heard, silent = reach_module.list_heard_and_silent(runners, 100.0)
+    assert (len(heard), len(silent)) == (3, count)
+
+
+async def rewrite_entries(system):
+    while not system.stop.is_set():
+        for runner in system.runners.values():
+            platform_system.write_entry(system, runner)
+        await anyio.sleep(0.5)
+
+
+async def test_an_owner_cut_off_from_its_start_is_replaced_beside_odd_entries():
+    # Guards against entries of another writer that hide from the standbys that
+    # the owner reaches few runners, and has never reached the others.
+    odd = msgspec.json.decode(
+        platform_runner.RunnerState("odd").make_entry(
+            "127.0.0.1:9", "s", "ready"
+        )
+    )
+    async with platform_system.run_system(
+        entries=1, runners=_RUNNERS, reach_retry_s=0.5, reach_retry_max_s=1.0
+    ) as system:
+        system.group.start_soon(rewrite_entries, system)
+        for number in range(150):
+            system.store.put(
+                "keyed.servers", f"odd-{number}", msgspec.json.encode(odd)
+            )
+        for number in range(1, 3):
+            await platform_system.add_entry(
+                system, number, reach_retry_s=0.5, reach_retry_max_s=1.0
+            )
+        first = await start_long_running(system)
+        others = list_others(system, first)
+        # The next owner is cut off before it begins.
+        cut = others[0]
+        system.cut(cut, list(system.runners)[2:])
+        others[1].comparisons.stands_back_until = float("inf")
+        await system.kill(first)
+        assert await system.wait_owner() is cut
+        others[1].comparisons.stands_back_until = float("-inf")
+        with anyio.fail_after(12.0):
+            while system.find_owner() is not others[1]:
+                await anyio.sleep(0.02)
+
+
 def test_sample_is_small_and_spread_over_the_domains():
     # Guards against an estimate from one domain, and against a claim record
     # that grows with the deployment.
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -12,6 +12,8 @@
 import pytest
 
 from plantainvane.jobs import clock
+from plantainvane.jobs import metrics
+from plantainvane.jobs import runners
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -290,39 +292,39 @@
 
 
 def list_odd_records():
-    """Lists odd records of every kind, by name."""
-    records = {
-        f"{field}: {kind}": _replace_field(field, text)
+    """Lists odd records of every kind."""
+    texts = _list_texts().values()
+    records = [
+        _replace_field(field, text)
         for field in msgspec.json.decode(make_entry(Machine="m"))
-        for kind, text in _list_texts().items()
-    }
-    for kind, text in _list_texts().items():
+        for text in texts
+    ]
+    for text in texts:
         amounts = b'{"Cpu":' + text + b',"MemMb":64000,"Gpu":' + text + b"}"
-        records[f"amounts: {kind}"] = _replace_field("Capacity", amounts)
-        records[f"record: {kind}"] = text
+        records += [_replace_field("Capacity", amounts), text]
     for port in ("0", "65536", "9" * 20, "-1", "8 0", "\u0665"):
-        records[f"port {port}"] = make_entry(Address=f"127.0.0.1:{port}")
+        records.append(make_entry(Address=f"127.0.0.1:{port}"))
     sound = make_entry()
     twice = b',"Address":"127.0.0.1:65536","born":"x"}'
-    return records | {
-        "field twice": sound[:-1] + twice,
-        "other state": make_entry(State="odd"),
-        "other service": make_entry(Service="odd"),
-        "200,000 levels": _DEEP,
-        "bytes": bytes(range(256)) * 4,
-        "compressed": gzip.compress(sound),
-        "two documents": sound + sound,
-        "byte order mark": b"\xef\xbb\xbf" + sound,
-        "utf-16": sound.decode().encode("utf-16"),
-        "near the limit": sound + b" " * (262_000 - len(sound)),
-    }
+    return [
+        *records,
+        sound[:-1] + twice,
+        make_entry(State="odd"),
+        make_entry(Service="odd"),
+        _DEEP,
+        bytes(range(256)) * 4,
+        gzip.compress(sound),
+        sound + sound,
+        b"\xef\xbb\xbf" + sound,
+        sound.decode().encode("utf-16"),
+        sound + b" " * (262_000 - len(sound)),
+    ]
 
 
 @pytest.mark.parametrize("takeover", [False, True])
 async def test_each_kind_of_odd_record_is_borne_beside_running_tasks(takeover):
     # Guards against an odd record that ends a process, that stops the list,
     # that gets a task, or that disturbs what runs, also at a takeover.
-    records = list_odd_records()
     async with platform_system.run_system(entries=2, runners=2) as system:
         first = await system.wait_owner()
         body = platform_system.make_job(
@@ -331,7 +333,7 @@
         lasting = ID[::-1]
         await platform_system.call(system.entries[0], "POST", lasting, body)
         await wait_until(lambda: len(system.list_starts()) == 4)
-        for number, record in enumerate(records.values()):
+        for number, record in enumerate(list_odd_records()):
             write_entry(system, f"odd-{number}", record)
         if takeover:
             await system.kill(first)
@@ -349,3 +351,77 @@
         assert len(starts) == 4
         running = [k for r in system.runners.values() for k in r.running]
         assert sum(name.startswith(lasting) for name in running) == 4
+
+
+def _count_polls():
+    """Returns the number of polls that failed in this process."""
+    samples = metrics.RUNNER_POLLS.collect()[0].samples
+    return sum(
+        s.value
+        for s in samples
+        if s.name.endswith("_total") and s.labels["outcome"] != "done"
+    )
+
+
+def is_fenced(owner, runner_id):
+    runner = owner.runners.get(runner_id)
+    return runner is not None and runner.fenced
+
+
+async def _wait_odd(owner, number):
+    await wait_until(
+        lambda: sum(r.silent for r in owner.runners.values()) >= number
+    )
+
+
+@pytest.mark.parametrize("rewritten", [False, True])
+async def test_entries_to_which_nobody_answers_cost_little(
+    rewritten, monkeypatch
+):
+    # Guards against a cost that grows with the entries that another writer
+    # leaves, or writes again and again, and against an owner that reports that
+    # it hears few runners because of those that were left.
+    monkeypatch.setattr(runners, "_ENTRY_AGE_S", 0.5)
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = (await system.wait_owner()).owner
+        for number in range(300):
+            write_entry(system, f"odd-{number}", make_entry())
+        await _wait_odd(owner, 300)
+        # Those that were written just now have their turn within 2 s.
+        await anyio.sleep(3.0)
+        before = _count_polls()
+        for _ in range(4):
+            await anyio.sleep(0.5)
+            for number in range(300) if rewritten else ():
+                write_entry(system, f"odd-{number}", make_entry())
+        # One poll each 0.8 s, or each 0.4 s where calls are refused, would be
+        # 750 to 1500.
+        assert _count_polls() - before <= (500 if rewritten else 100)
+        assert rewritten or owner.reach is None
+
+
+@pytest.mark.parametrize("heard", [False, True])
+async def test_a_silent_runner_is_found_soon_beside_odd_entries(
+    heard, monkeypatch
+):
+    # Guards against a runner that waits for its turn behind odd entries after
+    # it answers again. One that was never heard writes its entry.
+    monkeypatch.setattr(runners, "_ENTRY_AGE_S", 0.5)
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = (await system.wait_owner()).owner
+        for number in range(300):
+            write_entry(system, f"odd-{number}", make_entry())
+        await _wait_odd(owner, 300)
+        await platform_system.add_runner(system, "i-late", silent=not heard)
+        late = system.runners["i-late"]
+        if heard:
+            await wait_until(lambda: is_fenced(owner, "i-late"))
+            late.silent = True
+            # An idle runner is polled every 2 s.
+            owner.runners["i-late"].require_poll()
+        await _wait_odd(owner, 301)
+        await anyio.sleep(3.0)
+        late.silent = False
+        if not heard:
+            platform_system.write_entry(system, late)
+        await wait_until(lambda: is_fenced(owner, "i-late"), 1.6)
