Refuse claims that name runners which cannot be asked

Seen: a record among the claims, by another writer, with an unusable address in its sample of runners ends each standby with an exception as it compares what it hears. A claim that is void also hid the newest one: a process that had just begun took the topic for one without claims and took over.

Cause: the addresses and numbers of a claim's report were not checked, and a list of the newest records shows only the void one.

Now a claim with such a sample, or with numbers or a sample out of range, is void like any other record that is no claim. The checks of addresses are shared with the runner entries.

A claim whose own address is unusable is still a claim that nobody answers for, and is replaced at once.

--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -52,14 +52,16 @@
 def decode_claim(value: bytes | None, offset: int) -> Claim | None:
     """Decodes the record at an offset; returns None if it is not a claim.
 
-    No claim has an epoch above the offset of its own record.
+    No claim has an epoch above the offset of its own record, and none names
+    runners that cannot be asked.
     """
     if not value:
         return None
     decoded = decoding.decode(_DECODER, value)
     if decoded.is_err() or decoded.ok_value.epoch > offset:
         return None
-    return decoded.ok_value
+    claim = decoded.ok_value
+    return claim if not claim.reach or claim.reach.is_usable() else None
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +79,9 @@
       renewed_at: When the newest record of the claim was first seen.
       seen_at: When the last claims were first seen, by epoch.
       read_at: When the topic was last read.
+      void_seen_at: When a record that is no claim was first seen. It may hide
+        the newest claim until that is renewed.
+      void_offset: Offset of the newest such record that has been logged, or -1.
       denied: The process at the owner's address has denied being the owner.
       silent_for_s: How long the owner has not reached the log, as it reports.
       ablest_capacity: Highest capacity of an able standby, as an owner last
@@ -94,6 +99,8 @@
     renewed_at: float = 0.0
     seen_at: dict[int, float] = dataclasses.field(default_factory=dict)
     read_at: float = 0.0
+    void_seen_at: float = float("-inf")
+    void_offset: int = -1
     denied: bool = False
     silent_for_s: float = 0.0
     ablest_capacity: float = 0.0
@@ -117,6 +124,14 @@
         self.claim, self.epoch, self.offset = claim, epoch, offset
         self.renewed_at = now
 
+    def record_void(self, offset: int, now: float) -> bool:
+        """Records one that is no claim; returns whether it is a new one."""
+        if self.void_offset < 0:
+            self.void_seen_at = now
+        is_new = offset > self.void_offset
+        self.void_offset = max(self.void_offset, offset)
+        return is_new
+
     def _record_sight(self, epoch: int, now: float) -> None:
         self.seen_at[epoch] = now
         if len(self.seen_at) > _MAX_CLAIMS_SEEN:
@@ -224,11 +239,14 @@
     """Tells whether a claim is justified after the log has just been read.
 
     A silent owner may only mean that this process is cut off from its peers,
-    so the owner's renewals have to be overdue as well. An owner that cannot
+    so the owner's renewals have to be overdue as well, and so has the renewal
+    of a claim that a record by another writer may hide. An owner that cannot
     reach the log is replaced only by a process that has reached it for longer
     than all processes need to notice the end of an outage of the whole log;
     otherwise the first process that reaches the log again would take over.
     """
+    if reason == "none":
+        return now - ownership.void_seen_at > settings.renew_overdue_s
     if reason == "silent":
         return now - ownership.renewed_at > settings.renew_overdue_s
     if reason == "cut_off":
--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -11,9 +11,11 @@
 import dataclasses
 import itertools
 import random
+from typing import Annotated
 
 import msgspec
 
+from plantainvane.jobs import addresses
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
 
@@ -24,6 +26,10 @@
 # connection has failed as well. Connections may be reset while paths are sound.
 SILENT_AFTER_S = 0.25
 
+# Whole numbers up to here are exact as floats.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_MAX_SAMPLE = 64
+
 
 class SampledRunner(msgspec.Struct, array_like=True, frozen=True):
     """Id and address of a runner."""
@@ -32,6 +38,11 @@
     address: str
 
 
+_Sample = Annotated[
+    tuple[SampledRunner, ...], msgspec.Meta(max_length=_MAX_SAMPLE)
+]
+
+
 class Reach(msgspec.Struct, frozen=True):
     """What an owner reports that hears few of its runners.
 
@@ -41,10 +52,18 @@
       heard_sample, silent_sample: Some of them, of all failure domains.
     """
 
-    heard: int
-    silent: int
-    heard_sample: tuple[SampledRunner, ...] = ()
-    silent_sample: tuple[SampledRunner, ...] = ()
+    heard: _Count
+    silent: _Count
+    heard_sample: _Sample = ()
+    silent_sample: _Sample = ()
+
+    def is_usable(self) -> bool:
+        """Tells whether each runner that it names can be asked."""
+        return all(
+            addresses.is_callable(runner.address)
+            and addresses.is_header_value(runner.id)
+            for runner in (*self.heard_sample, *self.silent_sample)
+        )
 
 
 @dataclasses.dataclass(slots=True)
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -211,7 +211,8 @@
         return False
     entry.health.record_success(entry.health.latency_s, now)
     for offset, key, value in page.ok_value.records:
-        if value and ownership_module.decode_claim(value, offset) is None:
+        is_void = ownership_module.decode_claim(value, offset) is None
+        if value and is_void and entry.ownership.record_void(offset, now):
             events.log_event(
                 events.RECORD_UNDECODABLE,
                 stream=ownership_module.TOPIC,
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -9,7 +9,7 @@
 import result
 
 from plantainvane import decoding
-from plantainvane import settings as product_settings
+from plantainvane.jobs import addresses
 from plantainvane.jobs import checks
 from plantainvane.jobs import model
 
@@ -161,7 +161,9 @@
     entry = decoded.ok_value
     if entry.state not in _STATES:
         return None
-    if not _is_callable(entry.address) or not _is_header_value(key):
+    if not addresses.is_callable(entry.address):
+        return None
+    if not addresses.is_header_value(key):
         return None
     capacity = entry.capacity
     return model.RunnerEntry(
@@ -178,26 +180,6 @@
     )
 
 
-def _is_callable(address: str) -> bool:
-    """Tells whether `address` is an `ip:port` to which calls can be sent.
-
-    An address with a zone, such as `[fe80::1%eth0]:80`, has a meaning only on
-    the machine that it comes from, and the zone may be any text.
-    """
-    port = address.rpartition(":")[2]
-    return (
-        _is_header_value(address)
-        and port.isdecimal()
-        and "%" not in address
-        and product_settings.is_address(address)
-    )
-
-
-def _is_header_value(text: str) -> bool:
-    """Tells whether calls can carry `text` in a header."""
-    return bool(text) and text.isascii() and text.isprintable()
-
-
 def is_job_id(text: str) -> bool:
     """Returns whether `text` is a job id: 16 hexadecimal digits."""
     digits = "0123456789abcdefABCDEF"
