Check the numbers in messages of peers, and later epochs in the log

Seen: a ping with a later epoch than any claim ends the ownership at once, also one that no process of ours has sent; an infinite capacity makes the owner stop starting tasks and offer the ownership to nobody, again and again; an address that is none becomes a candidate for it.

Cause: any number in a message was taken as the peer's word.

Now numbers out of range, NaN and infinity make a message malformed, which is refused and logged once for each host (886). A peer without a usable address is not recorded. An owner looks a later epoch up in the log before it steps down (887 if there is none); without an answer of the log it steps down as before. A check takes one read and is not repeated within a ping interval.

Failed before: test_an_odd_ping_moves_no_owner with a later epoch, an epoch of 64 bits, an infinite capacity and an address with a header.

Not covered: a ping with a plausible capacity and a plausible address at which nobody answers is still offered the ownership, at most once in 10 s; a reply to an offer is believed.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from plantainvane import events
+from plantainvane.jobs import addresses
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
 from plantainvane.jobs import intake as intake_module
@@ -155,12 +156,13 @@
     status = process_module.PeerStatus(
         now, ping.config_version, ping.may_own, ping.capacity
     )
-    entry.known_peers[ping.address] = status
+    if addresses.is_callable(ping.address):
+        entry.known_peers[ping.address] = status
     while len(entry.known_peers) > _MAX_KNOWN_PEERS:
         del entry.known_peers[next(iter(entry.known_peers))]
     owner = entry.owner
     if owner is not None and ping.epoch > owner.epoch:
-        owner.step_down("peer")
+        succession.check_epoch(entry, owner, ping.epoch)
         owner = None
     version = entry.configuration.version if entry.configuration else -1
     if ping.config_version > version:
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+from typing import Annotated
 from typing import Any
 
 import anyio
@@ -14,11 +15,18 @@
 import msgspec
 import result
 
+from plantainvane import events
 from plantainvane import outcomes
 from plantainvane import settings as product_settings
 
 _SERVICE = "/plantainvane.Jobs/"
 _MAX_SHOWN_CHARACTERS = 100
+_MAX_REPORTED_HOSTS = 400
+
+# Whole numbers up to here are exact as floats. NaN is within no limits.
+_Version = Annotated[int, msgspec.Meta(ge=-1, le=2**53)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Cores = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 
 
 class Ping(msgspec.Struct, array_like=True):
@@ -33,10 +41,10 @@
     """
 
     address: str
-    epoch: int
-    config_version: int
+    epoch: _Version
+    config_version: _Version
     may_own: bool
-    capacity: float = 1.0
+    capacity: _Cores = 1.0
 
 
 class Pong(msgspec.Struct, array_like=True):
@@ -55,11 +63,11 @@
     """
 
     is_owner: bool
-    epoch: int
-    config_version: int
-    silent_for_s: float
-    ablest_capacity: float = 0.0
-    ping_after_s: float = 0.0
+    epoch: _Version
+    config_version: _Version
+    silent_for_s: _Seconds
+    ablest_capacity: _Cores = 0.0
+    ping_after_s: _Seconds = 0.0
     few_runners: bool = False
 
 
@@ -105,13 +113,13 @@
 class HandOver(msgspec.Struct, array_like=True):
     """Sent by the owner of `epoch` to ask the receiver to claim ownership."""
 
-    epoch: int
+    epoch: _Version
 
 
 class HandOverReply(msgspec.Struct, array_like=True):
     """Epoch that the receiver owns, or -1."""
 
-    epoch: int = -1
+    epoch: _Version = -1
 
 
 class _Codec(grpclib.encoding.base.CodecBase):
@@ -148,11 +156,24 @@
 
     def __init__(self, answers: dict[type, Handler]):
         self._answers = answers
+        self._reported: set[str] = set()
+
+    def _report(self, stream: Any, error: Exception) -> None:
+        """Logs a malformed message, once for each host that sends any."""
+        host = str((stream.peer.addr() or ("",))[0])
+        if host in self._reported or len(self._reported) >= _MAX_REPORTED_HOSTS:
+            return
+        self._reported.add(host)
+        events.log_event(
+            events.PEER_MESSAGE_MALFORMED,
+            host=host,
+            error=f"{type(error).__name__}: {error}"[:_MAX_SHOWN_CHARACTERS],
+        )
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         return {
             _SERVICE + kind.__name__: grpclib.const.Handler(
-                _make_method(answer),
+                _make_method(answer, self._report),
                 grpclib.const.Cardinality.UNARY_UNARY,
                 kind,
                 _METHODS[kind],
@@ -161,9 +182,17 @@
         }
 
 
-def _make_method(answer: Handler) -> Callable[[Any], Awaitable[None]]:
+def _make_method(
+    answer: Handler, report: Callable[[Any, Exception], None]
+) -> Callable[[Any], Awaitable[None]]:
     async def method(stream: Any) -> None:
-        message = await stream.recv_message()
+        try:
+            message = await stream.recv_message()
+        except (ValueError, RecursionError) as error:
+            report(stream, error)
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT
+            ) from error
         if message is not None:
             await stream.send_message(await answer(message))
 
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -63,6 +63,8 @@
         runner id, while the runner is being asked at its own address.
       silent_polls: Limits the polls of silent runners without attempts.
       lifeless_polls: Limits those of runners that show no life.
+      checks_epoch: An epoch that a peer has named is being looked up.
+      epoch_refuted_at: When a line was last logged that the log knows none.
       paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
@@ -120,6 +122,8 @@
     lifeless_polls: budgets.Budget = dataclasses.field(
         default_factory=lambda: budgets.Budget(_LIFELESS_POLLS_PER_S)
     )
+    checks_epoch: bool = False
+    epoch_refuted_at: float = float("-inf")
     paced_runners: set[str] = dataclasses.field(default_factory=set)
     appending: list[tuple[attempts.JobState, str]] = dataclasses.field(
         default_factory=list
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -24,6 +24,8 @@
 _HAND_OVER_TIMEOUT_S = 1.5
 # Most peers that a weak owner asks in turn, as nothing starts meanwhile.
 _MAX_OFFERS = 2
+# Shortest time between two lines about epochs that the log does not know.
+_EPOCH_REFUTED_INTERVAL_S = 10.0
 # The owner goes on renewing its claim, and a renewal makes a claim fail that is
 # on its way.
 _HAND_OVER_TRIES = 3
@@ -458,6 +460,34 @@
         owner.step_down("claim")
 
 
+def check_epoch(
+    entry: process_module.Entry, owner: state_module.Owner, named: int
+) -> None:
+    """Begins to check in the log whether there is a later owner.
+
+    A message may name any epoch. One check at a time is enough, as a peer
+    repeats its pings.
+    """
+    if not owner.checks_epoch:
+        owner.checks_epoch = True
+        owner.group.start_soon(_check_epoch, entry, owner, named)
+
+
+async def _check_epoch(
+    entry: process_module.Entry, owner: state_module.Owner, named: int
+) -> None:
+    is_read = await _read_claims(entry)
+    if not is_read or entry.ownership.epoch > owner.epoch:
+        owner.step_down("peer")
+        return
+    now = clock.read_now()
+    if now - owner.epoch_refuted_at >= _EPOCH_REFUTED_INTERVAL_S:
+        owner.epoch_refuted_at = now
+        events.log_event(events.EPOCH_REFUTED, epoch=owner.epoch, named=named)
+    await anyio.sleep(entry.settings.ping_s)
+    owner.checks_epoch = False
+
+
 async def answer_hand_over(
     entry: process_module.Entry, request: peers_module.HandOver
 ) -> peers_module.HandOverReply:
