--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -425,3 +425,50 @@
         if not heard:
             platform_system.write_entry(system, late)
         await wait_until(lambda: is_fenced(owner, "i-late"), 1.6)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"Capacity": {"Cpu": 900_000, "MemMb": 900_000, "Gpu": 90}},
+        {"Service": "odd"},
+        {"Labels": ["odd"]},
+        {"State": "draining"},
+    ],
+    ids=lambda fields: next(iter(fields)),
+)
+@pytest.mark.parametrize("born", [5, None], ids=["earlier", "later"])
+async def test_a_new_owner_starts_nothing_on_the_word_of_another_incarnation(
+    fields, born
+):
+    # Guards against starts over the capacity or on a wrong service, and against
+    # attempts that end, because the newest entry of a runner at a takeover is
+    # by another writer, or of an earlier incarnation.
+    async with platform_system.run_system(entries=2, runners=1) as system:
+        first = await system.wait_owner()
+        body = platform_system.make_job(
+            count=2, measured=True, run_ms=60_000, LongRunning=True, Cpu=6000
+        )
+        lasting = ID[::-1]
+        await platform_system.call(system.entries[0], "POST", lasting, body)
+        runner = system.runners["i-0"]
+        await wait_until(lambda: len(runner.starts) == 2)
+        # A runner's own second start would name a later time as well.
+        born = clock.read_wall_ms() + 60_000 if born is None else born
+        odd = make_entry(Address=runner.address, born=born, **fields)
+        write_entry(system, "i-0", odd)
+        await system.kill(first)
+        owner = await system.wait_owner()
+        body = platform_system.make_job(count=4, measured=True, Cpu=6000)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await anyio.sleep(1.0)
+        assert len(runner.starts) == 2
+        assert len(runner.running) == 2
+        assert not owner.owner.runners["i-0"].listed
+        body = platform_system.make_job(count=1, measured=True, Cpu=500)
+        other = "0123456789abcdef"
+        await platform_system.call(system.entries[0], "POST", other, body)
+        platform_system.write_entry(system, runner)
+        await platform_system.wait_state(system, other, "completed")
+        assert len(runner.running) == 2
+        assert not runner.overruns
