--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import heapq
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import eligibility
@@ -158,7 +159,7 @@
         runner.faults,
         runner.speed,
         runner.fill_cpu,
-        tuple(runner.runs),
+        runner.charges,
     )
 
 
@@ -184,13 +185,24 @@
     interference_model: interference.InterferenceModel,
     now: float,
     estimates: Estimates | None = None,
+    racks: dict[str, int] | None = None,
 ) -> runners_module.Runner | None:
-    """Returns the best runner with capacity for the task, or None."""
+    """Returns the best runner with capacity for the task, or None.
+
+    Args:
+      task: The task.
+      candidates: The runners that may be used.
+      interference_model: Learned effects of fill images on serving images.
+      now: Present time, in seconds.
+      estimates: Intermediate results, or None.
+      racks: Attempts of the step by rack, or None to count them.
+    """
     estimates = estimates or Estimates()
     step = task.step.definition
     best, best_score = None, float("-inf")
-    has_place = _check_places(task, estimates)
-    racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
+    has_place = check_places(task, estimates)
+    if racks is None:
+        racks = _count_runs_by_rack(task, candidates) if step.same_rack else {}
     if trials.is_waiting_for_trial(task, now):
         candidates = _list_trial_runners(task, candidates, now)
     for runner in candidates:
@@ -204,6 +216,62 @@
     return best
 
 
+def keep_member_choice(
+    step: model.Step,
+    candidates: list[runners_module.Runner],
+    interference_model: interference.InterferenceModel,
+    now: float,
+    estimates: Estimates,
+) -> Callable[[attempts.Task], runners_module.Runner | None]:
+    """Returns `choose_runner` for the members of a gang of which none runs.
+
+    Each runner that it returns has to be charged before the next call, and
+    nothing else may change.
+    """
+    racks: dict[str, int] = {}
+    # The best score first, and of equal ones the first candidate.
+    heap: list[tuple[float, int]] = []
+    positions = {r.entry.id: number for number, r in enumerate(candidates)}
+    stale = set(positions.values())
+
+    def choose_anew(task: attempts.Task) -> runners_module.Runner | None:
+        runner = choose_runner(
+            task, candidates, interference_model, now, estimates, racks
+        )
+        if runner is not None and step.same_rack:
+            racks[runner.rack] = racks.get(runner.rack, 0) + 1
+        return runner
+
+    def push_stale(task: attempts.Task) -> None:
+        for number in stale:
+            score = _evaluate_runner(
+                task, candidates[number], {}, interference_model, estimates, now
+            )
+            if score is not None:
+                heapq.heappush(heap, (-score, number))
+        stale.clear()
+
+    def choose(task: attempts.Task) -> runners_module.Runner | None:
+        if task.avoided_runners or task.crashes:
+            runner = choose_anew(task)
+            if runner is not None:
+                number = positions[runner.entry.id]
+                stale.add(number)
+                heap[:] = [entry for entry in heap if entry[1] != number]
+                heapq.heapify(heap)
+            return runner
+        push_stale(task)
+        has_place = check_places(task, estimates)
+        while heap:
+            number = heapq.heappop(heap)[1]
+            if has_place(candidates[number].entry.id):
+                stale.add(number)
+                return candidates[number]
+        return None
+
+    return choose_anew if step.same_rack or step.fills else choose
+
+
 def _list_trial_runners(
     task: attempts.Task,
     candidates: list[runners_module.Runner],
@@ -337,7 +405,7 @@
     The scores are kept for further tasks with the same requirements.
     """
     step = task.step.definition
-    if task.avoided_runners or task.crashes or step.same_rack:
+    if task.crashes or step.same_rack:
         candidates = [r for r in runners.values() if r.entry.service == service]
         return choose_runner(
             task, candidates, interference_model, now, estimates
@@ -347,7 +415,7 @@
         if runner.entry.service != service:
             return None
         return _evaluate_runner(
-            task, runner, {}, interference_model, estimates, now
+            task, runner, {}, interference_model, estimates, now, avoids=False
         )
 
     key = _find_ranking_key(task, service, now)
@@ -360,10 +428,25 @@
             if score is not None:
                 ranking.scores[runner.entry.id] = score
     _renew_scores(ranking, runners, estimates, evaluate)
-    places: Iterable[str] = ranking.scores
+    scores = ranking.scores
+    avoided = {
+        name: _evaluate_runner(
+            task, runners[name], {}, interference_model, estimates, now
+        )
+        for name in task.avoided_runners
+        if name in scores
+    }
+    if avoided:
+        # None if the runner no longer accepts the task, as time has passed.
+        scores = {
+            name: avoided.get(name, score)
+            for name, score in scores.items()
+            if avoided.get(name, score) is not None
+        }
+    places: Iterable[str] = scores
     if step.max_per_runner:
-        places = filter(_check_places(task, estimates), places)
-    best = max(places, key=ranking.scores.__getitem__, default=None)
+        places = filter(check_places(task, estimates), places)
+    best = max(places, key=scores.__getitem__, default=None)
     return None if best is None else runners[best]
 
 
@@ -423,8 +506,13 @@
     interference_model: interference.InterferenceModel,
     estimates: Estimates,
     now: float,
+    *,
+    avoids: bool = True,
 ) -> float | None:
-    """Scores a runner for a task; None if it cannot start the task now."""
+    """Scores a runner for a task; None if it cannot start the task now.
+
+    With `avoids` false, the runners that the task avoids count as any other.
+    """
     step = task.step.definition
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not eligibility.has_capacity(runner, step, reserve):
@@ -434,7 +522,7 @@
     ):
         return None
     score = _score_runner(
-        task, step, runner, racks, interference_model, estimates, now
+        task, step, runner, racks, interference_model, estimates, now, avoids
     )
     if step.fills and score is not None:
         score = _apply_interference_penalty(
@@ -451,6 +539,7 @@
     interference_model: interference.InterferenceModel,
     estimates: Estimates,
     now: float,
+    avoids: bool,
 ) -> float | None:
     """Scores a runner; higher is better, None means not to use it now."""
     capacity_cpu = max(1, runner.entry.capacity.cpu)
@@ -469,7 +558,7 @@
         )
     else:
         score = (unused - runner.fill_cpu - step.amounts.cpu) / capacity_cpu
-    if runner.entry.id in task.avoided_runners:
+    if avoids and runner.entry.id in task.avoided_runners:
         score -= AVOIDED_RUNNER_WEIGHT
     if task.crashes:
         if trials.is_crash_site(task, runner):
@@ -660,7 +749,7 @@
     return runner if excess <= 0 else None
 
 
-def _check_places(
+def check_places(
     task: attempts.Task, estimates: Estimates
 ) -> Callable[[str], bool]:
     """Returns whether the step may have one more attempt on a runner."""
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -226,10 +226,16 @@
 
 
 async def follow_runners(owner: state_module.Owner) -> None:
-    """Polls the runners topic; one read returns many heartbeats."""
+    """Polls the runners topic; one read returns many heartbeats.
+
+    A read that does not reach the end, as replies are limited, is followed by
+    the next one at once.
+    """
     topic = owner.adapters.runners_topic
+    behind = False
     while True:
-        await anyio.sleep(owner.settings.runner_list_poll_s)
+        await anyio.sleep(0 if behind else owner.settings.runner_list_poll_s)
+        behind = False
         page = await owner.adapters.store.read(
             topic,
             owner.runners_offset,
@@ -247,6 +253,7 @@
             _remove_unlisted(owner, {key for _, key, _ in found.records})
             owner.runners_offset = found.end_offset
         else:
+            behind = owner.runners_offset < found.next_offset < found.end_offset
             owner.runners_offset = max(owner.runners_offset, found.next_offset)
         for _, key, value in found.records:
             _apply_entry(owner, key, value)
@@ -286,6 +293,9 @@
         _handle_move(owner, runner, entry, now)
         return
     owner.moved_entries.pop(key, None)
+    runner.entry_read_at = now
+    if runner.silent:
+        runner.has_active.set()
     if entry.born_ms != runner.entry.born_ms:
         # An entry that precedes the awaited one is old, and so is its capacity.
         runner.listed = runner.listed or not runner.entry_awaited
@@ -363,6 +373,7 @@
     )
     runner.record_clock(entry.clock_ms, now, listed=True)
     runner.answered_at = runner.born_at = runner.up_at = now
+    runner.entry_read_at = now
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     runner.earlier_leases_until = owner.find_expiry(entry.id)
     if earlier is not None:
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -213,6 +213,7 @@
       share: Part of the time for placing, after which the first task that finds
         no runner ends the placing.
     """
+    skipped = 0
     while groups:
         group = groups[0]
         if group.step not in blocked and not group.heap:
@@ -221,7 +222,11 @@
             if owner.starts_in_flight + len(current.placed) >= _MAX_STARTS:
                 return
             *_, task = heapq.heappop(group.heap)
-            if owner.table.ready.get(task.name) is not task:
+            ready = owner.table.ready.get(task.name) is task
+            if not ready or not _is_due(task, current.now):
+                skipped += 1
+                if not skipped % _LISTED_PER_TURN:
+                    yield
                 continue
             runs = _place_task_or_gang(owner, task, current)
             waits = trials.is_waiting_for_trial(task, current.now)
@@ -261,7 +266,7 @@
     groups: dict[object, state_module.ReadyGroup] = {}
     for number, task in enumerate(list(owner.table.ready.values()), 1):
         step = task.step
-        if task.retry_at <= now and step.due_at <= now:
+        if _is_due(task, now):
             key: object = step
             if step.definition.long_running:
                 key = task if task.crashes else (step, task.ready_since)
@@ -283,6 +288,11 @@
     return listed
 
 
+def _is_due(task: attempts.Task, now: float) -> bool:
+    """Tells whether a ready task may start, also after an earlier try."""
+    return task.retry_at <= now and task.step.due_at <= now
+
+
 def _sort_in_turns(
     items: list[Any], key: Callable[[Any], Any]
 ) -> Generator[None, None, Iterator[Any]]:
@@ -477,6 +487,8 @@
             for runner in current.preemptible[key]
             if runner in owner.runners
         ]
+    has_place = placement.check_places(task, current.estimates)
+    candidates = [r for r in candidates if has_place(r.entry.id)]
     for run in preemption.find_victims(task, candidates, current.now):
         orders.stop_run(owner, run, f"preempted for {task.name}")
 
@@ -654,14 +666,15 @@
     attempt = max(task.attempt for task in step.tasks)
     before = [task.attempt for task in step.tasks]
     checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+    choose = placement.keep_member_choice(
+        step.definition,
+        candidates,
+        owner.interference_model,
+        current.now,
+        current.estimates,
+    )
     for task in step.tasks:
-        runner = placement.choose_runner(
-            task,
-            candidates,
-            owner.interference_model,
-            current.now,
-            current.estimates,
-        )
+        runner = choose(task)
         if runner is None:
             break
         task.attempt, task.checkpoint = attempt, checkpoint
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -33,7 +33,8 @@
 
     Attributes:
       cuts: Paths on which nothing arrives, from the id of an entry process to
-        the id of a runner or the peer address of another entry process.
+        the id of a runner, the peer address of another entry process or the
+        log.
     """
 
     group: anyio.abc.TaskGroup
@@ -59,6 +60,16 @@
             self.cuts.add((own.id, peer.settings.peer_address))
             self.cuts.add((peer.settings.id, own.peer_address))
 
+    def cut_from_log(self, entry: process_module.Entry) -> None:
+        """Cuts the path of a process to the log."""
+        self.cuts.add((entry.settings.id, platform_paths.STORE))
+
+    def isolate(self, entry: process_module.Entry) -> None:
+        """Cuts all paths of a process, as a freeze does."""
+        others = [peer for peer in self.entries if peer is not entry]
+        self.cut(entry, self.runners, others)
+        self.cut_from_log(entry)
+
     def find_owner(self) -> process_module.Entry | None:
         """Returns the entry process that is the owner and has recovered."""
         for entry in self.entries:
@@ -166,12 +177,24 @@
 async def add_runner(system: System, runner_id: str, **fields: Any) -> None:
     """Starts a runner and writes its entry to the log."""
     state = platform_runner.RunnerState(runner_id, **fields)
-    state.address = serving.find_free_address()
     system.runners[runner_id] = state
-    await _serve(system, platform_runner.make_handler(state), state.address)
+    await move_runner(system, runner_id)
+
+
+async def move_runner(system: System, runner_id: str) -> None:
+    """Gives a runner a new address, the only one at which it answers."""
+    state = system.runners[runner_id]
+    state.address = serving.find_free_address()
+    handler = platform_runner.make_handler(state, state.address)
+    await _serve(system, handler, state.address)
     write_entry(system, state)
 
 
+def unlist_runner(system: System, runner_id: str) -> None:
+    """Removes the entry of a runner from the log."""
+    system.store.put("keyed.servers", runner_id, None)
+
+
 async def _revive(
     system: System,
     state: platform_runner.RunnerState,
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -11,6 +11,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import interference
+from plantainvane.jobs import model
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import placement
 from plantainvane.jobs import scheduling
@@ -28,7 +29,7 @@
     return "asyncio"
 
 
-def choose_by_evaluating_all(task, service, runners, model, now):
+def choose_by_evaluating_all(task, service, runners, effects, now):
     """Evaluates each runner anew; what a kept choice has to agree with."""
     limit = task.step.definition.max_per_runner
     best, best_score = None, float("-inf")
@@ -41,7 +42,7 @@
         if runner.entry.service != service or (limit and there >= limit):
             continue
         score = placement._evaluate_runner(
-            task, runner, {}, model, placement.Estimates(), now
+            task, runner, {}, effects, placement.Estimates(), now
         )
         if score is not None and score > best_score:
             best, best_score = runner, score
@@ -110,6 +111,12 @@
             run = owner.table.begin_run(task, runner.entry.id, 0.0)
             run.phase = attempts.Phase.RUNNING
             runner.charge(run)
+        for task in step_state.tasks:
+            if random.random() < 0.2:
+                number = random.randint(1, 4)
+                task.avoided_runners = tuple(
+                    f"r{random.randint(0, 9)}" for _ in range(number)
+                )
     return state
 
 
@@ -138,9 +145,11 @@
     hypothesis.assume(owner.table.ready)
     choose, compared = placement.choose_ranked_runner, []
 
-    def compare(task, service, runners, model, now, estimates):
-        expected = choose_by_evaluating_all(task, service, runners, model, now)
-        chosen = choose(task, service, runners, model, now, estimates)
+    def compare(task, service, runners, effects, now, estimates):
+        expected = choose_by_evaluating_all(
+            task, service, runners, effects, now
+        )
+        chosen = choose(task, service, runners, effects, now, estimates)
         compared.append((task.name, chosen, expected))
         return chosen
 
@@ -335,3 +344,187 @@
     monkeypatch.setattr(scheduling.Pass, "begin_slice", begin)
     await owner_module._run_pass(owner)
     assert len(slices) == 3
+
+
+@hypothesis.given(seed=strategies.integers(0, 2**32))
+@hypothesis.settings(deadline=None, max_examples=150)
+def test_a_gang_is_placed_as_by_evaluating_all_runners_for_each_member(seed):
+    # Guards against a gang that starts elsewhere, or that is taken apart,
+    # because a choice is kept between its members.
+    random = random_module.Random(seed)
+    owner = make_random_fleet(random)
+    step = decisions.make_step(
+        count=random.randint(1, 12),
+        cpu=random.choice((0, 500, 1000)),
+        memory_mb=random.choice((0, 500)),
+        max_per_runner=random.choice((0, 1, 2, 3)),
+        gang=True,
+        same_rack=random.choice((False, False, True)),
+        fills=random.choice((False, False, True)),
+        image="f1",
+    )
+    state = decisions.add_job(owner.table, step, job_id="gang")
+    names = list(owner.runners)
+    for task in state.steps[0, 0].tasks:
+        if random.random() < 0.2:
+            task.avoided_runners = (random.choice(names),)
+        if random.random() < 0.1:
+            crash = model.Crash(random.choice(names), 1, "127.0.0.1:9")
+            owner.table.record_crash(task, crash)
+    keep, compared = placement.keep_member_choice, []
+
+    def compare(definition, candidates, interference_model, now, estimates):
+        choose = keep(
+            definition, candidates, interference_model, now, estimates
+        )
+
+        def choose_both(task):
+            expected = placement.choose_runner(
+                task, candidates, interference_model, now
+            )
+            chosen = choose(task)
+            compared.append((task.name, chosen, expected))
+            return chosen
+
+        return choose_both
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placement, "keep_member_choice", compare)
+        scheduling.place_ready_tasks(owner, 10.0)
+    assert [row for row in compared if row[1] is not row[2]] == []
+
+
+@pytest.mark.parametrize("fields", [{}, {"max_per_runner": 20}], ids=str)
+def test_a_gang_evaluates_a_runner_once_and_after_each_start(
+    fields, monkeypatch
+):
+    # Guards against a large gang that keeps the process from answering pings
+    # and from renewing leases, as it compares each member with every runner.
+    evaluated = passes.count_calls(monkeypatch, placement, "_evaluate_runner")
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{number}") for number in range(50))
+    )
+    step = decisions.make_step(
+        count=1000, cpu=0, memory_mb=0, gang=True, **fields
+    )
+    decisions.add_job(owner.table, step)
+    scheduling.place_ready_tasks(owner, 1.0)
+    assert len(passes.list_placed(owner)) == 1000
+    assert len(evaluated) <= 50 + 1000
+
+
+class CountedRuns(dict):
+    """Attempts of a runner that counts how often all of them are visited."""
+
+    visits = 0
+
+    def __iter__(self):
+        self.visits += 1
+        return super().__iter__()
+
+
+def test_a_slice_visits_no_attempts_before_it_places_a_task():
+    # Guards against slices that take longer than their time before they begin,
+    # as they compare all attempts of all runners with those of the last one.
+    runner = decisions.make_runner()
+    owner = passes.make_owner(runner)
+    runs = decisions.place_runs(
+        runner, owner.table, decisions.make_step(count=5)
+    )
+    runner.runs = counted = CountedRuns(runner.runs)
+    current = scheduling.Pass(1.0)
+    for number in range(4):
+        current.begin_slice(owner.runners, 1.0 + number / 100)
+    assert counted.visits == 0
+    changes = len(current.estimates.charged)
+    runner.charge(runs[0], -1)
+    runner.charge(runs[0])
+    current.begin_slice(owner.runners, 1.1)
+    assert current.estimates.charged[changes:] == ["r"]
+
+
+def test_tasks_that_avoid_a_runner_share_the_scores_of_the_others(monkeypatch):
+    # Guards against a large step whose tasks have all failed once, and that
+    # compares every runner with each of them from then on.
+    evaluated = passes.count_calls(monkeypatch, placement, "_evaluate_runner")
+    owner = passes.make_owner(
+        *(decisions.make_runner(f"r{number}") for number in range(50))
+    )
+    step = decisions.make_step(count=500, cpu=10, memory_mb=1)
+    state = decisions.add_job(owner.table, step)
+    for number, task in enumerate(state.steps[0, 0].tasks):
+        task.avoided_runners = (f"r{number % 50}",)
+    scheduling.place_ready_tasks(owner, 1.0)
+    placed = passes.list_placed(owner)
+    assert len(placed) == 500
+    assert len(evaluated) <= 50 + 2 * 500
+    avoided = {t.name: t.avoided_runners for t in state.steps[0, 0].tasks}
+    assert not [name for name, runner in placed if runner in avoided[name]]
+
+
+def test_a_pass_yields_while_it_skips_tasks_that_are_not_ready_any_more():
+    # Guards against a turn that grows with the tasks that have been kept for
+    # later passes and were cancelled since.
+    owner = passes.make_owner(decisions.make_runner())
+    step = decisions.make_step(count=5000)
+    state = decisions.add_job(owner.table, step)
+    current = scheduling.Pass(1.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        pass
+    assert len(owner.unvisited[0].heap) == 4999
+    owner.table.cancel_job(state, 1)
+    decisions.add_job(owner.table, decisions.make_step(count=2), job_id="k")
+    turns, current = 0, scheduling.Pass(2.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        turns += 1
+    assert turns >= 4999 // 1000
+    assert not owner.unvisited
+
+
+@pytest.mark.parametrize(("retry_at", "started"), [(1.5, True), (2.5, False)])
+def test_a_kept_task_that_was_refused_since_waits_for_its_next_try(
+    retry_at, started
+):
+    # Guards against a start that follows a refused one at once, because an
+    # earlier pass has listed the task.
+    owner = passes.make_owner(decisions.make_runner())
+    for job_id in ("a", "b"):
+        step = decisions.make_step(count=3)
+        decisions.add_job(owner.table, step, job_id=job_id)
+    for _ in scheduling.run_pass(
+        owner, scheduling.Pass(1.0, placing_limit_s=0.0)
+    ):
+        pass
+    for task in owner.table.ready.values():
+        if task.name.startswith("a"):
+            task.retry_at = retry_at
+    # The first of the list and the first of what is kept are tried.
+    current = scheduling.Pass(2.0, placing_limit_s=0.0)
+    for _ in scheduling.run_pass(owner, current):
+        pass
+    names = [run.task.name for run in current.placed]
+    assert ("a.0.0.1" in names) is started
+    assert len(names) == len(set(names)) == 2
+
+
+def test_an_avoided_runner_that_has_refused_since_is_left_out():
+    # Guards against an exception, which ends the owner, when a runner that the
+    # task avoids was ranked and takes no starts any more.
+    runners = [decisions.make_runner(name) for name in ("a", "b")]
+    owner = passes.make_owner(*runners)
+    state = decisions.add_job(owner.table, decisions.make_step(count=2))
+    first, second = state.steps[0, 0].tasks
+    estimates = placement.Estimates()
+    second.avoided_runners = ("a",)
+
+    def choose(task):
+        return placement.choose_ranked_runner(
+            task, "s", owner.runners, owner.interference_model, 1.0, estimates
+        )
+
+    assert choose(first) is not None
+    runners[0].backoff_until = 2.0
+    assert choose(second) is runners[1]
+    runners[1].backoff_until = 2.0
+    second.avoided_runners = ("a", "b")
+    assert choose(second) is None
