Ask an owner that recovers one question at a time

Each process went on sending the questions of all its callers to an owner that was still recovering. The refusal now says that the owner recovers, and the process sends one question at a time until one is answered or another process is the owner. A refusal for any other reason, such as a job that is not known while the log is away, holds up nobody.

Without the change in entry.py the first new test fails: 18 questions at a time instead of 1. The others guard the new rule.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -27,6 +27,8 @@
 # Least log outage that a process reports if it has never reached the log. It is
 # above every limit that it is compared with.
 _INITIAL_SILENCE_S = 10.0
+# Pause between two questions to an owner that recovers.
+_RECOVERING_PAUSE_S = 0.05
 
 
 def make_entry(
@@ -222,10 +224,26 @@
     claim = entry.ownership.claim
     if claim is None or claim.address == entry.settings.peer_address:
         return None
-    reply = await entry.peers.call(
-        claim.address, question, entry.settings.ask_timeout_s
-    )
+    epoch = entry.ownership.epoch
+    is_probe = entry.recovering_epoch == epoch
+    if is_probe:
+        # One question at a time is enough to find out that it has recovered.
+        now = clock.read_now()
+        if now < entry.next_question_at:
+            return None
+        entry.next_question_at = now + entry.settings.ask_timeout_s
+    try:
+        reply = await entry.peers.call(
+            claim.address, question, entry.settings.ask_timeout_s
+        )
+    finally:
+        if is_probe:
+            entry.next_question_at = clock.read_now() + _RECOVERING_PAUSE_S
     if reply.is_err() or not reply.ok_value.owner:
         entry.owner_doubted.set()
+        if reply.is_ok() and reply.ok_value.recovering:
+            entry.recovering_epoch = epoch
         return None
+    if entry.recovering_epoch == epoch:
+        entry.recovering_epoch = -1
     return reply.ok_value
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -156,7 +156,8 @@
         with anyio.move_on_after(_RECOVERY_WAIT_S):
             await owner.recovery_ended.wait()
     if not owner.recovered:
-        return peers.AskReply(owner=False)
+        recovering = not owner.stepped_down.is_set()
+        return peers.AskReply(owner=False, recovering=recovering)
     if question.what == "pending":
         # Jobs that were stored during a slow recovery have not been read.
         if owner.jobs_behind and not await recovery.read_all_jobs(owner):
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -84,12 +84,14 @@
       count: Number of jobs that have not started.
       owner: False if the receiver is not the owner, has not recovered, or could
         not read the log.
+      recovering: The receiver is the owner and has not recovered.
     """
 
     known: bool = False
     state: str = ""
     count: int = 0
     owner: bool = True
+    recovering: bool = False
 
 
 class Fetch(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -50,6 +50,9 @@
       reported_version: Newer configuration version that a peer has reported
         once, or -1.
       owner_doubted: Set to ping the owner before the next ping is due.
+      recovering_epoch: Epoch of the owner that was last found recovering, or
+        -1.
+      next_question_at: That owner is not asked before this time.
       draining: A termination signal was received.
       stopping: Set when the drain period is over.
       claim_lock: Serializes claims of this process.
@@ -71,6 +74,8 @@
     known_peers: dict[str, PeerStatus] = dataclasses.field(default_factory=dict)
     reported_version: int = -1
     owner_doubted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    recovering_epoch: int = -1
+    next_question_at: float = 0.0
     draining: bool = False
     stopping: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     claim_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -1,11 +1,16 @@
 """Replies to callers, and the conditions under which each may be given."""
 
+import types
+
 import anyio
 import pytest
+import result
 
 from plantainvane.jobs import attempts
+from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import model
+from plantainvane.jobs import ownership
 from plantainvane.jobs import peers
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_journal as journals
@@ -169,6 +174,89 @@
     assert reply.owner is False
 
 
+class RecoveringOwner:
+    """Refuses questions until `recovered`; `most` is the most at a time."""
+
+    def __init__(self):
+        self.recovered, self.asked, self.under_way, self.most = False, 0, 0, 0
+
+    async def call(self, *unused):
+        self.asked += 1
+        self.under_way += 1
+        self.most = max(self.most, self.under_way)
+        await anyio.sleep(0.05)
+        self.under_way -= 1
+        if self.recovered:
+            return result.Ok(peers.AskReply(known=True, state="queued"))
+        return result.Ok(peers.AskReply(owner=False, recovering=True))
+
+
+def make_asking_entry():
+    """Makes a process that knows of an owner that recovers."""
+    entry = entry_module.make_entry(
+        decisions.SETTINGS, types.SimpleNamespace(store=None)
+    )
+    claim = ownership.Claim("a", 1, "127.0.0.9:1")
+    entry.ownership.apply_record(3, ownership.encode_claim(claim), 10.0)
+    entry.peers = RecoveringOwner()
+    return entry
+
+
+async def test_recovering_owner_is_asked_one_question_at_a_time():
+    # Guards against a weak owner that recovers late because all processes go on
+    # asking it whatever their callers wait for.
+    entry = make_asking_entry()
+    replies = []
+
+    async def ask_owner(number):
+        replies.append(
+            await intake_module.ask(entry.intake, "state", str(number), 3.0)
+        )
+
+    async with anyio.create_task_group() as group:
+        for number in range(30):
+            group.start_soon(ask_owner, number)
+            await anyio.sleep(0.005)
+        await anyio.sleep(0.1)
+        # The first ones are sent before anything is known.
+        asked = entry.peers.asked
+        entry.peers.most = 0
+        await anyio.sleep(0.5)
+        assert entry.peers.most == 1
+        assert entry.peers.asked - asked <= 0.5 / 0.05
+        entry.peers.recovered = True
+        with anyio.fail_after(0.4):
+            while len(replies) < 30:
+                await anyio.sleep(0.01)
+    assert all(outcome is _OUTCOME.DONE for outcome, _ in replies)
+
+
+async def test_next_owner_is_asked_although_the_last_one_was_recovering():
+    # Guards against questions that wait for an owner that was replaced.
+    entry = make_asking_entry()
+    question = peers.Ask("state", "j")
+    assert await entry.intake.ask_owner(question) is None
+    claim = ownership.Claim("b", 1, "127.0.0.8:1")
+    entry.ownership.apply_record(4, ownership.encode_claim(claim), 11.0)
+    entry.peers.recovered = True
+    assert (await entry.intake.ask_owner(question)).known
+
+
+async def test_question_that_is_given_up_does_not_hold_up_the_others():
+    # Guards against questions that nobody asks any more because the one that
+    # was under way was cancelled with its caller.
+    entry = make_asking_entry()
+    question = peers.Ask("state", "j")
+    assert await entry.intake.ask_owner(question) is None
+    await anyio.sleep(0.1)
+    with anyio.move_on_after(0.01):
+        await entry.intake.ask_owner(question)
+    entry.peers.recovered = True
+    with anyio.fail_after(0.2):
+        while await entry.intake.ask_owner(question) is None:
+            await anyio.sleep(0.01)
+
+
 async def test_state_and_pending_reflect_the_jobs():
     # Guards against pending counts that include started or ended jobs.
     owner = scheduling.make_owner(decisions.make_runner())
