Renew no lease for a foreign attempt that cannot be stopped

Callers see: a task runs on that no job needs, for as long as its runner answers polls and no orders: an attempt that is charged to nobody, alone on its runner, had its lease renewed by each poll, as only attempts of ended jobs counted as ignoring their stops.

A foreign attempt that each poll has listed for 2 s counts as well now, so that the runner gets no starts and, if it holds nothing that is needed, no lease. The new test failed before (a lease at 12.1 s). Open beside it: an attempt of an ended job beside one that is needed, and one of an open job, are only stopped again and again.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -15,8 +15,8 @@
 ) -> int | None:
     """Returns the end of the lease that a poll requests, or None.
 
-    No lease is renewed for attempts of ended jobs alone, at a runner that does
-    not answer their stops.
+    No lease is renewed for attempts of ended jobs, or for foreign ones, alone
+    at a runner on which they cannot be stopped.
 
     A lease on the clock of an entry is requested once. A runner whose clock is
     far behind that one would grant the longest lease each time.
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -87,6 +87,7 @@
       charges: How often that has changed.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
+      foreign_since: Since when each poll has listed such attempts.
       foreign_stops: Those whose stop is under way.
       cpu: Processors charged to tasks other than fill tasks.
       memory_mb, accelerators: Charged to all tasks.
@@ -145,6 +146,7 @@
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     charges: int = 0
     foreign: frozenset[tuple[str, int]] = frozenset()
+    foreign_since: float = 0.0
     foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     cpu: int = 0
     memory_mb: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -588,6 +588,8 @@
         crashes.record_survival(owner, run, sent_at, wall_ms)
     if runner.foreign and not foreign:
         owner.request_pass()
+    if foreign and not runner.foreign:
+        runner.foreign_since = now
     runner.foreign = frozenset(foreign)
     missing = [
         run
@@ -618,13 +620,21 @@
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
     """Notes whether a runner that answers polls answers no order to stop."""
-    ignored = [run for run in runner.runs if _ignores_stop(runner, run, now)]
+    ignored = [
+        (run.task.name, run.attempt)
+        for run in runner.runs
+        if _ignores_stop(runner, run, now)
+    ]
+    foreign_s = now - max(runner.foreign_since, runner.heard_since)
+    if foreign_s > _IGNORED_STOP_S:
+        ignored.extend(runner.foreign)
     if ignored and not runner.ignores_stops:
+        task, attempt = ignored[0]
         events.log_event(
             events.RUNNER_IGNORES_STOPS,
             runner=runner.entry.id,
-            task=ignored[0].task.name,
-            attempt=ignored[0].attempt,
+            task=task,
+            attempt=attempt,
             count=len(ignored),
             runs=len(runner.runs),
             epoch=owner.epoch,
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -430,3 +430,24 @@
     assert leases.choose_lease(owner, runner, 10.2) is not None
     answer_polls(owner, runner, runs, 12.5)
     assert (leases.choose_lease(owner, runner, 12.6) is not None) is beside
+
+
+@pytest.mark.parametrize("needed", [False, True])
+def test_a_foreign_attempt_that_cannot_be_stopped_gets_no_lease(needed):
+    # Guards against an attempt that is charged to nobody and runs on for as
+    # long as its runner answers polls, as each of them renews the lease. What
+    # is needed beside it goes on.
+    owner, runner, (run, other) = make_running(count=2)
+    runner.clock_ms = 1000
+    runner.charge(run, -1)
+    owner.table.drop_run(run, 1.0)
+    if not needed:
+        runner.charge(other, -1)
+        owner.table.drop_run(other, 1.0)
+    listed = [run, other] if needed else [run]
+    answer_polls(owner, runner, listed, 10.0, 11.0, 11.9)
+    assert leases.choose_lease(owner, runner, 11.9) is not None
+    answer_polls(owner, runner, listed, 12.1)
+    assert (leases.choose_lease(owner, runner, 12.1) is not None) == needed
+    answer_polls(owner, runner, [other] if needed else [], 13.0)
+    assert leases.choose_lease(owner, runner, 13.0) is not None
