--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -1,4 +1,4 @@
-"""Sends orders to runners: start, stop and pace attempts.
+"""Sends orders to runners: start and pace attempts.
 
 A start order without a reply may still be carried out. It is retried, then
 followed by a stop order. The attempt stays charged to the runner until one of
@@ -19,18 +19,12 @@
 from plantainvane.jobs import pacing
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 from plantainvane.jobs import trials
 
 # Time without start orders after a runner has rejected one.
 _NO_ROOM_BACKOFF_S = 0.25
 _UNHEALTHY_BACKOFF_S = 1.0
-_STOP_RETRY_S = 0.05
-# Stops under way at which no more are ordered for ended jobs. Each takes some
-# memory, and more of them would not be answered within the time limit of a call
-# by an owner of a third of a core.
-_MAX_STOPS = 400
-# A call may wait for a connection, open one and wait for the reply.
-_MAX_CALL_TIMEOUTS = 3
 _INVALID_RETRY_S = 1.0
 # A fill task at this pace or below counts as slowed down.
 _SLOWED_PERCENT = 50
@@ -43,7 +37,6 @@
 
 _OUTCOME = interfaces.OrderOutcome
 _NOT_HEARD = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.OTHER_INCARNATION)
-_RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
 
 
 async def start_runs(
@@ -154,7 +147,7 @@
         epoch=owner.epoch,
     )
     if lost:
-        stop_run(owner, run, "start not answered")
+        stops.stop_run(owner, run, "start not answered")
     elif run in run.task.runs:
         _release_run(owner, run)
 
@@ -200,7 +193,7 @@
             runner.has_active.set()
         runner.renewed_at = max(runner.renewed_at, run.ordered_at)
         if run.task.job.ended:
-            stop_run(owner, run, "job ended")
+            stops.stop_run(owner, run, "job ended")
         elif run.task.step.definition.fills:
             # Tasks start at full speed, also when a lower pace is known to be
             # needed.
@@ -210,7 +203,7 @@
         owner.step_down("runner")
         return
     if outcome is _OUTCOME.LOST:
-        stop_run(owner, run, "start not answered")
+        stops.stop_run(owner, run, "start not answered")
         return
     if outcome is _OUTCOME.NO_ROOM:
         runner.backoff_until = now + _NO_ROOM_BACKOFF_S
@@ -231,7 +224,7 @@
         runner.require_poll()
     if lost and outcome is not _OUTCOME.OTHER_INCARNATION:
         # The rejection of a retry does not settle the earlier try.
-        stop_run(owner, run, "start not answered")
+        stops.stop_run(owner, run, "start not answered")
     else:
         if lost:
             crashes.blame_unanswered(runner, run)
@@ -249,196 +242,10 @@
         runner.charge(run, -1)
     owner.table.drop_run(run, clock.read_now())
     crashes.count_crash(owner, run, clock.read_wall_ms())
-    stop_rest_of_gang(owner, run)
+    stops.stop_rest_of_gang(owner, run)
     owner.request_pass()
 
 
-def stop_rest_of_gang(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Stops the other members of the gang of an attempt, if it is in one.
-
-    A gang starts as a whole, so a member that is left keeps it from starting.
-    """
-    if not run.task.step.definition.gang:
-        return
-    for member in run.task.step.tasks:
-        for other in member.runs:
-            stop_run(owner, other, "gang incomplete")
-
-
-def stop_run(owner: state_module.Owner, run: attempts.Run, reason: str) -> None:
-    """Orders the stop of an attempt; the runner reports its end later."""
-    if run.phase is attempts.Phase.STOPPING or run not in run.task.runs:
-        return
-    run.phase = attempts.Phase.STOPPING
-    runner = owner.runners.get(run.runner)
-    if runner is not None:
-        runner.has_active.set()
-    _begin_stop(owner, run, reason)
-
-
-def is_full(owner: state_module.Owner) -> bool:
-    """Tells whether many stops have been sent and have no outcome yet."""
-    return owner.stops_in_flight >= _MAX_STOPS
-
-
-def repeat_stop(
-    owner: state_module.Owner, run: attempts.Run, reason: str
-) -> None:
-    """Stops an attempt again that runs on, if no stop of it is under way."""
-    _begin_stop(owner, run, reason)
-
-
-def _begin_stop(
-    owner: state_module.Owner, run: attempts.Run, reason: str
-) -> None:
-    run.running_since = float("inf")
-    if run.stop is None:
-        run.stop = attempts.Stop(clock.read_now())
-    events.log_event(
-        events.TASK_STOPPED,
-        task=run.task.name,
-        attempt=run.attempt,
-        runner=run.runner,
-        reason=reason,
-        epoch=owner.epoch,
-    )
-    run.stop.under_way_since = clock.read_now()
-    owner.group.start_soon(_send_stop, owner, run)
-
-
-def is_abandoned(run: attempts.Run) -> bool:
-    """Tells whether the stop of an attempt was given up without an answer."""
-    return (
-        run.stop is not None
-        and run.stop.under_way_since is None
-        and run.running_since == float("inf")
-    )
-
-
-def resume_stops(owner: state_module.Owner, runs: list[attempts.Run]) -> None:
-    """Sends the stops that were ordered before their runner was known."""
-    for run in runs:
-        if is_abandoned(run):
-            run.stop.under_way_since = clock.read_now()
-            owner.group.start_soon(_send_stop, owner, run)
-
-
-async def _send_stop(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Sends a stop until it is answered, or the runner is not known.
-
-    A poll of the runner that lists the attempt has it sent again.
-    """
-    runner = owner.runners.get(run.runner)
-    # A runner that does not answer is not to keep others from being stopped.
-    counted = runner is not None and not runner.silent
-    owner.stops_in_flight += counted
-    try:
-        settled = await _try_stop(owner, run)
-    finally:
-        owner.stops_in_flight -= counted
-    while not settled:
-        await _wait_for_turn(owner, run)
-        settled = await _try_stop(owner, run)
-    run.stop.under_way_since = None
-
-
-async def _wait_for_turn(owner: state_module.Owner, run: attempts.Run) -> None:
-    """Waits until a stop may be repeated.
-
-    All stops of a runner that answers none share few orders a second. Once it
-    answers one, the others go on at once.
-    """
-    runner = owner.runners.get(run.runner)
-    if runner is None:
-        return
-    wait_s = runner.stop_repeats.reserve(_STOP_RETRY_S, clock.read_now())
-    with anyio.move_on_after(wait_s):
-        await runner.stop_answered.wait()
-
-
-async def _try_stop(owner: state_module.Owner, run: attempts.Run) -> bool:
-    """Sends a stop once; returns whether it need not be sent again."""
-    runner = owner.runners.get(run.runner)
-    if runner is None or run not in run.task.runs:
-        return True
-    run.stop.sent += 1
-    outcome = await _call_stop(owner, runner, run.task.name, run.attempt)
-    run.stop.outcome = outcome.value
-    if outcome is _OUTCOME.FENCED:
-        owner.step_down("runner")
-        return True
-    if outcome in _RETRIED:
-        return False
-    # A poll sent after this reports the attempt unless it has ended. One that
-    # reports it for longer has the stop sent again.
-    run.running_since = run.stop.answered_at = clock.read_now()
-    runner.note_stop_answered()
-    _report_answer(owner, run)
-    return True
-
-
-async def _call_stop(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    task: str,
-    attempt: int,
-) -> interfaces.OrderOutcome:
-    """Sends a stop once; a call that does not end in time counts as lost."""
-    limit_s = _MAX_CALL_TIMEOUTS * owner.settings.call_timeout_s
-    with anyio.move_on_after(limit_s):
-        return await runner.calls.stop(task, attempt, owner.epoch)
-    events.log_event(
-        events.STOP_CALL_HUNG,
-        task=task,
-        attempt=attempt,
-        runner=runner.entry.id,
-        limit_s=limit_s,
-        epoch=owner.epoch,
-    )
-    return _OUTCOME.LOST
-
-
-def _report_answer(owner: state_module.Owner, run: attempts.Run) -> None:
-    took_s = run.stop.answered_at - run.stop.ordered_at
-    metrics.STOP_ANSWER_SECONDS.observe(took_s)
-    events.log_event(
-        events.STOP_ANSWERED,
-        task=run.task.name,
-        attempt=run.attempt,
-        runner=run.runner,
-        outcome=run.stop.outcome,
-        sent=run.stop.sent,
-        took_ms=int(took_s * 1000),
-        epoch=owner.epoch,
-    )
-
-
-async def stop_unknown(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    running: model.RunningAttempt,
-) -> None:
-    """Stops an attempt that this owner has not placed on the runner.
-
-    Does nothing while such a stop is under way; a later poll lists the attempt
-    again if it is in vain.
-    """
-    stopped = (running.task, running.attempt)
-    if stopped in runner.foreign_stops:
-        return
-    runner.foreign_stops.add(stopped)
-    events.log_event(
-        events.TASK_STOPPED,
-        task=running.task,
-        attempt=running.attempt,
-        runner=runner.entry.id,
-        reason="not ordered by this owner",
-        epoch=owner.epoch,
-    )
-    await _call_stop(owner, runner, *stopped)
-    runner.foreign_stops.discard(stopped)
-
-
 def pace_fills(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -22,7 +22,6 @@
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
-from plantainvane.jobs import orders
 from plantainvane.jobs import outliving
 from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
@@ -32,6 +31,7 @@
 from plantainvane.jobs import sessions
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 from plantainvane.jobs import table as table_module
 from plantainvane.jobs import waits
 
@@ -233,7 +233,7 @@
             sessions.report_lost_run(owner, run, "lease expired")
             crashes.count_crash(owner, run, clock.read_wall_ms())
         for run in lost:
-            orders.stop_rest_of_gang(owner, run)
+            stops.stop_rest_of_gang(owner, run)
     unused = [
         runner
         for runner in owner.expiries.expires_at
@@ -336,7 +336,7 @@
             began = clock.read_now()
             _stop_ended(owner)
             took_s = clock.read_now() - began
-            pause_s = _FULL_PAUSE_S if orders.is_full(owner) else took_s
+            pause_s = _FULL_PAUSE_S if stops.is_full(owner) else took_s
             await anyio.sleep(min(pause_s, _MAX_PAUSE_S))
 
 
@@ -345,8 +345,8 @@
     runs, until = owner.table.runs_to_stop, clock.read_now() + _SLICE_S
     ordered = 0
     for run in runs:
-        if orders.is_full(owner) or clock.read_now() > until:
+        if stops.is_full(owner) or clock.read_now() > until:
             break
-        orders.stop_run(owner, run, "job ended")
+        stops.stop_run(owner, run, "job ended")
         ordered += 1
     del runs[:ordered]
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -14,7 +14,6 @@
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
-from plantainvane.jobs import orders
 from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import reach
@@ -22,6 +21,7 @@
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 from plantainvane.jobs import table as table_module
 
 _JOB_DECODER = msgspec.json.Decoder(model.Job)
@@ -395,7 +395,7 @@
     for run in orphans:
         if run in run.task.runs:
             runner.charge(run)
-    orders.resume_stops(owner, orphans)
+    stops.resume_stops(owner, orphans)
     events.log_event(
         events.RUNNER_ADDED,
         runner=entry.id,
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -20,6 +20,7 @@
 from plantainvane.jobs import relocation
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 from plantainvane.jobs import trials
 
 # Estimated run times are off by half, so a job counts as late only when its
@@ -490,7 +491,7 @@
     has_place = placement.check_places(task, current.estimates)
     candidates = [r for r in candidates if has_place(r.entry.id)]
     for run in preemption.find_victims(task, candidates, current.now):
-        orders.stop_run(owner, run, f"preempted for {task.name}")
+        stops.stop_run(owner, run, f"preempted for {task.name}")
 
 
 def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
@@ -553,7 +554,7 @@
     ):
         return False
     run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
-    orders.stop_run(owner, run, "moved to a runner with less interference")
+    stops.stop_run(owner, run, "moved to a runner with less interference")
     return True
 
 
@@ -580,7 +581,7 @@
         return
     for run in moves:
         run.task.avoided_runners = (*run.task.avoided_runners[-3:], run.runner)
-        orders.stop_run(owner, run, "moved to clear the runner for fill tasks")
+        stops.stop_run(owner, run, "moved to clear the runner for fill tasks")
 
 
 def _rank_task(
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -23,6 +23,7 @@
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 
 _SILENT_RETRY_S = 0.1
 # A lease is requested for less by what a slow clock may have lost since its
@@ -345,7 +346,7 @@
         report_lost_run(owner, run, reason)
         crashes.count_crash(owner, run, clock.read_wall_ms())
     for run in runs:
-        orders.stop_rest_of_gang(owner, run)
+        stops.stop_rest_of_gang(owner, run)
     owner.request_pass()
 
 
@@ -473,7 +474,7 @@
                 owner.table.drop_run(run, now)
                 report_lost_run(owner, run, "runner replaced")
                 crashes.count_crash(owner, run, clock.read_wall_ms())
-                orders.stop_rest_of_gang(owner, run)
+                stops.stop_rest_of_gang(owner, run)
                 owner.request_pass()
         if not runs:
             del owner.orphans[earlier]
@@ -553,7 +554,7 @@
     if run.task.step.definition.gang and end.outcome != "done":
         for member in run.task.step.tasks:
             for other in member.runs:
-                orders.stop_run(owner, other, "gang member ended")
+                stops.stop_run(owner, other, "gang member ended")
 
 
 def _measure_run_ms(run: attempts.Run, now: float) -> int | None:
@@ -580,7 +581,7 @@
         run = owner.table.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
             foreign.add((running.task, running.attempt))
-            owner.group.start_soon(orders.stop_unknown, owner, runner, running)
+            owner.group.start_soon(stops.stop_unknown, owner, runner, running)
             continue
         reported.add(run)
         _update_run(run, running, now)
@@ -608,12 +609,12 @@
     This does not rely on what was done when its job or task ended.
     """
     if run.phase is not attempts.Phase.STOPPING:
-        if outliving.is_outliving(run) and not orders.is_full(owner):
-            orders.stop_run(owner, run, "runs on after its end")
-    elif orders.is_abandoned(run):
-        orders.repeat_stop(owner, run, "runs on and no stop is under way")
+        if outliving.is_outliving(run) and not stops.is_full(owner):
+            stops.stop_run(owner, run, "runs on after its end")
+    elif stops.is_abandoned(run):
+        stops.repeat_stop(owner, run, "runs on and no stop is under way")
     elif _outlives_stop(run, sent_at):
-        orders.repeat_stop(owner, run, "runs on after a stop")
+        stops.repeat_stop(owner, run, "runs on after a stop")
 
 
 def _note_ignored_stops(
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import retention
 from plantainvane.jobs import sessions
+from plantainvane.jobs import stops
 from tests import test_jobs_capacity as capacity
 from tests import test_jobs_scheduling as passes
 
@@ -32,7 +33,7 @@
 
 def cancel_and_stop(owner, run):
     cancel(owner, run)
-    orders.stop_run(owner, run, "job ended")
+    stops.stop_run(owner, run, "job ended")
 
 
 def drop(owner, run):
--- a/tests/test_jobs_outliving.py
+++ b/tests/test_jobs_outliving.py
@@ -1,18 +1,19 @@
 """Reports of attempts that outlive their job or task."""
 
 import anyio
-import eliot
 import prometheus_client
 import pytest
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
-from plantainvane.jobs import orders
 from plantainvane.jobs import outliving
+from plantainvane.jobs import stops
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
+from tests import test_jobs_waits as waits_tests
 
 OUTCOME = interfaces.OrderOutcome
+lines = waits_tests.lines
 
 
 @pytest.fixture
@@ -20,20 +21,6 @@
     return "asyncio"
 
 
-@pytest.fixture
-def lines():
-    """Collects the log lines of the test."""
-    written = []
-    eliot.add_destinations(written.append)
-    written.clear()  # eliot passes earlier messages to the first destination.
-    yield written
-    eliot.remove_destination(written.append)
-
-
-def find_lines(lines, name):
-    return [line for line in lines if line["message_type"].endswith(name)]
-
-
 def make_owner(count=1):
     """Makes an owner with a cancelled job whose attempts run on."""
     runner = decisions.make_runner("a")
@@ -45,7 +32,7 @@
 
 
 def order_stop(owner, runner, run):
-    orders.stop_run(owner, run, "job ended")
+    stops.stop_run(owner, run, "job ended")
 
 
 def answer_stop(owner, runner, run):
@@ -82,7 +69,7 @@
     reporter = outliving.Reporter()
     for now in (1.0, 1.5, 2.0, 3.0, 4.0):
         outliving.report_outliving(reporter, owner, now)
-    first, second = find_lines(lines, "attempts_outlive_task")
+    first, second = waits_tests.find_lines(lines, "attempts_outlive_task")
     assert (first["state"], first["task"]) == (state, "j.0.0.0")
     assert (first["count"], first["names"]) == (1, ["j.0.0.0"])
     assert (first["seen_for_s"], second["seen_for_s"]) == (1.0, 3.0)
@@ -96,11 +83,11 @@
     owner = passes.make_owner(runner)
     step = decisions.make_step(count=2, long_running=True)
     run, _ = decisions.place_runs(runner, owner.table, step)
-    orders.stop_run(owner, run, "moved")
+    stops.stop_run(owner, run, "moved")
     reporter = outliving.Reporter()
     for now in (1.0, 9.0):
         outliving.report_outliving(reporter, owner, now)
-    assert not find_lines(lines, "attempts_outlive_task")
+    assert not waits_tests.find_lines(lines, "attempts_outlive_task")
 
 
 def test_the_gauge_shows_the_oldest_and_falls_to_zero(lines):
@@ -111,7 +98,7 @@
     for now in (1.0, 1.9, 4.0):
         outliving.report_outliving(reporter, owner, now)
     assert read_gauge() == 3.0
-    (line,) = find_lines(lines, "attempts_outlive_task")
+    (line,) = waits_tests.find_lines(lines, "attempts_outlive_task")
     assert (line["count"], len(line["names"])) == (9, 5)
     for run in runs:
         runner.charge(run, -1)
@@ -140,10 +127,10 @@
     # Guards against a stop whose outcome, and number of tries, no line tells.
     owner, runner, (run,) = make_owner()
     runner.calls = StopCalls(OUTCOME.LOST, OUTCOME.UNHEALTHY, OUTCOME.OLD)
-    orders.stop_run(owner, run, "job ended")
+    stops.stop_run(owner, run, "job ended")
     with anyio.fail_after(5.0):
-        await orders._send_stop(owner, run)
+        await stops._send_stop(owner, run)
     assert run.phase is attempts.Phase.STOPPING
-    (line,) = find_lines(lines, "stop_answered")
+    (line,) = waits_tests.find_lines(lines, "stop_answered")
     assert (line["outcome"], line["sent"]) == ("old", 3)
     assert line["took_ms"] >= 100
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
+from plantainvane.jobs import stops
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling
@@ -484,7 +485,7 @@
     # as being stopped, is not stopped again, and each poll renews its lease.
     owner = scheduling.make_owner()
     runner, run = make_running(owner)
-    orders.stop_run(owner, run, "job ended")
+    stops.stop_run(owner, run, "job ended")
     if answered_at is not None:
         run.running_since = answered_at
     owner.group.started.clear()
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -12,10 +12,10 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import leases
 from plantainvane.jobs import model
-from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import sessions
+from plantainvane.jobs import stops
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as passes
@@ -215,7 +215,7 @@
     owner.table.cancel_job(run.task.job, 1)
     del owner.runners["a"]
     owner_module._stop_ended(owner)
-    await orders._send_stop(owner, run)
+    await stops._send_stop(owner, run)
     owner.runners["a"] = runner
 
 
@@ -266,7 +266,7 @@
     """Ends the job, and sends its stop until it is answered."""
     owner.table.cancel_job(run.task.job, 1)
     owner_module._stop_ended(owner)
-    await orders._send_stop(owner, run)
+    await stops._send_stop(owner, run)
 
 
 async def test_a_stop_whose_call_hangs_is_sent_again():
@@ -336,7 +336,7 @@
     if foreign:
         runner.foreign = frozenset({("other", 1)})
     else:
-        orders.stop_run(owner, run, "moved")
+        stops.stop_run(owner, run, "moved")
     assert sessions._choose_wait(owner, runner, 10.0) <= LOOK_LIMIT_S
 
 
@@ -371,7 +371,7 @@
 def ignore_stop(owner, runner, run):
     """Cancels the job of an attempt; its stop, of 10.0, has no answer."""
     owner.table.cancel_job(run.task.job, 1)
-    orders.stop_run(owner, run, "job ended")
+    stops.stop_run(owner, run, "job ended")
     run.stop.under_way_since = 10.0
 
 
