Log which owner a caller's cancel was answered by, and what a successor finds

Cause: no line named the owner behind an acknowledged cancel, nor how many attempts of ended jobs the next owner loaded, so a successor that does not know a cancel (804 without its end) could not be told from a stop that was given up. Change: 855 cancel_answered with the epoch of the answer; ended_jobs and outliving in 833. No decision is changed. Tests: tests/test_jobs_intake.py, three new cases; 855 did not exist before.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from plantainvane import events
 from plantainvane.jobs import addresses
@@ -206,9 +207,11 @@
 async def _answer_ask(
     entry: process_module.Entry, question: peers_module.Ask
 ) -> peers_module.AskReply:
-    if entry.owner is None:
+    owner = entry.owner
+    if owner is None:
         return peers_module.AskReply(owner=False)
-    return await intake_module.answer_question(entry.owner, question)
+    reply = await intake_module.answer_question(owner, question)
+    return msgspec.structs.replace(reply, epoch=owner.epoch)
 
 
 async def _answer_fetch(
@@ -221,7 +224,7 @@
     entry: process_module.Entry, question: peers_module.Ask
 ) -> peers_module.AskReply | None:
     if entry.owner is not None:
-        reply = await intake_module.answer_question(entry.owner, question)
+        reply = await _answer_ask(entry, question)
         return reply if reply.owner else None
     claim = entry.ownership.claim
     if claim is None or claim.address == entry.settings.peer_address:
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -130,6 +130,7 @@
     intake: Intake, what: str, subject: str, deadline_s: float
 ) -> tuple[Outcome, peers.AskReply]:
     """Asks the owner; retries within the caller's deadline of `deadline_s`."""
+    started = clock.read_now()
     limit_s = min(intake.settings.owner_wait_s, deadline_s - _REPLY_MARGIN_S)
     reply: peers.AskReply | None = None
     with anyio.move_on_after(max(0.1, limit_s)):
@@ -145,6 +146,15 @@
         return Outcome.NOT_RUN, peers.AskReply()
     outcome = Outcome.DONE if reply.known else Outcome.MISSING
     metrics.QUESTIONS.labels(what, outcome.value).inc()
+    if what == "cancel":
+        events.log_event(
+            events.CANCEL_ANSWERED,
+            job=subject,
+            outcome=outcome.value,
+            state=reply.state,
+            epoch=reply.epoch,
+            took_ms=int((clock.read_now() - started) * 1000),
+        )
     return outcome, reply
 
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -127,6 +127,8 @@
         runners=len(owner.runners),
         unreached=sum(not r.fenced for r in owner.runners.values()),
         in_doubt=sum(map(len, owner.orphans.values())),
+        ended_jobs=sum(bool(j.ended) for j in owner.table.jobs.values()),
+        outliving=len(outliving.list_outliving(owner)),
         **absences.describe_restored(owner, now),
     )
     owner.group.start_soon(_sweep, owner)
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -93,6 +93,7 @@
       owner: False if the receiver is not the owner, has not recovered, or could
         not read the log.
       recovering: The receiver is the owner and has not recovered.
+      epoch: Epoch of the owner that has answered, or -1.
     """
 
     known: bool = False
@@ -100,6 +101,7 @@
     count: int = 0
     owner: bool = True
     recovering: bool = False
+    epoch: _Version = -1
 
 
 class Fetch(msgspec.Struct, array_like=True):
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -15,6 +15,7 @@
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_journal as journals
 from tests import test_jobs_scheduling as scheduling
+from tests import test_jobs_waits as waits_tests
 
 pytestmark = pytest.mark.anyio
 JOB = model.Job(
@@ -26,6 +27,7 @@
     steps=(decisions.make_step(),),
 )
 _OUTCOME = intake_module.Outcome
+lines = waits_tests.lines
 
 
 @pytest.fixture
@@ -113,6 +115,39 @@
     assert outcome is _OUTCOME.MISSING
 
 
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (peers.AskReply(known=True, state="cancelled", epoch=7), "done"),
+        (peers.AskReply(epoch=7), "missing"),
+    ],
+)
+async def test_answered_cancel_is_logged_with_the_owner_that_knew_it(
+    lines, reply, outcome
+):
+    # Guards against an acknowledged cancel of which no line tells whether the
+    # next owner can have known it.
+    async def ask_owner(question):
+        return reply
+
+    intake = intake_module.Intake(decisions.SETTINGS, None, ask_owner)
+    await intake_module.ask(intake, "cancel", "j", 1.0)
+    await intake_module.ask(intake, "state", "j", 1.0)
+    (line,) = [x for x in lines if ":cancel_answered" in x["message_type"]]
+    assert (line["job"], line["outcome"]) == ("j", outcome)
+    assert (line["state"], line["epoch"]) == (reply.state, 7)
+
+
+async def test_reply_names_the_epoch_of_the_owner_that_has_answered():
+    # Guards against an answer that no line of an owner can be matched with.
+    owner = scheduling.make_owner()
+    owner.recovered, owner.jobs_behind, owner.epoch = True, False, 12
+    entry = types.SimpleNamespace(owner=owner)
+    question = peers.Ask("pending", "q")
+    assert (await entry_module._answer_ask(entry, question)).epoch == 12
+    assert (await entry_module._ask_owner(entry, question)).epoch == 12
+
+
 async def test_owner_that_has_not_recovered_answers_nothing():
     # Guards against "no such job" before the jobs are loaded.
     owner = scheduling.make_owner()
