Stop the tasks of an ended job only once its end is stored

An owner that could not store the end was replaced by one that did not know it, and that one started the tasks anew. Nothing was acknowledged, so no rule broke. Change: JobTable.confirm_end, called when the log has confirmed the end, lists the runs to stop; polls stop what outlives a stored end. A stop now follows from a fact that every owner reads, like a start. Loaded ends are stored ends. Ruled out: waiting for the acknowledgement of the caller; the end is stored before it, and repeats would be missed. Before: test_cancel_that_is_not_stored_stops_nothing failed. After: it passes.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -192,7 +192,7 @@
             run.running_since = run.progress_changed_at = now
             runner.has_active.set()
         runner.renewed_at = max(runner.renewed_at, run.ordered_at)
-        if run.task.job.ended:
+        if run.task.job.stored_ended:
             stops.stop_run(owner, run, "job ended")
         elif run.task.step.definition.fills:
             # Tasks start at full speed, also when a lower pace is known to be
--- a/plantainvane/jobs/outliving.py
+++ b/plantainvane/jobs/outliving.py
@@ -59,9 +59,9 @@
 
 
 def is_outliving(run: attempts.Run) -> bool:
-    """Tells whether the job or the task of an attempt has ended."""
+    """Tells whether the stored end of its job, or its task, has ended it."""
     task = run.task
-    ended = task.job.ended or task.result is not attempts.Result.OPEN
+    ended = task.job.stored_ended or task.result is not attempts.Result.OPEN
     return bool(ended) and run in task.runs
 
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -157,7 +157,7 @@
 def _handle_stored(owner: state_module.Owner) -> None:
     for state, ended in owner.appending:
         if ended and not state.stored_ended:
-            state.stored_ended = ended
+            owner.table.confirm_end(state)
             metrics.JOBS_ENDED.labels(ended).inc()
             events.log_event(
                 events.JOB_ENDED,
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -32,7 +32,7 @@
         at the limit. None of them has been started.
       held_tasks: Number of tasks of open jobs, done ones included.
       runs_to_stop: Runs that have to be stopped because their task is done or
-        their job has ended.
+        the end of their job is stored.
       has_runs_to_stop: Set when there are any.
       suspects: Open tasks that may have crashed a runner, by name.
     """
@@ -193,6 +193,7 @@
                 self._release_dependents(state, occurrence, number)
         if state.ended:
             self._close_tasks(state)
+            self._stop_job(state)
             return
         for step_state in state.steps.values():
             for task in step_state.tasks:
@@ -369,6 +370,20 @@
         self._close_tasks(state)
         self.mark_changed(state)
 
+    def confirm_end(self, state: attempts.JobState) -> None:
+        """Records that the end of a job is stored, and has its runs stopped.
+
+        An end that is not stored may be unknown to the next owner, which would
+        start what had been stopped again.
+        """
+        state.stored_ended = state.ended
+        self._stop_job(state)
+
+    def _stop_job(self, state: attempts.JobState) -> None:
+        for step_state in state.steps.values():
+            for task in step_state.tasks:
+                self._stop_runs(task)
+
     def _close_tasks(self, state: attempts.JobState) -> None:
         for step_state in state.steps.values():
             self.held_tasks -= len(step_state.tasks)
@@ -376,7 +391,6 @@
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
                 self.suspects.pop(task.name, None)
-                self._stop_runs(task)
 
     def _stop_runs(self, task: attempts.Task) -> None:
         if task.runs:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -515,6 +515,8 @@
     crash(owner, runners[0])
     assert state.ended == "failed"
     assert not owner.table.ready and not owner.table.suspects
+    assert other not in owner.table.runs_to_stop
+    owner.table.confirm_end(state)
     assert other in owner.table.runs_to_stop
     assert waiting.name not in owner.table.tasks
     assert state.job.id in owner.table.changed
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -163,6 +163,12 @@
     assert loaded.started
 
 
+def cancel_job(table, state):
+    """Cancels a job and stores its end."""
+    table.cancel_job(state, 1)
+    table.confirm_end(state)
+
+
 def test_members_of_a_gang_end_together():
     # Guards against gang members that run again after another one is done.
     table = table_module.JobTable()
@@ -193,6 +199,10 @@
     state = add_job(table, make_step(count=2))
     runs = start_all(table)
     table.cancel_job(state, 5)
+    assert not table.ready and not table.tasks
+    assert table.runs_to_stop == []
+    table.confirm_end(state)
+    assert state.stored_ended == "cancelled"
     table.end_run(runs[0], "stopped", "", 1.0, 1)
     assert table.runs_to_stop == runs
     assert not table.ready and not table.tasks
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -10,6 +10,7 @@
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import model
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import ownership
 from plantainvane.jobs import peers
 from tests import test_jobs_decisions as decisions
@@ -330,7 +331,9 @@
         group.start_soon(cancel)
         await anyio.sleep(0.05)
         assert job.ended == "cancelled" and not acknowledged
-        owner.journal.collect = lambda: [("a", b"v")]
+        assert owner.table.runs_to_stop == []
+        owner.journal.collect = lambda: owner_module._collect_progress(owner)
+        owner.journal.on_stored = lambda: owner_module._handle_stored(owner)
         group.start_soon(owner.journal.run)
         with anyio.fail_after(5):
             while not acknowledged:
--- a/tests/test_jobs_outliving.py
+++ b/tests/test_jobs_outliving.py
@@ -27,7 +27,7 @@
     owner = passes.make_owner(runner)
     step = decisions.make_step(count=count, long_running=True)
     runs = decisions.place_runs(runner, owner.table, step, job_id="j")
-    owner.table.cancel_job(owner.table.jobs["j"], 1)
+    decisions.cancel_job(owner.table, owner.table.jobs["j"])
     return owner, runner, runs
 
 
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -153,7 +153,7 @@
             await anyio.sleep(0.05)
             owner.group.start_soon(watch_turns)
             await anyio.sleep(0)
-            owner.table.cancel_job(state, 1)
+            decisions.cancel_job(owner.table, state)
             expected = sum(len(r.runs) for r in owner.runners.values())
             expected -= sum(len(r.runs) for r in silent)
             with anyio.fail_after(30.0):
@@ -206,13 +206,13 @@
 
 async def end_unseen(owner, runner, run):
     """Ends the job without a stop."""
-    owner.table.cancel_job(run.task.job, 1)
+    decisions.cancel_job(owner.table, run.task.job)
     owner.table.runs_to_stop.clear()
 
 
 async def give_up(owner, runner, run):
     """Orders the stop while the runner is not known."""
-    owner.table.cancel_job(run.task.job, 1)
+    decisions.cancel_job(owner.table, run.task.job)
     del owner.runners["a"]
     owner_module._stop_ended(owner)
     await stops._send_stop(owner, run)
@@ -264,7 +264,7 @@
 
 async def run_stop(owner, run):
     """Ends the job, and sends its stop until it is answered."""
-    owner.table.cancel_job(run.task.job, 1)
+    decisions.cancel_job(owner.table, run.task.job)
     owner_module._stop_ended(owner)
     await stops._send_stop(owner, run)
 
@@ -311,7 +311,7 @@
     runner.calls.took_s = took_s
     runner.calls.outcome = interfaces.OrderOutcome.UNREACHED
     async with anyio.create_task_group() as owner.group:
-        owner.table.cancel_job(runs[0].task.job, 1)
+        decisions.cancel_job(owner.table, runs[0].task.job)
         owner_module._stop_ended(owner)
         first_s = await _measure_sleep(1.0)
         first = len(runner.calls.times)
@@ -370,7 +370,7 @@
 
 def ignore_stop(owner, runner, run):
     """Cancels the job of an attempt; its stop, of 10.0, has no answer."""
-    owner.table.cancel_job(run.task.job, 1)
+    decisions.cancel_job(owner.table, run.task.job)
     stops.stop_run(owner, run, "job ended")
     run.stop.under_way_since = 10.0
 
--- a/tests/test_platform_cancels.py
+++ b/tests/test_platform_cancels.py
@@ -225,6 +225,29 @@
     assert left == [], log
 
 
+async def test_cancel_that_is_not_stored_stops_nothing():
+    # Guards against an owner that stops the tasks of a job and is lost before
+    # it has stored the cancel, so that the next owner starts them again.
+    async with platform_system.run_system(entries=2, runners=2) as system:
+        owner = await system.wait_owner()
+        (other,) = [entry for entry in system.entries if entry is not owner]
+        job_id = "5c0e7a21d94b36f8"
+        body = platform_system.make_job(count=4, run_ms=60_000)
+        await platform_system.call(owner, "POST", job_id, body)
+        await platform.wait_until(lambda: len(system.list_starts()) == 4)
+        system.cut_from_log(owner)
+        refused = await platform_system.call(owner, "DELETE", job_id)
+        assert refused.status_code == 503
+        await platform.wait_until(lambda: system.find_owner() is other)
+        await anyio.sleep(1.0)
+        assert len(system.list_starts()) == 4
+        world = World(system, random.Random(0), {job_id: 0.0})
+        assert len(world.list_cancelled()) == 4
+        reply = await platform_system.call(other, "DELETE", job_id)
+        assert reply.status_code == 200
+        assert await wait_gone(world, GONE_LIMIT_S) == []
+
+
 def run_seeds(first, last):
     """Runs sessions one after the other and prints those that failed."""
     for seed in range(first, last + 1):
