Keep a connection when a peer resets a call that grpclib has forgotten

Cause: a task that is cancelled before its first step never runs the `finally` that releases its stream. The library's Handler.close, which Server.close calls for a process that ends, cancels so. The stream stays known, Handler.__gc_collect__ drops the task as done, and a reset of the stream (a peer that gives up) makes Handler.cancel raise a KeyError in data_received; asyncio then closes the connection. Ruled out: a task that had begun (its stream is released before it is done) and a second reset of one stream (h2 swallows it). So the fault needs a process that is ending; no other order of events was found by reading. Change: rpc_servers.Server puts a handler before the library's, which ignores the KeyError of a reset. Both gRPC servers use it. It uses the names _protocol_factory and H2Protocol.handler of 0.4.9 and nothing inside the library's handler, so a version whose handler raises nothing works as well.

--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -11,12 +11,12 @@
 import grpclib.const
 import grpclib.encoding.base
 import grpclib.exceptions
-import grpclib.server
 import msgspec
 import result
 
 from plantainvane import events
 from plantainvane import outcomes
+from plantainvane import rpc_servers
 from plantainvane import settings as product_settings
 
 _SERVICE = "/plantainvane.Jobs/"
@@ -213,7 +213,7 @@
             HandOver: handlers.hand_over,
         }
     )
-    server = grpclib.server.Server([service], codec=_Codec())
+    server = rpc_servers.Server([service], codec=_Codec())
     host, port = product_settings.split_address(address)
     await server.start(host, port)
     try:
--- a/plantainvane/peers.py
+++ b/plantainvane/peers.py
@@ -28,6 +28,7 @@
 from plantainvane import messages_grpc
 from plantainvane import messages_pb2
 from plantainvane import outcomes
+from plantainvane import rpc_servers
 from plantainvane import settings as settings_module
 
 BACKOFF_BASE_S = 0.1
@@ -134,7 +135,7 @@
 
     async def run(self) -> None:
         """Serves peers and connects to them until cancelled."""
-        server = grpclib.server.Server([_Service(self)])
+        server = rpc_servers.Server([_Service(self)])
         await server.start(sock=_bind_listener(self._settings.listen.peers))
         try:
             async with anyio.create_task_group() as group:
