--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import anyio
 import msgspec
 import pytest
 import result
@@ -11,6 +12,7 @@
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import scheduling
@@ -18,6 +20,7 @@
 from plantainvane.jobs import table as table_module
 from plantainvane.jobs import trials
 from tests import test_jobs_decisions as decisions
+from tests import test_jobs_journal as journals
 from tests import test_jobs_scheduling as passes
 
 NOW = 50.0
@@ -522,6 +525,34 @@
     assert state.job.id in owner.table.changed
 
 
+def test_end_of_a_job_that_is_given_up_is_stored_at_once():
+    # Guards against tasks of a failed job that run on, as they are stopped once
+    # its end is stored, until anything else is written to the log.
+    runners = make_runners(2)
+    owner = passes.make_owner(*runners)
+    state = decisions.add_job(owner.table, decisions.make_step(count=2))
+    deadly, running = state.steps[0, 0].tasks
+    other = start(owner, runners[1], running, age_s=5.0)
+    owner.table.record_crash(deadly, make_crash(1))
+    owner.journal.store = journals.FakeStore()
+    owner.journal.collect = lambda: owner_module._collect_progress(owner)
+    owner.journal.on_stored = lambda: owner_module._handle_stored(owner)
+
+    async def crash_beside_a_calm_log():
+        async with anyio.create_task_group() as group:
+            group.start_soon(owner.journal.run)
+            await anyio.wait_all_tasks_blocked()
+            start(owner, runners[0], deadly, age_s=0.01)
+            crash(owner, runners[0])
+            with anyio.move_on_after(1.0):
+                await owner.table.has_runs_to_stop.wait()
+            group.cancel_scope.cancel()
+
+    anyio.run(crash_beside_a_calm_log)
+    assert state.stored_ended == "failed"
+    assert owner.table.runs_to_stop == [other]
+
+
 def test_task_that_was_given_up_is_no_suspect_any_more():
     # Guards against ended jobs that are kept and examined for good, because
     # several crashes of one task were confirmed at once.
