Claim for reach only what is heard steadily, and not by the owner by then

Cause: a standby compared what it hears now with a report of the owner of 1 s before. When a disturbance of all runners ends, the first standby to compare, a late and so a weak one, hears all of them and claims; the owner hears them as well, but needs up to 0.7 s to notice. Beside it, one poll for each of 16 runners lets the luckiest of many standbys claim. Change: a runner counts only if it answers six polls, 30 ms apart; then the owner polls the same runners once more (new message CheckReach), and the standby claims if it still hears 0.12 more. Ruled out: a wait of 0.7 s for all, which delays each real cut; a second single draw, whose chance grows with the number of standbys. Before: 4 of 6 cases of test_lost_answers_are_no_reason_for_any_of_many_ standbys and test_runners_that_answer_everybody_again_are_no_reason failed. After: they pass. No existing test changed.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -92,6 +92,7 @@
         lambda question: _answer_ask(entry, question),
         lambda fetch: _answer_fetch(entry, fetch),
         lambda request: succession.answer_hand_over(entry, request),
+        lambda request: succession.answer_check_reach(entry, request),
     )
     async with anyio.create_task_group() as group:
         entry.group = group
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -18,6 +18,7 @@
 from plantainvane import events
 from plantainvane import outcomes
 from plantainvane import settings as product_settings
+from plantainvane.jobs import reach as reach_module
 
 _SERVICE = "/plantainvane.Jobs/"
 _MAX_SHOWN_CHARACTERS = 100
@@ -126,6 +127,25 @@
     epoch: _Version = -1
 
 
+class CheckReach(msgspec.Struct, array_like=True):
+    """Asks the owner of `epoch` how many runners of its report answer now."""
+
+    epoch: _Version
+    reach: reach_module.Reach
+
+
+class CheckReachReply(msgspec.Struct, array_like=True):
+    """Answers to the owner: of runners that it heard, and that were silent.
+
+    Attributes:
+      is_owner: The receiver owns the epoch and has asked them.
+    """
+
+    is_owner: bool
+    heard_sample: int = 0
+    silent_sample: int = 0
+
+
 class _Codec(grpclib.encoding.base.CodecBase):
     __content_subtype__ = "msgpack"
 
@@ -141,6 +161,7 @@
     Ask: AskReply,
     Fetch: FetchReply,
     HandOver: HandOverReply,
+    CheckReach: CheckReachReply,
 }
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -153,6 +174,7 @@
     ask: Callable[[Ask], Awaitable[AskReply]]
     fetch: Callable[[Fetch], Awaitable[FetchReply]]
     hand_over: Callable[[HandOver], Awaitable[HandOverReply]]
+    check_reach: Callable[[CheckReach], Awaitable[CheckReachReply]]
 
 
 class _Service:
@@ -211,6 +233,7 @@
             Ask: handlers.ask,
             Fetch: handlers.fetch,
             HandOver: handlers.hand_over,
+            CheckReach: handlers.check_reach,
         }
     )
     server = grpclib.server.Server([service], codec=_Codec())
--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -1,5 +1,8 @@
 """Watches which runners an owner hears, and asks runners for a standby."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+
 import anyio
 
 from plantainvane import events
@@ -10,14 +13,12 @@
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
 
-_INTERVAL_S = 0.2
-
 
 async def watch_reach(owner: state_module.Owner) -> None:
     """Keeps `owner.reach` up to date while the owner hears few runners."""
     few_since = None
     while True:
-        await anyio.sleep(_INTERVAL_S)
+        await anyio.sleep(reach_module.WATCH_INTERVAL_S)
         now = clock.read_now()
         heard, silent = reach_module.list_heard_and_silent(
             owner.runners.values(), now
@@ -53,22 +54,65 @@
     epoch: int,
     reach: reach_module.Reach,
 ) -> reach_module.Answers:
-    """Polls the runners of a report until enough answered, or time is up."""
+    """Polls the runners of a report until enough answered, or time is up.
+
+    Each is polled several times, and has answered if it misses no poll.
+    """
+
+    async def ask(runner: reach_module.SampledRunner) -> bool:
+        return await ask_runner(
+            adapters,
+            epoch,
+            runner,
+            settings.reach_polls,
+            settings.reach_poll_gap_s,
+        )
+
+    return await _ask_all(reach, ask, settings, settings.reach_timeout_s)
+
+
+async def check_runners(
+    owner: state_module.Owner, reach: reach_module.Reach
+) -> reach_module.Answers:
+    """Polls the runners of a report that a standby hears, for their owner.
+
+    A message may name any address, so only known runners are polled.
+    """
+
+    async def ask(runner: reach_module.SampledRunner) -> bool:
+        known = owner.runners.get(runner.id)
+        if known is None or known.entry.address != runner.address:
+            return False
+        return await ask_runner(owner.adapters, owner.epoch, runner)
+
+    return await _ask_all(
+        reach, ask, owner.settings, owner.settings.reach_check_timeout_s
+    )
+
+
+async def _ask_all(
+    reach: reach_module.Reach,
+    ask: Callable[[reach_module.SampledRunner], Awaitable[bool]],
+    settings: settings_module.Settings,
+    timeout_s: float,
+) -> reach_module.Answers:
     answers = reach_module.Answers()
 
-    async def ask(runner: reach_module.SampledRunner, is_silent: bool) -> None:
-        if not await ask_runner(adapters, epoch, runner):
+    async def record(
+        runner: reach_module.SampledRunner, is_silent: bool
+    ) -> None:
+        if not await ask(runner):
             return
         answers.record(is_silent)
         if reach_module.hears_enough(reach, answers, settings):
             group.cancel_scope.cancel()
 
-    with anyio.move_on_after(settings.reach_timeout_s):
+    with anyio.move_on_after(timeout_s):
         async with anyio.create_task_group() as group:
             for runner in reach.silent_sample:
-                group.start_soon(ask, runner, True)
+                group.start_soon(record, runner, True)
             for runner in reach.heard_sample:
-                group.start_soon(ask, runner, False)
+                group.start_soon(record, runner, False)
     return answers
 
 
@@ -76,16 +120,23 @@
     adapters: interfaces.Adapters,
     epoch: int,
     runner: reach_module.SampledRunner,
+    polls: int = 1,
+    gap_s: float = 0.0,
 ) -> bool:
-    """Polls a runner once; returns whether it answered.
+    """Polls a runner, `polls` times; returns whether it answered each time.
 
-    The poll carries the token of the owner of `epoch`, so it fences off nobody
-    that the owner would not. It renews no lease and acknowledges no end.
+    The polls carry the token of the owner of `epoch`, so they fence off nobody
+    that the owner would not. They renew no lease and acknowledge no end.
     """
     calls = adapters.connect_runner(runner.address, runner.id)
     try:
-        reply = await calls.poll(epoch, 0, None, 0.0)
+        for number in range(polls):
+            if number:
+                await anyio.sleep(gap_s)
+            reply = await calls.poll(epoch, 0, None, 0.0)
+            if reply.is_err():
+                return False
     finally:
         with anyio.CancelScope(shield=True):
             await calls.aclose()
-    return reply.is_ok()
+    return True
--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -3,7 +3,8 @@
 An owner may reach the log but few of its runners, while another process reaches
 most of them. It then reports in its claim how many it hears, with a sample of
 the runners that it hears and of those that it does not. A standby polls the
-sample and claims if it would hear markedly more.
+sample several times and claims if it would hear markedly more, also than the
+owner by then: runners may have begun to answer everybody since the report.
 """
 
 from collections.abc import Iterable
@@ -25,6 +26,10 @@
 # A runner is counted as silent after this time, in which a poll on a new
 # connection has failed as well. Connections may be reset while paths are sound.
 SILENT_AFTER_S = 0.25
+# Pause before a silent runner with attempts is polled again.
+SILENT_RETRY_S = 0.1
+# How often an owner counts its runners.
+WATCH_INTERVAL_S = 0.2
 
 # Whole numbers up to here are exact as floats.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -68,7 +73,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Answers:
-    """How many runners of each sample have answered this process."""
+    """How many runners of each sample have answered all polls of a process."""
 
     heard_sample: int = 0
     silent_sample: int = 0
@@ -229,5 +234,38 @@
     half, neither hears more. As each change of the owner adds a part of all
     runners, few can follow each other.
     """
-    gain = settings.reach_gain_share * (reach.heard + reach.silent)
-    return estimate_heard(reach, answers) >= reach.heard + gain
+    return estimate_heard(reach, answers) >= reach.heard + _find_least_gain(
+        reach, settings
+    )
+
+
+def is_confirmed(
+    reach: Reach,
+    answers: Answers,
+    owner_answers: Answers,
+    settings: settings_module.Settings,
+) -> bool:
+    """Tells whether a process still hears markedly more than the owner.
+
+    Args:
+      reach: The report of the owner.
+      answers: The answers to this process.
+      owner_answers: The later answers of the same runners to the owner.
+      settings: Limits.
+    """
+    gain = _find_least_gain(reach, settings)
+    return estimate_heard(reach, answers) >= gain + estimate_heard(
+        reach, owner_answers
+    )
+
+
+def find_notice_time(settings: settings_module.Settings) -> float:
+    """Returns how long an owner may take to report that it hears enough.
+
+    A poll that is on its way may still time out.
+    """
+    return settings.call_timeout_s + SILENT_RETRY_S + WATCH_INTERVAL_S
+
+
+def _find_least_gain(reach: Reach, settings: settings_module.Settings) -> float:
+    return settings.reach_gain_share * (reach.heard + reach.silent)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -25,7 +25,7 @@
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import stops
 
-_SILENT_RETRY_S = 0.1
+_SILENT_RETRY_S = reach.SILENT_RETRY_S
 # A lease is requested for less by what a slow clock may have lost since its
 # last reading, which is not to grow on an idle runner.
 _CLOCK_AGE_S = 30.0
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -100,10 +100,15 @@
     enough_runners_share: float = 0.92
     # A standby claims if it would hear more, by this share of all runners. It
     # polls up to reach_sample runners that the owner hears, and as many that it
-    # does not.
+    # does not, reach_polls times each. One that misses a poll counts as not
+    # heard, so that no lucky sample decides where polls are lost for all.
     reach_gain_share: float = 0.12
     reach_sample: int = 8
+    reach_polls: int = 6
+    reach_poll_gap_s: float = 0.03
     reach_timeout_s: float = 0.3
+    # Then the owner polls the same runners once more, within this time.
+    reach_check_timeout_s: float = 0.2
     reach_retry_s: float = 3.0
     reach_retry_max_s: float = 24.0
     # An owner that was replaced while it heard few runners is not a candidate
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -294,7 +294,13 @@
         return
     answers = await probes.ask_runners(entry.adapters, settings, epoch, reach)
     hears_more = reach_module.hears_markedly_more(reach, answers, settings)
-    _log_comparison(entry, reach, answers, hears_more)
+    owner_answers = None
+    if hears_more:
+        owner_answers = await _ask_owner_to_check(entry, epoch, reach)
+        hears_more = owner_answers is None or reach_module.is_confirmed(
+            reach, answers, owner_answers, settings
+        )
+    _log_comparison(entry, reach, answers, owner_answers, hears_more)
     if not hears_more:
         entry.comparisons.record(epoch, settings, clock.read_now())
         return
@@ -308,12 +314,57 @@
         )
 
 
+async def _ask_owner_to_check(
+    entry: process_module.Entry, epoch: int, reach: reach_module.Reach
+) -> reach_module.Answers | None:
+    """Returns how many runners of its report answer the owner by now.
+
+    An owner that does not reply has time to report that it hears enough; then
+    the result is None.
+    """
+    settings, asked_at = entry.settings, clock.read_now()
+    reply = await entry.peers.call(
+        entry.ownership.claim.address,
+        peers_module.CheckReach(epoch, reach),
+        settings.reach_check_timeout_s + settings.ping_timeout_s,
+    )
+    if reply.is_ok() and reply.ok_value.is_owner:
+        return reach_module.Answers(
+            reply.ok_value.heard_sample, reply.ok_value.silent_sample
+        )
+    left_s = (
+        asked_at + reach_module.find_notice_time(settings) - clock.read_now()
+    )
+    await anyio.sleep(max(0.0, left_s))
+    return None
+
+
+async def answer_check_reach(
+    entry: process_module.Entry, request: peers_module.CheckReach
+) -> peers_module.CheckReachReply:
+    """Polls runners again that a standby hears better, as their owner."""
+    owner = entry.owner
+    if owner is None or owner.epoch != request.epoch:
+        return peers_module.CheckReachReply(False)
+    answers = await probes.check_runners(owner, request.reach)
+    return peers_module.CheckReachReply(
+        True, answers.heard_sample, answers.silent_sample
+    )
+
+
 def _log_comparison(
     entry: process_module.Entry,
     reach: reach_module.Reach,
     answers: reach_module.Answers,
+    owner_answers: reach_module.Answers | None,
     hears_more: bool,
 ) -> None:
+    estimate = reach_module.estimate_heard(reach, answers)
+    owner_estimate = None
+    if owner_answers is not None:
+        owner_estimate = round(
+            reach_module.estimate_heard(reach, owner_answers), 1
+        )
     events.log_event(
         events.REACH_COMPARED,
         epoch=entry.ownership.epoch,
@@ -324,7 +375,8 @@
         heard_answered=answers.heard_sample,
         silent_asked=len(reach.silent_sample),
         silent_answered=answers.silent_sample,
-        estimate=round(reach_module.estimate_heard(reach, answers), 1),
+        estimate=round(estimate, 1),
+        owner_estimate=owner_estimate,
         hears_more=hears_more,
     )
 
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -1,13 +1,19 @@
 """An owner that reaches the log but few of its runners is replaced."""
 
+import random
+import types
+
 import anyio
 import msgspec
 import pytest
+import result
 
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import ownership
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import probes
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import succession
 from standins import platform_runner
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
@@ -337,6 +343,147 @@
         assert found is expected
 
 
+class LossyCalls:
+    """Client of a runner that loses a share of its answers."""
+
+    def __init__(self, loss, chance):
+        self.loss, self.chance = loss, chance
+
+    async def poll(self, *arguments):
+        if self.chance.random() < self.loss:
+            return result.Err(interfaces.OrderOutcome.LOST)
+        return result.Ok(None)
+
+    async def aclose(self):
+        pass
+
+
+def count_silent(losses, chance):
+    """Returns heard and silent runners: two polls in a row are lost."""
+    silent = [chance.random() < loss**2 for loss in losses]
+    return (
+        [n for n, is_silent in enumerate(silent) if not is_silent],
+        [n for n, is_silent in enumerate(silent) if is_silent],
+    )
+
+
+async def compare(losses, heard, silent, chance):
+    """Returns whether a standby finds that it hears markedly more."""
+
+    def sample(numbers):
+        chosen = chance.sample(
+            numbers, min(len(numbers), SETTINGS.reach_sample)
+        )
+        return tuple(
+            reach_module.SampledRunner(str(n), "127.0.0.1:1") for n in chosen
+        )
+
+    def connect_runner(address, runner_id):
+        return LossyCalls(losses[int(runner_id)], chance)
+
+    reach = reach_module.Reach(
+        len(heard), len(silent), sample(heard), sample(silent)
+    )
+    # Whoever hears nearly all stops asking; the timer never decides here.
+    settings = msgspec.structs.replace(SETTINGS, reach_timeout_s=60.0)
+    adapters = types.SimpleNamespace(connect_runner=connect_runner)
+    answers = await probes.ask_runners(adapters, settings, 1, reach)
+    return reach_module.hears_markedly_more(reach, answers, SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ("share", "loss"),
+    [(0.3, 0.4), (0.3, 0.8), (0.5, 0.6), (0.9, 0.5), (1.0, 0.4), (1.0, 0.7)],
+)
+async def test_lost_answers_are_no_reason_for_any_of_many_standbys(share, loss):
+    # Guards against a claim of the luckiest of many standbys, however weak it
+    # is, while runners lose a part of their answers to everybody.
+    chance = random.Random(f"{share} {loss}")
+    losses = [loss if n < 176 * share else 0.0 for n in range(176)]
+    found = []
+
+    async def stand_by():
+        heard, silent = count_silent(losses, chance)
+        found.append(await compare(losses, heard, silent, chance))
+
+    async with anyio.create_task_group() as group:
+        for _ in range(400):
+            group.start_soon(stand_by)
+    assert len(found) == 400
+    assert not any(found)
+
+
+@pytest.mark.parametrize("share", [0.25, 0.4, 0.75, 1.0])
+async def test_each_of_many_standbys_finds_a_cut_of_the_owner(share):
+    # Guards against a test for luck that also hides a real cut, and one beside
+    # a few answers that are lost to everybody.
+    chance = random.Random(share)
+    losses = [0.01] * 176
+    numbers = list(range(176))
+    cut = int(176 * share)
+    found = []
+
+    async def stand_by():
+        found.append(
+            await compare(losses, numbers[cut:], numbers[:cut], chance)
+        )
+
+    async with anyio.create_task_group() as group:
+        for _ in range(40):
+            group.start_soon(stand_by)
+    # The ablest few compare first, and one of them is enough.
+    assert sum(found) >= 30
+
+
+async def test_runners_that_answer_everybody_again_are_no_reason():
+    # Guards against a standby that compares just after a disturbance has ended
+    # for everybody, with what the owner reported before: it hears all.
+    async with platform_system.run_system(
+        entries=3, runners=_RUNNERS, reach_retry_s=60.0, reach_retry_max_s=60.0
+    ) as system:
+        owner = await start_long_running(system)
+        epoch = owner.owner.epoch
+        for name in list(system.runners)[2:]:
+            system.runners[name].silent = True
+        await wait_compared(system, owner)
+        for other in list_others(system, owner):
+            other.comparisons = reach_module.Comparisons()
+            await succession._read_claims(other)
+        for runner in system.runners.values():
+            runner.silent = False
+        async with anyio.create_task_group() as group:
+            for other in list_others(system, owner):
+                group.start_soon(succession._compare_reach, other)
+        await watch_for(
+            1.0,
+            lambda: owner.owner is not None and owner.owner.epoch == epoch,
+        )
+
+
+async def test_owner_polls_only_known_runners_for_a_standby():
+    # Guards against a peer that makes the owner call any address, and against
+    # an answer for another epoch.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = await system.wait_owner()
+        for name in system.runners:
+            await wait_fenced(owner, name)
+        sample = [
+            reach_module.SampledRunner(name, runner.address)
+            for name, runner in system.runners.items()
+        ]
+        epoch = owner.owner.epoch
+        odd = reach_module.SampledRunner(sample[0].id, sample[1].address)
+        for runners, answered in ((sample, 2), ([odd, sample[1]], 1)):
+            request = peers_module.CheckReach(
+                epoch, reach_module.Reach(0, 2, (), tuple(runners))
+            )
+            reply = await succession.answer_check_reach(owner, request)
+            assert reply.is_owner and reply.silent_sample == answered
+        request = msgspec.structs.replace(request, epoch=epoch + 1)
+        reply = await succession.answer_check_reach(owner, request)
+        assert not reply.is_owner
+
+
 def test_comparisons_get_rarer_until_the_owner_changes():
     # Guards against standbys that poll runners which are down for as long as
     # these are down, and against one that does not look at the next owner.
