Let a weak owner that hears more hand over to an abler process that does too

Change: within the 20 s the owner hands over, as otherwise after 3 s or 0.7 s, once it hears 0.92 of the runners itself; HandOver then carries 32 runners of all domains, and the peer declines unless 0.92 of them answer it. Ruled out: dropping the 20 s, which hands back to processes that are cut off (test_process_that_hears_more_runners_stays_the_owner); comparing by pings, which polls all the time. No cycle while no path changes: a claim takes 0.12 of the runners more, a handover a peer 1.7 times as able. Before: test_weak_process_that_hears_more_hands_over_to_one_that_does_too failed. After: it passes. No existing test changed.

--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -116,9 +116,15 @@
 
 
 class HandOver(msgspec.Struct, array_like=True):
-    """Sent by the owner of `epoch` to ask the receiver to claim ownership."""
+    """Sent by the owner of `epoch` to ask the receiver to claim ownership.
+
+    Attributes:
+      epoch: Epoch of the owner.
+      sample: Runners that the receiver has to hear, or it declines.
+    """
 
     epoch: _Version
+    sample: reach_module.Sample = ()
 
 
 class HandOverReply(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -71,6 +71,24 @@
     return await _ask_all(reach, ask, settings, settings.reach_timeout_s)
 
 
+async def hears_sample(
+    adapters: interfaces.Adapters,
+    settings: settings_module.Settings,
+    epoch: int,
+    sample: reach_module.Sample,
+) -> bool:
+    """Polls runners of the owner of `epoch`; tells whether enough answer."""
+    reach = reach_module.Reach(len(sample), 0, sample)
+    if not reach.is_usable():
+        return False
+
+    async def ask(runner: reach_module.SampledRunner) -> bool:
+        return await ask_runner(adapters, epoch, runner)
+
+    answers = await _ask_all(reach, ask, settings, settings.reach_timeout_s)
+    return reach_module.hears_enough(reach, answers, settings)
+
+
 async def check_runners(
     owner: state_module.Owner, reach: reach_module.Reach
 ) -> reach_module.Answers:
--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -7,6 +7,7 @@
 owner by then: runners may have begun to answer everybody since the report.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -43,7 +44,7 @@
     address: str
 
 
-_Sample = Annotated[
+Sample = Annotated[
     tuple[SampledRunner, ...], msgspec.Meta(max_length=_MAX_SAMPLE)
 ]
 
@@ -59,8 +60,8 @@
 
     heard: _Count
     silent: _Count
-    heard_sample: _Sample = ()
-    silent_sample: _Sample = ()
+    heard_sample: Sample = ()
+    silent_sample: Sample = ()
 
     def is_usable(self) -> bool:
         """Tells whether each runner that it names can be asked."""
@@ -96,8 +97,9 @@
       wait_s: Time between the last comparison and `next_at`.
       stands_back_until: Until then this process is no candidate, as it heard
         few runners when it was the owner.
-      keeps_until: Until then this process does not hand over to an abler one,
-        as it became the owner because it hears more runners.
+      keeps_until: Until then this process hands over to an abler one only if
+        that hears the runners as well, as it became the owner because it hears
+        more of them.
     """
 
     epoch: int = -1
@@ -160,6 +162,27 @@
     )
 
 
+def choose_handover_sample(
+    runners: Collection[runners_module.Runner],
+    recovered: bool,
+    settings: settings_module.Settings,
+    now: float,
+) -> Sample:
+    """Returns runners that the next owner has to hear.
+
+    Empty while this owner does not hear nearly all itself: what it hears by
+    then may be what anybody hears. During a recovery all are polled, later not
+    those that are idle.
+    """
+    heard, silent = list_heard_and_silent(runners, now)
+    counted = len(heard) + len(silent)
+    if not recovered:
+        counted = sum(r.listed and r.shows_life(now) for r in runners)
+    if len(heard) < settings.enough_runners_share * counted:
+        return ()
+    return _choose_sample(heard, settings.reach_handover_sample)
+
+
 def _choose_sample(
     runners: Sequence[runners_module.Runner], size: int
 ) -> tuple[SampledRunner, ...]:
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -112,8 +112,10 @@
     reach_retry_s: float = 3.0
     reach_retry_max_s: float = 24.0
     # An owner that was replaced while it heard few runners is not a candidate
-    # for this time, and its successor does not hand over to an abler process.
+    # for this time, and its successor hands over only to an abler process that
+    # hears a sample of the runners as well.
     reach_stand_back_s: float = 20.0
+    reach_handover_sample: int = 32
 
     # Runners. A call within the deployment takes 1 to 3 ms.
     call_timeout_s: float = 0.4
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -50,8 +50,12 @@
     entry: process_module.Entry,
     owner: state_module.Owner,
     candidates: list[str],
+    sample: reach_module.Sample = (),
 ) -> None:
-    """Stops scheduling and asks `candidates` in turn to claim ownership."""
+    """Stops scheduling and asks `candidates` in turn to claim ownership.
+
+    One that does not hear the runners of `sample` declines.
+    """
     owner.draining = True
     # The journal is not written before the recovery is complete.
     if owner.recovered:
@@ -60,7 +64,7 @@
     for address in candidates:
         reply = await entry.peers.call(
             address,
-            peers_module.HandOver(owner.epoch),
+            peers_module.HandOver(owner.epoch, sample),
             _HAND_OVER_TIMEOUT_S,
         )
         if reply.is_ok() and reply.ok_value.epoch > owner.epoch:
@@ -93,6 +97,11 @@
 
     A process that is late takes its own delay for the absence of its peers, or
     of the log, so its wait goes on; a weak owner may be late all the time.
+
+    An owner that claimed because of its reach hands over only to a peer that
+    hears as much. So the ownership does not come back while no path changes: a
+    claim back takes an owner that hears markedly less, and a handover back a
+    markedly abler peer.
     """
     settings = entry.settings
     found_at = None
@@ -101,8 +110,13 @@
         now = clock.read_now()
         peer = standbys.find_abler_peer(entry.known_peers, settings, now)
         keeps = now < entry.comparisons.keeps_until
-        if not peer or not _may_own(entry, now) or keeps:
-            if keeps or not entry.load.is_late(now):
+        sample = ()
+        if keeps:
+            sample = reach_module.choose_handover_sample(
+                owner.runners.values(), owner.recovered, settings, now
+            )
+        if not peer or not _may_own(entry, now) or (keeps and not sample):
+            if not entry.load.is_late(now):
                 found_at = None
             continue
         if found_at is None:
@@ -120,7 +134,9 @@
         )
         others = standbys.list_abler_peers(entry.known_peers, settings, now)
         candidates = dict.fromkeys([peer, *others])
-        await _offer_ownership(entry, owner, [*candidates][:_MAX_OFFERS])
+        await _offer_ownership(
+            entry, owner, [*candidates][:_MAX_OFFERS], sample
+        )
         # Only a failed offer gets here; a step-down cancels this task.
         owner.draining = entry.draining
         await anyio.sleep(settings.abler_peer_retry_s)
@@ -559,10 +575,14 @@
 async def answer_hand_over(
     entry: process_module.Entry, request: peers_module.HandOver
 ) -> peers_module.HandOverReply:
-    """Claims ownership from an owner that is shutting down.
+    """Claims ownership from an owner that asks this process to.
 
     Returns the epoch that this process owns, or -1.
     """
+    if request.sample and not await probes.hears_sample(
+        entry.adapters, entry.settings, request.epoch, request.sample
+    ):
+        return peers_module.HandOverReply()
     for _ in range(_HAND_OVER_TRIES):
         may_own = _may_own(entry, clock.read_now())
         if not may_own or not await _read_claims(entry):
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -147,6 +147,74 @@
         await watch_for(3.0, lambda: system.find_owner() is weak)
 
 
+async def test_weak_process_that_hears_more_hands_over_to_one_that_does_too():
+    # Guards against a weak process that keeps the jobs because it hears more
+    # than its predecessor, although an abler one hears as much, and against an
+    # ownership that then goes back.
+    async with platform_system.run_system(
+        entries=1, runners=_RUNNERS, capacity=4.0, abler_peer_wait_s=0.3
+    ) as system:
+        cut = await start_long_running(system)
+        weak = await platform_system.add_entry(
+            system, 7, capacity=0.5, abler_peer_wait_s=0.3
+        )
+        system.cut(cut, list(system.runners)[2:])
+        with anyio.fail_after(20.0):
+            while system.find_owner() is not weak:
+                await anyio.sleep(0.01)
+        able = await platform_system.add_entry(
+            system, 1, capacity=4.0, abler_peer_wait_s=0.3
+        )
+        with anyio.fail_after(5.0):
+            while system.find_owner() is not able:
+                await anyio.sleep(0.01)
+        epoch = able.owner.epoch
+        await watch_for(
+            3.0,
+            lambda: able.owner is not None and able.owner.epoch == epoch,
+        )
+        assert keeps_attempts(system, system.runners)
+
+
+async def test_a_peer_that_hears_few_of_a_sample_declines():
+    # Guards against a handover to a process that hears fewer runners, and
+    # against an exception for an address that cannot be asked.
+    async with platform_system.run_system(entries=2, runners=4) as system:
+        owner = await system.wait_owner()
+        (other,) = list_others(system, owner)
+        epoch = owner.owner.epoch
+        runners = [
+            reach_module.SampledRunner(name, runner.address)
+            for name, runner in system.runners.items()
+        ]
+        odd = reach_module.SampledRunner("i-0", "no address")
+        system.cut(other, [runners[0].id])
+        for sample in (tuple(runners), (*runners[1:], odd)):
+            request = peers_module.HandOver(epoch, sample)
+            reply = await succession.answer_hand_over(other, request)
+            assert reply.epoch == -1 and other.owner is None
+        request = peers_module.HandOver(epoch, tuple(runners[1:]))
+        reply = await succession.answer_hand_over(other, request)
+        assert reply.epoch > epoch
+
+
+def test_handover_needs_an_owner_that_hears_nearly_all_runners():
+    # Guards against a sample of the few runners that answered first, which
+    # anybody may hear.
+    def choose(runners, recovered):
+        return reach_module.choose_handover_sample(
+            runners, recovered, SETTINGS, 100.0
+        )
+
+    unfenced = decisions.make_runner("u", fenced=False, entry_read_at=99.0)
+    assert len(choose(make_runners(100, 5), True)) == 32
+    assert len(choose(make_runners(100, 5), False)) == 32
+    assert choose(make_runners(90, 10), True) == ()
+    assert choose([*make_runners(8, 0), unfenced], False) == ()
+    assert len(choose([*make_runners(8, 0), unfenced], True)) == 8
+    assert choose([], True) == ()
+
+
 async def test_asking_runners_changes_nothing_there():
     # Guards against a standby that fences off the owner, extends a lease or
     # makes a runner forget ends that are not stored.
