--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -3,9 +3,11 @@
 An owner may reach the log but few of its runners, while another process reaches
 most of them. It then reports in its claim how many it hears, with a sample of
 the runners that it hears and of those that it does not. A standby polls the
-sample and claims if it would hear markedly more.
+sample several times and claims if it would hear markedly more, also than the
+owner by then: runners may have begun to answer everybody since the report.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -25,6 +27,10 @@
 # A runner is counted as silent after this time, in which a poll on a new
 # connection has failed as well. Connections may be reset while paths are sound.
 SILENT_AFTER_S = 0.25
+# Pause before a silent runner with attempts is polled again.
+SILENT_RETRY_S = 0.1
+# How often an owner counts its runners.
+WATCH_INTERVAL_S = 0.2
 
 # Whole numbers up to here are exact as floats.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -38,7 +44,7 @@
     address: str
 
 
-_Sample = Annotated[
+Sample = Annotated[
     tuple[SampledRunner, ...], msgspec.Meta(max_length=_MAX_SAMPLE)
 ]
 
@@ -54,8 +60,8 @@
 
     heard: _Count
     silent: _Count
-    heard_sample: _Sample = ()
-    silent_sample: _Sample = ()
+    heard_sample: Sample = ()
+    silent_sample: Sample = ()
 
     def is_usable(self) -> bool:
         """Tells whether each runner that it names can be asked."""
@@ -68,7 +74,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Answers:
-    """How many runners of each sample have answered this process."""
+    """How many runners of each sample have answered all polls of a process."""
 
     heard_sample: int = 0
     silent_sample: int = 0
@@ -91,8 +97,9 @@
       wait_s: Time between the last comparison and `next_at`.
       stands_back_until: Until then this process is no candidate, as it heard
         few runners when it was the owner.
-      keeps_until: Until then this process does not hand over to an abler one,
-        as it became the owner because it hears more runners.
+      keeps_until: Until then this process hands over to an abler one only if
+        that hears the runners as well, as it became the owner because it hears
+        more of them.
     """
 
     epoch: int = -1
@@ -155,6 +162,27 @@
     )
 
 
+def choose_handover_sample(
+    runners: Collection[runners_module.Runner],
+    recovered: bool,
+    settings: settings_module.Settings,
+    now: float,
+) -> Sample:
+    """Returns runners that the next owner has to hear.
+
+    Empty while this owner does not hear nearly all itself: what it hears by
+    then may be what anybody hears. During a recovery all are polled, later not
+    those that are idle.
+    """
+    heard, silent = list_heard_and_silent(runners, now)
+    counted = len(heard) + len(silent)
+    if not recovered:
+        counted = sum(r.listed and r.shows_life(now) for r in runners)
+    if len(heard) < settings.enough_runners_share * counted:
+        return ()
+    return _choose_sample(heard, settings.reach_handover_sample)
+
+
 def _choose_sample(
     runners: Sequence[runners_module.Runner], size: int
 ) -> tuple[SampledRunner, ...]:
@@ -229,5 +257,38 @@
     half, neither hears more. As each change of the owner adds a part of all
     runners, few can follow each other.
     """
-    gain = settings.reach_gain_share * (reach.heard + reach.silent)
-    return estimate_heard(reach, answers) >= reach.heard + gain
+    return estimate_heard(reach, answers) >= reach.heard + _find_least_gain(
+        reach, settings
+    )
+
+
+def is_confirmed(
+    reach: Reach,
+    answers: Answers,
+    owner_answers: Answers,
+    settings: settings_module.Settings,
+) -> bool:
+    """Tells whether a process still hears markedly more than the owner.
+
+    Args:
+      reach: The report of the owner.
+      answers: The answers to this process.
+      owner_answers: The later answers of the same runners to the owner.
+      settings: Limits.
+    """
+    gain = _find_least_gain(reach, settings)
+    return estimate_heard(reach, answers) >= gain + estimate_heard(
+        reach, owner_answers
+    )
+
+
+def find_notice_time(settings: settings_module.Settings) -> float:
+    """Returns how long an owner may take to report that it hears enough.
+
+    A poll that is on its way may still time out.
+    """
+    return settings.call_timeout_s + SILENT_RETRY_S + WATCH_INTERVAL_S
+
+
+def _find_least_gain(reach: Reach, settings: settings_module.Settings) -> float:
+    return settings.reach_gain_share * (reach.heard + reach.silent)
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -50,8 +50,12 @@
     entry: process_module.Entry,
     owner: state_module.Owner,
     candidates: list[str],
+    sample: reach_module.Sample = (),
 ) -> None:
-    """Stops scheduling and asks `candidates` in turn to claim ownership."""
+    """Stops scheduling and asks `candidates` in turn to claim ownership.
+
+    One that does not hear the runners of `sample` declines.
+    """
     owner.draining = True
     # The journal is not written before the recovery is complete.
     if owner.recovered:
@@ -60,7 +64,7 @@
     for address in candidates:
         reply = await entry.peers.call(
             address,
-            peers_module.HandOver(owner.epoch),
+            peers_module.HandOver(owner.epoch, sample),
             _HAND_OVER_TIMEOUT_S,
         )
         if reply.is_ok() and reply.ok_value.epoch > owner.epoch:
@@ -93,6 +97,11 @@
 
     A process that is late takes its own delay for the absence of its peers, or
     of the log, so its wait goes on; a weak owner may be late all the time.
+
+    An owner that claimed because of its reach hands over only to a peer that
+    hears as much. So the ownership does not come back while no path changes: a
+    claim back takes an owner that hears markedly less, and a handover back a
+    markedly abler peer.
     """
     settings = entry.settings
     found_at = None
@@ -101,8 +110,13 @@
         now = clock.read_now()
         peer = standbys.find_abler_peer(entry.known_peers, settings, now)
         keeps = now < entry.comparisons.keeps_until
-        if not peer or not _may_own(entry, now) or keeps:
-            if keeps or not entry.load.is_late(now):
+        sample = ()
+        if keeps:
+            sample = reach_module.choose_handover_sample(
+                owner.runners.values(), owner.recovered, settings, now
+            )
+        if not peer or not _may_own(entry, now) or (keeps and not sample):
+            if not entry.load.is_late(now):
                 found_at = None
             continue
         if found_at is None:
@@ -120,7 +134,9 @@
         )
         others = standbys.list_abler_peers(entry.known_peers, settings, now)
         candidates = dict.fromkeys([peer, *others])
-        await _offer_ownership(entry, owner, [*candidates][:_MAX_OFFERS])
+        await _offer_ownership(
+            entry, owner, [*candidates][:_MAX_OFFERS], sample
+        )
         # Only a failed offer gets here; a step-down cancels this task.
         owner.draining = entry.draining
         await anyio.sleep(settings.abler_peer_retry_s)
@@ -294,7 +310,13 @@
         return
     answers = await probes.ask_runners(entry.adapters, settings, epoch, reach)
     hears_more = reach_module.hears_markedly_more(reach, answers, settings)
-    _log_comparison(entry, reach, answers, hears_more)
+    owner_answers = None
+    if hears_more:
+        owner_answers = await _ask_owner_to_check(entry, epoch, reach)
+        hears_more = owner_answers is None or reach_module.is_confirmed(
+            reach, answers, owner_answers, settings
+        )
+    _log_comparison(entry, reach, answers, owner_answers, hears_more)
     if not hears_more:
         entry.comparisons.record(epoch, settings, clock.read_now())
         return
@@ -308,12 +330,57 @@
         )
 
 
+async def _ask_owner_to_check(
+    entry: process_module.Entry, epoch: int, reach: reach_module.Reach
+) -> reach_module.Answers | None:
+    """Returns how many runners of its report answer the owner by now.
+
+    An owner that does not reply has time to report that it hears enough; then
+    the result is None.
+    """
+    settings, asked_at = entry.settings, clock.read_now()
+    reply = await entry.peers.call(
+        entry.ownership.claim.address,
+        peers_module.CheckReach(epoch, reach),
+        settings.reach_check_timeout_s + settings.ping_timeout_s,
+    )
+    if reply.is_ok() and reply.ok_value.is_owner:
+        return reach_module.Answers(
+            reply.ok_value.heard_sample, reply.ok_value.silent_sample
+        )
+    left_s = (
+        asked_at + reach_module.find_notice_time(settings) - clock.read_now()
+    )
+    await anyio.sleep(max(0.0, left_s))
+    return None
+
+
+async def answer_check_reach(
+    entry: process_module.Entry, request: peers_module.CheckReach
+) -> peers_module.CheckReachReply:
+    """Polls runners again that a standby hears better, as their owner."""
+    owner = entry.owner
+    if owner is None or owner.epoch != request.epoch:
+        return peers_module.CheckReachReply(False)
+    answers = await probes.check_runners(owner, request.reach)
+    return peers_module.CheckReachReply(
+        True, answers.heard_sample, answers.silent_sample
+    )
+
+
 def _log_comparison(
     entry: process_module.Entry,
     reach: reach_module.Reach,
     answers: reach_module.Answers,
+    owner_answers: reach_module.Answers | None,
     hears_more: bool,
 ) -> None:
+    estimate = reach_module.estimate_heard(reach, answers)
+    owner_estimate = None
+    if owner_answers is not None:
+        owner_estimate = round(
+            reach_module.estimate_heard(reach, owner_answers), 1
+        )
     events.log_event(
         events.REACH_COMPARED,
         epoch=entry.ownership.epoch,
@@ -324,7 +391,8 @@
         heard_answered=answers.heard_sample,
         silent_asked=len(reach.silent_sample),
         silent_answered=answers.silent_sample,
-        estimate=round(reach_module.estimate_heard(reach, answers), 1),
+        estimate=round(estimate, 1),
+        owner_estimate=owner_estimate,
         hears_more=hears_more,
     )
 
@@ -507,10 +575,14 @@
 async def answer_hand_over(
     entry: process_module.Entry, request: peers_module.HandOver
 ) -> peers_module.HandOverReply:
-    """Claims ownership from an owner that is shutting down.
+    """Claims ownership from an owner that asks this process to.
 
     Returns the epoch that this process owns, or -1.
     """
+    if request.sample and not await probes.hears_sample(
+        entry.adapters, entry.settings, request.epoch, request.sample
+    ):
+        return peers_module.HandOverReply()
     for _ in range(_HAND_OVER_TRIES):
         may_own = _may_own(entry, clock.read_now())
         if not may_own or not await _read_claims(entry):
