Keep the leases alive while a new owner loads the jobs

Cause: a weak owner beside a backlog needs 4 to 14 s to recover, most of it for listing and loading the jobs. Sessions with runners began after that, so all leases (5.5 s) lapsed meanwhile.

Ruled out: full polls during the loading. Without the jobs each listed attempt is foreign and would be stopped, and ends would be acknowledged unstored. Ruled out: holding the answers back and applying them later. They are seconds old by then and tell no end of a restored attempt.

Change: progress is read first, as it holds the promised expiries, then the runners, then the jobs. Sessions begin once the jobs are loaded. The handling of leases at a restart is shared with the sessions.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -21,7 +21,9 @@
     A lease on the clock of an entry is requested once. A runner whose clock is
     far behind that one would grant the longest lease each time.
     """
-    if not runner.clock_ms or (runner.silent and runner.clock_listed):
+    if not runner.clock_ms or runner.lease_withheld:
+        return None
+    if runner.silent and runner.clock_listed:
         return None
     if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
         # Nothing but what cannot be stopped otherwise is to lapse.
@@ -68,6 +70,24 @@
         state_module.store_expiries(owner, now)
 
 
+def begin_clock(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    clock_ms: int,
+    now: float,
+    in_use: bool,
+) -> None:
+    """Records the clock of a runner that has restarted.
+
+    Orders named times on the earlier incarnation's clock, which the new one
+    takes for the longest lease. `in_use` tells that something may run there.
+    """
+    runner.record_clock(clock_ms, now, listed=True)
+    longest_ms = int(owner.settings.max_lease_s * 1000)
+    runner.lease_until_ms = clock_ms + longest_ms if in_use else 0
+    runner.lease_requested_at = now
+
+
 def read_clock(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import crashes
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import keeping
 from plantainvane.jobs import model
 from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
@@ -56,17 +57,27 @@
 
 
 async def recover(owner: state_module.Owner) -> None:
-    """Loads the state that earlier owners stored."""
+    """Loads the state that earlier owners stored.
+
+    The progress comes first, as it holds promises that forbid to extend leases.
+    The jobs come last, as they take longest on a weak owner: leases are kept
+    alive meanwhile.
+    """
+    owner.loading = True
     page = await _list_newest(owner, state_module.PROGRESS_TOPIC)
     await _apply_records(owner, page, _load_progress)
-    page = await _list_newest(owner, state_module.JOBS_TOPIC)
-    owner.jobs_offset = page.end_offset
-    await _apply_records(owner, page, _add_job)
-    early_cancels.restore_cancels(owner, clock.read_now())
     page = await _list_newest(owner, owner.adapters.runners_topic)
     owner.runners_offset = page.end_offset
     for _, key, value in page.records:
         _apply_entry(owner, key, value)
+    owner.group.start_soon(keeping.keep_leases, owner)
+    page = await _list_newest(owner, state_module.JOBS_TOPIC)
+    owner.jobs_offset = page.end_offset
+    await _apply_records(owner, page, _add_job)
+    early_cancels.restore_cancels(owner, clock.read_now())
+    owner.loading = False
+    for runner in owner.runners.values():
+        owner.group.start_soon(sessions.run_session, owner, runner)
 
 
 async def _apply_records(
@@ -403,4 +414,5 @@
         domain=entry.domain,
         cpu=entry.capacity.cpu,
     )
-    owner.group.start_soon(sessions.run_session, owner, runner)
+    if not owner.loading:
+        owner.group.start_soon(sessions.run_session, owner, runner)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -59,6 +59,8 @@
       lease_requested_at: When that was requested.
       late_lease_until: When a lease that was requested on a wrong clock, by a
         call without an answer, has expired even if it is granted late.
+      lease_withheld: It has not answered the last poll that was sent while the
+        jobs were loaded, and gets no lease before it answers.
       renewed_at: When the newest lease that it has accepted was requested.
       earlier_leases_until: When the leases that earlier owners have granted, or
         that were granted at its earlier address, have certainly expired; minus
@@ -124,6 +126,7 @@
     lease_until_ms: int = 0
     lease_requested_at: float = float("-inf")
     late_lease_until: float = float("-inf")
+    lease_withheld: bool = False
     renewed_at: float = 0.0
     earlier_leases_until: float = float("-inf")
     answered_at: float = 0.0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -216,6 +216,7 @@
         await _wait_for_retry(owner, runner, now)
         return pending
     metrics.RUNNER_POLLS.labels("done").inc()
+    runner.lease_withheld = False
     if lease is not None:
         runner.renewed_at = sent_at
     if extends:
@@ -402,12 +403,7 @@
     runner.require_poll()
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
-    runner.record_clock(clock_ms, now, listed=True)
-    # Orders named times on the earlier incarnation's clock, which the new one
-    # takes for the longest lease.
-    longest_ms = int(owner.settings.max_lease_s * 1000)
-    runner.lease_until_ms = clock_ms + longest_ms if runner.runs else 0
-    runner.lease_requested_at = now
+    leases.begin_clock(owner, runner, clock_ms, now, bool(runner.runs))
 
 
 def _apply_reply(
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -69,6 +69,7 @@
         been found, by job id.
       queues: Each queue as last configured, by name; removed queues stay.
       interference_model: Learned effects of fill images on serving images.
+      loading: The stored jobs are being loaded, and no session has begun.
       recovered: Stored state is loaded; runners were fenced or timed out.
       recovery_ended: Set when the owner has recovered, or has stepped down.
       stepped_down: Set when this process stops being the owner.
@@ -128,6 +129,7 @@
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
     )
+    loading: bool = False
     recovered: bool = False
     recovery_ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     draining: bool = False
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -57,6 +57,7 @@
         have records, which are not carried out.
       counts_empty: An empty append takes its sequence number.
       page_items: Most records in a page of the newest records.
+      page_delays_s: Time that each such page takes, by topic.
       on_page: Called with the topic before each such page is made.
       max_record_bytes: An append with a larger record is refused.
       broken_values: Base64 of the values in a list of newest records that
@@ -77,6 +78,7 @@
     )
     counts_empty: bool = False
     page_items: int = 500
+    page_delays_s: dict[str, float] = dataclasses.field(default_factory=dict)
     on_page: Callable[[str], None] = lambda topic: None
     max_record_bytes: int = 262_144
     broken_values: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -148,6 +150,8 @@
             await anyio.sleep(state.read_delay_s)
             return await _handle_read(state, request)
         if name == "newest":
+            topic = request.query["Topic"]
+            await anyio.sleep(state.page_delays_s.get(topic, 0.0))
             return _handle_newest(state, request)
         return asgi.HttpReply(404)
 
