Store the end of a job that is given up without waiting for another record

On a quiet site the job stayed "running" and its tasks ran on. Found by test_crashes_count_after_the_owner_is_lost[owner-False], beside the trace of another test of its file.

--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -109,6 +109,7 @@
     await recovery.recover(owner)
     settle_orphans(owner, clock.read_now())
     owner.group.start_soon(_run_journal, owner)
+    owner.group.start_soon(_store_ends, owner)
     owner.group.start_soon(_stop_ended_runs, owner)
     owner.group.start_soon(recovery.follow_jobs, owner)
     owner.group.start_soon(recovery.follow_runners, owner)
@@ -328,6 +329,18 @@
     )
 
 
+async def _store_ends(owner: state_module.Owner) -> None:
+    """Stores the end of each job, whatever has ended it.
+
+    Nothing is stopped before, and no other record may follow.
+    """
+    table = owner.table
+    while True:
+        await table.has_ends_to_store.wait()
+        table.has_ends_to_store = anyio.Event()
+        owner.journal.add([])
+
+
 async def _stop_ended_runs(owner: state_module.Owner) -> None:
     """Orders the stops of what has ended, however long a pass goes on."""
     table = owner.table
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -34,6 +34,7 @@
       runs_to_stop: Runs that have to be stopped because their task is done or
         the end of their job is stored.
       has_runs_to_stop: Set when there are any.
+      has_ends_to_store: Set when a job has ended since it was last cleared.
       suspects: Open tasks that may have crashed a runner, by name.
     """
 
@@ -51,6 +52,9 @@
     has_runs_to_stop: anyio.Event = dataclasses.field(
         default_factory=anyio.Event
     )
+    has_ends_to_store: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
     suspects: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
 
     def add_job(
@@ -369,6 +373,7 @@
         state.ended, state.ended_ms = outcome, wall_ms
         self._close_tasks(state)
         self.mark_changed(state)
+        self.has_ends_to_store.set()
 
     def confirm_end(self, state: attempts.JobState) -> None:
         """Records that the end of a job is stored, and has its runs stopped.
--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -451,3 +451,29 @@
     assert (leases.choose_lease(owner, runner, 12.1) is not None) == needed
     answer_polls(owner, runner, [other] if needed else [], 13.0)
     assert leases.choose_lease(owner, runner, 13.0) is not None
+
+
+@pytest.mark.parametrize("way", ["given up", "cancelled"])
+async def test_end_of_a_job_is_stored_although_no_other_record_follows(way):
+    # Guards against a job that runs on without an end: its end is stored only
+    # with the next record, and its tasks are stopped only after that.
+    owner = passes.make_owner()
+    state = decisions.add_job(owner.table, decisions.make_step())
+    added = []
+
+    class Journal:
+        def add(self, records):
+            added.append((records, list(owner.table.changed)))
+
+    owner.journal = Journal()
+    async with anyio.create_task_group() as group:
+        group.start_soon(owner_module._store_ends, owner)
+        await anyio.wait_all_tasks_blocked()
+        assert not added
+        if way == "cancelled":
+            owner.table.cancel_job(state, 1)
+        else:
+            owner.table.give_up(state.steps[0, 0].tasks[0], 1)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    assert added == [([], [state.job.id])]
