Let a suspect start on the machine that crashed if the service lists no other

Cause: a suspect waits for its trial on another machine, a long-running one for 2 s, also when the service has only the machine that crashed. In test_tasks_do_not_wait_for_the_leases_of_a_runner_that_was_replaced this left 0.1 s of its 3 s: down for 0.5 s, listed after 0.64 to 0.71 s, the attempt dropped after 0.68 to 0.79 s, then 2.1 to 2.2 s of waiting for a trial (849 task_waits, "trial"), second start after 2.91 and 2.92 s. Beside 8 busy processes one of four runs failed. Ruled out: the leases (the attempt is dropped within 0.1 s of the new entry) and the event loop (its longest gap was 25 ms in these two traces). Change: a trial may use a machine that crashed under the task while no other runner of the service is listed (a silent or full one counts as another), and stays apart from other starts as before. With an adviser nothing changes, as candidates are only those with a ticket. trials.allows_trial, which had one caller, is gone. Before: the new tests failed for one runner, alone or beside an unlisted one, and for a start beside others. After: they pass; second start after 0.81 and 0.81 s, and after 0.67 to 1.13 s in six runs beside 8 busy processes. No bound is changed.

--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -281,11 +281,25 @@
     kept = [r for r in candidates if trials.is_kept(r, task, now)]
     if not kept and not _has_trial_left(candidates, now):
         return []
-    return [
-        runner
-        for runner in kept or candidates
-        if trials.allows_trial(runner, task, now)
-    ]
+    sites = _list_trial_sites(task, candidates)
+    if kept:
+        sites = [r for r in sites if trials.is_kept(r, task, now)]
+    return [r for r in sites if not trials.count_new(r, now)]
+
+
+def _list_trial_sites(
+    task: attempts.Task, candidates: list[runners_module.Runner]
+) -> list[runners_module.Runner]:
+    """Returns the runners that may be used for a trial, now or later.
+
+    A machine that crashed under the task would prove less than another one, so
+    it is used only if there is no other. Without a ticket for another one, the
+    adviser may still give one.
+    """
+    others = [r for r in candidates if not trials.is_crash_site(task, r)]
+    if any(r.listed for r in others) or task.job.queue.advice is not None:
+        return others
+    return candidates
 
 
 def _has_trial_left(
@@ -309,9 +323,7 @@
     ):
         return None
     best, best_score = None, float("-inf")
-    for runner in candidates:
-        if trials.is_crash_site(task, runner):
-            continue
+    for runner in _list_trial_sites(task, candidates):
         score = _evaluate_runner(
             task, runner, {}, interference_model, Estimates(), now
         )
--- a/plantainvane/jobs/trials.py
+++ b/plantainvane/jobs/trials.py
@@ -34,16 +34,6 @@
     return not task.trial_since or now - task.trial_since < wait_s
 
 
-def allows_trial(
-    runner: runners_module.Runner, task: attempts.Task, now: float
-) -> bool:
-    """Tells whether a suspect would be the only one on a runner.
-
-    A machine that crashed under the task would prove less than another one.
-    """
-    return not is_crash_site(task, runner) and count_new(runner, now) == 0
-
-
 def count_new(runner: runners_module.Runner, now: float) -> int:
     """Returns the number of attempts there that would be suspects."""
     return sum(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -763,3 +763,51 @@
     keep_runner_for(suspect, runners[0])
     scheduling.place_ready_tasks(owner, NOW)
     assert passes.list_placed(owner) == [(suspect.name, "r0")]
+
+
+@pytest.mark.parametrize(
+    ("others", "advice", "started"),
+    [
+        ([], None, True),
+        ([{"listed": False}], None, True),
+        ([{}], None, False),
+        ([{"silent": True}], None, False),
+        ([], model.AdviserTimings(0.01, 0.001, 60.0), False),
+    ],
+    ids=["alone", "unlisted", "full", "silent", "advised"],
+)
+def test_suspect_waits_for_another_machine_only_if_there_is_one(
+    others, advice, started
+):
+    # Guards against a service that is held up for 2 s by the wait for a trial
+    # on another machine, although the only machine is the one that crashed.
+    site = make_runner("r0", machine="m-1")
+    runners = [
+        make_runner(f"o{number}", cpu=0, **fields)
+        for number, fields in enumerate(others)
+    ]
+    queue = msgspec.structs.replace(decisions.QUEUE, name="none")
+    owner = passes.make_owner(site, *runners, queue=queue)
+    suspect = add_task(owner, "s", long_running=True)
+    suspect.job.queue = msgspec.structs.replace(decisions.QUEUE, advice=advice)
+    owner.tickets["s.0.0", "r0"] = ("ticket", NOW + 60.0)
+    owner.table.record_crash(suspect, make_crash(1))
+    suspect.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")] * started
+
+
+def test_trial_on_the_only_machine_is_apart_from_other_starts():
+    # Guards against a trial beside new attempts, which separates no suspects,
+    # when the machine that crashed is the only one.
+    runner = make_runner("r0", machine="m-1")
+    owner = passes.make_owner(runner)
+    start(owner, runner, add_task(owner, "b"), age_s=0.1)
+    suspect = add_task(owner, "s", long_running=True)
+    owner.table.record_crash(suspect, make_crash(1))
+    other = add_task(owner, "z")
+    suspect.ready_since = other.ready_since = NOW
+    scheduling.place_ready_tasks(owner, NOW)
+    assert not passes.list_placed(owner)
+    scheduling.place_ready_tasks(owner, NOW + 1.0)
+    assert passes.list_placed(owner) == [(suspect.name, "r0")]
