Withdraw promised expiries while the jobs are loaded

Cause: a runner that was silent for the last owner has a promised expiry, which forbids to extend its leases until a withdrawal is stored.

The lease is renewed once that is stored.

After: once in the test.

--- a/plantainvane/jobs/keeping.py
+++ b/plantainvane/jobs/keeping.py
@@ -139,6 +139,10 @@
         kept.born_ms = reply.born_ms
         leases.begin_clock(owner, runner, reply.clock_ms, now, in_use=True)
     leases.read_clock(owner, runner, reply, sent_at, now)
+    if runner.expiry_promised:
+        # Its lease is renewed once the withdrawal of the promise is stored.
+        kept.due_at = now + _RETRY_S
+        leases.withdraw_promise(owner, runner, now)
     runner.answered_at = runner.up_at = now
     runner.heard = True
     if lease is not None:
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -70,6 +70,16 @@
         state_module.store_expiries(owner, now)
 
 
+def withdraw_promise(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Withdraws the promise, if there is one, for a runner that answers."""
+    if runner.entry.id in owner.expiries.expires_at:
+        owner.group.start_soon(
+            state_module.withdraw_expiries, owner, [runner.entry.id], now
+        )
+
+
 def begin_clock(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -106,9 +106,10 @@
     if not await owner.journal.open_epoch():
         owner.step_down("log")
         return
+    # Promised expiries are withdrawn while the jobs are loaded.
+    owner.group.start_soon(_run_journal, owner)
     await recovery.recover(owner)
     settle_orphans(owner, clock.read_now())
-    owner.group.start_soon(_run_journal, owner)
     owner.group.start_soon(_stop_ended_runs, owner)
     owner.group.start_soon(recovery.follow_jobs, owner)
     owner.group.start_soon(recovery.follow_runners, owner)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -427,10 +427,7 @@
     if runner.silent:
         runner.silent, runner.heard_since = False, now
         events.log_event(events.RUNNER_HEARD, runner=runner.entry.id)
-    if runner.entry.id in owner.expiries.expires_at:
-        owner.group.start_soon(
-            state_module.withdraw_expiries, owner, [runner.entry.id], now
-        )
+    leases.withdraw_promise(owner, runner, now)
     if not runner.fenced:
         crashes.blame_earlier_life(runner)
     number = _apply_ends(owner, runner, reply, now)
--- a/tests/test_jobs_keeping.py
+++ b/tests/test_jobs_keeping.py
@@ -130,7 +130,16 @@
     assert machine.find_true_expiry() <= 3.0
     runner = owner.runners["r"]
     assert runner.heard and runner.expiry_promised
-    assert "r" in owner.expiries.expires_at
+    # The withdrawal has been asked for, begins, and is stored.
+    names = {name for name, _ in owner.group.started}
+    assert names == {"withdraw_expiries"}
+    owner.expiries.withdraw("r")
+    await keep_for(owner, machine, 2.0)
+    assert machine.find_true_expiry() <= 3.0
+    owner.expiries.complete_withdrawal("r")
+    runner.expiry_promised = False
+    await keep_for(owner, machine, 2 * _STEP_S)
+    assert machine.find_true_expiry() > machine.now
 
 
 @pytest.mark.parametrize("ahead_ms", [-20_000, 0, 20_000, 2**50])
--- a/tests/test_platform_keeping.py
+++ b/tests/test_platform_keeping.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import msgspec
 import pytest
 
 from plantainvane.jobs import state as state_module
@@ -11,6 +12,7 @@
 
 pytestmark = pytest.mark.anyio
 
+PROGRESS, EXPIRIES = state_module.PROGRESS_TOPIC, state_module.EXPIRIES_KEY
 _LEASE_S = 3.0
 _PAGE_S = 1.0
 _JOBS = 7
@@ -22,10 +24,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_loading(**fields):
+async def run_loading(promised=False, **fields):
     """Yields a system and its second owner, which loads jobs for 7 s.
 
-    Each job has a task, of the given fields, that an earlier owner started.
+    Each job has a task, of the given fields, that an earlier owner started. It
+    has promised the expiry of the leases on all runners if `promised`.
     """
     async with platform_system.run_system(
         entries=2, runners=2, lease_s=_LEASE_S
@@ -39,6 +42,9 @@
         await anyio.sleep(0.3)
         system.store.page_items = 1
         system.store.page_delays_s = {state_module.JOBS_TOPIC: _PAGE_S}
+        if promised:
+            left_s = dict.fromkeys(system.runners, _LEASE_S)
+            system.store.put(PROGRESS, EXPIRIES, msgspec.json.encode(left_s))
         await system.kill(owner)
         (successor,) = system.entries
         await sessions.wait_until(lambda: successor.owner is not None)
@@ -63,10 +69,15 @@
     )
 
 
-async def test_running_tasks_survive_an_owner_that_loads_for_long():
+@pytest.mark.parametrize("promised", [False, True])
+async def test_running_tasks_survive_an_owner_that_loads_for_long(promised):
     # Guards against the loss of all that runs, as leases lapse while a weak
-    # owner beside a backlog loads the jobs.
-    async with run_loading(run_ms=60_000, LongRunning=True) as (system, owner):
+    # owner beside a backlog loads the jobs; also on runners that were silent
+    # for an earlier owner.
+    async with run_loading(promised, run_ms=60_000, LongRunning=True) as (
+        system,
+        owner,
+    ):
         await wait_recovered(owner)
         await anyio.sleep(_LEASE_S)
         for runner in system.runners.values():
