--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -346,8 +346,6 @@
         epoch=owner.epoch,
     )
     owner.table.give_up(task, wall_ms)
-    # The other attempts of the job are stopped once its end is stored.
-    owner.journal.add([])
     owner.request_pass()
 
 
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -57,7 +57,7 @@
     One that does not hear the runners of `sample` declines.
     """
     owner.draining = True
-    # The journal is not written before the recovery is complete.
+    # An owner that recovers has started and ended nothing.
     if owner.recovered:
         with anyio.move_on_after(0.5):
             await owner.journal.flush()
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -541,6 +541,7 @@
     async def crash_beside_a_calm_log():
         async with anyio.create_task_group() as group:
             group.start_soon(owner.journal.run)
+            group.start_soon(owner_module._store_ends, owner)
             await anyio.wait_all_tasks_blocked()
             start(owner, runners[0], deadly, age_s=0.01)
             crash(owner, runners[0])
