Test the loss of the owner at each moment between a cancel and its last end

Cause: each report on cancels was met by tests of its own mechanism; no test took the moment at which an owner is lost from the steps of a cancel itself. System.on_entry is the hook for it.

--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -1,6 +1,7 @@
 """Complete deployment on the platform's stand-ins, within one process."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import dataclasses
@@ -35,6 +36,8 @@
       cuts: Paths on which nothing arrives, from the id of an entry process to
         the id of a runner, the peer address of another entry process or the
         log.
+      on_entry: Called with each entry process before it runs; may replace its
+        clients.
     """
 
     group: anyio.abc.TaskGroup
@@ -46,6 +49,7 @@
     )
     stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    on_entry: Callable[[process_module.Entry], None] = lambda entry: None
 
     def cut(
         self,
@@ -260,6 +264,7 @@
     )
     entry = entry_module.make_entry(settings, adapters)
     entry.peers = platform_paths.PeerClient(settings.id, system.cuts)
+    system.on_entry(entry)
     system.group.start_soon(entry_module.run_components, entry, ingress.serve)
     system.entries.append(entry)
     await wait_listening(settings.callers_address)
