--- a/tests/owner_losses.py
+++ b/tests/owner_losses.py
@@ -219,8 +219,9 @@
     losses: Losses, own: str, call: Callable[[], Awaitable[Any]]
 ) -> None:
     # The process is frozen in this turn of the event loop.
-    await losses.pass_gate(own)
-    await call()
+    await losses.frozen[own].wait()
+    if own not in losses.dead:
+        await call()
 
 
 async def _kill(
@@ -316,6 +317,10 @@
         while not (owner.stepped_down.is_set() or entry.stopping.is_set()):
             await anyio.sleep(0.01)
         losses.end_trouble()
+        while not entry.stopping.is_set():
+            await anyio.sleep(0.01)
+        # It may have been killed meanwhile, and its calls do not end then.
+        group.cancel_scope.cancel()
     if entry in losses.system.entries:
         losses.system.entries.remove(entry)
         await losses.add_entry()
