Stop what outlives a stored end while the jobs are loaded

Cause: a new owner keeps the leases on all runners alive while it loads the jobs, and orders the stops of ended jobs only once all are loaded. Tasks of a cancelled job thus ran on, with renewed leases, for as long as the loading takes: 4 to 14 s on a weak owner beside a backlog (docs/CAPACITY.md), of which 4.4 s are allowed in calm, for instance after a handover.

Ruled out: that the end is not known by then. The progress, with the ends, is read in full before the runners are, and a poll begins after both.

Nothing else is concluded from such a poll, as before.

Before: test_what_outlives_a_stored_end_is_stopped_while_jobs_load[cancelled] fails, no stop is sent. After: the 24 tests of test_jobs_keeping pass, and those of test_platform_keeping, test_jobs_stops and test_jobs_recovery.

--- a/plantainvane/jobs/keeping.py
+++ b/plantainvane/jobs/keeping.py
@@ -4,6 +4,9 @@
 none is foreign, missing or ended, and no end is acknowledged. Nor does a poll
 tell that a runner is silent or fenced. The sessions find that out by polls of
 their own, which begin once the jobs are loaded.
+
+Only the stored ends of jobs are known, as the progress is read first. What runs
+on after one is stopped at once, or its lease would be kept as well.
 """
 
 import dataclasses
@@ -18,6 +21,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import stops
 
 # An owner that has loaded its jobs by then polls no runner twice.
 _BEGIN_AFTER_S = 0.7
@@ -25,6 +29,8 @@
 # further tries.
 _RENEWED_SHARE = 0.5
 _RETRY_S = 0.4
+# A runner is polled again after this time if anything is being stopped there.
+_STOP_RETRY_S = 1.0
 _TURN_S = 0.05
 # Polls under way at which no more are sent. The weakest process has 0.3 of a
 # core and has to handle their answers within the time limit of a call.
@@ -147,3 +153,28 @@
     runner.heard = True
     if lease is not None:
         runner.renewed_at = sent_at
+    for running in reply.running:
+        if _is_of_ended_job(owner, running):
+            kept.due_at = min(kept.due_at, now + _STOP_RETRY_S)
+            if not stops.is_full(owner):
+                owner.group.start_soon(_stop, owner, runner, running)
+
+
+async def _stop(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    running: model.RunningAttempt,
+) -> None:
+    owner.stops_in_flight += 1
+    try:
+        await stops.stop_unknown(owner, runner, running, "job ended")
+    finally:
+        owner.stops_in_flight -= 1
+
+
+def _is_of_ended_job(
+    owner: state_module.Owner, running: model.RunningAttempt
+) -> bool:
+    """Tells whether the log holds the end of the job of an attempt."""
+    progress = owner.progress.get(running.task.partition(".")[0])
+    return progress is not None and bool(progress.ended)
--- a/plantainvane/jobs/stops.py
+++ b/plantainvane/jobs/stops.py
@@ -191,6 +191,7 @@
     owner: state_module.Owner,
     runner: runners_module.Runner,
     running: model.RunningAttempt,
+    reason: str = "not ordered by this owner",
 ) -> None:
     """Stops an attempt that this owner has not placed on the runner.
 
@@ -206,7 +207,7 @@
         task=running.task,
         attempt=running.attempt,
         runner=runner.entry.id,
-        reason="not ordered by this owner",
+        reason=reason,
         epoch=owner.epoch,
     )
     await _call_stop(owner, runner, *stopped)
--- a/tests/test_jobs_keeping.py
+++ b/tests/test_jobs_keeping.py
@@ -1,8 +1,10 @@
 """Leases that a new owner keeps alive before it knows the jobs."""
 
+import msgspec
 import pytest
 import result
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import clock as clock_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import keeping
@@ -10,6 +12,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
+from plantainvane.jobs import table
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_leases as leases_tests
 from tests import test_jobs_recovery as recovery_tests
@@ -119,6 +122,36 @@
     assert runner.heard
 
 
+@pytest.mark.parametrize("outcome", ["", "cancelled"])
+async def test_what_outlives_a_stored_end_is_stopped_while_jobs_load(
+    machine, outcome
+):
+    # Guards against tasks of a cancelled job that run on, with a lease that is
+    # kept alive, for as long as a weak owner takes to load the jobs.
+    owner = make_loading_owner(machine)
+    _, value = recovery_tests.make_records()
+    progress = msgspec.json.decode(value, type=model.JobProgress)
+    progress.ended = outcome
+    recovery._load_progress(owner, "j", msgspec.json.encode(progress))
+    job = decisions.add_job(table.JobTable(), decisions.make_step())
+    task = job.steps[0, 0].tasks[0]
+    machine.runs.append(attempts.Run(task, 1, "r", attempts.Phase.RUNNING, 0.0))
+    stopped = []
+
+    async def stop(*arguments):
+        stopped.append(arguments)
+        return interfaces.OrderOutcome.DONE
+
+    machine.stop = stop
+    await keep_for(owner, machine, _STEP_S)
+    for name, arguments in owner.group.started:
+        assert name == "_stop"
+        await keeping._stop(*arguments)
+    expected = [(task.name, 1, owner.epoch)] if outcome else []
+    assert stopped == expected
+    assert not owner.runners["r"].foreign_stops and not owner.stops_in_flight
+
+
 @pytest.mark.parametrize("ahead_ms", [-20_000, 0, 2**50])
 async def test_no_lease_is_extended_against_a_promise(machine, ahead_ms):
     # Guards against a second start of a task: an earlier owner has promised
