Blame no inherited attempt on a clock that has jumped ahead

Cause: a successor compares the time of day at which an earlier owner ordered an attempt with that at which the next life of its runner began. Only a lower limit of the difference was checked. If the earlier owner's clock had been a minute ahead, or the runner's is a minute back, each attempt that was ordered up to 70 s before a crash counted as a suspect of a proved crash. All tasks that a loss of power had ended would then be tried one by one.

Ruled out: that leases or starts depend on these times; they are measured on the monotonic clocks of the owner and of each runner.

Change: an attempt that seems to have been ordered more than 10 s after the next life is a bystander. A jump may still hide a crash, which is counted when it happens again, and with a jump of less than 10 s the age is wrong by as much.

The fixture of test_inherited_attempt_that_is_listed_is_a_bystander had an order 1,000 s after the next life of the runner, that is, two clocks that disagree, and failed with the change. Its runner is now born at the time of the test; what is asserted is the same.

Before: the case 960000 of test_successor_blames_attempts_by_the_next_life_of_ the_runner fails. After: the 78 tests of test_jobs_crashes pass.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -18,7 +18,9 @@
 from plantainvane.jobs import trials
 
 # A runner is back some seconds after a crash. An attempt that an earlier owner
-# started longer than this before the next life of its runner is a bystander.
+# started longer than this before the next life of its runner is a bystander. So
+# is one that seems to have been started as long after it: the times are of two
+# clocks, which disagree, and its age is not known.
 _INHERITED_WINDOW_MS = 10_000
 # Runners that went down within this time of each other may have a common cause,
 # and do so if this many others went down.
@@ -58,7 +60,7 @@
         )
     if run.ordered_at or not run.ordered_ms or until_ms is None:
         return False
-    return until_ms - run.ordered_ms < _INHERITED_WINDOW_MS
+    return abs(until_ms - run.ordered_ms) < _INHERITED_WINDOW_MS
 
 
 def _list_suspects(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -493,11 +493,11 @@
 def test_inherited_attempt_that_is_listed_is_a_bystander(age_s, suspected):
     # Guards against a trial that proves nothing, because the attempts that a
     # new owner found there count as just started.
-    runner = make_runner("r")
+    runner = make_runner("r", born_ms=WALL_MS)
     owner = passes.make_owner(runner)
     task = add_task(owner, "t")
     run = owner.table.begin_run(task, "r", 0.0)
-    run.ordered_at, run.born_ms, run.place = 0.0, 1, "r:9"
+    run.ordered_at, run.born_ms, run.place = 0.0, WALL_MS, "r:9"
     run.ordered_ms = int(WALL_MS - age_s * 1000)
     runner.charge(run)
     run.running_since = NOW - 0.1
@@ -599,14 +599,21 @@
 
 
 @pytest.mark.parametrize(
-    ("born_ms", "suspected"), [(1_003_000, True), (1_040_000, False)]
+    ("born_ms", "suspected"),
+    [
+        (1_003_000, True),
+        (998_000, True),
+        (1_040_000, False),
+        (960_000, False),
+    ],
 )
 def test_successor_blames_attempts_by_the_next_life_of_the_runner(
     born_ms, suspected
 ):
     # Guards against a crash that is not counted because the runner was back
     # before the next owner looked, and against one that is counted for an
-    # attempt that had run for long.
+    # attempt that had run for long, also if the clock of the earlier owner was
+    # ahead of that of the runner.
     runner = make_runner("r", born_ms=born_ms, fenced=False)
     owner = passes.make_owner(runner)
     owner.interference_model = decisions.interference.InterferenceModel()
