Let standbys that ask together share one check of an owner's reach

Cause: each standby that hears more asks the owner to poll up to 16 runners again, on new connections; 37 standbys that compare at once ask for some 600 polls within 0.7 s. An owner made late by them hears fewer, and all standbys are confirmed. Change: requests for the same report join the check under way. Before: test_standbys_that_ask_together_share_a_check failed (40 checks of 2 runners). After: it passes, with 2 polls for 40 requests.

--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -101,11 +101,29 @@
 
 async def check_runners(
     owner: state_module.Owner, reach: reach_module.Reach
-) -> reach_module.Answers:
+) -> reach_module.Answers | None:
     """Polls the runners of a report that a standby hears, for their owner.
 
-    A message may name any address, so only known runners are polled.
+    Many standbys may ask together, and the polls for each of them would make
+    the owner late, so they share a check. Returns None if it was broken off.
     """
+    check = owner.reach_checks.get(reach)
+    if check is not None:
+        await check.done.wait()
+        return check.answers
+    check = owner.reach_checks[reach] = reach_module.Check()
+    try:
+        check.answers = await _ask_known(owner, reach)
+    finally:
+        del owner.reach_checks[reach]
+        check.done.set()
+    return check.answers
+
+
+async def _ask_known(
+    owner: state_module.Owner, reach: reach_module.Reach
+) -> reach_module.Answers:
+    """Polls runners; a message may name any, so only known ones are polled."""
 
     async def ask(runner: reach_module.SampledRunner) -> bool:
         known = owner.runners.get(runner.id)
--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -15,6 +15,7 @@
 import random
 from typing import Annotated
 
+import anyio
 import msgspec
 
 from plantainvane.jobs import addresses
@@ -87,6 +88,19 @@
             self.heard_sample += 1
 
 
+@dataclasses.dataclass(slots=True)
+class Check:
+    """The owner polls the runners of a report again.
+
+    Attributes:
+      done: Set when the check has ended.
+      answers: The answers, or None if it was broken off.
+    """
+
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    answers: Answers | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Comparisons:
     """When this process may compare its reach with that of the owner again.
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -98,6 +98,7 @@
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
       reach: What this process hears of its runners, if that is few.
+      reach_checks: Checks under way, by the report that a standby compares.
       reach_changed: Set to report at once that `reach` begins or ends.
     """
 
@@ -168,6 +169,9 @@
     )
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
     reach: reach_module.Reach | None = None
+    reach_checks: dict[reach_module.Reach, reach_module.Check] = (
+        dataclasses.field(default_factory=dict)
+    )
     reach_changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def end_recovery(self) -> None:
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -363,6 +363,8 @@
     if owner is None or owner.epoch != request.epoch:
         return peers_module.CheckReachReply(False)
     answers = await probes.check_runners(owner, request.reach)
+    if answers is None:
+        return peers_module.CheckReachReply(False)
     return peers_module.CheckReachReply(
         True, answers.heard_sample, answers.silent_sample
     )
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -589,6 +589,42 @@
         assert not reply.is_owner
 
 
+async def test_standbys_that_ask_together_share_a_check(monkeypatch):
+    # Guards against an owner that is made late by the checks of many standbys,
+    # so that its runners do not answer it in time and each standby claims.
+    async with platform_system.run_system(entries=1, runners=2) as system:
+        owner = await system.wait_owner()
+        for name in system.runners:
+            await wait_fenced(owner, name)
+        sample = tuple(
+            reach_module.SampledRunner(name, runner.address)
+            for name, runner in system.runners.items()
+        )
+        polled, replies = [], []
+        ask_runner = probes.ask_runner
+
+        async def count_poll(adapters, epoch, runner):
+            polled.append(runner.id)
+            return await ask_runner(adapters, epoch, runner)
+
+        monkeypatch.setattr(probes, "ask_runner", count_poll)
+
+        async def ask():
+            # Each request is decoded from a message of its own.
+            request = peers_module.CheckReach(
+                owner.owner.epoch, reach_module.Reach(0, 2, (), tuple(sample))
+            )
+            replies.append(await succession.answer_check_reach(owner, request))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(40):
+                group.start_soon(ask)
+        assert [reply.silent_sample for reply in replies] == [2] * 40
+        assert sorted(polled) == sorted(system.runners)
+        await ask()
+        assert len(polled) == 4 and not owner.owner.reach_checks
+
+
 def test_comparisons_get_rarer_until_the_owner_changes():
     # Guards against standbys that poll runners which are down for as long as
     # these are down, and against one that does not look at the next owner.
