Log what pacing costs and which serving tasks are over target

Now 812 has paced_ms and slowed_for, 856 sums up all runners once a second with the error of the model's expectation, 857 shows each halt, at most 10 a second; two gauges and a counter. Not measured: the lines add 1 to 11 a second.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -70,6 +70,10 @@
         or None.
       slowed_since: Since when it has been paced to half its speed or less, or
         None.
+      paced_at: Since when it has run at `pace_percent`, or 0.
+      lost_s: Seconds of full speed that pacing had cost it until then.
+      slowed_for: Image of the serving task that it was last slowed for, or
+        empty.
       sent_at: When its start was last sent to the runner; 0 if it has not been
         sent by this owner.
       start_answered: The runner has confirmed the start.
@@ -96,6 +100,9 @@
     pace_confirmed: bool = True
     over_target_since: float | None = None
     slowed_since: float | None = None
+    paced_at: float = 0.0
+    lost_s: float = 0.0
+    slowed_for: str = ""
     sent_at: float = 0.0
     start_answered: bool = False
     survived: bool = False
@@ -106,6 +113,19 @@
     crash: model.Crash | None = None
     stop: Stop | None = None
 
+    def change_pace(self, percent: int, now: float) -> None:
+        """Records a new pace, and what the last one has cost."""
+        self.lost_s = self.measure_lost_s(now)
+        self.pace_percent, self.paced_at = percent, now
+
+    def measure_lost_s(self, now: float) -> float:
+        """Returns the seconds of full speed that pacing has cost so far."""
+        if not self.paced_at:
+            return self.lost_s
+        return self.lost_s + (now - self.paced_at) * (
+            1 - self.pace_percent / 100
+        )
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -101,6 +101,31 @@
     taken_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class Errors:
+    """How far measurements were from what the model expected.
+
+    Attributes:
+      count: Number of measurements.
+      total: Sum of the absolute errors, as pressures.
+      missed: Measurements over target that were expected below it.
+    """
+
+    count: int = 0
+    total: float = 0.0
+    missed: int = 0
+
+    def record(self, error: float, is_missed: bool) -> None:
+        """Adds one measurement."""
+        self.count += 1
+        self.total += abs(error)
+        self.missed += is_missed
+
+    def find_mean(self) -> float:
+        """Returns the mean absolute error."""
+        return self.total / max(1, self.count)
+
+
 @dataclasses.dataclass(slots=True)
 class InterferenceModel:
     """Learned effects of fill images and levels of serving tasks.
@@ -111,6 +136,7 @@
       loads: Load of each serving step.
       offsets: Offsets by attempt of a serving task.
       samples: Last measurements by runner id.
+      errors: Errors since they were last reported.
     """
 
     effects: dict[tuple[str, str], Effect] = dataclasses.field(
@@ -124,6 +150,7 @@
         default_factory=dict
     )
     samples: dict[str, Sample] = dataclasses.field(default_factory=dict)
+    errors: Errors = dataclasses.field(default_factory=Errors)
 
     def find_effect(
         self, serving_image: str, fill_image: str, now: float
@@ -279,6 +306,7 @@
         expected = load.value + offset.value
         expected += sum(e.value * cores for e, cores in effects)
         error = 1 - floor / ratio - expected
+        self.errors.record(error, ratio > 1 and expected < 1 - floor)
         error = max(-_MAX_ERROR, min(_MAX_ERROR, error))
         variance = _MEASUREMENT_NOISE + load.variance + offset.variance
         variance += sum(e.variance * cores * cores for e, cores in effects)
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -41,6 +41,17 @@
     "Orders that pace a filling task, by the runner's answer.",
     ["outcome"],
 )
+FILL_HALTS = prometheus_client.Counter(
+    "plantainvane_fill_halts_total", "Fill tasks that were halted."
+)
+SERVING_OVER_TARGET = prometheus_client.Gauge(
+    "plantainvane_serving_tasks_over_target",
+    "Serving tasks whose last reported tail exceeds their target.",
+)
+FILL_CORES_WITHHELD = prometheus_client.Gauge(
+    "plantainvane_fill_cores_withheld",
+    "Processors that pacing withholds from fill tasks.",
+)
 RUNNER_POLLS = prometheus_client.Counter(
     "plantainvane_runner_looks_total",
     "Looks at runners, by outcome.",
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -11,6 +11,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import colocation
 from plantainvane.jobs import crashes
 from plantainvane.jobs import eligibility
 from plantainvane.jobs import interfaces
@@ -283,12 +284,17 @@
         # Nothing was done, so an earlier order may still be in doubt.
         return
     run.pace_confirmed = outcome is not _OUTCOME.LOST
+    now = clock.read_now()
     if outcome is _OUTCOME.DONE:
-        runner.change_pace(run, percent)
+        if not percent and run.pace_percent:
+            colocation.report_halt(
+                owner.colocation, owner.epoch, runner, run, now
+            )
+        runner.change_pace(run, percent, now)
         if percent > _SLOWED_PERCENT:
             run.slowed_since = None
         elif run.slowed_since is None:
-            run.slowed_since = clock.read_now()
+            run.slowed_since = now
     elif outcome is _OUTCOME.FENCED:
         owner.step_down("runner")
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import absences
 from plantainvane.jobs import charges
 from plantainvane.jobs import clock
+from plantainvane.jobs import colocation
 from plantainvane.jobs import crashes
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
@@ -191,6 +192,13 @@
         if now >= next_check_at:
             next_check_at = now + _CHARGES_INTERVAL_S
             charges.report_uncharged(owner)
+        colocation.summarize(
+            owner.colocation,
+            owner.epoch,
+            owner.interference_model,
+            owner.runners.values(),
+            now,
+        )
         load_module.summarize_owner(
             owner.load,
             owner.epoch,
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -150,16 +150,17 @@
     now: float,
 ) -> None:
     """Slows the most disturbing fill tasks until the expected pressure fits."""
+    image = serving.task.step.definition.image
     total = sum(effect * paces[run] / 100 for effect, run in effects)
     ahead = interference_model.predict_level(serving, now, _EXTRAPOLATION_S)
-    limit = interference_model.find_pressure_limit(
-        serving.task.step.definition.image, TARGET_SHARE
-    )
+    limit = interference_model.find_pressure_limit(image, TARGET_SHARE)
     excess = ahead + total - limit
     for effect, run in effects:
         if excess <= 0 or effect < _MIN_FILL_PRESSURE:
             return
         cut = min(paces[run], 100 * excess / effect)
+        if cut > 0:
+            run.slowed_for = image
         paces[run] -= cut
         excess -= cut / 100 * effect
 
@@ -175,11 +176,12 @@
     if serving.over_target_since is None:
         return
     over_s = now - serving.over_target_since
+    image = serving.task.step.definition.image
     for effect, run in effects:
         if over_s >= _HALT_AFTER_SHARE * max_impact_s:
-            paces[run] = 0.0
+            paces[run], run.slowed_for = 0.0, image
         elif (
             over_s >= _SLOW_AFTER_SHARE * max_impact_s
             and effect >= _MIN_FILL_PRESSURE
         ):
-            paces[run] = min(paces[run], 40.0)
+            paces[run], run.slowed_for = min(paces[run], 40.0), image
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -186,12 +186,12 @@
         self.memory_mb += sign * step.amounts.memory_mb
         self.accelerators += sign * step.amounts.accelerators
 
-    def change_pace(self, run: attempts.Run, percent: int) -> None:
+    def change_pace(self, run: attempts.Run, percent: int, now: float) -> None:
         """Records a new pace and charges the processors used at that pace."""
         charged = run in self.runs
         if charged:
             self.fill_cpu -= _compute_fill_charge(run)
-        run.pace_percent = percent
+        run.change_pace(percent, now)
         if charged:
             self.fill_cpu += _compute_fill_charge(run)
 
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -534,6 +534,8 @@
         failures=run.task.failures,
         ran_ms=_measure_run_ms(run, now),
         stopping_ms=_measure_stop_ms(run, now),
+        paced_ms=int(run.measure_lost_s(now) * 1000),
+        slowed_for=run.slowed_for,
         epoch=owner.epoch,
     )
     if end.outcome in ("done", "failed"):
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -12,6 +12,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import budgets
+from plantainvane.jobs import colocation as colocation_module
 from plantainvane.jobs import expiries as expiries_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import interference
@@ -97,6 +98,7 @@
       paced_runners: Ids of the runners with serving tasks and fill tasks.
       appending: Jobs in the append under way, with their outcome.
       load: Load of this process.
+      colocation: Limits and counts of the lines about fill tasks.
       reach: What this process hears of its runners, if that is few.
       reach_checks: Checks under way, by the report that a standby compares.
       reach_changed: Set to report at once that `reach` begins or ends.
@@ -168,6 +170,9 @@
         default_factory=list
     )
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
+    colocation: colocation_module.Report = dataclasses.field(
+        default_factory=colocation_module.Report
+    )
     reach: reach_module.Reach | None = None
     reach_checks: dict[reach_module.Reach, reach_module.Check] = (
         dataclasses.field(default_factory=dict)
--- a/tests/test_jobs_colocation.py
+++ b/tests/test_jobs_colocation.py
@@ -148,7 +148,7 @@
 
 def _order_paces(model, runner, now):
     for run, percent in pacing.decide_paces(model, runner, _MAX_IMPACT_S, now):
-        runner.change_pace(run, percent)
+        runner.change_pace(run, percent, now)
 
 
 @pytest.mark.parametrize("cores", [16, 64, 96])
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -339,7 +339,7 @@
     table = table_module.JobTable()
     runner = make_runner()
     (run,) = place_runs(runner, table, make_step(fills=True, cpu=4000))
-    runner.change_pace(run, 0)
+    runner.change_pace(run, 0, 1.0)
     assert runner.fill_cpu == 800
     runner.charge(run, -1)
     assert (runner.fill_cpu, runner.memory_mb) == (0, 0)
