Place fill tasks by the load expected next, not by its recent peak

A fill task was kept off a runner for the peak of the last 20 s, though it lasts 2 to 4 s and the load of a step swings within 10 s; in a burst fill tasks waited 8 s and were then placed where they were halted. The load and its slope are known now, so the next 1.5 s decide; pacing does the rest.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -18,6 +18,9 @@
 # Effects are per core of a runner with this many cores, in thousandths. A core
 # of a larger runner is a smaller part of what its tasks share.
 _REFERENCE_CPU = 16_000
+# A fill task is placed by the load that is expected for this long; pacing
+# takes care of what follows.
+PLACEMENT_AHEAD_S = 1.5
 # Variance of the noise of one pressure measurement.
 _MEASUREMENT_NOISE = 0.004
 # Variance of the offset of a task from its step, and what an estimated one
@@ -195,13 +198,6 @@
             return serving_loads.INITIAL_LOAD
         return load.predict(now, ahead_s) + self._find_offset(run)
 
-    def find_peak(self, run: attempts.Run) -> float:
-        """Returns the highest recent pressure without any fill task."""
-        load = self.loads.get(run.task.step)
-        if load is None:
-            return serving_loads.INITIAL_LOAD
-        return load.peak + self._find_offset(run)
-
     def _find_offset(self, run: attempts.Run) -> float:
         offset = self.offsets.get(run)
         return 0.0 if offset is None else offset.value
@@ -360,7 +356,7 @@
     """Estimates how far one more fill task would push pressure over the limit.
 
     The limit of a serving task is the pressure at which its tail latency is
-    `share` of its target, at the peak of its load.
+    `share` of its target, under the load expected for `PLACEMENT_AHEAD_S`.
 
     Args:
       interference_model: Learned effects of fill images on serving images.
@@ -407,9 +403,9 @@
             if key not in effects:
                 effects[key] = interference_model.estimate_effect(*key, now)
             others += effects[key] * step.amounts.cpu
-        peak = interference_model.find_peak(run)
+        level = interference_model.predict_level(run, now, PLACEMENT_AHEAD_S)
         others *= find_scale(runner) / 1000
-        rows.append((image, peak - limit + others))
+        rows.append((image, level - limit + others))
     return rows
 
 
--- a/plantainvane/jobs/serving_loads.py
+++ b/plantainvane/jobs/serving_loads.py
@@ -17,8 +17,6 @@
 _SLOPE_PROCESS_NOISE_PER_S = 0.05
 # A load is extrapolated by its slope for this long at most.
 _MAX_EXTRAPOLATION_S = 1.5
-# Time constant with which the peak of a load decays: one or two periods of it.
-_PEAK_DECAY_S = 20.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +27,6 @@
       value: Pressure at `updated_at`.
       slope: Change of the pressure per second.
       variance, covariance, slope_variance: Uncertainty of both.
-      peak: Highest recent value, which decays over time.
       updated_at: Time of the last measurement, in seconds; 0 before the first.
     """
 
@@ -38,7 +35,6 @@
     variance: float = _INITIAL_VARIANCE
     covariance: float = 0.0
     slope_variance: float = _INITIAL_SLOPE_VARIANCE
-    peak: float = INITIAL_LOAD
     updated_at: float = 0.0
 
     def advance(self, now: float) -> None:
@@ -66,7 +62,6 @@
         # Keeps the limited covariance matrix positive definite.
         largest = math.sqrt(self.variance * self.slope_variance)
         self.covariance = max(-largest, min(largest, self.covariance))
-        self.peak *= math.exp(-elapsed_s / _PEAK_DECAY_S)
 
     def correct(self, error: float, innovation_variance: float) -> None:
         """Applies the error of a measurement, with its total variance."""
@@ -77,7 +72,6 @@
         self.slope_variance -= slope_gain * self.covariance
         self.covariance *= 1 - gain
         self.variance *= 1 - gain
-        self.peak = max(self.peak, self.value)
 
     def predict(self, now: float, ahead_s: float) -> float:
         """Returns the highest pressure expected until `ahead_s` from now."""
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -312,7 +312,7 @@
         0.2, 0.001, 10.0
     )
     interference_model.loads[serving.task.step] = serving_loads.StepLoad(
-        value=0.5, peak=0.5, updated_at=10.0
+        value=0.5, updated_at=10.0
     )
     serving.over_target_since = None if over_s is None else 10.0 - over_s
     changes = dict(pacing.decide_paces(interference_model, runner, 4.0, 10.0))
