Split the time of a late job into its causes

plantainvane split reads the logs and tells, for the last task of each step of a job, what it waited, worked, was paced for and which service, and lost to restarts, as no line or command did.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -12,6 +12,7 @@
 import msgspec
 import typer
 
+from plantainvane import breakdowns
 from plantainvane import callers
 from plantainvane import documents
 from plantainvane import files
@@ -284,6 +285,37 @@
     ],
 ) -> None:
     """Prints the log lines of a request and those that may explain them."""
+    lines = _read_logs(logs)
+    found = traces.trace_request(lines, request_id)
+    if not found:
+        typer.echo(f"no line of {request_id} in {len(lines)} lines", err=True)
+        raise typer.Exit(terminal.EXIT_REFUSED)
+    for line in found:
+        typer.echo(traces.format_line(line, found[0].timestamp_s))
+
+
+@app.command(name="split")
+def split_time(
+    job_id: Annotated[str, typer.Argument(help="Id of a job.")],
+    logs: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Files with the log output of the processes."),
+    ],
+) -> None:
+    """Prints what the last task of each step of a job spent its time on."""
+    lines = _read_logs(logs)
+    found = breakdowns.split_job(lines, job_id)
+    if not found:
+        typer.echo(
+            f"no end of a task of {job_id} in {len(lines)} lines", err=True
+        )
+        raise typer.Exit(terminal.EXIT_REFUSED)
+    for breakdown in found:
+        typer.echo(breakdowns.format_breakdown(breakdown))
+
+
+def _read_logs(logs: list[pathlib.Path]) -> list[traces.LogLine]:
+    """Parses log files; exits if one cannot be read."""
     lines: list[traces.LogLine] = []
     for path in logs:
         try:
@@ -292,12 +324,7 @@
             typer.echo(f"{path}: {error.strerror}", err=True)
             raise typer.Exit(terminal.EXIT_USAGE_ERROR) from error
         lines.extend(traces.parse_lines(raw_lines, path.name))
-    found = traces.trace_request(lines, request_id)
-    if not found:
-        typer.echo(f"no line of {request_id} in {len(lines)} lines", err=True)
-        raise typer.Exit(terminal.EXIT_REFUSED)
-    for line in found:
-        typer.echo(traces.format_line(line, found[0].timestamp_s))
+    return lines
 
 
 @app.command()
