Refuse at once what an owner that is behind cannot start in time

Causes: nothing measured what the owner can start; new jobs went before late ones for ever; pings took up to a third of such an owner's time; fill tasks were moved while ready ones waited. Change: while passes are cut short for over 1 s, the owner estimates the wait of each priority from what it places and what is still to come, and reports it with its pings; entry processes refuse with 503 and a true Retry-After what would wait for more than 8 s, unless the owner knows the job already, or does not answer. While passes are cut short, a group that has waited for 6 s is tried after each three urgent ones, and nothing is moved. A weak owner asks for fewer pings. Ruled out: more accepted work by any order, as one process is the limit. The fixture of test_capacity_of_standbys_outlives_an_outage_of_the_log gained a backlog.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -10,6 +10,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import addresses
+from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
 from plantainvane.jobs import intake as intake_module
@@ -26,6 +27,10 @@
 
 # Bounds the table of known peers; the largest deployment has 300.
 _MAX_KNOWN_PEERS = 400
+# Expected waits are reported with each ping; older ones tell nothing.
+_WAITS_AGE_S = 3.0
+# Most priorities whose waits are reported.
+_MAX_WAITS = 64
 # Least log outage that a process reports if it has never reached the log. It is
 # above every limit that it is compared with.
 _INITIAL_SILENCE_S = 10.0
@@ -62,10 +67,35 @@
     ) -> peers_module.AskReply | None:
         return await _ask_owner(entry, question)
 
-    entry.intake = intake_module.Intake(settings, journal, ask_owner)
+    def find_wait(queue: str) -> float:
+        return _find_wait(entry, queue, clock.read_now())
+
+    entry.intake = intake_module.Intake(settings, journal, ask_owner, find_wait)
     return entry
 
 
+def _find_wait(entry: process_module.Entry, queue: str, now: float) -> float:
+    """Returns how long new tasks of a queue are expected to wait, in seconds.
+
+    0 while the owner keeps up, or has not reported lately.
+    """
+    owner, waits = entry.owner, entry.waits
+    if owner is not None:
+        waits = owner.backlog.waits
+    elif now - entry.waits_at > _WAITS_AGE_S:
+        return 0.0
+    if not waits or entry.configuration is None:
+        return 0.0
+    return max(
+        (
+            backlog.find_wait(waits, known.priority)
+            for known in entry.configuration.queues
+            if known.name == queue
+        ),
+        default=0.0,
+    )
+
+
 async def run_entry(entry: process_module.Entry, serve_callers: Any) -> None:
     """Runs a process until SIGTERM; `serve_callers(entry)` serves HTTP.
 
@@ -202,6 +232,7 @@
         ablest_capacity,
         status.ping_after_s,
         is_owner and owner.reach is not None,
+        list(owner.backlog.waits.items())[:_MAX_WAITS] if is_owner else [],
     )
 
 
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -14,6 +14,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import journal as journal_module
@@ -43,13 +44,15 @@
 
     ACCEPTED: the job is stored. NOT_RUN: the job is not stored and will not
     be, or the owner did not answer. TOO_LARGE: the log cannot hold the job.
-    UNKNOWN: the job may be stored. MISSING: no such job or queue. DONE: the
+    OVERLOADED: as NOT_RUN, because its tasks would wait for too long. UNKNOWN:
+    the job may be stored. MISSING: no such job or queue. DONE: the
     owner has answered.
     """
 
     ACCEPTED = "accepted"
     NOT_RUN = "not_run"
     TOO_LARGE = "too_large"
+    OVERLOADED = "overloaded"
     UNKNOWN = "unknown"
     MISSING = "missing"
     DONE = "done"
@@ -62,11 +65,14 @@
     Attributes:
       journal: Stores submitted jobs.
       ask_owner: Forwards a question to the owner; returns None without a reply.
+      find_wait: Returns the seconds that new tasks of a queue are expected to
+        wait because the owner cannot keep up.
     """
 
     settings: settings_module.Settings
     journal: journal_module.Journal
     ask_owner: Callable[[peers.Ask], Awaitable[peers.AskReply | None]]
+    find_wait: Callable[[str], float] = lambda queue: 0.0
 
 
 async def submit_job(
@@ -85,6 +91,7 @@
         Outcome.ACCEPTED: events.JOB_ACCEPTED,
         Outcome.NOT_RUN: events.JOB_REFUSED,
         Outcome.TOO_LARGE: events.JOB_REFUSED,
+        Outcome.OVERLOADED: events.JOB_REFUSED,
         Outcome.UNKNOWN: events.JOB_UNKNOWN_OUTCOME,
     }[outcome]
     events.log_event(
@@ -102,6 +109,13 @@
     intake: Intake, job: model.Job, deadline_s: float
 ) -> tuple[Outcome, str]:
     journal = intake.journal
+    wait_s = intake.find_wait(job.queue)
+    if backlog.is_hopeless(intake.settings, wait_s):
+        is_known = await _is_known(intake, job)
+        if is_known:
+            return Outcome.ACCEPTED, "stored before"
+        if is_known is not None:
+            return Outcome.OVERLOADED, f"owner behind by {wait_s:.1f} s"
     if journal.stalled_since is not None:
         # The current append has failed at least once, and this job would wait
         # behind it.
@@ -126,6 +140,16 @@
     return Outcome.UNKNOWN, "append not answered"
 
 
+async def _is_known(intake: Intake, job: model.Job) -> bool | None:
+    """Tells whether the owner knows a job, which may be submitted again.
+
+    A refusal tells the caller that the job never runs, so without an answer,
+    None, it must not be refused.
+    """
+    reply = await intake.ask_owner(peers.Ask("known", job.id))
+    return None if reply is None else reply.known
+
+
 async def ask(
     intake: Intake, what: str, subject: str, deadline_s: float
 ) -> tuple[Outcome, peers.AskReply]:
@@ -176,6 +200,8 @@
             known=True, count=owner.table.count_pending(question.subject)
         )
     state = owner.table.jobs.get(question.subject)
+    if question.what == "known":
+        return peers.AskReply(known=state is not None)
     if state is None:
         # Another process may have stored it after the last read.
         if not await recovery.read_all_jobs(owner):
--- a/plantainvane/jobs/load.py
+++ b/plantainvane/jobs/load.py
@@ -23,7 +23,7 @@
 # A process counts as late for this time after its last long lag.
 _RECENT_S = 1.0
 # Shorter scheduling passes are not logged.
-_SLOW_PASS_S = 0.1
+SLOW_PASS_S = 0.1
 # Least time between two lines of the same event.
 _LOG_INTERVAL_S = 1.0
 
@@ -92,7 +92,7 @@
         """Counts a scheduling pass; returns whether it is to be logged."""
         self.passes += 1
         self.longest_pass_s = max(self.longest_pass_s, took_s)
-        if took_s < _SLOW_PASS_S or now < self.next_pass_line_at:
+        if took_s < SLOW_PASS_S or now < self.next_pass_line_at:
             return False
         self.next_pass_line_at = now + _LOG_INTERVAL_S
         return True
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -82,6 +82,10 @@
 TASKS_PLACED = prometheus_client.Counter(
     "plantainvane_tasks_placed_total", "Tasks placed by scheduling passes."
 )
+BACKLOG_WAIT_SECONDS = prometheus_client.Gauge(
+    "plantainvane_backlog_wait_seconds",
+    "Longest expected wait of a new task while the owner cannot keep up.",
+)
 TASK_WAIT_SECONDS = prometheus_client.Histogram(
     "plantainvane_task_wait_seconds",
     "Time from when a task could start to its placement, by kind.",
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -188,6 +188,7 @@
         owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
         owner.interference_model.forget_ended(owner.runners)
+        _measure_backlog(owner, now)
         outliving.report_outliving(reporter, owner, now)
         if now >= next_check_at:
             next_check_at = now + _CHARGES_INTERVAL_S
@@ -279,6 +280,21 @@
         owner.journal.add([record])
 
 
+def _measure_backlog(owner: state_module.Owner, now: float) -> None:
+    was_behind = bool(owner.backlog.waits)
+    owner.backlog.measure(owner.table.tasks.values(), now)
+    waits = owner.backlog.waits
+    metrics.BACKLOG_WAIT_SECONDS.set(max(waits.values(), default=0.0))
+    if waits or was_behind:
+        events.log_event(
+            events.OWNER_BEHIND,
+            waits={p: round(wait_s, 1) for p, wait_s in waits.items()},
+            rates={p: round(r, 1) for p, r in owner.backlog.rates.items()},
+            ready=len(owner.table.ready),
+            epoch=owner.epoch,
+        )
+
+
 async def _schedule(owner: state_module.Owner) -> None:
     waiting, absent = waits.Reporter(), absences.Reporter()
     while True:
@@ -313,6 +329,7 @@
         took_s = clock.read_now() - began
         await anyio.sleep(min(took_s, _MAX_PAUSE_S))
     scheduling.end_pass(owner, current)
+    owner.backlog.record_pass(current.out_of_time, clock.read_now())
     _record_pass(owner, ready, placed, started_at)
     if current.out_of_time:
         owner.request_pass()
@@ -328,12 +345,15 @@
     owner: state_module.Owner, ready: int, placed: int, started_at: float
 ) -> None:
     now = clock.read_now()
+    waiting_steps = 0
+    if now - started_at >= load_module.SLOW_PASS_S:
+        waiting_steps = len({id(t.step) for t in owner.table.ready.values()})
     load_module.record_pass(
         owner.load,
         owner.epoch,
         now - started_at,
         ready,
-        len({id(task.step) for task in owner.table.ready.values()}),
+        waiting_steps,
         placed,
         len(owner.runners),
         now,
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -27,6 +27,8 @@
 # Whole numbers up to here are exact as floats. NaN is within no limits.
 _Version = Annotated[int, msgspec.Meta(ge=-1, le=2**53)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Priority = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_MAX_WAITS = 64
 _Cores = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 
 
@@ -61,6 +63,8 @@
       ping_after_s: Time until the sender's next ping; 0 for the default.
       few_runners: The receiver is the owner and hears few of its runners; its
         claim in the log names some of them.
+      waits: Priority and seconds that new tasks of it wait, while the receiver
+        is the owner and cannot keep up.
     """
 
     is_owner: bool
@@ -70,13 +74,17 @@
     ablest_capacity: _Cores = 0.0
     ping_after_s: _Seconds = 0.0
     few_runners: bool = False
+    waits: Annotated[
+        list[tuple[_Priority, _Seconds]], msgspec.Meta(max_length=_MAX_WAITS)
+    ] = []
 
 
 class Ask(msgspec.Struct, array_like=True):
     """Forwards a caller's request to the owner.
 
     Attributes:
-      what: state, cancel or pending.
+      what: state, cancel, pending or known. The last one asks whether the job
+        is known without reading the log.
       subject: Id of the job; for pending the name of the queue.
     """
 
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -58,6 +58,8 @@
       claim_lock: Serializes claims of this process.
       group: Task group of the components, or None while they do not run.
       load: Load of this process.
+      waits: Expected waits by priority, as the owner has last reported them.
+      waits_at: When that was.
       comparisons: Comparisons of this process's reach with that of the owner.
     """
 
@@ -81,6 +83,8 @@
     claim_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     group: anyio.abc.TaskGroup | None = None
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
+    waits: dict[int, float] = dataclasses.field(default_factory=dict)
+    waits_at: float = float("-inf")
     comparisons: reach_module.Comparisons = dataclasses.field(
         default_factory=reach_module.Comparisons
     )
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -46,6 +46,10 @@
 # Part of that time after which a pass goes on where the last one ended, if the
 # most urgent tasks find no runner.
 _URGENT_SHARE = 0.5
+# While passes are cut short, a group of tasks that has waited for this long is
+# tried after each few groups in the order of their urgency.
+_STARVING_AFTER_S = 6.0
+_URGENT_PER_STARVING = 3
 # Items that are listed or sorted in one turn of a pass.
 _LISTED_PER_TURN = 1000
 # Time between two attempts to clear a runner of long-running tasks; one runner
@@ -147,6 +151,9 @@
     of work.
     """
     yield from _place_ready(owner, current)
+    if current.out_of_time:
+        # Moves would take the time that the ready tasks need.
+        return
     yield from _move_slowed(owner, current)
     yield from _clear_one(owner, current)
 
@@ -155,6 +162,7 @@
     """Orders the start of the attempts placed since the last call."""
     placed, current.placed = current.placed, []
     for run in placed:
+        owner.backlog.placed[run.task.job.queue.priority] += 1
         metrics.TASK_WAIT_SECONDS.labels(
             metrics.name_kind(run.task.step.definition.long_running)
         ).observe(run.ordered_at - find_wait_start(run.task))
@@ -302,6 +310,8 @@
     ordered = yield from _sort_in_turns(
         list(groups.values()), lambda group: _rank_task(group.tasks[0], now)
     )
+    if owner.unvisited:
+        ordered = mix_oldest(list(ordered), now)
     listed: collections.deque[state_module.ReadyGroup] = collections.deque()
     for group in ordered:
         listed.append(group)
@@ -310,6 +320,38 @@
     return listed
 
 
+def mix_oldest(
+    groups: list[state_module.ReadyGroup], now: float
+) -> Iterator[state_module.ReadyGroup]:
+    """Puts a group that has waited for long after each few urgent ones.
+
+    While passes are cut short, new jobs would otherwise go before a late one
+    for ever.
+    """
+    starts = {
+        id(group): min(find_wait_start(task) for task in group.tasks)
+        for group in groups
+    }
+    starving = collections.deque(
+        sorted(
+            (g for g in groups if now - starts[id(g)] > _STARVING_AFTER_S),
+            key=lambda g: starts[id(g)],
+        )
+    )
+    placed: set[int] = set()
+    for number, group in enumerate(groups, 1):
+        if id(group) not in placed:
+            placed.add(id(group))
+            yield group
+        if number % _URGENT_PER_STARVING:
+            continue
+        while starving and id(starving[0]) in placed:
+            starving.popleft()
+        if starving:
+            placed.add(id(starving[0]))
+            yield starving.popleft()
+
+
 def _is_due(task: attempts.Task, now: float) -> bool:
     """Tells whether a ready task may start, also after an earlier try."""
     return task.retry_at <= now and task.step.due_at <= now
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -72,6 +72,10 @@
     # ping_s; the others less often, but often enough to find a new owner within
     # owner_wait_s.
     ping_budget_per_s: float = 30.0
+    # A weak owner asks for fewer: a ping takes it about 0.7 ms of processor
+    # time, and all of them are not to take more than a tenth of what it has.
+    ping_cost_s: float = 0.0007
+    ping_capacity_share: float = 0.1
     fast_standbys: int = 4
     slow_ping_max_s: float = 1.4
     suspect_after_s: float = 1.2
@@ -132,8 +136,18 @@
     owner_wait_s: float = 1.5
     ask_timeout_s: float = 0.6
     retry_after_s: int = 1
+    # A job is refused while the owner cannot keep up and its tasks would wait
+    # for longer than this. The users ask for accepted jobs 14 s after their
+    # traffic has ended, and each must be at work by then.
+    max_start_wait_s: float = 8.0
     drain_s: float = 2.6
 
+    @property
+    def affordable_pings_per_s(self) -> float:
+        """Pings in total that this process can answer as the owner."""
+        affordable = self.capacity * self.ping_capacity_share / self.ping_cost_s
+        return min(self.ping_budget_per_s, affordable)
+
     @property
     def old_lease_limit_s(self) -> float:
         """Time after a takeover until leases of earlier owners have expired.
--- a/plantainvane/jobs/standbys.py
+++ b/plantainvane/jobs/standbys.py
@@ -10,6 +10,8 @@
 # A peer whose ping is overdue by more than this is not asked to become the
 # owner, and not counted.
 _OVERDUE_S = 1.15
+# Standbys that ping often even if the owner is weak: one may be lost with it.
+_LEAST_FAST_STANDBYS = 2
 
 
 def list_successors(
@@ -78,17 +80,25 @@
     failed owner at once.
     """
     heard = [a for a, s in known_peers.items() if _is_heard(s, settings, now)]
-    if len(heard) <= settings.ping_budget_per_s * settings.ping_s:
+    budget_per_s = settings.affordable_pings_per_s
+    if len(heard) <= budget_per_s * settings.ping_s:
         return settings.ping_s
+    # Half of the budget at most is for the fast ones, but for two of them.
+    affordable = int(budget_per_s * settings.ping_s / 2)
+    fast_standbys = min(
+        settings.fast_standbys, max(_LEAST_FAST_STANDBYS, affordable)
+    )
     # The checksum mixes equals of all failure domains.
     fast = heapq.nlargest(
-        settings.fast_standbys,
+        fast_standbys,
         (a for a in heard if known_peers[a].may_own),
         key=lambda a: (known_peers[a].capacity, zlib.crc32(a.encode()), a),
     )
     if address in fast:
         return settings.ping_s
-    left_per_s = settings.ping_budget_per_s - len(fast) / settings.ping_s
+    left_per_s = budget_per_s - len(fast) / settings.ping_s
+    if left_per_s <= 0:
+        return settings.slow_ping_max_s
     interval_s = (len(heard) - len(fast)) / left_per_s
     return min(settings.slow_ping_max_s, max(settings.ping_s, interval_s))
 
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -11,6 +11,7 @@
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import backlog as backlog_module
 from plantainvane.jobs import budgets
 from plantainvane.jobs import colocation as colocation_module
 from plantainvane.jobs import expiries as expiries_module
@@ -101,6 +102,7 @@
       load: Load of this process.
       estimates: Intermediate results of the last scheduling pass.
       estimated_at: Time to which these apply.
+      backlog: What waits while this process cannot keep up.
       colocation: Limits and counts of the lines about fill tasks.
       reach: What this process hears of its runners, if that is few.
       reach_checks: Checks under way, by the report that a standby compares.
@@ -177,6 +179,9 @@
         default_factory=placement.Estimates
     )
     estimated_at: float = 0.0
+    backlog: backlog_module.Backlog = dataclasses.field(
+        default_factory=backlog_module.Backlog
+    )
     colocation: colocation_module.Report = dataclasses.field(
         default_factory=colocation_module.Report
     )
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -218,6 +218,8 @@
         answer.ping_after_s,
         answer.few_runners,
     )
+    if answer.is_owner:
+        entry.waits, entry.waits_at = dict(answer.waits), now
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
     await configuration.compare_configuration(
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from plantainvane import asgi
 from plantainvane import metrics
+from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
 from plantainvane.jobs import intake
 from plantainvane.jobs import model
@@ -96,14 +97,23 @@
     outcome = await intake.submit_job(entry.intake, job.ok_value, deadline_s)
     if outcome is intake.Outcome.NOT_RUN:
         return _make_unavailable_reply(entry)
+    if outcome is intake.Outcome.OVERLOADED:
+        retry_after_s = backlog.choose_retry_after(
+            entry.settings, entry.intake.find_wait(queue.name), job_id
+        )
+        return _make_unavailable_reply(entry, retry_after_s)
     if outcome is intake.Outcome.TOO_LARGE:
         return asgi.make_json_reply(400, {"Error": "the job is too large"})
     return asgi.HttpReply(_STATUS_CODES[outcome], b"{}")
 
 
-def _make_unavailable_reply(entry: process_module.Entry) -> asgi.HttpReply:
+def _make_unavailable_reply(
+    entry: process_module.Entry, retry_after_s: int | None = None
+) -> asgi.HttpReply:
     """Makes a 503 reply: nothing was done, retry after the given time."""
-    retry_after = str(entry.settings.retry_after_s).encode()
+    if retry_after_s is None:
+        retry_after_s = entry.settings.retry_after_s
+    retry_after = str(retry_after_s).encode()
     return asgi.HttpReply(503, headers=((b"retry-after", retry_after),))
 
 
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -8,6 +8,7 @@
 import result
 
 from plantainvane import outcomes
+from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import interfaces
@@ -298,7 +299,9 @@
     # although able ones live: none of them can own anything while the log is
     # away, and those that notice it last, the weak ones, counted as the ablest.
     entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
-    entry.owner = types.SimpleNamespace(epoch=3, reach=None)
+    entry.owner = types.SimpleNamespace(
+        epoch=3, reach=None, backlog=backlog.Backlog()
+    )
     state = ownership.Ownership()
 
     async def ping(address, capacity, may_own=True):
@@ -395,6 +398,24 @@
     assert slowest_s <= SETTINGS.owner_wait_s
 
 
+@pytest.mark.parametrize("capacity", [0.05, 0.069, 0.3])
+def test_pings_take_a_weak_owner_a_tenth_of_its_time(capacity):
+    # Guards against an owner that has no time to start tasks, as it answers the
+    # pings of many standbys.
+    settings = msgspec.structs.replace(SETTINGS, capacity=capacity)
+    peers = make_peers(*[capacity] * 17)
+    pings_per_s = sum(
+        1 / standbys.choose_ping_interval(peers, address, settings, 10.0)
+        for address in peers
+    )
+    # Two are fast, and the others find a new owner in time.
+    least = 2 / settings.ping_s + 15 / settings.slow_ping_max_s
+    assert pings_per_s <= max(
+        least + 1e-6,
+        capacity * settings.ping_capacity_share / settings.ping_cost_s,
+    )
+
+
 def test_ablest_standbys_ping_often():
     # Guards against a failed owner that is found late because all standbys
     # ping slowly.
