Repeat no start order after a suspension

Polls extend no lease once the log has not answered for 5 s, but starts did not look. A successor that cannot reach that runner counts on it that all leases have expired 10.9 s after its claim and starts the task elsewhere. Before each try an owner that has not heard the log now withholds the start; what was sent is stopped and stays charged. test_owner_that_was_suspended_repeats_no_start failed before: three orders, the last with a later lease.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -28,12 +28,12 @@
     if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
         # Nothing but what cannot be stopped otherwise is to lapse.
         return None
-    if _is_cut_off(owner, now):
+    if is_cut_off(owner, now):
         return runner.lease_until_ms or None
     return runner.extend_lease(owner.settings, now) or None
 
 
-def _is_cut_off(owner: state_module.Owner, now: float) -> bool:
+def is_cut_off(owner: state_module.Owner, now: float) -> bool:
     """Tells whether a successor may count on it that no lease is extended.
 
     The owner steps down somewhat later. One that was suspended has not called
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import crashes
 from plantainvane.jobs import eligibility
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
 from plantainvane.jobs import pacing
@@ -69,7 +70,7 @@
         return
     outcome, lost = _OUTCOME.LOST, False
     for _ in range(1 + owner.settings.start_retries):
-        reason = _find_obstacle(runner, run)
+        reason = _find_obstacle(owner, runner, run, clock.read_now())
         if reason:
             _withhold_start(owner, runner, run, reason, lost)
             return
@@ -105,8 +106,19 @@
     _apply_start_outcome(owner, runner, run, outcome, now, lost)
 
 
-def _find_obstacle(runner: runners_module.Runner, run: attempts.Run) -> str:
-    """Returns why a start that is charged must not be ordered, or empty."""
+def _find_obstacle(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+    now: float,
+) -> str:
+    """Returns why a start that is charged must not be ordered, or empty.
+
+    A start grants a lease. An owner that was suspended may have a successor
+    that counts on it that all its leases have expired.
+    """
+    if leases.is_cut_off(owner, now):
+        return "log not heard"
     if run not in run.task.runs or run.phase is attempts.Phase.STOPPING:
         return "attempt ended or is being stopped"
     if run.task.job.ended:
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -498,3 +498,33 @@
     machine.now += owner.settings.log_outage_limit_s
     await poll_for(owner, machine, _STEP_S)
     assert machine.find_true_expiry() == expiry
+
+
+async def test_owner_that_was_suspended_repeats_no_start(machine, monkeypatch):
+    # Guards against a second start: an owner is suspended during a start order,
+    # its successor counts on it that all its leases have expired, and the order
+    # is repeated with a new one.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    owner.health.record_success(0.01, machine.now)
+    await poll_for(owner, machine, 1.0)
+    owner.health.record_success(0.01, machine.now)
+    decisions.add_job(owner.table, decisions.make_step())
+    (task,) = owner.table.ready.values()
+    run = owner.table.begin_run(task, "r", machine.now)
+    owner.runners["r"].charge(run)
+    sent = []
+
+    async def lose_start(order):
+        sent.append(order)
+        machine.now += owner.settings.log_outage_limit_s + 1.0
+        return interfaces.OrderOutcome.LOST
+
+    monkeypatch.setattr(machine, "start", lose_start)
+    expiry = machine.find_true_expiry()
+    await orders._start_run(owner, run)
+    assert len(sent) == 1
+    assert machine.find_true_expiry() == expiry
+    # It may be carried out late, so it is stopped and stays charged.
+    assert run.phase is attempts.Phase.STOPPING
+    assert run in owner.runners["r"].runs
