Accept a repeated submission of a stored job while the log is away

A submission whose answer was lost may be stored and run. Repeated at a process that does not reach the log it was answered 503, which tells the caller that the job never runs. Now the owner is asked first whether it knows the job, for 0.2 s at most and without a read of the log: then the answer is 200.

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -35,6 +35,9 @@
 # Shorter than the pause between two tries of an append, as a job can be
 # withdrawn only during that pause.
 _WITHDRAW_POLL_S = 0.02
+# Longest time that a refusal waits for the owner to tell whether it knows the
+# job; it fits into the part of the deadline that is reserved for the reply.
+_KNOWN_LIMIT_S = 0.2
 # Part of the caller's deadline that is reserved for the reply to reach it.
 _REPLY_MARGIN_S = 0.25
 
@@ -84,6 +87,8 @@
     """
     started = clock.read_now()
     outcome, reason = await _store_job(intake, job, deadline_s)
+    if outcome is Outcome.NOT_RUN and await _ask_whether_known(intake, job):
+        outcome, reason = Outcome.ACCEPTED, "stored before"
     took_s = clock.read_now() - started
     metrics.SUBMISSIONS.labels(outcome.value).inc()
     metrics.SUBMISSION_SECONDS.observe(took_s)
@@ -111,7 +116,7 @@
     journal = intake.journal
     wait_s = intake.find_wait(job.queue)
     if backlog.is_hopeless(intake.settings, wait_s):
-        is_known = await _is_known(intake, job)
+        is_known = await _ask_whether_known(intake, job)
         if is_known:
             return Outcome.ACCEPTED, "stored before"
         if is_known is not None:
@@ -140,13 +145,15 @@
     return Outcome.UNKNOWN, "append not answered"
 
 
-async def _is_known(intake: Intake, job: model.Job) -> bool | None:
-    """Tells whether the owner knows a job, which may be submitted again.
+async def _ask_whether_known(intake: Intake, job: model.Job) -> bool | None:
+    """Tells whether the owner knows a job that this process has not stored.
 
-    A refusal tells the caller that the job never runs, so without an answer,
-    None, it must not be refused.
+    A refusal tells the caller that the job never runs. It may have been stored
+    by an earlier submission whose answer was lost. None without an answer.
     """
-    reply = await intake.ask_owner(peers.Ask("known", job.id))
+    reply = None
+    with anyio.move_on_after(_KNOWN_LIMIT_S):
+        reply = await intake.ask_owner(peers.Ask("known", job.id))
     return None if reply is None else reply.known
 
 
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -36,12 +36,20 @@
     return "asyncio"
 
 
-async def submit(*answers, deadline_s=1.0, stalled=False):
-    """Submits a job while the log gives `answers`; returns outcome and log."""
+async def submit(*answers, deadline_s=1.0, stalled=False, known=None):
+    """Submits a job while the log gives `answers`; returns outcome and log.
+
+    `known` is the owner's answer to whether it knows the job, or None.
+    """
+
+    async def ask_owner(question):
+        assert question == peers.Ask("known", "j")
+        return None if known is None else peers.AskReply(known=known)
+
     journal, store = journals.make_journal(*answers)
     if stalled:
         journal.stalled_since = 1.0
-    intake = intake_module.Intake(decisions.SETTINGS, journal, None)
+    intake = intake_module.Intake(decisions.SETTINGS, journal, ask_owner)
     async with anyio.create_task_group() as group:
         group.start_soon(journal.run)
         with anyio.fail_after(5):
@@ -73,6 +81,18 @@
     assert store.appends == []
 
 
+@pytest.mark.parametrize("stalled", [False, True])
+async def test_a_job_that_was_stored_before_is_not_refused(stalled):
+    # Guards against a caller that is told that its job never runs: the answer
+    # to its first submission was lost, and the second comes to a process that
+    # does not reach the log.
+    answers = [] if stalled else [journals.REFUSED] * 99
+    outcome, _ = await submit(*answers, stalled=stalled, known=True)
+    assert outcome is _OUTCOME.ACCEPTED
+    outcome, _ = await submit(*answers, stalled=stalled, known=False)
+    assert outcome is _OUTCOME.NOT_RUN
+
+
 async def test_lost_append_is_never_reported_as_not_run():
     # Guards against a refused job that is stored nevertheless.
     outcome, _ = await submit(*[journals.LOST] * 99, deadline_s=0.6)
