--- a/plantainvane/jobs/serving_loads.py
+++ b/plantainvane/jobs/serving_loads.py
@@ -69,7 +69,9 @@
         slope_gain = self.covariance / innovation_variance
         self.value += gain * error
         self.slope += slope_gain * error
-        self.slope_variance -= slope_gain * self.covariance
+        self.slope_variance = max(
+            0.0, self.slope_variance - slope_gain * self.covariance
+        )
         self.covariance *= 1 - gain
         self.variance *= 1 - gain
 
--- a/tests/test_jobs_colocation.py
+++ b/tests/test_jobs_colocation.py
@@ -7,11 +7,14 @@
 import math
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interference
 from plantainvane.jobs import pacing
+from plantainvane.jobs import serving_loads
 from plantainvane.jobs import table as table_module
 from tests import test_jobs_decisions as decisions
 
@@ -158,3 +161,74 @@
     # service is taken for interference, and on large runners, where each core
     # disturbs less, because the effect of a pair is taken for none.
     assert _play(Fleet(seed, cores, 12)) < 0.04
+
+
+def test_a_report_that_repeats_a_sample_teaches_nothing():
+    # Guards against a tail that is learned once more as the effect of what has
+    # started since, when a poll returns at the end of a task.
+    fleet, model = Fleet(1, 16, 1), interference.InterferenceModel()
+    (runner,) = fleet.runners
+    fleet.measure(runner, 1.0)
+    model.learn(runner, 1.0)
+    fleet.replace_fills(runner, model)
+    model.learn(runner, 1.1)
+    assert model.effects == {}
+    assert model.errors.count == _SERVING_STEPS
+    for run in runner.runs:
+        run.measurement += 1000.0 if run.task.step.definition.fills else 1.0
+    model.learn(runner, 1.25)
+    assert model.effects
+
+
+def test_a_core_of_a_large_runner_disturbs_less():
+    # Guards against an effect that is learned on small runners and halts fill
+    # tasks on large ones.
+    model = interference.InterferenceModel()
+    model.effects["serving0", "fill0"] = interference.Effect(0.2, 0.0001, 1.0)
+    fleet = Fleet(1, 16, 1)
+    excess = [
+        interference.estimate_excess_pressure(
+            model, runner, "fill0", 2.0, 0.86, 1.0
+        )
+        for runner in (
+            fleet.runners[0],
+            Fleet(1, 64, 1).runners[0],
+        )
+    ]
+    assert excess[0] - excess[1] == pytest.approx(0.4 - 0.1)
+
+
+def test_model_keeps_nothing_of_what_has_ended():
+    # Guards against an owner whose memory grows with the jobs that it has seen.
+    fleet, model = Fleet(1, 16, 2), interference.InterferenceModel()
+    for runner in fleet.runners:
+        fleet.measure(runner, 1.0)
+        model.learn(runner, 1.0)
+    assert len(model.loads) == _SERVING_STEPS and len(model.samples) == 2
+    fleet.table.cancel_job(fleet.table.jobs["s0"], 1)
+    for run in list(fleet.runners[0].runs):
+        model.forget_run(run)
+    model.forget_ended({"r1": fleet.runners[1]})
+    assert len(model.loads) == _SERVING_STEPS - 1
+    assert list(model.samples) == ["r1"]
+    assert len(model.offsets) == _SERVING_STEPS
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(-10, 1e6), strategies.floats(-1e3, 1e3)
+        ),
+        max_size=50,
+    )
+)
+def test_any_measurements_leave_a_usable_estimate(rows):
+    # Guards against an exception, which ends the owner, after odd tails or a
+    # clock that stands still.
+    load, now = serving_loads.StepLoad(), 1.0
+    for elapsed_s, error in rows:
+        now += elapsed_s
+        load.advance(now)
+        load.correct(error, load.variance + 0.004)
+        assert load.variance >= 0 and load.slope_variance >= 0
+        assert math.isfinite(load.predict(now, 1.0))
