Slow the fill tasks that lose least for the relief they give

The fill task that disturbs most was slowed first, whatever waits for it. One of four cases of test_fill_with_the_least_loss_for_the_relief_is_slowed fails before.

--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -27,6 +27,14 @@
 # A fill task that presses a serving task less than this at full speed is not
 # slowed for it: halted, it would hardly relieve the other.
 _MIN_FILL_PRESSURE = 0.03
+# The last tasks of a step, up to this share of it, and how much more is lost by
+# slowing one of them.
+_LAST_TASKS_SHARE = 0.2
+_LAST_TASKS_LOSS = 4.0
+# A job that is late by so many objectives has no value left, and how much is
+# lost by slowing one of its tasks.
+_EXPIRED_OBJECTIVES = 2.0
+_EXPIRED_LOSS = 0.25
 # When a serving task has been over its target for these shares of
 # `max_impact_s`, the fill tasks beside it that are known to disturb it are
 # slowed, then all fill tasks are halted, even if the model does not explain the
@@ -129,7 +137,8 @@
 ) -> list[tuple[float, attempts.Run]]:
     """Returns the pressure of each fill task on one serving task.
 
-    The pressure is the one at full speed; the highest comes first.
+    The pressure is the one at full speed. The task that is slowed at the least
+    loss for the relief comes first.
     """
     image = serving.task.step.definition.image
     scale = interference.find_scale(runner)
@@ -138,10 +147,24 @@
         step = run.task.step.definition
         effect = interference_model.estimate_effect(image, step.image, now)
         effects.append((effect * step.amounts.cpu / 1000 * scale, run))
-    effects.sort(key=lambda row: -row[0])
+    effects.sort(key=lambda row: -row[0] / weigh_loss(row[1].task, now))
     return effects
 
 
+def weigh_loss(task: attempts.Task, now: float) -> float:
+    """Weighs what is lost while a fill task is slowed, 1 for most tasks.
+
+    The last tasks of a step hold up all that follows. A job far beyond its
+    objective has little value left.
+    """
+    job, step = task.job, task.step
+    if now > job.deadline + _EXPIRED_OBJECTIVES * job.objective_s:
+        return _EXPIRED_LOSS
+    if step.remaining_tasks <= _LAST_TASKS_SHARE * len(step.tasks):
+        return _LAST_TASKS_LOSS
+    return 1.0
+
+
 def _slow_disturbing_fills(
     interference_model: interference.InterferenceModel,
     serving: attempts.Run,
--- a/tests/test_jobs_colocation.py
+++ b/tests/test_jobs_colocation.py
@@ -163,6 +163,43 @@
     assert _play(Fleet(seed, cores, 12)) < 0.04
 
 
+@pytest.mark.parametrize(
+    ("first", "second", "slowed"),
+    [
+        # The last task of a step, beside one of many that are left.
+        ({"done": 9}, {"done": 0}, "second"),
+        ({"done": 0}, {"done": 9}, "first"),
+        # One whose job has no value left.
+        ({"done": 9, "objectives": 5}, {"done": 0}, "first"),
+        # Equal ones: the one that disturbs more.
+        ({"done": 0}, {"done": 0, "cpu": 2200}, "second"),
+    ],
+)
+def test_fill_with_the_least_loss_for_the_relief_is_slowed(
+    first, second, slowed
+):
+    # Guards against a job that waits for the last task of a step, which is
+    # slowed although others are slowed at less loss.
+    fleet, now = Fleet(1, 16, 1), 1.0
+    (runner,) = fleet.runners
+    model = interference.InterferenceModel()
+    model.effects["serving0", "fill0"] = interference.Effect(0.1, 0.0001, now)
+    step = fleet.table.jobs["s0"].steps[0, 0]
+    model.loads[step] = serving_loads.StepLoad(value=0.3, updated_at=now)
+    runs = {}
+    for name, fields in (("first", first), ("second", second)):
+        definition = decisions.make_step(
+            count=10, fills=True, image="fill0", cpu=fields.get("cpu", 2000)
+        )
+        state = decisions.add_job(fleet.table, definition, job_id=name)
+        # An objective of 3 s, and the time for all of them.
+        state.deadline = now + 3.0 - fields.get("objectives", 0) * 3.0
+        state.steps[0, 0].remaining_tasks = 10 - fields["done"]
+        runs[name] = fleet.place(runner, state.steps[0, 0].tasks[-1])
+    changes = pacing.decide_paces(model, runner, _MAX_IMPACT_S, now)
+    assert [run for run, _ in changes] == [runs[slowed]]
+
+
 def test_a_report_that_repeats_a_sample_teaches_nothing():
     # Guards against a tail that is learned once more as the effect of what has
     # started since, when a poll returns at the end of a task.
