Look at all fill tasks for relief, and let unobserved estimates decay

(1) Fill tasks come in the order of relief for the loss, so one of little pressure on a job without value may come before one that disturbs more; the search ended at it and left the serving task over its limit. (2) The estimate of a known pair was used as it was last observed, however long ago. test_a_weak_effect_on_a_worthless_job_ends_no_search and test_an_estimate_that_is_no_longer_observed_decays failed before.

--- a/plantainvane/jobs/interference.py
+++ b/plantainvane/jobs/interference.py
@@ -63,6 +63,12 @@
     variance: float = _PRIOR_VARIANCE
     updated_at: float = 0.0
 
+    def find_value(self, now: float) -> float:
+        """Returns the value at the present time, without observations since."""
+        unobserved_s = max(0.0, now - self.updated_at - 1)
+        kept = math.exp(-unobserved_s / _EFFECT_DECAY_S)
+        return _PRIOR_EFFECT + kept * (self.value - _PRIOR_EFFECT)
+
     def decay(self, now: float) -> None:
         """Moves an unobserved effect to the prior; others may have drifted."""
         age_s = now - self.updated_at
@@ -165,10 +171,7 @@
         effect = self.effects.get((serving_image, fill_image))
         if effect is None:
             return 0.0
-        kept = math.exp(
-            -max(0.0, now - effect.updated_at - 1) / _EFFECT_DECAY_S
-        )
-        value = _PRIOR_EFFECT + kept * (effect.value - _PRIOR_EFFECT)
+        value = effect.find_value(now)
         # Most pairs do not interfere; small values are noise.
         return value if value >= MIN_EFFECT else 0.0
 
@@ -182,7 +185,7 @@
         """
         effect = self.effects.get((serving_image, fill_image))
         if effect is not None and self.is_known(serving_image, fill_image):
-            return effect.value
+            return effect.find_value(now)
         return self.find_effect(serving_image, fill_image, now)
 
     def list_fill_images(self) -> set[str]:
--- a/plantainvane/jobs/pacing.py
+++ b/plantainvane/jobs/pacing.py
@@ -179,8 +179,10 @@
     limit = interference_model.find_pressure_limit(image, TARGET_SHARE)
     excess = ahead + total - limit
     for effect, run in effects:
-        if excess <= 0 or effect < _MIN_FILL_PRESSURE:
+        if excess <= 0:
             return
+        if effect < _MIN_FILL_PRESSURE:
+            continue
         cut = min(paces[run], 100 * excess / effect)
         if cut > 0:
             run.slowed_for = image
--- a/tests/test_jobs_colocation.py
+++ b/tests/test_jobs_colocation.py
@@ -200,6 +200,38 @@
     assert [run for run, _ in changes] == [runs[slowed]]
 
 
+def test_a_weak_effect_on_a_worthless_job_ends_no_search():
+    # Guards against a serving task that stays over its target, as a task of
+    # little effect and less value comes before one that disturbs it.
+    fleet, now = Fleet(1, 16, 1), 1.0
+    (runner,) = fleet.runners
+    model = interference.InterferenceModel()
+    step = fleet.table.jobs["s0"].steps[0, 0]
+    model.loads[step] = serving_loads.StepLoad(value=0.5, updated_at=now)
+    runs = {}
+    for image, value, age_s in (("fill0", 0.01, 60.0), ("fill1", 0.04, 0.0)):
+        model.effects["serving0", image] = interference.Effect(
+            value, 0.0001, now
+        )
+        definition = decisions.make_step(
+            count=10, fills=True, image=image, cpu=2000
+        )
+        state = decisions.add_job(fleet.table, definition, job_id=image)
+        state.deadline = now + 3.0 - age_s
+        runs[image] = fleet.place(runner, state.steps[0, 0].tasks[0])
+    changes = pacing.decide_paces(model, runner, _MAX_IMPACT_S, now)
+    assert [run for run, _ in changes] == [runs["fill1"]]
+
+
+def test_an_estimate_that_is_no_longer_observed_decays():
+    # Guards against a fill task that is slowed for ever for what a pair of
+    # images once did.
+    model = interference.InterferenceModel()
+    model.effects["web", "x"] = interference.Effect(0.4, 0.0001, 1.0)
+    assert model.estimate_effect("web", "x", 2.0) == pytest.approx(0.4)
+    assert model.estimate_effect("web", "x", 200.0) < interference.MIN_EFFECT
+
+
 def test_a_report_that_repeats_a_sample_teaches_nothing():
     # Guards against a tail that is learned once more as the effect of what has
     # started since, when a poll returns at the end of a task.
