--- a/review/deployment.py
+++ b/review/deployment.py
@@ -129,6 +129,7 @@
     address: str
     process: subprocess.Popen | None = None
     heard_at: float = 0.0
+    is_draining: bool = False
 
 
 def _find_port(ip: str) -> int:
@@ -250,6 +251,16 @@
             cwd=ROOT,
         )
 
+    async def drain_runner(self, runner: Runner, leaves_after_s: float):
+        """Has a runner report that it drains, and leave after some time."""
+        self.note("drains", runner=runner.name)
+        runner.is_draining = True
+        await asyncio.sleep(leaves_after_s)
+        self.note("left", runner=runner.name)
+        runner.process.kill()
+        runner.process.wait()
+        self.store.put("keyed.servers", runner.name, None)
+
     def send_signal(self, target: Entry | Runner, number: signal.Signals):
         """Sends a signal to a process that this script started."""
         self.note("signal", to=target.name, signal=number.name)
@@ -263,7 +274,10 @@
                 now = time.monotonic()
                 try:
                     reply = await client.get(f"http://{runner.address}/entry")
-                    self.store.put("keyed.servers", runner.name, reply.content)
+                    content = reply.content
+                    if runner.is_draining:
+                        content = content.replace(b'"ready"', b'"draining"')
+                    self.store.put("keyed.servers", runner.name, content)
                     runner.heard_at, listed = now, True
                 except httpx.HTTPError:
                     if listed and now - runner.heard_at > 3 * _HEARTBEAT_S:
@@ -334,7 +348,7 @@
                 method,
                 f"http://{entry.frontend}{path}",
                 headers={"Host": HOST, "Deadline-Ms": str(deadline_ms)},
-                content=json.dumps(body).encode() if body else None,
+                content=json.dumps(body) if isinstance(body, dict) else body,
                 timeout=deadline_ms / 1000,
             )
         except httpx.HTTPError as failure:
