--- a/review/deployment.py
+++ b/review/deployment.py
@@ -474,8 +474,9 @@
             print(f"rule broken: {fault}")
         status = 1 if faults else 0
         print(f"faults: {len(faults)}")
-    except (CannotRunError, OSError, httpx.HTTPError) as error:
-        deployment.note("could not run", error=str(error))
+    except Exception as error:  # noqa: BLE001
+        # Any fault of the script itself tells nothing about the rule.
+        deployment.note("could not run", error=repr(error))
         print(f"could not run: {error!r}")
         status = 2
     deployment.write_record()
