Keep attempts charged whose ends a runner has not listed yet

Cause: an answer to a poll lists 500 ends at a time, and the session took each attempt that it did not list for gone. Ruled out: the takeover and the freeze of the owner; a runner that is silent while 1,100 tasks end shows it with one owner.

Change: the adapter tells whether an answer can have left ends out, and only a whole list ends what it does not name. The same fault in the pages of the log: a page without items that has a successor counted as the last one.

--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -237,13 +237,16 @@
       born_ms: Start of the runner's incarnation, Unix milliseconds.
       clock_ms: Reading of its monotonic clock, in milliseconds.
       running: Attempts that run on it.
-      ends: Attempts that have ended on it.
+      ends: Attempts that have ended on it, from the first unacknowledged one.
+      lists_all_ends: No later end is left out of `ends`, so that what is in
+        neither list does not run there.
     """
 
     born_ms: int
     clock_ms: int
     running: tuple[RunningAttempt, ...]
     ends: tuple[AttemptEnd, ...]
+    lists_all_ends: bool = True
 
 
 class StartOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -592,8 +592,21 @@
         for run in runner.runs
         if run not in reported and _has_ended(run, sent_at)
     ]
-    if missing:
+    if not missing:
+        return
+    if reply.lists_all_ends:
         _drop_runs(owner, runner, missing, "not running there", now)
+        return
+    # Their ends are listed once the present ones are acknowledged.
+    events.log_event(
+        events.RUNNER_ENDS_CUT,
+        runner=runner.entry.id,
+        ends=len(reply.ends),
+        last_number=reply.ends[-1].number if reply.ends else None,
+        missing=len(missing),
+        runs=len(runner.runs),
+        epoch=owner.epoch,
+    )
 
 
 def _order_due_stop(
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -29,6 +29,8 @@
 
 
 _OTHER_INCARNATION_STATUS = 421
+# A reply to a poll lists this many ends at most.
+_MAX_LISTED_ENDS = 500
 
 
 class _Refusal(msgspec.Struct, rename="pascal"):
@@ -86,6 +88,7 @@
             reply.clock_ms,
             tuple(_make_running(row) for row in reply.active),
             tuple(model.AttemptEnd(*row) for row in reply.finished),
+            len(reply.finished) < _MAX_LISTED_ENDS,
         )
     )
 
--- a/plantainvane/platform/store.py
+++ b/plantainvane/platform/store.py
@@ -207,7 +207,7 @@
             if end_offset < 0:
                 end_offset = page.end_offset
             records.extend(_decode_items(topic, page.items))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return result.Ok(
                     interfaces.Page(tuple(records), end_offset, end_offset)
                 )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -17,6 +17,8 @@
 from plantainvane import asgi
 
 _POLL_INTERVAL_S = 0.005
+# Ends that an answer to a poll lists at most.
+_MAX_LISTED_ENDS = 500
 
 
 class Amounts(msgspec.Struct, frozen=True):
@@ -205,6 +207,11 @@
         self.ends.clear()
         self.next_end = 1
 
+    def has_ended_all(self) -> bool:
+        """Ends due attempts, as a poll does; tells whether none is left."""
+        self.end_due_attempts()
+        return not self.running
+
     def end_due_attempts(self) -> None:
         """Ends finished attempts, and all attempts if the lease has expired."""
         now = time.monotonic()
@@ -365,6 +372,7 @@
         ]
         for a in state.running.values()
     ]
+    listed = state.ends[:_MAX_LISTED_ENDS]
     return _answer(
-        state, 200, born=state.born_ms, Active=active, Finished=state.ends
+        state, 200, born=state.born_ms, Active=active, Finished=listed
     )
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -380,6 +380,19 @@
     assert runner.entry.born_ms == 50
 
 
+def test_attempt_whose_end_is_cut_off_a_list_is_not_started_again():
+    # Guards against a second run of a task that has ended while more ends than
+    # one answer lists had not been acknowledged.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    status = make_status(runner)
+    cut = msgspec.structs.replace(status, lists_all_ends=False)
+    sessions._apply_reply(owner, runner, cut, 10.2, 10.3)
+    assert run in runner.runs and run in run.task.runs
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
+    assert run not in runner.runs and run not in run.task.runs
+
+
 def test_entry_with_an_earlier_start_lists_its_runner_again():
     # Guards against a runner that stays unlisted until it is forgotten, because
     # its clock was set back before it started again.
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -222,7 +222,7 @@
 
 
 @pytest.mark.parametrize(
-    "item", ['{"Key":7}', '{"Key":"\\udcff"}', '{"Key":"a"}']
+    "item", ["", '{"Key":7}', '{"Key":"\\udcff"}', '{"Key":"a"}']
 )
 async def test_a_list_that_cannot_go_on_is_an_error(item):
     # Guards against the same page that is read again and again, and against a
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -20,6 +20,8 @@
 pytestmark = pytest.mark.anyio
 ID = "5c0e7a21d94b36f8"
 OTHER_ID = "5c0e7a21d94b36f9"
+# Ends that an answer of a runner lists at most.
+LISTED_ENDS = 500
 # Limit for the detection of a failed owner, the claim and the first polls.
 TAKEOVER_LIMIT_S = 4.0
 # A long-running task may wait this long while a runner has room for it (LOST).
@@ -305,6 +307,36 @@
                 await anyio.sleep(0.02)
 
 
+@pytest.mark.parametrize("by", ["silence", "takeover"])
+async def test_tasks_whose_ends_do_not_fit_one_list_run_once(by):
+    # Guards against tasks that run again although they are done, because more
+    # ends than one answer lists came while no process polled the runner.
+    async with platform_system.run_system(entries=2, runners=1) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        runner.cpu = runner.memory_mb = 10_000_000
+        system.store.put(
+            "keyed.servers",
+            "i-0",
+            runner.make_entry(
+                owner.owner.runners["i-0"].entry.address,
+                platform_system.SERVICE,
+                "ready",
+            ),
+        )
+        count = 2 * LISTED_ENDS + 100
+        body = platform_system.make_job(count=count, run_ms=4000, Cpu=1)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await wait_until(lambda: len(runner.starts) == count, limit_s=10.0)
+        runner.silent = True
+        if by == "takeover":
+            await system.kill(owner)
+        await wait_until(runner.has_ended_all, limit_s=6.0)
+        runner.silent = False
+        await platform_system.wait_state(system, ID, "completed")
+        assert set(count_starts(system).values()) == {1}
+
+
 async def test_runner_that_restarts_while_it_is_silent_is_used_again():
     # Guards against the same for a runner that crashed: its attempts end with
     # their leases before it has answered a poll. Its new entry ends none.
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -173,6 +173,17 @@
     assert reply.ends[0] == model.AttemptEnd(58, "t", 1, "done", "")
 
 
+@pytest.mark.parametrize(("ends", "is_whole"), [(499, True), (500, False)])
+def test_poll_reply_with_as_many_ends_as_one_lists_may_leave_some_out(
+    ends, is_whole
+):
+    # Guards against a list that the runner cut off and that counts as whole.
+    rows = ",".join(f'[{n},"t{n}",1,"done",""]' for n in range(1, ends + 1))
+    content = f'{{"ClockMs":5,"born":7,"Finished":[{rows}]}}'
+    reply = runners.decode_poll_reply(content.encode()).ok_value
+    assert reply.lists_all_ends is is_whole
+
+
 def test_settings_file_decodes_and_unknown_fields_are_ignored():
     # Guards against a newer platform whose extra fields stop the process.
     settings = node.decode_settings(NODE).ok_value
