Handle signals from the start of a process to its end

Cause: the receiver of the event loop was closed once SIGTERM had been read, which gives each signal its default action back while the drain goes on. Evidence: the process ends by the signal, and a second SIGTERM or SIGINT does the same. Ruled out: the drain period, of which 1.6 s were left.

Change: one module installs the handlers first thing and never removes them; both entry processes use it. Later signals are logged.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -18,6 +18,7 @@
 from plantainvane import files
 from plantainvane import schemas as schemas_module
 from plantainvane import settings as settings_module
+from plantainvane import signals
 from plantainvane import terminal
 from plantainvane import traces
 
@@ -76,6 +77,7 @@
     settings: Annotated[pathlib.Path, typer.Option(help="JSON settings file.")],
 ) -> None:
     """Runs an entry process until SIGTERM or SIGINT."""
+    received = signals.install()
     loaded = settings_module.load_settings(settings)
     if loaded.is_err():
         terminal.exit_with_faults(settings, loaded.err_value)
@@ -83,7 +85,7 @@
     # entry process.
     from plantainvane import entry as entry_module
 
-    anyio.run(entry_module.run_entry, loaded.ok_value)
+    anyio.run(entry_module.run_entry, loaded.ok_value, received)
 
 
 @app.command()
--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -30,6 +30,7 @@
 from plantainvane import rendezvous
 from plantainvane import scheduler as scheduler_module
 from plantainvane import settings as settings_module
+from plantainvane import signals
 from plantainvane import writers
 
 # How often the process checks its own readiness and its peers' versions.
@@ -79,7 +80,9 @@
     closing: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
-async def run_entry(settings: settings_module.Settings) -> None:
+async def run_entry(
+    settings: settings_module.Settings, received: signals.Receiver
+) -> None:
     """Runs an entry process until SIGTERM or SIGINT, then drains it."""
     events.start_logging(settings)
     identity = writers.Identity(settings.id, time.time_ns() // 1_000_000)
@@ -98,7 +101,7 @@
             _start_components(components, entry, log_client, list_client)
             async with anyio.create_task_group() as servers:
                 _start_servers(servers, entry)
-                await _drain_on_signal(entry)
+                await _drain_on_signal(entry, received)
             components.cancel_scope.cancel()
     events.log_event(events.PROCESS_STOPPED, process=settings.id)
 
@@ -329,13 +332,12 @@
         )
 
 
-async def _drain_on_signal(entry: Entry) -> None:
-    # Signals stay handled during the drain, so that a second SIGTERM does not
-    # kill the process.
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await drain_entry(entry)
-            return
+async def _drain_on_signal(entry: Entry, received: signals.Receiver) -> None:
+    """Drains after the first SIGTERM or SIGINT; later ones change nothing."""
+    while await received.receive() is signal.SIGHUP:
+        # The settings are fixed while the process runs.
+        events.log_event(events.SETTINGS_RELOADED, process=entry.settings.id)
+    await drain_entry(entry)
 
 
 async def _review_entry(entry: Entry) -> None:
--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from plantainvane import events
+from plantainvane import signals
 from plantainvane.jobs import addresses
 from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
@@ -96,13 +97,17 @@
     )
 
 
-async def run_entry(entry: process_module.Entry, serve_callers: Any) -> None:
+async def run_entry(
+    entry: process_module.Entry,
+    serve_callers: Any,
+    received: signals.Receiver,
+) -> None:
     """Runs a process until SIGTERM; `serve_callers(entry)` serves HTTP.
 
     SIGINT ends it as well. SIGHUP is only logged.
     """
     async with anyio.create_task_group() as group:
-        group.start_soon(_drain_on_signal, entry)
+        group.start_soon(_follow_signals, entry, received)
         await run_components(entry, serve_callers)
         group.cancel_scope.cancel()
 
@@ -150,19 +155,30 @@
     return entry.owner.epoch if entry.owner is not None else None
 
 
-async def _drain_on_signal(entry: process_module.Entry) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for received in signals:
-            if received is signal.SIGHUP:
+async def _follow_signals(
+    entry: process_module.Entry, received: signals.Receiver
+) -> None:
+    """Drains after the first SIGTERM or SIGINT; no later one cuts that short.
+
+    Requests that were read before are still answered.
+    """
+    async with anyio.create_task_group() as group:
+        while True:
+            number = await received.receive()
+            if number is signal.SIGHUP:
                 # Addresses and bounds are fixed while the process runs.
                 events.log_event(
                     events.SETTINGS_RELOADED, process=entry.settings.id
                 )
-                continue
-            break
-    await drain(entry)
+            elif entry.draining:
+                events.log_event(
+                    events.SIGNAL_IGNORED,
+                    process=entry.settings.id,
+                    signal=number.name,
+                )
+            else:
+                entry.draining = True
+                group.start_soon(drain, entry)
 
 
 async def _serve(
--- a/plantainvane/platform/__main__.py
+++ b/plantainvane/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from plantainvane import signals
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import logs
@@ -36,6 +37,7 @@
 
 def main() -> int:
     """Runs a process until SIGTERM; returns 2 if the settings are invalid."""
+    received = signals.install()
     settings = node.load_settings()
     if settings.is_err():
         print(f"settings: {settings.err_value}", file=sys.stderr)
@@ -44,7 +46,7 @@
     entry = entry_module.make_entry(
         settings.ok_value, make_adapters(settings.ok_value)
     )
-    anyio.run(entry_module.run_entry, entry, ingress.serve)
+    anyio.run(entry_module.run_entry, entry, ingress.serve, received)
     return 0
 
 
--- /dev/null
+++ b/plantainvane/signals.py
@@ -0,0 +1,62 @@
+"""Signals of the platform, which a process handles from its start to its end.
+
+A handler of an event loop is removed with the loop's receiver, and the default
+action of these signals ends the process, with the requests that it has read.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import functools
+import signal
+import types
+
+import anyio
+
+# SIGTERM and SIGINT ask the process to drain; SIGHUP tells that its settings
+# file has changed.
+HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_MAX_PENDING = 64
+
+
+class Receiver:
+    """Signals that were received and not read yet; the oldest are dropped."""
+
+    def __init__(self):
+        """Creates a receiver that no signal reaches yet; see `install`."""
+        self._pending: collections.deque[signal.Signals] = collections.deque(
+            maxlen=_MAX_PENDING
+        )
+        self._wake: Callable[[], object] = lambda: None
+
+    def record(self, number: int, frame: types.FrameType | None = None) -> None:
+        """Records a signal, in the main thread between two instructions."""
+        self._pending.append(signal.Signals(number))
+        self._wake()
+
+    async def receive(self) -> signal.Signals:
+        """Waits for the next signal; one task at a time may wait."""
+        loop = asyncio.get_running_loop()
+        while not self._pending:
+            arrived = anyio.Event()
+            self._wake = functools.partial(
+                loop.call_soon_threadsafe, arrived.set
+            )
+            try:
+                # One may have come while there was nothing to wake.
+                if not self._pending:
+                    await arrived.wait()
+            finally:
+                self._wake = lambda: None
+        return self._pending.popleft()
+
+
+def install() -> Receiver:
+    """Handles the signals for the rest of the process's life.
+
+    It is to be called first, from the main thread.
+    """
+    receiver = Receiver()
+    for number in HANDLED:
+        signal.signal(number, receiver.record)
+    return receiver
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,194 @@
+"""Signals at any moment of the life of a process."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import types
+
+import anyio
+import httpx
+import pytest
+
+from plantainvane import entry as entry_module
+from plantainvane import signals
+from standins import platform_system
+
+pytestmark = pytest.mark.anyio
+ID = "5c0e7a21d94b36f8"
+# The drain of a process lasts 2.6 s; requests that are then under way have
+# half of the grace period to end.
+GRACE_S = 6.0
+# Times after SIGTERM of further signals, and of requests.
+SIGNALS_AFTER_S = (0.0, 0.4, 1.1, 1.9, 2.5, 2.8)
+REQUESTS_AFTER_S = (0.3, 0.9, 1.6, 2.2)
+
+SETTINGS = """
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "east"
+Seeds = []
+[Listen]
+Frontend = "{ip}:{port}"
+Readiness = "{ip}:{health_port}"
+ControlPlane = "{ip}:{peer_port}"
+[Bounds]
+GracePeriodS = {grace_s}
+[platform]
+Address = "{store}"
+"""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def receiver():
+    """Installs the handlers, and restores those of the test process."""
+    before = {number: signal.getsignal(number) for number in signals.HANDLED}
+    yield signals.install()
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
+async def test_signals_that_come_before_the_loop_are_received(receiver):
+    # Guards against a process that is ended by a signal while it starts, or
+    # that never drains after it.
+    for number in signals.HANDLED:
+        os.kill(os.getpid(), number)
+    received = [await receiver.receive() for _ in signals.HANDLED]
+    assert received == list(signals.HANDLED)
+
+
+async def test_signal_ends_the_wait_for_one(receiver):
+    # Guards against a drain that begins only when something else wakes the
+    # event loop.
+    received = []
+
+    async def wait():
+        for _ in range(2):
+            received.append(await receiver.receive())
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            os.kill(os.getpid(), signal.SIGHUP)
+            while not received:
+                await anyio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+    assert received == [signal.SIGHUP, signal.SIGTERM]
+
+
+async def test_earlier_service_drains_once_and_not_by_sighup(
+    receiver, monkeypatch
+):
+    # Guards against an entry process of the earlier service that SIGHUP ends,
+    # or that a second signal drains again.
+    drained = []
+
+    async def drain(entry):
+        drained.append(entry)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    monkeypatch.setattr(entry_module, "drain_entry", drain)
+    entry = types.SimpleNamespace(settings=types.SimpleNamespace(id="entry-1"))
+    for number in (signal.SIGHUP, signal.SIGINT):
+        os.kill(os.getpid(), number)
+    await entry_module._drain_on_signal(entry, receiver)
+    assert drained == [entry]
+
+
+@contextlib.asynccontextmanager
+async def run_process(system, folder, number):
+    """Runs an entry process of its own; yields it and its callers' address."""
+    ip, name = f"127.0.3.{number}", f"entry-{number}"
+    path = folder / f"{name}.toml"
+    path.write_text(
+        SETTINGS.format(
+            name=name,
+            ip=ip,
+            port=8161,
+            health_port=8167,
+            peer_port=8166,
+            grace_s=GRACE_S,
+            store=system.store_address,
+        )
+    )
+    with (folder / f"{name}.log").open("wb") as output:
+        process = await anyio.open_process(
+            [sys.executable, "-m", "plantainvane.platform"],
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            env=os.environ | {"PLANTAINVANE_NODE_FILE": str(path)},
+        )
+    try:
+        await platform_system.wait_listening(f"{ip}:8161")
+        yield process, f"http://{ip}:8161"
+    finally:
+        if process.returncode is None:
+            process.kill()
+            with anyio.CancelScope(shield=True):
+                await process.wait()
+
+
+async def ask(client, address):
+    return await client.get(
+        f"{address}{platform_system.PREFIX}{ID}",
+        headers={"Host": platform_system.HOST, "Deadline-Ms": "3000"},
+    )
+
+
+async def wait_answer(client, address, status):
+    with anyio.fail_after(10):
+        while (await ask(client, address)).status_code != status:
+            await anyio.sleep(0.05)
+
+
+@pytest.mark.parametrize("number", signals.HANDLED)
+async def test_no_signal_cuts_requests_of_a_process_that_drains(
+    number, tmp_path
+):
+    # Guards against requests without an answer at a process that a second
+    # signal ends while it drains.
+    statuses = []
+
+    async def request(client, address, after_s):
+        await anyio.sleep(after_s)
+        statuses.append((await ask(client, address)).status_code)
+
+    async def send(process):
+        for earlier, at in zip(
+            (0.0, *SIGNALS_AFTER_S), SIGNALS_AFTER_S, strict=False
+        ):
+            await anyio.sleep(at - earlier)
+            process.send_signal(number)
+
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        system = await enter(platform_system.run_system(entries=0, runners=1))
+        owner, address = await enter(run_process(system, tmp_path, 1))
+        clients = [
+            await enter(httpx.AsyncClient(trust_env=False, timeout=10))
+            for _ in REQUESTS_AFTER_S
+        ]
+        await wait_answer(clients[0], address, 410)
+        _, other = await enter(run_process(system, tmp_path, 2))
+        await wait_answer(clients[0], other, 410)
+        # Opens the connections on which the requests follow.
+        for client in clients:
+            await ask(client, address)
+        await anyio.sleep(1.0)
+        owner.send_signal(signal.SIGTERM)
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, owner)
+            for client, after_s in zip(clients, REQUESTS_AFTER_S, strict=True):
+                group.start_soon(request, client, address, after_s)
+        with anyio.fail_after(GRACE_S):
+            assert await owner.wait() == 0
+        assert sorted(set(statuses)) in ([410], [410, 503], [503])
+        assert len(statuses) == len(REQUESTS_AFTER_S)
