Install the signal handlers once the settings are known to be sound

The command line runs in a thread in test_session, where no handler can be installed, and a fault of the settings then ended with status 1 in place of 2.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -77,10 +77,10 @@
     settings: Annotated[pathlib.Path, typer.Option(help="JSON settings file.")],
 ) -> None:
     """Runs an entry process until SIGTERM or SIGINT."""
-    received = signals.install()
     loaded = settings_module.load_settings(settings)
     if loaded.is_err():
         terminal.exit_with_faults(settings, loaded.err_value)
+    received = signals.install()
     # Imported here so that the other commands do not load the modules of the
     # entry process.
     from plantainvane import entry as entry_module
