Tell a successor when the leases end that an owner leaves behind

Callers saw lasting tasks away for 11.3 s, with room for them (LOST): the runner left as the ownership was handed over.

Cause: a successor waited 10.9 s for leases that an owner before it may still extend without the log, also after a planned handover. Ruled out: want of room (placed 20 ms after), a runner taken for alive (no 821).

Change: an owner that offers its ownership extends no lease before it has renewed its claim again, and says so, with the end of all leases and the offset of its last renewal, in the offer and in replies to pings. A claim is appended where the topic ends, so it binds whoever claims without a renewal in between.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -28,7 +28,7 @@
     if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
         # Nothing but what cannot be stopped otherwise is to lapse.
         return None
-    if is_cut_off(owner, now):
+    if owner.waives_leases or is_cut_off(owner, now):
         return runner.lease_until_ms or None
     return runner.extend_lease(owner.settings, now) or None
 
@@ -55,6 +55,21 @@
     return max(expiry, runner.earlier_leases_until)
 
 
+def find_latest_expiry(owner: state_module.Owner, now: float) -> float:
+    """Returns when all leases have expired, if none is extended from now on."""
+    ends = [
+        find_last_expiry(owner, runner)
+        for runner in owner.runners.values()
+        if runner.runs
+    ]
+    ends.extend(map(owner.find_expiry, owner.orphans))
+    if not owner.recovered:
+        # What runs on each runner is not known.
+        ends.extend(find_last_expiry(owner, r) for r in owner.runners.values())
+        ends.append(owner.find_earlier_limit())
+    return max(ends, default=now)
+
+
 def promise_expiry(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -119,6 +119,8 @@
     """
     if leases.is_cut_off(owner, now):
         return "log not heard"
+    if owner.waives_leases:
+        return "ownership is offered"
     if run not in run.task.runs or run.phase is attempts.Phase.STOPPING:
         return "attempt ended or is being stopped"
     if run.task.job.ended:
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -64,6 +64,25 @@
     return claim if not claim.reach or claim.reach.is_usable() else None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Waiver:
+    """Statement of an owner that it extends no lease for the time being.
+
+    It does so again only after it has renewed its claim, so the statement binds
+    a claimant that finds no later record of the claim.
+
+    Attributes:
+      epoch: Epoch of the owner.
+      offset: Offset of the newest record of its claim.
+      leases_end_at: When all leases on runners have expired, also those of
+        owners before it.
+    """
+
+    epoch: int
+    offset: int
+    leases_end_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Ownership:
     """What this process knows of the owner.
@@ -89,6 +108,7 @@
       ping_after_s: Time between pings that the owner has asked for; 0 for the
         default.
       few_runners: The owner hears few of its runners, as it last replied.
+      waiver: The last one that an owner has made to this process, or None.
     """
 
     claim: Claim | None = None
@@ -106,6 +126,7 @@
     ablest_capacity: float = 0.0
     ping_after_s: float = 0.0
     few_runners: bool = False
+    waiver: Waiver | None = None
 
     def apply_record(
         self, offset: int, value: bytes | None, now: float
@@ -154,6 +175,26 @@
             self.ping_after_s = ping_after_s
             self.few_runners = few_runners
 
+    def record_waiver(
+        self, epoch: int, offset: int, ends_in_s: float, now: float
+    ) -> None:
+        """Records the waiver of an owner; there is none below offset 0."""
+        if offset >= 0:
+            self.waiver = Waiver(epoch, offset, now + ends_in_s)
+
+    def find_waived_end(self) -> float | None:
+        """Returns when all leases end, or None without a binding waiver.
+
+        It holds for a claim that is appended where the topic ends by now.
+        """
+        waiver = self.waiver
+        if waiver is None or (waiver.epoch, waiver.offset) != (
+            self.epoch,
+            self.offset,
+        ):
+            return None
+        return waiver.leases_end_at
+
     def find_reach(self) -> reach_module.Reach | None:
         """Returns what the owner last reported in the log, or None."""
         if self.claim is None or self.claim.released:
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -65,6 +65,9 @@
         claim in the log names some of them.
       waits: Priority and seconds that new tasks of it wait, while the receiver
         is the owner and cannot keep up.
+      waived_offset, leases_end_in_s: While the receiver hands over: it extends
+        no lease before it has renewed its claim again, whose newest record has
+        that offset, and all leases end within that time; -1 otherwise.
     """
 
     is_owner: bool
@@ -77,6 +80,8 @@
     waits: Annotated[
         list[tuple[_Priority, _Seconds]], msgspec.Meta(max_length=_MAX_WAITS)
     ] = []
+    waived_offset: _Version = -1
+    leases_end_in_s: _Seconds = 0.0
 
 
 class Ask(msgspec.Struct, array_like=True):
@@ -129,10 +134,13 @@
     Attributes:
       epoch: Epoch of the owner.
       sample: Runners that the receiver has to hear, or it declines.
+      waived_offset, leases_end_in_s: As in a `Pong`.
     """
 
     epoch: _Version
     sample: reach_module.Sample = ()
+    waived_offset: _Version = -1
+    leases_end_in_s: _Seconds = 0.0
 
 
 class HandOverReply(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -107,7 +107,7 @@
     elif key == state_module.EXPIRIES_KEY:
         owner.expiries.import_remaining_s(
             decoded.ok_value,
-            owner.settings.old_lease_limit_s,
+            max(0.0, owner.find_earlier_limit() - clock.read_now()),
             clock.read_now(),
             owner.find_lease_limit,
         )
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -64,6 +64,11 @@
       epoch: Offset of the claim record; the fencing token for runners.
       started_at: When the claim was won.
       claims_seen: When this process first saw each claim, by epoch.
+      earlier_leases_until: When all leases of earlier owners have expired, by
+        what they have said, or None if that is not known.
+      waives_leases: No lease is extended, as a successor may count on that.
+      offers: The ownership is being offered to peers.
+      offered_until: When the last offer ended.
       orphans: Attempts on unlisted runners, by runner id.
       expiries: When the leases on unresponsive runners have expired.
       progress: Stored progress by job id, as loaded at recovery.
@@ -128,6 +133,10 @@
         default_factory=expiries_module.LeaseExpiries
     )
     claims_seen: dict[int, float] = dataclasses.field(default_factory=dict)
+    earlier_leases_until: float | None = None
+    waives_leases: bool = False
+    offers: bool = False
+    offered_until: float = float("-inf")
     progress: dict[str, model.JobProgress] = dataclasses.field(
         default_factory=dict
     )
@@ -207,9 +216,14 @@
 
     def find_expiry(self, runner: str) -> float:
         """Returns when all leases of earlier owners there have expired."""
-        return self.expiries.find_expiry(
-            runner, self.started_at + self.settings.old_lease_limit_s
-        )
+        return self.expiries.find_expiry(runner, self.find_earlier_limit())
+
+    def find_earlier_limit(self) -> float:
+        """Returns when all leases of earlier owners have expired."""
+        limit = self.started_at + self.settings.old_lease_limit_s
+        if self.earlier_leases_until is None:
+            return limit
+        return min(limit, self.earlier_leases_until)
 
     def find_lease_limit(self, since: int) -> float:
         """Returns when the leases of owners before `since` have expired.
@@ -220,7 +234,8 @@
         """
         seen = [at for epoch, at in self.claims_seen.items() if epoch >= since]
         claimed_at = min(seen, default=self.started_at)
-        return claimed_at + self.settings.old_lease_limit_s
+        limit = claimed_at + self.settings.old_lease_limit_s
+        return min(limit, self.find_earlier_limit())
 
     def request_pass(self) -> None:
         """Requests a scheduling pass."""
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -11,6 +11,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import metrics
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import ownership as ownership_module
@@ -61,10 +62,13 @@
     if owner.recovered:
         with anyio.move_on_after(0.5):
             await owner.journal.flush()
+    owner.waives_leases = owner.offers = True
     for address in candidates:
         reply = await entry.peers.call(
             address,
-            peers_module.HandOver(owner.epoch, sample),
+            peers_module.HandOver(
+                owner.epoch, sample, *describe_waiver(entry, owner)
+            ),
             _HAND_OVER_TIMEOUT_S,
         )
         if reply.is_ok() and reply.ok_value.epoch > owner.epoch:
@@ -76,11 +80,24 @@
             )
             owner.step_down("handed over")
             return
+    # One of them may still claim. Leases are extended after the next renewal.
+    owner.offers, owner.offered_until = False, clock.read_now()
     events.log_event(
         events.RELEASE_FAILED, epoch=owner.epoch, peers=len(candidates)
     )
 
 
+def describe_waiver(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> tuple[int, float]:
+    """Returns the offset and the seconds of a waiver, for a message."""
+    if not owner.offers or entry.ownership.epoch != owner.epoch:
+        return -1, 0.0
+    now = clock.read_now()
+    left_s = leases.find_latest_expiry(owner, now) - now
+    return entry.ownership.offset, max(0.0, left_s)
+
+
 def choose_abler_peer_wait(
     owner: state_module.Owner, settings: settings_module.Settings
 ) -> float:
@@ -220,6 +237,9 @@
     )
     if answer.is_owner:
         entry.waits, entry.waits_at = dict(answer.waits), now
+    ownership.record_waiver(
+        answer.epoch, answer.waived_offset, answer.leases_end_in_s, now
+    )
     if answer.epoch > ownership.epoch:
         await _read_claims(entry)
     await configuration.compare_configuration(
@@ -417,6 +437,7 @@
             return entry.owner is not None
         ownership, settings = entry.ownership, entry.settings
         before = ownership.epoch
+        waived_end = ownership.find_waived_end()
         events.log_event(
             events.CLAIM_STARTED,
             reason=reason,
@@ -424,6 +445,7 @@
             holder=ownership.claim.holder if ownership.claim else "",
             heard_ago_s=round(clock.read_now() - ownership.heard_at, 3),
             end_offset=ownership.end_offset,
+            waived=waived_end is not None,
         )
         claim = ownership_module.Claim(
             settings.id, entry.incarnation, settings.peer_address
@@ -456,7 +478,7 @@
         )
         if won:
             ready = anyio.Event()
-            entry.group.start_soon(_run_owner, entry, epoch, ready)
+            entry.group.start_soon(_run_owner, entry, epoch, waived_end, ready)
             await ready.wait()
         return won
 
@@ -474,10 +496,14 @@
 
 
 async def _run_owner(
-    entry: process_module.Entry, epoch: int, ready: anyio.Event
+    entry: process_module.Entry,
+    epoch: int,
+    waived_end: float | None,
+    ready: anyio.Event,
 ) -> None:
     def on_created(owner: state_module.Owner) -> None:
         entry.owner, owner.load = owner, entry.load
+        owner.earlier_leases_until = waived_end
         owner.claims_seen = entry.ownership.seen_at
         ready.set()
         group.start_soon(_renew_claims, entry, owner)
@@ -525,6 +551,10 @@
     entry: process_module.Entry, owner: state_module.Owner
 ) -> None:
     ownership, settings = entry.ownership, entry.settings
+    if owner.offers and entry.draining:
+        # A renewal would make the claim of the successor fail.
+        return
+    sent_at = clock.read_now()
     claim = ownership_module.Claim(
         settings.id,
         entry.incarnation,
@@ -541,6 +571,8 @@
         ownership.end_offset = appended.ok_value.end_offset
         ownership.offset = appended.ok_value.offset
         ownership.renewed_at = now
+        if not owner.offers and sent_at >= owner.offered_until:
+            owner.waives_leases = False
         return
     # The end of the topic has moved: the reply to an own append was lost, or
     # another process has appended a claim.
@@ -587,6 +619,12 @@
         entry.adapters, entry.settings, request.epoch, request.sample
     ):
         return peers_module.HandOverReply()
+    entry.ownership.record_waiver(
+        request.epoch,
+        request.waived_offset,
+        request.leases_end_in_s,
+        clock.read_now(),
+    )
     for _ in range(_HAND_OVER_TRIES):
         may_own = _may_own(entry, clock.read_now())
         if not may_own or not await _read_claims(entry):
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -300,7 +300,7 @@
     # away, and those that notice it last, the weak ones, counted as the ablest.
     entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
     entry.owner = types.SimpleNamespace(
-        epoch=3, reach=None, backlog=backlog.Backlog()
+        epoch=3, reach=None, backlog=backlog.Backlog(), offers=False
     )
     state = ownership.Ownership()
 
@@ -347,7 +347,7 @@
     # a task runs twice.
     epochs = []
 
-    async def record_epoch(entry, epoch, ready):
+    async def record_epoch(entry, epoch, waived_end, ready):
         epochs.append(epoch)
         ready.set()
 
