Ask the former owner when its leases have ended

Cause: a successor knew nothing of the leases of owners before it and waited for the longest time for which one may extend leases without the log. Evidence: the wait is old_lease_limit_s from the claim on in each of these ways, while the former owner or its instance answers pings again after 1 to 4 s. Ruled out: a refused connection as proof that a process or a runner is gone, as cuts may refuse connections as well.

Change: a new owner asks at the address of the claim before its own, until the process there, stepped down, tells when all its leases end, or a later process of its instance how long it has run. Nobody else's reply shortens the wait. Attempts on unlisted runners end within 0.2 s of their leases.

Before (ask_former_owner switched off): the three cases of test_tasks_of_a_runner_that_dies_with_the_owner_run_again_in_time fail, with no second start within 9 s.

--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -249,7 +249,12 @@
         status.ping_after_s,
         is_owner and owner.reach is not None,
         list(owner.backlog.waits.items())[:_MAX_WAITS] if is_owner else [],
-        *(succession.describe_waiver(entry, owner) if owner else (-1, 0.0)),
+        *succession.describe_leases(entry, now),
+        entry.settings.id,
+        entry.incarnation,
+        max(0.0, now - entry.started_at),
+        entry.owner is not None,
+        entry.ended_epoch,
     )
 
 
--- a/plantainvane/jobs/expiries.py
+++ b/plantainvane/jobs/expiries.py
@@ -39,6 +39,17 @@
         if since is not None:
             self.since[runner] = since
 
+    def limit(self, until: float, epoch: int) -> None:
+        """Limits what no owner of `epoch` or a later one has extended."""
+        for runner, since in self.since.items():
+            if since <= epoch:
+                self.expires_at[runner] = min(self.expires_at[runner], until)
+
+    def limit_runner(self, runner: str, until: float) -> None:
+        """Limits the promise for a runner, if there is one."""
+        if runner in self.expires_at:
+            self.expires_at[runner] = min(self.expires_at[runner], until)
+
     def withdraw(self, runner: str) -> None:
         """Removes a promise, which binds until the removal is stored."""
         self.since.pop(runner, None)
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -54,6 +54,7 @@
 # Pause while so many stops are under way that no more are ordered.
 _FULL_PAUSE_S = 0.01
 _SWEEP_INTERVAL_S = 1.0
+_ORPHANS_INTERVAL_S = 0.2
 # Interval at which learned interference effects are stored for a successor.
 _EFFECTS_INTERVAL_S = 2.0
 # Interval at which all attempts are checked, which costs a look at each task.
@@ -135,6 +136,7 @@
         **absences.describe_restored(owner, now),
     )
     owner.group.start_soon(_sweep, owner)
+    owner.group.start_soon(_watch_orphans, owner)
     owner.group.start_soon(retention.run_retention, owner)
     owner.group.start_soon(probes.watch_reach, owner)
     await _schedule(owner)
@@ -232,6 +234,16 @@
             owner.expiries.promise(runner, expiry, since)
 
 
+async def _watch_orphans(owner: state_module.Owner) -> None:
+    """Expires orphaned attempts soon after their leases have expired."""
+    while True:
+        await anyio.sleep(_ORPHANS_INTERVAL_S)
+        now = clock.read_now()
+        if any(now > owner.find_expiry(runner) for runner in owner.orphans):
+            _expire_orphans(owner, now)
+            owner.request_pass()
+
+
 def _expire_orphans(owner: state_module.Owner, now: float) -> None:
     """Drops attempts on unlisted runners once their leases have expired."""
     # This owner may have extended leases there before the runner was removed.
--- a/plantainvane/jobs/ownership.py
+++ b/plantainvane/jobs/ownership.py
@@ -188,13 +188,19 @@
         It holds for a claim that is appended where the topic ends by now.
         """
         waiver = self.waiver
-        if waiver is None or (waiver.epoch, waiver.offset) != (
-            self.epoch,
-            self.offset,
-        ):
+        if waiver is None or not self.is_newest():
+            return None
+        if (waiver.epoch, waiver.offset) != (self.epoch, self.offset):
             return None
         return waiver.leases_end_at
 
+    def is_newest(self) -> bool:
+        """Tells whether the topic ended after the known claim when it was read.
+
+        A record by another writer may hide a later claim.
+        """
+        return self.claim is not None and self.offset + 1 == self.end_offset
+
     def find_reach(self) -> reach_module.Reach | None:
         """Returns what the owner last reported in the log, or None."""
         if self.claim is None or self.claim.released:
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -65,9 +65,17 @@
         claim in the log names some of them.
       waits: Priority and seconds that new tasks of it wait, while the receiver
         is the owner and cannot keep up.
-      waived_offset, leases_end_in_s: While the receiver hands over: it extends
-        no lease before it has renewed its claim again, whose newest record has
-        that offset, and all leases end within that time; -1 otherwise.
+      waived_offset: While the receiver hands over: it extends no lease before
+        it has renewed its claim again, whose newest record has that offset; -1
+        otherwise.
+      leases_end_in_s: With a waived offset, or if the receiver does not extend
+        leases: time within which all that it has extended end, and those of
+        owners before it.
+      instance, incarnation, age_s: Which process replies, and how long it has
+        run; empty from the last release.
+      extends: It is an owner, and may extend leases.
+      ended_epoch: Epoch of the last ownership that has ended there, or -1. What
+        it says of leases does not hold for a claim that it does not know of.
     """
 
     is_owner: bool
@@ -82,6 +90,11 @@
     ] = []
     waived_offset: _Version = -1
     leases_end_in_s: _Seconds = 0.0
+    instance: str = ""
+    incarnation: int = 0
+    age_s: _Seconds = 0.0
+    extends: bool = True
+    ended_epoch: _Version = -1
 
 
 class Ask(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from plantainvane.jobs import clock
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
@@ -61,6 +62,10 @@
       waits: Expected waits by priority, as the owner has last reported them.
       waits_at: When that was.
       comparisons: Comparisons of this process's reach with that of the owner.
+      started_at: When this process began, by its monotonic clock.
+      ended_epoch: Epoch of its last ownership that has ended, or -1.
+      leases_end_at: When all leases have expired that this process extended as
+        an owner, and those of owners before it.
     """
 
     settings: settings_module.Settings
@@ -88,6 +93,9 @@
     comparisons: reach_module.Comparisons = dataclasses.field(
         default_factory=reach_module.Comparisons
     )
+    started_at: float = dataclasses.field(default_factory=clock.read_now)
+    ended_epoch: int = -1
+    leases_end_at: float = float("-inf")
 
     @property
     def ready(self) -> bool:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -388,6 +388,7 @@
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     runner.earlier_leases_until = owner.find_expiry(entry.id)
     if earlier is not None:
+        runner.moved = True
         runner.earlier_leases_until = max(
             runner.earlier_leases_until,
             earlier.earlier_leases_until,
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -65,6 +65,7 @@
       earlier_leases_until: When the leases that earlier owners have granted, or
         that were granted at its earlier address, have certainly expired; minus
         infinity once it has accepted a lease that covers them.
+      moved: It was known at another address before.
       answered_at: When it last answered a poll.
       up_at: When it was last known to be up.
       down_from, down_at: Between these times it stopped answering, the last
@@ -129,6 +130,7 @@
     lease_withheld: bool = False
     renewed_at: float = 0.0
     earlier_leases_until: float = float("-inf")
+    moved: bool = False
     answered_at: float = 0.0
     up_at: float = 0.0
     down_from: float = 0.0
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -153,7 +153,11 @@
         """Time after a takeover until leases of earlier owners have expired.
 
         An earlier owner that is cut off from the log goes on renewing leases
-        until it steps down, and a lease lasts longer on a slow clock.
+        until it steps down.
         """
-        lease_s = self.lease_s / (1 - self.clock_rate_error)
-        return self.log_outage_limit_s + lease_s + LEASE_MARGIN_S
+        return self.log_outage_limit_s + self.lease_limit_s
+
+    @property
+    def lease_limit_s(self) -> float:
+        """Time after which a lease that was just extended has expired."""
+        return self.lease_s / (1 - self.clock_rate_error) + LEASE_MARGIN_S
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -225,6 +225,28 @@
             return limit
         return min(limit, self.earlier_leases_until)
 
+    def limit_earlier_leases(self, until: float) -> None:
+        """Records that all leases of earlier owners have expired by a time."""
+        until = min(until, self.find_earlier_limit())
+        self.earlier_leases_until = until
+        self.expiries.limit(until, self.epoch)
+        for key, runner in self.runners.items():
+            if runner.moved:
+                continue
+            limit = min(runner.earlier_leases_until, until)
+            runner.earlier_leases_until = limit
+            own = runner.find_lease_expiry(self.settings)
+            # What this owner has promised includes its own leases.
+            self.expiries.limit_runner(key, max(own, limit))
+
+    def find_claim_limit(self, epoch: int) -> float:
+        """Returns when the leases of owners before that of `epoch` expired.
+
+        That one has fenced them off as this process first saw its claim.
+        """
+        seen_at = self.claims_seen.get(epoch, self.started_at)
+        return seen_at + self.settings.old_lease_limit_s
+
     def find_lease_limit(self, since: int) -> float:
         """Returns when the leases of owners before `since` have expired.
 
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -10,6 +10,7 @@
 from plantainvane import outcomes
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
+from plantainvane.jobs import former_owners
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import leases
 from plantainvane.jobs import metrics
@@ -67,7 +68,9 @@
         reply = await entry.peers.call(
             address,
             peers_module.HandOver(
-                owner.epoch, sample, *describe_waiver(entry, owner)
+                owner.epoch,
+                sample,
+                *describe_leases(entry, clock.read_now()),
             ),
             _HAND_OVER_TIMEOUT_S,
         )
@@ -87,13 +90,18 @@
     )
 
 
-def describe_waiver(
-    entry: process_module.Entry, owner: state_module.Owner
+def describe_leases(
+    entry: process_module.Entry, now: float
 ) -> tuple[int, float]:
-    """Returns the offset and the seconds of a waiver, for a message."""
+    """Returns the offset of a waiver, or -1, and when all leases end.
+
+    The time is 0 for an owner without a waiver, which may extend them.
+    """
+    owner = entry.owner
+    if owner is None:
+        return -1, max(0.0, entry.leases_end_at - now)
     if not owner.offers or entry.ownership.epoch != owner.epoch:
         return -1, 0.0
-    now = clock.read_now()
     left_s = leases.find_latest_expiry(owner, now) - now
     return entry.ownership.offset, max(0.0, left_s)
 
@@ -437,6 +445,7 @@
             return entry.owner is not None
         ownership, settings = entry.ownership, entry.settings
         before = ownership.epoch
+        former = ownership.claim if ownership.is_newest() else None
         waived_end = ownership.find_waived_end()
         events.log_event(
             events.CLAIM_STARTED,
@@ -478,7 +487,9 @@
         )
         if won:
             ready = anyio.Event()
-            entry.group.start_soon(_run_owner, entry, epoch, waived_end, ready)
+            entry.group.start_soon(
+                _run_owner, entry, epoch, ready, former, before, waived_end
+            )
             await ready.wait()
         return won
 
@@ -498,9 +509,17 @@
 async def _run_owner(
     entry: process_module.Entry,
     epoch: int,
-    waived_end: float | None,
     ready: anyio.Event,
+    former: ownership_module.Claim | None = None,
+    former_epoch: int = -1,
+    waived_end: float | None = None,
 ) -> None:
+    """Runs as the owner of `epoch`; sets `ready` once it has begun.
+
+    `former` is the claim before, of `former_epoch`, and `waived_end` what its
+    owner has told of the end of all leases.
+    """
+
     def on_created(owner: state_module.Owner) -> None:
         entry.owner, owner.load = owner, entry.load
         owner.earlier_leases_until = waived_end
@@ -508,6 +527,14 @@
         ready.set()
         group.start_soon(_renew_claims, entry, owner)
         group.start_soon(_seek_abler_owner, entry, owner)
+        if former is not None and waived_end is None:
+            group.start_soon(
+                former_owners.ask_former_owner,
+                entry,
+                owner,
+                former,
+                former_epoch,
+            )
 
     try:
         async with anyio.create_task_group() as group:
@@ -521,14 +548,26 @@
             )
             group.cancel_scope.cancel()
     finally:
-        if entry.owner is not None and entry.owner.reach is not None:
-            entry.comparisons.stands_back_until = (
-                clock.read_now() + entry.settings.reach_stand_back_s
-            )
+        if entry.owner is not None:
+            _note_end(entry, entry.owner, clock.read_now())
         entry.owner = None
         ready.set()
 
 
+def _note_end(
+    entry: process_module.Entry, owner: state_module.Owner, now: float
+) -> None:
+    """Notes what binds this process, or its successors, after an ownership."""
+    entry.ended_epoch = owner.epoch
+    entry.leases_end_at = max(
+        entry.leases_end_at, leases.find_latest_expiry(owner, now)
+    )
+    if owner.reach is not None:
+        entry.comparisons.stands_back_until = (
+            now + entry.settings.reach_stand_back_s
+        )
+
+
 async def _renew_claims(
     entry: process_module.Entry, owner: state_module.Owner
 ) -> None:
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -347,7 +347,7 @@
     # a task runs twice.
     epochs = []
 
-    async def record_epoch(entry, epoch, waived_end, ready):
+    async def record_epoch(entry, epoch, ready, *unused):
         epochs.append(epoch)
         ready.set()
 
