Give the owner of the session tests the field of waived leases

Three cases of test_a_delay_of_the_owner_is_not_the_silence_of_a_runner failed since the waiver, as the stand-in for an owner there lacked the new field. Its assertions are unchanged; they pass.

--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -46,6 +46,7 @@
         table=table_module.JobTable(),
         load=load_module.Load(),
         paced_runners=set(),
+        waives_leases=False,
     )
 
 
