Keep with a job the limits under which it was accepted

Cause: a job's record named its queue only, and an owner that did not know the queue made one up with three attempts.

Change: the record holds the number of failures and the completion objective, which stay the job's, and the priority and the adviser for a queue that is removed.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -204,7 +204,8 @@
 
     Attributes:
       job: The job as submitted.
-      queue: The queue as last configured.
+      queue: The queue as last configured. The objective and the number of
+        failures are those of `job`.
       deadline: Latest completion at which the job still has its full value, in
         seconds of this process's clock.
       objective_s: Seconds from the submission to `deadline`.
@@ -217,6 +218,7 @@
       remaining_steps: Number of steps of all occurrences that are not done.
       started: A task of the job has been started.
       changed_parts: Parts of its progress that have to be stored.
+      max_failures: Number of failures of one task after which the job fails.
     """
 
     job: model.Job
@@ -233,3 +235,4 @@
     remaining_steps: int = 0
     started: bool = False
     changed_parts: set[int] = dataclasses.field(default_factory=set)
+    max_failures: int = 1
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -65,6 +65,37 @@
     max_unavailable: int = 0
 
 
+class AdviserTimings(msgspec.Struct, frozen=True):
+    """Declared times of a queue's adviser, in seconds.
+
+    Attributes:
+      decision_s: Base duration of one call.
+      per_runner_s: Additional duration for each runner named in the call.
+      validity_s: How long a ticket is valid.
+    """
+
+    decision_s: float
+    per_runner_s: float
+    validity_s: float
+
+
+class JobLimits(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a job is entitled to, as its queue was configured at acceptance.
+
+    Attributes:
+      max_failures: Number of failures of one task after which the job fails.
+      slack_factor, base_objective_s: Its completion objective, see `Queue`.
+      priority, advice: Those of a queue that has been removed since; a present
+        queue has its own.
+    """
+
+    max_failures: int
+    slack_factor: float = 1.0
+    base_objective_s: float = 0.0
+    priority: int = 0
+    advice: AdviserTimings | None = None
+
+
 class Job(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One accepted job, as it is stored.
 
@@ -79,6 +110,7 @@
         once, without a start time.
       start_at_ms: Due time of occurrence 0, Unix milliseconds.
       interval_ms: Time between two occurrences, in milliseconds.
+      limits: None in a record of the last release.
     """
 
     id: str
@@ -90,20 +122,7 @@
     repeat_count: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
-
-
-class AdviserTimings(msgspec.Struct, frozen=True):
-    """Declared times of a queue's adviser, in seconds.
-
-    Attributes:
-      decision_s: Base duration of one call.
-      per_runner_s: Additional duration for each runner named in the call.
-      validity_s: How long a ticket is valid.
-    """
-
-    decision_s: float
-    per_runner_s: float
-    validity_s: float
+    limits: JobLimits | None = None
 
 
 class Queue(msgspec.Struct, frozen=True):
@@ -133,6 +152,38 @@
     advice: AdviserTimings | None = None
 
 
+def make_limits(queue: Queue) -> JobLimits:
+    """Returns the limits of a job that the queue accepts now."""
+    return JobLimits(
+        queue.max_failures,
+        queue.slack_factor,
+        queue.base_objective_s,
+        queue.priority,
+        queue.advice,
+    )
+
+
+# Limits of a job whose record has none and whose queue is not known: none that
+# it was accepted with can have been stricter.
+STRICTEST_LIMITS = JobLimits(max_failures=1, priority=9)
+
+
+def make_removed_queue(job: Job) -> Queue:
+    """Returns a queue for a job whose own is not configured any more."""
+    limits = job.limits or STRICTEST_LIMITS
+    return Queue(
+        job.queue,
+        "",
+        "",
+        job.service,
+        limits.priority,
+        limits.max_failures,
+        limits.slack_factor,
+        limits.base_objective_s,
+        limits.advice,
+    )
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """One version of the operator's configuration.
 
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -153,9 +153,8 @@
         reason = f"the record holds job {job.id[:40]!r}"
         _report_undecodable(state_module.JOBS_TOPIC, key, reason)
         return
-    queue = state_module.find_queue(owner, job.queue) or model.Queue(
-        job.queue, "", "", job.service, priority=9, max_failures=3
-    )
+    known = state_module.find_queue(owner, job.queue)
+    queue = known or model.make_removed_queue(job)
     now = clock.read_now()
     wall_ms = clock.read_wall_ms()
     fault = checks.find_fault(job)
@@ -177,11 +176,20 @@
         age_ms=wall_ms - job.accepted_ms,
         state=table_module.describe_state(state),
         deferred=key in owner.table.deferred,
+        max_failures=state.max_failures,
+        limits=_describe_limits(job, known),
         epoch=owner.epoch,
     )
     owner.request_pass()
 
 
+def _describe_limits(job: model.Job, known: model.Queue | None) -> str:
+    """Returns where the limits of a job come from."""
+    if job.limits is not None:
+        return "stored"
+    return "strictest" if known is None else "configured"
+
+
 async def read_jobs(owner: state_module.Owner, wait_s: float) -> bool:
     """Reads new jobs once; returns whether the log answered."""
     return await _read_jobs(owner, wait_s) is not None
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -82,11 +82,17 @@
             return known
         age_s = max(0.0, (wall_ms - job.accepted_ms) / 1000)
         critical_paths_s = measure_critical_paths(job.steps)
+        limits = job.limits or model.make_limits(queue)
         objective_s = (
-            queue.slack_factor * max(critical_paths_s) + queue.base_objective_s
+            limits.slack_factor * max(critical_paths_s)
+            + limits.base_objective_s
         )
         state = attempts.JobState(
-            job, queue, now - age_s + objective_s, objective_s
+            job,
+            queue,
+            now - age_s + objective_s,
+            objective_s,
+            max_failures=limits.max_failures,
         )
         self.jobs[job.id] = state
         state.dependents = list_dependents(job.steps)
@@ -286,7 +292,7 @@
         if outcome == "failed" and not step.long_running:
             task.failures += 1
             task.avoided_runners = (*task.avoided_runners[-3:], run.runner)
-            if task.failures >= task.job.queue.max_failures:
+            if task.failures >= task.job.max_failures:
                 task.result = attempts.Result.FAILED
                 self._end_job(task.job, "failed", wall_ms)
                 return
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -204,6 +204,7 @@
         repeat_count=submission.repeat_count,
         start_at_ms=submission.start_at_ms,
         interval_ms=submission.interval_ms,
+        limits=model.make_limits(queue),
     )
     fault = checks.find_fault(job)
     return result.Err(fault) if fault else result.Ok(job)
