--- a/plantainvane/jobs/former_owners.py
+++ b/plantainvane/jobs/former_owners.py
@@ -41,7 +41,7 @@
         # The former owner had ended when this process of its instance began.
         ended_at = now - reply.age_s
         return max(ended_at + settings.lease_limit_s, earlier_limit)
-    # An append without an answer has made it the owner without its knowledge.
+    # An append without an answer may have made it the owner unknown to itself.
     if reply.extends or reply.ended_epoch < epoch:
         return None
     return now + reply.leases_end_in_s
@@ -78,6 +78,10 @@
     former: ownership_module.Claim,
     now: float,
 ) -> peers_module.Pong | None:
+    """Returns the reply of the process at the former owner's address, or None.
+
+    If that is the address of this process, it replies itself.
+    """
     settings = entry.settings
     if former.address == settings.peer_address:
         return peers_module.Pong(
