Repeat the read of the configuration when the log is back

Cause: the read that follows the configuration waits 1.2 s for records and 2.5 s for its answer, and one that is sent during a silent outage is never answered. Evidence: the faults come 3.0 to 3.4 s after the end of an outage, in machines whose other calls are answered. Ruled out: the operator's write, which is acknowledged at once.

Change: no read waits for records while the log fails, and one under way is given up and repeated when any call is answered again.

--- a/plantainvane/jobs/configuration.py
+++ b/plantainvane/jobs/configuration.py
@@ -6,9 +6,12 @@
 import random
 
 import anyio
+import result
 
 from plantainvane import events
+from plantainvane import outcomes
 from plantainvane.jobs import clock
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
@@ -25,13 +28,10 @@
                 topic, settings.store_timeout_max_s
             )
         else:
-            page = await adapters.store.read(
-                topic,
-                offset,
-                settings.read_wait_s,
-                settings.store_timeout_max_s,
-            )
+            page = await _read(entry, topic, offset)
         now = clock.read_now()
+        if page is None:
+            continue
         if page.is_err():
             entry.health.record_failure(page.err_value.detail, now)
             await fetch_configuration(entry)
@@ -52,6 +52,31 @@
             offset = max(offset, page.ok_value.next_offset)
 
 
+async def _read(
+    entry: process_module.Entry, topic: str, offset: int
+) -> result.Result[interfaces.Page, outcomes.CallError] | None:
+    """Reads on from an offset; None once another call shows the log is back.
+
+    A read that was sent during a silent outage is never answered, so none waits
+    for new records then, and one under way is given up when the outage ends.
+    """
+    settings, health, page = entry.settings, entry.health, None
+    wait_s = settings.read_wait_s if health.failing_since is None else 0.0
+    regained = health.regained
+
+    async def give_up() -> None:
+        await regained.wait()
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(give_up)
+        page = await entry.adapters.store.read(
+            topic, offset, wait_s, settings.store_timeout_max_s
+        )
+        group.cancel_scope.cancel()
+    return page
+
+
 def _apply_document(
     entry: process_module.Entry, document: bytes, source: str
 ) -> None:
--- a/plantainvane/jobs/journal.py
+++ b/plantainvane/jobs/journal.py
@@ -32,18 +32,22 @@
       answered_at: When a call was last answered.
       failing_since: Start of the current outage, or None.
       regained_at: End of the last outage.
+      regained: Set at the end of the present or the next outage.
       latency_s: Moving average of the append latency.
     """
 
     answered_at: float = float("-inf")
     failing_since: float | None = None
     regained_at: float = float("-inf")
+    regained: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     latency_s: float = 0.02
 
     def record_success(self, took_s: float, now: float) -> None:
         """Records an answered call that took `took_s` seconds."""
         if self.failing_since is not None:
             self.regained_at = now
+            self.regained.set()
+            self.regained = anyio.Event()
             events.log_event(
                 events.STORE_REGAINED, lost_s=round(now - self.failing_since, 3)
             )
