Request no lease of a runner that has not answered yet

Callers saw lasting tasks away for 9.5 s after their runner had crashed beside an owner that stood still for 4 s (LOST).

Cause: the first poll of a new owner requested a lease on the clock of the runner's entry. It got no answer, so the owner had to wait 6.4 s for a lease that it might have extended itself. Evidence: line 890 ends the wait for earlier leases at 4.95 s, 814 comes at 9.46 s, which is the time of that poll and 6.4 s.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -18,12 +18,10 @@
     No lease is renewed for attempts of ended jobs, or for foreign ones, alone
     at a runner on which they cannot be stopped.
 
-    A lease on the clock of an entry is requested once. A runner whose clock is
-    far behind that one would grant the longest lease each time.
+    None is requested on the clock of an entry, before the runner has answered:
+    one that is gone could not be told from one that has granted it.
     """
-    if not runner.clock_ms or runner.lease_withheld:
-        return None
-    if runner.silent and runner.clock_listed:
+    if runner.clock_listed or not runner.clock_ms or runner.lease_withheld:
         return None
     if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
         # Nothing but what cannot be stopped otherwise is to lapse.
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -174,6 +174,20 @@
     assert machine.find_true_expiry() <= dropped_at <= find_bound(sent_at)
 
 
+async def test_no_lease_is_requested_of_a_runner_that_has_not_answered(machine):
+    # Guards against a new owner that waits for 6.4 s for a lease that its own
+    # first poll may have extended, on a runner that is gone.
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.offset_ms))
+    charge_running_task(owner, machine)
+    machine.answers = False
+    await poll_for(owner, machine, 3 * _STEP_S)
+    assert machine.lease_until_ms == 0
+    machine.answers = True
+    sent_at = await poll_for(owner, machine, 2 * _STEP_S)
+    assert machine.find_true_expiry() >= sent_at + owner.settings.lease_s - 0.1
+
+
 @pytest.mark.parametrize("ahead_ms", [0, 20_000, 2**50])
 async def test_runner_that_never_answers_is_given_up_in_time(machine, ahead_ms):
     # Guards against the same where no poll has read the clock: each poll sent
