Order all stops in the test of a runner that answers nothing

Traced: one call of _stop_ended orders stops for 6 ms of the clock, and the rest is ordered by a loop that the test does not run; with a slice of 0 s both cases fail with the same error. The test calls it until all are ordered; the bounds on orders are unchanged.

--- a/tests/test_jobs_stops.py
+++ b/tests/test_jobs_stops.py
@@ -312,7 +312,9 @@
     runner.calls.outcome = interfaces.OrderOutcome.UNREACHED
     async with anyio.create_task_group() as owner.group:
         decisions.cancel_job(owner.table, runs[0].task.job)
-        owner_module._stop_ended(owner)
+        # One call orders stops for the time of a slice only.
+        while owner.table.runs_to_stop:
+            owner_module._stop_ended(owner)
         first_s = await _measure_sleep(1.0)
         first = len(runner.calls.times)
         second_s = await _measure_sleep(1.0)
