--- a/tests/test_jobs_waivers.py
+++ b/tests/test_jobs_waivers.py
@@ -223,6 +223,15 @@
     assert owner.expiries.expires_at == {"lost": 40.0, "gone": 4.0}
 
 
+async def start_lasting_task(system):
+    """Starts one; returns the owner, known to the others, and the runner."""
+    owner = await sessions.start_job(
+        system, count=1, run_ms=600_000, LongRunning=True
+    )
+    await anyio.sleep(1.0)
+    return owner, next(r for r in system.runners.values() if r.running)
+
+
 async def restart(system, entry):
     """Starts a later process of an instance, at the same addresses."""
     later = entry_module.make_entry(
@@ -239,11 +248,7 @@
     # Guards against long-running tasks that stay away for 12 s and more, as no
     # process asks the former owner for the end of its leases.
     async with platform_system.run_system(entries=3, runners=2) as system:
-        owner = await sessions.start_job(
-            system, count=1, run_ms=600_000, LongRunning=True
-        )
-        await anyio.sleep(1.0)
-        runner = next(r for r in system.runners.values() if r.running)
+        owner, runner = await start_lasting_task(system)
         runner.silent = True
         await anyio.sleep(0.5)
         if how == "killed":
@@ -270,11 +275,7 @@
     # Guards against a second start: the owner and a runner are cut off from the
     # log and from the others, but not from each other.
     async with platform_system.run_system(entries=3, runners=2) as system:
-        owner = await sessions.start_job(
-            system, count=1, run_ms=600_000, LongRunning=True
-        )
-        await anyio.sleep(1.0)
-        runner = next(r for r in system.runners.values() if r.running)
+        owner, runner = await start_lasting_task(system)
         others = [entry for entry in system.entries if entry is not owner]
         system.cut(owner, [r for r in system.runners if r != runner.id], others)
         system.cut_from_log(owner)
@@ -294,12 +295,7 @@
     # Guards against long-running tasks that stay away for 11 s, because a
     # successor waits as if the owner might still extend the leases.
     async with platform_system.run_system(entries=3, runners=2) as system:
-        owner = await sessions.start_job(
-            system, count=1, run_ms=600_000, LongRunning=True
-        )
-        # The others have pinged the owner.
-        await anyio.sleep(1.0)
-        runner = next(r for r in system.runners.values() if r.running)
+        owner, runner = await start_lasting_task(system)
         released = owner.owner
         if leaves == "after":
             system.group.start_soon(entry_module.drain, owner)
