Log which peers are asked for the configuration, and answers of 404

Lines 891 and 892, a field of 843, a histogram of the time between two answers of the log, and two counters. Bounded: 891 repeats the same answers every 2 s at most, 892 ten times in 2 s.

--- a/plantainvane/jobs/configuration.py
+++ b/plantainvane/jobs/configuration.py
@@ -44,6 +44,7 @@
         for _, key, value in page.ok_value.records:
             if key == adapters.configuration_key and value:
                 _apply_document(entry, value, "log")
+        entry.sources.record_answer(now)
         if offset < 0:
             offset = page.ok_value.end_offset
             if entry.configuration is None:
@@ -79,17 +80,20 @@
 
 def _apply_document(
     entry: process_module.Entry, document: bytes, source: str
-) -> None:
-    """Applies a document with a higher version; ignores any other."""
+) -> int:
+    """Applies a document with a higher version; ignores any other.
+
+    Returns the version, or -1 if the document is malformed.
+    """
     configuration = entry.adapters.decode_configuration(document)
     if configuration is None:
         events.log_event(
             events.DOCUMENT_UNDECODABLE, source=source, size=len(document)
         )
-        return
+        return -1
     before = entry.configuration.version if entry.configuration else -1
     if configuration.version <= before:
-        return
+        return configuration.version
     entry.configuration, entry.document = configuration, document
     metrics.CONFIGURATION_VERSION.set(configuration.version)
     events.log_event(
@@ -98,9 +102,11 @@
         before=before,
         queues=len(configuration.queues),
         source=source,
+        unconfirmed_s=round(clock.read_now() - entry.sources.confirmed_at, 3),
     )
     if entry.owner is not None:
         entry.owner.request_pass()
+    return configuration.version
 
 
 async def fetch_configuration(
@@ -120,15 +126,21 @@
             *entry.known_peers,
         ]
     )
+    before = entry.configuration.version if entry.configuration else -1
+    answers: dict[str, int | None] = {}
     for candidate in dict.fromkeys(addresses):
         if candidate == entry.settings.peer_address:
             continue
         fetched = await entry.peers.call(
             candidate, peers_module.Fetch(), entry.settings.ping_timeout_s
         )
+        answers[candidate] = None
         if fetched.is_ok() and fetched.ok_value.document:
-            _apply_document(entry, fetched.ok_value.document, candidate)
-            return
+            answers[candidate] = _apply_document(
+                entry, fetched.ok_value.document, candidate
+            )
+            break
+    entry.sources.report(before, answers, clock.read_now())
 
 
 async def compare_configuration(
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -114,6 +114,20 @@
     "plantainvane_queue_configuration_version",
     "Version of the queue configuration in force.",
 )
+CONFIGURATION_GAP_SECONDS = prometheus_client.Histogram(
+    "plantainvane_configuration_gap_seconds",
+    "Time between two answers of the log to reads of the configuration.",
+    buckets=(0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 7.0, 10.0, 20.0, 60.0),
+)
+CONFIGURATION_FETCHES = prometheus_client.Counter(
+    "plantainvane_configuration_fetches_total",
+    "Rounds in which peers were asked for the configuration, by outcome.",
+    ["outcome"],
+)
+UNKNOWN_QUEUES = prometheus_client.Counter(
+    "plantainvane_unknown_queue_requests_total",
+    "Requests for a queue that is not in the configuration in force.",
+)
 EVENTS_DROPPED = prometheus_client.Counter(
     "plantainvane_events_dropped_total",
     "Log lines dropped as the reader of standard output was too slow.",
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import sources as sources_module
 from plantainvane.jobs import state as state_module
 
 
@@ -46,6 +47,7 @@
       incarnation: Start time of the process, Unix nanoseconds.
       configuration: Configuration in force, or None before the first.
       document: The operator's document that `configuration` was decoded from.
+      sources: What it has heard from the sources of its configuration.
       owner: Set while this process is the owner.
       known_peers: Peers that have pinged this process, by address.
       reported_version: Newer configuration version that a peer has reported
@@ -77,6 +79,9 @@
     intake: intake_module.Intake | None = None
     configuration: model.Configuration | None = None
     document: bytes = b""
+    sources: sources_module.Sources = dataclasses.field(
+        default_factory=sources_module.Sources
+    )
     owner: state_module.Owner | None = None
     known_peers: dict[str, PeerStatus] = dataclasses.field(default_factory=dict)
     reported_version: int = -1
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -45,6 +45,9 @@
     host = request.headers.get("host", "").partition(":")[0]
     queue = model.find_queue_by_path(entry.configuration, host, request.path)
     if queue is None:
+        entry.sources.report_unknown_queue(
+            host, request.path, entry.configuration.version, clock.read_now()
+        )
         return _NO_QUEUE
     job_id = request.path[len(queue.path_prefix) :]
     deadline_s = _read_deadline(request.headers.get("deadline-ms", ""))
--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -11,6 +11,7 @@
 from plantainvane.jobs import configuration
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal
+from plantainvane.jobs import sources
 from tests import test_jobs_decisions as decisions
 
 pytestmark = pytest.mark.anyio
@@ -58,6 +59,7 @@
     entry = types.SimpleNamespace(
         settings=decisions.SETTINGS,
         health=journal.Health(),
+        sources=sources.Sources(),
         configuration=object(),
         adapters=types.SimpleNamespace(
             store=log,
