--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -1,9 +1,11 @@
 """How a process follows the operator's configuration beside outages."""
 
 import contextlib
+import dataclasses
 import types
 
 import anyio
+import msgspec
 import pytest
 import result
 
@@ -11,6 +13,9 @@
 from plantainvane.jobs import configuration
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal
+from plantainvane.jobs import ownership
+from plantainvane.jobs import peers
+from plantainvane.jobs import process
 from plantainvane.jobs import sources
 from tests import test_jobs_decisions as decisions
 
@@ -104,3 +109,97 @@
     # The time-out alone ends before the users' bound after an outage.
     contact_s = 3.0
     assert decisions.SETTINGS.store_timeout_max_s < contact_s
+
+
+REFUSED = result.Err(
+    outcomes.CallError(outcomes.CallFailure.REFUSED, "status 503")
+)
+# Time within which a version is in force everywhere, from its acknowledgement.
+APPLY_BOUND_S = 2.0
+
+
+class SilentLog:
+    """A log that answers no call of this process."""
+
+    async def list_newest(self, topic, timeout_s):
+        await anyio.sleep(timeout_s)
+        return result.Err(
+            outcomes.CallError(outcomes.CallFailure.LOST, "no answer")
+        )
+
+    async def read(self, topic, offset, wait_s, timeout_s):
+        return await self.list_newest(topic, wait_s + timeout_s)
+
+
+class RefusingLog:
+    """A log that turns this process away at once."""
+
+    async def list_newest(self, topic, timeout_s):
+        return REFUSED
+
+    async def read(self, topic, offset, wait_s, timeout_s):
+        return REFUSED
+
+
+@dataclasses.dataclass
+class Peers:
+    """Peers by address: the version of each, or None for one that is silent."""
+
+    versions: dict[str, int | None]
+    asked: list[str] = dataclasses.field(default_factory=list)
+
+    async def call(self, address, message, timeout_s):
+        self.asked.append(address)
+        version = self.versions[address]
+        if version is None:
+            await anyio.sleep(timeout_s)
+            return result.Err(
+                outcomes.CallError(outcomes.CallFailure.LOST, "no reply")
+            )
+        return result.Ok(peers.FetchReply(b"%d" % version))
+
+
+def make_entry(log, known, *, owner="", seeds=(), version=1):
+    """Makes a process that has `version` and knows the claim of `owner`."""
+    decode = types.SimpleNamespace
+    entry = process.Entry(
+        msgspec.structs.replace(decisions.SETTINGS, seeds=seeds),
+        types.SimpleNamespace(
+            store=log,
+            configuration_topic="keyed.op",
+            configuration_key="config",
+            decode_configuration=lambda d: decode(version=int(d), queues=[]),
+        ),
+        1,
+        journal.Health(),
+        ownership.Ownership(),
+        known,
+    )
+    if owner:
+        entry.ownership.claim = ownership.Claim("a-1", 1, owner)
+    if version:
+        entry.configuration = decode(version=version, queues=[])
+        entry.document = b"%d" % version
+    return entry
+
+
+async def wait_for_version(entry, version, limit_s):
+    """Follows the configuration until a version is in force."""
+    with anyio.fail_after(limit_s):
+        async with anyio.create_task_group() as group:
+            group.start_soon(configuration.follow_configuration, entry)
+            while not entry.configuration or (
+                entry.configuration.version < version
+            ):
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+
+async def test_version_comes_from_the_peer_that_has_it_not_the_first_asked():
+    # Guards against an old configuration for as long as the log turns a process
+    # away, as the last owner that it knows is turned away as well.
+    known = Peers({"10.0.0.1:1": 1, "10.0.0.2:1": 1, "10.0.0.3:1": 2})
+    entry = make_entry(
+        RefusingLog(), known, owner="10.0.0.1:1", seeds=tuple(known.versions)
+    )
+    await wait_for_version(entry, 2, APPLY_BOUND_S)
