Ask several peers for the configuration and take the newest

Cause: such a process asked its peers in a fixed order, the owner that it knew first, and took the first document. It read no claim, so it did not learn of the new owner, and it knew no other peers.

Now it asks four at the same time, and more while none answers: the owner, the one that had the last newer version, and those not asked for the longest time. Replies name other peers, pings do so beforehand, and a document is sent only if it is newer.

--- a/plantainvane/jobs/configuration.py
+++ b/plantainvane/jobs/configuration.py
@@ -15,6 +15,8 @@
 from plantainvane.jobs import metrics
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import sources as sources_module
+from plantainvane.jobs import standbys
 
 
 async def follow_configuration(entry: process_module.Entry) -> None:
@@ -34,7 +36,7 @@
             continue
         if page.is_err():
             entry.health.record_failure(page.err_value.detail, now)
-            await fetch_configuration(entry)
+            await _fetch_from_some(entry)
             await anyio.sleep(settings.store_retry_s * (1 + random.random()))
             continue
         entry.health.record_success(entry.health.latency_s, now)
@@ -48,7 +50,7 @@
         if offset < 0:
             offset = page.ok_value.end_offset
             if entry.configuration is None:
-                await fetch_configuration(entry)
+                await _fetch_from_some(entry)
         else:
             offset = max(offset, page.ok_value.next_offset)
 
@@ -91,7 +93,7 @@
             events.DOCUMENT_UNDECODABLE, source=source, size=len(document)
         )
         return -1
-    before = entry.configuration.version if entry.configuration else -1
+    before = find_version(entry)
     if configuration.version <= before:
         return configuration.version
     entry.configuration, entry.document = configuration, document
@@ -110,49 +112,97 @@
 
 
 async def fetch_configuration(
-    entry: process_module.Entry, address: str = ""
+    entry: process_module.Entry, asked: list[str]
 ) -> None:
-    """Fetches the document from `address`, or from the first peer with one.
+    """Asks peers side by side, and applies the newest document.
 
-    Without an address it tries the owner, the seeds and the known peers.
+    Each of them may be behind, so all answers are waited for.
     """
-    claim = entry.ownership.claim
-    addresses = (
-        [address]
-        if address
-        else [
-            *([claim.address] if claim else []),
-            *entry.settings.seeds,
-            *entry.known_peers,
-        ]
-    )
-    before = entry.configuration.version if entry.configuration else -1
+    before = find_version(entry)
     answers: dict[str, int | None] = {}
-    for candidate in dict.fromkeys(addresses):
-        if candidate == entry.settings.peer_address:
-            continue
-        fetched = await entry.peers.call(
-            candidate, peers_module.Fetch(), entry.settings.ping_timeout_s
+
+    async def fetch(address: str) -> None:
+        reply = await entry.peers.call(
+            address,
+            peers_module.Fetch(find_version(entry)),
+            entry.settings.ping_timeout_s,
         )
-        answers[candidate] = None
-        if fetched.is_ok() and fetched.ok_value.document:
-            answers[candidate] = _apply_document(
-                entry, fetched.ok_value.document, candidate
-            )
-            break
+        if reply.is_err():
+            answers[address] = None
+            entry.sources.forget_address(address)
+            return
+        fetched = reply.ok_value
+        for other in fetched.addresses:
+            entry.sources.add_address(other)
+        answers[address] = fetched.version
+        if fetched.document:
+            answers[address] = _apply_document(entry, fetched.document, address)
+
+    if not asked:
+        return
+    async with anyio.create_task_group() as group:
+        for address in asked:
+            group.start_soon(fetch, address)
     entry.sources.report(before, answers, clock.read_now())
 
 
+async def _fetch_from_some(entry: process_module.Entry) -> None:
+    """Asks the owner and some of the other processes that are known."""
+    now = clock.read_now()
+    known = _list_peers(entry, now)
+    await fetch_configuration(
+        entry, entry.sources.choose_peers(known, entry.settings, now)
+    )
+
+
+def answer_fetch(
+    entry: process_module.Entry, fetch: peers_module.Fetch
+) -> peers_module.FetchReply:
+    """Answers with the document, if it is newer, and names some other peers."""
+    version = find_version(entry)
+    known = _list_peers(entry, clock.read_now())
+    owner = sources_module.choose_named(known[:1], 1)
+    others = sources_module.choose_named(
+        known[1:], sources_module.MAX_NAMED - len(owner)
+    )
+    return peers_module.FetchReply(
+        entry.document if version > fetch.version else b"",
+        version,
+        [*owner, *others],
+    )
+
+
+def find_version(entry: process_module.Entry) -> int:
+    """Returns the version in force, or -1 without one."""
+    return entry.configuration.version if entry.configuration else -1
+
+
+def _list_peers(entry: process_module.Entry, now: float) -> list[str]:
+    """Lists the addresses of other processes, that of the owner first."""
+    claim = entry.ownership.claim
+    known = [
+        *([claim.address] if claim else []),
+        *entry.settings.seeds,
+        *standbys.list_heard(entry.known_peers, entry.settings, now),
+        *entry.sources.addresses,
+    ]
+    return [
+        address
+        for address in dict.fromkeys(known)
+        if address != entry.settings.peer_address
+    ]
+
+
 async def compare_configuration(
     entry: process_module.Entry, version: int, address: str
 ) -> None:
     """Fetches a newer version that the read from the log has not returned."""
-    current = entry.configuration.version if entry.configuration else -1
+    current = find_version(entry)
     if version <= current:
         entry.reported_version = -1
     elif entry.reported_version >= 0 or current < 0:
         entry.reported_version = -1
-        await fetch_configuration(entry, address)
+        await fetch_configuration(entry, [address])
     else:
         # The read from the log usually returns it before the next ping.
         entry.reported_version = version
--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -22,6 +22,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import settings as settings_module
+from plantainvane.jobs import sources as sources_module
 from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import succession
@@ -35,6 +36,8 @@
 # Least log outage that a process reports if it has never reached the log. It is
 # above every limit that it is compared with.
 _INITIAL_SILENCE_S = 10.0
+# Peers that each reply to a ping names.
+_PEERS_NAMED = 2
 # Pause between two questions to an owner that recovers.
 _RECOVERING_PAUSE_S = 0.05
 
@@ -214,7 +217,7 @@
     if owner is not None and ping.epoch > owner.epoch:
         succession.check_epoch(entry, owner, ping.epoch)
         owner = None
-    version = entry.configuration.version if entry.configuration else -1
+    version = configuration.find_version(entry)
     if ping.config_version > version:
         entry.group.start_soon(
             configuration.compare_configuration,
@@ -255,6 +258,15 @@
         max(0.0, now - entry.started_at),
         entry.owner is not None,
         entry.ended_epoch,
+        _name_peers(entry, now) if is_owner else [],
+    )
+
+
+def _name_peers(entry: process_module.Entry, now: float) -> list[str]:
+    """Names a few peers, of which a standby knows none but the owner."""
+    return sources_module.choose_named(
+        standbys.list_heard(entry.known_peers, entry.settings, now),
+        _PEERS_NAMED,
     )
 
 
@@ -271,7 +283,7 @@
 async def _answer_fetch(
     entry: process_module.Entry, fetch: peers_module.Fetch
 ) -> peers_module.FetchReply:
-    return peers_module.FetchReply(entry.document)
+    return configuration.answer_fetch(entry, fetch)
 
 
 async def _ask_owner(
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -19,6 +19,7 @@
 from plantainvane import rpc_servers
 from plantainvane import settings as product_settings
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import sources as sources_module
 
 _SERVICE = "/plantainvane.Jobs/"
 _MAX_SHOWN_CHARACTERS = 100
@@ -29,6 +30,12 @@
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Priority = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 _MAX_WAITS = 64
+_Address = Annotated[
+    str, msgspec.Meta(max_length=sources_module.MAX_ADDRESS_CHARACTERS)
+]
+_Addresses = Annotated[
+    list[_Address], msgspec.Meta(max_length=sources_module.MAX_NAMED)
+]
 _Cores = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 
 
@@ -76,6 +83,7 @@
       extends: It is an owner, and may extend leases.
       ended_epoch: Epoch of the last ownership that has ended there, or -1. What
         it says of leases does not hold for a claim that it does not know of.
+      addresses: Some of the peers that ping the receiver, if it is the owner.
     """
 
     is_owner: bool
@@ -95,6 +103,7 @@
     age_s: _Seconds = 0.0
     extends: bool = True
     ended_epoch: _Version = -1
+    addresses: _Addresses = []
 
 
 class Ask(msgspec.Struct, array_like=True):
@@ -132,13 +141,29 @@
 
 
 class Fetch(msgspec.Struct, array_like=True):
-    """Asks for the receiver's configuration document."""
+    """Asks for the receiver's configuration document, if it is newer.
+
+    Attributes:
+      version: Version of the sender's configuration, or -1.
+    """
+
+    version: _Version = -1
 
 
 class FetchReply(msgspec.Struct, array_like=True):
-    """The operator's document in its original encoding, or empty."""
+    """Reply to a fetch.
+
+    Attributes:
+      document: The operator's document in its original encoding; empty if the
+        sender's is as new.
+      version: Version of the receiver's configuration; -1 without one, and from
+        the last release.
+      addresses: Some other processes, the owner that it knows of first.
+    """
 
     document: bytes = b""
+    version: _Version = -1
+    addresses: _Addresses = []
 
 
 class HandOver(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -60,6 +60,11 @@
     # A read on a dead connection is detected only after this wait, and the
     # platform allows 2 s until a new configuration is in force.
     read_wait_s: float = 1.2
+    # Peers that are asked at the same time for a newer configuration while the
+    # log does not answer, as half of the processes may be without the log as
+    # well; more, up to the limit, while none answers.
+    fetch_peers: int = 4
+    fetch_peers_max: int = 16
     runner_list_poll_s: float = 0.4
     body_limit_bytes: int = 262_144
 
--- a/plantainvane/jobs/sources.py
+++ b/plantainvane/jobs/sources.py
@@ -1,12 +1,19 @@
 """Sources of the configuration: the log, and the peers while it is silent."""
 
 import dataclasses
+import random
 
 from plantainvane import events
+from plantainvane.jobs import addresses as addresses_module
 from plantainvane.jobs import clock
 from plantainvane.jobs import metrics
+from plantainvane.jobs import settings as settings_module
 
-# Shortest time between two lines that say the same.
+# Most addresses that are kept, and that one reply names.
+_MAX_ADDRESSES = 64
+MAX_NAMED = 8
+MAX_ADDRESS_CHARACTERS = 64
+# Shortest time between two lines with the same outcome.
 _REPORT_INTERVAL_S = 2.0
 # Most lines about unknown queues in that time.
 _MAX_UNKNOWN_REPORTS = 10
@@ -21,10 +28,17 @@
     Attributes:
       confirmed_at: When the log last answered a read of the configuration; at
         first when the process began.
+      addresses: Peers that other processes have named, the last named last.
+      failed_rounds: Rounds of questions in a row that no peer has answered.
+      newest_from: Address of the peer that had the last newer version.
     """
 
     confirmed_at: float = dataclasses.field(default_factory=clock.read_now)
-    _reported: dict[str, int | None] | None = None
+    addresses: dict[str, None] = dataclasses.field(default_factory=dict)
+    failed_rounds: int = 0
+    newest_from: str = ""
+    _asked_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    _reported: str = ""
     _reported_at: float = float("-inf")
     _unknown_reports: int = 0
     _unknown_since: float = float("-inf")
@@ -34,28 +48,76 @@
         metrics.CONFIGURATION_GAP_SECONDS.observe(now - self.confirmed_at)
         self.confirmed_at = now
 
+    def add_address(self, address: str) -> None:
+        """Keeps the address of a peer that another process has named."""
+        if not is_nameable(address):
+            return
+        self.forget_address(address)
+        self.addresses[address] = None
+        if len(self.addresses) > _MAX_ADDRESSES:
+            del self.addresses[next(iter(self.addresses))]
+
+    def forget_address(self, address: str) -> None:
+        """Forgets the address of a peer that has not answered."""
+        self.addresses.pop(address, None)
+
+    def choose_peers(
+        self, known: list[str], settings: settings_module.Settings, now: float
+    ) -> list[str]:
+        """Chooses the peers to ask, and notes that they are asked.
+
+        They are the first one, the one that had the last newer version, and
+        those that were not asked for the longest time. Twice as many are asked
+        after each round without any answer.
+        """
+        count = min(
+            settings.fetch_peers_max,
+            settings.fetch_peers
+            << min(self.failed_rounds, settings.fetch_peers_max),
+        )
+        never = float("-inf")
+        others = sorted(
+            known[1:],
+            key=lambda a: (
+                a != self.newest_from,
+                self._asked_at.get(a, never),
+                random.random(),
+            ),
+        )
+        chosen = [*known[:1], *others][:count]
+        self._asked_at = {
+            a: self._asked_at[a] for a in known if a in self._asked_at
+        }
+        self._asked_at.update(dict.fromkeys(chosen, now))
+        return chosen
+
     def report(
         self, before: int, answers: dict[str, int | None], now: float
     ) -> None:
-        """Reports what the peers that were asked have answered.
+        """Records and reports what the peers that were asked have answered.
 
         Args:
           before: Version in force before, or -1.
-          answers: By the address of each peer, the version that it sent, or
-            None without a document. A version of -1 is malformed.
+          answers: By the address of each peer, the version that it has, or
+            None without an answer; -1 without a document that can be read.
           now: Present time.
         """
         newest = max((v for v in answers.values() if v is not None), default=-1)
         outcome = "newer" if newest > before else "not_newer"
-        if all(version is None for version in answers.values()):
+        if outcome == "newer":
+            self.newest_from = max(answers, key=lambda a: answers[a] or -1)
+        self.failed_rounds += 1
+        if any(version is not None for version in answers.values()):
+            self.failed_rounds = 0
+        else:
             outcome = "failed"
         metrics.CONFIGURATION_FETCHES.labels(outcome).inc()
         if (
-            answers == self._reported
+            outcome == self._reported != "newer"
             and now - self._reported_at < _REPORT_INTERVAL_S
         ):
             return
-        self._reported, self._reported_at = answers, now
+        self._reported, self._reported_at = outcome, now
         events.log_event(
             events.CONFIGURATION_SOUGHT,
             outcome=outcome,
@@ -81,3 +143,16 @@
             version=version,
             unconfirmed_s=round(now - self.confirmed_at, 3),
         )
+
+
+def is_nameable(address: str) -> bool:
+    """Tells whether messages between processes may name an address."""
+    return len(
+        address
+    ) <= MAX_ADDRESS_CHARACTERS and addresses_module.is_callable(address)
+
+
+def choose_named(known: list[str], count: int) -> list[str]:
+    """Chooses up to `count` of the peers that a reply may name, by chance."""
+    nameable = [address for address in known if is_nameable(address)]
+    return random.sample(nameable, min(len(nameable), count))
--- a/plantainvane/jobs/standbys.py
+++ b/plantainvane/jobs/standbys.py
@@ -29,6 +29,15 @@
     return sorted(able, key=lambda a: known_peers[a].capacity, reverse=True)
 
 
+def list_heard(
+    known_peers: dict[str, process_module.PeerStatus],
+    settings: settings_module.Settings,
+    now: float,
+) -> list[str]:
+    """Returns the peers that ping this process."""
+    return [a for a, s in known_peers.items() if _is_heard(s, settings, now)]
+
+
 def find_ablest_capacity(
     known_peers: dict[str, process_module.PeerStatus],
     settings: settings_module.Settings,
@@ -79,7 +88,7 @@
     Only the first claim counts, so a few able standbys are enough to find a
     failed owner at once.
     """
-    heard = [a for a, s in known_peers.items() if _is_heard(s, settings, now)]
+    heard = list_heard(known_peers, settings, now)
     budget_per_s = settings.affordable_pings_per_s
     if len(heard) <= budget_per_s * settings.ping_s:
         return settings.ping_s
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -221,7 +221,7 @@
     ping = peers_module.Ping(
         settings.peer_address,
         ownership.epoch,
-        entry.configuration.version if entry.configuration else -1,
+        configuration.find_version(entry),
         _may_own(entry, now),
         settings.capacity,
     )
@@ -245,6 +245,8 @@
     )
     if answer.is_owner:
         entry.waits, entry.waits_at = dict(answer.waits), now
+    for address in answer.addresses:
+        entry.sources.add_address(address)
     ownership.record_waiver(
         answer.epoch, answer.waived_offset, answer.leases_end_in_s, now
     )
--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import peers
 from plantainvane.jobs import process
 from plantainvane.jobs import sources
+from plantainvane.jobs import succession
 from tests import test_jobs_decisions as decisions
 
 pytestmark = pytest.mark.anyio
@@ -52,26 +53,12 @@
     """Follows the configuration; yields the entry and what it has applied."""
     applied = []
 
-    async def fetch(entry):
-        pass
+    def apply(entry, value, source):
+        applied.append(value)
+        return -1
 
-    monkeypatch.setattr(configuration, "fetch_configuration", fetch)
-    monkeypatch.setattr(
-        configuration,
-        "_apply_document",
-        lambda entry, value, source: applied.append(value),
-    )
-    entry = types.SimpleNamespace(
-        settings=decisions.SETTINGS,
-        health=journal.Health(),
-        sources=sources.Sources(),
-        configuration=object(),
-        adapters=types.SimpleNamespace(
-            store=log,
-            configuration_topic="keyed.op",
-            configuration_key="config",
-        ),
-    )
+    monkeypatch.setattr(configuration, "_apply_document", apply)
+    entry = make_entry(log, Peers({}))
     with anyio.fail_after(5):
         async with anyio.create_task_group() as group:
             group.start_soon(configuration.follow_configuration, entry)
@@ -143,20 +130,27 @@
 
 @dataclasses.dataclass
 class Peers:
-    """Peers by address: the version of each, or None for one that is silent."""
+    """Peers by address: the version of each, or None for one that is silent.
+
+    Attributes:
+      named: Addresses that a peer names in its replies.
+      asked: The peers that were called.
+    """
 
     versions: dict[str, int | None]
+    named: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     asked: list[str] = dataclasses.field(default_factory=list)
 
     async def call(self, address, message, timeout_s):
         self.asked.append(address)
-        version = self.versions[address]
+        version = self.versions.get(address)
         if version is None:
             await anyio.sleep(timeout_s)
             return result.Err(
                 outcomes.CallError(outcomes.CallFailure.LOST, "no reply")
             )
-        return result.Ok(peers.FetchReply(b"%d" % version))
+        named = self.named.get(address, [])
+        return result.Ok(peers.FetchReply(b"%d" % version, version, named))
 
 
 def make_entry(log, known, *, owner="", seeds=(), version=1):
@@ -203,3 +197,59 @@
         RefusingLog(), known, owner="10.0.0.1:1", seeds=tuple(known.versions)
     )
     await wait_for_version(entry, 2, APPLY_BOUND_S)
+
+
+async def test_version_comes_from_a_peer_that_only_another_peer_knows():
+    # Guards against an old configuration in a process that knows no peer but
+    # an owner that has been replaced.
+    known = Peers(
+        {"10.0.0.1:1": 1, "10.0.0.4:1": 2}, {"10.0.0.1:1": ["10.0.0.4:1"]}
+    )
+    entry = make_entry(RefusingLog(), known, owner="10.0.0.1:1")
+    await wait_for_version(entry, 2, APPLY_BOUND_S)
+
+
+async def test_peers_that_do_not_answer_delay_no_version():
+    # Guards against a time-out for each dead peer that is asked before the one
+    # that has the version.
+    dead = {f"10.0.1.{i}:1": None for i in range(20)}
+    known = Peers({**dead, "10.0.0.3:1": 2})
+    entry = make_entry(RefusingLog(), known, seeds=tuple(known.versions))
+    await wait_for_version(entry, 2, 5.0)
+
+
+def test_reply_to_a_fetch_has_a_document_only_if_it_is_newer():
+    # Guards against large documents that each round of questions moves, and a
+    # peer of the last release, which names no version, without one.
+    entry = make_entry(RefusingLog(), Peers({}), seeds=("10.0.0.2:1",))
+    for asked, document in ((-1, b"1"), (0, b"1"), (1, b""), (2, b"")):
+        reply = configuration.answer_fetch(entry, peers.Fetch(asked))
+        assert reply == peers.FetchReply(document, 1, ["10.0.0.2:1"])
+    asked = msgspec.msgpack.decode(b"\x90", type=peers.Fetch)
+    assert configuration.answer_fetch(entry, asked).document == b"1"
+
+
+def test_addresses_that_peers_name_are_bounded():
+    # Guards against a table that a faulty peer fills.
+    known = sources.Sources()
+    for number in range(1000):
+        known.add_address(f"10.0.0.1:{number + 1}")
+        known.add_address(f"no address {number}")
+    assert list(known.addresses)[-1] == "10.0.0.1:1000"
+    assert len(known.addresses) == 64
+
+
+async def test_a_standby_knows_peers_before_the_log_turns_it_away():
+    # Guards against a process that knows only seeds that are gone and an owner
+    # that is lost together with the log.
+    known = Peers({})
+
+    async def answer_ping(address, message, timeout_s):
+        return result.Ok(
+            peers.Pong(True, 1, 1, 0.0, addresses=["10.0.0.4:1", "no address"])
+        )
+
+    known.call = answer_ping
+    entry = make_entry(RefusingLog(), known, owner="10.0.0.1:1")
+    await succession._ping_owner(entry)
+    assert list(entry.sources.addresses) == ["10.0.0.4:1"]
