Ask peers for the configuration while a read of the log hangs

A process asked its peers only after its own read had failed: 3.7 s after the last answer of a log that is silent, and 2.5 s after its start, while it answers callers by an old version or with 503. Peers that did not answer held back the next read.

Now a task of its own asks them when no read has been answered for 1.5 s, or one has failed, or 0.3 s after a start without a version; then every 0.3 s, and up to 1.2 s apart while no newer version comes. The reads of the log go on meanwhile.

Three tests that failed before.

--- a/plantainvane/jobs/configuration.py
+++ b/plantainvane/jobs/configuration.py
@@ -1,6 +1,6 @@
 """Keeps the operator's configuration up to date; versions only increase.
 
-A new version comes from the log, or from a peer that reports it.
+A new version comes from the log, or from a peer that reports it or is asked.
 """
 
 import random
@@ -20,7 +20,31 @@
 
 
 async def follow_configuration(entry: process_module.Entry) -> None:
-    """Follows the operator's topic; falls back on the peers' document."""
+    """Follows the operator's topic, and the peers while it is not answered."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_follow_peers, entry)
+        await _follow_log(entry)
+
+
+async def _follow_peers(entry: process_module.Entry) -> None:
+    """Asks peers while the log answers no read, however long one may take."""
+    sources, settings = entry.sources, entry.settings
+    while True:
+        has_version = entry.configuration is not None
+        due_at = sources.find_due(has_version, settings)
+        with anyio.move_on_after(due_at - clock.read_now()):
+            await sources.failed.wait()
+        now = clock.read_now()
+        if now < sources.find_due(entry.configuration is not None, settings):
+            continue
+        known = _list_peers(entry, now)
+        await fetch_configuration(
+            entry, sources.choose_peers(known, settings, now)
+        )
+
+
+async def _follow_log(entry: process_module.Entry) -> None:
+    """Follows the operator's topic; never returns."""
     adapters, settings = entry.adapters, entry.settings
     topic = adapters.configuration_topic
     offset = -1
@@ -36,7 +60,7 @@
             continue
         if page.is_err():
             entry.health.record_failure(page.err_value.detail, now)
-            await _fetch_from_some(entry)
+            entry.sources.record_failure()
             await anyio.sleep(settings.store_retry_s * (1 + random.random()))
             continue
         entry.health.record_success(entry.health.latency_s, now)
@@ -49,8 +73,6 @@
         entry.sources.record_answer(now)
         if offset < 0:
             offset = page.ok_value.end_offset
-            if entry.configuration is None:
-                await _fetch_from_some(entry)
         else:
             offset = max(offset, page.ok_value.next_offset)
 
@@ -146,15 +168,6 @@
     entry.sources.report(before, answers, clock.read_now())
 
 
-async def _fetch_from_some(entry: process_module.Entry) -> None:
-    """Asks the owner and some of the other processes that are known."""
-    now = clock.read_now()
-    known = _list_peers(entry, now)
-    await fetch_configuration(
-        entry, entry.sources.choose_peers(known, entry.settings, now)
-    )
-
-
 def answer_fetch(
     entry: process_module.Entry, fetch: peers_module.Fetch
 ) -> peers_module.FetchReply:
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -60,6 +60,12 @@
     # A read on a dead connection is detected only after this wait, and the
     # platform allows 2 s until a new configuration is in force.
     read_wait_s: float = 1.2
+    # Peers are asked for the configuration when no read has been answered for
+    # this time; one that works ends after read_wait_s. Then the pauses between
+    # two rounds of questions.
+    fetch_after_s: float = 1.5
+    fetch_pause_s: float = 0.3
+    fetch_pause_max_s: float = 1.2
     # Peers that are asked at the same time for a newer configuration while the
     # log does not answer, as half of the processes may be without the log as
     # well; more, up to the limit, while none answers.
--- a/plantainvane/jobs/sources.py
+++ b/plantainvane/jobs/sources.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+import anyio
+
 from plantainvane import events
 from plantainvane.jobs import addresses as addresses_module
 from plantainvane.jobs import clock
@@ -13,6 +15,9 @@
 _MAX_ADDRESSES = 64
 MAX_NAMED = 8
 MAX_ADDRESS_CHARACTERS = 64
+# Growth of the pause after each round without a newer version.
+_PAUSE_GROWTH = 1.5
+_MAX_PAUSE_GROWTHS = 10
 # Shortest time between two lines with the same outcome.
 _REPORT_INTERVAL_S = 2.0
 # Most lines about unknown queues in that time.
@@ -28,12 +33,20 @@
     Attributes:
       confirmed_at: When the log last answered a read of the configuration; at
         first when the process began.
+      is_failing: The last read of the log had no usable answer.
+      failed: Set when a read of the log begins to fail.
+      asked_at: When peers were last asked.
+      vain_rounds: Rounds of questions in a row without a newer version.
       addresses: Peers that other processes have named, the last named last.
       failed_rounds: Rounds of questions in a row that no peer has answered.
       newest_from: Address of the peer that had the last newer version.
     """
 
     confirmed_at: float = dataclasses.field(default_factory=clock.read_now)
+    is_failing: bool = False
+    failed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    asked_at: float = float("-inf")
+    vain_rounds: int = 0
     addresses: dict[str, None] = dataclasses.field(default_factory=dict)
     failed_rounds: int = 0
     newest_from: str = ""
@@ -47,6 +60,34 @@
         """Records that the log has answered with all newer versions."""
         metrics.CONFIGURATION_GAP_SECONDS.observe(now - self.confirmed_at)
         self.confirmed_at = now
+        self.is_failing = False
+        self.vain_rounds = 0
+
+    def record_failure(self) -> None:
+        """Records a read of the log without a usable answer."""
+        if not self.is_failing:
+            self.is_failing = True
+            self.failed.set()
+            self.failed = anyio.Event()
+
+    def find_due(
+        self, has_version: bool, settings: settings_module.Settings
+    ) -> float:
+        """Returns when peers are to be asked next, if the log goes on as now.
+
+        A read that works is answered after `read_wait_s` and the time of a
+        call. A process without any version serves nobody, so it asks sooner.
+        """
+        pause_s = settings.fetch_pause_s * _PAUSE_GROWTH ** min(
+            self.vain_rounds, _MAX_PAUSE_GROWTHS
+        )
+        next_at = self.asked_at + min(settings.fetch_pause_max_s, pause_s)
+        if self.is_failing:
+            return next_at
+        limit_s = (
+            settings.fetch_after_s if has_version else settings.fetch_pause_s
+        )
+        return max(next_at, self.confirmed_at + limit_s)
 
     def add_address(self, address: str) -> None:
         """Keeps the address of a peer that another process has named."""
@@ -89,6 +130,8 @@
             a: self._asked_at[a] for a in known if a in self._asked_at
         }
         self._asked_at.update(dict.fromkeys(chosen, now))
+        self.asked_at = now
+        self.vain_rounds += 1
         return chosen
 
     def report(
@@ -105,6 +148,7 @@
         newest = max((v for v in answers.values() if v is not None), default=-1)
         outcome = "newer" if newest > before else "not_newer"
         if outcome == "newer":
+            self.vain_rounds = 0
             self.newest_from = max(answers, key=lambda a: answers[a] or -1)
         self.failed_rounds += 1
         if any(version is not None for version in answers.values()):
--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -253,3 +253,42 @@
     entry = make_entry(RefusingLog(), known, owner="10.0.0.1:1")
     await succession._ping_owner(entry)
     assert list(entry.sources.addresses) == ["10.0.0.4:1"]
+
+
+async def test_peers_are_asked_while_a_read_of_the_log_hangs():
+    # Guards against a version that comes only when the process's own read of a
+    # silent log has timed out, which takes 3.7 s.
+    known = Peers({"10.0.0.1:1": 2})
+    entry = make_entry(Log(), known, owner="10.0.0.1:1")
+    await wait_for_version(entry, 2, 3.0)
+
+
+async def test_process_that_starts_without_the_log_asks_peers_at_once():
+    # Guards against a process that refuses requests until its first read of a
+    # silent log has timed out, which takes 2.5 s.
+    known = Peers({"10.0.0.1:1": 2})
+    entry = make_entry(SilentLog(), known, seeds=("10.0.0.1:1",), version=0)
+    await wait_for_version(entry, 2, APPLY_BOUND_S)
+
+
+def test_peers_are_asked_in_time_and_no_more_often_than_it_helps():
+    # Guards against a version that is late because the log was waited for, and
+    # against questions of all processes at once during a long outage.
+    settings = decisions.SETTINGS
+    known = sources.Sources(confirmed_at=10.0)
+    assert settings.read_wait_s < settings.fetch_after_s
+    assert known.find_due(True, settings) <= 10.0 + APPLY_BOUND_S
+    known.record_failure()
+    assert known.find_due(True, settings) <= 10.0
+    now, rounds = 10.0, []
+    while now < 20.0:
+        rounds.append(now)
+        known.choose_peers(["10.0.0.1:1"], settings, now)
+        known.report(1, {"10.0.0.1:1": 1}, now)
+        assert known.find_due(True, settings) - now <= APPLY_BOUND_S
+        now = known.find_due(True, settings)
+    assert len(rounds) <= 12
+    known.report(1, {"10.0.0.1:1": 2}, now)
+    assert known.find_due(True, settings) - now < 0.5
+    known.record_answer(now)
+    assert known.find_due(True, settings) >= now + settings.read_wait_s
