Close a shared channel only when no call uses it any more

Cause: the calls to one address share a channel, and a call that failed closed it at once, also while another one had connected and not opened its stream.

A failed call now retires the channel: it gets no new calls, and the last call on it closes it.

--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -338,24 +338,44 @@
     replies.append(result.Err(outcomes.CallError(failure, detail)))
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _SharedChannel:
+    """A channel to one peer; the calls to that peer share it.
+
+    Attributes:
+      calls: Calls that use it at present.
+      retired: It gets no more calls, and is closed after the last one.
+    """
+
+    channel: grpclib.client.Channel
+    calls: int = 0
+    retired: bool = False
+
+    def close_if_unused(self) -> None:
+        """Closes the channel if it is retired and no call uses it."""
+        if self.retired and not self.calls:
+            self.channel.close()
+
+
 @dataclasses.dataclass(slots=True)
 class PeerClient:
     """Client of the other entry processes.
 
     Attributes:
-      channels: Open channels by peer address.
+      channels: Channels that take calls, by peer address.
     """
 
-    channels: dict[str, grpclib.client.Channel] = dataclasses.field(
+    channels: dict[str, _SharedChannel] = dataclasses.field(
         default_factory=dict
     )
 
     async def call(
         self, address: str, message: Any, timeout_s: float
     ) -> result.Result[Any, outcomes.CallError]:
-        """Sends `message` and returns the reply; drops a failed channel.
+        """Sends `message` and returns the reply; retires a failed channel.
 
-        Addresses come from records and messages, so any text is allowed.
+        Other calls on that channel go on. Addresses come from records and
+        messages, so any text is allowed.
         """
         if not product_settings.is_address(address):
             return result.Err(
@@ -364,32 +384,48 @@
                     f"{address[:_MAX_SHOWN_CHARACTERS]!r} is not an address",
                 )
             )
-        channel = self.channels.get(address)
-        if channel is None:
+        shared = self.channels.get(address)
+        if shared is None:
             host, port = product_settings.split_address(address)
-            channel = grpclib.client.Channel(host, port, codec=_Codec())
-            self.channels[address] = channel
-        kind = type(message)
-        method = grpclib.client.UnaryUnaryMethod(
-            channel, _SERVICE + kind.__name__, kind, _METHODS[kind]
-        )
-        replies: list[result.Result[Any, outcomes.CallError]] = []
-        # grpclib cancels the calling task when a connection is lost, and
-        # time-outs are unreliable in a task that has been cancelled once. The
-        # call therefore runs in a task of its own.
-        async with anyio.create_task_group() as group:
-            group.start_soon(_call_method, method, message, timeout_s, replies)
-        if not replies:
-            replies.append(result.Err(_CANCELLED))
-        reply = replies[0]
-        if reply.is_err():
-            if self.channels.get(address) is channel:
-                del self.channels[address]
-            channel.close()
+            shared = _SharedChannel(
+                grpclib.client.Channel(host, port, codec=_Codec())
+            )
+            self.channels[address] = shared
+        shared.calls += 1
+        try:
+            reply = await _call_isolated(shared.channel, message, timeout_s)
+            if reply.is_err():
+                self._retire(address, shared)
+        finally:
+            shared.calls -= 1
+            shared.close_if_unused()
         return reply
 
     def close(self) -> None:
-        """Closes all channels."""
-        for channel in self.channels.values():
-            channel.close()
-        self.channels.clear()
+        """Closes all channels, those in use after their last call."""
+        for address, shared in list(self.channels.items()):
+            self._retire(address, shared)
+            shared.close_if_unused()
+
+    def _retire(self, address: str, shared: _SharedChannel) -> None:
+        shared.retired = True
+        if self.channels.get(address) is shared:
+            del self.channels[address]
+
+
+async def _call_isolated(
+    channel: grpclib.client.Channel, message: Any, timeout_s: float
+) -> result.Result[Any, outcomes.CallError]:
+    """Makes a call in a task of its own.
+
+    grpclib cancels the calling task when a connection is lost, and time-outs
+    are unreliable in a task that has been cancelled once.
+    """
+    kind = type(message)
+    method = grpclib.client.UnaryUnaryMethod(
+        channel, _SERVICE + kind.__name__, kind, _METHODS[kind]
+    )
+    replies: list[result.Result[Any, outcomes.CallError]] = []
+    async with anyio.create_task_group() as group:
+        group.start_soon(_call_method, method, message, timeout_s, replies)
+    return replies[0] if replies else result.Err(_CANCELLED)
