Let an unforeseen error of a library fail the call, not the process

A connection that is reset between connecting and the first request can raise it in grpclib without any shared channel.

Boundaries: the peer clients of jobs/ and of the earlier services, the HTTP client, and the connections to targets. By reading, hypercorn and grpclib's server log what a connection of theirs raises.

--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -18,6 +18,7 @@
 import httpx
 import msgspec
 
+from plantainvane import boundaries
 from plantainvane import settings as settings_module
 
 # Limit on the bytes that arrive before the headers of a reply are complete.
@@ -301,6 +302,14 @@
         except httpx.ReadTimeout:
             self._close_unused_since(started)
             raise
+        except httpx.HTTPError:
+            raise
+        except Exception as error:
+            now = asyncio.get_running_loop().time()
+            # The request may have been sent.
+            raise httpx.RemoteProtocolError(
+                boundaries.take_error(error, now)
+            ) from error
         finally:
             if connection is not None:
                 self._return_connection(connection)
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -14,10 +14,12 @@
 import msgspec
 import result
 
+from plantainvane import boundaries
 from plantainvane import events
 from plantainvane import outcomes
 from plantainvane import rpc_servers
 from plantainvane import settings as product_settings
+from plantainvane.jobs import clock
 from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import sources as sources_module
 
@@ -335,6 +337,9 @@
     ) as error:
         failure = outcomes.CallFailure.LOST
         detail = f"{type(error).__name__}: {error}"
+    except Exception as error:  # noqa: BLE001 - grpclib may raise any
+        failure = outcomes.CallFailure.LOST
+        detail = boundaries.take_error(error, clock.read_now())
     replies.append(result.Err(outcomes.CallError(failure, detail)))
 
 
--- a/plantainvane/peers.py
+++ b/plantainvane/peers.py
@@ -23,6 +23,7 @@
 import grpclib.server
 import result
 
+from plantainvane import boundaries
 from plantainvane import events
 from plantainvane import membership as membership_module
 from plantainvane import messages_grpc
@@ -525,6 +526,9 @@
             outcome.append(result.Ok(await work(*args)))
         except _CALL_ERRORS as error:
             outcome.append(result.Err(error))
+        except Exception as error:  # noqa: BLE001 - grpclib may raise any
+            boundaries.take_error(error, anyio.current_time())
+            outcome.append(result.Err(error))
 
     async with anyio.create_task_group() as group:
         group.start_soon(run_work)
--- a/plantainvane/targets.py
+++ b/plantainvane/targets.py
@@ -26,6 +26,7 @@
 import h11
 import result
 
+from plantainvane import boundaries
 from plantainvane import outcomes
 from plantainvane import settings as settings_module
 
@@ -105,11 +106,10 @@
         with anyio.fail_after(settings.requests.connect_timeout_s):
             stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as error:
-        return result.Err(
-            outcomes.CallError(
-                outcomes.CallFailure.UNREACHED,
-                str(error) or type(error).__name__,
-            )
+        return _make_unreached_error(str(error) or type(error).__name__)
+    except Exception as error:  # noqa: BLE001 - anyio may raise any
+        return _make_unreached_error(
+            boundaries.take_error(error, anyio.current_time())
         )
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     # Nagle's algorithm would delay a small request until a delayed ACK.
@@ -127,6 +127,14 @@
     )
 
 
+def _make_unreached_error(
+    detail: str,
+) -> result.Result[Connection, outcomes.CallError]:
+    return result.Err(
+        outcomes.CallError(outcomes.CallFailure.UNREACHED, detail)
+    )
+
+
 async def close_connection(connection: Connection) -> None:
     """Closes the connection, also within a cancelled scope."""
     connection.usable = False
@@ -186,6 +194,9 @@
             return _make_unknown("closed")
         except h11.RemoteProtocolError:
             return _make_unknown("framing")
+        except Exception as error:  # noqa: BLE001 - a library may raise any
+            boundaries.take_error(error, anyio.current_time())
+            return _make_unknown("library_error")
     return _make_unknown("timeout")
 
 
@@ -218,6 +229,9 @@
             return _make_unknown("closed")
         except h11.RemoteProtocolError:
             return _make_unknown("framing")
+        except Exception as error:  # noqa: BLE001 - a library may raise any
+            boundaries.take_error(error, anyio.current_time())
+            return _make_unknown("library_error")
     return _make_unknown("timeout")
 
 
