Bound leases by the last renewal of the owner's claim in the log

Cause: nobody tells how far an owner that is gone has extended its leases, so a successor waited 10.9 s from its own claim, the 5 s for which an owner goes on without the log and one lease.

New cases of an owner that is killed, frozen and cut off for good: the last two failed before; the trap, in which only the former owner reaches the runner, passes as before. The bound of takeovers in test_jobs_decisions is joined by two stricter ones; two tests that cut the log off and one fixture set the renewal, which they had not to name before.

--- a/plantainvane/jobs/former_owners.py
+++ b/plantainvane/jobs/former_owners.py
@@ -1,9 +1,9 @@
 """Asks the process that owned the jobs before when its leases have ended.
 
-Without its answer a new owner waits for the longest time for which an owner may
-extend leases without the log. Only the process itself, or a later process of
-its instance, can tell that it extends none any more: one that does not answer
-may be cut off from this process and still reach runners.
+Without its answer a new owner waits for as long as the last renewal of the
+claim before allows leases to last. Only the process itself, or a later process
+of its instance, can tell that it extends none any more: one that does not
+answer may be cut off from this process and still reach runners.
 """
 
 import anyio
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -28,7 +28,15 @@
         return None
     if owner.waives_leases or is_cut_off(owner, now):
         return runner.lease_until_ms or None
-    return runner.extend_lease(owner.settings, now) or None
+    return extend_lease(owner, runner, now) or None
+
+
+def extend_lease(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> int:
+    """Extends the lease of a runner as far as the owner's claim allows."""
+    limit = owner.renewed_at + owner.settings.lease_reach_s
+    return runner.extend_lease(owner.settings, now, limit)
 
 
 def is_cut_off(owner: state_module.Owner, now: float) -> bool:
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -180,7 +180,7 @@
         task=task.name,
         attempt=run.attempt,
         spec=task.job.job.spec,
-        lease_until_ms=runner.extend_lease(owner.settings, now),
+        lease_until_ms=leases.extend_lease(owner, runner, now),
         token=owner.epoch,
         checkpoint=task.checkpoint,
         ticket=ticket,
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -242,10 +242,15 @@
         self.late_lease_until = granted_by + _find_longest_lease_s(settings)
 
     def extend_lease(
-        self, settings: settings_module.Settings, now: float
+        self,
+        settings: settings_module.Settings,
+        now: float,
+        limit: float = float("inf"),
     ) -> int:
         """Returns the end of a lease sent now, on the runner's clock.
 
+        No lease is extended beyond `limit`, in seconds of this process's clock.
+
         The lease of a runner that is silent, or whose expiry is promised, is
         not extended, so that the time after which nothing can run there stays
         fixed. The clock counts as slow since its last reading, as a lease that
@@ -255,7 +260,10 @@
             return self.lease_until_ms
         slowest_rate = 1 - settings.clock_rate_error
         passed_s = (now - self.clock_read_at) * slowest_rate
-        until_ms = self.clock_ms + int((passed_s + settings.lease_s) * 1000)
+        lease_s = min(settings.lease_s, limit - now)
+        until_ms = self.clock_ms + int((passed_s + lease_s) * 1000)
+        if lease_s < settings.lease_s and until_ms <= self.lease_until_ms:
+            return self.lease_until_ms
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         self.lease_requested_at = now
         return self.lease_until_ms
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -93,9 +93,12 @@
     # Time without a ping reply after which the claims topic is read again, so
     # that renewals are observed before the owner is suspected.
     reread_after_s: float = 0.5
-    # An owner that cannot reach the log goes on renewing leases for this long.
-    # Together with the last lease this bridges an outage of about 10 s.
+    # An owner that cannot reach the log goes on for this long.
     log_outage_limit_s: float = 5.0
+    # No lease reaches beyond this time after the last renewal of the claim. It
+    # bridges an outage of the log of 5.5 s, and what a lost owner leaves behind
+    # ends early enough to run again within 9 s.
+    lease_reach_s: float = 6.5
     claim_jitter_s: float = 0.12
     # A process without any capacity would wait this much longer than the ablest
     # before it claims. The sum of both waits has to separate them despite the
@@ -161,12 +164,12 @@
 
     @property
     def old_lease_limit_s(self) -> float:
-        """Time after a takeover until leases of earlier owners have expired.
+        """Time after the last renewal of a claim until its leases have expired.
 
-        An earlier owner that is cut off from the log goes on renewing leases
-        until it steps down.
+        An owner that is cut off from the log goes on extending leases up to
+        `lease_reach_s`, and the last one may last longer on a slow clock.
         """
-        return self.log_outage_limit_s + self.lease_limit_s
+        return self.lease_reach_s + self.lease_limit_s - self.lease_s
 
     @property
     def lease_limit_s(self) -> float:
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -63,6 +63,12 @@
     Attributes:
       epoch: Offset of the claim record; the fencing token for runners.
       started_at: When the claim was won.
+      renewed_at: When the newest record of its claim was sent that is known to
+        be stored; bounds the leases that it gives.
+      renewal_sent_at: When the first renewal was sent of those that may be
+        stored; inf without any.
+      former_renewed_at: When the last record of the claim before was first
+        seen, or None without one; bounds the leases of earlier owners.
       claims_seen: When this process first saw each claim, by epoch.
       earlier_leases_until: When all leases of earlier owners have expired, by
         what they have said, or None if that is not known.
@@ -132,6 +138,9 @@
     expiries: expiries_module.LeaseExpiries = dataclasses.field(
         default_factory=expiries_module.LeaseExpiries
     )
+    renewed_at: float = float("inf")
+    renewal_sent_at: float = float("inf")
+    former_renewed_at: float | None = None
     claims_seen: dict[int, float] = dataclasses.field(default_factory=dict)
     earlier_leases_until: float | None = None
     waives_leases: bool = False
@@ -220,7 +229,10 @@
 
     def find_earlier_limit(self) -> float:
         """Returns when all leases of earlier owners have expired."""
-        limit = self.started_at + self.settings.old_lease_limit_s
+        renewed_at = self.started_at
+        if self.former_renewed_at is not None:
+            renewed_at = min(renewed_at, self.former_renewed_at)
+        limit = renewed_at + self.settings.old_lease_limit_s
         if self.earlier_leases_until is None:
             return limit
         return min(limit, self.earlier_leases_until)
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -1,5 +1,6 @@
 """Failover of the owner: failure detection, claims and planned handover."""
 
+import dataclasses
 import random
 
 import anyio
@@ -447,7 +448,9 @@
             return entry.owner is not None
         ownership, settings = entry.ownership, entry.settings
         before = ownership.epoch
-        former = ownership.claim if ownership.is_newest() else None
+        former, former_renewed_at = None, None
+        if ownership.is_newest():
+            former, former_renewed_at = ownership.claim, ownership.renewed_at
         waived_end = ownership.find_waived_end()
         events.log_event(
             events.CLAIM_STARTED,
@@ -455,12 +458,14 @@
             epoch=ownership.epoch,
             holder=ownership.claim.holder if ownership.claim else "",
             heard_ago_s=round(clock.read_now() - ownership.heard_at, 3),
+            renewed_ago_s=round(clock.read_now() - ownership.renewed_at, 3),
             end_offset=ownership.end_offset,
             waived=waived_end is not None,
         )
         claim = ownership_module.Claim(
             settings.id, entry.incarnation, settings.peer_address
         )
+        sent_at = clock.read_now()
         appended = await _append_claim(entry, claim)
         now = clock.read_now()
         won = appended.is_ok() and appended.ok_value.offset >= 0
@@ -489,8 +494,11 @@
         )
         if won:
             ready = anyio.Event()
+            succeeded = _Succeeded(
+                former, before, former_renewed_at, waived_end
+            )
             entry.group.start_soon(
-                _run_owner, entry, epoch, ready, former, before, waived_end
+                _run_owner, entry, epoch, ready, sent_at, succeeded
             )
             await ready.wait()
         return won
@@ -508,34 +516,51 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class _Succeeded:
+    """What a new owner knows of the claim before its own.
+
+    Attributes:
+      claim: That claim, or None without one that was surely the last.
+      epoch: Its epoch.
+      renewed_at: When its last record was first seen, or None.
+      leases_end_at: What its owner has told of the end of all leases, or None.
+    """
+
+    claim: ownership_module.Claim | None = None
+    epoch: int = -1
+    renewed_at: float | None = None
+    leases_end_at: float | None = None
+
+
 async def _run_owner(
     entry: process_module.Entry,
     epoch: int,
     ready: anyio.Event,
-    former: ownership_module.Claim | None = None,
-    former_epoch: int = -1,
-    waived_end: float | None = None,
+    claimed_at: float,
+    succeeded: _Succeeded,
 ) -> None:
     """Runs as the owner of `epoch`; sets `ready` once it has begun.
 
-    `former` is the claim before, of `former_epoch`, and `waived_end` what its
-    owner has told of the end of all leases.
+    `claimed_at` is when its claim was sent.
     """
 
     def on_created(owner: state_module.Owner) -> None:
         entry.owner, owner.load = owner, entry.load
-        owner.earlier_leases_until = waived_end
+        owner.renewed_at = claimed_at
+        owner.former_renewed_at = succeeded.renewed_at
+        owner.earlier_leases_until = succeeded.leases_end_at
         owner.claims_seen = entry.ownership.seen_at
         ready.set()
         group.start_soon(_renew_claims, entry, owner)
         group.start_soon(_seek_abler_owner, entry, owner)
-        if former is not None and waived_end is None:
+        if succeeded.claim is not None and succeeded.leases_end_at is None:
             group.start_soon(
                 former_owners.ask_former_owner,
                 entry,
                 owner,
-                former,
-                former_epoch,
+                succeeded.claim,
+                succeeded.epoch,
             )
 
     try:
@@ -605,9 +630,12 @@
     )
     appended = await _append_claim(entry, claim)
     now = clock.read_now()
+    # The record of a renewal without an answer may be found in the log later.
+    owner.renewal_sent_at = min(owner.renewal_sent_at, sent_at)
     if appended.is_err():
         entry.health.record_failure(appended.err_value.detail, now)
     elif appended.ok_value.offset >= 0:
+        _record_renewal(owner, sent_at)
         entry.health.record_success(entry.health.latency_s, now)
         ownership.end_offset = appended.ok_value.end_offset
         ownership.offset = appended.ok_value.offset
@@ -617,8 +645,19 @@
         return
     # The end of the topic has moved: the reply to an own append was lost, or
     # another process has appended a claim.
-    if await _read_claims(entry) and ownership.epoch > owner.epoch:
+    offset = ownership.offset
+    if not await _read_claims(entry):
+        return
+    if ownership.epoch > owner.epoch:
         owner.step_down("claim")
+    elif ownership.offset > offset:
+        _record_renewal(owner, owner.renewal_sent_at)
+
+
+def _record_renewal(owner: state_module.Owner, sent_at: float) -> None:
+    """Records that a renewal is stored that was sent at `sent_at` or later."""
+    owner.renewed_at = max(owner.renewed_at, sent_at)
+    owner.renewal_sent_at = float("inf")
 
 
 def check_epoch(
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -506,6 +506,12 @@
     # 6 s after its end, but only once 3 s and the 4 s before them were free of
     # faults.
     assert SETTINGS.suspect_after_s + SETTINGS.old_lease_limit_s <= 6 + 3 + 4
+    # The wait counts from the last renewal, which is read anew soon after the
+    # last answer of a lost owner.
+    assert SETTINGS.reread_after_s + SETTINGS.old_lease_limit_s <= 6 + 3
+    # What runs outlasts an outage of the log of the kind that the users have.
+    outage_s = 4.5
+    assert SETTINGS.lease_reach_s - SETTINGS.renew_s >= outage_s + 1.0
 
 
 def test_pace_of_an_earlier_owner_is_ordered_again():
--- a/tests/test_jobs_keeping.py
+++ b/tests/test_jobs_keeping.py
@@ -267,6 +267,7 @@
     # Guards against a lease that outlasts what a successor counts on.
     owner = make_loading_owner(machine)
     owner.health.record_success(0.01, machine.now)
+    owner.renewed_at = machine.now
     owner.health.record_failure("cut off", machine.now + 0.5)
     await keep_for(owner, machine, 9.0)
     limit_s = owner.settings.old_lease_limit_s
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -1,5 +1,6 @@
 """What the owner believes of leases, against a runner that grants them."""
 
+import random
 import types
 
 import pytest
@@ -430,16 +431,39 @@
     recovery._apply_entry(owner, "r", entry)
     charge_running_task(owner, machine)
     owner.health.record_success(0.01, machine.now)
+    owner.renewed_at = machine.now
     owner.health.record_failure("cut off", machine.now + 0.5)
     limit_s = owner.settings.log_outage_limit_s
     await poll_for(owner, machine, limit_s + owner_module._SWEEP_INTERVAL_S)
     assert machine.find_true_expiry() <= owner.settings.old_lease_limit_s
     # It renews them as soon as the log answers.
     owner.health.record_success(0.01, machine.now)
+    owner.renewed_at = machine.now
     sent_at = await poll_for(owner, machine, _STEP_S)
     assert machine.find_true_expiry() >= sent_at + owner.settings.lease_s - 0.1
 
 
+@pytest.mark.parametrize("rate", [1.0, _SLOWEST])
+@pytest.mark.parametrize("seed", range(5))
+async def test_no_lease_outlasts_what_the_last_renewal_of_the_claim_allows(
+    machine, rate, seed
+):
+    # Guards against a second start: a successor counts from the last renewal in
+    # the log, whatever else the log answers to the owner.
+    choices = random.Random(seed)
+    machine.rate = rate
+    owner = make_owner(machine)
+    recovery._apply_entry(owner, "r", make_entry(machine.read_clock_ms()))
+    charge_running_task(owner, machine)
+    for _ in range(40):
+        owner.health.record_success(0.01, machine.now)
+        if choices.random() < 0.3:
+            owner.renewed_at = machine.now
+        await poll_for(owner, machine, choices.uniform(0.0, 2.0))
+        limit = owner.renewed_at + owner.settings.old_lease_limit_s
+        assert machine.find_true_expiry() <= limit
+
+
 @pytest.mark.parametrize("late_s", [1.0, 2.0, 4.0])
 async def test_late_lease_on_a_clock_too_far_ahead_is_waited_for(
     machine, late_s
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -47,6 +47,7 @@
         load=load_module.Load(),
         paced_runners=set(),
         waives_leases=False,
+        renewed_at=float("inf"),
     )
 
 
--- a/tests/test_jobs_waivers.py
+++ b/tests/test_jobs_waivers.py
@@ -24,6 +24,8 @@
 # A long-running task has to run again 6 s after its last run, and is lost if it
 # does not for 3 s more.
 IDLE_LIMIT_S = 6.0 + 3.0
+# The entry of a runner that is gone is removed after three heartbeats.
+_ENTRY_EXPIRY_S = 3.3
 
 
 @pytest.fixture
@@ -271,6 +273,36 @@
         assert runner.lease_until_ms < runner.read_clock()
 
 
+@pytest.mark.parametrize("how", ["killed", "frozen", "cut_off"])
+async def test_tasks_run_again_in_time_beside_an_owner_that_is_gone_for_good(
+    how,
+):
+    # Guards against long-running tasks that stay away for 11 s and more, as
+    # nobody can tell how far the lost owner has extended its leases.
+    async with platform_system.run_system(entries=3, runners=2) as system:
+        owner, runner = await start_lasting_task(system)
+        runner.silent = True
+
+        async def unlist_later():
+            await anyio.sleep(_ENTRY_EXPIRY_S)
+            platform_system.unlist_runner(system, runner.id)
+
+        system.group.start_soon(unlist_later)
+        await anyio.sleep(0.5)
+        if how == "killed":
+            await system.kill(owner)
+        else:
+            others = [entry for entry in system.entries if entry is not owner]
+            system.cut(owner, list(system.runners), others)
+            system.cut_from_log(owner)
+            if how == "frozen":
+                system.isolate(owner)
+        await sessions.wait_until(
+            lambda: len(system.list_starts()) == 2, limit_s=IDLE_LIMIT_S - 0.5
+        )
+        assert runner.lease_until_ms < runner.read_clock()
+
+
 async def test_lease_that_only_the_former_owner_extends_is_waited_for():
     # Guards against a second start: the owner and a runner are cut off from the
     # log and from the others, but not from each other.
