--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -391,8 +391,8 @@
     machine.receives = False
     await poll_for(owner, machine, 2.0)
     assert owner.runners["r"].expiry_promised
-    # An owner that is cut off from the log still reaches the runner, and extends
-    # the lease as far as the last renewal of its claim allows.
+    # An owner that is cut off from the log still reaches the runner, and
+    # extends the lease as far as the last renewal of its claim allows.
     reach_ms = int(owner.settings.lease_reach_s * 1000)
     machine.grant(machine.offset_ms + reach_ms)
     machine.receives = True
