--- a/plantainvane/jobs/sources.py
+++ b/plantainvane/jobs/sources.py
@@ -198,5 +198,6 @@
 
 def choose_named(known: list[str], count: int) -> list[str]:
     """Chooses up to `count` of the peers that a reply may name, by chance."""
-    nameable = [address for address in known if is_nameable(address)]
-    return random.sample(nameable, min(len(nameable), count))
+    # Replies are frequent, so only those that are chosen are checked.
+    chosen = random.sample(known, min(len(known), count))
+    return [address for address in chosen if is_nameable(address)]
