--- /dev/null
+++ b/tests/test_jobs_reservations.py
@@ -0,0 +1,188 @@
+"""Room for long-running tasks that lost their run, beside a load that is full.
+
+The load is replayed against the decisions alone, in simulated time.
+"""
+
+import heapq
+import itertools
+
+import pytest
+
+from plantainvane.jobs import attempts
+from plantainvane.jobs import clock
+from plantainvane.jobs import model
+from plantainvane.jobs import scheduling
+from tests import test_jobs_decisions as decisions
+from tests import test_jobs_scheduling as scheduling_tests
+
+# From the users: a task that lasts runs again within 3 s of the time at which
+# it could; the project's own limit where a runner has the room.
+MAX_WAIT_S = 2.0
+PASS_S = 0.05
+SHORT_S = 0.54
+# Both kinds of tasks have the same priority at the users' sites.
+QUEUE = model.Queue("q", "h", "/q/", "s", 0, 2, 2.0, 1.0)
+
+
+@pytest.fixture
+def timeline(monkeypatch):
+    """Lets the code read the simulated time."""
+    times = [0.0]
+    monkeypatch.setattr(clock, "read_now", lambda: times[0])
+    return times
+
+
+class Fleet:
+    """Runners, long-running tasks and an endless queue of short tasks."""
+
+    def __init__(self, timeline, runners, cpu=16_000):
+        self.timeline = timeline
+        self.owner = scheduling_tests.make_owner(
+            *(decisions.make_runner(f"r{n}", cpu) for n in range(runners)),
+            queue=QUEUE,
+        )
+        self.owner.recovered = True
+        self.ends = []
+        self.order = itertools.count()
+        self.jobs = itertools.count()
+        self.starts = {}
+
+    def add_lasting(self, runner, count=1, **fields):
+        """Adds long-running tasks that run on a runner."""
+        step = decisions.make_step(long_running=True, count=count, **fields)
+        return decisions.place_runs(
+            self.owner.runners[runner],
+            self.owner.table,
+            step,
+            job_id=f"lasting{next(self.jobs)}",
+        )
+
+    def add_short(self, now, count, cpu, priority=0):
+        """Adds short tasks that can meet their objective."""
+        step = decisions.make_step(
+            count=count, cpu=cpu, estimate_ms=SHORT_S * 1000
+        )
+        queue = model.Queue("q", "h", "/q/", "s", priority, 2, 2.0, 3600.0)
+        job = model.Job(
+            id=f"short{next(self.jobs)}",
+            queue="q",
+            service="s",
+            accepted_ms=0,
+            spec="",
+            steps=(step,),
+        )
+        self.owner.table.add_job(job, queue, None, now=now, wall_ms=0)
+
+    def lose(self, run, now):
+        """Ends an attempt whose lease has ended."""
+        runner = self.owner.runners[run.runner]
+        runner.charge(run, -1)
+        self.owner.table.drop_run(run, now)
+
+    def advance(self, now):
+        """Ends what ends until `now`, then runs a scheduling pass.
+
+        Returns the number of short tasks that start.
+        """
+        self.timeline[0] = now
+        started = 0
+        while self.ends and self.ends[0][0] <= now:
+            _, _, run = heapq.heappop(self.ends)
+            self.owner.runners[run.runner].charge(run, -1)
+            self.owner.table.end_run(run, "done", "", now, 0)
+        self._end_stopped(now)
+        for runner in self.owner.runners.values():
+            if not runner.silent:
+                runner.answered_at = now
+        scheduling_tests.run_slices(self.owner, now)
+        for run in scheduling_tests.take_placed(self.owner):
+            run.phase = attempts.Phase.RUNNING
+            run.running_since = now
+            if run.task.step.definition.long_running:
+                run.progress_percent = 100.0
+                self.starts[run.task.name] = now
+            else:
+                entry = now + SHORT_S, next(self.order), run
+                heapq.heappush(self.ends, entry)
+                started += 1
+        self.check_capacity()
+        return started
+
+    def _end_stopped(self, now):
+        for runner in self.owner.runners.values():
+            for run in list(runner.runs):
+                if run.phase is attempts.Phase.STOPPING and not runner.silent:
+                    runner.charge(run, -1)
+                    self.owner.table.end_run(run, "stopped", "", now, 0)
+
+    def check_capacity(self):
+        for runner in self.owner.runners.values():
+            assert runner.cpu <= runner.entry.capacity.cpu
+            assert runner.memory_mb <= runner.entry.capacity.memory_mb
+
+
+def fill_with_shorts(fleet, cpu=1000):
+    """Lets short tasks fill all runners, with ends spread over time."""
+    tasks = sum(
+        r.entry.capacity.cpu // cpu for r in fleet.owner.runners.values()
+    )
+    steps = 12
+    for number in range(steps):
+        fleet.add_short(0.0, tasks // steps + 1, cpu)
+        fleet.advance(number * SHORT_S / steps)
+    return SHORT_S
+
+
+def test_long_running_task_that_lost_its_run_goes_before_short_tasks():
+    # Guards against a service that stays away while each piece of room goes to
+    # short tasks that can still be in time.
+    runner = decisions.make_runner(cpu=1000)
+    owner = scheduling_tests.make_owner(runner, queue=QUEUE)
+    lost = decisions.place_runs(
+        runner, owner.table, decisions.make_step(long_running=True)
+    )[0]
+    runner.charge(lost, -1)
+    owner.table.drop_run(lost, 5.0)
+    decisions.add_job(owner.table, decisions.make_step(), queue=QUEUE)
+    scheduling.place_ready_tasks(owner, 5.0)
+    assert scheduling_tests.list_placed(owner)[0][0] == lost.task.name
+
+
+def test_long_running_task_gets_room_that_short_tasks_leave_in_pieces(timeline):
+    # Guards against a service that waits for as long as a queue of short tasks
+    # lasts, as each takes the place of the one before it and no runner ever has
+    # room for more than one of them.
+    fleet = Fleet(timeline, runners=6)
+    lost = fleet.add_lasting("r0", cpu=4600, memory_mb=100)[0]
+    now = fill_with_shorts(fleet)
+    lost_at = now
+    fleet.lose(lost, now)
+    while lost.task.name not in fleet.starts and now < lost_at + 20.0:
+        fleet.add_short(now, 20, 1000)
+        fleet.advance(now)
+        now += PASS_S
+    assert fleet.starts.get(lost.task.name, 99.0) - lost_at <= MAX_WAIT_S
+
+
+def test_short_tasks_go_on_while_many_long_running_tasks_wait(timeline):
+    # Guards against reservations that keep more runners idle than the tasks
+    # which wait can use.
+    fleet = Fleet(timeline, runners=8)
+    lost = [
+        run
+        for number in range(8)
+        for run in fleet.add_lasting(f"r{number}", cpu=2600, memory_mb=100)
+    ]
+    now = lost_at = fill_with_shorts(fleet)
+    for run in lost:
+        fleet.lose(run, now)
+    started = 0
+    while now < lost_at + MAX_WAIT_S:
+        fleet.add_short(now, 20, 1000)
+        started += fleet.advance(now)
+        now += PASS_S
+    waits = [fleet.starts.get(r.task.name, 99.0) - lost_at for r in lost]
+    assert max(waits) <= MAX_WAIT_S
+    # What the long-running tasks leave could start this many.
+    possible = (8 * 16 - 8 * 2.6) * MAX_WAIT_S / SHORT_S
+    assert started >= possible / 2
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -69,6 +69,27 @@
     ]
 
 
+def take_placed(owner):
+    """Returns the ordered attempts, and forgets the orders."""
+    started, owner.group.started = owner.group.started, []
+    return [
+        run
+        for name, arguments in started
+        if name == "start_runs"
+        for run in arguments[1]
+    ]
+
+
+def run_slices(owner, now):
+    """Runs a whole pass at one time."""
+    current = scheduling.begin_pass(owner, now)
+    current.begin_slice(owner.runners, now)
+    for _ in scheduling.run_pass(owner, current):
+        pass
+    scheduling.start_placed(owner, current)
+    scheduling.end_pass(owner, current)
+
+
 def list_stopped(owner):
     return [
         arguments[1]
