--- a/plantainvane/jobs/eligibility.py
+++ b/plantainvane/jobs/eligibility.py
@@ -21,6 +21,7 @@
     PROBATION = "probation"
     LABEL = "label"
     NO_ROOM = "no_room"
+    RESERVED = "reserved"
     NO_FILL_ROOM = "no_fill_room"
     LIMIT_PER_RUNNER = "limit_per_runner"
     KEPT_FOR_TRIAL = "kept_for_trial"
@@ -88,6 +89,34 @@
     return runner.accelerators + amounts.accelerators <= capacity.accelerators
 
 
+def takes_reserved(
+    runner: runners_module.Runner, step: model.Step, reserve: float = 0.0
+) -> bool:
+    """Tells whether one more task would take room that is reserved there.
+
+    A task takes none of an amount that it does not need.
+    """
+    capacity, needs = runner.entry.capacity, step.amounts
+    reserved, memory_mb = runner.reserved, capacity.memory_mb * (1 - reserve)
+    return bool(
+        (
+            needs.cpu
+            and not step.fills
+            and runner.cpu + reserved.cpu + needs.cpu > capacity.cpu
+        )
+        or (
+            needs.memory_mb
+            and runner.memory_mb + reserved.memory_mb + needs.memory_mb
+            > memory_mb
+        )
+        or (
+            needs.accelerators
+            and runner.accelerators + reserved.accelerators + needs.accelerators
+            > capacity.accelerators
+        )
+    )
+
+
 def may_fit(
     step: model.Step,
     members: int,
@@ -101,6 +130,8 @@
     places = 0
     for runner in candidates:
         if has_capacity(runner, step) and accepts_step(runner, step, now):
+            if runner.reservations and takes_reserved(runner, step):
+                continue
             places += _count_places(runner, step, members - places)
         if places >= members:
             return True
@@ -111,10 +142,20 @@
     runner: runners_module.Runner, step: model.Step, limit: int
 ) -> int:
     capacity, amounts = runner.entry.capacity, step.amounts
+    reserved = runner.reserved
     unused = (
-        (0 if step.fills else amounts.cpu, capacity.cpu - runner.cpu),
-        (amounts.memory_mb, capacity.memory_mb - runner.memory_mb),
-        (amounts.accelerators, capacity.accelerators - runner.accelerators),
+        (
+            0 if step.fills else amounts.cpu,
+            capacity.cpu - runner.cpu - reserved.cpu,
+        ),
+        (
+            amounts.memory_mb,
+            capacity.memory_mb - runner.memory_mb - reserved.memory_mb,
+        ),
+        (
+            amounts.accelerators,
+            capacity.accelerators - runner.accelerators - reserved.accelerators,
+        ),
     )
     if step.max_per_runner:
         limit = min(limit, step.max_per_runner)
--- a/plantainvane/jobs/load.py
+++ b/plantainvane/jobs/load.py
@@ -235,6 +235,7 @@
             None,
             None,
         )
+        used, long_running = measure_use(runners.values())
         events.log_event(
             events.OWNER_LOAD,
             polls_per_s=round((polls - load.polls) / span_s, 1),
@@ -253,11 +254,26 @@
             least_lease_s=_round_s(lease_s),
             least_lease_runner=lease_runner,
             append_ms=int(store_latency_s * 1000),
+            used=round(used, 3),
+            used_long_running=round(long_running, 3),
             epoch=epoch,
         )
     load.summarized_at, load.polls, load.starts = now, polls, starts
     load.passes, load.longest_pass_s, load.max_lag_s = 0, 0.0, 0.0
 
 
+def measure_use(
+    runners: Iterable[runners_module.Runner],
+) -> tuple[float, float]:
+    """Returns the shares of the processors that all and long-running tasks use.
+
+    Fill tasks do not count, nor do runners that start nothing.
+    """
+    usable = [r for r in runners if r.listed and not r.entry.draining]
+    capacity = max(1, sum(r.entry.capacity.cpu for r in usable))
+    used = sum(r.cpu for r in usable)
+    return used / capacity, sum(r.serving_cpu for r in usable) / capacity
+
+
 def _round_s(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -92,6 +92,12 @@
     ["kind"],
     buckets=(0.01, 0.05, 0.25, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 20.0, 60.0),
 )
+RESTART_WAIT_SECONDS = prometheus_client.Histogram(
+    "plantainvane_restart_wait_seconds",
+    "Time from the known end of a long-running task's attempt to the placement "
+    "of the next one.",
+    buckets=(0.01, 0.05, 0.25, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 20.0, 60.0),
+)
 TASK_WAITS = prometheus_client.Counter(
     "plantainvane_task_waits_total",
     "Reports of a ready task that waits, by kind and reason.",
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -178,6 +178,7 @@
         runner.speed,
         runner.fill_cpu,
         runner.charges,
+        runner.reserved,
     )
 
 
@@ -412,6 +413,10 @@
         return refusal
     if not eligibility.has_capacity(runner, step, reserve):
         return eligibility.Obstacle.NO_ROOM
+    if runner.reservations and eligibility.takes_reserved(
+        runner, step, reserve
+    ):
+        return eligibility.Obstacle.RESERVED
     if trials.is_kept_for_other(runner, task, now):
         return eligibility.Obstacle.KEPT_FOR_TRIAL
     if step.fills and measure_fill_room(runner) < step.amounts.cpu:
@@ -558,6 +563,10 @@
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not eligibility.has_capacity(runner, step, reserve):
         return None
+    if runner.reservations and eligibility.takes_reserved(
+        runner, step, reserve
+    ):
+        return None
     if not eligibility.accepts_step(runner, step, now) or (
         trials.is_kept_for_other(runner, task, now)
     ):
@@ -615,6 +624,27 @@
     return score * min(1.0, runner.speed) if score > 0 else score
 
 
+def score_runner(
+    task: attempts.Task,
+    runner: runners_module.Runner,
+    interference_model: interference.InterferenceModel,
+    estimates: Estimates,
+    now: float,
+) -> float:
+    """Scores a runner for a task as if it had room for it."""
+    score = _score_runner(
+        task,
+        task.step.definition,
+        runner,
+        {},
+        interference_model,
+        estimates,
+        now,
+        True,
+    )
+    return float("-inf") if score is None else score
+
+
 def _measure_image_similarity(
     runner: runners_module.Runner, step: model.Step
 ) -> float:
--- a/plantainvane/jobs/preemption.py
+++ b/plantainvane/jobs/preemption.py
@@ -42,16 +42,26 @@
 
     __slots__ = ("accelerators", "cpu", "memory_mb")
 
-    def __init__(self, step: model.Step, runner: runners_module.Runner):
-        """Counts as `eligibility.has_capacity` does."""
+    def __init__(self, task: attempts.Task, runner: runners_module.Runner):
+        """Counts as `eligibility` does, without what is reserved for the task.
+
+        A task takes none of an amount that it does not need.
+        """
+        step = task.step.definition
         capacity, amounts = runner.entry.capacity, step.amounts
         reserve = placement.FILL_MEMORY_RESERVE if step.fills else 0.0
-        self.cpu = runner.cpu + (0 if step.fills else amounts.cpu)
-        self.cpu -= capacity.cpu
-        self.memory_mb = runner.memory_mb + amounts.memory_mb
-        self.memory_mb -= capacity.memory_mb * (1 - reserve)
-        self.accelerators = runner.accelerators + amounts.accelerators
-        self.accelerators -= capacity.accelerators
+        held = runner.reserved
+        own = runner.reservations.get(task.name, model.Amounts())
+        self.cpu = runner.cpu - capacity.cpu
+        if amounts.cpu and not step.fills:
+            self.cpu += amounts.cpu + held.cpu - own.cpu
+        self.memory_mb = runner.memory_mb - capacity.memory_mb * (1 - reserve)
+        if amounts.memory_mb:
+            self.memory_mb += amounts.memory_mb + held.memory_mb - own.memory_mb
+        self.accelerators = runner.accelerators - capacity.accelerators
+        if amounts.accelerators:
+            self.accelerators += amounts.accelerators
+            self.accelerators += held.accelerators - own.accelerators
 
     def is_nothing(self) -> bool:
         return max(self.cpu, self.memory_mb, self.accelerators) <= 0
@@ -73,7 +83,7 @@
 def _pick_victims(
     task: attempts.Task, runner: runners_module.Runner, now: float
 ) -> tuple[list[attempts.Run], float]:
-    missing = _Missing(task.step.definition, runner)
+    missing = _Missing(task, runner)
     priority = task.job.queue.priority
     chosen: list[attempts.Run] = []
     cost = 0.0
--- /dev/null
+++ b/plantainvane/jobs/reservations.py
@@ -0,0 +1,286 @@
+"""Reserves room on runners for long-running tasks that have lost their run.
+
+On a full service each piece of room that becomes free is taken by the next
+short task, so that a larger task would find none before the load ends. Nothing
+starts on a runner that would take room reserved there.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from plantainvane import events
+from plantainvane.jobs import attempts
+from plantainvane.jobs import eligibility
+from plantainvane.jobs import model
+from plantainvane.jobs import placement
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import state as state_module
+from plantainvane.jobs import trials
+
+# A reservation that has not been used for this long is given up, and another
+# runner is looked for.
+_MAX_HELD_S = 6.0
+# No room is reserved where it would take longer than this to become free.
+_MAX_EXPECTED_S = 4.0
+# Part of a service's runners on which room may be reserved at a time, so that
+# short tasks go on.
+_MAX_RUNNERS_SHARE = 0.25
+# Searches for room in one pass; each looks at all runners of a service.
+_MAX_SEARCHES = 8
+# Among runners with room about as soon, the one that suits the task best.
+_EQUAL_WAIT_S = 0.25
+# Expected time until the end of an attempt that is being stopped, and the least
+# of any other.
+_STOPPING_S = 0.3
+_LEAST_LEFT_S = 0.05
+_LEAST_PACE_PERCENT = 20
+
+
+class Search:
+    """Searches of one pass, and the amounts for which one found no runner."""
+
+    __slots__ = ("failed", "left")
+
+    def __init__(self):
+        self.left = _MAX_SEARCHES
+        self.failed: dict[tuple[str, str], list[model.Amounts]] = {}
+
+    def begin(self, service: str, step: model.Step) -> bool:
+        """Tells whether a search may be made that can find a runner."""
+        failed = self.failed.get((service, step.required_label), ())
+        if not self.left or any(
+            other.cpu <= step.amounts.cpu
+            and other.memory_mb <= step.amounts.memory_mb
+            and other.accelerators <= step.amounts.accelerators
+            for other in failed
+        ):
+            return False
+        self.left -= 1
+        return True
+
+    def note_failure(self, service: str, step: model.Step) -> None:
+        """Records that no runner has room for a step soon."""
+        if not step.max_per_runner:
+            key = service, step.required_label
+            self.failed.setdefault(key, []).append(step.amounts)
+
+
+def is_restart(task: attempts.Task) -> bool:
+    """Tells whether a task has lost its run and is to run again soon."""
+    step = task.step.definition
+    return step.long_running and not step.gang and task.attempt > 0
+
+
+def drop_stale(owner: state_module.Owner, now: float) -> list[str]:
+    """Drops the reservations that are not needed or cannot be used any more.
+
+    Returns the runners that may have more room.
+    """
+    changed = []
+    for name, reservation in list(owner.reservations.items()):
+        reason = _find_fault(owner, reservation, now)
+        if reason:
+            changed.append(reservation.runner)
+            release(owner, name, reason, now)
+    return changed
+
+
+def _find_fault(
+    owner: state_module.Owner,
+    reservation: state_module.Reservation,
+    now: float,
+) -> str:
+    """Returns why a reservation is dropped, or empty."""
+    task = reservation.task
+    runner = owner.runners.get(reservation.runner)
+    if owner.table.ready.get(task.name) is not task:
+        return "not needed"
+    if runner is None or not _accepts(runner, task, now):
+        return "runner not usable"
+    step = task.step.definition
+    if runner.serving_cpu + step.amounts.cpu > runner.entry.capacity.cpu:
+        return "no room"
+    if now - reservation.since > _MAX_HELD_S:
+        return "too late"
+    return ""
+
+
+def _accepts(
+    runner: runners_module.Runner, task: attempts.Task, now: float
+) -> bool:
+    """Tells whether a runner would start a task, now or after its backoff."""
+    refusal = eligibility.find_refusal(runner, task.step.definition, now)
+    return refusal in (None, eligibility.Obstacle.BACKOFF)
+
+
+def release(
+    owner: state_module.Owner, name: str, reason: str, now: float
+) -> None:
+    """Ends the reservation for a task, if there is one."""
+    reservation = owner.reservations.pop(name, None)
+    if reservation is None:
+        return
+    runner = owner.runners.get(reservation.runner)
+    if runner is not None:
+        runner.release_room(name)
+    events.log_event(
+        events.RESERVATION_ENDED,
+        task=name,
+        runner=reservation.runner,
+        reason=reason,
+        held_s=round(now - reservation.since, 3),
+        expected_s=round(reservation.expected_s, 3),
+        epoch=owner.epoch,
+    )
+
+
+def reserve(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    candidates: Iterable[runners_module.Runner],
+    search: Search,
+    estimates: placement.Estimates,
+    now: float,
+) -> str:
+    """Reserves room where a task fits soonest, unless it has a reservation.
+
+    Args:
+      owner: The owner.
+      task: A long-running task that has lost its run and finds no runner.
+      candidates: The runners that may be used.
+      search: Searches of this pass.
+      estimates: Intermediate results of the scheduling pass.
+      now: Present time, in seconds.
+
+    Returns:
+      The id of the runner on which room is reserved, or empty.
+    """
+    known = owner.reservations.get(task.name)
+    if known is not None:
+        return known.runner
+    service, step = task.job.queue.service, task.step.definition
+    if not search.begin(service, step):
+        return ""
+    found = _find_soonest(owner, task, list(candidates), estimates, now)
+    if found is None:
+        search.note_failure(service, step)
+        return ""
+    wait_s, runner = found
+    runner.reserve_room(task.name, step.amounts)
+    estimates.forget_runner(runner.entry.id)
+    owner.reservations[task.name] = state_module.Reservation(
+        task, runner.entry.id, now, wait_s
+    )
+    events.log_event(
+        events.ROOM_RESERVED,
+        task=task.name,
+        runner=runner.entry.id,
+        waited_s=round(now - task.ready_since, 3),
+        expected_s=round(wait_s, 3),
+        cpu=step.amounts.cpu,
+        memory_mb=step.amounts.memory_mb,
+        used_cpu=runner.cpu,
+        used_memory_mb=runner.memory_mb,
+        reserved=len(owner.reservations),
+        epoch=owner.epoch,
+    )
+    return runner.entry.id
+
+
+def _find_soonest(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    candidates: list[runners_module.Runner],
+    estimates: placement.Estimates,
+    now: float,
+) -> tuple[float, runners_module.Runner] | None:
+    """Returns the expected wait and the runner where a task fits soonest."""
+    in_use = {r.runner for r in owner.reservations.values()}
+    full = len(in_use) >= max(1, _MAX_RUNNERS_SHARE * len(candidates))
+    has_place = placement.check_places(task, estimates)
+    found: list[tuple[float, runners_module.Runner]] = []
+    for runner in candidates:
+        if (
+            (full and runner.entry.id not in in_use)
+            or not has_place(runner.entry.id)
+            or not _accepts(runner, task, now)
+            or trials.is_kept_for_other(runner, task, now)
+        ):
+            continue
+        wait_s = estimate_wait(runner, task.step.definition, now)
+        if wait_s is not None and wait_s <= _MAX_EXPECTED_S:
+            found.append((wait_s, runner))
+    if not found:
+        return None
+    limit = min(wait_s for wait_s, _ in found) + _EQUAL_WAIT_S
+    score = _make_score(owner, task, estimates, now)
+    return max(
+        (item for item in found if item[0] <= limit),
+        key=lambda item: score(item[1]),
+    )
+
+
+def _make_score(
+    owner: state_module.Owner,
+    task: attempts.Task,
+    estimates: placement.Estimates,
+    now: float,
+) -> Callable[[runners_module.Runner], float]:
+    return lambda runner: placement.score_runner(
+        task, runner, owner.interference_model, estimates, now
+    )
+
+
+def estimate_wait(
+    runner: runners_module.Runner, step: model.Step, now: float
+) -> float | None:
+    """Returns the seconds until a runner has room; None if it never has.
+
+    Long-running tasks are not expected to end. What is reserved there counts as
+    in use.
+    """
+    capacity, needs = runner.entry.capacity, step.amounts
+    if runner.serving_cpu + runner.reserved.cpu + needs.cpu > capacity.cpu:
+        return None
+    cpu = runner.cpu + runner.reserved.cpu + needs.cpu - capacity.cpu
+    memory_mb = runner.memory_mb + runner.reserved.memory_mb
+    memory_mb += needs.memory_mb - capacity.memory_mb
+    accelerators = runner.accelerators + runner.reserved.accelerators
+    accelerators += needs.accelerators - capacity.accelerators
+    if max(cpu, memory_mb, accelerators) <= 0:
+        return 0.0
+    ends = sorted(
+        (left_s, number, run)
+        for number, run in enumerate(runner.runs)
+        if (left_s := estimate_left(run, runner, now)) is not None
+    )
+    for left_s, _, run in ends:
+        freed = run.task.step.definition
+        cpu -= 0 if freed.fills else freed.amounts.cpu
+        memory_mb -= freed.amounts.memory_mb
+        accelerators -= freed.amounts.accelerators
+        if max(cpu, memory_mb, accelerators) <= 0:
+            return left_s
+    return None
+
+
+def estimate_left(
+    run: attempts.Run, runner: runners_module.Runner, now: float
+) -> float | None:
+    """Returns the seconds until an attempt is expected to end, or None."""
+    step = run.task.step.definition
+    if run.phase is attempts.Phase.STOPPING:
+        return _STOPPING_S
+    if step.long_running:
+        return None
+    worked_s = 0.0
+    if run.phase is attempts.Phase.RUNNING:
+        worked_s = max(0.0, now - max(run.running_since, run.ordered_at))
+    left_s = step.estimate_ms / 1000
+    if run.progress_percent > 0:
+        since_s = max(0.0, now - run.progress_changed_at)
+        left_s *= 1 - run.progress_percent / 100
+        worked_s = min(worked_s, since_s)
+    pace = max(run.pace_percent, _LEAST_PACE_PERCENT) / 100
+    left_s = left_s / (max(runner.speed, 0.1) * pace) - worked_s
+    return max(_LEAST_LEFT_S, left_s)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -96,6 +96,8 @@
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
       serving_cpu: The part of `cpu` that belongs to long-running tasks.
+      reservations: What is reserved there, by name of the task.
+      reserved: Their sum.
       backoff_until: No task is started before this time, because a start was
         rejected for lack of capacity or has failed.
       probation_until: Until this time a task is started only while nothing
@@ -158,6 +160,10 @@
     accelerators: int = 0
     fill_cpu: int = 0
     serving_cpu: int = 0
+    reservations: dict[str, model.Amounts] = dataclasses.field(
+        default_factory=dict
+    )
+    reserved: model.Amounts = model.Amounts()
     backoff_until: float = 0.0
     probation_until: float = 0.0
     faults: int = 0
@@ -188,6 +194,24 @@
         self.memory_mb += sign * step.amounts.memory_mb
         self.accelerators += sign * step.amounts.accelerators
 
+    def reserve_room(self, task: str, amounts: model.Amounts) -> None:
+        """Keeps room free for a task."""
+        self.reservations[task] = amounts
+        self._sum_reservations()
+
+    def release_room(self, task: str) -> None:
+        """Ends what is reserved for a task, if anything is."""
+        if self.reservations.pop(task, None) is not None:
+            self._sum_reservations()
+
+    def _sum_reservations(self) -> None:
+        amounts = self.reservations.values()
+        self.reserved = model.Amounts(
+            sum(a.cpu for a in amounts),
+            sum(a.memory_mb for a in amounts),
+            sum(a.accelerators for a in amounts),
+        )
+
     def change_pace(self, run: attempts.Run, percent: int, now: float) -> None:
         """Records a new pace and charges the processors used at that pace."""
         charged = run in self.runs
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -9,6 +9,7 @@
 import heapq
 from typing import Any
 
+from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import eligibility
@@ -18,6 +19,7 @@
 from plantainvane.jobs import placement
 from plantainvane.jobs import preemption
 from plantainvane.jobs import relocation
+from plantainvane.jobs import reservations
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import stops
@@ -60,15 +62,18 @@
 class Urgency(enum.IntEnum):
     """Rank of a task among tasks of the same priority; the lowest goes first.
 
-    A task that can still meet its objective goes before a long-running one,
-    which occupies its resources for long. A late job has little value left, and
-    a job past three objectives (EXPIRED) has none.
+    A long-running task that has lost its run (RESTART) earns for each second
+    that it runs, and is to run again soon. A task that can still meet its
+    objective goes before the first run of a long-running one, which occupies
+    its resources for long. A late job has little value left, and a job past
+    three objectives (EXPIRED) has none.
     """
 
-    ON_TIME = 0
-    LONG_RUNNING = 1
-    LATE = 2
-    EXPIRED = 3
+    RESTART = 0
+    ON_TIME = 1
+    LONG_RUNNING = 2
+    LATE = 3
+    EXPIRED = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,6 +94,7 @@
       placing_limit_s: Time for which it places tasks.
       placing_since: When it had listed the ready tasks, or None.
       out_of_time: It has ended before it has tried all ready tasks.
+      search: Searches for room to reserve.
     """
 
     now: float
@@ -106,6 +112,9 @@
     placing_limit_s: float = float("inf")
     placing_since: float | None = None
     out_of_time: bool = False
+    search: reservations.Search = dataclasses.field(
+        default_factory=reservations.Search
+    )
 
     def has_placed_for(self, share: float) -> bool:
         """Tells whether a share of the time for placing tasks has passed."""
@@ -163,6 +172,8 @@
     placed, current.placed = current.placed, []
     for run in placed:
         owner.backlog.placed[run.task.job.queue.priority] += 1
+        if run.attempt > 1 and reservations.is_restart(run.task):
+            _report_restart(owner, run)
         metrics.TASK_WAIT_SECONDS.labels(
             metrics.name_kind(run.task.step.definition.long_running)
         ).observe(run.ordered_at - find_wait_start(run.task))
@@ -170,6 +181,20 @@
         owner.group.start_soon(orders.start_runs, owner, placed)
 
 
+def _report_restart(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Logs how long a long-running task waited for a runner."""
+    waited_s = run.ordered_at - find_wait_start(run.task)
+    metrics.RESTART_WAIT_SECONDS.observe(waited_s)
+    events.log_event(
+        events.LONG_RUNNING_RESTARTED,
+        task=run.task.name,
+        attempt=run.attempt,
+        runner=run.runner,
+        waited_s=round(waited_s, 3),
+        epoch=owner.epoch,
+    )
+
+
 def find_wait_start(task: attempts.Task) -> float:
     """Returns when a ready task could have started at the earliest."""
     return max(task.ready_since, task.step.due_at)
@@ -213,6 +238,8 @@
     where the last one ended. Tasks that become ready in between are not added
     to what is kept, so all of it has its turn however many do.
     """
+    for runner in reservations.drop_stale(owner, current.now):
+        current.estimates.note_change(runner)
     kept = owner.unvisited
     listed = yield from _list_by_urgency(owner, current.now)
     current.placing_since = current.now
@@ -260,6 +287,8 @@
                 continue
             runs = _place_task_or_gang(owner, task, current)
             waits = trials.is_waiting_for_trial(task, current.now)
+            # Other tasks of the step may have room reserved.
+            waits = waits or reservations.is_restart(task)
             if task.step.definition.gang or not (runs or waits):
                 blocked.add(group.step)
             current.placed.extend(runs)
@@ -299,7 +328,9 @@
         if _is_due(task, now):
             key: object = step
             if step.definition.long_running:
-                key = task if task.crashes else (step, task.ready_since)
+                key = (step, task.ready_since, task.attempt > 0)
+                if task.crashes:
+                    key = task
             group = groups.get(key)
             if group is None:
                 groups[key] = state_module.ReadyGroup(step, [task])
@@ -308,7 +339,8 @@
         if not number % _LISTED_PER_TURN:
             yield
     ordered = yield from _sort_in_turns(
-        list(groups.values()), lambda group: _rank_task(group.tasks[0], now)
+        list(groups.values()),
+        lambda group: _rank_task(group.tasks[0], now),
     )
     if owner.unvisited:
         ordered = mix_oldest(list(ordered), now)
@@ -393,16 +425,53 @@
     else:
         candidates = None
         runner = _choose_unblocked(owner, task, queue.service, current)
+    runner = runner or _choose_reserved(owner, task, current)
     if runner is not None:
         return [_begin_run(owner, task, runner, current)]
     if trials.is_waiting_for_trial(task, current.now) and (
         _wait_for_trial(owner, task, queue.service, candidates, current)
     ):
         return []
-    _preempt(owner, task, candidates, current)
+    if task.name in owner.reservations:
+        return []
+    freed = _preempt(owner, task, candidates, current)
+    if reservations.is_restart(task):
+        if candidates is None:
+            candidates = list_runners(owner, queue.service)
+        reservations.reserve(
+            owner,
+            task,
+            [owner.runners[freed]] if freed else candidates,
+            current.search,
+            current.estimates,
+            current.now,
+        )
     return []
 
 
+def _choose_reserved(
+    owner: state_module.Owner, task: attempts.Task, current: Pass
+) -> runners_module.Runner | None:
+    """Returns the runner on which room is reserved, once the task fits there.
+
+    What is reserved for other tasks stays free.
+    """
+    reservation = owner.reservations.get(task.name)
+    if reservation is None or reservation.runner not in owner.runners:
+        return None
+    runner = owner.runners[reservation.runner]
+    runner.release_room(task.name)
+    chosen = placement.choose_runner(
+        task,
+        [runner],
+        owner.interference_model,
+        current.now,
+        current.estimates,
+    )
+    runner.reserve_room(task.name, task.step.definition.amounts)
+    return chosen
+
+
 def _wait_for_trial(
     owner: state_module.Owner,
     task: attempts.Task,
@@ -528,7 +597,7 @@
     task: attempts.Task,
     candidates: list[runners_module.Runner] | None,
     current: Pass,
-) -> None:
+) -> str:
     """Stops the cheapest attempts that make room for a task.
 
     Args:
@@ -536,6 +605,9 @@
       task: A task that found no runner.
       candidates: The runners that may be used; None for all of the service.
       current: The scheduling pass.
+
+    Returns:
+      The id of the runner on which they are stopped, or empty.
     """
     queue = task.job.queue
     if candidates is None:
@@ -553,8 +625,10 @@
         ]
     has_place = placement.check_places(task, current.estimates)
     candidates = [r for r in candidates if has_place(r.entry.id)]
-    for run in preemption.find_victims(task, candidates, current.now):
+    victims = preemption.find_victims(task, candidates, current.now)
+    for run in victims:
         stops.stop_run(owner, run, f"preempted for {task.name}")
+    return victims[0].runner if victims else ""
 
 
 def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
@@ -660,6 +734,8 @@
     due = job.deadline - step.critical_path_s
     if step.definition.long_running:
         urgency, due = Urgency.LONG_RUNNING, task.ready_since
+        if reservations.is_restart(task):
+            urgency = Urgency.RESTART
     elif now > due + 2 * job.objective_s:
         urgency = Urgency.EXPIRED
     elif now > due + _ESTIMATE_TOLERANCE * job.objective_s:
@@ -682,6 +758,12 @@
     run.ordered_ms = clock.read_wall_ms()
     trials.begin_trial(runner, task, current.now)
     runner.charge(run)
+    reservation = owner.reservations.get(task.name)
+    if reservation is not None:
+        used = reservation.runner == runner.entry.id
+        reason = "used" if used else "started elsewhere"
+        reservations.release(owner, task.name, reason, current.now)
+        current.estimates.note_change(reservation.runner)
     current.estimates.forget_runner(runner.entry.id)
     current.estimates.count_run(run)
     return run
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -56,6 +56,23 @@
     )
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Reservation:
+    """Room on a runner that is kept free for a task.
+
+    Attributes:
+      task: The task.
+      runner: Id of the runner.
+      since: When it was reserved.
+      expected_s: Time after which the room was expected to be free.
+    """
+
+    task: attempts.Task
+    runner: str
+    since: float
+    expected_s: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Owner:
     """State of the owner of one epoch.
@@ -90,6 +107,7 @@
       pass_requested: Set to start a scheduling pass.
       unvisited: Ready tasks that an earlier scheduling pass has listed and none
         has tried since, in their order.
+      reservations: Room that is kept free for tasks, by name of the task.
       next_move_at, next_clear_at, next_effects_at: Earliest time to move slowed
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
@@ -164,6 +182,9 @@
     unvisited: collections.deque[ReadyGroup] = dataclasses.field(
         default_factory=collections.deque
     )
+    reservations: dict[str, Reservation] = dataclasses.field(
+        default_factory=dict
+    )
     next_move_at: float = 0.0
     next_clear_at: float = 0.0
     next_effects_at: float = 0.0
--- a/tests/test_jobs_decisions.py
+++ b/tests/test_jobs_decisions.py
@@ -76,8 +76,8 @@
     return runner
 
 
-def place_runs(runner, table, *steps, job_id="other"):
-    state = add_job(table, *steps, job_id=job_id)
+def place_runs(runner, table, *steps, job_id="other", queue=QUEUE):
+    state = add_job(table, *steps, job_id=job_id, queue=queue)
     runs = []
     for step_state in state.steps.values():
         for task in step_state.tasks:
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -55,6 +55,7 @@
             self.owner.table,
             step,
             job_id=f"lasting{next(self.jobs)}",
+            queue=QUEUE,
         )
 
     def add_short(self, now, count, cpu, priority=0):
@@ -74,8 +75,9 @@
         self.owner.table.add_job(job, queue, None, now=now, wall_ms=0)
 
     def lose(self, run, now):
-        """Ends an attempt whose lease has ended."""
+        """Ends an attempt whose lease has ended, and takes its runner away."""
         runner = self.owner.runners[run.runner]
+        runner.listed = False
         runner.charge(run, -1)
         self.owner.table.drop_run(run, now)
 
@@ -139,12 +141,15 @@
     runner = decisions.make_runner(cpu=1000)
     owner = scheduling_tests.make_owner(runner, queue=QUEUE)
     lost = decisions.place_runs(
-        runner, owner.table, decisions.make_step(long_running=True)
+        runner,
+        owner.table,
+        decisions.make_step(long_running=True),
+        queue=QUEUE,
     )[0]
     runner.charge(lost, -1)
-    owner.table.drop_run(lost, 5.0)
+    owner.table.drop_run(lost, 1.0)
     decisions.add_job(owner.table, decisions.make_step(), queue=QUEUE)
-    scheduling.place_ready_tasks(owner, 5.0)
+    scheduling.place_ready_tasks(owner, 1.0)
     assert scheduling_tests.list_placed(owner)[0][0] == lost.task.name
 
 
@@ -167,11 +172,13 @@
 def test_short_tasks_go_on_while_many_long_running_tasks_wait(timeline):
     # Guards against reservations that keep more runners idle than the tasks
     # which wait can use.
-    fleet = Fleet(timeline, runners=8)
+    fleet = Fleet(timeline, runners=12)
     lost = [
         run
-        for number in range(8)
-        for run in fleet.add_lasting(f"r{number}", cpu=2600, memory_mb=100)
+        for number in range(3)
+        for run in fleet.add_lasting(
+            f"r{number}", count=3, cpu=2600, memory_mb=100
+        )
     ]
     now = lost_at = fill_with_shorts(fleet)
     for run in lost:
@@ -184,5 +191,5 @@
     waits = [fleet.starts.get(r.task.name, 99.0) - lost_at for r in lost]
     assert max(waits) <= MAX_WAIT_S
     # What the long-running tasks leave could start this many.
-    possible = (8 * 16 - 8 * 2.6) * MAX_WAIT_S / SHORT_S
+    possible = (9 * 16 - 9 * 2.6) * MAX_WAIT_S / SHORT_S
     assert started >= possible / 2
