--- a/plantainvane/jobs/reservations.py
+++ b/plantainvane/jobs/reservations.py
@@ -5,6 +5,7 @@
 starts on a runner that would take room reserved there.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -25,6 +26,10 @@
 # Part of a service's runners on which room may be reserved at a time, so that
 # short tasks go on.
 _MAX_RUNNERS_SHARE = 0.25
+# Share of a service's processors that long-running tasks may use before those
+# that have lost their run go after tasks that are in time, or these would find
+# no room at all.
+_MAX_LONG_RUNNING_SHARE = 0.9
 # Searches for room in one pass; each looks at all runners of a service.
 _MAX_SEARCHES = 8
 # Among runners with room about as soon, the one that suits the task best.
@@ -36,6 +41,31 @@
 _LEAST_PACE_PERCENT = 20
 
 
+class Use:
+    """Processors of each service, and what long-running tasks use of them."""
+
+    __slots__ = ("capacity", "crowded_first", "used")
+
+    def __init__(self, runners: Iterable[runners_module.Runner] = ()):
+        self.capacity: collections.Counter[str] = collections.Counter()
+        self.used: collections.Counter[str] = collections.Counter()
+        for runner in runners:
+            entry = runner.entry
+            if runner.listed and not runner.silent and not entry.draining:
+                self.capacity[entry.service] += entry.capacity.cpu
+                self.used[entry.service] += runner.serving_cpu
+        self.crowded_first = set(filter(self.is_crowded, self.capacity))
+
+    def is_crowded(self, service: str) -> bool:
+        """Tells whether long-running tasks leave hardly any room."""
+        limit = _MAX_LONG_RUNNING_SHARE * self.capacity[service]
+        return self.used[service] > limit
+
+    def has_become_crowded(self, service: str) -> bool:
+        """Tells whether that is so only since the pass has ranked its tasks."""
+        return self.is_crowded(service) and service not in self.crowded_first
+
+
 class Search:
     """Searches of one pass, and the amounts for which one found no runner."""
 
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -62,18 +62,20 @@
 class Urgency(enum.IntEnum):
     """Rank of a task among tasks of the same priority; the lowest goes first.
 
-    A long-running task that has lost its run (RESTART) earns for each second
-    that it runs, and is to run again soon. A task that can still meet its
-    objective goes before the first run of a long-running one, which occupies
-    its resources for long. A late job has little value left, and a job past
-    three objectives (EXPIRED) has none.
+    A long-running task that has lost its run (RESTART) is to run again soon,
+    but goes after short tasks where long-running ones leave these hardly any
+    room (CROWDED_RESTART). A task that can still meet its objective goes before
+    the first run of a long-running one, which occupies its resources for long.
+    A late job has little value left, and a job past three objectives (EXPIRED)
+    has none.
     """
 
     RESTART = 0
     ON_TIME = 1
-    LONG_RUNNING = 2
-    LATE = 3
-    EXPIRED = 4
+    CROWDED_RESTART = 2
+    LONG_RUNNING = 3
+    LATE = 4
+    EXPIRED = 5
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +97,7 @@
       placing_since: When it had listed the ready tasks, or None.
       out_of_time: It has ended before it has tried all ready tasks.
       search: Searches for room to reserve.
+      use: What long-running tasks use of each service.
     """
 
     now: float
@@ -115,6 +118,7 @@
     search: reservations.Search = dataclasses.field(
         default_factory=reservations.Search
     )
+    use: reservations.Use = dataclasses.field(default_factory=reservations.Use)
 
     def has_placed_for(self, share: float) -> bool:
         """Tells whether a share of the time for placing tasks has passed."""
@@ -238,10 +242,11 @@
     where the last one ended. Tasks that become ready in between are not added
     to what is kept, so all of it has its turn however many do.
     """
+    current.use = reservations.Use(owner.runners.values())
     for runner in reservations.drop_stale(owner, current.now):
         current.estimates.note_change(runner)
     kept = owner.unvisited
-    listed = yield from _list_by_urgency(owner, current.now)
+    listed = yield from _list_by_urgency(owner, current.use, current.now)
     current.placing_since = current.now
     blocked: set[attempts.StepState] = set()
     share = _URGENT_SHARE if kept else 1.0
@@ -315,7 +320,7 @@
 
 
 def _list_by_urgency(
-    owner: state_module.Owner, now: float
+    owner: state_module.Owner, use: reservations.Use, now: float
 ) -> Generator[None, None, collections.deque[state_module.ReadyGroup]]:
     """Returns the ready tasks that are due, most urgent first.
 
@@ -340,7 +345,7 @@
             yield
     ordered = yield from _sort_in_turns(
         list(groups.values()),
-        lambda group: _rank_task(group.tasks[0], now),
+        lambda group: _rank_task(group.tasks[0], use, now),
     )
     if owner.unvisited:
         ordered = mix_oldest(list(ordered), now)
@@ -406,6 +411,11 @@
 ) -> list[attempts.Run]:
     queue = state_module.find_queue(owner, task.job.job.queue) or task.job.queue
     task.job.queue = queue
+    if reservations.is_restart(task) and (
+        current.use.has_become_crowded(queue.service)
+    ):
+        # It goes after short tasks from the next pass on.
+        return []
     if task.step.definition.gang:
         return _place_gang(owner, task.step, queue.service, current)
     if queue.advice is not None:
@@ -435,7 +445,9 @@
     if task.name in owner.reservations:
         return []
     freed = _preempt(owner, task, candidates, current)
-    if reservations.is_restart(task):
+    if reservations.is_restart(task) and (
+        not current.use.is_crowded(queue.service)
+    ):
         if candidates is None:
             candidates = list_runners(owner, queue.service)
         reservations.reserve(
@@ -723,7 +735,7 @@
 
 
 def _rank_task(
-    task: attempts.Task, now: float
+    task: attempts.Task, use: reservations.Use, now: float
 ) -> tuple[int, Urgency, float, str]:
     """Returns the sort key of a ready task: priority, urgency, due time, name.
 
@@ -735,7 +747,8 @@
     if step.definition.long_running:
         urgency, due = Urgency.LONG_RUNNING, task.ready_since
         if reservations.is_restart(task):
-            urgency = Urgency.RESTART
+            crowded = use.is_crowded(job.queue.service)
+            urgency = Urgency.CROWDED_RESTART if crowded else Urgency.RESTART
     elif now > due + 2 * job.objective_s:
         urgency = Urgency.EXPIRED
     elif now > due + _ESTIMATE_TOLERANCE * job.objective_s:
@@ -758,6 +771,10 @@
     run.ordered_ms = clock.read_wall_ms()
     trials.begin_trial(runner, task, current.now)
     runner.charge(run)
+    if task.step.definition.long_running:
+        current.use.used[runner.entry.service] += (
+            task.step.definition.amounts.cpu
+        )
     reservation = owner.reservations.get(task.name)
     if reservation is not None:
         used = reservation.runner == runner.entry.id
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -193,3 +193,31 @@
     # What the long-running tasks leave could start this many.
     possible = (9 * 16 - 9 * 2.6) * MAX_WAIT_S / SHORT_S
     assert started >= possible / 2
+
+
+def test_short_tasks_keep_some_room_where_long_running_ones_need_all(timeline):
+    # Guards against short tasks that find no room at all, because services that
+    # have lost their runners take all that is left.
+    fleet = Fleet(timeline, runners=10)
+    for number in range(2, 10):
+        fleet.add_lasting(f"r{number}", count=3, cpu=4600, memory_mb=100)
+    lost = [
+        run
+        for number in range(2)
+        for run in fleet.add_lasting(
+            f"r{number}", count=10, cpu=1000, memory_mb=100
+        )
+    ]
+    for run in lost:
+        fleet.lose(run, 0.0)
+    now = started = 0
+    while now < 4.0:
+        fleet.add_short(now, 10, 500)
+        started += fleet.advance(now)
+        now += PASS_S
+    used = [r for r in fleet.owner.runners.values() if r.listed]
+    serving = sum(r.serving_cpu for r in used)
+    capacity = sum(r.entry.capacity.cpu for r in used)
+    assert serving <= 0.92 * capacity
+    # Half of a tenth of the processors, in tasks of half a core.
+    assert started >= 0.05 * capacity / 500 * 4.0 / SHORT_S
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import placement
+from plantainvane.jobs import reservations
 from plantainvane.jobs import scheduling
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import table as table_module
@@ -454,7 +455,9 @@
 
 
 def list_by_urgency(owner, now):
-    listing = scheduling._list_by_urgency(owner, now)
+    listing = scheduling._list_by_urgency(
+        owner, reservations.Use(owner.runners.values()), now
+    )
     while True:
         try:
             next(listing)
