--- a/plantainvane/jobs/reservations.py
+++ b/plantainvane/jobs/reservations.py
@@ -101,14 +101,20 @@
     return step.long_running and not step.gang and task.attempt > 0
 
 
-def drop_stale(owner: state_module.Owner, now: float) -> list[str]:
+def drop_stale(
+    owner: state_module.Owner, departing: set[attempts.Task], now: float
+) -> list[str]:
     """Drops the reservations that are not needed or cannot be used any more.
 
-    Returns the runners that may have more room.
+    `departing` are tasks whose attempt is about to end. Returns the runners
+    that may have more room.
     """
     changed = []
     for name, reservation in list(owner.reservations.items()):
         reason = _find_fault(owner, reservation, now)
+        if not reason and reservation.task not in departing:
+            ready = owner.table.ready.get(name) is reservation.task
+            reason = "" if ready else "not needed"
         if reason:
             changed.append(reservation.runner)
             release(owner, name, reason, now)
@@ -123,8 +129,6 @@
     """Returns why a reservation is dropped, or empty."""
     task = reservation.task
     runner = owner.runners.get(reservation.runner)
-    if owner.table.ready.get(task.name) is not task:
-        return "not needed"
     if runner is None or not _accepts(runner, task, now):
         return "runner not usable"
     step = task.step.definition
--- a/plantainvane/jobs/runner_entries.py
+++ b/plantainvane/jobs/runner_entries.py
@@ -17,6 +17,7 @@
         events.log_event(
             events.RUNNER_DRAINING, runner=entry.id, runs=len(runner.runs)
         )
+        owner.request_pass()
     before = runner.entry.capacity
     runner.entry, runner.listed, runner.entry_awaited = entry, True, False
     if entry.capacity != before:
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -12,6 +12,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
+from plantainvane.jobs import departures
 from plantainvane.jobs import eligibility
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
@@ -242,9 +243,7 @@
     where the last one ended. Tasks that become ready in between are not added
     to what is kept, so all of it has its turn however many do.
     """
-    current.use = reservations.Use(owner.runners.values())
-    for runner in reservations.drop_stale(owner, current.now):
-        current.estimates.note_change(runner)
+    _prepare_departures(owner, current)
     kept = owner.unvisited
     listed = yield from _list_by_urgency(owner, current.use, current.now)
     current.placing_since = current.now
@@ -258,6 +257,31 @@
     current.out_of_time = bool(owner.unvisited) and current.has_placed_for(1.0)
 
 
+def _prepare_departures(owner: state_module.Owner, current: Pass) -> None:
+    """Reserves room for tasks whose attempt is about to end, and moves them."""
+    current.use = reservations.Use(owner.runners.values())
+    found = departures.list_departures(owner, current.now)
+    departing = dict.fromkeys(departure.run.task for departure in found)
+    for runner in reservations.drop_stale(owner, set(departing), current.now):
+        current.estimates.note_change(runner)
+    for task in departing:
+        queue = task.job.queue
+        if (
+            task.name not in owner.reservations
+            and queue.advice is None
+            and not current.use.is_crowded(queue.service)
+        ):
+            reservations.reserve(
+                owner,
+                task,
+                list_runners(owner, queue.service),
+                current.search,
+                current.estimates,
+                current.now,
+            )
+    departures.move_tasks(owner, found)
+
+
 def _place_listed(
     owner: state_module.Owner,
     groups: collections.deque[state_module.ReadyGroup],
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -228,9 +228,16 @@
         state.on_crash = revive
 
 
-def write_entry(system: System, state: platform_runner.RunnerState) -> None:
-    """Writes the present entry of a runner to the log."""
-    entry = state.make_entry(state.address, SERVICE, "ready")
+def write_entry(
+    system: System,
+    state: platform_runner.RunnerState,
+    condition: str = "ready",
+) -> None:
+    """Writes the present entry of a runner to the log.
+
+    `condition` is ready or draining.
+    """
+    entry = state.make_entry(state.address, SERVICE, condition)
     system.store.put("keyed.servers", state.id, entry)
 
 
