--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -274,7 +274,7 @@
     entry: process_module.Entry, question: peers_module.Ask
 ) -> peers_module.AskReply:
     owner = entry.owner
-    if owner is None:
+    if owner is None or not await succession.confirm_owner(entry, owner):
         return peers_module.AskReply(owner=False)
     reply = await intake_module.answer_question(owner, question)
     return msgspec.structs.replace(reply, epoch=owner.epoch)
@@ -289,13 +289,13 @@
 async def _ask_owner(
     entry: process_module.Entry, question: peers_module.Ask
 ) -> peers_module.AskReply | None:
-    if entry.owner is not None:
+    owner = entry.owner
+    if owner is not None and not owner.stepped_down.is_set():
         reply = await _answer_ask(entry, question)
         return reply if reply.owner else None
-    claim = entry.ownership.claim
-    if claim is None or claim.address == entry.settings.peer_address:
+    address, epoch = succession.find_owner_address(entry)
+    if not address:
         return None
-    epoch = entry.ownership.epoch
     is_probe = entry.recovering_epoch == epoch
     if is_probe:
         # One question at a time is enough to find out that it has recovered.
@@ -305,7 +305,7 @@
         entry.next_question_at = now + entry.settings.ask_timeout_s
     try:
         reply = await entry.peers.call(
-            claim.address, question, entry.settings.ask_timeout_s
+            address, question, entry.settings.ask_timeout_s
         )
     finally:
         if is_probe:
@@ -314,6 +314,9 @@
         entry.owner_doubted.set()
         if reply.is_ok() and reply.ok_value.recovering:
             entry.recovering_epoch = epoch
+        elif reply.is_ok():
+            # Only the log can tell who owns by now.
+            entry.successor = None
         return None
     if entry.recovering_epoch == epoch:
         entry.recovering_epoch = -1
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -192,7 +192,25 @@
 async def answer_question(
     owner: state_module.Owner, question: peers.Ask
 ) -> peers.AskReply:
-    """Answers as the owner; refuses with a reply whose `owner` is False."""
+    """Answers as the owner; refuses with a reply whose `owner` is False.
+
+    What an owner that steps down has not answered, its successor answers: no
+    record of this one is stored any more.
+    """
+    if owner.stepped_down.is_set():
+        return peers.AskReply(owner=False)
+    with anyio.CancelScope() as scope:
+        owner.questions.add(scope)
+        try:
+            return await _answer_question(owner, question)
+        finally:
+            owner.questions.discard(scope)
+    return peers.AskReply(owner=False)
+
+
+async def _answer_question(
+    owner: state_module.Owner, question: peers.Ask
+) -> peers.AskReply:
     if not owner.recovered:
         with anyio.move_on_after(_RECOVERY_WAIT_S):
             await owner.recovery_ended.wait()
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -184,9 +184,18 @@
 
 
 class HandOverReply(msgspec.Struct, array_like=True):
-    """Epoch that the receiver owns, or -1."""
+    """Reply to a request to claim ownership.
+
+    Attributes:
+      epoch: Epoch that the receiver owns, or -1.
+      known_epoch: Epoch of the newest claim that it knows of, or -1, and from
+        the last release.
+      known_address: Peer address of the holder of that claim.
+    """
 
     epoch: _Version = -1
+    known_epoch: _Version = -1
+    known_address: _Address = ""
 
 
 class CheckReach(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -39,6 +39,19 @@
     ping_after_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Successor:
+    """A later owner that a peer has told of, and the log perhaps not yet.
+
+    Attributes:
+      epoch: Its epoch.
+      address: Its peer address.
+    """
+
+    epoch: int
+    address: str
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Entry:
     """State of one entry process.
@@ -49,6 +62,8 @@
       document: The operator's document that `configuration` was decoded from.
       sources: What it has heard from the sources of its configuration.
       owner: Set while this process is the owner.
+      successor: Owner after this process, as a peer has told it, or None.
+      confirm_lock: Serializes the reads that confirm an ownership on offer.
       known_peers: Peers that have pinged this process, by address.
       reported_version: Newer configuration version that a peer has reported
         once, or -1.
@@ -83,6 +98,8 @@
         default_factory=sources_module.Sources
     )
     owner: state_module.Owner | None = None
+    successor: Successor | None = None
+    confirm_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     known_peers: dict[str, PeerStatus] = dataclasses.field(default_factory=dict)
     reported_version: int = -1
     owner_doubted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -103,6 +103,9 @@
       loading: The stored jobs are being loaded, and no session has begun.
       recovered: Stored state is loaded; runners were fenced or timed out.
       recovery_ended: Set when the owner has recovered, or has stepped down.
+      confirmed_at: When the last read of the log began that found no later
+        claim while the ownership was on offer.
+      questions: Scopes of the questions that are being answered.
       stepped_down: Set when this process stops being the owner.
       pass_requested: Set to start a scheduling pass.
       unvisited: Ready tasks that an earlier scheduling pass has listed and none
@@ -177,6 +180,8 @@
     recovered: bool = False
     recovery_ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     draining: bool = False
+    confirmed_at: float = float("-inf")
+    questions: set[anyio.CancelScope] = dataclasses.field(default_factory=set)
     stepped_down: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     pass_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     unvisited: collections.deque[ReadyGroup] = dataclasses.field(
@@ -243,6 +248,8 @@
                 events.OWNER_FENCED, epoch=self.epoch, reason=reason
             )
             self.stepped_down.set()
+            for scope in self.questions:
+                scope.cancel()
 
     def find_expiry(self, runner: str) -> float:
         """Returns when all leases of earlier owners there have expired."""
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -46,7 +46,9 @@
     candidates = standbys.list_successors(
         entry.known_peers, entry.settings, clock.read_now()
     )
-    await _offer_ownership(entry, owner, candidates)
+    await _offer_ownership(
+        entry, owner, candidates, limit_s=entry.settings.drain_s
+    )
 
 
 async def _offer_ownership(
@@ -54,10 +56,12 @@
     owner: state_module.Owner,
     candidates: list[str],
     sample: reach_module.Sample = (),
+    limit_s: float = float("inf"),
 ) -> None:
     """Stops scheduling and asks `candidates` in turn to claim ownership.
 
-    One that does not hear the runners of `sample` declines.
+    It asks for `limit_s` at most. A peer that does not hear the runners of
+    `sample` declines.
     """
     owner.draining = True
     # An owner that recovers has started and ended nothing.
@@ -65,30 +69,92 @@
         with anyio.move_on_after(0.5):
             await owner.journal.flush()
     owner.waives_leases = owner.offers = True
-    for address in candidates:
-        reply = await entry.peers.call(
-            address,
-            peers_module.HandOver(
-                owner.epoch,
-                sample,
-                *describe_leases(entry, clock.read_now()),
-            ),
-            _HAND_OVER_TIMEOUT_S,
-        )
-        if reply.is_ok() and reply.ok_value.epoch > owner.epoch:
-            events.log_event(
-                events.OWNER_RELEASED,
-                epoch=owner.epoch,
-                to=address,
-                next_epoch=reply.ok_value.epoch,
-            )
-            owner.step_down("handed over")
-            return
+    asked = 0
+    with anyio.move_on_after(limit_s):
+        for address in candidates:
+            asked += 1
+            await _offer_to_peer(entry, owner, address, sample)
+            if owner.stepped_down.is_set():
+                return
+    if owner.stepped_down.is_set():
+        return
     # One of them may still claim. Leases are extended after the next renewal.
     owner.offers, owner.offered_until = False, clock.read_now()
-    events.log_event(
-        events.RELEASE_FAILED, epoch=owner.epoch, peers=len(candidates)
-    )
+    events.log_event(events.RELEASE_FAILED, epoch=owner.epoch, peers=asked)
+
+
+async def _offer_to_peer(
+    entry: process_module.Entry,
+    owner: state_module.Owner,
+    address: str,
+    sample: reach_module.Sample,
+) -> None:
+    """Asks a peer to claim; steps down if it has, or knows of a later owner."""
+    leases_state = describe_leases(entry, clock.read_now())
+    request = peers_module.HandOver(owner.epoch, sample, *leases_state)
+    reply = await entry.peers.call(address, request, _HAND_OVER_TIMEOUT_S)
+    if reply.is_err():
+        return
+    answer = reply.ok_value
+    if answer.epoch > owner.epoch:
+        events.log_event(
+            events.OWNER_RELEASED,
+            epoch=owner.epoch,
+            to=address,
+            next_epoch=answer.epoch,
+        )
+        entry.successor = process_module.Successor(answer.epoch, address)
+        owner.step_down("handed over")
+        return
+    # Peers claim by themselves from an owner that drains.
+    is_later = answer.known_epoch > owner.epoch
+    if is_later and await _is_superseded(entry, owner):
+        entry.successor = process_module.Successor(
+            answer.known_epoch, answer.known_address
+        )
+        owner.step_down("peer")
+
+
+async def confirm_owner(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> bool:
+    """Tells whether an owner still owned the jobs after this call began.
+
+    Peers claim from an owner that drains or offers the ownership. Until its
+    claim is renewed after that, one may have claimed without its knowledge, so
+    the log is read. One read serves all callers that came before it.
+    """
+    asked_at = clock.read_now()
+    if not (entry.draining or owner.waives_leases):
+        return True
+    async with entry.confirm_lock:
+        if owner.stepped_down.is_set():
+            return False
+        if owner.confirmed_at >= asked_at:
+            return True
+        began_at = clock.read_now()
+        if not await _read_claims(entry):
+            return False
+        if entry.ownership.epoch > owner.epoch:
+            owner.step_down("claim")
+            return False
+        owner.confirmed_at = began_at
+        return True
+
+
+def find_owner_address(entry: process_module.Entry) -> tuple[str, int]:
+    """Returns the peer address and the epoch of the owner to be asked.
+
+    The address is empty if none is known, or only this process itself.
+    """
+    successor, ownership = entry.successor, entry.ownership
+    if successor is not None and successor.epoch > ownership.epoch:
+        address, epoch = successor.address, successor.epoch
+    elif ownership.claim is not None:
+        address, epoch = ownership.claim.address, ownership.epoch
+    else:
+        return "", -1
+    return "" if address == entry.settings.peer_address else address, epoch
 
 
 def describe_leases(
@@ -178,12 +244,15 @@
         if entry.owner is not None:
             continue
         await _ping_owner(entry)
-        if entry.draining or entry.configuration is None:
+        if entry.configuration is None:
             continue
         reason = ownership_module.find_takeover_reason(
             ownership, settings, clock.read_now()
         )
-        if reason:
+        if reason and entry.draining:
+            # Questions are passed on to the next owner until the end.
+            await _read_claims(entry)
+        elif reason:
             await _consider_claim(entry, reason)
         elif ownership_module.needs_log_read(
             ownership, settings, clock.read_now()
@@ -676,8 +745,7 @@
 async def _check_epoch(
     entry: process_module.Entry, owner: state_module.Owner, named: int
 ) -> None:
-    is_read = await _read_claims(entry)
-    if not is_read or entry.ownership.epoch > owner.epoch:
+    if await _is_superseded(entry, owner):
         owner.step_down("peer")
         return
     now = clock.read_now()
@@ -688,6 +756,14 @@
     owner.checks_epoch = False
 
 
+async def _is_superseded(
+    entry: process_module.Entry, owner: state_module.Owner
+) -> bool:
+    """Tells whether a later owner that was named is in the log, or may be."""
+    is_read = await _read_claims(entry)
+    return not is_read or entry.ownership.epoch > owner.epoch
+
+
 async def answer_hand_over(
     entry: process_module.Entry, request: peers_module.HandOver
 ) -> peers_module.HandOverReply:
@@ -713,5 +789,9 @@
             break
         if await _claim(entry, "handed over"):
             break
-    owner = entry.owner
-    return peers_module.HandOverReply(owner.epoch if owner is not None else -1)
+    owner, claim = entry.owner, entry.ownership.claim
+    return peers_module.HandOverReply(
+        owner.epoch if owner is not None else -1,
+        entry.ownership.epoch,
+        claim.address if claim is not None else "",
+    )
--- a/tests/test_jobs_intake.py
+++ b/tests/test_jobs_intake.py
@@ -163,7 +163,7 @@
     # Guards against an answer that no line of an owner can be matched with.
     owner = scheduling.make_owner()
     owner.recovered, owner.jobs_behind, owner.epoch = True, False, 12
-    entry = types.SimpleNamespace(owner=owner)
+    entry = types.SimpleNamespace(owner=owner, draining=False)
     question = peers.Ask("pending", "q")
     assert (await entry_module._answer_ask(entry, question)).epoch == 12
     assert (await entry_module._ask_owner(entry, question)).epoch == 12
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -23,6 +23,10 @@
 # Times after SIGTERM of further signals, and of requests.
 SIGNALS_AFTER_S = (0.0, 0.4, 1.1, 1.9, 2.5, 2.8)
 REQUESTS_AFTER_S = (0.3, 0.9, 1.6, 2.2)
+# A submission that the log does not answer is under way from here on, until
+# after the last signal.
+SUBMISSION_AFTER_S = 2.2
+SUBMISSION_DEADLINE_MS = 2000
 
 SETTINGS = """
 NodeName = "{name}"
@@ -158,18 +162,33 @@
 ):
     # Guards against requests without an answer at a process that a second
     # signal ends while it drains.
-    statuses = []
+    statuses, ends = [], []
 
     async def request(client, address, after_s):
         await anyio.sleep(after_s)
         statuses.append((await ask(client, address)).status_code)
 
+    async def submit(client, address, store):
+        await anyio.sleep(SUBMISSION_AFTER_S)
+        store.append_delay_s = 60.0
+        reply = await client.post(
+            f"{address}{platform_system.PREFIX}{ID}",
+            headers={
+                "Host": platform_system.HOST,
+                "Deadline-Ms": str(SUBMISSION_DEADLINE_MS),
+            },
+            json=platform_system.make_job(),
+        )
+        assert reply.status_code in (503, 504)
+        ends.append("submission")
+
     async def send(process):
         for earlier, at in zip(
             (0.0, *SIGNALS_AFTER_S), SIGNALS_AFTER_S, strict=False
         ):
             await anyio.sleep(at - earlier)
             process.send_signal(number)
+        ends.append("signals")
 
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
@@ -177,7 +196,7 @@
         owner, address = await enter(run_process(system, tmp_path, 1))
         clients = [
             await enter(httpx.AsyncClient(trust_env=False, timeout=10))
-            for _ in REQUESTS_AFTER_S
+            for _ in (*REQUESTS_AFTER_S, SUBMISSION_AFTER_S)
         ]
         await wait_answer(clients[0], address, 410)
         _, other = await enter(run_process(system, tmp_path, 2))
@@ -189,9 +208,12 @@
         owner.send_signal(signal.SIGTERM)
         async with anyio.create_task_group() as group:
             group.start_soon(send, owner)
+            group.start_soon(submit, clients.pop(), address, system.store)
             for client, after_s in zip(clients, REQUESTS_AFTER_S, strict=True):
                 group.start_soon(request, client, address, after_s)
         with anyio.fail_after(GRACE_S):
             assert await owner.wait() == 0
-        assert sorted(set(statuses)) in ([410], [410, 503], [503])
-        assert len(statuses) == len(REQUESTS_AFTER_S)
+        # The successor answers what the process has handed over.
+        assert statuses == [410] * len(REQUESTS_AFTER_S)
+        # The last signal came while a request was under way.
+        assert ends == ["signals", "submission"]
