--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -67,25 +67,27 @@
 Author = Annotated[str, typer.Option(help="Name shown in the history.")]
 
 
-def run() -> None:
-    """Runs the command line."""
-    app()
+def run(received: signals.Receiver | None = None) -> None:
+    """Runs the command line; `received` are the signals of a daemon."""
+    app(obj=received)
 
 
 @app.command()
 def entry(
+    context: typer.Context,
     settings: Annotated[pathlib.Path, typer.Option(help="JSON settings file.")],
 ) -> None:
     """Runs an entry process until SIGTERM or SIGINT."""
     loaded = settings_module.load_settings(settings)
     if loaded.is_err():
         terminal.exit_with_faults(settings, loaded.err_value)
-    received = signals.install()
+    received = context.obj or signals.install()
     # Imported here so that the other commands do not load the modules of the
     # entry process.
     from plantainvane import entry as entry_module
 
     anyio.run(entry_module.run_entry, loaded.ok_value, received)
+    signals.ignore()
 
 
 @app.command()
--- a/plantainvane/entry.py
+++ b/plantainvane/entry.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import signal
 import time
 from typing import Any
 
@@ -14,6 +13,7 @@
 from plantainvane import callers
 from plantainvane import configuration as configuration_module
 from plantainvane import dispatcher as dispatcher_module
+from plantainvane import drains
 from plantainvane import events
 from plantainvane import http_client
 from plantainvane import instances
@@ -333,11 +333,16 @@
 
 
 async def _drain_on_signal(entry: Entry, received: signals.Receiver) -> None:
-    """Drains after the first SIGTERM or SIGINT; later ones change nothing."""
-    while await received.receive() is signal.SIGHUP:
-        # The settings are fixed while the process runs.
-        events.log_event(events.SETTINGS_RELOADED, process=entry.settings.id)
-    await drain_entry(entry)
+    """Waits for SIGTERM or SIGINT, and drains the process."""
+
+    async def drain() -> None:
+        await drain_entry(entry)
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(
+            drains.follow_signals, received, entry.settings.id, drain
+        )
 
 
 async def _review_entry(entry: Entry) -> None:
--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -1,6 +1,6 @@
 """Assembles, runs and drains one entry process of the job scheduler."""
 
-import signal
+import functools
 import time
 from typing import Any
 
@@ -8,6 +8,7 @@
 import anyio.abc
 import msgspec
 
+from plantainvane import drains
 from plantainvane import events
 from plantainvane import signals
 from plantainvane.jobs import addresses
@@ -110,7 +111,12 @@
     SIGINT ends it as well. SIGHUP is only logged.
     """
     async with anyio.create_task_group() as group:
-        group.start_soon(_follow_signals, entry, received)
+        group.start_soon(
+            drains.follow_signals,
+            received,
+            entry.settings.id,
+            functools.partial(drain, entry),
+        )
         await run_components(entry, serve_callers)
         group.cancel_scope.cancel()
 
@@ -158,32 +164,6 @@
     return entry.owner.epoch if entry.owner is not None else None
 
 
-async def _follow_signals(
-    entry: process_module.Entry, received: signals.Receiver
-) -> None:
-    """Drains after the first SIGTERM or SIGINT; no later one cuts that short.
-
-    Requests that were read before are still answered.
-    """
-    async with anyio.create_task_group() as group:
-        while True:
-            number = await received.receive()
-            if number is signal.SIGHUP:
-                # Addresses and bounds are fixed while the process runs.
-                events.log_event(
-                    events.SETTINGS_RELOADED, process=entry.settings.id
-                )
-            elif entry.draining:
-                events.log_event(
-                    events.SIGNAL_IGNORED,
-                    process=entry.settings.id,
-                    signal=number.name,
-                )
-            else:
-                entry.draining = True
-                group.start_soon(drain, entry)
-
-
 async def _serve(
     entry: process_module.Entry, serve_callers: Any, served: anyio.Event
 ) -> None:
--- a/plantainvane/platform/program.py
+++ b/plantainvane/platform/program.py
@@ -46,4 +46,5 @@
         settings.ok_value, make_adapters(settings.ok_value)
     )
     anyio.run(entry_module.run_entry, entry, ingress.serve, received)
+    signals.ignore()
     return 0
--- a/plantainvane/signals.py
+++ b/plantainvane/signals.py
@@ -4,15 +4,12 @@
 action of these signals ends the process, with the requests that it has read.
 """
 
-import asyncio
 import collections
 from collections.abc import Callable
 import functools
 import signal
 import types
 
-import anyio
-
 # SIGTERM and SIGINT ask the process to drain; SIGHUP tells that its settings
 # file has changed.
 HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -36,6 +33,11 @@
 
     async def receive(self) -> signal.Signals:
         """Waits for the next signal; one task at a time may wait."""
+        # Imported here, as the handlers are to stand before longer imports.
+        import asyncio
+
+        import anyio
+
         loop = asyncio.get_running_loop()
         while not self._pending:
             arrived = anyio.Event()
@@ -51,10 +53,19 @@
         return self._pending.popleft()
 
 
+def ignore() -> None:
+    """Ignores the signals from here on, as the last thing that a daemon does.
+
+    Python gives each handler's signal its default action back while it ends.
+    """
+    for number in HANDLED:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def install() -> Receiver:
     """Handles the signals for the rest of the process's life.
 
-    It is to be called first, from the main thread.
+    It is to be called from the main thread, before the imports of the daemon.
     """
     receiver = Receiver()
     for number in HANDLED:
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -16,8 +16,8 @@
 from plantainvane.jobs import entry as entry_module
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import settings as settings_module
-from plantainvane.platform import __main__ as platform_main
 from plantainvane.platform import ingress
+from plantainvane.platform import program
 from standins import platform_paths
 from standins import platform_runner
 from standins import platform_store
@@ -267,7 +267,7 @@
         **fields,
     )
     adapters = platform_paths.cut_adapters(
-        platform_main.make_adapters(settings), settings, system.cuts
+        program.make_adapters(settings), settings, system.cuts
     )
     entry = entry_module.make_entry(settings, adapters)
     entry.peers = platform_paths.PeerClient(settings.id, system.cuts)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,9 +5,11 @@
 """
 
 import collections
+import itertools
 import json
 import pathlib
 import random
+import signal
 import time
 
 import anyio
@@ -17,6 +19,7 @@
 
 from plantainvane import documents
 from plantainvane import settings as settings_module
+from plantainvane import signals
 from standins import audit as audit_module
 from standins import balancer as balancer_module
 from standins import launcher
@@ -136,7 +139,8 @@
 class Callers:
     """Callers that send requests through the balancer until `stopping`."""
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, keys="restart"):
+        self.keys = keys
         entries = cluster.list_role("entry")
         self.balancer = balancer_module.Balancer(
             [entry.addresses["callers"] for entry in entries]
@@ -166,7 +170,7 @@
         number = 0
         while not self.stopping:
             number += 1
-            key = f"restart-{number}" if name == "pharmacy-warning" else ""
+            key = f"{self.keys}-{number}" if name == "pharmacy-warning" else ""
             await load_module.send_one(
                 self.load, name, FORECAST, key, time.time()
             )
@@ -197,6 +201,43 @@
     check_handovers(cluster, list(statuses))
 
 
+async def test_no_series_of_signals_cuts_a_request(cluster):
+    # Guards against requests without an answer at a process that SIGHUP, or a
+    # second signal to end, reaches before or while it drains.
+    callers = Callers(cluster, keys="series")
+    target = cluster.list_role("entry")[0]
+    process = cluster.running[target.id]
+    sent = []
+
+    async def send_series():
+        series = itertools.cycle(signals.HANDLED)
+        for number in itertools.chain([signal.SIGHUP, signal.SIGINT], series):
+            if process.returncode is not None:
+                return
+            process.send_signal(number)
+            sent.append(number)
+            await anyio.sleep(0.02)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(callers.run)
+        while len(callers.load.records) < 20:
+            await anyio.sleep(0.02)
+        group.start_soon(send_series)
+        with anyio.fail_after(launcher.END_TIMEOUT_S):
+            status = await process.wait()
+        await launcher.start_process(cluster, target.id)
+        await launcher.wait_process_ready(target)
+        callers.stopping = True
+    outcomes = collections.Counter(r.outcome for r in callers.load.records)
+    print(f"series of {len(sent)} signals: {dict(outcomes)}")
+    assert status == 0
+    assert set(outcomes) == {"answered"}
+    # Signals are merged by the kernel while one of the kind is pending, and
+    # none is logged after the last component has ended.
+    assert read_events(cluster, target.id, 889)
+    assert len(read_events(cluster, target.id, 844)) > 1
+
+
 def check_handovers(cluster, ids):
     """Checks that shards changed owner by releases and that no claim lapsed."""
     drains = [read_events(cluster, id, 706) for id in ids]
--- a/tests/test_jobs_waivers.py
+++ b/tests/test_jobs_waivers.py
@@ -12,8 +12,8 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import succession
-from plantainvane.platform import __main__ as platform_main
 from plantainvane.platform import ingress
+from plantainvane.platform import program
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_leases as leasing
@@ -237,7 +237,7 @@
 async def restart(system, entry):
     """Starts a later process of an instance, at the same addresses."""
     later = entry_module.make_entry(
-        entry.settings, platform_main.make_adapters(entry.settings)
+        entry.settings, program.make_adapters(entry.settings)
     )
     system.group.start_soon(entry_module.run_components, later, ingress.serve)
     system.entries.append(later)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -11,7 +11,9 @@
 import httpx
 import pytest
 
+from plantainvane import drains
 from plantainvane import entry as entry_module
+from plantainvane import events
 from plantainvane import signals
 from standins import platform_system
 
@@ -106,6 +108,94 @@
     assert drained == [entry]
 
 
+# Sends itself each signal before each import but those that the handlers need.
+SIGNALLED_START = """
+import os, runpy, sys
+module, numbers, *sys.argv[1:] = sys.argv[1:]
+numbers = [int(number) for number in numbers.split(",")]
+known = {module, f"{module}.__main__", "plantainvane", "plantainvane.signals"}
+
+class Sender:
+    sent = 0
+
+    def find_spec(self, name, path=None, target=None):
+        if name not in known and name.partition(".")[0] in (
+            "anyio", "asyncio", "plantainvane"
+        ):
+            Sender.sent += 1
+            for number in numbers:
+                os.kill(os.getpid(), number)
+
+sys.meta_path.insert(0, Sender())
+try:
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+finally:
+    print(f"imports {Sender.sent}", file=sys.stderr)
+"""
+DAEMONS = {
+    "plantainvane": ("entry", "--settings", "missing.json"),
+    "plantainvane.platform": (),
+}
+
+
+@pytest.mark.parametrize("module", DAEMONS)
+@pytest.mark.parametrize("number", signals.HANDLED)
+async def test_no_signal_ends_a_daemon_while_it_starts(
+    module, number, tmp_path
+):
+    # Guards against a process that is ended by the news of a changed settings
+    # file, or that does not drain, as the signal comes during its imports.
+    with anyio.fail_after(30):
+        process = await anyio.run_process(
+            [sys.executable, "-c", SIGNALLED_START, module, f"{number:d}"]
+            + [*DAEMONS[module]],
+            check=False,
+            env=os.environ
+            | {"PLANTAINVANE_NODE_FILE": str(tmp_path / "missing.toml")},
+        )
+    # The settings are missing, which ends it once all is imported.
+    assert process.returncode == 2
+    assert b"missing" in process.stderr
+    sent = process.stderr.rpartition(b"imports ")[2]
+    assert int(sent) > len(signals.HANDLED)
+
+
+async def test_every_signal_of_a_drain_is_logged_and_begins_no_other(
+    receiver, monkeypatch
+):
+    # Guards against a daemon whose signals are handled in another way, or not
+    # at all, once it drains.
+    logged, drained, ended = [], [], anyio.Event()
+
+    async def drain():
+        drained.append(1)
+        await ended.wait()
+
+    def log(event, **fields):
+        logged.append((event.number, fields.get("signal", "")))
+
+    monkeypatch.setattr(events, "log_event", log)
+    series = [signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGHUP] * 3
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(drains.follow_signals, receiver, "entry-1", drain)
+            for number in series:
+                before = len(logged) + len(drained)
+                os.kill(os.getpid(), number)
+                while len(logged) + len(drained) == before:
+                    await anyio.sleep(0.001)
+            ended.set()
+            await anyio.wait_all_tasks_blocked()
+            os.kill(os.getpid(), signal.SIGTERM)
+            while len(logged) < len(series):
+                await anyio.sleep(0.001)
+            group.cancel_scope.cancel()
+    assert drained == [1]
+    begun = [(844, ""), (889, "SIGTERM"), (844, "")]
+    later = [(844, ""), (889, "SIGINT"), (889, "SIGTERM"), (844, "")]
+    assert logged == [*begun, *later, *later, (889, "SIGTERM")]
+
+
 @contextlib.asynccontextmanager
 async def run_process(system, folder, number):
     """Runs an entry process of its own; yields it and its callers' address."""
