--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -103,8 +103,10 @@
         wait_s = 0.0 if pending else _choose_wait(owner, runner, now)
         if not pending and not _needs_poll(runner, now):
             await _wait_for_runs(owner, runner)
-            if not _needs_poll(runner, clock.read_now()):
+            now = clock.read_now()
+            if not _needs_poll(runner, now):
                 continue
+            wait_s = min(wait_s, _choose_wait(owner, runner, now))
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
             with anyio.move_on_after(_UNSTORED_POLL_GAP_S):
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -541,6 +541,23 @@
         assert [end[3] for end in runner.ends] == ["stopped"]
 
 
+async def test_return_of_an_idle_runner_is_found_at_once():
+    # Guards against a poll that waits for an end for 2 s, on a runner of which
+    # nothing is known but that it has a new life. It may carry out late starts.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = await system.wait_owner()
+        body = platform_system.make_job(count=1)
+        await platform_system.call(system.entries[0], "POST", ID, body)
+        await platform_system.wait_state(system, ID, "completed")
+        known = owner.owner.runners["i-0"]
+        await wait_until(lambda: not known.runs)
+        runner = system.runners["i-0"]
+        runner.crash()
+        runner.restart()
+        platform_system.write_entry(system, runner)
+        await wait_until(lambda: known.restarted_at > 0, limit_s=1.0)
+
+
 async def test_forgotten_job_is_not_run_again():
     # Guards against a job whose retention time has passed, and which the next
     # owner takes for a new one: its record was kept, but not its end.
