--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -77,8 +77,11 @@
         order = _make_order(owner, runner, run)
         run.sent_at = clock.read_now()
         trials.extend_trial(runner, run)
+        runner.expect_late_start(run, run.sent_at)
         outcome = await runner.calls.start(order)
         lost = lost or outcome is _OUTCOME.LOST
+        if not lost:
+            runner.late_starts.pop((run.task.name, run.attempt), None)
         if outcome not in (_OUTCOME.LOST, _OUTCOME.UNREACHED):
             break
     if outcome is _OUTCOME.UNREACHED and lost:
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -18,6 +18,8 @@
 _STOP_REPEATS_PER_S = 10.0
 # A call without an answer may be carried out for this long.
 LATE_CALL_S = 6.0
+# An order to start without an answer may be carried out for this long.
+LATE_START_S = 12.0
 # A runner writes its entry about once in 1.5 s, and the platform removes it
 # after three times that.
 _ENTRY_AGE_S = 5.0
@@ -88,6 +90,8 @@
         extended.
       runs: Attempts that are charged to it.
       charges: How often that has changed.
+      late_starts: Until when an order to start without an answer may be carried
+        out, by task and number of the attempt.
       foreign: Task and number of the attempts that it last reported although
         they are not charged to it. They are being stopped.
       foreign_since: Since when each poll has listed such attempts.
@@ -152,6 +156,9 @@
     expiry_promised: bool = False
     runs: dict[attempts.Run, None] = dataclasses.field(default_factory=dict)
     charges: int = 0
+    late_starts: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     foreign: frozenset[tuple[str, int]] = frozenset()
     foreign_since: float = 0.0
     foreign_stops: set[tuple[str, int]] = dataclasses.field(default_factory=set)
@@ -221,6 +228,19 @@
         if charged:
             self.fill_cpu += _compute_fill_charge(run)
 
+    def expect_late_start(self, run: attempts.Run, now: float) -> None:
+        """Records an order to start that has no answer yet, sent at `now`."""
+        self.late_starts[run.task.name, run.attempt] = now + LATE_START_S
+
+    def list_late_starts(self, now: float) -> list[tuple[str, int]]:
+        """Lists task and number of the starts that may be carried out late."""
+        self.late_starts = {
+            start: until
+            for start, until in self.late_starts.items()
+            if until > now
+        }
+        return list(self.late_starts)
+
     def shows_life(self, now: float) -> bool:
         """Tells whether it has answered, or its entry has just been written.
 
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -61,7 +61,7 @@
 _IGNORED_STOP_S = 2.0
 # A start order without an answer may be carried out late. The present
 # incarnation does not refuse one that the earlier one was told to stop.
-_LATE_START_S = runners_module.LATE_CALL_S
+_LATE_START_S = runners_module.LATE_START_S
 _OUTCOME = interfaces.OrderOutcome
 _UNANSWERED = (_OUTCOME.LOST, _OUTCOME.UNREACHED)
 
@@ -92,6 +92,8 @@
             not runner.listed
             and not runner.runs
             and now - runner.answered_at > _REMOVE_AFTER_S
+            # It may return under its id, and has to refuse these.
+            and not runner.list_late_starts(now)
         ):
             break
         if pending is not None and pending.batch.stored.is_set():
@@ -166,6 +168,8 @@
         or now - runner.renewed_at > settings.lease_s / 2
     ):
         return 0.0
+    if any(map(_may_be_gone, runner.runs)):
+        return 0.0
     if runner.expiry_promised:
         return _PROMISED_WAIT_S
     if _stops_any(runner):
@@ -179,6 +183,19 @@
     )
 
 
+def _may_be_gone(run: attempts.Run) -> bool:
+    """Tells whether a poll shows that an attempt has never run.
+
+    Its stop has been answered and no poll has listed it, so no end of it may
+    come that a poll could wait for.
+    """
+    return (
+        run.phase is attempts.Phase.STOPPING
+        and not run.reported
+        and run.running_since != float("inf")
+    )
+
+
 def _stops_any(runner: runners_module.Runner) -> bool:
     return bool(runner.foreign) or any(
         run.phase is attempts.Phase.STOPPING for run in runner.runs
@@ -379,7 +396,8 @@
     """Resets the state of a restarted runner and drops what ran before.
 
     An attempt that no poll has listed may have been started by the new
-    incarnation; the next poll or the outcome of its order decides.
+    incarnation; the next poll or the outcome of its order decides. One whose
+    start may still be carried out there is stopped first.
 
     Args:
       owner: The owner.
@@ -403,11 +421,40 @@
     runner.last_stored_end = 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
+    _stop_late_starts(owner, runner, running, now)
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
     leases.begin_clock(owner, runner, clock_ms, now, bool(runner.runs))
 
 
+def _stop_late_starts(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    running: Collection[attempts.Run],
+    now: float,
+) -> None:
+    """Has a new incarnation refuse the starts that it may carry out late.
+
+    It refuses none that the earlier one was told to stop, and carries out one
+    that the earlier one has carried out on another try. A task whose attempt is
+    still charged there starts nowhere else before the stop is answered.
+    """
+    for task, attempt in runner.list_late_starts(now):
+        run = owner.table.find_run(task, attempt)
+        charged = run in runner.runs
+        if run in running or (
+            # The order is under way, and its outcome decides.
+            charged and run.phase is attempts.Phase.STARTING
+        ):
+            continue
+        if charged:
+            stops.stop_in_next_life(owner, run)
+        else:
+            owner.group.start_soon(
+                stops.refuse_late_start, owner, runner, task, attempt
+            )
+
+
 def _apply_reply(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/stops.py
+++ b/plantainvane/jobs/stops.py
@@ -23,6 +23,7 @@
 # A call may wait for a connection, open one and wait for the reply.
 _MAX_CALL_TIMEOUTS = 3
 
+_LATE_START = "start may be carried out late"
 _OUTCOME = interfaces.OrderOutcome
 _RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
 
@@ -62,6 +63,62 @@
     _begin_stop(owner, run, reason)
 
 
+def stop_in_next_life(owner: state_module.Owner, run: attempts.Run) -> None:
+    """Has the next life of a runner refuse an attempt that it may start late.
+
+    A stop that is under way is sent until that life answers. One that the life
+    before has answered is sent again.
+    """
+    run.reported = False
+    if run.phase is not attempts.Phase.STOPPING:
+        stop_run(owner, run, _LATE_START)
+    elif run.stop is None or run.stop.under_way_since is None:
+        repeat_stop(owner, run, _LATE_START)
+
+
+async def refuse_late_start(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    task: str,
+    attempt: int,
+) -> None:
+    """Has a runner refuse a start that it may carry out late.
+
+    The attempt is not charged to it any more. The stop is sent until it is
+    answered, or the start cannot be carried out any more.
+    """
+    events.log_event(
+        events.TASK_STOPPED,
+        task=task,
+        attempt=attempt,
+        runner=runner.entry.id,
+        reason="was to run there, and may be started late",
+        epoch=owner.epoch,
+    )
+    ordered_at, sent, outcome = clock.read_now(), 0, _OUTCOME.LOST
+    while (
+        outcome in _RETRIED
+        and owner.runners.get(runner.entry.id) is runner
+        and (task, attempt) in runner.list_late_starts(clock.read_now())
+    ):
+        sent += 1
+        outcome = await _call_stop(owner, runner, task, attempt)
+        if outcome in _RETRIED:
+            now = clock.read_now()
+            await anyio.sleep(runner.stop_repeats.reserve(_STOP_RETRY_S, now))
+    if outcome not in _RETRIED:
+        events.log_event(
+            events.STOP_ANSWERED,
+            task=task,
+            attempt=attempt,
+            runner=runner.entry.id,
+            outcome=outcome.value,
+            sent=sent,
+            took_ms=int((clock.read_now() - ordered_at) * 1000),
+            epoch=owner.epoch,
+        )
+
+
 def _begin_stop(
     owner: state_module.Owner, run: attempts.Run, reason: str
 ) -> None:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import stops
 from plantainvane.jobs import table as table_module
@@ -321,6 +322,94 @@
     assert (run in runner.runs) is not reported
 
 
+@pytest.mark.parametrize("known", ["listed", "answered", "stopped"])
+@pytest.mark.parametrize("late", [True, False])
+def test_start_that_may_come_late_binds_its_task_in_the_next_incarnation(
+    known, late, monkeypatch
+):
+    # Guards against a task that is started elsewhere while the new incarnation
+    # may still carry out an order that the earlier one has left unanswered, and
+    # against one that waits although no order can come.
+    now = [10.3]
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: now[0])
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    if late:
+        runner.expect_late_start(run, 10.0)
+    if known == "listed":
+        sessions._apply_reply(
+            owner, runner, make_status(runner, run), 10.2, 10.3
+        )
+    elif known == "stopped":
+        stops.stop_run(owner, run, "moved")
+        run.running_since, run.stop.under_way_since = 10.25, None
+    sessions._apply_reply(
+        owner, runner, make_status(runner, born_ms=9), 10.4, 10.5
+    )
+    assert (run in run.task.runs) is late
+    assert (run in runner.runs) is late
+    if not late:
+        return
+    assert owner.group.started[-1] == ("_send_stop", (owner, run))
+    # Any poll that was sent before the answer shows nothing.
+    status = make_status(runner)
+    sessions._apply_reply(owner, runner, status, 10.6, 10.7)
+    assert run in run.task.runs
+    run.running_since = run.stop.answered_at = 10.8
+    run.stop.under_way_since = None
+    assert sessions._choose_wait(owner, runner, 10.8) == 0.0
+    sessions._apply_reply(owner, runner, status, 10.9, 11.0)
+    assert run not in run.task.runs and run not in runner.runs
+
+
+def test_late_start_that_the_next_incarnation_lists_stays():
+    # Guards against a stop of the attempt that a late order has started, if it
+    # is the only one of its task.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    runner.expect_late_start(run, 10.0)
+    status = make_status(runner, run, born_ms=9)
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
+    assert run in runner.runs and run.phase is attempts.Phase.RUNNING
+
+
+def test_start_that_came_too_long_ago_binds_nothing():
+    # Guards against a task that waits for a stop although all orders that had
+    # no answer can no longer be carried out.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    run.reported = True
+    runner.expect_late_start(run, 10.0)
+    now = 10.0 + runners_module.LATE_START_S + 0.1
+    sessions._apply_reply(
+        owner, runner, make_status(runner, born_ms=9), now - 0.1, now
+    )
+    assert run not in run.task.runs and not runner.late_starts
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "in_doubt"),
+    [("done", False), ("lost done", True), ("unreached done", False)],
+)
+async def test_only_an_order_without_an_answer_may_come_late(
+    outcomes, in_doubt, monkeypatch
+):
+    # Guards against a lost try that is forgotten as a later one is answered.
+    owner, runner = scheduling.make_owner(), decisions.make_runner()
+    run = charge_starting_run(owner, runner)
+    run.ordered_at = 1.0
+    answers = [interfaces.OrderOutcome(o) for o in outcomes.split()]
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 1.0)
+
+    async def start(order):
+        return answers.pop(0)
+
+    runner.calls = types.SimpleNamespace(start=start)
+    await orders._start_run(owner, run)
+    assert run.phase is attempts.Phase.RUNNING
+    assert bool(runner.late_starts) is in_doubt
+
+
 def test_lease_of_an_order_that_reached_a_new_incarnation_is_waited_for():
     # Guards against a task that is started elsewhere while the new incarnation
     # holds the longest lease that it grants: the order named a time on the
