--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -149,6 +149,7 @@
       crashes: Crashes of runners that may be its fault.
       trial_since: Since when it has waited for a trial although a runner has
         room for it, or 0.
+      moved_at: When it was last moved off a draining runner.
     """
 
     job: "JobState"
@@ -165,6 +166,7 @@
     avoided_runners: tuple[str, ...] = ()
     crashes: tuple[model.Crash, ...] = ()
     trial_since: float = 0.0
+    moved_at: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/departures.py
+++ b/plantainvane/jobs/departures.py
@@ -5,47 +5,36 @@
 is reserved before; tasks on a draining runner move there once it is free.
 """
 
-import dataclasses
-
 from plantainvane.jobs import attempts
 from plantainvane.jobs import eligibility
 from plantainvane.jobs import leases
+from plantainvane.jobs import placement
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import stops
+from plantainvane.jobs import trials
 
 # Room is reserved this long before the leases on a runner end: short tasks that
 # are in the way end within that time.
 _AHEAD_S = 2.0
+# Least time between two moves of a task, whatever the entries of runners say.
+_MOVE_INTERVAL_S = 5.0
+# The state of a runner that last answered longer ago than this may be out of
+# date.
+_MAX_STATUS_AGE_S = 1.5
 
 
-@dataclasses.dataclass(slots=True)
-class Departure:
-    """A long-running attempt that is about to end.
-
-    Attributes:
-      run: The attempt.
-      movable: It runs on a draining runner that answers, so it can be stopped.
-    """
-
-    run: attempts.Run
-    movable: bool
-
-
-def list_departures(owner: state_module.Owner, now: float) -> list[Departure]:
+def list_departures(
+    owner: state_module.Owner, now: float
+) -> list[attempts.Run]:
     """Returns the long-running attempts that are about to end."""
     found = []
     for runner in owner.runners.values():
-        if not runner.runs:
-            continue
-        movable = _drains(runner)
-        if movable or _expires(owner, runner, now):
-            found.extend(
-                Departure(run, movable) for run in runner.runs if _lasts(run)
-            )
+        if runner.runs and (_drains(runner) or _expires(owner, runner, now)):
+            found.extend(run for run in runner.runs if _lasts(run))
     for name, runs in owner.orphans.items():
         if owner.find_expiry(name) - now <= _AHEAD_S:
-            found.extend(Departure(run, False) for run in runs if _lasts(run))
+            found.extend(run for run in runs if _lasts(run))
     return found
 
 
@@ -79,45 +68,84 @@
     )
 
 
-def move_tasks(owner: state_module.Owner, departures: list[Departure]) -> None:
+def may_reserve(owner: state_module.Owner, task: attempts.Task) -> bool:
+    """Tells whether room may be reserved for a task that still runs.
+
+    No more tasks of a step than may be away have room reserved at a time.
+    """
+    limit = task.step.definition.max_unavailable
+    if task.name in owner.reservations or task.job.ended:
+        return False
+    return not limit or limit > sum(
+        other.name in owner.reservations for other in task.step.tasks
+    )
+
+
+def move_tasks(
+    owner: state_module.Owner, runs: list[attempts.Run], now: float
+) -> None:
     """Stops tasks on draining runners whose next runner has room for them."""
-    for departure in departures:
-        run = departure.run
-        reservation = owner.reservations.get(run.task.name)
+    for run in runs:
+        task, runner = run.task, owner.runners.get(run.runner)
+        reservation = owner.reservations.get(task.name)
         if (
-            departure.movable
-            and reservation is not None
+            reservation is not None
+            and runner is not None
+            and run in runner.runs
             and run.phase is attempts.Phase.RUNNING
-            and _has_room(owner.runners.get(reservation.runner), run.task)
-            and _may_move(run.task)
+            and _drains(runner)
+            and now - task.moved_at >= _MOVE_INTERVAL_S
+            and _has_room(owner, reservation, now)
+            and _may_move(owner, task, now)
         ):
+            task.moved_at = now
             stops.stop_run(owner, run, "moved off a draining runner")
 
 
 def _has_room(
-    runner: runners_module.Runner | None, task: attempts.Task
+    owner: state_module.Owner,
+    reservation: state_module.Reservation,
+    now: float,
 ) -> bool:
-    """Tells whether a task fits on the runner where room is reserved for it."""
-    if runner is None:
-        return False
-    step = task.step.definition
-    if not eligibility.has_capacity(runner, step):
-        return False
-    runner.release_room(task.name)
-    taken = eligibility.takes_reserved(runner, step)
-    runner.reserve_room(task.name, step.amounts)
-    return not taken
+    """Tells whether a task can start at once where room is reserved for it."""
+    task = reservation.task
+    runner = owner.runners.get(reservation.runner)
+    step, queue = task.step.definition, task.job.queue
+    has_place = placement.check_places(task, placement.Estimates())
+    return (
+        runner is not None
+        and eligibility.has_capacity(runner, step)
+        and eligibility.accepts_step(runner, step, now)
+        and not trials.is_kept_for_other(runner, task, now)
+        and not eligibility.takes_reserved(
+            runner, step, queue.priority, task=task.name
+        )
+        and has_place(runner.entry.id)
+    )
 
 
-def _may_move(task: attempts.Task) -> bool:
+def _may_move(
+    owner: state_module.Owner, task: attempts.Task, now: float
+) -> bool:
     """Tells whether the disruption budget of a step allows one more move."""
     limit = task.step.definition.max_unavailable
-    return not limit or sum(map(_is_away, task.step.tasks)) < limit
+    if not limit:
+        return True
+    away = sum(_is_away(owner, other, now) for other in task.step.tasks)
+    return away < limit
 
 
-def _is_away(task: attempts.Task) -> bool:
+def _is_away(
+    owner: state_module.Owner, task: attempts.Task, now: float
+) -> bool:
     """Tells whether a task is not known to be fully at work."""
     return not any(
-        run.phase is attempts.Phase.RUNNING and run.progress_percent >= 100
+        run.phase is attempts.Phase.RUNNING
+        and run.progress_percent >= 100
+        and (runner := owner.runners.get(run.runner)) is not None
+        and runner.listed
+        and runner.fenced
+        and not runner.silent
+        and now - runner.answered_at < _MAX_STATUS_AGE_S
         for run in task.runs
     )
--- a/plantainvane/jobs/eligibility.py
+++ b/plantainvane/jobs/eligibility.py
@@ -90,14 +90,29 @@
 
 
 def takes_reserved(
-    runner: runners_module.Runner, step: model.Step, reserve: float = 0.0
+    runner: runners_module.Runner,
+    step: model.Step,
+    priority: int | None = None,
+    reserve: float = 0.0,
+    task: str = "",
 ) -> bool:
     """Tells whether one more task would take room that is reserved there.
 
-    A task takes none of an amount that it does not need.
+    A task takes none of an amount that it does not need, and may take what is
+    reserved for less urgent ones.
+
+    Args:
+      runner: The runner.
+      step: Step of the task.
+      priority: Priority of its queue, or None to count all that is reserved.
+      reserve: Share of the memory that has to stay free.
+      task: Name of the task; what is reserved for it does not count.
     """
+    if not runner.reservations:
+        return False
     capacity, needs = runner.entry.capacity, step.amounts
-    reserved, memory_mb = runner.reserved, capacity.memory_mb * (1 - reserve)
+    reserved = runner.sum_reservations(priority, task)
+    memory_mb = capacity.memory_mb * (1 - reserve)
     return bool(
         (
             needs.cpu
@@ -130,7 +145,7 @@
     places = 0
     for runner in candidates:
         if has_capacity(runner, step) and accepts_step(runner, step, now):
-            if runner.reservations and takes_reserved(runner, step):
+            if takes_reserved(runner, step):
                 continue
             places += _count_places(runner, step, members - places)
         if places >= members:
--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -413,8 +413,8 @@
         return refusal
     if not eligibility.has_capacity(runner, step, reserve):
         return eligibility.Obstacle.NO_ROOM
-    if runner.reservations and eligibility.takes_reserved(
-        runner, step, reserve
+    if eligibility.takes_reserved(
+        runner, step, task.job.queue.priority, reserve, task.name
     ):
         return eligibility.Obstacle.RESERVED
     if trials.is_kept_for_other(runner, task, now):
@@ -518,6 +518,7 @@
         step.required_label,
         step.preferred_rack,
         has_waited(task, now),
+        task.job.queue.priority,
     )
 
 
@@ -563,8 +564,8 @@
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not eligibility.has_capacity(runner, step, reserve):
         return None
-    if runner.reservations and eligibility.takes_reserved(
-        runner, step, reserve
+    if eligibility.takes_reserved(
+        runner, step, task.job.queue.priority, reserve, task.name
     ):
         return None
     if not eligibility.accepts_step(runner, step, now) or (
--- a/plantainvane/jobs/preemption.py
+++ b/plantainvane/jobs/preemption.py
@@ -50,18 +50,16 @@
         step = task.step.definition
         capacity, amounts = runner.entry.capacity, step.amounts
         reserve = placement.FILL_MEMORY_RESERVE if step.fills else 0.0
-        held = runner.reserved
-        own = runner.reservations.get(task.name, model.Amounts())
+        held = runner.sum_reservations(task.job.queue.priority, task.name)
         self.cpu = runner.cpu - capacity.cpu
         if amounts.cpu and not step.fills:
-            self.cpu += amounts.cpu + held.cpu - own.cpu
+            self.cpu += amounts.cpu + held.cpu
         self.memory_mb = runner.memory_mb - capacity.memory_mb * (1 - reserve)
         if amounts.memory_mb:
-            self.memory_mb += amounts.memory_mb + held.memory_mb - own.memory_mb
+            self.memory_mb += amounts.memory_mb + held.memory_mb
         self.accelerators = runner.accelerators - capacity.accelerators
         if amounts.accelerators:
-            self.accelerators += amounts.accelerators
-            self.accelerators += held.accelerators - own.accelerators
+            self.accelerators += amounts.accelerators + held.accelerators
 
     def is_nothing(self) -> bool:
         return max(self.cpu, self.memory_mb, self.accelerators) <= 0
--- a/plantainvane/jobs/reservations.py
+++ b/plantainvane/jobs/reservations.py
@@ -30,8 +30,10 @@
 # that have lost their run go after tasks that are in time, or these would find
 # no room at all.
 _MAX_LONG_RUNNING_SHARE = 0.9
-# Searches for room in one pass; each looks at all runners of a service.
-_MAX_SEARCHES = 8
+# Searches for room in one pass; each looks at all runners of a service. Some
+# are left for tasks that are away already.
+_MAX_SEARCHES = 4
+_MAX_SEARCHES_AHEAD = 2
 # Among runners with room about as soon, the one that suits the task best.
 _EQUAL_WAIT_S = 0.25
 # Expected time until the end of an attempt that is being stopped, and the least
@@ -42,7 +44,10 @@
 
 
 class Use:
-    """Processors of each service, and what long-running tasks use of them."""
+    """Processors of each service, and what long-running tasks use of them.
+
+    What is reserved for them counts as in use.
+    """
 
     __slots__ = ("capacity", "crowded_first", "used")
 
@@ -54,6 +59,7 @@
             if runner.listed and not runner.silent and not entry.draining:
                 self.capacity[entry.service] += entry.capacity.cpu
                 self.used[entry.service] += runner.serving_cpu
+                self.used[entry.service] += runner.reserved.cpu
         self.crowded_first = set(filter(self.is_crowded, self.capacity))
 
     def is_crowded(self, service: str) -> bool:
@@ -75,6 +81,10 @@
         self.left = _MAX_SEARCHES
         self.failed: dict[tuple[str, str], list[model.Amounts]] = {}
 
+    def may_look_ahead(self) -> bool:
+        """Tells whether a task that still runs may be searched for."""
+        return self.left > _MAX_SEARCHES - _MAX_SEARCHES_AHEAD
+
     def begin(self, service: str, step: model.Step) -> bool:
         """Tells whether a search may be made that can find a runner."""
         failed = self.failed.get((service, step.required_label), ())
@@ -129,7 +139,12 @@
     """Returns why a reservation is dropped, or empty."""
     task = reservation.task
     runner = owner.runners.get(reservation.runner)
-    if runner is None or not _accepts(runner, task, now):
+    if (
+        runner is None
+        or task.name not in runner.reservations
+        or runner.entry.service != task.job.queue.service
+        or not _accepts(runner, task, now)
+    ):
         return "runner not usable"
     step = task.step.definition
     if runner.serving_cpu + step.amounts.cpu > runner.entry.capacity.cpu:
@@ -171,36 +186,46 @@
 def reserve(
     owner: state_module.Owner,
     task: attempts.Task,
-    candidates: Iterable[runners_module.Runner],
     search: Search,
+    use: Use,
     estimates: placement.Estimates,
     now: float,
-) -> str:
+    candidates: list[runners_module.Runner] | None = None,
+    freed: str = "",
+) -> None:
     """Reserves room where a task fits soonest, unless it has a reservation.
 
     Args:
       owner: The owner.
-      task: A long-running task that has lost its run and finds no runner.
-      candidates: The runners that may be used.
+      task: A long-running task that has lost its run, or is about to.
       search: Searches of this pass.
+      use: What long-running tasks use of each service.
       estimates: Intermediate results of the scheduling pass.
       now: Present time, in seconds.
-
-    Returns:
-      The id of the runner on which room is reserved, or empty.
+      candidates: The runners that may be used; None for all of the service.
+      freed: Id of a runner on which attempts are being stopped for the task.
     """
-    known = owner.reservations.get(task.name)
-    if known is not None:
-        return known.runner
     service, step = task.job.queue.service, task.step.definition
-    if not search.begin(service, step):
-        return ""
-    found = _find_soonest(owner, task, list(candidates), estimates, now)
+    if (
+        task.name in owner.reservations
+        or use.is_crowded(service)
+        or not search.begin(service, step)
+    ):
+        return
+    fleet = [r for r in owner.runners.values() if r.entry.service == service]
+    if freed:
+        candidates = [owner.runners[freed]]
+    else:
+        candidates = _leave_out_full(
+            fleet if candidates is None else candidates, fleet
+        )
+    found = _find_soonest(owner, task, candidates, estimates, now)
     if found is None:
         search.note_failure(service, step)
-        return ""
+        return
     wait_s, runner = found
-    runner.reserve_room(task.name, step.amounts)
+    runner.reserve_room(task.name, task.job.queue.priority, step.amounts)
+    use.used[service] += step.amounts.cpu
     estimates.forget_runner(runner.entry.id)
     owner.reservations[task.name] = state_module.Reservation(
         task, runner.entry.id, now, wait_s
@@ -209,7 +234,7 @@
         events.ROOM_RESERVED,
         task=task.name,
         runner=runner.entry.id,
-        waited_s=round(now - task.ready_since, 3),
+        waited_s=round(now - task.ready_since, 3) if not task.runs else None,
         expected_s=round(wait_s, 3),
         cpu=step.amounts.cpu,
         memory_mb=step.amounts.memory_mb,
@@ -218,7 +243,17 @@
         reserved=len(owner.reservations),
         epoch=owner.epoch,
     )
-    return runner.entry.id
+
+
+def _leave_out_full(
+    candidates: list[runners_module.Runner],
+    fleet: list[runners_module.Runner],
+) -> list[runners_module.Runner]:
+    """Leaves out runners without reservations once enough have some."""
+    in_use = sum(bool(runner.reservations) for runner in fleet)
+    if in_use < max(1, _MAX_RUNNERS_SHARE * len(fleet)):
+        return candidates
+    return [runner for runner in candidates if runner.reservations]
 
 
 def _find_soonest(
@@ -229,13 +264,12 @@
     now: float,
 ) -> tuple[float, runners_module.Runner] | None:
     """Returns the expected wait and the runner where a task fits soonest."""
-    in_use = {r.runner for r in owner.reservations.values()}
-    full = len(in_use) >= max(1, _MAX_RUNNERS_SHARE * len(candidates))
     has_place = placement.check_places(task, estimates)
+    taken = _list_taken(owner, task)
     found: list[tuple[float, runners_module.Runner]] = []
     for runner in candidates:
         if (
-            (full and runner.entry.id not in in_use)
+            runner.entry.id in taken
             or not has_place(runner.entry.id)
             or not _accepts(runner, task, now)
             or trials.is_kept_for_other(runner, task, now)
@@ -254,6 +288,17 @@
     )
 
 
+def _list_taken(owner: state_module.Owner, task: attempts.Task) -> set[str]:
+    """Returns runners that other tasks of a step with a limit have reserved."""
+    if not task.step.definition.max_per_runner:
+        return set()
+    return {
+        reservation.runner
+        for reservation in owner.reservations.values()
+        if reservation.task.step is task.step
+    }
+
+
 def _make_score(
     owner: state_module.Owner,
     task: attempts.Task,
@@ -317,4 +362,5 @@
         worked_s = min(worked_s, since_s)
     pace = max(run.pace_percent, _LEAST_PACE_PERCENT) / 100
     left_s = left_s / (max(runner.speed, 0.1) * pace) - worked_s
-    return max(_LEAST_LEFT_S, left_s)
+    # One that is over its estimate is expected to take as long again.
+    return max(_LEAST_LEFT_S, abs(left_s))
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -100,8 +100,9 @@
       memory_mb, accelerators: Charged to all tasks.
       fill_cpu: Processors charged to fill tasks.
       serving_cpu: The part of `cpu` that belongs to long-running tasks.
-      reservations: What is reserved there, by name of the task.
-      reserved: Their sum.
+      reservations: Priority and amounts of what is reserved there, by name of
+        the task.
+      reserved: Sum of these amounts.
       backoff_until: No task is started before this time, because a start was
         rejected for lack of capacity or has failed.
       probation_until: Until this time a task is started only while nothing
@@ -167,7 +168,7 @@
     accelerators: int = 0
     fill_cpu: int = 0
     serving_cpu: int = 0
-    reservations: dict[str, model.Amounts] = dataclasses.field(
+    reservations: dict[str, tuple[int, model.Amounts]] = dataclasses.field(
         default_factory=dict
     )
     reserved: model.Amounts = model.Amounts()
@@ -201,19 +202,31 @@
         self.memory_mb += sign * step.amounts.memory_mb
         self.accelerators += sign * step.amounts.accelerators
 
-    def reserve_room(self, task: str, amounts: model.Amounts) -> None:
-        """Keeps room free for a task."""
-        self.reservations[task] = amounts
-        self._sum_reservations()
+    def reserve_room(
+        self, task: str, priority: int, amounts: model.Amounts
+    ) -> None:
+        """Keeps room free for a task, but not from more urgent ones."""
+        self.reservations[task] = priority, amounts
+        self.reserved = self.sum_reservations()
 
     def release_room(self, task: str) -> None:
         """Ends what is reserved for a task, if anything is."""
         if self.reservations.pop(task, None) is not None:
-            self._sum_reservations()
+            self.reserved = self.sum_reservations()
+
+    def sum_reservations(
+        self, priority: int | None = None, task: str = ""
+    ) -> model.Amounts:
+        """Sums what is reserved for other tasks than the named one.
 
-    def _sum_reservations(self) -> None:
-        amounts = self.reservations.values()
-        self.reserved = model.Amounts(
+        With a priority, only for those that are as urgent at least.
+        """
+        amounts = [
+            amounts
+            for name, (urgency, amounts) in self.reservations.items()
+            if name != task and (priority is None or urgency <= priority)
+        ]
+        return model.Amounts(
             sum(a.cpu for a in amounts),
             sum(a.memory_mb for a in amounts),
             sum(a.accelerators for a in amounts),
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Generator
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -99,6 +100,9 @@
       out_of_time: It has ended before it has tried all ready tasks.
       search: Searches for room to reserve.
       use: What long-running tasks use of each service.
+      reserved_steps: Steps with a task that has a reservation.
+      no_victims: Amounts for which no attempts could be preempted in this pass,
+        by the other requirements.
     """
 
     now: float
@@ -120,6 +124,12 @@
         default_factory=reservations.Search
     )
     use: reservations.Use = dataclasses.field(default_factory=reservations.Use)
+    reserved_steps: set[attempts.StepState] = dataclasses.field(
+        default_factory=set
+    )
+    no_victims: dict[tuple[object, ...], list[model.Amounts]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def has_placed_for(self, share: float) -> bool:
         """Tells whether a share of the time for placing tasks has passed."""
@@ -243,7 +253,7 @@
     where the last one ended. Tasks that become ready in between are not added
     to what is kept, so all of it has its turn however many do.
     """
-    _prepare_departures(owner, current)
+    yield from _prepare_departures(owner, current)
     kept = owner.unvisited
     listed = yield from _list_by_urgency(owner, current.use, current.now)
     current.placing_since = current.now
@@ -257,29 +267,33 @@
     current.out_of_time = bool(owner.unvisited) and current.has_placed_for(1.0)
 
 
-def _prepare_departures(owner: state_module.Owner, current: Pass) -> None:
+def _prepare_departures(
+    owner: state_module.Owner, current: Pass
+) -> Iterator[None]:
     """Reserves room for tasks whose attempt is about to end, and moves them."""
     current.use = reservations.Use(owner.runners.values())
     found = departures.list_departures(owner, current.now)
-    departing = dict.fromkeys(departure.run.task for departure in found)
-    for runner in reservations.drop_stale(owner, set(departing), current.now):
+    departing = {run.task for run in found}
+    for runner in reservations.drop_stale(owner, departing, current.now):
         current.estimates.note_change(runner)
-    for task in departing:
-        queue = task.job.queue
-        if (
-            task.name not in owner.reservations
-            and queue.advice is None
-            and not current.use.is_crowded(queue.service)
-        ):
+    for run in found:
+        if not current.search.may_look_ahead():
+            break
+        task, queue = run.task, _renew_queue(owner, run.task)
+        if queue.advice is None and departures.may_reserve(owner, task):
             reservations.reserve(
                 owner,
                 task,
-                list_runners(owner, queue.service),
                 current.search,
+                current.use,
                 current.estimates,
                 current.now,
             )
-    departures.move_tasks(owner, found)
+            yield
+    departures.move_tasks(owner, found, current.now)
+    current.reserved_steps = {
+        reservation.task.step for reservation in owner.reservations.values()
+    }
 
 
 def _place_listed(
@@ -317,7 +331,7 @@
             runs = _place_task_or_gang(owner, task, current)
             waits = trials.is_waiting_for_trial(task, current.now)
             # Other tasks of the step may have room reserved.
-            waits = waits or reservations.is_restart(task)
+            waits = waits or group.step in current.reserved_steps
             if task.step.definition.gang or not (runs or waits):
                 blocked.add(group.step)
             current.placed.extend(runs)
@@ -433,10 +447,11 @@
 def _place_task_or_gang(
     owner: state_module.Owner, task: attempts.Task, current: Pass
 ) -> list[attempts.Run]:
-    queue = state_module.find_queue(owner, task.job.job.queue) or task.job.queue
-    task.job.queue = queue
-    if reservations.is_restart(task) and (
-        current.use.has_become_crowded(queue.service)
+    queue = _renew_queue(owner, task)
+    if (
+        reservations.is_restart(task)
+        and task.name not in owner.reservations
+        and current.use.has_become_crowded(queue.service)
     ):
         # It goes after short tasks from the next pass on.
         return []
@@ -469,22 +484,29 @@
     if task.name in owner.reservations:
         return []
     freed = _preempt(owner, task, candidates, current)
-    if reservations.is_restart(task) and (
-        not current.use.is_crowded(queue.service)
-    ):
-        if candidates is None:
-            candidates = list_runners(owner, queue.service)
+    if reservations.is_restart(task):
         reservations.reserve(
             owner,
             task,
-            [owner.runners[freed]] if freed else candidates,
             current.search,
+            current.use,
             current.estimates,
             current.now,
+            candidates,
+            freed,
         )
+        if task.name in owner.reservations:
+            current.reserved_steps.add(task.step)
     return []
 
 
+def _renew_queue(owner: state_module.Owner, task: attempts.Task) -> model.Queue:
+    """Returns the queue of a task as it is configured now."""
+    name = task.job.job.queue
+    task.job.queue = state_module.find_queue(owner, name) or task.job.queue
+    return task.job.queue
+
+
 def _choose_reserved(
     owner: state_module.Owner, task: attempts.Task, current: Pass
 ) -> runners_module.Runner | None:
@@ -495,17 +517,19 @@
     reservation = owner.reservations.get(task.name)
     if reservation is None or reservation.runner not in owner.runners:
         return None
-    runner = owner.runners[reservation.runner]
-    runner.release_room(task.name)
-    chosen = placement.choose_runner(
+    runner, queue = owner.runners[reservation.runner], task.job.queue
+    if runner.entry.service != queue.service or (
+        queue.advice is not None
+        and not orders.is_advised(owner, task.step, runner, current.now)
+    ):
+        return None
+    return placement.choose_runner(
         task,
         [runner],
         owner.interference_model,
         current.now,
         current.estimates,
     )
-    runner.reserve_room(task.name, task.step.definition.amounts)
-    return chosen
 
 
 def _wait_for_trial(
@@ -588,13 +612,8 @@
     The easier task could not use a runner that is kept for this one.
     """
     key = _find_requirements(task, service, current.now)
-    amounts = task.step.definition.amounts
-    blocked = any(
-        other.cpu <= amounts.cpu
-        and other.memory_mb <= amounts.memory_mb
-        and other.accelerators <= amounts.accelerators
-        for other in current.blocked.get(key, ())
-    )
+    found = current.blocked.get(key, ())
+    blocked = _needs_no_less(task.step.definition, found)
     return blocked and not (
         task.crashes
         and any(
@@ -645,7 +664,12 @@
     Returns:
       The id of the runner on which they are stopped, or empty.
     """
-    queue = task.job.queue
+    queue, step = task.job.queue, task.step.definition
+    # What these decide differs from task to task.
+    alike = candidates is None and not (step.max_per_runner or task.crashes)
+    kind = queue.service, queue.priority, step.required_label, step.fills
+    if alike and _needs_no_less(step, current.no_victims.get(kind, ())):
+        return ""
     if candidates is None:
         key = queue.service, queue.priority
         if key not in current.preemptible:
@@ -664,9 +688,22 @@
     victims = preemption.find_victims(task, candidates, current.now)
     for run in victims:
         stops.stop_run(owner, run, f"preempted for {task.name}")
+    if alike and not victims:
+        current.no_victims.setdefault(kind, []).append(step.amounts)
     return victims[0].runner if victims else ""
 
 
+def _needs_no_less(step: model.Step, found: Iterable[model.Amounts]) -> bool:
+    """Tells whether any of the amounts is no larger than what a step needs."""
+    needs = step.amounts
+    return any(
+        other.cpu <= needs.cpu
+        and other.memory_mb <= needs.memory_mb
+        and other.accelerators <= needs.accelerators
+        for other in found
+    )
+
+
 def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
     return any(
         run.task.job.queue.priority > priority
@@ -795,16 +832,15 @@
     run.ordered_ms = clock.read_wall_ms()
     trials.begin_trial(runner, task, current.now)
     runner.charge(run)
-    if task.step.definition.long_running:
-        current.use.used[runner.entry.service] += (
-            task.step.definition.amounts.cpu
-        )
+    step = task.step.definition
     reservation = owner.reservations.get(task.name)
     if reservation is not None:
         used = reservation.runner == runner.entry.id
         reason = "used" if used else "started elsewhere"
         reservations.release(owner, task.name, reason, current.now)
         current.estimates.note_change(reservation.runner)
+    elif step.long_running:
+        current.use.used[runner.entry.service] += step.amounts.cpu
     current.estimates.forget_runner(runner.entry.id)
     current.estimates.count_run(run)
     return run
@@ -874,6 +910,9 @@
         current.estimates.forget_runner(run.runner)
         current.estimates.count_run(run, -1)
         owner.table.drop_run(run, current.now)
+        if step.definition.long_running:
+            service = owner.runners[run.runner].entry.service
+            current.use.used[service] -= step.definition.amounts.cpu
     for task, number in zip(step.tasks, before, strict=True):
         task.attempt = number
     return []
--- a/tests/test_jobs_departures.py
+++ b/tests/test_jobs_departures.py
@@ -9,6 +9,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import departures
 from plantainvane.jobs import leases
+from plantainvane.jobs import model
 from plantainvane.jobs import succession
 from standins import platform_system
 from tests import test_jobs_reservations as reservations_tests
@@ -166,6 +167,103 @@
     assert departures.list_departures(fleet.owner, now) == []
 
 
+def test_tasks_do_not_move_within_a_service_that_their_queue_has_left(timeline):
+    # Guards against a start on a service to which the configuration no longer
+    # sends the queue.
+    fleet = reservations_tests.Fleet(timeline, runners=3)
+    (run,) = fleet.add_lasting("r0", cpu=4000, memory_mb=100)
+    moved = fleet.owner.runners["r2"]
+    moved.entry = msgspec.structs.replace(moved.entry, service="s2")
+    fleet.add_lasting("r2", cpu=15_000, memory_mb=100)
+    queue = msgspec.structs.replace(reservations_tests.QUEUE, service="s2")
+    configuration = model.Configuration(2, (queue,))
+    fleet.owner.get_configuration = lambda: configuration
+    drain(fleet.owner.runners["r0"])
+    found = play(fleet, 0.0, 2.0)
+    assert not found.stopped and run.phase is attempts.Phase.RUNNING
+
+
+def spread_step(fleet, **fields):
+    """Adds a step of which one task runs on `r0` and one on `r1`."""
+    first, second = fleet.add_lasting("r0", count=2, memory_mb=100, **fields)
+    fleet.owner.runners["r0"].charge(second, -1)
+    second.runner = "r1"
+    fleet.owner.runners["r1"].charge(second)
+    return first, second
+
+
+def test_tasks_of_a_step_with_a_limit_reserve_different_runners(timeline):
+    # Guards against a task that is stopped for a runner on which its step may
+    # have no second task.
+    fleet = reservations_tests.Fleet(timeline, runners=5)
+    spread_step(fleet, cpu=4600, max_per_runner=1)
+    now = reservations_tests.fill_with_shorts(fleet)
+    for name in ("r0", "r1"):
+        drain(fleet.owner.runners[name])
+    found = play(fleet, now, now + 12.0, short=20)
+    for name, stopped_at in found.stopped.items():
+        assert found.started[name] - stopped_at <= reservations_tests.MAX_WAIT_S
+
+
+def test_task_on_a_silent_runner_counts_against_the_disruption_budget(timeline):
+    # Guards against a move while another task of the step is away.
+    fleet = reservations_tests.Fleet(timeline, runners=4)
+    spread_step(fleet, cpu=2000, max_unavailable=1)
+    fleet.owner.runners["r1"].silent = True
+    fleet.owner.runners["r1"].lease_until_ms = 60_000
+    fleet.owner.runners["r1"].lease_requested_at = 0.0
+    drain(fleet.owner.runners["r0"])
+    assert not play(fleet, 0.0, 1.0).stopped
+
+
+def test_tasks_move_once_while_entries_contradict_each_other(timeline):
+    # Guards against services that are stopped again and again by entries of
+    # another writer.
+    fleet = reservations_tests.Fleet(timeline, runners=2)
+    fleet.add_lasting("r0", cpu=2000, memory_mb=100)
+    draining = {"r0": True, "r1": False}
+
+    def swap(now):
+        turn = int(now / 0.5) % 2
+        for name, first in draining.items():
+            runner = fleet.owner.runners[name]
+            runner.entry = msgspec.structs.replace(
+                runner.entry, draining=first == (turn == 0)
+            )
+
+    swap(0.0)
+    stops = []
+
+    def count(now):
+        swap(now)
+        stops.extend(
+            run
+            for runner in fleet.owner.runners.values()
+            for run in runner.runs
+            if run.phase is attempts.Phase.STOPPING
+        )
+
+    play(fleet, 0.0, 4.5, on_pass=count)
+    assert len(set(map(id, stops))) == 1
+
+
+@pytest.mark.parametrize("obstacle", ["backoff", "trial"])
+def test_task_stays_until_its_next_runner_accepts_it(timeline, obstacle):
+    # Guards against a task that is stopped for a runner which starts nothing.
+    fleet = reservations_tests.Fleet(timeline, runners=2)
+    (run,) = fleet.add_lasting("r0", cpu=4000, memory_mb=100)
+    drain(fleet.owner.runners["r0"])
+    following = fleet.owner.runners["r1"]
+    if obstacle == "backoff":
+        following.backoff_until = 1.0
+    else:
+        following.trial_until, following.kept_for = 1.0, "other"
+    found = play(fleet, 0.0, 2.0)
+    name = run.task.name
+    assert found.stopped[name] >= 1.0
+    assert found.started[name] - found.stopped[name] <= 3 * PASS_S
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("hands_over", [False, True])
 async def test_tasks_run_elsewhere_when_a_runner_that_announced_it_is_gone(
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -6,11 +6,13 @@
 import heapq
 import itertools
 
+import msgspec
 import pytest
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import model
+from plantainvane.jobs import preemption
 from plantainvane.jobs import scheduling
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling_tests
@@ -221,3 +223,58 @@
     assert serving <= 0.92 * capacity
     # Half of a tenth of the processors, in tasks of half a core.
     assert started >= 0.05 * capacity / 500 * 4.0 / SHORT_S
+
+
+def test_reservations_of_one_service_keep_none_from_another(timeline):
+    # Guards against a service without reservations, because another one that
+    # is larger has some.
+    fleet = Fleet(timeline, runners=4)
+    for number in range(6):
+        name = f"x{number}"
+        runner = decisions.make_runner(name)
+        runner.entry = msgspec.structs.replace(runner.entry, service="s2")
+        amounts = model.Amounts(4600, 100)
+        runner.reserve_room(f"other{number}", 0, amounts)
+        fleet.owner.runners[name] = runner
+    (lost,) = fleet.add_lasting("r0", cpu=4600, memory_mb=100)
+    now = lost_at = fill_with_shorts(fleet)
+    fleet.lose(lost, now)
+    while lost.task.name not in fleet.starts and now < lost_at + 5.0:
+        fleet.add_short(now, 20, 1000)
+        fleet.advance(now)
+        now += PASS_S
+    assert fleet.starts.get(lost.task.name, 99.0) - lost_at <= MAX_WAIT_S
+
+
+def test_many_lost_tasks_keep_no_short_ones_from_starting(monkeypatch):
+    # Guards against passes that spend their time on long-running tasks which
+    # find no room, while short ones that fit wait.
+    runners = [decisions.make_runner(f"r{n}", 16_000) for n in range(100)]
+    owner = scheduling_tests.make_owner(*runners, queue=QUEUE)
+    late = model.Queue("low", "h", "/l/", "s", 3, 2, 2.0, 3600.0)
+    for runner in runners:
+        step = decisions.make_step(count=14, long_running=True)
+        name = f"fill-{runner.entry.id}"
+        decisions.place_runs(
+            runner, owner.table, step, job_id=name, queue=QUEUE
+        )
+        step = decisions.make_step(count=1, cpu=500)
+        name = f"low-{runner.entry.id}"
+        decisions.place_runs(runner, owner.table, step, job_id=name, queue=late)
+    for number in range(100):
+        step = decisions.make_step(long_running=True, cpu=3000)
+        job_id = f"lost{number}"
+        decisions.add_job(owner.table, step, job_id=job_id, queue=QUEUE)
+        owner.table.tasks[f"{job_id}.0.0.0"].attempt = 1
+    looked_at = []
+    find_victims = preemption.find_victims
+    monkeypatch.setattr(
+        preemption,
+        "find_victims",
+        lambda *arguments: looked_at.append(1) or find_victims(*arguments),
+    )
+    step = decisions.make_step(count=100, cpu=500)
+    decisions.add_job(owner.table, step, job_id="short", queue=QUEUE)
+    scheduling_tests.run_slices(owner, 1.0)
+    assert len(scheduling_tests.list_placed(owner)) == 100
+    assert len(looked_at) <= 3
