--- a/plantainvane/jobs/configuration.py
+++ b/plantainvane/jobs/configuration.py
@@ -11,6 +11,7 @@
 from plantainvane import events
 from plantainvane import outcomes
 from plantainvane.jobs import clock
+from plantainvane.jobs import evacuations
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import metrics
 from plantainvane.jobs import peers as peers_module
@@ -67,6 +68,9 @@
         if page.ok_value.expired:
             offset = -1
             continue
+        # A process that has its first version serves, so it has to know first
+        # where nothing may be started.
+        _apply_evacuations(entry, page.ok_value, is_whole=offset < 0)
         for _, key, value in page.ok_value.records:
             if key == adapters.configuration_key and value:
                 _apply_document(entry, value, "log")
@@ -105,6 +109,51 @@
     return page
 
 
+def _apply_evacuations(
+    entry: process_module.Entry, page: interfaces.Page, is_whole: bool
+) -> None:
+    """Applies the evacuations among records of the operator's topic.
+
+    `is_whole` tells that the page has the newest record of each key.
+    """
+    prefix, held = entry.adapters.evacuation_prefix, entry.evacuations
+    if not prefix:
+        return
+    before = held.domains
+    records = evacuations.select_records(
+        page.records, prefix, entry.adapters.is_evacuation
+    )
+    if is_whole:
+        held.replace(records, page.end_offset)
+    else:
+        held.apply(records, page.next_offset)
+    _note_evacuations(entry, before, "log")
+
+
+def _note_evacuations(
+    entry: process_module.Entry, before: dict[str, int], source: str
+) -> None:
+    """Reports the domains that differ from `before`; the owner acts on it."""
+    domains = entry.evacuations.domains
+    changed = domains.keys() ^ before.keys()
+    if not changed:
+        return
+    metrics.EVACUATED_DOMAINS.set(len(domains))
+    for name in sorted(changed):
+        events.log_event(
+            events.EVACUATION_CHANGED,
+            domain=name,
+            evacuated=name in domains,
+            offset=domains.get(name, -1),
+            source=source,
+            unconfirmed_s=round(
+                clock.read_now() - entry.sources.confirmed_at, 3
+            ),
+        )
+    if entry.owner is not None:
+        evacuations.change_domains(entry.owner, frozenset(domains))
+
+
 def _apply_document(
     entry: process_module.Entry, document: bytes, source: str
 ) -> int:
@@ -160,6 +209,9 @@
         for other in fetched.addresses:
             entry.sources.add_address(other)
         answers[address] = fetched.version
+        before_domains = entry.evacuations.domains
+        entry.evacuations.merge(fetched.evacuated, fetched.followed_to)
+        _note_evacuations(entry, before_domains, address)
         if fetched.document:
             answers[address] = _apply_document(entry, fetched.document, address)
 
@@ -185,6 +237,7 @@
         entry.document if version > fetch.version else b"",
         version,
         [*owner, *others],
+        *evacuations.describe(entry.evacuations),
     )
 
 
--- a/plantainvane/jobs/eligibility.py
+++ b/plantainvane/jobs/eligibility.py
@@ -15,6 +15,7 @@
     SILENT = "silent"
     EXPIRY_PROMISED = "expiry_promised"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     FOREIGN_ATTEMPT = "foreign_attempt"
     IGNORES_STOPS = "ignores_stops"
     BACKOFF = "backoff"
@@ -55,6 +56,8 @@
         refusal = Obstacle.EXPIRY_PROMISED
     elif runner.entry.draining:
         refusal = Obstacle.DRAINING
+    elif runner.evacuated:
+        refusal = Obstacle.EVACUATED
     elif runner.foreign:
         refusal = Obstacle.FOREIGN_ATTEMPT
     elif runner.ignores_stops:
--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -15,10 +15,12 @@
 from plantainvane.jobs import backlog
 from plantainvane.jobs import clock
 from plantainvane.jobs import configuration
+from plantainvane.jobs import evacuations
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import load as load_module
+from plantainvane.jobs import model
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
@@ -75,7 +77,12 @@
     def find_wait(queue: str) -> float:
         return _find_wait(entry, queue, clock.read_now())
 
-    entry.intake = intake_module.Intake(settings, journal, ask_owner, find_wait)
+    def is_shut_out(job: model.Job) -> bool:
+        return _is_shut_out(entry, job, clock.read_now())
+
+    entry.intake = intake_module.Intake(
+        settings, journal, ask_owner, find_wait, is_shut_out
+    )
     return entry
 
 
@@ -101,6 +108,20 @@
     )
 
 
+def _is_shut_out(
+    entry: process_module.Entry, job: model.Job, now: float
+) -> bool:
+    """Tells whether the owner has said that only evacuated runners suit it."""
+    owner, shut_out = entry.owner, entry.shut_out
+    if owner is not None:
+        shut_out = owner.shut_out
+    elif now - entry.waits_at > _WAITS_AGE_S:
+        return False
+    return bool(shut_out) and evacuations.is_shut_out(
+        job, shut_out, clock.read_wall_ms()
+    )
+
+
 async def run_entry(
     entry: process_module.Entry,
     serve_callers: Any,
@@ -239,6 +260,7 @@
         entry.owner is not None,
         entry.ended_epoch,
         _name_peers(entry, now) if is_owner else [],
+        list(owner.shut_out) if is_owner else [],
     )
 
 
--- a/plantainvane/jobs/interfaces.py
+++ b/plantainvane/jobs/interfaces.py
@@ -152,6 +152,9 @@
       decode_runner: Decodes a runner's entry; None if it is unusable.
       configuration_topic, configuration_key: Location of the document.
       runners_topic: Topic in which runners register themselves.
+      evacuation_prefix: Start of the keys of evacuations, in the topic of the
+        document; a failure domain follows. Empty if there are none.
+      is_evacuation: Tells whether the value of such a key can be read.
     """
 
     store: Store
@@ -162,3 +165,5 @@
     configuration_topic: str
     configuration_key: str
     runners_topic: str
+    evacuation_prefix: str = ""
+    is_evacuation: Callable[[bytes], bool] = bool
--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -130,6 +130,11 @@
     "Rounds in which peers were asked for the configuration, by outcome.",
     ["outcome"],
 )
+EVACUATED_DOMAINS = prometheus_client.Gauge(
+    "plantainvane_evacuated_domains",
+    "Failure domains in which this process starts nothing, as the operator "
+    "has them evacuated.",
+)
 UNKNOWN_QUEUES = prometheus_client.Counter(
     "plantainvane_unknown_queue_requests_total",
     "Requests for a queue that is not in the configuration in force.",
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -132,6 +132,8 @@
         return "over capacity"
     if not runner.listed:
         return "not listed"
+    if runner.evacuated:
+        return "its domain is evacuated"
     if runner.foreign:
         return "an attempt runs there that is not charged"
     return ""
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -18,6 +18,7 @@
 from plantainvane.jobs import clock
 from plantainvane.jobs import colocation
 from plantainvane.jobs import crashes
+from plantainvane.jobs import evacuations
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
 from plantainvane.jobs import load as load_module
@@ -135,6 +136,8 @@
         outliving=len(outliving.list_outliving(owner)),
         **absences.describe_restored(owner, now),
     )
+    evacuations.report_domains(owner, owner.evacuated)
+    evacuations.update_shut_out(owner)
     owner.group.start_soon(_sweep, owner)
     owner.group.start_soon(_watch_orphans, owner)
     owner.group.start_soon(retention.run_retention, owner)
@@ -191,6 +194,7 @@
         _store_effects(owner, now)
         owner.interference_model.forget_ended(owner.runners)
         _measure_backlog(owner, now)
+        evacuations.update_shut_out(owner)
         outliving.report_outliving(reporter, owner, now)
         if now >= next_check_at:
             next_check_at = now + _CHARGES_INTERVAL_S
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -32,6 +32,11 @@
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Priority = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 _MAX_WAITS = 64
+# Most evacuated domains in a reply, and most characters of a name.
+MAX_DOMAINS = 256
+MAX_NAME_CHARACTERS = 200
+MAX_SHUT_OUT = 64
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 _Address = Annotated[
     str, msgspec.Meta(max_length=sources_module.MAX_ADDRESS_CHARACTERS)
 ]
@@ -86,6 +91,8 @@
       ended_epoch: Epoch of the last ownership that has ended there, or -1. What
         it says of leases does not hold for a claim that it does not know of.
       addresses: Some of the peers that ping the receiver, if it is the owner.
+      shut_out: Services, and labels or empty, whose runners are all evacuated,
+        if the receiver is the owner.
     """
 
     is_owner: bool
@@ -106,6 +113,9 @@
     extends: bool = True
     ended_epoch: _Version = -1
     addresses: _Addresses = []
+    shut_out: Annotated[
+        list[tuple[_Name, _Name]], msgspec.Meta(max_length=MAX_SHUT_OUT)
+    ] = []
 
 
 class Ask(msgspec.Struct, array_like=True):
@@ -161,11 +171,18 @@
       version: Version of the receiver's configuration; -1 without one, and from
         the last release.
       addresses: Some other processes, the owner that it knows of first.
+      evacuated: Evacuated domains, each with the offset of its record.
+      followed_to: Offset up to which these are complete; -1 if the receiver
+        cannot tell, and from the last release.
     """
 
     document: bytes = b""
     version: _Version = -1
     addresses: _Addresses = []
+    evacuated: Annotated[
+        dict[_Name, _Version], msgspec.Meta(max_length=MAX_DOMAINS)
+    ] = {}
+    followed_to: _Version = -1
 
 
 class HandOver(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from plantainvane.jobs import clock
+from plantainvane.jobs import evacuations as evacuations_module
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
@@ -61,6 +62,7 @@
       configuration: Configuration in force, or None before the first.
       document: The operator's document that `configuration` was decoded from.
       sources: What it has heard from the sources of its configuration.
+      evacuations: Failure domains that the operator has evacuated.
       owner: Set while this process is the owner.
       successor: Owner after this process, as a peer has told it, or None.
       confirm_lock: Serializes the reads that confirm an ownership on offer.
@@ -77,6 +79,7 @@
       group: Task group of the components, or None while they do not run.
       load: Load of this process.
       waits: Expected waits by priority, as the owner has last reported them.
+      shut_out: Services and labels that it has last reported as shut out.
       waits_at: When that was.
       comparisons: Comparisons of this process's reach with that of the owner.
       started_at: When this process began, by its monotonic clock.
@@ -97,6 +100,9 @@
     sources: sources_module.Sources = dataclasses.field(
         default_factory=sources_module.Sources
     )
+    evacuations: evacuations_module.Evacuations = dataclasses.field(
+        default_factory=evacuations_module.Evacuations
+    )
     owner: state_module.Owner | None = None
     successor: Successor | None = None
     confirm_lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
@@ -111,6 +117,7 @@
     group: anyio.abc.TaskGroup | None = None
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
     waits: dict[int, float] = dataclasses.field(default_factory=dict)
+    shut_out: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     waits_at: float = float("-inf")
     comparisons: reach_module.Comparisons = dataclasses.field(
         default_factory=reach_module.Comparisons
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -393,6 +393,7 @@
     runner.record_clock(entry.clock_ms, now, listed=True)
     runner.answered_at = runner.born_at = runner.up_at = now
     runner.entry_read_at = now
+    runner.evacuated = entry.domain in owner.evacuated
     runner.expiry_promised = owner.expiries.is_binding(entry.id)
     runner.earlier_leases_until = owner.find_expiry(entry.id)
     if earlier is not None:
--- a/plantainvane/jobs/relocation.py
+++ b/plantainvane/jobs/relocation.py
@@ -131,6 +131,7 @@
         and runner.fenced
         and not runner.silent
         and not runner.entry.draining
+        and not runner.evacuated
         and now - runner.answered_at < _MAX_STATUS_AGE_S
     )
 
--- a/plantainvane/jobs/runner_entries.py
+++ b/plantainvane/jobs/runner_entries.py
@@ -20,6 +20,7 @@
         owner.request_pass()
     before = runner.entry.capacity
     runner.entry, runner.listed, runner.entry_awaited = entry, True, False
+    runner.evacuated = entry.domain in owner.evacuated
     if entry.capacity != before:
         _report_capacity(runner, before)
         owner.request_pass()
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -38,6 +38,7 @@
       rack: Label that names its rack, or empty.
       listed: The entry is still in the list, and is that of the present
         incarnation.
+      evacuated: The operator has its failure domain evacuated.
       entry_awaited: Only a poll has told of the present incarnation; its own
         entry has not been read.
       announced: Entry of another incarnation than the present one, or None. A
@@ -118,6 +119,7 @@
     calls: interfaces.RunnerCalls
     rack: str
     listed: bool = True
+    evacuated: bool = False
     entry_awaited: bool = False
     announced: model.RunnerEntry | None = None
     announced_at: float = float("-inf")
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -154,6 +154,10 @@
     # for longer than this. The users ask for accepted jobs 14 s after their
     # traffic has ended, and each must be at work by then.
     max_start_wait_s: float = 8.0
+    # A job is refused for this time while all runners that could run it are
+    # evacuated. Only the operator knows for how long; a caller that returns is
+    # served that much later at most, and asks no more often.
+    evacuated_retry_s: int = 10
     drain_s: float = 2.6
 
     @property
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -116,6 +116,8 @@
       jobs_offset: Where the next read of the jobs topic starts.
       jobs_behind: The last read of the jobs topic did not reach its end.
       runners_offset: Where the next read of the runners topic starts.
+      evacuated: Failure domains that the operator has evacuated.
+      shut_out: Services, and labels or empty, whose runners are all evacuated.
       starts_in_flight: Number of attempts whose start has no outcome yet.
       stops_in_flight: Number of stops whose first order has no outcome yet, at
         runners that answer polls.
@@ -196,6 +198,8 @@
     jobs_offset: int = 0
     jobs_behind: bool = True
     runners_offset: int = 0
+    evacuated: frozenset[str] = frozenset()
+    shut_out: tuple[tuple[str, str], ...] = ()
     starts_in_flight: int = 0
     stops_in_flight: int = 0
     tickets: dict[tuple[str, str], tuple[str, float]] = dataclasses.field(
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -315,6 +315,7 @@
     )
     if answer.is_owner:
         entry.waits, entry.waits_at = dict(answer.waits), now
+        entry.shut_out = answer.shut_out
     for address in answer.addresses:
         entry.sources.add_address(address)
     ownership.record_waiver(
@@ -616,6 +617,7 @@
 
     def on_created(owner: state_module.Owner) -> None:
         entry.owner, owner.load = owner, entry.load
+        owner.evacuated = frozenset(entry.evacuations.domains)
         owner.renewed_at = claimed_at
         owner.former_renewed_at = succeeded.renewed_at
         owner.earlier_leases_until = succeeded.leases_end_at
--- a/plantainvane/platform/program.py
+++ b/plantainvane/platform/program.py
@@ -32,6 +32,8 @@
         configuration_topic="keyed.op",
         configuration_key="config",
         runners_topic="keyed.servers",
+        evacuation_prefix=wire.EVACUATION_PREFIX,
+        is_evacuation=wire.is_evacuation,
     )
 
 
--- a/plantainvane/platform/wire.py
+++ b/plantainvane/platform/wire.py
@@ -13,6 +13,9 @@
 from plantainvane.jobs import checks
 from plantainvane.jobs import model
 
+# Key of a record that has a failure domain evacuated; its name follows.
+EVACUATION_PREFIX = "evacuate/"
+
 _DRAINING = "draining"
 _STATES = ("ready", _DRAINING)
 _ID_LENGTH = 16
@@ -117,6 +120,7 @@
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
 _ENTRY_DECODER = msgspec.json.Decoder(_Entry)
 _JOB_DECODER = msgspec.json.Decoder(_Job)
+_ANY_DECODER = msgspec.json.Decoder()
 
 
 def decode_configuration(content: bytes) -> model.Configuration | None:
@@ -153,6 +157,11 @@
     )
 
 
+def is_evacuation(content: bytes) -> bool:
+    """Tells whether a record can be read; the key says what is evacuated."""
+    return decoding.decode(_ANY_DECODER, content).is_ok()
+
+
 def decode_runner(key: str, content: bytes) -> model.RunnerEntry | None:
     """Decodes a runner's entry; None if it is malformed or unusable."""
     decoded = decoding.decode(_ENTRY_DECODER, content)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -73,6 +73,7 @@
       ignores_orders: Polls are answered, and nothing else.
       answer_delay_s: Each call is carried out, and answered after this time.
       address: `ip:port` in its entry.
+      domain, labels: Those in its entry.
       gpu: Accelerators.
       guards: A start that does not fit is rejected.
       stop_grace_s: How long a stop takes.
@@ -114,6 +115,8 @@
     ignores_orders: bool = False
     answer_delay_s: float = 0.0
     address: str = ""
+    domain: str = "east"
+    labels: tuple[str, ...] = ("a", "r1-1")
     gpu: int = 0
     guards: bool = False
     stop_grace_s: float = 0.0
@@ -145,7 +148,7 @@
             {
                 "Service": service,
                 "Address": address,
-                "Zone": "east",
+                "Zone": self.domain,
                 "State": state,
                 "born": self.born_ms,
                 "ClockMs": self.read_clock(),
@@ -154,7 +157,7 @@
                     "MemMb": self.memory_mb,
                     "Gpu": self.gpu,
                 },
-                "Labels": ["a", "r1-1"],
+                "Labels": self.labels,
             }
         )
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -105,6 +105,11 @@
         """Writes one record, of any bytes, as another writer may."""
         return _append(self.find_topic(topic), [body])
 
+    def compact(self, topic: str) -> None:
+        """Deletes all records of a topic but the newest of each key."""
+        found = self.find_topic(topic)
+        found.first = len(found.records)
+
     def list_newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
         """Returns offset and newest value of each key.
 
--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -177,6 +177,8 @@
             store=log,
             configuration_topic="keyed.op",
             configuration_key="config",
+            evacuation_prefix="evacuate/",
+            is_evacuation=lambda content: content.startswith(b"{"),
             decode_configuration=lambda d: decode(version=int(d), queues=[]),
         ),
         1,
