--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -149,7 +149,7 @@
       crashes: Crashes of runners that may be its fault.
       trial_since: Since when it has waited for a trial although a runner has
         room for it, or 0.
-      moved_at: When it was last moved off a draining runner.
+      moved_at: When it was last moved off a runner that is to be left.
     """
 
     job: "JobState"
--- a/plantainvane/jobs/departures.py
+++ b/plantainvane/jobs/departures.py
@@ -2,7 +2,8 @@
 
 A runner that drains ends what runs there when it leaves, and what runs on one
 that does not answer has ended when its leases have. Room for the next attempt
-is reserved before; tasks on a draining runner move there once it is free.
+is reserved before; tasks on a draining runner, or in an evacuated failure
+domain, move there once it is free.
 """
 
 from plantainvane.jobs import attempts
@@ -30,7 +31,7 @@
     """Returns the long-running attempts that are about to end."""
     found = []
     for runner in owner.runners.values():
-        if runner.runs and (_drains(runner) or _expires(owner, runner, now)):
+        if runner.runs and (_leaves(runner) or _expires(owner, runner, now)):
             found.extend(run for run in runner.runs if _lasts(run))
     for name, runs in owner.orphans.items():
         if owner.find_expiry(name) - now <= _AHEAD_S:
@@ -38,10 +39,10 @@
     return found
 
 
-def _drains(runner: runners_module.Runner) -> bool:
-    """Tells whether a runner leaves and answers until then."""
+def _leaves(runner: runners_module.Runner) -> bool:
+    """Tells whether a runner is to be left, and answers until then."""
     return (
-        runner.entry.draining
+        (runner.entry.draining or runner.evacuated)
         and runner.listed
         and runner.fenced
         and not runner.silent
@@ -84,7 +85,7 @@
 def move_tasks(
     owner: state_module.Owner, runs: list[attempts.Run], now: float
 ) -> None:
-    """Stops tasks on draining runners whose next runner has room for them."""
+    """Stops tasks on runners to be left whose next runner has room for them."""
     for run in runs:
         task, runner = run.task, owner.runners.get(run.runner)
         reservation = owner.reservations.get(task.name)
@@ -93,13 +94,13 @@
             and runner is not None
             and run in runner.runs
             and run.phase is attempts.Phase.RUNNING
-            and _drains(runner)
+            and _leaves(runner)
             and now - task.moved_at >= _MOVE_INTERVAL_S
             and _has_room(owner, reservation, now)
             and _may_move(owner, task, now)
         ):
             task.moved_at = now
-            stops.stop_run(owner, run, "moved off a draining runner")
+            stops.stop_run(owner, run, "moved off a runner that is to be left")
 
 
 def _has_room(
--- a/plantainvane/jobs/reservations.py
+++ b/plantainvane/jobs/reservations.py
@@ -56,7 +56,8 @@
         self.used: collections.Counter[str] = collections.Counter()
         for runner in runners:
             entry = runner.entry
-            if runner.listed and not runner.silent and not entry.draining:
+            leaves = entry.draining or runner.evacuated
+            if runner.listed and not runner.silent and not leaves:
                 self.capacity[entry.service] += entry.capacity.cpu
                 self.used[entry.service] += runner.serving_cpu
                 self.used[entry.service] += runner.reserved.cpu
--- a/tests/test_jobs_departures.py
+++ b/tests/test_jobs_departures.py
@@ -77,6 +77,18 @@
     assert not fleet.owner.runners["r0"].runs
 
 
+def test_long_running_tasks_leave_an_evacuated_domain(timeline):
+    # Guards against services that stay in a failure domain which is emptied.
+    fleet = reservations_tests.Fleet(timeline, runners=4)
+    fleet.add_lasting("r0", count=2, cpu=4000, memory_mb=100, max_unavailable=1)
+    for name in ("r0", "r1"):
+        fleet.owner.runners[name].evacuated = True
+    found = play(fleet, 0.0, 1.0)
+    assert len(found.started) == 2
+    assert not fleet.owner.runners["r0"].runs
+    assert not fleet.owner.runners["r1"].runs
+
+
 def test_tasks_stay_on_a_draining_runner_without_room_elsewhere(timeline):
     # Guards against a move that ends a task which then runs nowhere.
     fleet = reservations_tests.Fleet(timeline, runners=2)
