--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -90,6 +90,8 @@
         break a connection off.
       crashed_under: Tasks that crashed the runner, in order.
       on_crash: Called at each crash.
+      on_run: Called with `start`, `end` or `noted` (an end was acknowledged),
+        the task, its attempt and how it ended.
     """
 
     id: str
@@ -137,6 +139,7 @@
     crashed: bool = False
     crashed_under: list[str] = dataclasses.field(default_factory=list)
     on_crash: Callable[[], None] = lambda: None
+    on_run: Callable[[str, str, int, str], None] = lambda *run: None
 
     def read_clock(self) -> int:
         """Returns the runner's monotonic clock in milliseconds."""
@@ -204,6 +207,7 @@
         if how == "done":
             self.done.add(task)
         self.next_end += 1
+        self.on_run("end", task, attempt.number, how)
 
     def crash(self) -> None:
         """Ends everything that runs, unseen, and all service."""
@@ -340,6 +344,7 @@
         body.get("Checkpoint", "") or f"{task}-{number}",
         needs=needs,
     )
+    state.on_run("start", task, number, "")
     total = state.sum_needs()
     state.peak = Amounts(
         max(state.peak.cpu, total.cpu),
@@ -371,6 +376,9 @@
 
 async def _hold(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
     _extend(state, body)
+    for number, task, attempt, how, _ in state.ends:
+        if number <= body["LastSeen"]:
+            state.on_run("noted", task, attempt, how)
     state.ends = [e for e in state.ends if e[0] > body["LastSeen"]]
     with anyio.move_on_after(body.get("WaitMs", 0) / 1000):
         while not state.ends and not state.crashed:
--- /dev/null
+++ b/standins/soak_links.py
@@ -0,0 +1,131 @@
+"""Loopback proxy of one path, whose connections can be held up or broken."""
+
+import dataclasses
+import socket
+import struct
+
+import anyio
+import anyio.abc
+
+_READ_BYTES = 65_536
+# Linger of 0 s: closing resets the connection.
+_RESET = struct.pack("ii", 1, 0)
+_Streams = tuple[anyio.abc.SocketStream, anyio.abc.SocketStream]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Connection:
+    """The two ends of a proxied connection; a silent one carries nothing."""
+
+    streams: _Streams
+    scope: anyio.CancelScope = dataclasses.field(
+        default_factory=anyio.CancelScope
+    )
+    silent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """A path from `address` to `target`, both `ip:port`.
+
+    Attributes:
+      refuses: New connections are reset.
+      opened: Set while the path carries bytes; they wait otherwise, as behind
+        lost packets.
+    """
+
+    address: str
+    target: str
+    refuses: bool = False
+    opened: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    connections: set[_Connection] = dataclasses.field(default_factory=set)
+
+    def hold(self) -> None:
+        """Holds up all bytes until `release`."""
+        if self.opened.is_set():
+            self.opened = anyio.Event()
+
+    def release(self) -> None:
+        """Carries bytes again, except those of silent connections."""
+        self.opened.set()
+
+    def silence(self) -> None:
+        """Lets the present connections carry nothing any more."""
+        for connection in self.connections:
+            connection.silent = True
+
+    def reset(self) -> None:
+        """Resets the present connections at both ends."""
+        for connection in self.connections:
+            for stream in connection.streams:
+                _set_reset(stream)
+            connection.scope.cancel()
+
+
+def _set_reset(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+async def serve_link(link: Link) -> None:
+    """Carries the connections of a link until it is cancelled."""
+    host, _, port = link.address.rpartition(":")
+    link.release()
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port), backlog=256
+    )
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        await _carry(link, stream)
+
+    async with listener:
+        await listener.serve(handle)
+
+
+async def _carry(link: Link, stream: anyio.abc.SocketStream) -> None:
+    async with stream:
+        if link.refuses:
+            _set_reset(stream)
+            return
+        host, _, port = link.target.rpartition(":")
+        try:
+            target = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            _set_reset(stream)
+            return
+        async with target:
+            connection = _Connection((stream, target))
+            link.connections.add(connection)
+            try:
+                with connection.scope:
+                    async with anyio.create_task_group() as group:
+                        group.start_soon(
+                            _pump, link, connection, stream, target
+                        )
+                        group.start_soon(
+                            _pump, link, connection, target, stream
+                        )
+            finally:
+                link.connections.discard(connection)
+
+
+async def _pump(
+    link: Link,
+    connection: _Connection,
+    source: anyio.abc.SocketStream,
+    sink: anyio.abc.SocketStream,
+) -> None:
+    """Carries bytes in one direction; the end of one ends both."""
+    try:
+        while True:
+            data = await source.receive(_READ_BYTES)
+            if connection.silent:
+                await anyio.sleep_forever()
+            await link.opened.wait()
+            await sink.send(data)
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        # The peer hears of it by the end of the other stream.
+        await link.opened.wait()
+        if connection.silent:
+            await anyio.sleep_forever()
+        connection.scope.cancel()
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -1,6 +1,6 @@
 """What clients, store and runners saw of a soak; input of its auditor.
 
-All times are seconds of one monotonic clock. Lists are in the order of time.
+All times are seconds of one steady clock. Lists are in the order of time.
 """
 
 import dataclasses
