--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -331,6 +331,21 @@
     return lines
 
 
+@app.command(
+    context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
+    add_help_option=False,
+)
+def soak(context: typer.Context) -> None:
+    """Soaks real processes of the job scheduler under seeded faults.
+
+    Takes the options of `python -m standins.soak`; see docs/soak.md.
+    """
+    # Imported here so that the other commands load no stand-ins.
+    from standins import soak as soak_module
+
+    soak_module.app(context.args, prog_name="plantainvane soak")
+
+
 @app.command()
 def schemas() -> None:
     """Prints the JSON Schemas of all documents and of the settings."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,199 @@
+"""A short soak with a fixed seed; `plantainvane soak` does longer ones."""
+
+import copy
+import json
+
+import anyio
+import pytest
+import typer.testing
+
+from plantainvane import commands
+from standins import soak
+from standins import soak_audit
+from standins import soak_observations as observations_module
+
+SEED = 3
+MINUTES = 0.25
+PROCESSES = 6
+
+
+@pytest.fixture(scope="module")
+def soaked(tmp_path_factory):
+    """Returns the report and the observations of one soak."""
+    directory = tmp_path_factory.mktemp("soak")
+    return anyio.run(soak.run_soak, SEED, MINUTES, PROCESSES, directory)
+
+
+@pytest.fixture
+def seen(soaked):
+    """Returns observations that a test may change."""
+    return copy.deepcopy(soaked[1])
+
+
+def test_short_soak_breaks_no_rule(soaked):
+    # Guards against errors that appear only when real processes fail.
+    report, _ = soaked
+    lines = "\n".join(soak.describe_report(report))
+    assert report.findings == [], lines
+    # Without these checks, a run without faults or load would pass as well.
+    assert sum(report.faults.values()) > 10, lines
+    assert report.load["jobs"]["ended"] > 30, lines
+    assert report.load["requests"]["probe"]["400"] > 200, lines
+    assert {"process.SIGTERM", "process.SIGKILL"} <= report.faults.keys()
+
+
+def find_event(seen, kind, how=""):
+    return next(
+        event
+        for event in seen.runner_events
+        if (event.kind, event.how) == (kind, how)
+    )
+
+
+def add_run(seen, event, at, runner, attempt=1, kinds=("start", "end")):
+    """Adds a short run of the task of `event`, or only its end."""
+    for number, kind in enumerate(kinds):
+        how = "stopped" if kind == "end" else ""
+        seen.runner_events.append(
+            observations_module.RunnerEvent(
+                at + number / 1000, runner, kind, event.task, attempt, how
+            )
+        )
+    seen.runner_events.sort(key=lambda event: event.at)
+
+
+def forget_completion(seen):
+    job = next(e.what for e in seen.exchanges if e.state == "completed")
+    seen.exchanges = [
+        e for e in seen.exchanges if (e.what, e.kind) != (job, "state")
+    ]
+
+
+def run_beside(seen):
+    event = find_event(seen, "start")
+    add_run(seen, event, event.at + 0.001, "i-999")
+
+
+def run_after_done(seen):
+    event = find_event(seen, "noted", "done")
+    add_run(seen, event, event.at + 0.001, "i-999")
+
+
+def cut_in_drain(seen):
+    # The processes end one after the other, long after the last fault.
+    exits = [e for e in seen.process_events if e.kind == "exited"]
+    request = next(e for e in seen.exchanges if e.kind == "state")
+    last = copy.copy(request)
+    last.process, last.life = exits[-1].process, exits[-1].life
+    last.status, last.state, last.cut = 0, "", True
+    last.sent, last.ended = exits[-1].at - 0.3, exits[-1].at
+    seen.exchanges.append(last)
+
+
+def start_cancelled(seen):
+    cancel = next(
+        e for e in seen.exchanges if (e.kind, e.status) == ("cancel", 200)
+    )
+    event = copy.copy(find_event(seen, "start"))
+    event.task = f"{cancel.what}.0.0.9"
+    add_run(seen, event, cancel.ended + 3.1, "i-999")
+
+
+def end_lasting_in_calm(seen):
+    cancelled = {e.what for e in seen.exchanges if e.kind == "cancel"}
+    accepted = {
+        e.what
+        for e in seen.exchanges
+        if (e.kind, e.status) == ("submit", 200) and e.ended < seen.calm_from
+    }
+    job = next(
+        job.id
+        for job in seen.jobs
+        if job.lasts and job.id in accepted - cancelled
+    )
+    seen.runner_events = [
+        e
+        for e in seen.runner_events
+        if e.at < seen.calm_from or not e.task.startswith(job)
+    ]
+    task = f"{job}.0.0.0"
+    run = next(e for e in reversed(seen.runner_events) if e.task == task)
+    if run.kind == "start":
+        add_run(
+            seen, run, seen.calm_from, run.runner, run.attempt, kinds=["end"]
+        )
+
+
+def apply_late(seen):
+    newest = seen.configurations[-1]
+    probe = next(e for e in reversed(seen.exchanges) if e.kind == "probe")
+    late = copy.copy(probe)
+    late.what, late.status, late.cut = str(newest.version), 404, False
+    late.process, late.life = "entry-99", 1
+    late.sent = max(newest.acknowledged, seen.calm_from) + 4.0
+    late.ended = late.sent + 0.01
+    seen.exchanges.append(late)
+
+
+def end_by_itself(seen):
+    event = next(e for e in seen.process_events if e.kind == "started")
+    ended = copy.copy(event)
+    ended.kind, ended.status, ended.at = "exited", 1, event.at + 0.1
+    seen.process_events.insert(seen.process_events.index(event) + 1, ended)
+
+
+def leak_descriptors(seen):
+    seen.samples[-1].descriptors = 5000
+
+
+@pytest.mark.parametrize(
+    ("change", "rule"),
+    [
+        (forget_completion, "lost"),
+        (run_beside, "twice"),
+        (run_after_done, "twice"),
+        (cut_in_drain, "cut"),
+        (start_cancelled, "cancelled"),
+        (end_lasting_in_calm, "waits"),
+        (apply_late, "configuration"),
+        (end_by_itself, "ended"),
+        (leak_descriptors, "growth"),
+    ],
+)
+def test_change_of_what_was_seen_is_reported(change, rule, seen):
+    # Guards against a soak that records too little for the auditor to see.
+    before = soak_audit.count_findings(soak_audit.find_faults(seen))
+    change(seen)
+    after = soak_audit.count_findings(soak_audit.find_faults(seen))
+    assert after[rule] > before[rule]
+    others = {name for name in after if after[name] > before[name]}
+    assert others == {rule}
+
+
+def test_command_prints_and_writes_its_report(soaked, monkeypatch, tmp_path):
+    # Guards against a broken rule that the exit status does not show, and
+    # against a report that names no seed.
+    report, _ = soaked
+    asked = []
+
+    async def run_soak(*arguments):
+        asked.append(arguments[:3])
+        finding = soak_audit.Finding("twice", report.began + 1.0, "beside")
+        changed = copy.copy(report)
+        changed.findings = [finding]
+        changed.counts = soak_audit.count_findings([finding])
+        return changed, None
+
+    monkeypatch.setattr(soak, "run_soak", run_soak)
+    path = tmp_path / "report.json"
+    arguments = ["soak", "--seed", str(SEED), "--minutes", "0.5"]
+    finished = typer.testing.CliRunner().invoke(
+        commands.app, [*arguments, "--processes", "7", "--report", str(path)]
+    )
+    assert finished.exit_code == 1, finished.output
+    assert asked == [(SEED, 0.5, 7)]
+    assert f"seed {SEED}:" in finished.output
+    assert "BROKEN, 1 times" in finished.output
+    written = json.loads(path.read_text())
+    assert written["seed"] == SEED
+    assert written["findings"][0]["text"] == "beside"
