--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,6 +21,7 @@
 from standins import soak_session as session_module
 
 MIN_PROCESSES, MAX_PROCESSES = 6, 60
+OBSERVATIONS_FILE = "observations.json"
 _MIN_CLIENTS, _MAX_CLIENTS = 6, 24
 _MIN_RUNNERS = 5
 _PROCESSES_PER_RUNNER = 2
@@ -99,7 +100,7 @@
       seed: Faults and requests are drawn from it.
       minutes: Time in which faults occur; start and end come on top.
       processes: Number of entry processes.
-      directory: For their settings files and logs.
+      directory: For their settings files, logs and what was seen.
     """
     seen = observations_module.Observations()
     began = session_module.read_now()
@@ -128,6 +129,9 @@
                 await session_module.wait_ended(session, _END_PAUSE_S)
                 session.stop.set()
             group.cancel_scope.cancel()
+    for disturbance in seen.disturbances:
+        disturbance.ended = min(disturbance.ended, session_module.read_now())
+    (directory / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(seen))
     findings = soak_audit.find_faults(seen)
     report = Report(
         seed=seed,
@@ -402,7 +406,7 @@
     ] = None,
     directory: Annotated[
         pathlib.Path | None,
-        typer.Option(help="Keeps settings and logs of the processes there."),
+        typer.Option(help="Keeps settings, logs and what was seen."),
     ] = None,
 ) -> None:
     """Soaks real processes under seeded faults; exits with 1 if a rule broke.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import json
 
 import anyio
+import msgspec
 import pytest
 import typer.testing
 
@@ -18,9 +19,20 @@
 
 
 @pytest.fixture(scope="module")
-def soaked(tmp_path_factory):
+def directory(tmp_path_factory):
+    return tmp_path_factory.mktemp("soak")
+
+
+@pytest.fixture
+def kept(soaked, directory):
+    """Returns the observations that the soak has written."""
+    content = (directory / soak.OBSERVATIONS_FILE).read_bytes()
+    return msgspec.json.decode(content, type=observations_module.Observations)
+
+
+@pytest.fixture(scope="module")
+def soaked(directory):
     """Returns the report and the observations of one soak."""
-    directory = tmp_path_factory.mktemp("soak")
     return anyio.run(soak.run_soak, SEED, MINUTES, PROCESSES, directory)
 
 
@@ -30,6 +42,11 @@
     return copy.deepcopy(soaked[1])
 
 
+def test_what_was_seen_is_kept(soaked, kept):
+    # Guards against a finding that nobody can look into afterwards.
+    assert kept == soaked[1]
+
+
 def test_short_soak_breaks_no_rule(soaked):
     # Guards against errors that appear only when real processes fail.
     report, _ = soaked
