--- a/standins/soak.py
+++ b/standins/soak.py
@@ -191,9 +191,9 @@
 
 async def _bring_faults(course: _Course, plan: list[Fault]) -> None:
     """Brings about the faults of a plan; returns once none is in force."""
-    began = session_module.read_now()
+    began = anyio.current_time()
     for fault in plan:
-        await anyio.sleep(began + fault.at_s - session_module.read_now())
+        await anyio.sleep_until(began + fault.at_s)
         course.session.group.start_soon(_bring_fault, course, fault)
     await anyio.sleep(_END_PAUSE_S)
     while course.active:
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -31,7 +31,7 @@
     "drained": (2, 2.0, 5.0),
     "crashed": (2, 0.2, 4.0),
     "crashed_for_good": (1, 0.0, 0.0),
-    "held": (2, 0.5, 7.0),
+    "held": (2, 0.5, 9.0),
     "reset": (2, 0.0, 0.0),
     "silent": (2, 0.0, 0.0),
     "order_late": (1, 0.0, 0.0),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,13 +11,20 @@
 from plantainvane import commands
 from standins import soak
 from standins import soak_audit
+from standins import soak_faults
 from standins import soak_observations as observations_module
+from standins import soak_session
 
-SEED = 3
+SEED = 1
 MINUTES = 0.25
 PROCESSES = 6
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 @pytest.fixture(scope="module")
 def directory(tmp_path_factory):
     return tmp_path_factory.mktemp("soak")
@@ -214,3 +221,20 @@
     written = json.loads(path.read_text())
     assert written["seed"] == SEED
     assert written["findings"][0]["text"] == "beside"
+
+
+@pytest.mark.anyio
+async def test_faults_at_the_same_time_are_brought_about(monkeypatch):
+    # Guards against a soak that fails when a fault is due before the last one
+    # has been started.
+    brought = []
+
+    async def bring(course, fault):
+        brought.append(fault)
+
+    monkeypatch.setattr(soak, "_bring_fault", bring)
+    fault = soak_faults.Fault(0.0, "process", "SIGHUP", 0.0, 0.0, 1)
+    async with anyio.create_task_group() as group:
+        session = soak_session.Session(group, group, None, "", None)
+        await soak._bring_faults(soak._Course(session), [fault] * 3)
+    assert brought == [fault] * 3
