--- a/standins/soak.py
+++ b/standins/soak.py
@@ -14,6 +14,7 @@
 import msgspec
 import typer
 
+from standins import launcher
 from standins import soak_audit
 from standins import soak_clients
 from standins import soak_faults
@@ -359,6 +360,23 @@
 }
 
 
+async def _run_to_end(
+    seed: int, minutes: float, processes: int, directory: pathlib.Path
+) -> Report | None:
+    """Runs a soak; a signal ends it with its processes, without a report."""
+    report = None
+
+    async def interrupt(scope: anyio.CancelScope) -> None:
+        await launcher.wait_interrupt()
+        scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(interrupt, group.cancel_scope)
+        report, _ = await run_soak(seed, minutes, processes, directory)
+        group.cancel_scope.cancel()
+    return report
+
+
 def describe_report(report: Report) -> list[str]:
     """Returns the lines of a report for a reader."""
     lines = [
@@ -418,7 +436,10 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = directory or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        result, _ = anyio.run(run_soak, seed, minutes, processes, folder)
+        result = anyio.run(_run_to_end, seed, minutes, processes, folder)
+    if result is None:
+        typer.echo(f"seed {seed}: interrupted, nothing was checked", err=True)
+        raise typer.Exit(1)
     for line in describe_report(result):
         typer.echo(line)
     if report is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,18 @@
 
 import copy
 import json
+import subprocess
+import sys
+import time
 
 import anyio
 import msgspec
+import psutil
 import pytest
 import typer.testing
 
 from plantainvane import commands
+from standins import launcher
 from standins import soak
 from standins import soak_audit
 from standins import soak_faults
@@ -18,6 +23,8 @@
 SEED = 1
 MINUTES = 0.25
 PROCESSES = 6
+# For steps whose time is not tested.
+LIMIT_S = 30.0
 
 
 @pytest.fixture
@@ -238,3 +245,24 @@
         session = soak_session.Session(group, group, None, "", None)
         await soak._bring_faults(soak._Course(session), [fault] * 3)
     assert brought == [fault] * 3
+
+
+def test_interrupted_soak_leaves_no_process(tmp_path):
+    # Guards against entry processes that nobody ends any more.
+    arguments = ["--processes", str(PROCESSES), "--directory", str(tmp_path)]
+    process = psutil.Popen(
+        [sys.executable, "-m", "standins.soak", *arguments],
+        cwd=launcher.ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    until = time.monotonic() + LIMIT_S
+    while len(children := process.children()) < PROCESSES:
+        assert process.poll() is None and time.monotonic() < until
+        time.sleep(0.05)
+    process.terminate()
+    status = process.wait(LIMIT_S)
+    _, alive = psutil.wait_procs(children, timeout=LIMIT_S)
+    for child in alive:
+        child.kill()
+    assert (status, alive) == (1, [])
