--- a/standins/soak_clients.py
+++ b/standins/soak_clients.py
@@ -21,15 +21,15 @@
 # All probes together take at most this many requests a second.
 _PROBES_PER_S = 60.0
 _PROBE_PAUSE_S = 0.2
-_MAX_LASTING_JOBS = 10
+_MAX_LASTING_JOBS = 14
 # Of these, so many are never cancelled, so that their waits can be judged.
-_KEPT_LASTING_JOBS = 5
+_KEPT_LASTING_JOBS = 8
 # What a client does, by weight.
 _ACTIONS = {"submit": 5, "submit_lasting": 1, "ask": 12, "cancel": 1}
 # Run time of tasks that last, if they do not last until the cancel.
 _FAILING_RUN_MS = (3000, 12_000)
 _FAILING_SHARE = 0.3
-_RUN_MS = (50, 1500)
+_RUN_MS = (50, 4000)
 _LONG_MS = 100_000_000
 
 Exchange = observations_module.Exchange
@@ -130,7 +130,7 @@
         return
     fields: dict[str, Any] = {"count": rng.randint(1, 4)}
     if lasts:
-        fields |= {"count": rng.randint(1, 2), "LongRunning": True}
+        fields["LongRunning"] = True
         fields["fails"] = rng.random() < _FAILING_SHARE
         fields["run_ms"] = (
             rng.randint(*_FAILING_RUN_MS) if fields["fails"] else _LONG_MS
