--- a/standins/soak.py
+++ b/standins/soak.py
@@ -323,8 +323,12 @@
     store = session.store
     if store.down or store.lose_answers or store.append_delay_s:
         return False
+    # While appends are slow, the ends of processes find requests to answer.
     disturbance = session_module.disturb(
-        session, fault.kind, observations_module.EVERYTHING
+        session,
+        fault.kind,
+        observations_module.EVERYTHING,
+        planned=fault.kind == "slow",
     )
     if fault.kind == "outage":
         store.down = True
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -39,7 +39,7 @@
 STORE_FAULTS = {
     "outage": (2, 0.3, 5.0),
     "answers_lost": (2, 0.0, 0.0),
-    "slow": (1, 1.0, 4.0),
+    "slow": (3, 1.0, 5.0),
 }
 _GROUPS = (
     ("process", 8, PROCESS_FAULTS),
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -101,7 +101,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Disturbance:
-    """A fault or planned work; `target` is a process, a runner or all."""
+    """A fault or planned work; `target` is a process, a runner or all.
+
+    Planned work, and appends that are slow, excuse no request that is cut.
+    """
 
     kind: str
     target: str
