--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -737,9 +737,9 @@
     """Begins to check in the log whether there is a later owner.
 
     A message may name any epoch. One check at a time is enough, as a peer
-    repeats its pings.
+    repeats its pings. An owner that has stepped down has no tasks any more.
     """
-    if not owner.checks_epoch:
+    if not owner.checks_epoch and not owner.stepped_down.is_set():
         owner.checks_epoch = True
         owner.group.start_soon(_check_epoch, entry, owner, named)
 
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -323,6 +323,26 @@
     assert state.ablest_capacity == 0.516
 
 
+async def test_ended_owner_answers_a_ping_that_names_a_later_epoch():
+    # Guards against a ping that is answered by an error, after which the peer
+    # counts this process as silent: an owner that was suspended closes its
+    # connections once its tasks have ended, and starts no more.
+    entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
+    async with anyio.create_task_group() as group:
+        pass
+    entry.owner = types.SimpleNamespace(
+        epoch=3,
+        group=group,
+        checks_epoch=False,
+        stepped_down=anyio.Event(),
+        offers=False,
+    )
+    entry.owner.stepped_down.set()
+    ping = peers_module.Ping("127.0.0.1:1", 4, -1, True, 1.0)
+    pong = await entry_module._answer_ping(entry, ping)
+    assert not pong.is_owner
+
+
 class LossyStore:
     """Answers reads with one claim, and no append."""
 
