--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -245,6 +245,7 @@
 
     def expect_late_start(self, run: attempts.Run, now: float) -> None:
         """Records an order to start that has no answer yet, sent at `now`."""
+        self.list_late_starts(now)
         self.late_starts[run.task.name, run.attempt] = now + LATE_START_S
 
     def list_late_starts(self, now: float) -> list[tuple[str, int]]:
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -300,7 +300,11 @@
     # away, and those that notice it last, the weak ones, counted as the ablest.
     entry = entry_module.make_entry(SETTINGS, types.SimpleNamespace(store=None))
     entry.owner = types.SimpleNamespace(
-        epoch=3, reach=None, backlog=backlog.Backlog(), offers=False
+        epoch=3,
+        reach=None,
+        backlog=backlog.Backlog(),
+        offers=False,
+        shut_out=(),
     )
     state = ownership.Ownership()
 
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -664,3 +664,14 @@
     moved = msgspec.structs.replace(entry, address="r:10")
     recovery._add_runner(owner, moved, earlier, 41.0)
     assert owner.runners["r"].earlier_leases_until > 45.0
+
+
+def test_starts_that_came_to_nothing_are_forgotten():
+    # Guards against a list of starts without an answer that grows for as long
+    # as a runner does not restart.
+    table = table_module.JobTable()
+    decisions.add_job(table, decisions.make_step(count=50))
+    runner = decisions.make_runner()
+    for second, run in enumerate(decisions.start_all(table)):
+        runner.expect_late_start(run, float(second))
+    assert len(runner.late_starts) <= runners_module.LATE_START_S + 1
