--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -211,7 +211,14 @@
       deadline: Latest completion at which the job still has its full value, in
         seconds of this process's clock.
       objective_s: Seconds from the submission to `deadline`.
-      steps: The occurrences of all steps, by occurrence and step number.
+      first_due_at: When occurrence 0 is due, in seconds of this process's
+        clock.
+      steps: The occurrences of all steps that are in memory, by occurrence and
+        step number.
+      opened: Number of occurrences that are or were in memory, from the first
+        on. The others are due later and have no progress.
+      finished: 1 for each occurrence that is done and in memory no more; empty
+        for a job that runs once.
       dependents: Numbers of the steps that depend on each step.
       ended: completed, failed, cancelled, or empty while the job is open.
       ended_ms: Time of the end, Unix milliseconds, or 0.
@@ -227,9 +234,12 @@
     queue: model.Queue
     deadline: float
     objective_s: float
+    first_due_at: float = 0.0
     steps: dict[tuple[int, int], StepState] = dataclasses.field(
         default_factory=dict
     )
+    opened: int = 0
+    finished: bytearray = dataclasses.field(default_factory=bytearray)
     dependents: list[list[int]] = dataclasses.field(default_factory=list)
     ended: str = ""
     ended_ms: int = 0
--- a/plantainvane/jobs/checks.py
+++ b/plantainvane/jobs/checks.py
@@ -1,7 +1,7 @@
 """Limits of a job, which hold when it is submitted and when it is loaded.
 
-All tasks of a job are kept in memory, so a job that exceeds a limit could end
-each owner that loads it.
+All tasks of a job may be in memory at once, so a job that exceeds a limit could
+end each owner that loads it.
 """
 
 from plantainvane.jobs import model
@@ -9,7 +9,8 @@
 # Tasks of all occurrences; each takes 0.4 KB of the owner's memory, and 0.9 KB
 # if it is a step of its own.
 MAX_TASKS = 20_000
-# Tasks of all open jobs that the owner keeps in memory; further jobs wait.
+# Tasks of open jobs that the owner keeps in memory: of a job with occurrences
+# those that are due soon or under way. Further jobs are refused.
 MAX_HELD_TASKS = 120_000
 MAX_SPEC_BYTES = 4000
 # Labels, racks and images; pairs of images are stored in one record.
@@ -39,7 +40,26 @@
 
 def count_tasks(job: model.Job) -> int:
     """Returns the number of tasks of all occurrences of a job."""
-    return sum(step.count for step in job.steps) * max(1, job.repeat_count)
+    return count_occurrence_tasks(job) * max(1, job.repeat_count)
+
+
+def count_occurrence_tasks(job: model.Job) -> int:
+    """Returns the number of tasks of one occurrence of a job."""
+    return sum(step.count for step in job.steps)
+
+
+def count_due_occurrences(job: model.Job, elapsed_ms: float) -> int:
+    """Returns how many occurrences are due `elapsed_ms` after the first one.
+
+    A job that runs once has one occurrence, which is always due.
+    """
+    if not job.repeat_count:
+        return 1
+    if elapsed_ms < 0:
+        return 0
+    if not job.interval_ms:
+        return job.repeat_count
+    return min(job.repeat_count, int(elapsed_ms / job.interval_ms) + 1)
 
 
 def _find_step_fault(number: int, step: model.Step) -> str:
--- a/plantainvane/jobs/entry.py
+++ b/plantainvane/jobs/entry.py
@@ -24,6 +24,7 @@
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
+from plantainvane.jobs import room as room_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import sources as sources_module
 from plantainvane.jobs import standbys
@@ -84,11 +85,26 @@
         return _is_shut_out(entry, job, clock.read_now())
 
     entry.intake = intake_module.Intake(
-        settings, journal, ask_owner, find_wait, is_shut_out
+        settings,
+        journal,
+        ask_owner,
+        find_wait,
+        is_shut_out,
+        find_room=lambda: _find_room(entry),
     )
     return entry
 
 
+def _find_room(entry: process_module.Entry) -> room_module.Room | None:
+    """Returns the room of the owner, or None if it is not known."""
+    room = entry.room
+    if entry.owner is not None:
+        room = entry.owner.room
+    elif clock.read_now() - entry.waits_at > _WAITS_AGE_S:
+        return None
+    return None if room is None or room.free_tasks < 0 else room
+
+
 def _find_wait(entry: process_module.Entry, queue: str, now: float) -> float:
     """Returns how long new tasks of a queue are expected to wait, in seconds.
 
@@ -268,9 +284,18 @@
         entry.ended_epoch,
         _name_peers(entry, now) if is_owner else [],
         list(owner.shut_out) if is_owner else [],
+        *_describe_room(owner if is_owner else None),
     )
 
 
+def _describe_room(owner: state_module.Owner | None) -> tuple[int, float]:
+    """Returns the free tasks and the rate that a reply to a ping reports."""
+    if owner is None or owner.room.free_tasks < 0:
+        return -1, 0.0
+    free = min(owner.room.free_tasks, room_module.count_free(owner.table))
+    return free, owner.room.freed_per_s
+
+
 def _name_peers(entry: process_module.Entry, now: float) -> list[str]:
     """Names a few peers, of which a standby knows none but the owner."""
     return sources_module.choose_named(
--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -15,6 +15,7 @@
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import backlog
+from plantainvane.jobs import checks
 from plantainvane.jobs import clock
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import journal as journal_module
@@ -22,6 +23,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import peers
 from plantainvane.jobs import recovery
+from plantainvane.jobs import room as room_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import table as table_module
@@ -48,8 +50,9 @@
     ACCEPTED: the job is stored. NOT_RUN: the job is not stored and will not
     be, or the owner did not answer. TOO_LARGE: the log cannot hold the job.
     OVERLOADED: as NOT_RUN, because its tasks would wait for too long. SHUT_OUT:
-    as NOT_RUN, because only evacuated runners could run it. UNKNOWN: the job
-    may be stored. MISSING: no such job or queue. DONE: the
+    as NOT_RUN, because only evacuated runners could run it. FULL: as NOT_RUN,
+    because the owner cannot hold its tasks. UNKNOWN: the job may be stored.
+    MISSING: no such job or queue. DONE: the
     owner has answered.
     """
 
@@ -58,6 +61,7 @@
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     SHUT_OUT = "shut_out"
+    FULL = "full"
     UNKNOWN = "unknown"
     MISSING = "missing"
     DONE = "done"
@@ -74,6 +78,8 @@
         wait because the owner cannot keep up.
       is_shut_out: Tells whether only evacuated runners could run a job.
       ends_at: Submissions are not waited for after this time.
+      find_room: Returns how many tasks the owner takes, or None if that is not
+        known.
     """
 
     settings: settings_module.Settings
@@ -82,6 +88,7 @@
     find_wait: Callable[[str], float] = lambda queue: 0.0
     is_shut_out: Callable[[model.Job], bool] = lambda job: False
     ends_at: float = float("inf")
+    find_room: Callable[[], room_module.Room | None] = lambda: None
 
 
 async def submit_job(
@@ -104,6 +111,7 @@
         Outcome.TOO_LARGE: events.JOB_REFUSED,
         Outcome.OVERLOADED: events.JOB_REFUSED,
         Outcome.SHUT_OUT: events.JOB_REFUSED,
+        Outcome.FULL: events.JOB_REFUSED,
         Outcome.UNKNOWN: events.JOB_UNKNOWN_OUTCOME,
     }[outcome]
     events.log_event(
@@ -122,11 +130,15 @@
 ) -> tuple[Outcome, str]:
     journal = intake.journal
     wait_s = intake.find_wait(job.queue)
+    room, tasks = intake.find_room(), count_due_tasks(intake, job)
     refusal = None
     if intake.is_shut_out(job):
         refusal = Outcome.SHUT_OUT, "only evacuated runners suit it"
     elif backlog.is_hopeless(intake.settings, wait_s):
         refusal = Outcome.OVERLOADED, f"owner behind by {wait_s:.1f} s"
+    elif room is not None and tasks > room.free_tasks:
+        free = room.free_tasks
+        refusal = Outcome.FULL, f"owner has room for {free} of {tasks} tasks"
     if refusal is not None:
         is_known = await _ask_whether_known(intake, job)
         if is_known:
@@ -141,6 +153,8 @@
     size = journal_module.measure_record(record)
     if size > intake.settings.max_record_bytes:
         return Outcome.TOO_LARGE, f"its record has {size} bytes"
+    if room is not None:
+        room.take(tasks)
     batch = journal.add([record])
     limit_s = max(0.1, deadline_s - _REPLY_MARGIN_S)
     with anyio.move_on_after(limit_s):
@@ -157,6 +171,24 @@
     return Outcome.UNKNOWN, "append not answered"
 
 
+def count_due_tasks(intake: Intake, job: model.Job) -> int:
+    """Returns how many tasks of a job the owner would hold at once."""
+    horizon_ms = intake.settings.occurrence_horizon_s * 1000
+    elapsed_ms = clock.read_wall_ms() + horizon_ms - job.start_at_ms
+    due = checks.count_due_occurrences(job, elapsed_ms)
+    return due * checks.count_occurrence_tasks(job)
+
+
+def choose_retry_after(intake: Intake, job: model.Job) -> int:
+    """Returns the whole seconds after which there should be room for a job."""
+    room = intake.find_room()
+    if room is None:
+        return intake.settings.retry_after_s
+    return room_module.choose_retry_after(
+        intake.settings, room, count_due_tasks(intake, job), job.id
+    )
+
+
 async def _ask_whether_known(intake: Intake, job: model.Job) -> bool | None:
     """Tells whether the owner knows a job that this process has not stored.
 
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -74,7 +74,7 @@
     on_created: Callable[[state_module.Owner], None],
 ) -> None:
     """Runs as the owner of `epoch` until it steps down or is cancelled."""
-    table = table_module.JobTable()
+    table = table_module.JobTable(horizon_s=settings.occurrence_horizon_s)
     journal = journal_module.Journal(
         settings,
         adapters.store,
@@ -139,6 +139,7 @@
     evacuations.report_domains(owner, owner.evacuated)
     evacuations.update_shut_out(owner)
     owner.group.start_soon(_sweep, owner)
+    owner.group.start_soon(_hold_tasks, owner)
     owner.group.start_soon(_watch_orphans, owner)
     owner.group.start_soon(retention.run_retention, owner)
     owner.group.start_soon(probes.watch_reach, owner)
@@ -190,7 +191,6 @@
         _expire_orphans(owner, now)
         if now - owner.health.answered_at > settings.log_outage_limit_s:
             owner.step_down("log silent")
-        owner.table.add_deferred_tasks(now, clock.read_wall_ms())
         _store_effects(owner, now)
         owner.interference_model.forget_ended(owner.runners)
         _measure_backlog(owner, now)
@@ -217,6 +217,25 @@
         owner.request_pass()
 
 
+async def _hold_tasks(owner: state_module.Owner) -> None:
+    """Adds the tasks that have become due or have room, once a second.
+
+    Many are added in several turns of the event loop.
+    """
+    while True:
+        unfinished = True
+        while unfinished:
+            began = clock.read_now()
+            unfinished = owner.table.add_deferred_tasks(
+                began, clock.read_wall_ms()
+            )
+            took_s = clock.read_now() - began
+            await anyio.sleep(min(took_s, _MAX_PAUSE_S))
+        owner.room.measure(owner.table, clock.read_now())
+        owner.request_pass()
+        await anyio.sleep(_SWEEP_INTERVAL_S)
+
+
 def settle_orphans(owner: state_module.Owner, now: float) -> None:
     """Drops or promises what a new owner knows of unlisted runners.
 
--- a/plantainvane/jobs/peers.py
+++ b/plantainvane/jobs/peers.py
@@ -29,6 +29,7 @@
 
 # Whole numbers up to here are exact as floats. NaN is within no limits.
 _Version = Annotated[int, msgspec.Meta(ge=-1, le=2**53)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 _Priority = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 _MAX_WAITS = 64
@@ -93,6 +94,9 @@
       addresses: Some of the peers that ping the receiver, if it is the owner.
       shut_out: Services, and labels or empty, whose runners are all evacuated,
         if the receiver is the owner.
+      free_tasks: Tasks of further jobs that the receiver takes as the owner; -1
+        if that is not known, and from the last release.
+      freed_per_s: Tasks a second that it does not have to hold any more.
     """
 
     is_owner: bool
@@ -116,6 +120,8 @@
     shut_out: Annotated[
         list[tuple[_Name, _Name]], msgspec.Meta(max_length=MAX_SHUT_OUT)
     ] = []
+    free_tasks: _Version = -1
+    freed_per_s: _Rate = 0.0
 
 
 class Ask(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/process.py
+++ b/plantainvane/jobs/process.py
@@ -15,6 +15,7 @@
 from plantainvane.jobs import ownership as ownership_module
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import room as room_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import sources as sources_module
 from plantainvane.jobs import state as state_module
@@ -80,7 +81,8 @@
       load: Load of this process.
       waits: Expected waits by priority, as the owner has last reported them.
       shut_out: Services and labels that it has last reported as shut out.
-      waits_at: When that was.
+      room: Tasks of further jobs that the owner takes, likewise.
+      waits_at: When it has reported them.
       comparisons: Comparisons of this process's reach with that of the owner.
       started_at: When this process began, by its monotonic clock.
       ended_epoch: Epoch of its last ownership that has ended, or -1.
@@ -118,6 +120,7 @@
     load: load_module.Load = dataclasses.field(default_factory=load_module.Load)
     waits: dict[int, float] = dataclasses.field(default_factory=dict)
     shut_out: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    room: room_module.Room | None = None
     waits_at: float = float("-inf")
     comparisons: reach_module.Comparisons = dataclasses.field(
         default_factory=reach_module.Comparisons
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -1,9 +1,11 @@
 """The stored form of a job's progress, which the next owner loads."""
 
+import collections
 from collections.abc import Iterator
 
 from plantainvane import events
 from plantainvane.jobs import attempts
+from plantainvane.jobs import checks
 from plantainvane.jobs import model
 
 _PART_SEPARATOR = "."
@@ -13,8 +15,7 @@
 
 def count_parts(state: attempts.JobState) -> int:
     """Returns the number of records that hold a job's progress."""
-    last = next(reversed(state.steps.values()), None)
-    tasks = last.first_position + len(last.tasks) if last else 0
+    tasks = state.opened * checks.count_occurrence_tasks(state.job)
     return max(1, -(-tasks // TASKS_PER_RECORD))
 
 
@@ -62,50 +63,108 @@
     known.ended, known.ended_ms = progress.ended, progress.ended_ms
 
 
-def _list_part(state: attempts.JobState, part: int) -> Iterator[attempts.Task]:
-    first = part * TASKS_PER_RECORD
-    end = first + TASKS_PER_RECORD
-    for step_state in state.steps.values():
-        start = step_state.first_position
-        if start < end and first < start + len(step_state.tasks):
-            yield from step_state.tasks[max(0, first - start) : end - start]
-
-
 def build_progress(state: attempts.JobState, part: int) -> model.JobProgress:
     """Returns the stored form of one part of a job's progress."""
     progress = model.JobProgress()
     if part == 0:
         progress.ended, progress.ended_ms = state.ended, state.ended_ms
-    # The tasks of an ended job are stored only while attempts may be running.
-    for task in _list_part(state, part):
-        if task.attempt == 0 or (state.ended and not task.runs):
+    first = part * TASKS_PER_RECORD
+    end = first + TASKS_PER_RECORD
+    length = checks.count_occurrence_tasks(state.job)
+    last = min(state.opened, -(-end // length))
+    for occurrence in range(first // length, last):
+        if state.finished and state.finished[occurrence]:
+            if not state.ended:
+                progress.tasks += _list_finished(state, occurrence, first, end)
             continue
-        progress.tasks.append(
-            model.TaskProgress(
-                task.step.occurrence,
-                task.step.number,
-                task.index,
-                int(task.result),
-                task.attempt,
-                task.failures,
-                task.checkpoint if task.result is attempts.Result.OPEN else "",
-                [
-                    model.RunProgress(
-                        run.attempt,
-                        run.runner,
-                        run.born_ms,
-                        run.place,
-                        run.ordered_ms,
-                        run.address,
-                    )
-                    for run in task.runs
-                ],
-                list(task.crashes),
-            )
-        )
+        for number in range(len(state.job.steps)):
+            step_state = state.steps[occurrence, number]
+            start = step_state.first_position
+            if start >= end:
+                break
+            # The tasks of an ended job are stored only while attempts may be
+            # running.
+            progress.tasks += [
+                _build_row(task)
+                for task in step_state.tasks[
+                    max(0, first - start) : end - start
+                ]
+                if task.attempt and (task.runs or not state.ended)
+            ]
     return progress
 
 
+def _list_finished(
+    state: attempts.JobState, occurrence: int, first: int, end: int
+) -> Iterator[model.TaskProgress]:
+    """Lists the rows of an occurrence that is done and not in memory.
+
+    The numbers of its attempts and failures are not known any more, and nobody
+    needs them: a row with an attempt tells that the task has been started.
+    """
+    position = occurrence * checks.count_occurrence_tasks(state.job)
+    for number, step in enumerate(state.job.steps):
+        for index in range(step.count):
+            if first <= position < end:
+                yield model.TaskProgress(
+                    occurrence, number, index, int(attempts.Result.DONE), 1, 0
+                )
+            position += 1
+
+
+def _build_row(task: attempts.Task) -> model.TaskProgress:
+    return model.TaskProgress(
+        task.step.occurrence,
+        task.step.number,
+        task.index,
+        int(task.result),
+        task.attempt,
+        task.failures,
+        task.checkpoint if task.result is attempts.Result.OPEN else "",
+        [
+            model.RunProgress(
+                run.attempt,
+                run.runner,
+                run.born_ms,
+                run.place,
+                run.ordered_ms,
+                run.address,
+            )
+            for run in task.runs
+        ],
+        list(task.crashes),
+    )
+
+
+def find_stored_occurrences(
+    job: model.Job, progress: model.JobProgress
+) -> tuple[int, set[int]]:
+    """Finds the occurrences that have stored rows.
+
+    Returns:
+      The number of occurrences up to the last one with a row, and those whose
+      tasks are all done without a run.
+    """
+    counts = [step.count for step in job.steps]
+    last, done = -1, collections.Counter()
+    seen: set[tuple[int, int, int]] = set()
+    for row in progress.tasks:
+        if not (
+            0 <= row.occurrence < max(1, job.repeat_count)
+            and 0 <= row.step < len(counts)
+            and 0 <= row.index < counts[row.step]
+        ):
+            continue
+        last = max(last, row.occurrence)
+        key = row.occurrence, row.step, row.index
+        # The first row of a task counts.
+        if key not in seen and row.result == attempts.Result.DONE:
+            done[row.occurrence] += not row.runs and row.attempt > 0
+        seen.add(key)
+    tasks = sum(counts)
+    return last + 1, {k for k, number in done.items() if number == tasks}
+
+
 def restore_tasks(
     state: attempts.JobState, progress: model.JobProgress, now: float
 ) -> None:
@@ -113,10 +172,14 @@
 
     Stored attempts may still be running, so they are restored as STARTING
     until their runners have reported their state. A row that contradicts the
-    job or itself is skipped and logged.
+    job or itself is skipped and logged. The rows of finished occurrences, which
+    are not in memory, tell nothing more.
     """
     restored: set[str] = set()
     for stored in progress.tasks:
+        if _is_finished(state, stored.occurrence):
+            state.started = True
+            continue
         step_state = state.steps.get((stored.occurrence, stored.step))
         fault = _find_fault(step_state, stored)
         if not fault and step_state.tasks[stored.index].name in restored:
@@ -155,6 +218,13 @@
             )
 
 
+def _is_finished(state: attempts.JobState, occurrence: int) -> bool:
+    return (
+        0 <= occurrence < len(state.finished)
+        and state.finished[occurrence] == 1
+    )
+
+
 def _report_row(
     state: attempts.JobState, stored: model.TaskProgress, reason: str
 ) -> None:
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -164,9 +164,11 @@
         )
         owner.table.add_unservable_job(job, queue, now, wall_ms)
         return
-    state = owner.table.add_job(
-        job, queue, owner.progress.get(key), now, wall_ms
-    )
+    progress = owner.progress.get(key)
+    state = owner.table.add_job(job, queue, progress, now, wall_ms)
+    if progress is not None:
+        # The table has the tasks now; the end is still asked for.
+        progress.tasks = []
     _charge_restored(owner, state)
     events.log_event(
         events.JOB_LOADED,
--- a/plantainvane/jobs/settings.py
+++ b/plantainvane/jobs/settings.py
@@ -9,6 +9,9 @@
 # Added to the expiry of a lease to cover rounding.
 LEASE_MARGIN_S = 0.3
 
+# Time before its due time at which an occurrence of a job takes up memory.
+OCCURRENCE_HORIZON_S = 30.0
+
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses, time-outs and limits of one entry process.
@@ -158,6 +161,9 @@
     # evacuated. Only the operator knows for how long; a caller that returns is
     # served that much later at most, and asks no more often.
     evacuated_retry_s: int = 10
+    # The owner adds occurrences once a second; the time bridges long pauses.
+    # Of a job that repeats each second 30 occurrences are held.
+    occurrence_horizon_s: float = OCCURRENCE_HORIZON_S
     drain_s: float = 2.6
 
     @property
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -22,6 +22,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import placement
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import room as room_module
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import table as table_module
@@ -137,6 +138,7 @@
       estimates: Intermediate results of the last scheduling pass.
       estimated_at: Time to which these apply.
       backlog: What waits while this process cannot keep up.
+      room: Tasks of further jobs that this process takes.
       colocation: Limits and counts of the lines about fill tasks.
       reach: What this process hears of its runners, if that is few.
       reach_checks: Checks under way, by the report that a standby compares.
@@ -230,6 +232,7 @@
     backlog: backlog_module.Backlog = dataclasses.field(
         default_factory=backlog_module.Backlog
     )
+    room: room_module.Room = dataclasses.field(default_factory=room_module.Room)
     colocation: colocation_module.Report = dataclasses.field(
         default_factory=colocation_module.Report
     )
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -21,6 +21,7 @@
 from plantainvane.jobs import probes
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import reach as reach_module
+from plantainvane.jobs import room as room_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import standbys
 from plantainvane.jobs import state as state_module
@@ -316,6 +317,7 @@
     if answer.is_owner:
         entry.waits, entry.waits_at = dict(answer.waits), now
         entry.shut_out = answer.shut_out
+        entry.room = room_module.Room(answer.free_tasks, answer.freed_per_s)
     for address in answer.addresses:
         entry.sources.add_address(address)
     ownership.record_waiver(
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -5,6 +5,8 @@
 """
 
 import dataclasses
+import heapq
+import itertools
 
 import anyio
 import msgspec
@@ -13,9 +15,14 @@
 from plantainvane.jobs import checks
 from plantainvane.jobs import model
 from plantainvane.jobs import progress as progress_module
+from plantainvane.jobs import settings as settings_module
 
 # Longest number in the name of a task; runners may report any text as a name.
 _MAX_DIGITS = 9
+# Tasks of occurrences that are added, and occurrences that are looked at to be
+# dropped, in one turn of the event loop.
+_TASKS_PER_TURN = 300
+_DROPS_PER_TURN = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,7 +37,12 @@
       changed: Jobs whose progress has to be stored, by id.
       deferred: Open jobs without tasks yet, by id, as the tasks of others are
         at the limit. None of them has been started.
-      held_tasks: Number of tasks of open jobs, done ones included.
+      unopened: Open jobs with occurrences that are not in memory yet, by id.
+      finishing: Occurrences of which a step has ended since they were last
+        looked at, by job id and number.
+      held_tasks: Number of tasks of open jobs in memory, done ones included.
+      freed_tasks: Number of tasks that were held and are not any more.
+      horizon_s: Occurrences are added this long before they are due.
       runs_to_stop: Runs that have to be stopped because their task is done or
         the end of their job is stored.
       has_runs_to_stop: Set when there are any.
@@ -47,7 +59,15 @@
     deferred: dict[str, attempts.JobState] = dataclasses.field(
         default_factory=dict
     )
+    unopened: dict[str, attempts.JobState] = dataclasses.field(
+        default_factory=dict
+    )
+    finishing: dict[tuple[str, int], attempts.JobState] = dataclasses.field(
+        default_factory=dict
+    )
     held_tasks: int = 0
+    freed_tasks: int = 0
+    horizon_s: float = settings_module.OCCURRENCE_HORIZON_S
     runs_to_stop: list[attempts.Run] = dataclasses.field(default_factory=list)
     has_runs_to_stop: anyio.Event = dataclasses.field(
         default_factory=anyio.Event
@@ -95,30 +115,124 @@
             max_failures=limits.max_failures,
         )
         self.jobs[job.id] = state
+        state.first_due_at = now
+        if job.repeat_count:
+            state.first_due_at += (job.start_at_ms - wall_ms) / 1000
         state.dependents = list_dependents(job.steps)
         if progress is not None and progress.ended:
             state.ended = state.stored_ended = progress.ended
             state.ended_ms = progress.ended_ms
             if not progress.tasks:
                 return state
-        if progress is None and not self._has_room(job):
+        if progress is None and not self._has_room(self._count_due(state, now)):
             self.deferred[job.id] = state
         else:
             self._add_tasks(state, progress, now, wall_ms)
         return state
 
-    def _has_room(self, job: model.Job) -> bool:
-        tasks = self.held_tasks + checks.count_tasks(job)
-        return not self.held_tasks or tasks <= checks.MAX_HELD_TASKS
+    def _count_due(self, state: attempts.JobState, now: float) -> int:
+        """Counts the tasks that are due soon and not in memory yet."""
+        due = self._count_due_occurrences(state, now) - state.opened
+        return max(0, due) * checks.count_occurrence_tasks(state.job)
+
+    def _count_due_occurrences(
+        self, state: attempts.JobState, now: float
+    ) -> int:
+        elapsed_s = now + self.horizon_s - state.first_due_at
+        return checks.count_due_occurrences(state.job, elapsed_s * 1000)
+
+    def _has_room(self, tasks: int) -> bool:
+        held = self.held_tasks
+        return not held or held + tasks <= checks.MAX_HELD_TASKS
+
+    def add_deferred_tasks(self, now: float, wall_ms: int) -> bool:
+        """Adds what has become due or has room, and drops what is done.
 
-    def add_deferred_tasks(self, now: float, wall_ms: int) -> None:
-        """Adds the tasks of deferred jobs in their order, if there is room."""
+        Deferred jobs come first, in their order, then occurrences in the order
+        in which they are due. One call takes one turn of the event loop.
+
+        Returns:
+          Whether more is to be added in a further turn.
+        """
+        self._drop_finished()
+        added = 0
         for job_id, state in list(self.deferred.items()):
+            tasks = 0 if state.ended else self._count_due(state, now)
+            if tasks and not self._has_room(tasks):
+                return False
+            if added >= _TASKS_PER_TURN:
+                return True
+            del self.deferred[job_id]
             if not state.ended:
-                if not self._has_room(state.job):
-                    return
                 self._add_tasks(state, None, now, wall_ms)
-            del self.deferred[job_id]
+                added += tasks
+        return self._open_due(now)
+
+    def _open_due(self, now: float) -> bool:
+        """Opens occurrences; returns whether more is to be done."""
+        until = now + self.horizon_s
+        due = [
+            (due_at, job_id)
+            for job_id, state in self.unopened.items()
+            if (due_at := find_due(state, state.opened)) <= until
+        ]
+        heapq.heapify(due)
+        added = 0
+        while due and added < _TASKS_PER_TURN:
+            _, job_id = due[0]
+            state = self.jobs[job_id]
+            tasks = checks.count_occurrence_tasks(state.job)
+            if not self._has_room(tasks):
+                return False
+            self._open_next(state, now)
+            added += tasks
+            due_at = find_due(state, state.opened)
+            if job_id in self.unopened and due_at <= until:
+                heapq.heapreplace(due, (due_at, job_id))
+            else:
+                heapq.heappop(due)
+        return bool(due)
+
+    def count_late(self, now: float) -> int:
+        """Counts the jobs with an occurrence that is due and has no room."""
+        return sum(
+            find_due(state, state.opened) <= now
+            for state in self.unopened.values()
+        )
+
+    def _open_next(self, state: attempts.JobState, now: float) -> None:
+        """Adds the next occurrence of a job that is open."""
+        occurrence = state.opened
+        for step_state in self._add_occurrence(
+            state, occurrence, measure_critical_paths(state.job.steps), now
+        ):
+            step_state.remaining_tasks = len(step_state.tasks)
+            for task in step_state.tasks:
+                self.tasks[task.name] = task
+                self._mark_ready(task, now)
+        if state.opened == count_occurrences(state.job):
+            del self.unopened[state.job.id]
+
+    def _drop_finished(self) -> None:
+        """Drops occurrences that are done, but for those with runs to stop."""
+        keys = list(itertools.islice(self.finishing, _DROPS_PER_TURN))
+        for key in keys:
+            state = self.finishing.pop(key)
+            numbers = range(len(state.job.steps))
+            steps = [state.steps[key[1], number] for number in numbers]
+            if state.ended or any(step.remaining_tasks for step in steps):
+                continue
+            if any(task.runs for step in steps for task in step.tasks):
+                self.finishing[key] = state
+                continue
+            state.finished[key[1]] = 1
+            for number, step in enumerate(steps):
+                self._release_tasks(len(step.tasks))
+                del state.steps[key[1], number]
+
+    def _release_tasks(self, count: int) -> None:
+        self.held_tasks -= count
+        self.freed_tasks += count
 
     def _add_tasks(
         self,
@@ -127,12 +241,29 @@
         now: float,
         wall_ms: int,
     ) -> None:
-        self.held_tasks += checks.count_tasks(state.job)
-        critical_paths_s = measure_critical_paths(state.job.steps)
-        for occurrence in range(max(1, state.job.repeat_count)):
-            self._add_occurrence(
-                state, occurrence, critical_paths_s, now, wall_ms
+        """Adds the occurrences that are due soon or have stored progress."""
+        job = state.job
+        stored, done = 0, set()
+        if progress is not None:
+            stored, done = progress_module.find_stored_occurrences(
+                job, progress
             )
+        state.finished = bytearray(job.repeat_count)
+        wanted = max(stored, self._count_due_occurrences(state, now))
+        if job.repeat_count and (
+            state.ended
+            or progress is not None
+            and not self._has_room(self._count_due(state, now))
+        ):
+            # What is due is added once there is room, unless the job has ended.
+            wanted = stored
+        critical_paths_s = measure_critical_paths(job.steps)
+        for occurrence in range(wanted):
+            if job.repeat_count and occurrence in done:
+                state.finished[occurrence] = 1
+                state.opened = occurrence + 1
+            else:
+                self._add_occurrence(state, occurrence, critical_paths_s, now)
         if progress is not None:
             progress_module.restore_tasks(state, progress, now)
             # The next change stores all parts, also if the last release has
@@ -140,6 +271,8 @@
             parts = range(progress_module.count_parts(state))
             state.changed_parts.update(parts)
         self._initialize_state(state, now, wall_ms)
+        if not state.ended and state.opened < count_occurrences(job):
+            self.unopened[job.id] = state
 
     def add_unservable_job(
         self, job: model.Job, queue: model.Queue, now: float, wall_ms: int
@@ -155,14 +288,15 @@
         occurrence: int,
         critical_paths_s: list[float],
         now: float,
-        wall_ms: int,
-    ) -> None:
+    ) -> list[attempts.StepState]:
+        """Adds the tasks of an occurrence, all those before it are added."""
         job = state.job
-        due = now
-        if job.repeat_count:
-            due_ms = job.start_at_ms + occurrence * job.interval_ms
-            due = now + (due_ms - wall_ms) / 1000
-        position = occurrence * sum(step.count for step in job.steps)
+        tasks = checks.count_occurrence_tasks(job)
+        self.held_tasks += tasks
+        state.opened = occurrence + 1
+        due = find_due(state, occurrence)
+        position = occurrence * tasks
+        added = []
         for number, step in enumerate(job.steps):
             step_state = attempts.StepState(
                 state,
@@ -187,12 +321,15 @@
                 for index in range(step.count)
             ]
             state.steps[occurrence, number] = step_state
+            added.append(step_state)
+        return added
 
     def _initialize_state(
         self, state: attempts.JobState, now: float, wall_ms: int
     ) -> None:
         """Derives counts, ready tasks and the end of a job that was loaded."""
-        state.remaining_steps = 0
+        unopened = count_occurrences(state.job) - state.opened
+        state.remaining_steps = unopened * len(state.job.steps)
         for step_state in state.steps.values():
             step_state.remaining_tasks = sum(
                 t.result is not attempts.Result.DONE for t in step_state.tasks
@@ -201,6 +338,7 @@
         for (occurrence, number), step_state in state.steps.items():
             if step_state.remaining_tasks == 0:
                 self._release_dependents(state, occurrence, number)
+                self._note_finished(step_state)
         if state.ended:
             self._close_tasks(state)
             self._stop_job(state)
@@ -220,6 +358,12 @@
             ):
                 self._end_job(state, "failed", wall_ms)
 
+    def _note_finished(self, step_state: attempts.StepState) -> None:
+        """Notes that all tasks of a step are done; more may have to end."""
+        state = step_state.job
+        if state.job.repeat_count:
+            self.finishing[state.job.id, step_state.occurrence] = state
+
     def _release_dependents(
         self, state: attempts.JobState, occurrence: int, number: int
     ) -> list[attempts.StepState]:
@@ -318,6 +462,7 @@
         if state.remaining_steps == 0:
             self._end_job(state, "completed", wall_ms)
             return
+        self._note_finished(step_state)
         for released in self._release_dependents(
             state, step_state.occurrence, step_state.number
         ):
@@ -396,8 +541,9 @@
                 self._stop_runs(task)
 
     def _close_tasks(self, state: attempts.JobState) -> None:
+        self.unopened.pop(state.job.id, None)
         for step_state in state.steps.values():
-            self.held_tasks -= len(step_state.tasks)
+            self._release_tasks(len(step_state.tasks))
             for task in step_state.tasks:
                 self.tasks.pop(task.name, None)
                 self.ready.pop(task.name, None)
@@ -463,6 +609,16 @@
         )
 
 
+def count_occurrences(job: model.Job) -> int:
+    """Returns the number of occurrences; a job that runs once has one."""
+    return max(1, job.repeat_count)
+
+
+def find_due(state: attempts.JobState, occurrence: int) -> float:
+    """Returns when an occurrence is due, in seconds of this process's clock."""
+    return state.first_due_at + occurrence * state.job.interval_ms / 1000
+
+
 def list_dependents(steps: tuple[model.Step, ...]) -> list[list[int]]:
     """Returns the numbers of the steps that depend on each step."""
     dependents: list[list[int]] = [[] for _ in steps]
--- a/plantainvane/platform/ingress.py
+++ b/plantainvane/platform/ingress.py
@@ -109,6 +109,9 @@
     if outcome is intake.Outcome.SHUT_OUT:
         retry_after_s = evacuations.choose_retry_after(entry.settings, job_id)
         return _make_unavailable_reply(entry, retry_after_s)
+    if outcome is intake.Outcome.FULL:
+        retry_after_s = intake.choose_retry_after(entry.intake, job.ok_value)
+        return _make_unavailable_reply(entry, retry_after_s)
     if outcome is intake.Outcome.TOO_LARGE:
         return asgi.make_json_reply(400, {"Error": "the job is too large"})
     return asgi.HttpReply(_STATUS_CODES[outcome], b"{}")
--- a/tests/test_jobs_ownership.py
+++ b/tests/test_jobs_ownership.py
@@ -17,6 +17,7 @@
 from plantainvane.jobs import peers as peers_module
 from plantainvane.jobs import process as process_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import room
 from plantainvane.jobs import standbys
 from plantainvane.jobs import succession
 from standins import platform_system
@@ -303,6 +304,7 @@
         epoch=3,
         reach=None,
         backlog=backlog.Backlog(),
+        room=room.Room(),
         offers=False,
         shut_out=(),
     )
