--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -231,11 +231,27 @@
             )
             took_s = clock.read_now() - began
             await anyio.sleep(min(took_s, _MAX_PAUSE_S))
-        owner.room.measure(owner.table, clock.read_now())
+        _report_room(owner, clock.read_now())
         owner.request_pass()
         await anyio.sleep(_SWEEP_INTERVAL_S)
 
 
+def _report_room(owner: state_module.Owner, now: float) -> None:
+    room, table = owner.room, owner.table
+    room.measure(table, now)
+    if room.free_tasks and not table.deferred:
+        return
+    events.log_event(
+        events.OWNER_FULL,
+        held_tasks=table.held_tasks,
+        free_tasks=room.free_tasks,
+        freed_per_s=round(room.freed_per_s, 1),
+        deferred=len(table.deferred),
+        late=table.count_late(now),
+        epoch=owner.epoch,
+    )
+
+
 def settle_orphans(owner: state_module.Owner, now: float) -> None:
     """Drops or promises what a new owner knows of unlisted runners.
 
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -182,6 +182,15 @@
         limits=_describe_limits(job, known),
         epoch=owner.epoch,
     )
+    if key in owner.table.deferred:
+        events.log_event(
+            events.JOB_DEFERRED,
+            job=job.id,
+            queue=job.queue,
+            held_tasks=owner.table.held_tasks,
+            deferred=len(owner.table.deferred),
+            epoch=owner.epoch,
+        )
     owner.request_pass()
 
 
--- a/tests/test_jobs_occurrences.py
+++ b/tests/test_jobs_occurrences.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import types
 
 import msgspec
 import pytest
@@ -11,6 +12,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import checks
 from plantainvane.jobs import model
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import table as table_module
@@ -344,3 +346,24 @@
     for now, held in ((92.0, 0), (94.0, 1)):
         sweep(table, now)
         assert table.held_tasks == held
+
+
+def test_a_full_owner_says_so(monkeypatch):
+    # Guards against jobs that are refused or wait without a line in the log.
+    lines = []
+    monkeypatch.setattr(
+        owner_module.events,
+        "log_event",
+        lambda event, **fields: lines.append((event.number, fields)),
+    )
+    monkeypatch.setattr(checks, "MAX_HELD_TASKS", 12)
+    monkeypatch.setattr(checks, "MAX_TASKS", 6)
+    owner = passes.make_owner()
+    owner.group = types.SimpleNamespace(start_soon=lambda *_: None)
+    owner_module._report_room(owner, 1.0)
+    assert lines == [] and owner.room.free_tasks == 6
+    decisions.add_job(owner.table, decisions.make_step(count=6))
+    owner_module._report_room(owner, 2.0)
+    ((number, fields),) = lines
+    assert number == 908
+    assert (fields["held_tasks"], fields["free_tasks"]) == (6, 0)
