--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -64,7 +64,8 @@
 
     Attributes:
       kind: `ready` (with its `cpu`), `draining`, `gone` (crashed or left),
-        `start`, `end`, or `noted` (an end was acknowledged).
+        `lapsed` (its lease is over), `start`, `end`, or `noted` (an end was
+        acknowledged).
       how: How the run ended.
     """
 
--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -138,6 +138,25 @@
     add_events(seen, *make_run(8.0, R2, FINITE, 2, until=8.9))
 
 
+def run_after_done_and_a_later_lapse(seen):
+    add_events(seen, SEEN.RunnerEvent(3.0, R1, "lapsed"))
+    run_after_done(seen)
+
+
+def end_by_hangup(seen):
+    seen.process_events += [
+        SEEN.ProcessEvent(30.0, P2, 1, "SIGHUP"),
+        SEEN.ProcessEvent(30.1, P2, 1, "exited", -1),
+    ]
+
+
+def end_by_itself_at_the_start(seen):
+    seen.process_events += [
+        SEEN.ProcessEvent(30.0, P2, 2, "started"),
+        SEEN.ProcessEvent(30.5, P2, 2, "exited", 1),
+    ]
+
+
 def cut(seen):
     seen.exchanges.append(
         answer("state", LASTING, 59.1, 0, cut=True, ended=59.5)
@@ -233,6 +252,7 @@
         (show_cancelled, "lost"),
         (run_beside, "twice"),
         (run_after_done, "twice"),
+        (run_after_done_and_a_later_lapse, "twice"),
         (cut, "cut"),
         (start_cancelled, "cancelled"),
         (keep_cancelled, "cancelled"),
@@ -244,6 +264,8 @@
         (go_back, "configuration"),
         (forget_version, "configuration"),
         (end_by_itself, "ended"),
+        (end_by_itself_at_the_start, "ended"),
+        (end_by_hangup, "ended"),
         (end_drain_badly, "ended"),
         (grow_memory, "growth"),
         (use_much_memory, "growth"),
@@ -291,6 +313,19 @@
     run_after_done(seen)
 
 
+def run_again_after_the_lease_was_over(seen):
+    add_events(seen, SEEN.RunnerEvent(2.05, R1, "lapsed"))
+    run_after_done(seen)
+
+
+def end_at_the_start_by_a_signal(seen):
+    seen.process_events += [
+        SEEN.ProcessEvent(30.0, P2, 2, "started"),
+        SEEN.ProcessEvent(30.4, P2, 2, "SIGHUP"),
+        SEEN.ProcessEvent(30.5, P2, 2, "exited", -1),
+    ]
+
+
 def cut_after_a_pause(seen):
     cut(seen)
     disturb(seen, 57.0, 57.5)
@@ -368,6 +403,7 @@
         crash_twice,
         run_after_a_crash,
         run_again_before_the_end_is_noted,
+        run_again_after_the_lease_was_over,
         cut_after_a_pause,
         cut_before_it_was_read,
         start_within_the_bound,
@@ -380,6 +416,7 @@
         answer_by_an_older_version_at_once,
         start_anew_with_an_older_version,
         end_by_kill,
+        end_at_the_start_by_a_signal,
         grow_at_the_start,
     ],
 )
