--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -391,6 +391,15 @@
     ]
 
 
+def become_the_owner_of_many(seen):
+    seen.process_events += [
+        SEEN.ProcessEvent(0.0, f"entry-{number}", 1, "started")
+        for number in range(3, 25)
+    ]
+    for sample in seen.samples[30:]:
+        sample.descriptors = 40 + 2 * 24 + 24
+
+
 def grow_at_the_start(seen):
     for sample in seen.samples[:10]:
         sample.memory_bytes = 30_000_000 + int(sample.at) * 3_000_000
@@ -417,6 +426,7 @@
         start_anew_with_an_older_version,
         end_by_kill,
         end_at_the_start_by_a_signal,
+        become_the_owner_of_many,
         grow_at_the_start,
     ],
 )
