--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -61,17 +61,17 @@
 ) -> None:
     """Stops scheduling and asks `candidates` in turn to claim ownership.
 
-    It asks for `limit_s` at most. A peer that does not hear the runners of
+    It ends after `limit_s` at most. A peer that does not hear the runners of
     `sample` declines.
     """
-    owner.draining = True
+    owner.draining, began_at = True, clock.read_now()
     # An owner that recovers has started and ended nothing.
     if owner.recovered:
         with anyio.move_on_after(0.5):
             await owner.journal.flush()
     owner.waives_leases = owner.offers = True
     asked = 0
-    with anyio.move_on_after(limit_s):
+    with anyio.move_on_after(began_at + limit_s - clock.read_now()):
         for address in candidates:
             asked += 1
             await _offer_to_peer(entry, owner, address, sample)
