--- a/plantainvane/jobs/eligibility.py
+++ b/plantainvane/jobs/eligibility.py
@@ -135,6 +135,17 @@
     )
 
 
+def needs_no_less(step: model.Step, found: Iterable[model.Amounts]) -> bool:
+    """Tells whether any of the amounts is no larger than what a step needs."""
+    needs = step.amounts
+    return any(
+        other.cpu <= needs.cpu
+        and other.memory_mb <= needs.memory_mb
+        and other.accelerators <= needs.accelerators
+        for other in found
+    )
+
+
 def may_fit(
     step: model.Step,
     members: int,
--- a/plantainvane/jobs/reservations.py
+++ b/plantainvane/jobs/reservations.py
@@ -89,12 +89,7 @@
     def begin(self, service: str, step: model.Step) -> bool:
         """Tells whether a search may be made that can find a runner."""
         failed = self.failed.get((service, step.required_label), ())
-        if not self.left or any(
-            other.cpu <= step.amounts.cpu
-            and other.memory_mb <= step.amounts.memory_mb
-            and other.accelerators <= step.amounts.accelerators
-            for other in failed
-        ):
+        if not self.left or eligibility.needs_no_less(step, failed):
             return False
         self.left -= 1
         return True
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Generator
-from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -613,7 +612,7 @@
     """
     key = _find_requirements(task, service, current.now)
     found = current.blocked.get(key, ())
-    blocked = _needs_no_less(task.step.definition, found)
+    blocked = eligibility.needs_no_less(task.step.definition, found)
     return blocked and not (
         task.crashes
         and any(
@@ -668,7 +667,9 @@
     # What these decide differs from task to task.
     alike = candidates is None and not (step.max_per_runner or task.crashes)
     kind = queue.service, queue.priority, step.required_label, step.fills
-    if alike and _needs_no_less(step, current.no_victims.get(kind, ())):
+    if alike and eligibility.needs_no_less(
+        step, current.no_victims.get(kind, ())
+    ):
         return ""
     if candidates is None:
         key = queue.service, queue.priority
@@ -693,17 +694,6 @@
     return victims[0].runner if victims else ""
 
 
-def _needs_no_less(step: model.Step, found: Iterable[model.Amounts]) -> bool:
-    """Tells whether any of the amounts is no larger than what a step needs."""
-    needs = step.amounts
-    return any(
-        other.cpu <= needs.cpu
-        and other.memory_mb <= needs.memory_mb
-        and other.accelerators <= needs.accelerators
-        for other in found
-    )
-
-
 def _has_less_urgent_run(runner: runners_module.Runner, priority: int) -> bool:
     return any(
         run.task.job.queue.priority > priority
