--- a/plantainvane/jobs/placement.py
+++ b/plantainvane/jobs/placement.py
@@ -558,14 +558,17 @@
 ) -> float | None:
     """Scores a runner for a task; None if it cannot start the task now.
 
-    With `avoids` false, the runners that the task avoids count as any other.
+    With `avoids` false, the score holds for all tasks with the same
+    requirements: the runners that the task avoids count as any other, and what
+    is reserved for it as for another one.
     """
     step = task.step.definition
     reserve = FILL_MEMORY_RESERVE if step.fills else 0.0
     if not eligibility.has_capacity(runner, step, reserve):
         return None
+    own = task.name if avoids else ""
     if eligibility.takes_reserved(
-        runner, step, task.job.queue.priority, reserve, task.name
+        runner, step, task.job.queue.priority, reserve, own
     ):
         return None
     if not eligibility.accepts_step(runner, step, now) or (
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -456,6 +456,9 @@
         return []
     if task.step.definition.gang:
         return _place_gang(owner, task.step, queue.service, current)
+    runner = _choose_reserved(owner, task, current)
+    if runner is not None:
+        return [_begin_run(owner, task, runner, current)]
     if queue.advice is not None:
         candidates = orders.filter_advised(
             owner,
@@ -473,7 +476,6 @@
     else:
         candidates = None
         runner = _choose_unblocked(owner, task, queue.service, current)
-    runner = runner or _choose_reserved(owner, task, current)
     if runner is not None:
         return [_begin_run(owner, task, runner, current)]
     if trials.is_waiting_for_trial(task, current.now) and (
--- a/tests/test_jobs_passes.py
+++ b/tests/test_jobs_passes.py
@@ -187,6 +187,9 @@
 )
 @hypothesis.given(seed=strategies.integers(0, 2**32))
 @hypothesis.example(seed=1048575)
+@hypothesis.example(seed=2690)
+@hypothesis.example(seed=89573)
+@hypothesis.example(seed=170714)
 @hypothesis.settings(deadline=None, max_examples=150)
 def test_scores_kept_between_passes_are_those_of_evaluating_all(
     interval_s, decays, seed
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -12,6 +12,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import clock
 from plantainvane.jobs import model
+from plantainvane.jobs import placement
 from plantainvane.jobs import preemption
 from plantainvane.jobs import scheduling
 from tests import test_jobs_decisions as decisions
@@ -278,3 +279,22 @@
     scheduling_tests.run_slices(owner, 1.0)
     assert len(scheduling_tests.list_placed(owner)) == 100
     assert len(looked_at) <= 3
+
+
+def test_room_reserved_for_one_task_is_not_given_to_one_like_it():
+    # Guards against scores that are kept for tasks with the same requirements,
+    # and count what is reserved for the first of them as free.
+    runner = decisions.make_runner("r", 16_000)
+    owner = scheduling_tests.make_owner(runner, queue=QUEUE)
+    step = decisions.make_step(count=2, long_running=True, cpu=16_000)
+    state = decisions.add_job(owner.table, step, queue=QUEUE)
+    first, second = state.steps[0, 0].tasks
+    runner.reserve_room(first.name, 0, step.amounts)
+    estimates = placement.Estimates()
+    for task in (first, second):
+        assert not placement.choose_ranked_runner(
+            task, "s", owner.runners, owner.interference_model, 1.0, estimates
+        )
+    assert placement.choose_runner(
+        first, [runner], owner.interference_model, 1.0, estimates
+    )
