Log what tells calls to an earlier life of a runner apart

Line 824 tells what the poll that found a new life had acknowledged, since when the runner had not answered and how many attempts had been started and never listed; 910 is written where the numbers of a life have a gap, so that ends were forgotten unread. No decision changes.

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -392,6 +392,7 @@
     clock_ms: int,
     now: float,
     running: Collection[attempts.Run] = (),
+    acknowledged: int = 0,
 ) -> None:
     """Resets the state of a restarted runner and drops what ran before.
 
@@ -406,19 +407,26 @@
       clock_ms: Reading of its clock.
       now: Present time, in seconds.
       running: Attempts that the new incarnation has listed.
+      acknowledged: Number up to which the poll that found it has acknowledged
+        ends, by the count of the incarnation before.
     """
     events.log_event(
         events.RUNNER_RESTARTED,
         runner=runner.entry.id,
         born_ms=born_ms,
         runs=len(runner.runs),
+        unlisted=sum(
+            run.start_answered and not run.reported for run in runner.runs
+        ),
+        acknowledged=acknowledged,
+        answered_ago_s=round(now - runner.answered_at, 3),
     )
     if not runner.silent:
         crashes.mark_down(runner, now)
     crashes.blame_crash(owner, runner, "restarted", born_ms, running)
     runner.foreign = frozenset()
     runner.born_at = runner.restarted_at = now
-    runner.last_stored_end = 0
+    runner.last_stored_end = runner.last_listed_end = 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
     _stop_late_starts(owner, runner, running, now)
@@ -530,7 +538,16 @@
 ) -> None:
     listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
     running = [run for run in listed if run in runner.runs]
-    handle_restart(owner, runner, reply.born_ms, reply.clock_ms, now, running)
+    acknowledged = runner.last_stored_end
+    handle_restart(
+        owner,
+        runner,
+        reply.born_ms,
+        reply.clock_ms,
+        now,
+        running,
+        acknowledged,
+    )
     announced, runner.announced = runner.announced, None
     runner.refuted_born_ms = None
     if announced is not None and announced.born_ms == reply.born_ms:
@@ -548,6 +565,7 @@
     now: float,
 ) -> int:
     """Applies new ends and returns the highest end number."""
+    _note_missed_ends(owner, runner, reply)
     number = runner.last_stored_end
     for end in reply.ends:
         number = max(number, end.number)
@@ -565,6 +583,31 @@
     return number
 
 
+def _note_missed_ends(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    reply: model.RunnerStatus,
+) -> None:
+    """Logs ends that the runner has forgotten before any poll listed them.
+
+    It numbers the ends of an incarnation without gaps, from 1 on.
+    """
+    if not reply.ends:
+        return
+    known, first = runner.last_listed_end, reply.ends[0].number
+    if known is not None and first > known + 1:
+        events.log_event(
+            events.RUNNER_ENDS_MISSED,
+            runner=runner.entry.id,
+            born_ms=reply.born_ms,
+            last_number=known,
+            next_number=first,
+            stored_number=runner.last_stored_end,
+            epoch=owner.epoch,
+        )
+    runner.last_listed_end = max(known or 0, reply.ends[-1].number)
+
+
 def _handle_end(
     owner: state_module.Owner,
     runner: runners_module.Runner,
