Add failing tests of calls that reach a later life of a runner

Callers see a task run twice, or again after it was done. Each test fails on this code: the finding poll acknowledges ends of the new life unread (2 starts for 1), a late poll of the life before does the same, and such a poll grants a lease that outlives the expiry the owner counts on, so that two runners run the task. The stand-in of a runner can carry out polls late, as it does starts.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -69,6 +69,7 @@
       starts: Task and attempt of every start, in order; checked by the tests.
       delayed_starts: Delays of the next starts in seconds. Each of these starts
         is carried out after its delay and never answered.
+      delayed_polls: The same for the next polls, which do not wait for an end.
       silent: No call is answered.
       ignores_orders: Polls are answered, and nothing else.
       answer_delay_s: Each call is carried out, and answered after this time.
@@ -113,6 +114,7 @@
     starts: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     paces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     delayed_starts: list[float] = dataclasses.field(default_factory=list)
+    delayed_polls: list[float] = dataclasses.field(default_factory=list)
     silent: bool = False
     ignores_orders: bool = False
     answer_delay_s: float = 0.0
@@ -275,6 +277,11 @@
             await anyio.sleep(state.delayed_starts.pop(0))
             _check_token(state, body) or _start(state, body)
             await anyio.sleep_forever()
+        if request.path == "/plantainvane/hold" and state.delayed_polls:
+            await anyio.sleep(state.delayed_polls.pop(0))
+            state.end_due_attempts()
+            _check_token(state, body) or _acknowledge(state, body)
+            await anyio.sleep_forever()
         state.end_due_attempts()
         refusal = _check_token(state, body)
         if refusal is not None:
@@ -374,12 +381,17 @@
     return _answer(state, 200)
 
 
-async def _hold(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+def _acknowledge(state: RunnerState, body: dict[str, Any]) -> None:
+    """Extends the lease and forgets the ends that a poll acknowledges."""
     _extend(state, body)
     for number, task, attempt, how, _ in state.ends:
         if number <= body["LastSeen"]:
             state.on_run("noted", task, attempt, how)
     state.ends = [e for e in state.ends if e[0] > body["LastSeen"]]
+
+
+async def _hold(state: RunnerState, body: dict[str, Any]) -> asgi.HttpReply:
+    _acknowledge(state, body)
     with anyio.move_on_after(body.get("WaitMs", 0) / 1000):
         while not state.ends and not state.crashed:
             await anyio.sleep(_POLL_INTERVAL_S)
--- /dev/null
+++ b/tests/test_platform_lives.py
@@ -0,0 +1,142 @@
+"""Calls meant for an earlier life of a runner, over real HTTP.
+
+A runner that is back under its id takes them, as they name only the id.
+"""
+
+import anyio
+import pytest
+
+from plantainvane.jobs import runners as runners_module
+from standins import platform_system
+from tests import test_platform_sessions as platform_sessions
+
+pytestmark = pytest.mark.anyio
+ID = platform_sessions.ID
+EARLIER_ID = "5c0e7a21d94b3700"
+OTHER_ID = platform_sessions.OTHER_ID
+TASK = f"{OTHER_ID}.0.0.0"
+wait_until = platform_sessions.wait_until
+# A poll is given up 0.4 s after the time that it may wait.
+POLL_WAIT_S = 0.3
+# Delay of a poll that is carried out after the next life was found, and long
+# after the longest lease was granted there.
+LATE_POLL_S = 5.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def submit(system, job_id, **fields):
+    body = platform_system.make_job(count=1, **fields)
+    reply = await platform_system.call(system.entries[0], "POST", job_id, body)
+    assert reply.status_code == 200
+
+
+async def run_earlier_job(system, owner, runner, delay_s):
+    """Has a runner list one end beside a task that runs on.
+
+    The poll that acknowledges the end is carried out after the delay, and never
+    answered. Returns when it was sent.
+    """
+
+    def delay_next_poll(what, *unused):
+        if what == "end" and not runner.delayed_polls:
+            runner.delayed_polls.append(delay_s)
+
+    await submit(system, ID, run_ms=60_000)
+    known = owner.owner.runners[runner.id]
+    await wait_until(lambda: any(run.reported for run in known.runs))
+    runner.on_run = delay_next_poll
+    await submit(system, EARLIER_ID)
+    await platform_system.wait_state(system, EARLIER_ID, "completed")
+    await wait_until(lambda: not runner.delayed_polls)
+    runner.on_run = lambda *unused: None
+    assert known.last_stored_end == 1
+    return anyio.current_time()
+
+
+def has_done(runner, task):
+    """Ends what is due, as the stand-in does so only at a call."""
+    runner.end_due_attempts()
+    return task in runner.done
+
+
+async def begin_next_life(system, owner, runner):
+    """Restarts a runner and waits until the owner may use it again."""
+    known = owner.owner.runners[runner.id]
+    runner.restart()
+    platform_system.write_entry(system, runner)
+    await wait_until(lambda: known.restarted_at > 0)
+    await wait_until(lambda: known.fenced and known.listed)
+
+
+async def test_poll_that_finds_a_new_life_does_not_acknowledge_its_ends():
+    # Guards against a task that runs again although it is done: it has run in a
+    # life that no poll had found, and the poll that finds it acknowledges ends
+    # by the count of the life before.
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+    ) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        await run_earlier_job(system, owner, runner, 60.0)
+        runner.restart()
+        await submit(system, OTHER_ID)
+        await wait_until(lambda: has_done(runner, TASK))
+        known = owner.owner.runners["i-0"]
+        assert known.restarted_at < 0
+        await wait_until(lambda: known.restarted_at > 0)
+        platform_system.write_entry(system, runner)
+        await platform_system.wait_state(system, OTHER_ID, "completed")
+        assert platform_sessions.count_starts(system)[TASK] == 1
+
+
+async def test_late_poll_of_the_life_before_does_not_acknowledge_ends():
+    # Guards against a task that runs again although it is done: a poll that the
+    # life before has left unanswered makes the next one forget the end before
+    # it is read.
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+    ) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        sent_at = await run_earlier_job(system, owner, runner, LATE_POLL_S)
+        await begin_next_life(system, owner, runner)
+        await submit(system, OTHER_ID, run_ms=1000)
+        await wait_until(lambda: TASK in runner.running)
+        # No poll reads the end before the late one comes.
+        runner.delayed_polls = [60.0]
+        await wait_until(lambda: not runner.delayed_polls)
+        runner.silent = True
+        await wait_until(lambda: has_done(runner, TASK))
+        assert runner.ends
+        await anyio.sleep(sent_at + LATE_POLL_S + 0.2 - anyio.current_time())
+        runner.silent = False
+        await platform_system.wait_state(system, OTHER_ID, "completed")
+        assert platform_sessions.count_starts(system)[TASK] == 1
+
+
+async def test_late_poll_of_the_life_before_does_not_extend_leases():
+    # Guards against a task that runs twice: its runner is cut off, and a poll
+    # that the life before has left unanswered grants the longest lease there,
+    # as it names a time on another clock.
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+    ) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        await run_earlier_job(system, owner, runner, LATE_POLL_S)
+        await begin_next_life(system, owner, runner)
+        await submit(system, OTHER_ID, run_ms=60_000)
+        await wait_until(lambda: TASK in runner.running)
+        runner.silent = True
+        cut_at = anyio.current_time()
+        await platform_system.add_runner(system, "i-1")
+        limit_s = runners_module.LATE_CALL_S + runner.max_hold_ms / 1000
+        while TASK not in system.runners["i-1"].running:
+            await anyio.sleep(0.01)
+            assert anyio.current_time() - cut_at < limit_s
+        runner.end_due_attempts()
+        assert TASK not in runner.running
