Acknowledge ends only to the life of a runner that has listed them

Callers saw tasks run again that were done. Each poll acknowledged the same number again, also one that followed a poll without an answer.

A number is now sent once, and only if the runner has answered within 0.2 s. Else the poll acknowledges nothing, and the next one does.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -55,6 +55,8 @@
         be lower there, as the time of day may be set back.
       restarted_at: When this process learned of its last restart, if any.
       last_stored_end: Sequence number of the newest stored end of an attempt.
+      acknowledged_end: That of the newest end that it may have forgotten.
+      acknowledging_end: Number that the last poll carried to acknowledge ends.
       last_listed_end: That of the newest listed end, or None if this owner has
         not seen the first ends of the present incarnation.
       clock_read_at, clock_ms: When its clock was read, and the reading.
@@ -132,6 +134,8 @@
     born_at: float = 0.0
     restarted_at: float = float("-inf")
     last_stored_end: int = 0
+    acknowledged_end: int = 0
+    acknowledging_end: int = 0
     last_listed_end: int | None = None
     clock_read_at: float = 0.0
     clock_ms: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -53,6 +53,9 @@
 # Pause between polls while ends are being stored: the runner lists them until
 # they are acknowledged, so every poll returns at once.
 _UNSTORED_POLL_GAP_S = 0.5
+# A poll acknowledges ends only if the runner has answered this shortly before,
+# as one that has crashed takes longer to come back.
+_SAME_LIFE_S = 0.2
 # An attempt that a runner still reports this long after it has answered a stop
 # is stopped again. The platform allows a stop 0.4 s.
 _STOP_REPEAT_S = 1.0
@@ -211,9 +214,10 @@
     sent_at = clock.read_now()
     lease = leases.choose_lease(owner, runner, sent_at)
     extends = lease is not None and runner.lease_requested_at == sent_at
-    reply = await runner.calls.poll(
-        owner.epoch, runner.last_stored_end, lease, wait_s
-    )
+    born_ms = runner.entry.born_ms
+    acknowledged = _choose_acknowledged(runner, sent_at)
+    runner.acknowledging_end = acknowledged
+    reply = await runner.calls.poll(owner.epoch, acknowledged, lease, wait_s)
     now = clock.read_now()
     limit_s = wait_s + owner.settings.call_timeout_s
     owner.load.record_delay(now - sent_at - limit_s, now)
@@ -240,12 +244,28 @@
         runner.renewed_at = sent_at
     if extends:
         runner.earlier_leases_until = float("-inf")
+    if reply.ok_value.born_ms == born_ms:
+        runner.acknowledged_end = max(runner.acknowledged_end, acknowledged)
     found = _apply_reply(owner, runner, reply.ok_value, sent_at, now)
     # The later of two batches is stored later, and the runner lists the ends
     # that came meanwhile again.
     return pending or found
 
 
+def _choose_acknowledged(runner: runners_module.Runner, now: float) -> int:
+    """Returns the number up to which a poll acknowledges ends; 0 for none.
+
+    A later life of the runner counts its ends anew, and would forget those that
+    no poll has listed. So nothing is acknowledged twice, or while the present
+    life is in doubt.
+    """
+    if runner.silent or now - runner.answered_at > _SAME_LIFE_S:
+        return 0
+    if runner.last_stored_end <= runner.acknowledged_end:
+        return 0
+    return runner.last_stored_end
+
+
 async def _wait_for_retry(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> None:
@@ -426,7 +446,8 @@
     crashes.blame_crash(owner, runner, "restarted", born_ms, running)
     runner.foreign = frozenset()
     runner.born_at = runner.restarted_at = now
-    runner.last_stored_end = runner.last_listed_end = 0
+    runner.last_stored_end = runner.acknowledged_end = 0
+    runner.last_listed_end = 0
     # The new incarnation has seen no fencing token.
     runner.require_poll()
     _stop_late_starts(owner, runner, running, now)
@@ -538,7 +559,6 @@
 ) -> None:
     listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
     running = [run for run in listed if run in runner.runs]
-    acknowledged = runner.last_stored_end
     handle_restart(
         owner,
         runner,
@@ -546,7 +566,7 @@
         reply.clock_ms,
         now,
         running,
-        acknowledged,
+        runner.acknowledging_end,
     )
     announced, runner.announced = runner.announced, None
     runner.refuted_born_ms = None
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -433,6 +433,42 @@
     return model.RunnerStatus(born_ms, clock_ms, running, ())
 
 
+@pytest.mark.parametrize(
+    ("answered_ago_s", "silent", "acknowledged", "expected"),
+    [
+        (0.01, False, 0, 5),
+        (0.01, False, 3, 5),
+        (0.01, False, 5, 0),
+        (1.0, False, 0, 0),
+        (0.01, True, 0, 0),
+    ],
+)
+async def test_ends_are_acknowledged_once_and_to_the_life_that_listed_them(
+    answered_ago_s, silent, acknowledged, expected, monkeypatch
+):
+    # Guards against a poll that makes a new life of the runner forget ends that
+    # nobody has read, as it carries a number of the life before.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(
+        silent=silent,
+        last_stored_end=5,
+        acknowledged_end=acknowledged,
+        answered_at=100.0 - answered_ago_s,
+    )
+    owner.runners["r"] = runner
+    sent = []
+
+    async def poll(token, last_seen, lease, wait_s):
+        sent.append(last_seen)
+        return result.Ok(make_status(runner))
+
+    runner.calls = types.SimpleNamespace(poll=poll)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    await sessions._poll(owner, runner, 0.0, None)
+    assert sent == [expected]
+    assert runner.acknowledged_end == max(acknowledged, expected)
+
+
 @pytest.mark.parametrize("by", ["entry", "reply"])
 def test_poll_of_a_runner_whose_clock_was_set_back_is_believed(by):
     # Guards against a runner that restarted under an earlier time of day: its
