Give each life of a runner a fencing token of its own

Callers saw tasks run twice at the same time, and tasks run again that were done. A runner that is back under its id carries out calls that were meant for its earlier life, up to seconds later, as a call names the id only and each life had the same token, the epoch.

A token now consists of the epoch and a number that the owner raises for each life that it finds. Once that life has answered a poll with its token it refuses what was meant for the one before, and nothing is started there earlier. Until then leases count as granted by late calls. A refused call with an earlier token of the same owner is sent again and ends no ownership; standbys poll with the token that the owner reports.

Tests that took the epoch for the token compare with the token of the life, and its epoch; two tests of a late start that runs in the next life have it carried out before that life is found, as it is refused after; two expect one more poll before a runner that has restarted is used.

--- a/plantainvane/jobs/interfaces.py
+++ b/plantainvane/jobs/interfaces.py
@@ -81,8 +81,9 @@
 class OrderOutcome(enum.StrEnum):
     """Outcome of an order to a runner.
 
-    DONE: carried out. FENCED: the runner has seen a higher token. OLD: the
-    runner already knows this attempt or a later one. LATE: the lease had
+    DONE: carried out. FENCED: the runner has seen a higher token. OUTDATED: it
+    has seen a higher one of this owner, so nothing was done. OLD: the runner
+    already knows this attempt or a later one. LATE: the lease had
     expired on arrival. OTHER_INCARNATION: another runner or incarnation has the
     address. UNREACHED: no connection, so nothing was done. LOST: no usable
     reply, so the order may still be carried out.
@@ -90,6 +91,7 @@
 
     DONE = "done"
     FENCED = "fenced"
+    OUTDATED = "outdated"
     OLD = "old"
     LATE = "late"
     NO_ROOM = "no_room"
--- a/plantainvane/jobs/keeping.py
+++ b/plantainvane/jobs/keeping.py
@@ -109,7 +109,8 @@
     runner, sent_at = kept.runner, clock.read_now()
     lease = leases.choose_lease(owner, runner, sent_at)
     kept.polls += 1
-    reply = await runner.calls.poll(owner.epoch, 0, lease, 0.0)
+    token = runner.token
+    reply = await runner.calls.poll(token, 0, lease, 0.0)
     now = clock.read_now()
     kept.under_way = False
     owner.load.record_delay(now - sent_at - owner.settings.call_timeout_s, now)
@@ -117,7 +118,10 @@
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         kept.due_at = now + _RETRY_S
         runner.lease_withheld = True
-        if reply.err_value is interfaces.OrderOutcome.FENCED:
+        if (
+            reply.err_value is interfaces.OrderOutcome.FENCED
+            and not state_module.is_outdated(owner, runner, token)
+        ):
             owner.step_down("runner")
         return
     metrics.RUNNER_POLLS.labels("done").inc()
@@ -143,7 +147,7 @@
     runner.lease_withheld = False
     if reply.born_ms != kept.born_ms:
         kept.born_ms = reply.born_ms
-        leases.begin_clock(owner, runner, reply.clock_ms, now, in_use=True)
+        leases.begin_clock(owner, runner, reply.clock_ms, now)
     leases.read_clock(owner, runner, reply, sent_at, now)
     if runner.expiry_promised:
         # Its lease is renewed once the withdrawal of the promise is stored.
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -106,17 +106,16 @@
     runner: runners_module.Runner,
     clock_ms: int,
     now: float,
-    in_use: bool,
 ) -> None:
     """Records the clock of a runner that has restarted.
 
-    Orders named times on the earlier incarnation's clock, which the new one
-    takes for the longest lease. `in_use` tells that something may run there.
+    Calls named times on the earlier incarnation's clock, which the new one
+    takes for the longest lease. Those with its token name times on its own.
     """
+    runner.token = owner.issue_token()
     runner.record_clock(clock_ms, now, listed=True)
-    longest_ms = int(owner.settings.max_lease_s * 1000)
-    runner.lease_until_ms = clock_ms + longest_ms if in_use else 0
-    runner.lease_requested_at = now
+    runner.lease_until_ms, runner.lease_requested_at = 0, now
+    runner.expect_late_grants(owner.settings, now)
 
 
 def read_clock(
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -38,6 +38,7 @@
 _ADVICE_RETRY_S = 0.3
 
 _OUTCOME = interfaces.OrderOutcome
+_RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.OUTDATED)
 _NOT_HEARD = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.OTHER_INCARNATION)
 
 
@@ -79,12 +80,16 @@
         trials.extend_trial(runner, run)
         runner.expect_late_start(run, run.sent_at)
         outcome = await runner.calls.start(order)
+        if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+            owner, runner, order.token
+        ):
+            outcome = _OUTCOME.OUTDATED
         lost = lost or outcome is _OUTCOME.LOST
         if not lost:
             runner.late_starts.pop((run.task.name, run.attempt), None)
-        if outcome not in (_OUTCOME.LOST, _OUTCOME.UNREACHED):
+        if outcome not in _RETRIED:
             break
-    if outcome is _OUTCOME.UNREACHED and lost:
+    if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
     if outcome is _OUTCOME.OLD and lost:
@@ -186,7 +191,7 @@
         attempt=run.attempt,
         spec=task.job.job.spec,
         lease_until_ms=leases.extend_lease(owner, runner, now),
-        token=owner.epoch,
+        token=runner.token,
         checkpoint=task.checkpoint,
         ticket=ticket,
     )
@@ -239,7 +244,11 @@
         run.task.retry_at = now + _INVALID_RETRY_S
     elif outcome is _OUTCOME.NO_TICKET:
         owner.tickets.pop((_name_step(run.task.step), run.runner), None)
-    elif outcome in (_OUTCOME.OTHER_INCARNATION, _OUTCOME.LATE):
+    elif outcome in (
+        _OUTCOME.OTHER_INCARNATION,
+        _OUTCOME.LATE,
+        _OUTCOME.OUTDATED,
+    ):
         # Without a poll it would refuse the next start for the same reason.
         runner.require_poll()
     if lost and outcome is not _OUTCOME.OTHER_INCARNATION:
@@ -295,11 +304,20 @@
     runner = owner.runners.get(run.runner)
     if runner is None:
         return
+    token = runner.token
     outcome = await runner.calls.pace(
-        run.task.name, run.attempt, percent, owner.epoch
+        run.task.name, run.attempt, percent, token
     )
+    if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+        owner, runner, token
+    ):
+        outcome = _OUTCOME.OUTDATED
     metrics.PACES.labels(outcome.value).inc()
-    if outcome in (_OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY):
+    if outcome in (
+        _OUTCOME.UNREACHED,
+        _OUTCOME.UNHEALTHY,
+        _OUTCOME.OUTDATED,
+    ):
         # Nothing was done, so an earlier order may still be in doubt.
         return
     run.pace_confirmed = outcome is not _OUTCOME.LOST
--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 
 from plantainvane import events
 from plantainvane.jobs import clock
@@ -12,6 +13,7 @@
 from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import tokens
 
 
 async def watch_reach(owner: state_module.Owner) -> None:
@@ -129,7 +131,8 @@
         known = owner.runners.get(runner.id)
         if known is None or known.entry.address != runner.address:
             return False
-        return await ask_runner(owner.adapters, owner.epoch, runner)
+        present = msgspec.structs.replace(runner, token=known.token)
+        return await ask_runner(owner.adapters, owner.epoch, present)
 
     def is_enough(answers: reach_module.Answers) -> bool:
         return reach_module.hears_enough(reach, answers, owner.settings)
@@ -175,14 +178,18 @@
     """Polls a runner, `polls` times; returns whether it answered each time.
 
     The polls carry the token of the owner of `epoch`, so they fence off nobody
-    that the owner would not. They renew no lease and acknowledge no end.
+    that the owner would not. They renew no lease and acknowledge no end. A
+    token of another owner, as a message may name any, is not used.
     """
+    token = runner.token
+    if tokens.find_epoch(token) != epoch:
+        token = tokens.make_token(epoch)
     calls = adapters.connect_runner(runner.address, runner.id)
     try:
         for number in range(polls):
             if number:
                 await anyio.sleep(gap_s)
-            reply = await calls.poll(epoch, 0, None, 0.0)
+            reply = await calls.poll(token, 0, None, 0.0)
             if reply.is_err():
                 return False
     finally:
--- a/plantainvane/jobs/reach.py
+++ b/plantainvane/jobs/reach.py
@@ -39,10 +39,11 @@
 
 
 class SampledRunner(msgspec.Struct, array_like=True, frozen=True):
-    """Id and address of a runner."""
+    """Id and address of a runner, and its owner's token; 0 if unknown."""
 
     id: str
     address: str
+    token: int = 0
 
 
 Sample = Annotated[
@@ -207,7 +208,7 @@
     turns = itertools.zip_longest(*domains.values())
     mixed = (runner for turn in turns for runner in turn if runner is not None)
     return tuple(
-        SampledRunner(runner.entry.id, runner.entry.address)
+        SampledRunner(runner.entry.id, runner.entry.address, runner.token)
         for runner in itertools.islice(mixed, size)
     )
 
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -360,7 +360,9 @@
 ) -> None:
     key, address = runner.entry.id, runner.entry.address
     answers = await probes.ask_runner(
-        owner.adapters, owner.epoch, reach.SampledRunner(key, address)
+        owner.adapters,
+        owner.epoch,
+        reach.SampledRunner(key, address, runner.token),
     )
     entry = owner.moved_entries.pop(key, None)
     if entry is None or owner.runners.get(key) is not runner:
@@ -402,6 +404,7 @@
         runners_module.find_rack(entry.labels),
     )
     runner.record_clock(entry.clock_ms, now, listed=True)
+    runner.token = owner.issue_token()
     runner.answered_at = runner.born_at = runner.up_at = now
     runner.entry_read_at = now
     runner.evacuated = entry.domain in owner.evacuated
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -20,6 +20,9 @@
 LATE_CALL_S = 6.0
 # An order to start without an answer may be carried out for this long.
 LATE_START_S = 12.0
+# A life whose clock is behind this may take calls that an earlier owner has
+# meant for the life before, until it found the new one, or that come late.
+_YOUNG_LIFE_MS = 30_000
 # A runner writes its entry about once in 1.5 s, and the platform removes it
 # after three times that.
 _ENTRY_AGE_S = 5.0
@@ -47,9 +50,11 @@
       refuted_born_ms: Incarnation of an entry that a later poll did not find,
         or None.
       entry_read_at: When an entry under its id and address was last read.
+      token: Fencing token of calls to its present incarnation.
       heard: It has answered a poll of this owner.
-      fenced: Its present incarnation has answered a poll that carried the
-        present fencing token, so it rejects orders of earlier owners.
+      fenced: Its present incarnation has answered a poll that carried `token`,
+        so it rejects calls of earlier owners, and calls to earlier
+        incarnations.
       born_at: When this process learned of the present incarnation. An answer
         to a later poll comes from it or from one that followed; `born_ms` may
         be lower there, as the time of day may be set back.
@@ -66,6 +71,9 @@
       lease_requested_at: When that was requested.
       late_lease_until: When a lease that was requested on a wrong clock, by a
         call without an answer, has expired even if it is granted late.
+      late_grants_until: When leases have expired that calls to an earlier
+        incarnation, or of an earlier owner, may be granted. These name a time
+        on another clock.
       lease_withheld: It has not answered the last poll that was sent while the
         jobs were loaded, and gets no lease before it answers.
       renewed_at: When the newest lease that it has accepted was requested.
@@ -129,6 +137,7 @@
     announced_at: float = float("-inf")
     refuted_born_ms: int | None = None
     entry_read_at: float = float("-inf")
+    token: int = 0
     heard: bool = False
     fenced: bool = False
     born_at: float = 0.0
@@ -143,6 +152,7 @@
     lease_until_ms: int = 0
     lease_requested_at: float = float("-inf")
     late_lease_until: float = float("-inf")
+    late_grants_until: float = float("-inf")
     lease_withheld: bool = False
     renewed_at: float = 0.0
     earlier_leases_until: float = float("-inf")
@@ -335,20 +345,40 @@
         self.lease_requested_at = now
         return self.lease_until_ms
 
+    def expect_late_grants(
+        self, settings: settings_module.Settings, now: float
+    ) -> None:
+        """Records that its life is new, and takes calls to the one before."""
+        granted_by = now + LATE_CALL_S
+        self.late_grants_until = granted_by + _find_longest_lease_s(settings)
+
+    def note_fenced(
+        self, settings: settings_module.Settings, now: float
+    ) -> None:
+        """Records that it takes no call with an earlier token from now on.
+
+        What it has granted to calls to an earlier life lasts no longer than the
+        longest lease.
+        """
+        self.fenced = True
+        if self.late_grants_until > now or self.clock_ms < _YOUNG_LIFE_MS:
+            self.late_grants_until = now + _find_longest_lease_s(settings)
+
     def find_lease_expiry(self, settings: settings_module.Settings) -> float:
         """Returns the time after which every lease has certainly expired.
 
         The runner's clock may be slow by up to `clock_rate_error`. No lease
         lasts longer than `max_lease_s` on it.
         """
+        late = max(self.late_lease_until, self.late_grants_until)
         slowest_rate = 1 - settings.clock_rate_error
         margin_s = settings_module.LEASE_MARGIN_S
         latest = self.lease_requested_at + _find_longest_lease_s(settings)
         if self.clock_listed:
-            return max(latest, self.late_lease_until)
+            return max(latest, late)
         remaining_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
         expiry = self.clock_read_at + remaining_s / slowest_rate + margin_s
-        return max(min(expiry, latest), self.late_lease_until)
+        return max(min(expiry, latest), late)
 
 
 def _find_longest_lease_s(settings: settings_module.Settings) -> float:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -217,7 +217,8 @@
     born_ms = runner.entry.born_ms
     acknowledged = _choose_acknowledged(runner, sent_at)
     runner.acknowledging_end = acknowledged
-    reply = await runner.calls.poll(owner.epoch, acknowledged, lease, wait_s)
+    token = runner.token
+    reply = await runner.calls.poll(token, acknowledged, lease, wait_s)
     now = clock.read_now()
     limit_s = wait_s + owner.settings.call_timeout_s
     owner.load.record_delay(now - sent_at - limit_s, now)
@@ -227,7 +228,8 @@
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if reply.err_value is interfaces.OrderOutcome.FENCED:
-            owner.step_down("runner")
+            if not state_module.is_outdated(owner, runner, token):
+                owner.step_down("runner")
             return pending
         if _is_own_delay(owner, runner, reply.err_value, sent_at, now):
             return pending
@@ -448,12 +450,12 @@
     runner.born_at = runner.restarted_at = now
     runner.last_stored_end = runner.acknowledged_end = 0
     runner.last_listed_end = 0
-    # The new incarnation has seen no fencing token.
+    # The new incarnation has seen no token, or that of the one before.
     runner.require_poll()
     _stop_late_starts(owner, runner, running, now)
     ended = [run for run in runner.runs if run.reported and run not in running]
     _drop_runs(owner, runner, ended, "runner restarted", now)
-    leases.begin_clock(owner, runner, clock_ms, now, bool(runner.runs))
+    leases.begin_clock(owner, runner, clock_ms, now)
 
 
 def _stop_late_starts(
@@ -491,11 +493,13 @@
     sent_at: float,
     now: float,
 ) -> _PendingEnds | None:
+    carried_token = sent_at >= runner.born_at
     if reply.born_ms != runner.entry.born_ms:
-        if reply.born_ms < runner.entry.born_ms and sent_at < runner.born_at:
+        if reply.born_ms < runner.entry.born_ms and not carried_token:
             # A late answer of the earlier incarnation.
             return None
         _apply_restart(owner, runner, reply, now)
+        carried_token = False
     else:
         runner_entries.refute(runner, sent_at)
     leases.read_clock(owner, runner, reply, sent_at, now)
@@ -514,8 +518,8 @@
     if is_heard_again:
         crashes.settle_doubts(owner, runner, clock.read_wall_ms())
         _end_orphans(owner, runner, now)
-    if not runner.fenced:
-        runner.fenced = True
+    if not runner.fenced and carried_token:
+        runner.note_fenced(owner.settings, now)
         owner.request_pass()
     owner.interference_model.learn(runner, now)
     pacing.track_target_violations(runner, now)
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -26,6 +26,7 @@
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import settings as settings_module
 from plantainvane.jobs import table as table_module
+from plantainvane.jobs import tokens
 
 JOBS_TOPIC = "keyed.jobs"
 PROGRESS_TOPIC = "keyed.progress"
@@ -116,6 +117,7 @@
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
       jobs_behind: The last read of the jobs topic did not reach its end.
+      tokens_issued: Number of fencing tokens issued to lives of runners.
       runners_offset: Where the next read of the runners topic starts.
       evacuated: Failure domains that the operator has evacuated.
       shut_out: Services, and labels or empty, whose runners are all evacuated.
@@ -199,6 +201,7 @@
     next_effects_at: float = 0.0
     jobs_offset: int = 0
     jobs_behind: bool = True
+    tokens_issued: int = 0
     runners_offset: int = 0
     evacuated: frozenset[str] = frozenset()
     shut_out: tuple[tuple[str, str], ...] = ()
@@ -258,6 +261,11 @@
             for scope in self.questions:
                 scope.cancel()
 
+    def issue_token(self) -> int:
+        """Returns a fencing token above all that this owner has issued."""
+        self.tokens_issued += 1
+        return tokens.make_token(self.epoch, self.tokens_issued)
+
     def find_expiry(self, runner: str) -> float:
         """Returns when all leases of earlier owners there have expired."""
         return self.expiries.find_expiry(runner, self.find_earlier_limit())
@@ -311,6 +319,27 @@
         self.pass_requested.set()
 
 
+def is_outdated(
+    owner: Owner, runner: runners_module.Runner, token: int
+) -> bool:
+    """Tells whether a call that its runner has refused may be sent again.
+
+    A new life of the runner was found while the call was under way, so its
+    token is not the present one. Nothing was done.
+    """
+    present = owner.runners.get(runner.entry.id, runner).token
+    if token >= present:
+        return False
+    events.log_event(
+        events.CALL_OUTDATED,
+        runner=runner.entry.id,
+        token=token,
+        present_token=present,
+        epoch=owner.epoch,
+    )
+    return True
+
+
 def store_expiries(owner: Owner, now: float) -> journal_module.Batch:
     """Stores the current set of promised expiries."""
     left_s = owner.expiries.export_remaining_s(now)
--- a/plantainvane/jobs/stops.py
+++ b/plantainvane/jobs/stops.py
@@ -25,7 +25,12 @@
 
 _LATE_START = "start may be carried out late"
 _OUTCOME = interfaces.OrderOutcome
-_RETRIED = (_OUTCOME.LOST, _OUTCOME.UNREACHED, _OUTCOME.UNHEALTHY)
+_RETRIED = (
+    _OUTCOME.LOST,
+    _OUTCOME.UNREACHED,
+    _OUTCOME.UNHEALTHY,
+    _OUTCOME.OUTDATED,
+)
 
 
 def stop_rest_of_gang(owner: state_module.Owner, run: attempts.Run) -> None:
@@ -216,8 +221,14 @@
 ) -> interfaces.OrderOutcome:
     """Sends a stop once; a call that does not end in time counts as lost."""
     limit_s = _MAX_CALL_TIMEOUTS * owner.settings.call_timeout_s
+    token = runner.token
     with anyio.move_on_after(limit_s):
-        return await runner.calls.stop(task, attempt, owner.epoch)
+        outcome = await runner.calls.stop(task, attempt, token)
+        if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+            owner, runner, token
+        ):
+            outcome = _OUTCOME.OUTDATED
+        return outcome
     events.log_event(
         events.STOP_CALL_HUNG,
         task=task,
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -289,6 +289,10 @@
     entry = msgspec.structs.replace(runner.entry, born_ms=2, capacity=small)
     recovery._apply_entry(owner, "r", entry)
     passes.scheduling.place_ready_tasks(owner, 1.3)
+    # It has not answered a poll with its own token yet.
+    assert passes.list_placed(owner) == []
+    sessions._apply_reply(owner, runner, status, 1.4, 1.5)
+    passes.scheduling.place_ready_tasks(owner, 1.6)
     assert len(passes.list_placed(owner)) == 2
 
 
--- a/tests/test_jobs_keeping.py
+++ b/tests/test_jobs_keeping.py
@@ -13,6 +13,7 @@
 from plantainvane.jobs import recovery
 from plantainvane.jobs import sessions
 from plantainvane.jobs import table
+from plantainvane.jobs import tokens
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_leases as leases_tests
 from tests import test_jobs_recovery as recovery_tests
@@ -114,7 +115,8 @@
     monkeypatch.setattr(machine, "poll", poll)
     await keep_for(owner, machine, 8.0)
     runner = owner.runners["r"]
-    assert len(seen) > 2 and set(seen) == {(owner.epoch, 0, 0.0)}
+    assert len(seen) > 2 and set(seen) == {(runner.token, 0, 0.0)}
+    assert tokens.find_epoch(runner.token) == owner.epoch
     assert not owner.group.started and not owner.table.changed
     assert not owner.pass_requested.is_set()
     assert not runner.foreign and not runner.last_stored_end
@@ -147,7 +149,9 @@
     for name, arguments in owner.group.started:
         assert name == "_stop"
         await keeping._stop(*arguments)
-    expected = [(task.name, 1, owner.epoch)] if outcome else []
+    token = owner.runners["r"].token
+    assert tokens.find_epoch(token) == owner.epoch
+    expected = [(task.name, 1, token)] if outcome else []
     assert stopped == expected
     assert not owner.runners["r"].foreign_stops and not owner.stops_in_flight
 
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -268,11 +268,15 @@
     machine.runs.clear()
     entry = make_entry(machine.offset_ms, born_ms=9)
     recovery._apply_entry(owner, "r", entry)
-    assert not owner.runners["r"].fenced
-    await poll_for(owner, machine, _STEP_S)
     runner = owner.runners["r"]
+    earlier_token = runner.token
+    assert not runner.fenced
+    await poll_for(owner, machine, _STEP_S)
     assert run not in runner.runs and run not in run.task.runs
     assert runner.entry is entry
+    # The next poll carries a token of its own.
+    assert runner.token > earlier_token and not runner.fenced
+    await poll_for(owner, machine, _STEP_S)
     assert runner.listed and runner.fenced and not runner.entry_awaited
 
 
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import probes
 from plantainvane.jobs import reach as reach_module
 from plantainvane.jobs import succession
+from plantainvane.jobs import tokens
 from standins import platform_runner
 from standins import platform_system
 from tests import test_jobs_decisions as decisions
@@ -184,7 +185,9 @@
         (other,) = list_others(system, owner)
         epoch = owner.owner.epoch
         runners = [
-            reach_module.SampledRunner(name, runner.address)
+            reach_module.SampledRunner(
+                name, runner.address, owner.owner.runners[name].token
+            )
             for name, runner in system.runners.items()
         ]
         odd = reach_module.SampledRunner("i-0", "no address")
@@ -220,23 +223,30 @@
     # makes a runner forget ends that are not stored.
     async with platform_system.run_system(entries=1, runners=2) as system:
         owner = await system.wait_owner()
-        sample = []
+        sample, token = [], tokens.make_token(5, 3)
         for name, runner in system.runners.items():
             await wait_fenced(owner, name)
-            sample.append(reach_module.SampledRunner(name, runner.address))
-            runner.token, runner.lease_until_ms = 5, 12_345
+            sample.append(
+                reach_module.SampledRunner(name, runner.address, token)
+            )
+            runner.token, runner.lease_until_ms = token, 12_345
             runner.ends = [[1, "unknown.0.0.0", 1, "done", ""]]
         owner.owner.runners.clear()
         reach = reach_module.Reach(0, 2, (), tuple(sample))
         answers = await probes.ask_runners(owner.adapters, SETTINGS, 5, reach)
         assert answers.silent_sample == 2
         for runner in system.runners.values():
-            assert (runner.token, runner.lease_until_ms) == (5, 12_345)
+            assert (runner.token, runner.lease_until_ms) == (token, 12_345)
             assert [end[0] for end in runner.ends] == [1]
         # An earlier token is refused, which is no answer.
         answers = await probes.ask_runners(owner.adapters, SETTINGS, 4, reach)
         assert answers.silent_sample == 0
-        assert all(r.token == 5 for r in system.runners.values())
+        assert all(r.token == token for r in system.runners.values())
+        # The token of another owner is not used.
+        answers = await probes.ask_runners(owner.adapters, SETTINGS, 6, reach)
+        assert answers.silent_sample == 2
+        later = tokens.make_token(6)
+        assert all(r.token == later for r in system.runners.values())
 
 
 async def wait_fenced(owner, name):
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -424,6 +424,68 @@
     assert expiry >= 10.3 + owner.settings.max_lease_s
 
 
+def test_lease_that_a_call_to_the_life_before_may_be_granted_is_waited_for():
+    # Guards against a task that is started elsewhere while a new life holds the
+    # longest lease: it was out of reach before it had seen its own token, and
+    # carried out a poll meant for the life before.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    runner.token = owner.issue_token()
+    earlier_token = runner.token
+    longest_s = owner.settings.max_lease_s
+    status = make_status(runner, run, born_ms=9)
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
+    assert runner.token > earlier_token and not runner.fenced
+    expiry = runner.find_lease_expiry(owner.settings)
+    assert expiry >= 10.5 + runners_module.LATE_CALL_S + longest_s
+    sessions._apply_reply(owner, runner, status, 10.6, 10.7)
+    assert runner.fenced
+    assert runner.find_lease_expiry(owner.settings) >= 10.7 + longest_s
+    assert runner.find_lease_expiry(owner.settings) < expiry
+
+
+@pytest.mark.parametrize("found", [True, False])
+@pytest.mark.parametrize("call", ["start", "stop", "pace", "poll"])
+async def test_call_that_a_new_life_of_its_runner_refuses_ends_no_ownership(
+    call, found, monkeypatch
+):
+    # Guards against an owner that takes the refusal of a call with its own
+    # earlier token for that of a later owner, and steps down.
+    fenced = interfaces.OrderOutcome.FENCED
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 10.5)
+    answers = []
+
+    async def refuse(*unused):
+        answers.append(call)
+        if found and len(answers) == 1:
+            runner.token = owner.issue_token()
+        elif found:
+            return interfaces.OrderOutcome.DONE
+        return fenced
+
+    async def refuse_poll(*unused):
+        return result.Err(await refuse())
+
+    runner.calls = types.SimpleNamespace(
+        start=refuse, stop=refuse, pace=refuse, poll=refuse_poll
+    )
+    if call == "start":
+        run.phase, run.running_since = attempts.Phase.STARTING, 0.0
+        await orders._start_run(owner, run)
+    elif call == "stop":
+        stops.stop_run(owner, run, "moved")
+        await stops._send_stop(owner, run)
+    elif call == "pace":
+        await orders.set_pace(owner, run, 50)
+    else:
+        await sessions._poll(owner, runner, 0.0, None)
+    assert owner.stepped_down.is_set() is not found
+    if call in ("start", "stop"):
+        assert len(answers) == 1 + found
+
+
 def make_status(runner, *runs, born_ms=None, clock_ms=1000):
     running = tuple(
         model.RunningAttempt(run.task.name, run.attempt, "", 10.0, 0.0)
--- a/tests/test_platform_keeping.py
+++ b/tests/test_platform_keeping.py
@@ -7,6 +7,7 @@
 import pytest
 
 from plantainvane.jobs import state as state_module
+from plantainvane.jobs import tokens
 from standins import platform_system
 from tests import test_platform_sessions as sessions
 
@@ -85,7 +86,9 @@
         running = sum(len(r.running) for r in system.runners.values())
         assert (running, count_ends(system, "lapsed")) == (_JOBS, 0)
         assert set(sessions.count_starts(system).values()) == {1}
-        assert {r.token for r in system.runners.values()} == {owner.epoch}
+        for runner in system.runners.values():
+            assert runner.token == owner.runners[runner.id].token
+            assert tokens.find_epoch(runner.token) == owner.epoch
 
 
 async def test_ends_during_the_loading_are_not_lost():
@@ -156,6 +159,6 @@
     # Guards against two owners that keep leases alive.
     async with run_loading(run_ms=60_000, LongRunning=True) as (system, owner):
         for runner in system.runners.values():
-            runner.token = owner.epoch + 1
+            runner.token = tokens.make_token(owner.epoch + 1)
         await sessions.wait_until(owner.stepped_down.is_set)
         assert not owner.recovered
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -7,6 +7,7 @@
 import pytest
 
 from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import tokens
 from standins import platform_system
 from tests import test_platform_sessions as platform_sessions
 
@@ -140,3 +141,32 @@
             assert anyio.current_time() - cut_at < limit_s
         runner.end_due_attempts()
         assert TASK not in runner.running
+
+
+async def test_late_start_meant_for_the_life_before_is_refused(monkeypatch):
+    # Guards against a task that runs twice: the next life of its runner carries
+    # out a start that was never answered, after it was found. No stop of it is
+    # sent there, as the order comes later than is expected.
+    monkeypatch.setattr(runners_module, "LATE_START_S", 0.0)
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+    ) as system:
+        owner = await system.wait_owner()
+        runner = system.runners["i-0"]
+        runner.delayed_starts = [LATE_POLL_S]
+        await submit(system, OTHER_ID, run_ms=60_000)
+        await wait_until(lambda: TASK in runner.running)
+        late_at = anyio.current_time() + LATE_POLL_S
+        known = owner.owner.runners["i-0"]
+        await wait_until(lambda: any(run.reported for run in known.runs))
+        earlier_token = runner.token
+        await platform_system.add_runner(system, "i-1")
+        # The next life has no room, so that the task starts elsewhere.
+        runner.cpu = 1
+        await begin_next_life(system, owner, runner)
+        await wait_until(lambda: TASK in system.runners["i-1"].running)
+        await anyio.sleep(late_at + 0.2 - anyio.current_time())
+        assert TASK not in runner.running
+        assert system.list_starts().count((TASK, 1)) == 1
+        assert runner.token > earlier_token
+        assert tokens.find_epoch(runner.token) == owner.owner.epoch
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state
+from plantainvane.jobs import tokens
 from standins import platform_system
 
 pytestmark = pytest.mark.anyio
@@ -389,15 +390,17 @@
         owner = await system.wait_owner()
         assert owner.owner.epoch > 0
         for runner_id, runner in system.runners.items():
-            assert runner.token == owner.owner.epoch
+            assert runner.token == owner.owner.runners[runner_id].token
+            assert tokens.find_epoch(runner.token) == owner.owner.epoch
             runner.restart()
             address = owner.owner.runners[runner_id].entry.address
             entry = runner.make_entry(address, platform_system.SERVICE, "ready")
             system.store.put("keyed.servers", runner_id, entry)
         await wait_until(
             lambda: all(
-                runner.token == owner.owner.epoch
-                for runner in system.runners.values()
+                runner.token == owner.owner.runners[runner_id].token
+                and tokens.find_epoch(runner.token) == owner.owner.epoch
+                for runner_id, runner in system.runners.items()
             ),
             limit_s=1.5,
         )
@@ -504,7 +507,8 @@
     # Guards against an attempt of a cancelled job that runs on, under leases
     # that the owner renews: the runner answered the stop, crashed, and the new
     # incarnation carried out the start, whose reply had been lost.
-    # The order comes later than is expected, so that it is not refused.
+    # The order comes later than is expected, but before the incarnation is
+    # found, so that neither a stop nor a token refuses it.
     monkeypatch.setattr(runners_module, "LATE_START_S", 0.0)
     async with platform_system.run_system(entries=1, runners=1) as system:
         await system.wait_owner()
@@ -516,8 +520,10 @@
         reply = await platform_system.call(system.entries[0], "DELETE", ID)
         assert reply.status_code == 200
         await wait_until(lambda: runner.highest)
+        runner.silent = True
         runner.restart()
         await wait_until(lambda: runner.running)
+        runner.silent = False
         await wait_until(lambda: not runner.running, limit_s=CANCEL_LIMIT_S)
         assert [end[3] for end in runner.ends] == ["stopped"]
 
@@ -528,7 +534,8 @@
     # Guards against an attempt of a cancelled job that an idle runner runs
     # until its lease expires: the runner has restarted, so it does not refuse
     # the late order, and nothing polls it.
-    # The order comes later than is expected, so that it is not refused.
+    # The order comes later than is expected, but before the incarnation is
+    # found, so that neither a stop nor a token refuses it.
     monkeypatch.setattr(runners_module, "LATE_START_S", 0.0)
     async with platform_system.run_system(
         entries=1, runners=1, poll_wait_s=0.3
@@ -543,9 +550,11 @@
         reply = await platform_system.call(system.entries[0], "DELETE", ID)
         assert reply.status_code == 200
         await wait_until(lambda: not owner.owner.runners["i-0"].runs)
+        runner.silent = True
         runner.restart()
         platform_system.write_entry(system, runner)
         await wait_until(lambda: runner.running)
+        runner.silent = False
         await wait_until(lambda: not runner.running, limit_s=CANCEL_LIMIT_S)
         assert [end[3] for end in runner.ends] == ["stopped"]
 
