Count an end that a new life of a runner lists first

A task would run again that was done: an attempt that the life before had listed was dropped as the new life was found (814 'runner restarted'), also if that life lists its end, after a late try of the start ran there. The test failed before (the task was open, now done).

--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -428,7 +428,7 @@
       born_ms: Start of the new incarnation, Unix milliseconds.
       clock_ms: Reading of its clock.
       now: Present time, in seconds.
-      running: Attempts that the new incarnation has listed.
+      running: Attempts that the new incarnation has listed, or their ends.
       acknowledged: Number up to which the poll that found it has acknowledged
         ends, by the count of the incarnation before.
     """
@@ -561,7 +561,11 @@
     reply: model.RunnerStatus,
     now: float,
 ) -> None:
-    listed = [owner.table.find_run(r.task, r.attempt) for r in reply.running]
+    # An order to the life before may have started what this one has ended.
+    listed = [
+        owner.table.find_run(r.task, r.attempt)
+        for r in (*reply.running, *reply.ends)
+    ]
     running = [run for run in listed if run in runner.runs]
     handle_restart(
         owner,
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -444,6 +444,19 @@
     assert runner.find_lease_expiry(owner.settings) < expiry
 
 
+def test_end_that_a_new_life_lists_first_counts():
+    # Guards against a task that runs again although it is done: the life before
+    # had listed the attempt, and a late try of its start ran in the next one.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    sessions._apply_reply(owner, runner, make_status(runner, run), 10.2, 10.3)
+    end = model.AttemptEnd(1, run.task.name, run.attempt, "done", "")
+    status = model.RunnerStatus(9, 1000, (), (end,))
+    sessions._apply_reply(owner, runner, status, 10.4, 10.5)
+    assert run.task.result is attempts.Result.DONE
+    assert run.task.name not in owner.table.ready
+
+
 @pytest.mark.parametrize("found", [True, False])
 @pytest.mark.parametrize("call", ["start", "stop", "pace", "poll"])
 async def test_call_that_a_new_life_of_its_runner_refuses_ends_no_ownership(
