--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -348,8 +348,11 @@
     def expect_late_grants(
         self, settings: settings_module.Settings, now: float
     ) -> None:
-        """Records that its life is new, and takes calls to the one before."""
-        granted_by = now + LATE_CALL_S
+        """Records that its life is new, and takes calls to the one before.
+
+        Starts extend leases as well, and are the calls that come latest.
+        """
+        granted_by = now + LATE_START_S
         self.late_grants_until = granted_by + _find_longest_lease_s(settings)
 
     def note_fenced(
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -261,9 +261,12 @@
     no poll has listed. So nothing is acknowledged twice, or while the present
     life is in doubt.
     """
-    if runner.silent or now - runner.answered_at > _SAME_LIFE_S:
-        return 0
-    if runner.last_stored_end <= runner.acknowledged_end:
+    in_doubt = (
+        runner.silent
+        or not runner.fenced
+        or now - runner.answered_at > _SAME_LIFE_S
+    )
+    if in_doubt or runner.last_stored_end <= runner.acknowledged_end:
         return 0
     return runner.last_stored_end
 
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -437,7 +437,7 @@
     sessions._apply_reply(owner, runner, status, 10.4, 10.5)
     assert runner.token > earlier_token and not runner.fenced
     expiry = runner.find_lease_expiry(owner.settings)
-    assert expiry >= 10.5 + runners_module.LATE_CALL_S + longest_s
+    assert expiry >= 10.5 + runners_module.LATE_START_S + longest_s
     sessions._apply_reply(owner, runner, status, 10.6, 10.7)
     assert runner.fenced
     assert runner.find_lease_expiry(owner.settings) >= 10.7 + longest_s
@@ -509,26 +509,27 @@
 
 
 @pytest.mark.parametrize(
-    ("answered_ago_s", "silent", "acknowledged", "expected"),
+    ("answered_ago_s", "doubts", "acknowledged", "expected"),
     [
-        (0.01, False, 0, 5),
-        (0.01, False, 3, 5),
-        (0.01, False, 5, 0),
-        (1.0, False, 0, 0),
-        (0.01, True, 0, 0),
+        (0.01, {}, 0, 5),
+        (0.01, {}, 3, 5),
+        (0.01, {}, 5, 0),
+        (1.0, {}, 0, 0),
+        (0.01, {"silent": True}, 0, 0),
+        (0.01, {"fenced": False}, 0, 0),
     ],
 )
 async def test_ends_are_acknowledged_once_and_to_the_life_that_listed_them(
-    answered_ago_s, silent, acknowledged, expected, monkeypatch
+    answered_ago_s, doubts, acknowledged, expected, monkeypatch
 ):
     # Guards against a poll that makes a new life of the runner forget ends that
     # nobody has read, as it carries a number of the life before.
     owner = scheduling.make_owner()
     runner = decisions.make_runner(
-        silent=silent,
         last_stored_end=5,
         acknowledged_end=acknowledged,
         answered_at=100.0 - answered_ago_s,
+        **doubts,
     )
     owner.runners["r"] = runner
     sent = []
