Request no lease of a life in doubt, and expect those of the owner before

The poll that found a new life, and starts before it, named times on the clock of the life before, which stand for the longest lease there; a successor knew nothing of them and counted on the 5.5 s it had asked for.

Polls to a runner that is silent, or announced with another life, request no lease. A successor counts on the longest lease at a life that is younger than 18 s plus that lease, by the time of day, as starts may have reached it before it was found.

The added tests fail without it.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -23,6 +23,10 @@
     """
     if runner.clock_listed or not runner.clock_ms or runner.lease_withheld:
         return None
+    if runner.is_in_doubt():
+        # A new life would take a time on the clock of the one before for the
+        # longest lease.
+        return None
     if runner.ignores_stops and all(map(outliving.is_outliving, runner.runs)):
         # Nothing but what cannot be stopped otherwise is to lapse.
         return None
@@ -118,6 +122,22 @@
     runner.expect_late_grants(owner.settings, now)
 
 
+def note_fenced(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Records that a runner refuses calls to earlier lives, or by others.
+
+    `wall_ms` is the present time, Unix milliseconds.
+    """
+    runner.note_fenced(owner.settings, now)
+    if owner.former_renewed_at is not None:
+        age_s = (wall_ms - runner.entry.born_ms) / 1000
+        runner.expect_earlier_grants(owner.settings, age_s, now)
+
+
 def read_clock(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -20,9 +20,10 @@
 LATE_CALL_S = 6.0
 # An order to start without an answer may be carried out for this long.
 LATE_START_S = 12.0
-# A life whose clock is behind this may take calls that an earlier owner has
-# meant for the life before, until it found the new one, or that come late.
-_YOUNG_LIFE_MS = 30_000
+# Calls of an owner that are meant for the life before reach a life within this
+# time of its start: 3 s until a poll finds it, then late ones. Another 3 s are
+# for times of day that differ.
+_STRAY_CALLS_S = 3.0 + LATE_START_S + 3.0
 # A runner writes its entry about once in 1.5 s, and the platform removes it
 # after three times that.
 _ENTRY_AGE_S = 5.0
@@ -281,6 +282,13 @@
         """
         return self.heard or now - self.entry_read_at <= _ENTRY_AGE_S
 
+    def is_in_doubt(self) -> bool:
+        """Tells whether another life than the known one may answer a poll."""
+        return self.silent or (
+            self.announced is not None
+            and self.announced.born_ms != self.refuted_born_ms
+        )
+
     def note_stop_answered(self) -> None:
         """Lets all stops go on that wait to be sent again."""
         self.stop_repeats.clear()
@@ -364,9 +372,23 @@
         longest lease.
         """
         self.fenced = True
-        if self.late_grants_until > now or self.clock_ms < _YOUNG_LIFE_MS:
+        if self.late_grants_until > now:
             self.late_grants_until = now + _find_longest_lease_s(settings)
 
+    def expect_earlier_grants(
+        self, settings: settings_module.Settings, age_s: float, now: float
+    ) -> None:
+        """Records that an earlier owner may not have known its life.
+
+        Args:
+          settings: The settings.
+          age_s: Seconds since the life began, by the time of day.
+          now: Present time; no call of that owner is carried out from now on.
+        """
+        until_s = _find_longest_lease_s(settings)
+        until_s -= max(0.0, age_s - _STRAY_CALLS_S)
+        self.late_grants_until = max(self.late_grants_until, now + until_s)
+
     def find_lease_expiry(self, settings: settings_module.Settings) -> float:
         """Returns the time after which every lease has certainly expired.
 
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -522,7 +522,7 @@
         crashes.settle_doubts(owner, runner, clock.read_wall_ms())
         _end_orphans(owner, runner, now)
     if not runner.fenced and carried_token:
-        runner.note_fenced(owner.settings, now)
+        leases.note_fenced(owner, runner, now, clock.read_wall_ms())
         owner.request_pass()
     owner.interference_model.learn(runner, now)
     pacing.track_target_violations(runner, now)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
+from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import stops
@@ -444,6 +445,55 @@
     assert runner.find_lease_expiry(owner.settings) < expiry
 
 
+@pytest.mark.parametrize("doubt", ["silent", "announced", ""])
+async def test_poll_of_a_life_in_doubt_requests_no_lease(doubt, monkeypatch):
+    # Guards against a task that runs twice: the poll that finds a new life
+    # names a time on another clock, which grants the longest lease.
+    owner = scheduling.make_owner()
+    runner, run = make_running(
+        owner, clock_ms=300_000, clock_read_at=99.0, lease_until_ms=304_000
+    )
+    if doubt == "silent":
+        runner.silent = True
+    elif doubt:
+        entry = msgspec.structs.replace(runner.entry, born_ms=9)
+        runner_entries.announce(runner, entry, 99.5)
+    sent = []
+
+    async def poll(token, last_seen, lease, wait_s):
+        sent.append(lease)
+        return result.Ok(make_status(runner, run, clock_ms=301_000))
+
+    runner.calls = types.SimpleNamespace(poll=poll)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    await sessions._poll(owner, runner, 0.0, None)
+    assert (sent == [None]) is bool(doubt)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_successor", "waits"),
+    [
+        (2.0, True, True),
+        (-2.0, True, True),
+        (60.0, True, False),
+        (2.0, False, False),
+    ],
+)
+def test_successor_expects_grants_of_an_owner_that_did_not_know_the_life(
+    age_s, is_successor, waits, monkeypatch
+):
+    # Guards against a task that is started elsewhere while its runner holds the
+    # longest lease, granted as the owner before had not found its new life.
+    owner = scheduling.make_owner()
+    owner.former_renewed_at = 9.0 if is_successor else None
+    runner, run = make_running(owner, fenced=False)
+    wall_ms = runner.entry.born_ms + int(age_s * 1000)
+    monkeypatch.setattr(sessions.clock, "read_wall_ms", lambda: wall_ms)
+    sessions._apply_reply(owner, runner, make_status(runner, run), 10.2, 10.3)
+    expiry = runner.find_lease_expiry(owner.settings)
+    assert (expiry >= 10.3 + owner.settings.max_lease_s) is waits
+
+
 def test_end_that_a_new_life_lists_first_counts():
     # Guards against a task that runs again although it is done: the life before
     # had listed the attempt, and a late try of its start ran in the next one.
