--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -3,6 +3,8 @@
 A runner that is back under its id takes them, as they name only the id.
 """
 
+import contextlib
+
 import anyio
 import pytest
 
@@ -29,6 +31,16 @@
     return "asyncio"
 
 
+@contextlib.asynccontextmanager
+async def run_one_runner():
+    """Yields a deployment of one process and one runner, and both of these."""
+    async with platform_system.run_system(
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+    ) as system:
+        owner = await system.wait_owner()
+        yield system, owner, system.runners["i-0"]
+
+
 async def submit(system, job_id, **fields):
     body = platform_system.make_job(count=1, **fields)
     reply = await platform_system.call(system.entries[0], "POST", job_id, body)
@@ -77,11 +89,7 @@
     # Guards against a task that runs again although it is done: it has run in a
     # life that no poll had found, and the poll that finds it acknowledges ends
     # by the count of the life before.
-    async with platform_system.run_system(
-        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
-    ) as system:
-        owner = await system.wait_owner()
-        runner = system.runners["i-0"]
+    async with run_one_runner() as (system, owner, runner):
         await run_earlier_job(system, owner, runner, 60.0)
         runner.restart()
         await submit(system, OTHER_ID)
@@ -98,11 +106,7 @@
     # Guards against a task that runs again although it is done: a poll that the
     # life before has left unanswered makes the next one forget the end before
     # it is read.
-    async with platform_system.run_system(
-        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
-    ) as system:
-        owner = await system.wait_owner()
-        runner = system.runners["i-0"]
+    async with run_one_runner() as (system, owner, runner):
         sent_at = await run_earlier_job(system, owner, runner, LATE_POLL_S)
         await begin_next_life(system, owner, runner)
         await submit(system, OTHER_ID, run_ms=1000)
@@ -123,11 +127,7 @@
     # Guards against a task that runs twice: its runner is cut off, and a poll
     # that the life before has left unanswered grants the longest lease there,
     # as it names a time on another clock.
-    async with platform_system.run_system(
-        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
-    ) as system:
-        owner = await system.wait_owner()
-        runner = system.runners["i-0"]
+    async with run_one_runner() as (system, owner, runner):
         await run_earlier_job(system, owner, runner, LATE_POLL_S)
         await begin_next_life(system, owner, runner)
         await submit(system, OTHER_ID, run_ms=60_000)
@@ -148,11 +148,7 @@
     # out a start that was never answered, after it was found. No stop of it is
     # sent there, as the order comes later than is expected.
     monkeypatch.setattr(runners_module, "LATE_START_S", 0.0)
-    async with platform_system.run_system(
-        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
-    ) as system:
-        owner = await system.wait_owner()
-        runner = system.runners["i-0"]
+    async with run_one_runner() as (system, owner, runner):
         runner.delayed_starts = [LATE_POLL_S]
         await submit(system, OTHER_ID, run_ms=60_000)
         await wait_until(lambda: TASK in runner.running)
