--- a/plantainvane/jobs/keeping.py
+++ b/plantainvane/jobs/keeping.py
@@ -120,7 +120,7 @@
         runner.lease_withheld = True
         if (
             reply.err_value is interfaces.OrderOutcome.FENCED
-            and not state_module.is_outdated(owner, runner, token)
+            and not state_module.note_outdated(owner, runner, token)
         ):
             owner.step_down("runner")
         return
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -80,7 +80,7 @@
         trials.extend_trial(runner, run)
         runner.expect_late_start(run, run.sent_at)
         outcome = await runner.calls.start(order)
-        if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+        if outcome is _OUTCOME.FENCED and state_module.note_outdated(
             owner, runner, order.token
         ):
             outcome = _OUTCOME.OUTDATED
@@ -308,7 +308,7 @@
     outcome = await runner.calls.pace(
         run.task.name, run.attempt, percent, token
     )
-    if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+    if outcome is _OUTCOME.FENCED and state_module.note_outdated(
         owner, runner, token
     ):
         outcome = _OUTCOME.OUTDATED
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -228,7 +228,7 @@
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if reply.err_value is interfaces.OrderOutcome.FENCED:
-            if not state_module.is_outdated(owner, runner, token):
+            if not state_module.note_outdated(owner, runner, token):
                 owner.step_down("runner")
             return pending
         if _is_own_delay(owner, runner, reply.err_value, sent_at, now):
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -319,13 +319,13 @@
         self.pass_requested.set()
 
 
-def is_outdated(
+def note_outdated(
     owner: Owner, runner: runners_module.Runner, token: int
 ) -> bool:
-    """Tells whether a call that its runner has refused may be sent again.
+    """Logs a refused call with an earlier token of this owner.
 
-    A new life of the runner was found while the call was under way, so its
-    token is not the present one. Nothing was done.
+    Returns whether it is one, so that it may be sent again: a new life of the
+    runner was found while it was under way, and nothing was done.
     """
     present = owner.runners.get(runner.entry.id, runner).token
     if token >= present:
--- a/plantainvane/jobs/stops.py
+++ b/plantainvane/jobs/stops.py
@@ -224,7 +224,7 @@
     token = runner.token
     with anyio.move_on_after(limit_s):
         outcome = await runner.calls.stop(task, attempt, token)
-        if outcome is _OUTCOME.FENCED and state_module.is_outdated(
+        if outcome is _OUTCOME.FENCED and state_module.note_outdated(
             owner, runner, token
         ):
             outcome = _OUTCOME.OUTDATED
