Add failing tests of acknowledgements that an unfound life of a runner takes

Two orders of events show it on the stand-ins: a poll that acknowledges ends has no answer, the runner is back under its id, a start reaches the new life before any poll has found it, and the poll is carried out after that run has ended. The start is sent after the poll in one test and before it in the other. The life has seen no token but that of the life before, so it refuses neither.

--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -24,6 +24,9 @@
 # Delay of a poll that is carried out after the next life was found, and long
 # after the longest lease was granted there.
 LATE_POLL_S = 5.0
+# Delay of a poll that is carried out before the next life is found, and after a
+# short task has ended there.
+UNFOUND_POLL_S = 0.5
 
 
 @pytest.fixture
@@ -47,21 +50,26 @@
     assert reply.status_code == 200
 
 
+def delay_polls_after_an_end(runner, delays_s):
+    """Delays the polls after the one that lists the next end."""
+
+    def delay_polls(what, *unused):
+        if what == "end" and not runner.delayed_polls:
+            runner.delayed_polls.extend(delays_s)
+
+    runner.on_run = delay_polls
+
+
 async def run_earlier_job(system, owner, runner, delay_s):
     """Has a runner list one end beside a task that runs on.
 
     The poll that acknowledges the end is carried out after the delay, and never
     answered. Returns when it was sent.
     """
-
-    def delay_next_poll(what, *unused):
-        if what == "end" and not runner.delayed_polls:
-            runner.delayed_polls.append(delay_s)
-
     await submit(system, ID, run_ms=60_000)
     known = owner.owner.runners[runner.id]
     await wait_until(lambda: any(run.reported for run in known.runs))
-    runner.on_run = delay_next_poll
+    delay_polls_after_an_end(runner, [delay_s])
     await submit(system, EARLIER_ID)
     await platform_system.wait_state(system, EARLIER_ID, "completed")
     await wait_until(lambda: not runner.delayed_polls)
@@ -70,6 +78,18 @@
     return anyio.current_time()
 
 
+def record_noted_ends(runner):
+    """Returns a list of the tasks whose ends are acknowledged from now on."""
+    noted = []
+
+    def record(what, task, *unused):
+        if what == "noted":
+            noted.append(task)
+
+    runner.on_run = record
+    return noted
+
+
 def has_done(runner, task):
     """Ends what is due, as the stand-in does so only at a call."""
     runner.end_due_attempts()
@@ -123,6 +143,51 @@
         assert platform_sessions.count_starts(system)[TASK] == 1
 
 
+async def test_late_poll_takes_no_end_of_a_life_that_no_poll_has_found():
+    # Guards against a task that runs again although it is done: it ran in a new
+    # life before any poll of that life, and a poll that the life before had
+    # left unanswered acknowledged its end.
+    async with run_one_runner() as (system, owner, runner):
+        await run_earlier_job(system, owner, runner, UNFOUND_POLL_S)
+        runner.restart()
+        known = owner.owner.runners[runner.id]
+        # Nor does the next poll find it in time.
+        runner.delayed_polls = [60.0]
+        noted = record_noted_ends(runner)
+        await submit(system, OTHER_ID)
+        await wait_until(lambda: has_done(runner, TASK))
+        assert known.restarted_at < 0
+        await wait_until(lambda: known.restarted_at > 0)
+        platform_system.write_entry(system, runner)
+        await platform_system.wait_state(system, OTHER_ID, "completed")
+        assert platform_sessions.count_starts(system)[TASK] == 1
+        assert noted == [TASK]
+
+
+async def test_late_poll_takes_no_end_of_a_start_sent_before_it():
+    # Guards against a task that runs again although it is done: the first try
+    # of its start had no answer, the next life of the runner carries out the
+    # second, and then a poll sent between the two.
+    async with run_one_runner() as (system, owner, runner):
+        known = owner.owner.runners[runner.id]
+        await submit(system, ID, run_ms=60_000)
+        await submit(system, EARLIER_ID, run_ms=300)
+        await wait_until(lambda: len(known.runs) == 2)
+        await wait_until(lambda: all(run.reported for run in known.runs))
+        runner.delayed_starts = [60.0]
+        delay_polls_after_an_end(runner, [UNFOUND_POLL_S, 60.0])
+        await submit(system, OTHER_ID)
+        await wait_until(lambda: not runner.delayed_starts)
+        await wait_until(lambda: len(runner.delayed_polls) == 1)
+        runner.restart()
+        await wait_until(lambda: has_done(runner, TASK))
+        assert known.restarted_at < 0
+        await wait_until(lambda: known.restarted_at > 0)
+        platform_system.write_entry(system, runner)
+        await platform_system.wait_state(system, OTHER_ID, "completed")
+        assert platform_sessions.count_starts(system)[TASK] == 1
+
+
 async def test_late_poll_of_the_life_before_does_not_extend_leases():
     # Guards against a task that runs twice: its runner is cut off, and a poll
     # that the life before has left unanswered grants the longest lease there,
