Log acknowledgements that may act late, and what was known of a lost attempt

No line told which poll had acknowledged what without an answer, nor whether a lost attempt had been listed or its start answered, so the hypotheses of the incident could not be told apart. 912 names such a poll, 814 has two more fields, and two counters count what 910 and 912 tell.

Measured: tests of sessions and events pass.

--- a/plantainvane/jobs/metrics.py
+++ b/plantainvane/jobs/metrics.py
@@ -57,6 +57,14 @@
     "Looks at runners, by outcome.",
     ["outcome"],
 )
+ACKNOWLEDGEMENTS_LOST = prometheus_client.Counter(
+    "plantainvane_acknowledgements_lost_total",
+    "Polls without an answer that acknowledged ends; they may act late.",
+)
+ENDS_MISSED = prometheus_client.Counter(
+    "plantainvane_ends_missed_total",
+    "Ends that a runner has forgotten before any poll listed them.",
+)
 CLAIMS = prometheus_client.Counter(
     "plantainvane_job_claims_total",
     "Attempts to become the owner, by outcome.",
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -237,6 +237,8 @@
         if broke and reply.err_value is _OUTCOME.LOST and not runner.silent:
             # The connection broke, so the runner was up until then.
             runner.up_at = now
+        if acknowledged and reply.err_value is _OUTCOME.LOST:
+            _report_ends_in_doubt(owner, runner, acknowledged, token)
         _handle_silence(owner, runner, reply.err_value, now)
         await _wait_for_retry(owner, runner, now)
         return pending
@@ -254,6 +256,24 @@
     return pending or found
 
 
+def _report_ends_in_doubt(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    acknowledged: int,
+    token: int,
+) -> None:
+    metrics.ACKNOWLEDGEMENTS_LOST.inc()
+    events.log_event(
+        events.ENDS_IN_DOUBT,
+        runner=runner.entry.id,
+        born_ms=runner.entry.born_ms,
+        acknowledged=acknowledged,
+        token=token,
+        runs=len(runner.runs),
+        epoch=owner.epoch,
+    )
+
+
 def _choose_acknowledged(runner: runners_module.Runner, now: float) -> int:
     """Returns the number up to which a poll acknowledges ends; 0 for none.
 
@@ -406,6 +426,8 @@
         attempt=run.attempt,
         runner=run.runner,
         reason=reason,
+        answered=run.start_answered,
+        listed=run.reported,
         epoch=owner.epoch,
     )
 
@@ -627,6 +649,7 @@
         return
     known, first = runner.last_listed_end, reply.ends[0].number
     if known is not None and first > known + 1:
+        metrics.ENDS_MISSED.inc(first - known - 1)
         events.log_event(
             events.RUNNER_ENDS_MISSED,
             runner=runner.entry.id,
