Count an end that a runner lists for an attempt that was given up

Cause: a start reached a new life of the runner before any poll had found it. The owner gave the attempt up as the leases of the life before expired, by that life's clock. 0.4 s later a poll found the new life, which listed the attempt as done. The end was ignored, as the attempt was not charged any more, and acknowledged; five seconds later the task started again.

Change: an end as done finishes its task, whoever runs it now, and a failure counts if this owner has given the attempt up. A failure that an earlier owner may have counted is left out, as before.

Measured: three of the new cases fail before (the task is started again, the later attempt runs on, the failure is not counted) and pass now; the tests of sessions pass. The leases that expired too early are a fault of their own.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -150,6 +150,7 @@
       trial_since: Since when it has waited for a trial although a runner has
         room for it, or 0.
       moved_at: When it was last moved off a runner that is to be left.
+      lost_attempts: Numbers of the latest attempts whose end is not known.
     """
 
     job: "JobState"
@@ -167,6 +168,7 @@
     crashes: tuple[model.Crash, ...] = ()
     trial_since: float = 0.0
     moved_at: float = float("-inf")
+    lost_attempts: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -626,6 +626,7 @@
             continue
         run = owner.table.find_run(end.task, end.attempt)
         if run is None or run.runner != runner.entry.id:
+            _apply_lost_end(owner, runner, end, now)
             continue
         runner.charge(run, -1)
         owner.interference_model.forget_run(run)
@@ -636,6 +637,36 @@
     return number
 
 
+def _apply_lost_end(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    end: model.AttemptEnd,
+    now: float,
+) -> None:
+    """Applies the end of an attempt that counted as lost.
+
+    A life of the runner that no poll had found may have run it.
+    """
+    if owner.table.end_lost_run(
+        end.task,
+        end.attempt,
+        end.outcome,
+        runner.entry.id,
+        now,
+        clock.read_wall_ms(),
+    ):
+        metrics.ENDS.labels(end.outcome).inc()
+        events.log_event(
+            events.LOST_TASK_ENDED,
+            task=end.task,
+            attempt=end.attempt,
+            runner=runner.entry.id,
+            how=end.outcome,
+            number=end.number,
+            epoch=owner.epoch,
+        )
+
+
 def _note_missed_ends(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -406,6 +406,7 @@
         if run not in task.runs:
             return
         task.runs.remove(run)
+        task.lost_attempts = (*task.lost_attempts[-3:], run.attempt)
         self.mark_changed(task.job, task)
         self._mark_ready(task, now)
 
@@ -425,22 +426,67 @@
         if checkpoint and task.step.definition.checkpointing:
             task.checkpoint = checkpoint
         self.mark_changed(task.job, task)
-        if task.result is not attempts.Result.OPEN or task.job.ended:
-            return
+        self._apply_outcome(task, outcome, run.runner, now, wall_ms)
+        self._mark_ready(task, now)
+
+    def end_lost_run(
+        self,
+        name: str,
+        attempt: int,
+        outcome: str,
+        runner: str,
+        now: float,
+        wall_ms: int,
+    ) -> bool:
+        """Applies the end of an attempt that is not charged any more.
+
+        A failure counts only if this owner has given the attempt up, as an
+        earlier one may have counted it.
+
+        Returns:
+          Whether the end has changed the task.
+        """
+        task = self.find_task(name)
+        if task is None or attempt > task.attempt:
+            return False
+        is_lost = attempt in task.lost_attempts
+        if outcome == "failed" and not is_lost:
+            return False
+        task.lost_attempts = tuple(
+            number for number in task.lost_attempts if number != attempt
+        )
+        return self._apply_outcome(task, outcome, runner, now, wall_ms)
+
+    def _apply_outcome(
+        self,
+        task: attempts.Task,
+        outcome: str,
+        runner: str,
+        now: float,
+        wall_ms: int,
+    ) -> bool:
+        """Counts a success or a failure; returns whether it did."""
         step = task.step.definition
-        if outcome == "done" and not step.long_running:
+        if (
+            task.result is not attempts.Result.OPEN
+            or task.job.ended
+            or step.long_running
+        ):
+            return False
+        if outcome == "done":
             members = task.step.tasks if step.gang else [task]
             for member in members:
                 self._finish_task(member, now, wall_ms)
-            return
-        if outcome == "failed" and not step.long_running:
+            return True
+        if outcome == "failed":
             task.failures += 1
-            task.avoided_runners = (*task.avoided_runners[-3:], run.runner)
+            task.avoided_runners = (*task.avoided_runners[-3:], runner)
+            self.mark_changed(task.job, task)
             if task.failures >= task.job.max_failures:
                 task.result = attempts.Result.FAILED
                 self._end_job(task.job, "failed", wall_ms)
-                return
-        self._mark_ready(task, now)
+            return True
+        return False
 
     def _finish_task(
         self, task: attempts.Task, now: float, wall_ms: int
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -507,6 +507,62 @@
     assert run.task.name not in owner.table.ready
 
 
+def list_lost_end(owner, runner, run, outcome):
+    """Drops an attempt, then lists its end twice, as it is not acknowledged."""
+    sessions._drop_runs(owner, runner, [run], "lease expired", 10.4)
+    end = model.AttemptEnd(1, run.task.name, run.attempt, outcome, "")
+    status = model.RunnerStatus(9, 1000, (), (end,))
+    for sent_at in (10.5, 10.7):
+        sessions._apply_reply(owner, runner, status, sent_at, sent_at + 0.1)
+
+
+def test_task_whose_lost_attempt_turns_out_done_is_not_started_again():
+    # Guards against a second run of a task that is done: its attempt ran in a
+    # life of the runner that no poll had found before the leases of the one
+    # before had expired, and its end was acknowledged and ignored.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    list_lost_end(owner, runner, run, "done")
+    assert run.task.result is attempts.Result.DONE
+    assert run.task.name not in owner.table.ready
+
+
+def test_later_attempt_is_stopped_when_a_lost_one_turns_out_done():
+    # Guards against a task that runs on although an earlier attempt is done.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    sessions._drop_runs(owner, runner, [run], "lease expired", 10.4)
+    later = owner.table.begin_run(run.task, "other", 10.45)
+    end = model.AttemptEnd(1, run.task.name, run.attempt, "done", "")
+    status = model.RunnerStatus(9, 1000, (), (end,))
+    sessions._apply_reply(owner, runner, status, 10.5, 10.6)
+    assert run.task.result is attempts.Result.DONE
+    assert later in owner.table.runs_to_stop
+
+
+@pytest.mark.parametrize(
+    ("attempt", "by_this_owner", "failures"),
+    [(1, True, 1), (1, False, 0), (2, True, 0)],
+)
+def test_failure_of_a_lost_attempt_counts_once(
+    attempt, by_this_owner, failures
+):
+    # Guards against a task that is started again after its last permitted
+    # failure, which an unfound life of the runner had listed; and against one
+    # that an earlier owner has counted.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner)
+    if not by_this_owner:
+        run.task.runs.remove(run)
+    if by_this_owner and attempt == run.attempt:
+        list_lost_end(owner, runner, run, "failed")
+    else:
+        end = model.AttemptEnd(1, run.task.name, attempt, "failed", "")
+        status = model.RunnerStatus(9, 1000, (), (end,))
+        sessions._apply_reply(owner, runner, status, 10.5, 10.6)
+    assert run.task.failures == failures
+
+
 @pytest.mark.parametrize("found", [True, False])
 @pytest.mark.parametrize("call", ["start", "stop", "pace", "poll"])
 async def test_call_that_a_new_life_of_its_runner_refuses_ends_no_ownership(
