Wait for the lease of a start that an unfound life of a runner has carried out

Callers see a task started again after it has ended as done, or twice at a time.

Change: the answer to a start tells the clock of the life that gave it. A start without an answer is kept for the time that it may come late, and the longest lease, but only if the runner's entry tells of another life: a runner that is gone for good writes none, and a long-running task may not wait for it. What the known life has carried out waits as before. The promise to a successor covers the longest of these.

The fakes of three tests and the stand-in paths return a reply with the clock; their checks are as they were.

--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -164,7 +164,7 @@
         return None
     if state is State.ORPHAN:
         return owner.find_expiry(run.runner)
-    return leases.find_last_expiry(owner, owner.runners[run.runner])
+    return leases.find_run_expiry(owner, owner.runners[run.runner], run)
 
 
 def describe_restored(owner: state_module.Owner, now: float) -> dict[str, Any]:
--- a/plantainvane/jobs/departures.py
+++ b/plantainvane/jobs/departures.py
@@ -31,8 +31,12 @@
     """Returns the long-running attempts that are about to end."""
     found = []
     for runner in owner.runners.values():
-        if runner.runs and (_leaves(runner) or _expires(owner, runner, now)):
-            found.extend(run for run in runner.runs if _lasts(run))
+        leaves = _leaves(runner)
+        found.extend(
+            run
+            for run in runner.runs
+            if _lasts(run) and (leaves or _expires(owner, runner, run, now))
+        )
     for name, runs in owner.orphans.items():
         if owner.find_expiry(name) - now <= _AHEAD_S:
             found.extend(run for run in runs if _lasts(run))
@@ -50,12 +54,15 @@
 
 
 def _expires(
-    owner: state_module.Owner, runner: runners_module.Runner, now: float
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+    now: float,
 ) -> bool:
-    """Tells whether the leases of a runner that does not answer end soon."""
+    """Tells whether an attempt on a runner that does not answer ends soon."""
     if not runner.silent:
         return False
-    return leases.find_last_expiry(owner, runner) - now <= _AHEAD_S
+    return leases.find_run_expiry(owner, runner, run) - now <= _AHEAD_S
 
 
 def _lasts(run: attempts.Run) -> bool:
--- a/plantainvane/jobs/interfaces.py
+++ b/plantainvane/jobs/interfaces.py
@@ -103,6 +103,19 @@
     LOST = "lost"
 
 
+class StartReply(msgspec.Struct, frozen=True):
+    """Reply to an order to start.
+
+    Attributes:
+      outcome: Its outcome.
+      clock_ms: Reading of the clock of the life that has carried it out, or
+        None if it was not carried out or the reading is unknown.
+    """
+
+    outcome: OrderOutcome
+    clock_ms: int | None = None
+
+
 class RunnerCalls(Protocol):
     """Client of one runner."""
 
@@ -119,7 +132,7 @@
         to number `last_stored_end` and waits up to `wait_s` for a newer one.
         """
 
-    async def start(self, order: model.StartOrder) -> OrderOutcome:
+    async def start(self, order: model.StartOrder) -> StartReply:
         """Starts an attempt; idempotent."""
 
     async def stop(self, task: str, attempt: int, token: int) -> OrderOutcome:
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -4,11 +4,15 @@
 """
 
 from plantainvane import events
+from plantainvane.jobs import attempts
 from plantainvane.jobs import model
 from plantainvane.jobs import outliving
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
+# A promised expiry is stored again if it turns out to be later by more.
+_PROMISE_SLACK_S = 0.05
+
 
 def choose_lease(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
@@ -65,10 +69,35 @@
     return max(expiry, runner.earlier_leases_until)
 
 
+def find_run_expiry(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+) -> float:
+    """Returns when an attempt has ended, if no lease is extended from now on.
+
+    A start may have reached a life of the runner that no poll has found.
+    """
+    return max(
+        find_last_expiry(owner, runner),
+        runner.find_stray_expiry(owner.settings, run),
+    )
+
+
+def find_latest_run_expiry(
+    owner: state_module.Owner, runner: runners_module.Runner
+) -> float:
+    """Returns the latest time of `find_run_expiry` on a runner."""
+    strays = [
+        runner.find_stray_expiry(owner.settings, run) for run in runner.runs
+    ]
+    return max(find_last_expiry(owner, runner), *strays)
+
+
 def find_latest_expiry(owner: state_module.Owner, now: float) -> float:
     """Returns when all leases have expired, if none is extended from now on."""
     ends = [
-        find_last_expiry(owner, runner)
+        find_latest_run_expiry(owner, runner)
         for runner in owner.runners.values()
         if runner.runs
     ]
@@ -87,7 +116,9 @@
     now: float,
 ) -> None:
     """Stores when the leases expire, so that a successor can rely on it."""
-    if not runner.expiry_promised:
+    promised = owner.expiries.expires_at.get(runner.entry.id)
+    outlives = promised is not None and expiry > promised + _PROMISE_SLACK_S
+    if not runner.expiry_promised or outlives:
         runner.expiry_promised = True
         # This owner has extended its leases, the next ones have not.
         since = owner.epoch + 1
@@ -138,6 +169,33 @@
         runner.expect_earlier_grants(owner.settings, age_s, now)
 
 
+def note_started(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    run: attempts.Run,
+    clock_ms: int | None,
+    now: float,
+) -> None:
+    """Records which life of a runner has answered a start, by its clock."""
+    if clock_ms is None:
+        return
+    fits = runner.fits_clock(owner.settings, clock_ms, run.sent_at, now)
+    run.start_settled = fits is True
+    if fits is False:
+        run.stray_start_at = now
+        runner.require_poll()
+        events.log_event(
+            events.START_STRAYED,
+            task=run.task.name,
+            attempt=run.attempt,
+            runner=run.runner,
+            known_clock_ms=runner.clock_ms,
+            known_clock_age_s=round(now - runner.clock_read_at, 3),
+            clock_ms=clock_ms,
+            epoch=owner.epoch,
+        )
+
+
 def read_clock(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -79,7 +79,8 @@
         run.sent_at = clock.read_now()
         trials.extend_trial(runner, run)
         runner.expect_late_start(run, run.sent_at)
-        outcome = await runner.calls.start(order)
+        reply = await runner.calls.start(order)
+        outcome = reply.outcome
         if outcome is _OUTCOME.FENCED and state_module.note_outdated(
             owner, runner, order.token
         ):
@@ -89,14 +90,16 @@
             runner.late_starts.pop((run.task.name, run.attempt), None)
         if outcome not in _RETRIED:
             break
+    now = clock.read_now()
     if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
+    if outcome is _OUTCOME.DONE:
+        leases.note_started(owner, runner, run, reply.clock_ms, now)
     if outcome is _OUTCOME.OLD and lost:
         # The try whose reply was lost started it; the next poll reports the
         # attempt or its end.
         outcome = _OUTCOME.DONE
-    now = clock.read_now()
     metrics.STARTS.labels(outcome.value).inc()
     events.log_event(
         events.TASK_ORDERED,
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -24,6 +24,10 @@
 # time of its start: 3 s until a poll finds it, then late ones. Another 3 s are
 # for times of day that differ.
 _STRAY_CALLS_S = 3.0 + LATE_START_S + 3.0
+# Two readings of a clock may differ by this much more than its rate explains,
+# for the time that replies take. Leases that are known that well have a margin
+# of more.
+_CLOCK_TOLERANCE_S = 0.1
 # A runner writes its entry about once in 1.5 s, and the platform removes it
 # after three times that.
 _ENTRY_AGE_S = 5.0
@@ -284,7 +288,11 @@
 
     def is_in_doubt(self) -> bool:
         """Tells whether another life than the known one may answer a poll."""
-        return self.silent or (
+        return self.silent or self.is_announced()
+
+    def is_announced(self) -> bool:
+        """Tells whether its entry is of a life that no poll has found yet."""
+        return (
             self.announced is not None
             and self.announced.born_ms != self.refuted_born_ms
         )
@@ -321,6 +329,51 @@
         self.lease_until_ms = min(self.lease_until_ms, granted_ms)
         return exceeded
 
+    def fits_clock(
+        self,
+        settings: settings_module.Settings,
+        clock_ms: int,
+        sent_at: float,
+        now: float,
+    ) -> bool | None:
+        """Tells whether its known life may have answered a call.
+
+        Each life has a clock that starts anew. Returns None if the clock of the
+        known one has not been read.
+
+        Args:
+          settings: The settings.
+          clock_ms: Reading in the reply.
+          sent_at: When the call was sent.
+          now: Present time, at which the reply was received.
+        """
+        if self.clock_listed or not self.clock_ms:
+            return None
+        error, tolerance_s = settings.clock_rate_error, _CLOCK_TOLERANCE_S
+        least_s = (sent_at - self.clock_read_at) * (1 - error) - tolerance_s
+        most_s = (now - self.clock_read_at) * (1 + error) + tolerance_s
+        passed_s = (clock_ms - self.clock_ms) / 1000
+        return least_s <= passed_s <= most_s
+
+    def find_stray_expiry(
+        self, settings: settings_module.Settings, run: attempts.Run
+    ) -> float:
+        """Returns when an attempt has ended in a life that no poll has found.
+
+        Such a life grants the longest lease, as orders name times on another
+        clock. Minus infinity if it cannot have started the attempt, or nothing
+        tells that there is such a life.
+        """
+        longest_s = _find_longest_lease_s(settings)
+        if run.stray_start_at is not None:
+            return run.stray_start_at + longest_s
+        if not self.is_announced():
+            return float("-inf")
+        until = self.late_starts.get((run.task.name, run.attempt))
+        if until is None and run.sent_at and not run.start_settled:
+            until = run.sent_at + LATE_START_S
+        return float("-inf") if until is None else until + longest_s
+
     def expect_late_lease(self, settings: settings_module.Settings) -> None:
         """Records that the last lease may be granted late, for any time."""
         granted_by = self.lease_requested_at + LATE_CALL_S
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -353,13 +353,18 @@
             runs=len(runner.runs),
             answered_ago_s=round(now - runner.answered_at, 3),
         )
-    expiry = leases.find_last_expiry(owner, runner)
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
-        leases.promise_expiry(owner, runner, expiry, now)
+        latest = leases.find_latest_run_expiry(owner, runner)
+        leases.promise_expiry(owner, runner, latest, now)
     _end_replaced(owner, runner, now)
-    if now > expiry and runner.runs:
-        _end_expired(owner, runner, now)
+    expired = [
+        run
+        for run in runner.runs
+        if now > leases.find_run_expiry(owner, runner, run)
+    ]
+    if expired:
+        _end_expired(owner, runner, expired, now)
 
 
 def _end_replaced(
@@ -381,7 +386,10 @@
 
 
 def _end_expired(
-    owner: state_module.Owner, runner: runners_module.Runner, now: float
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    expired: list[attempts.Run],
+    now: float,
 ) -> None:
     """Ends the attempts of a silent runner whose leases have expired."""
     later = crashes.find_later_life(runner, owner.runners.values())
@@ -393,8 +401,9 @@
     else:
         lease_ms = int(owner.settings.lease_s * 1000)
         evidence, until_ms = "", clock.read_wall_ms() - lease_ms
-    crashes.blame_crash(owner, runner, evidence, until_ms)
-    _drop_runs(owner, runner, list(runner.runs), "lease expired", now)
+    spared = [run for run in runner.runs if run not in expired]
+    crashes.blame_crash(owner, runner, evidence, until_ms, spared)
+    _drop_runs(owner, runner, expired, "lease expired", now)
 
 
 def _drop_runs(
@@ -475,6 +484,8 @@
     runner.born_at = runner.restarted_at = now
     runner.last_stored_end = runner.acknowledged_end = 0
     runner.last_listed_end = 0
+    for run in runner.runs:
+        run.start_settled = False
     # The new incarnation has seen no token, or that of the one before.
     runner.require_poll()
     _stop_late_starts(owner, runner, running, now)
@@ -863,7 +874,8 @@
 def _update_run(
     run: attempts.Run, running: model.RunningAttempt, now: float
 ) -> None:
-    run.reported = run.start_answered = True
+    run.reported = run.start_answered = run.start_settled = True
+    run.stray_start_at = None
     run.crash = None
     if run.phase is attempts.Phase.STARTING:
         run.phase = attempts.Phase.RUNNING
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -48,6 +48,10 @@
 _MEASUREMENT_DIGITS = 3
 
 
+class _Clock(msgspec.Struct, rename="pascal"):
+    clock_ms: _Number | None = None
+
+
 class _Running(msgspec.Struct, array_like=True):
     """A running attempt; its measurement is given on some deployments."""
 
@@ -71,6 +75,7 @@
 
 
 _REFUSAL_DECODER = msgspec.json.Decoder(_Refusal)
+_CLOCK_DECODER = msgspec.json.Decoder(_Clock)
 _POLL_DECODER = msgspec.json.Decoder(_PollReply)
 
 
@@ -161,7 +166,7 @@
         status = decode_poll_reply(reply.ok_value.content)
         return status if status.is_ok() else result.Err(_OUTCOME.INVALID)
 
-    async def start(self, order: model.StartOrder) -> interfaces.OrderOutcome:
+    async def start(self, order: model.StartOrder) -> interfaces.StartReply:
         """Starts an attempt; idempotent."""
         body: dict[str, Any] = {
             "Task": order.task,
@@ -174,7 +179,13 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        return await self._order("run-start", body)
+        reply = await self._call("run-start", body)
+        outcome = _read_outcome(reply)
+        if outcome is not _OUTCOME.DONE:
+            return interfaces.StartReply(outcome)
+        return interfaces.StartReply(
+            outcome, _read_clock(reply.ok_value.content)
+        )
 
     async def stop(
         self, task: str, attempt: int, token: int
@@ -198,14 +209,18 @@
     async def _order(
         self, name: str, body: dict[str, Any]
     ) -> interfaces.OrderOutcome:
-        reply = await calls.call(
+        return _read_outcome(await self._call(name, body))
+
+    async def _call(
+        self, name: str, body: dict[str, Any]
+    ) -> result.Result[http_client.Reply, outcomes.CallError]:
+        return await calls.call(
             self._order_client,
             "POST",
             f"/plantainvane/{name}",
             msgspec.json.encode(body),
             self._timeout_s,
         )
-        return _read_outcome(reply)
 
 
 def _read_outcome(reply: result.Result) -> interfaces.OrderOutcome:
@@ -231,6 +246,11 @@
     return _OUTCOME.LOST
 
 
+def _read_clock(content: bytes) -> int | None:
+    decoded = decoding.decode(_CLOCK_DECODER, content)
+    return decoded.ok_value.clock_ms if decoded.is_ok() else None
+
+
 def _read_reason(content: bytes) -> interfaces.OrderOutcome:
     refusal = decoding.decode(_REFUSAL_DECODER, content)
     if refusal.is_err():
--- a/standins/platform_paths.py
+++ b/standins/platform_paths.py
@@ -53,9 +53,11 @@
         )
         return result.Err(_LOST) if self._path in self._cuts else reply
 
-    async def start(self, order: model.StartOrder) -> interfaces.OrderOutcome:
+    async def start(self, order: model.StartOrder) -> interfaces.StartReply:
         """Orders a start."""
-        return _LOST if await self._lose() else await self._calls.start(order)
+        if await self._lose():
+            return interfaces.StartReply(_LOST)
+        return await self._calls.start(order)
 
     async def stop(
         self, task: str, attempt: int, token: int
--- a/tests/owner_losses.py
+++ b/tests/owner_losses.py
@@ -427,7 +427,7 @@
             losses.ended.add(own)
         return reply
 
-    async def start(self, order: model.StartOrder) -> interfaces.OrderOutcome:
+    async def start(self, order: model.StartOrder) -> interfaces.StartReply:
         """Orders a start."""
         return await self._order(self._calls.start, order)
 
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -36,7 +36,7 @@
     async def start(self, order):
         self.starts.append((order.task, order.attempt))
         self.on_start()
-        return self.outcomes.pop(0)
+        return interfaces.StartReply(self.outcomes.pop(0))
 
 
 class PolledCalls:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -342,7 +342,7 @@
     crashes.settle_doubts(owner, later, WALL_MS)
     sessions._end_replaced(owner, earlier, NOW + 3.0)
     assert run in task.runs
-    sessions._end_expired(owner, earlier, NOW + 6.0)
+    sessions._end_expired(owner, earlier, list(earlier.runs), NOW + 6.0)
     assert [crash.confirmed for crash in task.crashes] == [machine == "m"]
 
 
@@ -655,7 +655,7 @@
         async def start(self, order):
             sent.append(order.attempt)
             owner.table.give_up(task, 1)
-            return interfaces.OrderOutcome.LOST
+            return interfaces.StartReply(interfaces.OrderOutcome.LOST)
 
     runner.calls = Calls()
     asyncio.run(orders._start_run(owner, run))
--- a/tests/test_jobs_leases.py
+++ b/tests/test_jobs_leases.py
@@ -82,9 +82,11 @@
 
     async def start(self, order):
         if order.lease_until_ms <= self.read_clock_ms():
-            return interfaces.OrderOutcome.LATE
+            return interfaces.StartReply(interfaces.OrderOutcome.LATE)
         self.grant(order.lease_until_ms)
-        return interfaces.OrderOutcome.DONE
+        return interfaces.StartReply(
+            interfaces.OrderOutcome.DONE, self.read_clock_ms()
+        )
 
 
 @pytest.fixture
@@ -562,7 +564,7 @@
     async def lose_start(order):
         sent.append(order)
         machine.now += owner.settings.log_outage_limit_s + 1.0
-        return interfaces.OrderOutcome.LOST
+        return interfaces.StartReply(interfaces.OrderOutcome.LOST)
 
     monkeypatch.setattr(machine, "start", lose_start)
     expiry = machine.find_true_expiry()
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -11,6 +11,7 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import leases
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
@@ -403,7 +404,7 @@
     monkeypatch.setattr(sessions.clock, "read_now", lambda: 1.0)
 
     async def start(order):
-        return answers.pop(0)
+        return interfaces.StartReply(answers.pop(0))
 
     runner.calls = types.SimpleNamespace(start=start)
     await orders._start_run(owner, run)
@@ -507,6 +508,126 @@
     assert run.task.name not in owner.table.ready
 
 
+def start_beside_unfound_life(owner, monkeypatch, *answers, clock_ms=50):
+    """Orders a start while the known clock reads about 300,000 ms.
+
+    Returns the runner, which is silent after that, and the attempt.
+    """
+    runner = decisions.make_runner(
+        clock_ms=300_000, clock_read_at=99.0, answered_at=99.0
+    )
+    runner.extend_lease(owner.settings, 99.0)
+    runner.silent = True
+    run = charge_starting_run(owner, runner)
+    run.ordered_at = 99.5
+    left = list(answers)
+
+    async def start(order):
+        outcome = left.pop(0)
+        done = outcome is interfaces.OrderOutcome.DONE
+        return interfaces.StartReply(outcome, clock_ms if done else None)
+
+    runner.calls = types.SimpleNamespace(start=start)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    asyncio.run(orders._start_run(owner, run))
+    return runner, run
+
+
+def find_drop(owner, runner, run):
+    """Returns when a silent runner's attempt counts as ended, in steps."""
+    now = 100.0
+    while run in runner.runs:
+        now += 0.1
+        assert now < 200.0
+        sessions._handle_silence(
+            owner, runner, interfaces.OrderOutcome.LOST, now
+        )
+    return now
+
+
+@pytest.mark.parametrize("clock_ms", [50, 290_000, 310_000])
+def test_attempt_started_by_an_unfound_life_keeps_its_longest_lease(
+    clock_ms, monkeypatch
+):
+    # Guards against a task that runs twice: a start reached a life of the
+    # runner that no poll had found, which holds the longest lease, and the
+    # attempt was given up as the leases of the life before had expired.
+    owner = scheduling.make_owner()
+    done = interfaces.OrderOutcome.DONE
+    runner, run = start_beside_unfound_life(
+        owner, monkeypatch, done, clock_ms=clock_ms
+    )
+    assert not runner.fenced
+    dropped_at = find_drop(owner, runner, run)
+    assert dropped_at >= 100.0 + owner.settings.max_lease_s
+    assert dropped_at < 101.0 + 1.1 * owner.settings.max_lease_s
+
+
+def test_attempt_started_by_the_known_life_waits_for_no_other_lease(
+    monkeypatch,
+):
+    # Guards against a long-running task that waits for a lease that nobody
+    # holds, as its runner is gone.
+    owner = scheduling.make_owner()
+    done = interfaces.OrderOutcome.DONE
+    runner, run = start_beside_unfound_life(
+        owner, monkeypatch, done, clock_ms=301_000
+    )
+    assert run.start_settled and run.stray_start_at is None
+    expiry = runner.find_lease_expiry(owner.settings)
+    assert find_drop(owner, runner, run) < expiry + 0.2
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_start_that_another_life_may_carry_out_binds_its_attempt(
+    announced, monkeypatch
+):
+    # Guards against a task that runs twice: its start had no answer, and its
+    # runner's entry tells of a life that no poll reaches.
+    owner = scheduling.make_owner()
+    lost = interfaces.OrderOutcome.LOST
+    runner, run = start_beside_unfound_life(
+        owner, monkeypatch, *[lost] * (1 + owner.settings.start_retries)
+    )
+    before = decisions.place_runs(
+        runner, owner.table, decisions.make_step(), job_id="k"
+    )
+    if announced:
+        entry = msgspec.structs.replace(runner.entry, born_ms=9)
+        runner_entries.announce(runner, entry, 100.0)
+    expiry = runner.find_lease_expiry(owner.settings)
+    dropped_at = find_drop(owner, runner, run)
+    longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
+    assert (dropped_at >= 100.0 + longest_s) is announced
+    # What the life before has listed ends with its leases.
+    (other,) = before
+    assert other not in other.task.runs
+    assert announced or dropped_at < expiry + 0.2
+
+
+@pytest.mark.parametrize("announced_first", [True, False])
+def test_promise_to_a_successor_covers_a_start_that_may_come_late(
+    announced_first, monkeypatch
+):
+    # Guards against a successor that starts a task again while a life that the
+    # owner before had not found holds the longest lease.
+    owner = scheduling.make_owner()
+    lost = interfaces.OrderOutcome.LOST
+    runner, run = start_beside_unfound_life(
+        owner, monkeypatch, *[lost] * (1 + owner.settings.start_retries)
+    )
+    entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    runner.silent_since = 98.0
+    if announced_first:
+        runner_entries.announce(runner, entry, 100.0)
+    sessions._handle_silence(owner, runner, lost, 100.1)
+    if not announced_first:
+        runner_entries.announce(runner, entry, 100.2)
+        sessions._handle_silence(owner, runner, lost, 100.3)
+    promised = owner.expiries.expires_at["r"]
+    assert promised == leases.find_run_expiry(owner, runner, run)
+
+
 def list_lost_end(owner, runner, run, outcome):
     """Drops an attempt, then lists its end twice, as it is not acknowledged."""
     sessions._drop_runs(owner, runner, [run], "lease expired", 10.4)
@@ -587,8 +708,11 @@
     async def refuse_poll(*unused):
         return result.Err(await refuse())
 
+    async def refuse_start(*unused):
+        return interfaces.StartReply(await refuse())
+
     runner.calls = types.SimpleNamespace(
-        start=refuse, stop=refuse, pace=refuse, poll=refuse_poll
+        start=refuse_start, stop=refuse, pace=refuse, poll=refuse_poll
     )
     if call == "start":
         run.phase, run.running_since = attempts.Phase.STARTING, 0.0
--- a/tests/test_jobs_waivers.py
+++ b/tests/test_jobs_waivers.py
@@ -91,7 +91,7 @@
 
     async def start(order):
         sent.append(order)
-        return interfaces.OrderOutcome.DONE
+        return interfaces.StartReply(interfaces.OrderOutcome.DONE)
 
     monkeypatch.setattr(machine, "start", start)
     await orders._start_run(owner, run)
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -239,9 +239,9 @@
     async with run_service(answer) as service:
         settings = make_settings(call_timeout_s=0.3)
         runner = runners_module.RunnerClient(settings, service.address, "i-1")
-        outcome = await runner.start(order)
+        started = await runner.start(order)
         await runner.aclose()
-        return outcome, service.calls
+        return started.outcome, service.calls
 
 
 @pytest.mark.parametrize(
@@ -368,7 +368,7 @@
     async with run_raw_runner(held) as (runner, streams):
 
         async def start():
-            outcomes_seen.append(await runner.start(ORDER))
+            outcomes_seen.append((await runner.start(ORDER)).outcome)
 
         async with anyio.create_task_group() as group:
             for _ in range(40):
@@ -388,7 +388,7 @@
         outcomes_seen = []
 
         async def start():
-            outcomes_seen.append(await runner.start(ORDER))
+            outcomes_seen.append((await runner.start(ORDER)).outcome)
 
         with anyio.fail_after(2.0):
             async with anyio.create_task_group() as group:
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -24,6 +24,9 @@
 # Delay of a poll that is carried out after the next life was found, and long
 # after the longest lease was granted there.
 LATE_POLL_S = 5.0
+# A lease may be counted as longer by this much: the clock of its runner may be
+# slow, and the end is noticed at a poll.
+LEASE_SLACK_S = 3.0
 # Delay of a poll that is carried out before the next life is found, and after a
 # short task has ended there.
 UNFOUND_POLL_S = 0.5
@@ -35,10 +38,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_one_runner():
+async def run_one_runner(**settings):
     """Yields a deployment of one process and one runner, and both of these."""
     async with platform_system.run_system(
-        entries=1, runners=1, poll_wait_s=POLL_WAIT_S
+        entries=1, runners=1, poll_wait_s=POLL_WAIT_S, **settings
     ) as system:
         owner = await system.wait_owner()
         yield system, owner, system.runners["i-0"]
@@ -208,6 +211,33 @@
         assert TASK not in runner.running
 
 
+async def test_task_that_an_unfound_life_has_started_is_waited_for():
+    # Guards against a task that runs twice: a start reached a new life before
+    # any poll, and the life was cut off before one. It holds the longest lease,
+    # which outlasts those of the life before.
+    longest_s = 10.0
+    async with run_one_runner(max_lease_s=longest_s) as parts:
+        system, owner, runner = parts
+        runner.max_hold_ms = longest_s * 1000
+        known = owner.owner.runners[runner.id]
+        await submit(system, ID, run_ms=60_000)
+        await wait_until(lambda: any(run.reported for run in known.runs))
+        runner.delayed_polls = [60.0, 60.0]
+        await wait_until(lambda: len(runner.delayed_polls) == 1)
+        runner.restart()
+        await submit(system, OTHER_ID, run_ms=60_000)
+        await wait_until(lambda: TASK in runner.running)
+        await anyio.sleep(POLL_WAIT_S)
+        runner.silent = True
+        assert known.restarted_at < 0
+        await platform_system.add_runner(system, "i-1")
+        other = system.runners["i-1"]
+        limit_s = longest_s + LEASE_SLACK_S
+        await wait_until(lambda: TASK in other.running, limit_s)
+        runner.end_due_attempts()
+        assert TASK not in runner.running
+
+
 async def test_late_start_meant_for_the_life_before_is_refused(monkeypatch):
     # Guards against a task that runs twice: the next life of its runner carries
     # out a start that was never answered, after it was found. No stop of it is
