Give starts a later token than an acknowledgement that may come late

Cause: a poll that acknowledges ends may be carried out for seconds after it was sent, by the next life of the runner. A life refuses it once it has seen a token of its own, which only a poll that finds it brings. Until then starts reach the life with the same token as that poll, run and end there, and the poll makes the life forget ends that nobody has read. The attempt counts as one that never ran, and its task starts again.

Change: what is sent after an open acknowledgement, or after one without an answer, carries the next token. A life that has carried out such a start refuses the acknowledgement. Tokens are numbered for each runner, as they are taken more often, and an owner that has used its last one steps down instead of repeating it. A standby that asks a runner by an earlier token of the owner counts the refusal as an answer.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -147,7 +147,7 @@
     Calls named times on the earlier incarnation's clock, which the new one
     takes for the longest lease. Those with its token name times on its own.
     """
-    runner.token = owner.issue_token()
+    runner.token = owner.issue_token(runner.entry.id)
     runner.record_clock(clock_ms, now, listed=True)
     runner.lease_until_ms, runner.lease_requested_at = 0, now
     runner.expect_late_grants(owner.settings, now)
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -194,7 +194,7 @@
         attempt=run.attempt,
         spec=task.job.job.spec,
         lease_until_ms=leases.extend_lease(owner, runner, now),
-        token=runner.token,
+        token=state_module.choose_start_token(owner, runner),
         checkpoint=task.checkpoint,
         ticket=ticket,
     )
--- a/plantainvane/jobs/probes.py
+++ b/plantainvane/jobs/probes.py
@@ -15,6 +15,8 @@
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import tokens
 
+_OUTCOME = interfaces.OrderOutcome
+
 
 async def watch_reach(owner: state_module.Owner) -> None:
     """Keeps `owner.reach` up to date while the owner hears few runners."""
@@ -181,8 +183,8 @@
     that the owner would not. They renew no lease and acknowledge no end. A
     token of another owner, as a message may name any, is not used.
     """
-    token = runner.token
-    if tokens.find_epoch(token) != epoch:
+    token, is_own = runner.token, tokens.find_epoch(runner.token) == epoch
+    if not is_own:
         token = tokens.make_token(epoch)
     calls = adapters.connect_runner(runner.address, runner.id)
     try:
@@ -190,7 +192,9 @@
             if number:
                 await anyio.sleep(gap_s)
             reply = await calls.poll(token, 0, None, 0.0)
-            if reply.is_err():
+            # A later token of the same owner is likely, and the answer counts.
+            is_refused = is_own and reply.err() is _OUTCOME.FENCED
+            if reply.is_err() and not is_refused:
                 return False
     finally:
         with anyio.CancelScope(shield=True):
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -404,7 +404,7 @@
         runners_module.find_rack(entry.labels),
     )
     runner.record_clock(entry.clock_ms, now, listed=True)
-    runner.token = owner.issue_token()
+    runner.token = owner.issue_token(entry.id)
     runner.answered_at = runner.born_at = runner.up_at = now
     runner.entry_read_at = now
     runner.evacuated = entry.domain in owner.evacuated
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -67,6 +67,8 @@
       last_stored_end: Sequence number of the newest stored end of an attempt.
       acknowledged_end: That of the newest end that it may have forgotten.
       acknowledging_end: Number that the last poll carried to acknowledge ends.
+      acknowledging_token: Token of the poll that acknowledges ends and has had
+        no answer yet, or None. Starts carry a higher one.
       last_listed_end: That of the newest listed end, or None if this owner has
         not seen the first ends of the present incarnation.
       clock_read_at, clock_ms: When its clock was read, and the reading.
@@ -150,6 +152,7 @@
     last_stored_end: int = 0
     acknowledged_end: int = 0
     acknowledging_end: int = 0
+    acknowledging_token: int | None = None
     last_listed_end: int | None = None
     clock_read_at: float = 0.0
     clock_ms: int = 0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -218,8 +218,10 @@
     acknowledged = _choose_acknowledged(runner, sent_at)
     runner.acknowledging_end = acknowledged
     token = runner.token
+    runner.acknowledging_token = token if acknowledged else None
     reply = await runner.calls.poll(token, acknowledged, lease, wait_s)
     now = clock.read_now()
+    runner.acknowledging_token = None
     limit_s = wait_s + owner.settings.call_timeout_s
     owner.load.record_delay(now - sent_at - limit_s, now)
     if owner.runners.get(runner.entry.id, runner) is not runner:
@@ -227,6 +229,8 @@
         return None
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
+        if acknowledged and reply.err_value is _OUTCOME.LOST:
+            _handle_ends_in_doubt(owner, runner, acknowledged, token)
         if reply.err_value is interfaces.OrderOutcome.FENCED:
             if not state_module.note_outdated(owner, runner, token):
                 owner.step_down("runner")
@@ -237,8 +241,6 @@
         if broke and reply.err_value is _OUTCOME.LOST and not runner.silent:
             # The connection broke, so the runner was up until then.
             runner.up_at = now
-        if acknowledged and reply.err_value is _OUTCOME.LOST:
-            _report_ends_in_doubt(owner, runner, acknowledged, token)
         _handle_silence(owner, runner, reply.err_value, now)
         await _wait_for_retry(owner, runner, now)
         return pending
@@ -256,12 +258,18 @@
     return pending or found
 
 
-def _report_ends_in_doubt(
+def _handle_ends_in_doubt(
     owner: state_module.Owner,
     runner: runners_module.Runner,
     acknowledged: int,
     token: int,
 ) -> None:
+    """Has a runner refuse an acknowledgement that may come late.
+
+    It does so once it has seen any later call, whichever life that reaches.
+    """
+    if runner.token == token:
+        runner.token = owner.issue_token(runner.entry.id)
     metrics.ACKNOWLEDGEMENTS_LOST.inc()
     events.log_event(
         events.ENDS_IN_DOUBT,
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -117,7 +117,7 @@
         fill tasks, to clear a runner and to store the learned effects again.
       jobs_offset: Where the next read of the jobs topic starts.
       jobs_behind: The last read of the jobs topic did not reach its end.
-      tokens_issued: Number of fencing tokens issued to lives of runners.
+      tokens_issued: Number of fencing tokens issued, by id of the runner.
       runners_offset: Where the next read of the runners topic starts.
       evacuated: Failure domains that the operator has evacuated.
       shut_out: Services, and labels or empty, whose runners are all evacuated.
@@ -201,7 +201,7 @@
     next_effects_at: float = 0.0
     jobs_offset: int = 0
     jobs_behind: bool = True
-    tokens_issued: int = 0
+    tokens_issued: dict[str, int] = dataclasses.field(default_factory=dict)
     runners_offset: int = 0
     evacuated: frozenset[str] = frozenset()
     shut_out: tuple[tuple[str, str], ...] = ()
@@ -261,10 +261,17 @@
             for scope in self.questions:
                 scope.cancel()
 
-    def issue_token(self) -> int:
-        """Returns a fencing token above all that this owner has issued."""
-        self.tokens_issued += 1
-        return tokens.make_token(self.epoch, self.tokens_issued)
+    def issue_token(self, runner: str) -> int:
+        """Returns a fencing token above all issued for a runner, by its id.
+
+        The ownership ends with its last token, as the next one has more.
+        """
+        number = self.tokens_issued.get(runner, 0) + 1
+        self.tokens_issued[runner] = number
+        token = tokens.make_token(self.epoch, number)
+        if tokens.is_last(token):
+            self.step_down("tokens used up")
+        return token
 
     def find_expiry(self, runner: str) -> float:
         """Returns when all leases of earlier owners there have expired."""
@@ -340,6 +347,16 @@
     return True
 
 
+def choose_start_token(owner: Owner, runner: runners_module.Runner) -> int:
+    """Returns the token of a start, above that of an open acknowledgement.
+
+    That poll may be carried out late, by the life that has run the attempt.
+    """
+    if runner.acknowledging_token == runner.token:
+        runner.token = owner.issue_token(runner.entry.id)
+    return runner.token
+
+
 def store_expiries(owner: Owner, now: float) -> journal_module.Batch:
     """Stores the current set of promised expiries."""
     left_s = owner.expiries.export_remaining_s(now)
--- a/plantainvane/jobs/tokens.py
+++ b/plantainvane/jobs/tokens.py
@@ -1,15 +1,17 @@
 """Fencing tokens that calls to runners carry.
 
 A runner does nothing for a call with a lower token than it has seen. Each owner
-has a range of tokens above those of all earlier owners. It takes the next one
-for each life of a runner that it finds, as a call names the runner by its id
-only: once the life has seen its token, calls meant for the one before do
-nothing there.
+has a range of tokens above those of all earlier owners, for each runner. It
+takes the next one for each life of the runner that it finds, as a call names
+the runner by its id only: once the life has seen its token, calls meant for the
+one before do nothing there. It also takes the next one for what follows a poll
+that acknowledges ends and has no answer: whatever life carries out a start has
+seen a higher token than that poll, and keeps the end until it is read.
 """
 
-# Lives of runners that one owner can tell apart; three fleets of 7,400 that
-# restart each minute for half an hour. Epochs are offsets of the claims topic,
-# and the product stays below 2**53, which JSON numbers hold exactly.
+# Tokens for one runner in one ownership; three a second last for four days.
+# Epochs are offsets of the claims topic, and the product stays below 2**53,
+# which JSON numbers hold exactly.
 TOKENS_PER_EPOCH = 2**20
 
 
@@ -25,3 +27,8 @@
 def find_epoch(token: int) -> int:
     """Returns the epoch of the owner that a token belongs to."""
     return token // TOKENS_PER_EPOCH
+
+
+def is_last(token: int) -> bool:
+    """Tells whether the owner of a token has none above it."""
+    return token % TOKENS_PER_EPOCH == TOKENS_PER_EPOCH - 1
--- a/tests/test_jobs_reach.py
+++ b/tests/test_jobs_reach.py
@@ -249,6 +249,23 @@
         assert all(r.token == later for r in system.runners.values())
 
 
+async def test_runner_that_has_seen_a_later_token_of_its_owner_is_heard():
+    # Guards against a standby that counts busy runners as out of its reach, as
+    # the owner takes further tokens for them.
+    async with platform_system.run_system(entries=1, runners=1) as system:
+        owner = await system.wait_owner()
+        await wait_fenced(owner, "i-0")
+        runner = system.runners["i-0"]
+        runner.token = tokens.make_token(5, 4)
+        sampled = reach_module.SampledRunner(
+            "i-0", runner.address, tokens.make_token(5, 3)
+        )
+        owner.owner.runners.clear()
+        assert await probes.ask_runner(owner.adapters, 5, sampled)
+        assert not await probes.ask_runner(owner.adapters, 4, sampled)
+        assert runner.token == tokens.make_token(5, 4)
+
+
 async def wait_fenced(owner, name):
     with anyio.fail_after(3.0):
         while not owner.owner.runners[name].fenced:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -20,8 +20,10 @@
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
+from plantainvane.jobs import state as state_module
 from plantainvane.jobs import stops
 from plantainvane.jobs import table as table_module
+from plantainvane.jobs import tokens
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling
 
@@ -432,7 +434,7 @@
     # carried out a poll meant for the life before.
     owner = scheduling.make_owner()
     runner, run = make_running(owner)
-    runner.token = owner.issue_token()
+    runner.token = owner.issue_token(runner.entry.id)
     earlier_token = runner.token
     longest_s = owner.settings.max_lease_s
     status = make_status(runner, run, born_ms=9)
@@ -700,7 +702,7 @@
     async def refuse(*unused):
         answers.append(call)
         if found and len(answers) == 1:
-            runner.token = owner.issue_token()
+            runner.token = owner.issue_token(runner.entry.id)
         elif found:
             return interfaces.OrderOutcome.DONE
         return fenced
@@ -775,6 +777,50 @@
     assert runner.acknowledged_end == max(acknowledged, expected)
 
 
+@pytest.mark.parametrize("outcome", ["", "lost", "unreached", "unhealthy"])
+async def test_start_carries_a_later_token_than_an_open_acknowledgement(
+    outcome, monkeypatch
+):
+    # Guards against an end that nobody has read: the poll that acknowledged the
+    # ends before it is carried out after the attempt has run.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(last_stored_end=5, answered_at=100.0)
+    runner.token = owner.issue_token("r")
+    owner.runners["r"], sent = runner, []
+
+    async def poll(token, last_seen, lease, wait_s):
+        during = state_module.choose_start_token(owner, runner)
+        sent.append((token, last_seen, during))
+        if outcome:
+            return result.Err(interfaces.OrderOutcome(outcome))
+        return result.Ok(make_status(runner))
+
+    async def pass_time(seconds):
+        del seconds
+
+    runner.calls = types.SimpleNamespace(poll=poll)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    monkeypatch.setattr(sessions.anyio, "sleep", pass_time)
+    await sessions._poll(owner, runner, 0.0, None)
+    ((token, last_seen, during),) = sent
+    assert last_seen == 5 and during > token
+    after = state_module.choose_start_token(owner, runner)
+    assert after >= during
+    assert tokens.find_epoch(after) == owner.epoch
+
+
+async def test_ownership_ends_with_its_last_token():
+    # Guards against tokens that rise no more, so that late calls to an earlier
+    # life of a runner are carried out.
+    owner = scheduling.make_owner()
+    owner.tokens_issued["r"] = tokens.TOKENS_PER_EPOCH - 3
+    assert not tokens.is_last(owner.issue_token("r"))
+    assert not owner.stepped_down.is_set()
+    assert tokens.is_last(owner.issue_token("r"))
+    assert owner.stepped_down.is_set()
+    assert owner.issue_token("other") < tokens.make_token(owner.epoch + 1)
+
+
 @pytest.mark.parametrize("by", ["entry", "reply"])
 def test_poll_of_a_runner_whose_clock_was_set_back_is_believed(by):
     # Guards against a runner that restarted under an earlier time of day: its
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -30,6 +30,8 @@
 # Delay of a poll that is carried out before the next life is found, and after a
 # short task has ended there.
 UNFOUND_POLL_S = 0.5
+# Delay of a start that a new life carries out before such a poll.
+LATE_START_S = 0.4
 
 
 @pytest.fixture
@@ -191,6 +193,29 @@
         assert platform_sessions.count_starts(system)[TASK] == 1
 
 
+async def test_no_end_is_acknowledged_while_a_start_may_come_late():
+    # Guards against a task that runs again although it is done: its start and
+    # an acknowledgement sent after it are both carried out late, by the next
+    # life of the runner, and nothing between them.
+    async with run_one_runner() as (system, owner, runner):
+        known = owner.owner.runners[runner.id]
+        await submit(system, ID, run_ms=60_000)
+        await submit(system, EARLIER_ID, run_ms=400)
+        await wait_until(lambda: len(known.runs) == 2)
+        await wait_until(lambda: all(run.reported for run in known.runs))
+        runner.delayed_starts = [LATE_START_S, 60.0, 60.0]
+        delay_polls_after_an_end(runner, [UNFOUND_POLL_S, 60.0])
+        await submit(system, OTHER_ID)
+        await wait_until(lambda: len(runner.delayed_starts) == 2)
+        await wait_until(lambda: len(runner.delayed_polls) == 1)
+        runner.restart()
+        await wait_until(lambda: has_done(runner, TASK))
+        await wait_until(lambda: known.restarted_at > 0)
+        platform_system.write_entry(system, runner)
+        await platform_system.wait_state(system, OTHER_ID, "completed")
+        assert platform_sessions.count_starts(system)[TASK] == 1
+
+
 async def test_late_poll_of_the_life_before_does_not_extend_leases():
     # Guards against a task that runs twice: its runner is cut off, and a poll
     # that the life before has left unanswered grants the longest lease there,
