Acknowledge no end while another life may have carried out a start

Callers see a task started again after it has ended as done.

Cause: a start and an acknowledgement that was sent after it with the same token may both be carried out late, by the next life of their runner. The start passes, the attempt ends, and the acknowledgement makes the life forget that end unread.

Change: a poll acknowledges only if the life that has listed the ends has carried out each start that is charged to the runner, as its clock in the answer or a poll shows, and none of them has a try that may come late.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -91,6 +91,7 @@
         if outcome not in _RETRIED:
             break
     now = clock.read_now()
+    runner.note_start_answered()
     if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -100,6 +100,7 @@
         that may crash runners has just been started.
       kept_for: Name of the task for which it is kept free until then, or empty.
       stop_repeats: Turns of the stops that are sent again.
+      start_answered: Set when an order to start has an outcome.
       stop_answered: Set when it answers a stop.
       silent: The last poll was not answered.
       silent_since: When it became silent.
@@ -176,6 +177,7 @@
     stop_repeats: budgets.Budget = dataclasses.field(
         default_factory=lambda: budgets.Budget(_STOP_REPEATS_PER_S)
     )
+    start_answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     stop_answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     silent: bool = False
     silent_since: float = 0.0
@@ -282,6 +284,19 @@
         }
         return list(self.late_starts)
 
+    def has_late_start(self, now: float) -> bool:
+        """Tells whether a start of an attempt there may be carried out late."""
+        return any(
+            self.late_starts.get((run.task.name, run.attempt), now) > now
+            for run in self.runs
+        )
+
+    def has_unsettled_start(self, now: float) -> bool:
+        """Tells whether another life may have carried out a start there."""
+        return self.has_late_start(now) or any(
+            run.sent_at > 0 and not run.start_settled for run in self.runs
+        )
+
     def shows_life(self, now: float) -> bool:
         """Tells whether it has answered, or its entry has just been written.
 
@@ -300,6 +315,11 @@
             and self.announced.born_ms != self.refuted_born_ms
         )
 
+    def note_start_answered(self) -> None:
+        """Lets a poll go on that waits to acknowledge ends."""
+        self.start_answered.set()
+        self.start_answered = anyio.Event()
+
     def note_stop_answered(self) -> None:
         """Lets all stops go on that wait to be sent again."""
         self.stop_repeats.clear()
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -112,6 +112,8 @@
             if not _needs_poll(runner, now):
                 continue
             wait_s = min(wait_s, _choose_wait(owner, runner, now))
+        if not pending:
+            await _wait_for_starts(runner)
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
             with anyio.move_on_after(_UNSTORED_POLL_GAP_S):
@@ -142,6 +144,18 @@
     )
 
 
+async def _wait_for_starts(runner: runners_module.Runner) -> None:
+    """Waits until starts have an outcome, or for a while, to acknowledge ends.
+
+    Without that, each poll would return at once, as the ends are listed.
+    """
+    if runner.silent or runner.last_stored_end <= runner.acknowledged_end:
+        return
+    with anyio.move_on_after(_UNSTORED_POLL_GAP_S):
+        while runner.has_late_start(clock.read_now()):
+            await runner.start_answered.wait()
+
+
 async def _wait_for_runs(
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
@@ -287,12 +301,14 @@
 
     A later life of the runner counts its ends anew, and would forget those that
     no poll has listed. So nothing is acknowledged twice, or while the present
-    life is in doubt.
+    life is in doubt. A start that was sent before may have reached a later one;
+    what is sent after has a later token.
     """
     in_doubt = (
         runner.silent
         or not runner.fenced
         or now - runner.answered_at > _SAME_LIFE_S
+        or runner.has_unsettled_start(now)
     )
     if in_doubt or runner.last_stored_end <= runner.acknowledged_end:
         return 0
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -777,6 +777,46 @@
     assert runner.acknowledged_end == max(acknowledged, expected)
 
 
+@pytest.mark.parametrize(
+    ("start", "acknowledged"),
+    [("none", 5), ("open", 0), ("answered", 0), ("settled", 5), ("late", 0)],
+)
+def test_no_end_is_acknowledged_beside_a_start_of_which_life_is_unknown(
+    start, acknowledged
+):
+    # Guards against an end that nobody has read: a start and a later poll that
+    # acknowledges ends are both carried out by the next life of the runner.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner, last_stored_end=5, answered_at=99.99)
+    if start != "none":
+        run.sent_at = 99.9
+    if start in ("open", "late"):
+        runner.expect_late_start(run, run.sent_at)
+    run.start_settled = start in ("settled", "late")
+    assert sessions._choose_acknowledged(runner, 100.0) == acknowledged
+    after_s = runners_module.LATE_START_S + 1.0
+    runner.answered_at += after_s
+    later = sessions._choose_acknowledged(runner, 100.0 + after_s)
+    assert later == (5 if start == "late" else acknowledged)
+    owner.table.drop_run(run, 100.0)
+    runner.charge(run, -1)
+    assert sessions._choose_acknowledged(runner, 100.0 + after_s) == 5
+
+
+async def test_poll_waits_for_open_starts_to_acknowledge_ends():
+    # Guards against two polls for each end, as the first one is sent while the
+    # start that takes the free room has no answer yet.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner, last_stored_end=5)
+    runner.expect_late_start(run, sessions.clock.read_now())
+    with anyio.fail_after(sessions._UNSTORED_POLL_GAP_S / 2):
+        async with anyio.create_task_group() as group:
+            group.start_soon(sessions._wait_for_starts, runner)
+            await anyio.wait_all_tasks_blocked()
+            runner.late_starts.clear()
+            runner.note_start_answered()
+
+
 @pytest.mark.parametrize("outcome", ["", "lost", "unreached", "unhealthy"])
 async def test_start_carries_a_later_token_than_an_open_acknowledgement(
     outcome, monkeypatch
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -18,6 +18,7 @@
 EARLIER_ID = "5c0e7a21d94b3700"
 OTHER_ID = platform_sessions.OTHER_ID
 TASK = f"{OTHER_ID}.0.0.0"
+EARLIER_TASK = f"{EARLIER_ID}.0.0.0"
 wait_until = platform_sessions.wait_until
 # A poll is given up 0.4 s after the time that it may wait.
 POLL_WAIT_S = 0.3
@@ -31,7 +32,9 @@
 # short task has ended there.
 UNFOUND_POLL_S = 0.5
 # Delay of a start that a new life carries out before such a poll.
-LATE_START_S = 0.4
+LATE_START_S = 0.45
+# An end is listed, stored and acknowledged in this time.
+ACKNOWLEDGED_S = 0.1
 
 
 @pytest.fixture
@@ -200,14 +203,15 @@
     async with run_one_runner() as (system, owner, runner):
         known = owner.owner.runners[runner.id]
         await submit(system, ID, run_ms=60_000)
-        await submit(system, EARLIER_ID, run_ms=400)
-        await wait_until(lambda: len(known.runs) == 2)
-        await wait_until(lambda: all(run.reported for run in known.runs))
+        await wait_until(lambda: any(run.reported for run in known.runs))
+        await submit(system, EARLIER_ID, run_ms=300)
+        await wait_until(lambda: EARLIER_TASK in runner.running)
         runner.delayed_starts = [LATE_START_S, 60.0, 60.0]
         delay_polls_after_an_end(runner, [UNFOUND_POLL_S, 60.0])
         await submit(system, OTHER_ID)
-        await wait_until(lambda: len(runner.delayed_starts) == 2)
-        await wait_until(lambda: len(runner.delayed_polls) == 1)
+        await wait_until(lambda: has_done(runner, EARLIER_TASK))
+        await anyio.sleep(ACKNOWLEDGED_S)
+        assert TASK not in runner.running
         runner.restart()
         await wait_until(lambda: has_done(runner, TASK))
         await wait_until(lambda: known.restarted_at > 0)
