Have a successor wait for a life that the owner before had not found

An owner is lost before it has found a new life of a runner that its starts have reached. The successor cannot reach that life, and counts on the leases that it expects of any runner, which are shorter than the longest one.

If the runner's entry is of another one, and is still being written while no poll reaches it, the attempt is kept for as long as its start may come late, and the longest lease. A runner that is gone for good writes no entry, so long-running tasks there do not wait. No start is sent to a runner whose entry tells of a life that no poll has found.

--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -157,14 +157,16 @@
     return state
 
 
-def find_end(owner: state_module.Owner, run: attempts.Run) -> float | None:
+def find_end(
+    owner: state_module.Owner, run: attempts.Run, now: float
+) -> float | None:
     """Returns when an attempt ends without an answer; None if it does not."""
     state = find_state(owner, run)
     if state is State.UNCHARGED:
         return None
     if state is State.ORPHAN:
         return owner.find_expiry(run.runner)
-    return leases.find_run_expiry(owner, owner.runners[run.runner], run)
+    return leases.find_run_expiry(owner, owner.runners[run.runner], run, now)
 
 
 def describe_restored(owner: state_module.Owner, now: float) -> dict[str, Any]:
@@ -172,7 +174,7 @@
     runs = [run for task in owner.table.tasks.values() for run in task.runs]
     states = [(run, find_state(owner, run)) for run in runs]
     waiting = [run for run, state in states if state is not None]
-    end, last = find_last_end(owner, waiting) or (None, None)
+    end, last = find_last_end(owner, waiting, now) or (None, None)
     return {
         "restored": len(runs),
         "waiting": dict(
@@ -186,10 +188,10 @@
 
 
 def find_last_end(
-    owner: state_module.Owner, runs: Iterable[attempts.Run]
+    owner: state_module.Owner, runs: Iterable[attempts.Run], now: float
 ) -> tuple[float, attempts.Run] | None:
     """Returns the last end of `find_end`, and its attempt."""
-    ends = [(find_end(owner, run), run) for run in runs]
+    ends = [(find_end(owner, run, now), run) for run in runs]
     return max(
         ((end, run) for end, run in ends if end is not None),
         key=lambda pair: pair[0],
@@ -225,7 +227,7 @@
     fields: dict[str, Any] = {
         "attempt": run.attempt,
         "runner": run.runner,
-        "ends_in_s": _subtract(find_end(owner, run), now),
+        "ends_in_s": _subtract(find_end(owner, run, now), now),
         "phase": run.phase.name.lower(),
         "inherited": run.ordered_at == 0,
         "earlier_leases_in_s": _subtract(owner.find_expiry(run.runner), now),
--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -85,6 +85,8 @@
       born_ms: Incarnation of the runner that was ordered to start it.
       place: Machine of the runner, or its address.
       ordered_ms: When its start was ordered, Unix milliseconds.
+      inherited_at: That time on this process's clock, as far as times of day
+        agree, if an earlier owner ordered it.
       address: Address of the runner that was ordered to start it.
       crash: Crash of the runner that is blamed on it, until it is counted.
       stop: Its stop, or None if none has been ordered.
@@ -115,6 +117,7 @@
     born_ms: int = 0
     place: str = ""
     ordered_ms: int = 0
+    inherited_at: float = float("-inf")
     address: str = ""
     crash: model.Crash | None = None
     stop: Stop | None = None
--- a/plantainvane/jobs/departures.py
+++ b/plantainvane/jobs/departures.py
@@ -62,7 +62,7 @@
     """Tells whether an attempt on a runner that does not answer ends soon."""
     if not runner.silent:
         return False
-    return leases.find_run_expiry(owner, runner, run) - now <= _AHEAD_S
+    return leases.find_run_expiry(owner, runner, run, now) - now <= _AHEAD_S
 
 
 def _lasts(run: attempts.Run) -> bool:
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -73,6 +73,7 @@
     owner: state_module.Owner,
     runner: runners_module.Runner,
     run: attempts.Run,
+    now: float,
 ) -> float:
     """Returns when an attempt has ended, if no lease is extended from now on.
 
@@ -80,16 +81,17 @@
     """
     return max(
         find_last_expiry(owner, runner),
-        runner.find_stray_expiry(owner.settings, run),
+        runner.find_stray_expiry(owner.settings, run, now),
     )
 
 
 def find_latest_run_expiry(
-    owner: state_module.Owner, runner: runners_module.Runner
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
 ) -> float:
     """Returns the latest time of `find_run_expiry` on a runner."""
     strays = [
-        runner.find_stray_expiry(owner.settings, run) for run in runner.runs
+        runner.find_stray_expiry(owner.settings, run, now)
+        for run in runner.runs
     ]
     return max(find_last_expiry(owner, runner), *strays)
 
@@ -97,7 +99,7 @@
 def find_latest_expiry(owner: state_module.Owner, now: float) -> float:
     """Returns when all leases have expired, if none is extended from now on."""
     ends = [
-        find_latest_run_expiry(owner, runner)
+        find_latest_run_expiry(owner, runner, now)
         for runner in owner.runners.values()
         if runner.runs
     ]
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -143,6 +143,8 @@
         return "not listed"
     if runner.evacuated:
         return "its domain is evacuated"
+    if runner.is_announced():
+        return "its entry tells of another life"
     if runner.foreign:
         return "an attempt runs there that is not charged"
     return ""
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -166,7 +166,10 @@
 
 
 def restore_tasks(
-    state: attempts.JobState, progress: model.JobProgress, now: float
+    state: attempts.JobState,
+    progress: model.JobProgress,
+    now: float,
+    wall_ms: int,
 ) -> None:
     """Restores the tasks of a job from its stored progress.
 
@@ -213,6 +216,7 @@
                     born_ms=run.born_ms,
                     place=run.place,
                     ordered_ms=run.ordered_ms,
+                    inherited_at=now - max(0, wall_ms - run.ordered_ms) / 1000,
                     address=run.address,
                 )
             )
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -379,7 +379,10 @@
         return least_s <= passed_s <= most_s
 
     def find_stray_expiry(
-        self, settings: settings_module.Settings, run: attempts.Run
+        self,
+        settings: settings_module.Settings,
+        run: attempts.Run,
+        now: float,
     ) -> float:
         """Returns when an attempt has ended in a life that no poll has found.
 
@@ -390,13 +393,30 @@
         longest_s = _find_longest_lease_s(settings)
         if run.stray_start_at is not None:
             return run.stray_start_at + longest_s
+        if not run.sent_at:
+            if self._may_stray_inherited(run, now):
+                return run.inherited_at + _STRAY_CALLS_S + longest_s
+            return float("-inf")
         if not self.is_announced():
             return float("-inf")
         until = self.late_starts.get((run.task.name, run.attempt))
-        if until is None and run.sent_at and not run.start_settled:
+        if until is None and not run.start_settled:
             until = run.sent_at + LATE_START_S
         return float("-inf") if until is None else until + longest_s
 
+    def _may_stray_inherited(self, run: attempts.Run, now: float) -> bool:
+        """Tells whether a life that the owner before had not found runs `run`.
+
+        That life writes its entry, and no poll of this owner has reached it.
+        """
+        entry = self.announced if self.is_announced() else self.entry
+        return (
+            not self.heard
+            and self.listed
+            and now - self.entry_read_at <= _ENTRY_AGE_S
+            and run.born_ms not in (0, entry.born_ms)
+        )
+
     def expect_late_lease(self, settings: settings_module.Settings) -> None:
         """Records that the last lease may be granted late, for any time."""
         granted_by = self.lease_requested_at + LATE_CALL_S
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -379,13 +379,13 @@
         )
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
-        latest = leases.find_latest_run_expiry(owner, runner)
+        latest = leases.find_latest_run_expiry(owner, runner, now)
         leases.promise_expiry(owner, runner, latest, now)
     _end_replaced(owner, runner, now)
     expired = [
         run
         for run in runner.runs
-        if now > leases.find_run_expiry(owner, runner, run)
+        if now > leases.find_run_expiry(owner, runner, run, now)
     ]
     if expired:
         _end_expired(owner, runner, expired, now)
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -265,7 +265,7 @@
             else:
                 self._add_occurrence(state, occurrence, critical_paths_s, now)
         if progress is not None:
-            progress_module.restore_tasks(state, progress, now)
+            progress_module.restore_tasks(state, progress, now, wall_ms)
             # The next change stores all parts, also if the last release has
             # stored them as one.
             parts = range(progress_module.count_parts(state))
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
@@ -627,7 +628,52 @@
         runner_entries.announce(runner, entry, 100.2)
         sessions._handle_silence(owner, runner, lost, 100.3)
     promised = owner.expiries.expires_at["r"]
-    assert promised == leases.find_run_expiry(owner, runner, run)
+    assert promised == leases.find_run_expiry(owner, runner, run, 100.3)
+
+
+@pytest.mark.parametrize(
+    ("ordered_for", "entry_age_s", "heard", "ordered_ago_s", "waits"),
+    [
+        (1, 1.0, False, 2.0, True),
+        (1, 1.0, False, 60.0, False),
+        # A runner that is gone for good writes no entry.
+        (1, 6.0, False, 2.0, False),
+        (9, 1.0, False, 2.0, False),
+        (1, 1.0, True, 2.0, False),
+        # Written by an earlier version.
+        (0, 1.0, False, 2.0, False),
+    ],
+)
+def test_successor_waits_for_a_life_that_the_owner_before_had_not_found(
+    ordered_for, entry_age_s, heard, ordered_ago_s, waits
+):
+    # Guards against a task that runs twice: a start of an earlier owner has
+    # reached a new life of its runner, which no poll of any owner has reached.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(
+        heard=heard, silent=True, entry_read_at=100.0 - entry_age_s
+    )
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    run = charge_starting_run(owner, runner)
+    run.born_ms, run.inherited_at = ordered_for, 100.0 - ordered_ago_s
+    expiry = leases.find_run_expiry(owner, runner, run, 100.0)
+    assert (expiry > 100.0) is waits
+    longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
+    assert not waits or expiry > 100.0 - ordered_ago_s + longest_s
+
+
+@pytest.mark.parametrize(("ahead_s", "inherited_at"), [(-2.0, 98.0), (5, 100)])
+def test_restored_attempt_was_ordered_in_the_past(ahead_s, inherited_at):
+    # Guards against a wait without end after the time of day was set back.
+    table = table_module.JobTable()
+    state = decisions.add_job(table, decisions.make_step())
+    wall_ms = 1_000_000
+    stored = model.RunProgress(1, "r", ordered_ms=wall_ms + int(ahead_s * 1000))
+    row = model.TaskProgress(0, 0, 0, attempts.Result.OPEN, 1, 0, "", [stored])
+    progress = model.JobProgress(tasks=[row])
+    progress_module.restore_tasks(state, progress, 100.0, wall_ms)
+    (run,) = state.steps[0, 0].tasks[0].runs
+    assert run.inherited_at == inherited_at
 
 
 def list_lost_end(owner, runner, run, outcome):
