Have runners refuse a late start once they have seen any later call

Cause: the poll that finds the new life carries the same token as the late start. Only the one after it, or the stop, makes the life refuse the start.

Change: what is sent after a start without an answer carries the next token, as after an acknowledgement without one. The first call that reaches the new life is enough.

Measured: the new case fails before for the lost start, and passes. The tests of sessions, crashes, capacity, leases, waivers, lives, room and limits pass. The moments between the begin of a life and the first call that reaches it remain.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -85,7 +85,9 @@
             owner, runner, order.token
         ):
             outcome = _OUTCOME.OUTDATED
-        lost = lost or outcome is _OUTCOME.LOST
+        if outcome is _OUTCOME.LOST:
+            lost = True
+            state_module.outdate_call(owner, runner, order.token)
         if not lost:
             runner.late_starts.pop((run.task.name, run.attempt), None)
         if outcome not in _RETRIED:
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -244,7 +244,8 @@
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if acknowledged and reply.err_value is _OUTCOME.LOST:
-            _handle_ends_in_doubt(owner, runner, acknowledged, token)
+            state_module.outdate_call(owner, runner, token)
+            _report_ends_in_doubt(owner, runner, acknowledged, token)
         if reply.err_value is interfaces.OrderOutcome.FENCED:
             if not state_module.note_outdated(owner, runner, token):
                 owner.step_down("runner")
@@ -272,18 +273,12 @@
     return pending or found
 
 
-def _handle_ends_in_doubt(
+def _report_ends_in_doubt(
     owner: state_module.Owner,
     runner: runners_module.Runner,
     acknowledged: int,
     token: int,
 ) -> None:
-    """Has a runner refuse an acknowledgement that may come late.
-
-    It does so once it has seen any later call, whichever life that reaches.
-    """
-    if runner.token == token:
-        runner.token = owner.issue_token(runner.entry.id)
     metrics.ACKNOWLEDGEMENTS_LOST.inc()
     events.log_event(
         events.ENDS_IN_DOUBT,
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -352,11 +352,22 @@
 
     That poll may be carried out late, by the life that has run the attempt.
     """
-    if runner.acknowledging_token == runner.token:
-        runner.token = owner.issue_token(runner.entry.id)
+    if runner.acknowledging_token is not None:
+        outdate_call(owner, runner, runner.acknowledging_token)
     return runner.token
 
 
+def outdate_call(
+    owner: Owner, runner: runners_module.Runner, token: int
+) -> None:
+    """Has a runner refuse a call that may come late, once it sees a later one.
+
+    Whichever life that reaches refuses it.
+    """
+    if runner.token == token:
+        runner.token = owner.issue_token(runner.entry.id)
+
+
 def store_expiries(owner: Owner, now: float) -> journal_module.Batch:
     """Stores the current set of promised expiries."""
     left_s = owner.expiries.export_remaining_s(now)
--- a/plantainvane/jobs/tokens.py
+++ b/plantainvane/jobs/tokens.py
@@ -4,9 +4,9 @@
 has a range of tokens above those of all earlier owners, for each runner. It
 takes the next one for each life of the runner that it finds, as a call names
 the runner by its id only: once the life has seen its token, calls meant for the
-one before do nothing there. It also takes the next one for what follows a poll
-that acknowledges ends and has no answer: whatever life carries out a start has
-seen a higher token than that poll, and keeps the end until it is read.
+one before do nothing there. It also takes the next one for what follows a start
+without an answer, or a poll that acknowledges ends and has none yet: a life
+that has carried out a later call refuses both, however late they come.
 """
 
 # Tokens for one runner in one ownership; three a second last for four days.
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -895,6 +895,31 @@
     assert tokens.find_epoch(after) == owner.epoch
 
 
+@pytest.mark.parametrize("outcome", ["lost", "unreached", "no_room"])
+def test_call_after_a_start_without_an_answer_has_a_later_token(
+    outcome, monkeypatch
+):
+    # Guards against a start that the next life of a runner carries out late,
+    # although it was polled or has carried out a later try.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(answered_at=100.0)
+    runner.token = before = owner.issue_token("r")
+    run = charge_starting_run(owner, runner)
+    run.ordered_at = 100.0
+    sent = []
+
+    async def start(order):
+        sent.append(order.token)
+        answer = outcome if len(sent) == 1 else "done"
+        return interfaces.StartReply(interfaces.OrderOutcome(answer))
+
+    runner.calls = types.SimpleNamespace(start=start)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    asyncio.run(orders._start_run(owner, run))
+    assert (runner.token > before) is (outcome == "lost")
+    assert sent[-1] == runner.token
+
+
 async def test_ownership_ends_with_its_last_token():
     # Guards against tokens that rise no more, so that late calls to an earlier
     # life of a runner are carried out.
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -169,6 +169,8 @@
         platform_system.write_entry(system, runner)
         await platform_system.wait_state(system, OTHER_ID, "completed")
         assert platform_sessions.count_starts(system)[TASK] == 1
+        # It is acknowledged just after the job is shown as completed.
+        await wait_until(lambda: noted)
         assert noted == [TASK]
 
 
