--- a/plantainvane/jobs/interfaces.py
+++ b/plantainvane/jobs/interfaces.py
@@ -108,8 +108,8 @@
 
     Attributes:
       outcome: Its outcome.
-      clock_ms: Reading of the clock of the life that has carried it out, or
-        None if it was not carried out or the reading is unknown.
+      clock_ms: Reading of the clock of the life that has answered, or None if
+        none has or the reading is unknown.
     """
 
     outcome: OrderOutcome
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -59,6 +59,9 @@
         await _start_run(owner, run)
     finally:
         owner.starts_in_flight -= 1
+        runner = owner.runners.get(run.runner)
+        if runner is not None:
+            runner.note_start_answered()
 
 
 async def _start_run(owner: state_module.Owner, run: attempts.Run) -> None:
@@ -87,18 +90,19 @@
             outcome = _OUTCOME.OUTDATED
         if outcome is _OUTCOME.LOST:
             lost = True
+            runner.expect_stray_lease(run.sent_at + runners_module.LATE_START_S)
             state_module.outdate_call(owner, runner, order.token)
+        leases.note_started(
+            owner, runner, run, reply.clock_ms, clock.read_now()
+        )
         if not lost:
             runner.late_starts.pop((run.task.name, run.attempt), None)
         if outcome not in _RETRIED:
             break
     now = clock.read_now()
-    runner.note_start_answered()
     if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
-    if outcome is _OUTCOME.DONE:
-        leases.note_started(owner, runner, run, reply.clock_ms, now)
     if outcome is _OUTCOME.OLD and lost:
         # The try whose reply was lost started it; the next poll reports the
         # attempt or its end.
--- a/plantainvane/jobs/state.py
+++ b/plantainvane/jobs/state.py
@@ -348,12 +348,13 @@
 
 
 def choose_start_token(owner: Owner, runner: runners_module.Runner) -> int:
-    """Returns the token of a start, above that of an open acknowledgement.
+    """Returns the token of a start, above that of an open poll.
 
-    That poll may be carried out late, by the life that has run the attempt.
+    That may be carried out late, by a life that has carried out the start: it
+    would acknowledge the end, or extend the lease.
     """
-    if runner.acknowledging_token is not None:
-        outdate_call(owner, runner, runner.acknowledging_token)
+    if runner.open_token is not None:
+        outdate_call(owner, runner, runner.open_token)
     return runner.token
 
 
