Note the outcome of a start as it is applied, and keep earlier promises binding

Measured: test_a_start_is_in_flight_until_its_outcome and test_an_absence_names_what_the_task_waits_for failed, and pass; lives and sessions pass.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -59,8 +59,10 @@
 ) -> float:
     """Returns when the leases of this and of earlier owners have expired."""
     expiry = runner.find_lease_expiry(owner.settings)
-    # Leases granted by an earlier owner are not known to this one. The runner
-    # may have answered without a new one, while its expiry was promised.
+    if not runner.fenced:
+        # Leases granted by an earlier owner are not known to this one.
+        expiry = max(expiry, owner.find_expiry(runner.entry.id))
+    # It may have answered without a new lease, while its expiry was promised.
     return max(expiry, runner.earlier_leases_until)
 
 
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -59,9 +59,6 @@
         await _start_run(owner, run)
     finally:
         owner.starts_in_flight -= 1
-        runner = owner.runners.get(run.runner)
-        if runner is not None:
-            runner.note_start_answered()
 
 
 async def _start_run(owner: state_module.Owner, run: attempts.Run) -> None:
@@ -167,6 +164,7 @@
 
     `lost` tells that an earlier try may still be carried out.
     """
+    runner.note_start_answered()
     capacity = runner.entry.capacity
     events.log_event(
         events.START_DROPPED,
@@ -218,6 +216,7 @@
     lost: bool = False,
 ) -> None:
     """Applies the outcome of the last try; `lost` tells that one was lost."""
+    runner.note_start_answered()
     if outcome not in _NOT_HEARD:
         runner.up_at = max(runner.up_at, now)
     if run not in run.task.runs:
