Count a job against the owner's room until the owner has loaded it

Cause: an entry process subtracts the tasks of a job that it stores from the room that the owner has reported, but replaced the room with each report. A report from before the owner had loaded the job gave its room back, and so did the measurement of an owner that stores a job itself. Jobs without room were accepted and waited.

Change: the room keeps what is taken by jobs that are being stored, until a report that was asked for 1 s after that, or until the owner has loaded the job. One that was not stored frees its room at once.

--- a/plantainvane/jobs/intake.py
+++ b/plantainvane/jobs/intake.py
@@ -153,8 +153,22 @@
     size = journal_module.measure_record(record)
     if size > intake.settings.max_record_bytes:
         return Outcome.TOO_LARGE, f"its record has {size} bytes"
-    if room is not None:
-        room.take(tasks)
+    if room is None:
+        return await _append_job(intake, record, deadline_s)
+    taken, is_stored = room.take(tasks, job.id), True
+    try:
+        outcome, reason = await _append_job(intake, record, deadline_s)
+        is_stored = outcome is not Outcome.NOT_RUN
+    finally:
+        room.settle(taken, is_stored, clock.read_now())
+    return outcome, reason
+
+
+async def _append_job(
+    intake: Intake, record: tuple[str, bytes], deadline_s: float
+) -> tuple[Outcome, str]:
+    """Stores the record of a job unless its deadline ends before."""
+    journal = intake.journal
     batch = journal.add([record])
     limit_s = max(0.1, deadline_s - _REPLY_MARGIN_S)
     with anyio.move_on_after(limit_s):
--- a/plantainvane/jobs/succession.py
+++ b/plantainvane/jobs/succession.py
@@ -296,6 +296,7 @@
         _may_own(entry, now),
         settings.capacity,
     )
+    asked_at = now
     pong = await entry.peers.call(claim.address, ping, settings.ping_timeout_s)
     if entry.ownership.claim is not claim:
         return
@@ -317,7 +318,8 @@
     if answer.is_owner:
         entry.waits, entry.waits_at = dict(answer.waits), now
         entry.shut_out = answer.shut_out
-        entry.room = room_module.Room(answer.free_tasks, answer.freed_per_s)
+        entry.room = entry.room or room_module.Room()
+        entry.room.apply_report(answer.free_tasks, answer.freed_per_s, asked_at)
     for address in answer.addresses:
         entry.sources.add_address(address)
     ownership.record_waiver(
--- a/tests/test_jobs_room.py
+++ b/tests/test_jobs_room.py
@@ -6,12 +6,15 @@
 import anyio
 import msgspec
 import pytest
+import result
 
 from plantainvane.jobs import checks
 from plantainvane.jobs import intake as intake_module
 from plantainvane.jobs import peers
 from plantainvane.jobs import room as room_module
+from plantainvane.jobs import succession
 from plantainvane.jobs import table as table_module
+from tests import test_jobs_configuration as configurations
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_intake as intakes
 from tests import test_jobs_journal as journals
@@ -25,10 +28,15 @@
     return "asyncio"
 
 
-async def submit(job, free_tasks, reply=None, times=1):
-    """Submits a job; returns the outcomes, the log and the room left."""
-    journal, store = journals.make_journal()
-    room = None if free_tasks is None else room_module.Room(free_tasks)
+async def submit(job, free_tasks, reply=None, times=1, answers=()):
+    """Submits a job; returns the outcomes, the log and the room left.
+
+    `free_tasks` may also be the room itself, or None if it is not known.
+    """
+    journal, store = journals.make_journal(*answers)
+    room = free_tasks
+    if isinstance(free_tasks, int):
+        room = room_module.Room(free_tasks)
 
     async def ask_owner(question):
         return reply
@@ -84,6 +92,83 @@
     assert room.free_tasks == 5
 
 
+@pytest.mark.anyio
+async def test_reports_from_before_a_load_let_no_more_jobs_in():
+    # Guards against jobs that are accepted and left: each report that the owner
+    # sends before it has loaded the latest ones gave their room back.
+    known = configurations.Peers({})
+
+    async def answer_ping(address, message, timeout_s):
+        return result.Ok(peers.Pong(True, 1, 1, 0.0, free_tasks=25))
+
+    known.call = answer_ping
+    entry = configurations.make_entry(
+        configurations.RefusingLog(), known, owner="10.0.0.1:1"
+    )
+    outcomes = []
+    for number in range(4):
+        await succession._ping_owner(entry)
+        found, _, _ = await submit(
+            make_job(10, id=f"{number}"),
+            entry.room,
+            peers.AskReply(known=False),
+        )
+        outcomes += found
+    assert outcomes == [_OUTCOME.ACCEPTED] * 2 + [_OUTCOME.FULL] * 2
+
+
+def test_report_from_before_a_job_was_stored_gives_no_room_back():
+    # Guards against jobs that are accepted and left, because the owner had
+    # measured its room before it could load a job that this process stored.
+    room = room_module.Room(25)
+    first, second = room.take(10), room.take(10)
+    room.apply_report(25, 0.0, asked_at=1.0)
+    assert room.free_tasks == 5
+    room.settle(first, is_stored=True, now=2.0)
+    room.settle(second, is_stored=True, now=9.0)
+    for asked_at, expected in ((2.0, 5), (4.0, 15), (9.0, 15), (11.0, 25)):
+        room.apply_report(25, 0.0, asked_at)
+        assert room.free_tasks == expected
+
+
+def test_job_that_was_not_stored_takes_no_room():
+    # Guards against refusals while the log fails: nothing was stored.
+    room = room_module.Room(25)
+    room.settle(room.take(10), is_stored=False, now=1.0)
+    assert room.free_tasks == 25
+
+
+def test_owner_counts_a_job_that_it_stores_until_it_has_loaded_it():
+    # Guards against jobs that the owner accepts and leaves, as it measures its
+    # room between their acceptance and their load; and against jobs that count
+    # twice.
+    table, room = table_module.JobTable(), room_module.Room()
+    room.measure(table, 0.0)
+    free = room.free_tasks
+    room.settle(room.take(10, "j1"), is_stored=True, now=0.5)
+    room.measure(table, 1.0)
+    assert room.free_tasks == free - 10
+    decisions.add_job(table, decisions.make_step(count=10), job_id="j1")
+    room.measure(table, 2.0)
+    assert room.free_tasks == free - 10 == room_module.count_free(table)
+    # The log did not store another one, although that was not known.
+    room.settle(room.take(10, "j2"), is_stored=True, now=2.5)
+    room.measure(table, 3.0)
+    assert room.free_tasks == free - 20
+    room.measure(table, 4.0)
+    assert room.free_tasks == free - 10
+
+
+@pytest.mark.anyio
+async def test_room_of_a_job_that_the_log_refuses_is_free_again():
+    # Guards against room that stays taken after a submission without success.
+    reply = peers.AskReply(known=False)
+    outcomes, _, room = await submit(
+        make_job(10), 25, reply, answers=[journals.REFUSED] * 99
+    )
+    assert outcomes == [_OUTCOME.NOT_RUN] and room.free_tasks == 25
+
+
 @pytest.mark.parametrize(
     ("fields", "expected"),
     [
