Await a third crash under a task while runners crash for other reasons

Cause: a task is given up after two crashes on two machines, the second in a trial. While runners crash that it did not run on, many tasks are suspects by chance, and some of them are hit by a second crash. They were given up, though they crash nothing.

Change: the owner notes the proved crashes of the last 20 s with their suspects. Those without one, or whose suspects have survived a later start or ended by themselves, have another cause. If more than 0.2% of the starts meet such a crash within the 1 s in which it would be blamed on the task, two crashes are not enough. No start is added after the third crash, so the bound holds. Crashes under tasks that are still suspects, or were given up, do not count.

Two of the new tests failed before; the others keep tasks that crash their runners from being spared.

--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -177,6 +177,22 @@
     lost_attempts: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(slots=True)
+class RunnerCrash:
+    """A proved crash of a runner.
+
+    Attributes:
+      runner: Id of the runner.
+      at: When it was found down.
+      suspects: Names of the tasks that had been started there shortly before,
+        each with the start of the incarnation, Unix milliseconds.
+    """
+
+    runner: str
+    at: float
+    suspects: set[tuple[str, int]]
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class StepState:
     """One occurrence of a step.
--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -32,6 +32,14 @@
 # was the only suspect of one of them.
 _LIMIT = 2
 _LONG_RUNNING_LIMIT = 3
+# While runners crash for other reasons no task is given up before this many
+# crashes: two by chance are to be expected then, as many tasks start.
+_CRASHING_LIMIT = 3
+# Crashes for other reasons are counted over this time before the last crash.
+_CRASHES_COUNTED_S = 20.0
+# They are frequent if more of the starts of sound tasks than this share are
+# followed by one within the time in which a task is blamed.
+_CHANCE_LIMIT = 0.002
 # Proved crashes that are enough without an only suspect; those of a
 # long-running task still have to hit two machines.
 _PROVED_LIMIT = 4
@@ -169,9 +177,68 @@
             confirmed=bool(evidence),
         )
     if evidence and not runner.entry.draining:
+        _note_crash(owner, runner, suspects)
         _report_crash(owner, runner, evidence, suspects)
 
 
+def _note_crash(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    suspects: list[attempts.Run],
+) -> None:
+    """Notes a proved crash, to tell how often runners crash.
+
+    It is reported again for the attempts whose leases expire later.
+    """
+    if runner.suspected and not suspects:
+        # The attempts that it may be the fault of were dropped before.
+        return
+    known = owner.table.runner_crashes
+    noted = known.setdefault(
+        (runner.entry.id, runner.entry.born_ms),
+        attempts.RunnerCrash(
+            runner.entry.id, max(runner.down_at, runner.up_at), set()
+        ),
+    )
+    noted.suspects.update((run.task.name, run.born_ms) for run in suspects)
+    latest = max(crash.at for crash in known.values())
+    owner.table.runner_crashes = {
+        life: crash
+        for life, crash in known.items()
+        if latest - crash.at <= _CRASHES_COUNTED_S
+    }
+
+
+def _may_explain(
+    owner: state_module.Owner, name: str, runner: str, born_ms: int
+) -> bool:
+    """Tells whether the crash of a runner may still be the fault of a suspect.
+
+    It is not if the task has survived a later start, or has ended by itself.
+    """
+    task = owner.table.tasks.get(name)
+    if task is None:
+        job = owner.table.jobs.get(name.partition(".")[0])
+        return job is None or job.ended not in ("", "completed")
+    found = (*task.crashes, *(run.crash for run in task.runs if run.crash))
+    return any((c.runner, c.born_ms) == (runner, born_ms) for c in found)
+
+
+def are_runners_crashing(owner: state_module.Owner) -> bool:
+    """Tells whether runners crash often that no task may have crashed."""
+    others = [
+        crash
+        for crash in owner.table.runner_crashes.values()
+        if not any(
+            _may_explain(owner, name, crash.runner, born_ms)
+            for name, born_ms in crash.suspects
+        )
+    ]
+    runner_seconds = len(owner.runners) * _CRASHES_COUNTED_S
+    chance = len(others) * trials.SUSPECT_WINDOW_S / max(1.0, runner_seconds)
+    return chance > _CHANCE_LIMIT
+
+
 def _report_crash(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -329,6 +396,8 @@
 ) -> None:
     if task.job.ended or not is_to_be_given_up(task):
         return
+    if len(task.crashes) < _CRASHING_LIMIT and are_runners_crashing(owner):
+        return
     metrics.TASKS_GIVEN_UP.inc()
     events.log_event(
         events.TASK_GIVEN_UP,
--- a/plantainvane/jobs/table.py
+++ b/plantainvane/jobs/table.py
@@ -48,6 +48,8 @@
       has_runs_to_stop: Set when there are any.
       has_ends_to_store: Set when a job has ended since it was last cleared.
       suspects: Open tasks that may have crashed a runner, by name.
+      runner_crashes: The latest proved crashes of runners, by the id and the
+        start of the incarnation that crashed, Unix milliseconds.
     """
 
     jobs: dict[str, attempts.JobState] = dataclasses.field(default_factory=dict)
@@ -76,6 +78,9 @@
         default_factory=anyio.Event
     )
     suspects: dict[str, attempts.Task] = dataclasses.field(default_factory=dict)
+    runner_crashes: dict[tuple[str, int], attempts.RunnerCrash] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def add_job(
         self,
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -850,3 +850,136 @@
     assert not passes.list_placed(owner)
     scheduling.place_ready_tasks(owner, NOW + 1.0)
     assert passes.list_placed(owner) == [(suspect.name, "r0")]
+
+
+def crash_at(owner, runner, task, now, age_s=0.01):
+    """Lets a polled runner crash some time after the start of a task."""
+    start(owner, runner, task, NOW - now + age_s)
+    runner.answered_at, runner.silent = now, True
+    runner.up_at = now
+    crashes.mark_down(runner, now)
+    crash(owner, runner, now)
+
+
+def crash_others(owner, runners, until=NOW):
+    """Lets runners crash one after another, with a bystander each."""
+    for number, runner in enumerate(runners):
+        task = add_task(owner, f"o{number}")
+        crash_at(owner, runner, task, until - 5.0 + number, age_s=9.0)
+
+
+def crash_twice(owner, runners):
+    """Lets two runners crash on which the same task has just started."""
+    task = add_task(owner, "t")
+    for number, runner in enumerate(runners):
+        crash_at(owner, runner, task, NOW - 0.8 + 0.4 * number)
+    return task
+
+
+def test_sound_task_on_crashing_runners_survives_two_crashes():
+    # Guards against a sound task that is given up because its runners crash for
+    # other reasons, as do those that did not run it. A third crash is enough.
+    runners = make_runners(8)
+    owner = passes.make_owner(*runners)
+    crash_others(owner, runners[3:7])
+    task = crash_twice(owner, runners[:2])
+    assert len(task.crashes) == 2 and task.job.ended == ""
+    crash_at(owner, runners[2], task, NOW)
+    assert task.job.ended == "failed"
+
+
+def test_crash_whose_suspects_have_survived_a_trial_has_another_cause():
+    # Guards against crashing runners that are not recognized, because on a busy
+    # runner some task has always just started.
+    runners = make_runners(8)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate(runners[3:7]):
+        other = add_task(owner, f"n{number}")
+        crash_at(owner, runner, other, NOW - 6.0 + number)
+        assert other.crashes
+        run = start(owner, runners[7], other, age_s=1.2)
+        crashes.record_survival(owner, run, NOW, WALL_MS)
+    task = crash_twice(owner, runners[:2])
+    assert len(task.crashes) == 2 and task.job.ended == ""
+
+
+@pytest.mark.parametrize("how", ["suspected", "given up", "cancelled"])
+def test_crashes_under_other_suspects_keep_no_task(how):
+    # Guards against tasks that crash one more runner each because there are
+    # several of them, or because some were given up or cancelled.
+    runners = make_runners(8)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate(runners[3:]):
+        other = add_task(owner, f"d{number}")
+        crash_at(owner, runner, other, NOW - 6.0 + number)
+        if how == "given up":
+            owner.table.give_up(other, WALL_MS)
+        elif how == "cancelled":
+            owner.table.cancel_job(other.job, WALL_MS)
+    assert crash_twice(owner, runners[:2]).job.ended == "failed"
+
+
+@pytest.mark.parametrize("case", ["few", "old", "leaving"])
+def test_few_crashes_of_other_runners_keep_no_task(case):
+    # Guards against a task that crashes one more runner because of a single
+    # crash in a large fleet, of crashes long ago, or of runners that left.
+    runners = make_runners(80 if case == "few" else 8)
+    owner = passes.make_owner(*runners)
+    others = runners[3:4] if case == "few" else runners[3:7]
+    for runner in others:
+        runner.entry = msgspec.structs.replace(
+            runner.entry, draining=case == "leaving"
+        )
+    crash_others(owner, others, NOW - 40.0 if case == "old" else NOW)
+    assert crash_twice(owner, runners[:2]).job.ended == "failed"
+
+
+def test_runner_that_is_back_after_its_leases_shows_no_other_cause():
+    # Guards against a crash under a task that counts as one without it, because
+    # the attempts there had been dropped before the runner was back.
+    runners = make_runners(8)
+    owner = passes.make_owner(*runners)
+    for number, runner in enumerate(runners[3:7]):
+        other = add_task(owner, f"d{number}")
+        start(owner, runner, other, age_s=9.01 - number)
+        runner.silent, runner.up_at = True, NOW - 9.0 + number
+        runner.answered_at = runner.up_at
+        crashes.mark_down(runner, runner.up_at)
+        sessions._end_expired(owner, runner, list(runner.runs), NOW - 1.0)
+        sessions.handle_restart(owner, runner, 2, 1, NOW)
+    assert crash_twice(owner, runners[:2]).job.ended == "failed"
+
+
+def test_runner_whose_leases_expire_one_by_one_has_crashed_once():
+    # Guards against one crash that is counted for each attempt, or without the
+    # suspect whose lease expires last.
+    earlier = make_runner("r0", address="a:1", machine="m")
+    later = make_runner("r1", address="b:1", machine="m", born_ms=9)
+    owner = passes.make_owner(earlier, later)
+    runs = [
+        start(owner, earlier, add_task(owner, f"s{number}"), age_s=0.1)
+        for number in range(3)
+    ]
+    earlier.answered_at, earlier.silent = NOW, True
+    earlier.up_at = NOW
+    crashes.mark_down(earlier, NOW)
+    later.answered_at = NOW + 3.0
+    for run in runs:
+        sessions._end_expired(owner, earlier, [run], NOW + 6.0)
+    (noted,) = owner.table.runner_crashes.values()
+    assert noted.suspects == {(run.task.name, 1) for run in runs}
+
+
+def test_no_start_is_added_after_three_crashes_however_many_runners_crash():
+    # Guards against a task that is started more often after its third crash
+    # because other runners crash, some of them at the same moment.
+    runners = make_runners(8)
+    owner = passes.make_owner(*runners)
+    crash_others(owner, runners[3:8])
+    assert crashes.are_runners_crashing(owner)
+    task = add_task(owner, "t")
+    owner.table.record_crash(task, make_crash(1, shared=True))
+    owner.table.record_crash(task, make_crash(2))
+    assert task.job.ended == ""
+    crash_at(owner, runners[0], task, NOW)
+    assert task.crashes[-1].alone and task.job.ended == "failed"
