Count connections of a soak that are gone when they are to be reset

Cause: a link sets its sockets so that they close by a reset. The socket of a connection whose peer has reset it is closed, while the connection is still listed as long as its path is held up or silent. Setting it raised EBADF, which ended the soak.

Change: a socket that is closed is left alone, and the link counts the connection; the report shows the sum as connection_gone.

Measured: test_reset_of_a_connection_that_is_gone_is_counted failed before with OSError: [Errno 9] Bad file descriptor in _set_reset, and passes.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -57,7 +57,9 @@
     Attributes:
       began: Unix time of its start, in seconds.
       faults: Number of the faults that were brought about, by name; those
-        that were not, as too little would have been left, as `left_out`.
+        that were not, as too little would have been left, as `left_out`;
+        connections that were gone when they were to be reset, as
+        `connection_gone`.
       findings: Rules that were broken.
       counts: Number of the findings of each rule.
       load: Requests by kind and status, and jobs by what became of them.
@@ -130,6 +132,8 @@
                 await session_module.wait_ended(session, _END_PAUSE_S)
                 session.stop.set()
             group.cancel_scope.cancel()
+    links = [each.link for each in (*session.processes, *session.runners)]
+    course.counts["connection_gone"] = sum(link.gone for link in links)
     for disturbance in seen.disturbances:
         disturbance.ended = min(disturbance.ended, session_module.read_now())
     (directory / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(seen))
--- a/standins/soak_links.py
+++ b/standins/soak_links.py
@@ -10,6 +10,8 @@
 _READ_BYTES = 65_536
 # Linger of 0 s: closing resets the connection.
 _RESET = struct.pack("ii", 1, 0)
+# Descriptor of a closed socket.
+_NO_DESCRIPTOR = -1
 _Streams = tuple[anyio.abc.SocketStream, anyio.abc.SocketStream]
 
 
@@ -32,6 +34,8 @@
       refuses: New connections are reset.
       opened: Set while the path carries bytes; they wait otherwise, as behind
         lost packets.
+      gone: Number of connections that were reset after an end of theirs had
+        gone by itself.
     """
 
     address: str
@@ -39,6 +43,7 @@
     refuses: bool = False
     opened: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     connections: set[_Connection] = dataclasses.field(default_factory=set)
+    gone: int = 0
 
     def hold(self) -> None:
         """Holds up all bytes until `release`."""
@@ -57,14 +62,19 @@
     def reset(self) -> None:
         """Resets the present connections at both ends."""
         for connection in self.connections:
-            for stream in connection.streams:
-                _set_reset(stream)
+            were_set = [_set_reset(stream) for stream in connection.streams]
+            self.gone += not all(were_set)
             connection.scope.cancel()
 
 
-def _set_reset(stream: anyio.abc.SocketStream) -> None:
+def _set_reset(stream: anyio.abc.SocketStream) -> bool:
+    """Lets a stream end by a reset; returns False if its socket is gone."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    # The socket closes once its peer is gone, before the stream is closed.
+    if raw.fileno() == _NO_DESCRIPTOR:
+        return False
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    return True
 
 
 async def serve_link(link: Link) -> None:
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -1,8 +1,11 @@
 """Paths of a soak that are held up, go silent or are reset."""
 
 import contextlib
+import socket
+import struct
 
 import anyio
+import anyio.abc
 import pytest
 
 from standins import platform_system
@@ -62,6 +65,27 @@
     return True
 
 
+def read_socket(stream):
+    return stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
+def reset_by_caller(stream):
+    linger = struct.pack("ii", 1, 0)
+    read_socket(stream).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream._transport.abort()
+
+
+async def wait_closed(link):
+    """Waits until the link has closed one of its sockets."""
+    with anyio.fail_after(LIMIT_S):
+        while not any(
+            read_socket(stream).fileno() == -1
+            for connection in link.connections
+            for stream in connection.streams
+        ):
+            await anyio.sleep(0.01)
+
+
 async def test_held_bytes_arrive_once_the_path_carries_again():
     # Guards against a held path that loses bytes, which no network does.
     async with run_link() as link, await connect(link) as stream:
@@ -102,6 +126,23 @@
             assert await exchange(later) == b"x"
 
 
+async def test_reset_of_a_connection_that_is_gone_is_counted():
+    # Guards against a soak that ends by a fault which meets a connection whose
+    # socket has closed while its path was held up.
+    async with run_link() as link, await connect(link) as stream:
+        await exchange(stream)
+        link.hold()
+        reset_by_caller(stream)
+        await wait_closed(link)
+        link.reset()
+        assert link.gone == 1
+        link.release()
+        async with await connect(link) as later:
+            assert await exchange(later) == b"x"
+            link.reset()
+            assert link.gone == 1
+
+
 async def test_refused_connections_carry_nothing():
     # Guards against a runner that is reached after it has crashed.
     async with run_link() as link:
