Report no errors of connections that are open as a server ends

Cause: after the graceful time-out hypercorn cancels the tasks of connections that are still open. The callback of asyncio's streams (Python 3.11) asks such a task for its exception, which raises the cancellation, and the loop prints a traceback for each connection. A server that is cancelled itself, beside an open connection, fails with InvalidStateError in hypercorn.

Change: serve_application lets the loop report no cancellation as an error; all other errors of callbacks are reported as before. The servers of stand-ins stop in the same way when they are cancelled as by their event.

Measured: both cases of test_open_connections_are_no_errors_as_their_server_ends and the test of the demo's output failed before, with these tracebacks; they pass. The output of the demo (make demo) had tracebacks of cancelled connections in front of its result, and has none; its last line is the result, 24 of 24 jobs completed.

--- a/plantainvane/asgi.py
+++ b/plantainvane/asgi.py
@@ -1,5 +1,6 @@
 """Helpers for ASGI applications that hypercorn serves."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -107,11 +108,24 @@
     config.keep_alive_max_requests = 1_000_000_000
     config.accesslog = None
     config.errorlog = None
+    loop = asyncio.get_running_loop()
+    if loop.get_exception_handler() is None:
+        loop.set_exception_handler(_report_error)
     await hypercorn.asyncio.serve(
         application, config, shutdown_trigger=shutdown, mode="asgi"
     )
 
 
+def _report_error(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Reports an error of a callback, unless it is a cancellation."""
+    # Streams of Python 3.11 raise that of a connection which is cancelled, as
+    # those are that are open after the graceful time-out.
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def _serve_lifespan(receive: Receive, send: Send) -> None:
     while True:
         message = await receive()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -51,10 +51,24 @@
 async def serve_until(
     application: asgi.Application, address: str, stop: anyio.Event
 ) -> None:
-    """Serves `application` at `ip:port` until `stop` is set."""
-    await asgi.serve_application(
-        application, [address], stop.wait, GRACEFUL_TIMEOUT_S
-    )
+    """Serves `application` at `ip:port` until `stop` is set or cancelled."""
+    ended = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_set_at_end, stop, ended)
+        # The library fails when it is cancelled while connections are open.
+        with anyio.CancelScope(shield=True):
+            await asgi.serve_application(
+                application, [address], ended.wait, GRACEFUL_TIMEOUT_S
+            )
+        group.cancel_scope.cancel()
+
+
+async def _set_at_end(stop: anyio.Event, ended: anyio.Event) -> None:
+    """Sets `ended` once `stop` is set or this task is cancelled."""
+    try:
+        await stop.wait()
+    finally:
+        ended.set()
 
 
 async def wait_ready(address: str, timeout_s: float = 10.0) -> None:
