Report what a soak has seen when the soak itself fails

Cause: an error in a task of the soak, of its servers or of its auditor left run_soak as an exception: thousands of tracebacks, no report, and exit status 1, which is that of a broken rule.

Change: run_soak catches it, writes what was seen, audits it (the end is not judged, as it was not reached) and puts the cause and its place into the report; the command prints that line first and exits with 2. Its processes are killed and waited for after all tasks have ended, so that no task takes their ends for findings. Wrong usage, also 2, shows "Usage:" and starts nothing.

Measured: the three cases of test_error_of_the_soak_itself_is_told_and_all_before_it_is_reported (in a fault, a server, the auditor) failed before with exit status 1 and an ExceptionGroup; they pass, with no error logged and no process left. All tests of tests/test_soak*.py pass (84 s).

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import tempfile
+import traceback
 from typing import Annotated
 from typing import Any
 
@@ -22,6 +23,8 @@
 from standins import soak_session as session_module
 
 MIN_PROCESSES, MAX_PROCESSES = 6, 60
+# Exit statuses: a rule was broken or nothing was checked; the soak failed.
+EXIT_BROKEN, EXIT_FAILED = 1, 2
 OBSERVATIONS_FILE = "observations.json"
 _MIN_CLIENTS, _MAX_CLIENTS = 6, 24
 _MIN_RUNNERS = 5
@@ -66,6 +69,7 @@
       starts: Starts of tasks at runners.
       latest_s: Longest time by which the soak itself was late.
       largest_bytes, most_descriptors: Highest values of one process.
+      error: What ended the soak early, or empty. The end is not judged then.
     """
 
     seed: int
@@ -80,6 +84,7 @@
     latest_s: float
     largest_bytes: int
     most_descriptors: int
+    error: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,37 +112,33 @@
     """
     seen = observations_module.Observations()
     began = session_module.read_now()
-    # The servers are stopped by an event, as their library reports a
-    # cancellation as an error.
-    async with (
-        anyio.create_task_group() as servers,
-        anyio.create_task_group() as group,
-    ):
-        prefix = session_module.choose_prefix()
-        session = Session(group, servers, directory, prefix, seen)
-        load = soak_clients.Load(session)
-        course = _Course(session)
-        runners = max(_MIN_RUNNERS, processes // _PROCESSES_PER_RUNNER)
-        try:
-            await session_module.start_session(session, processes, runners)
-            _start_clients(load, seed)
-            await anyio.sleep(_WARM_UP_S)
-            plan = soak_faults.plan_faults(seed, 60 * minutes)
-            await _bring_faults(course, plan)
-            await _end_soak(load, seed)
-        finally:
-            with anyio.CancelScope(shield=True):
-                session.restarts = False
-                session_module.kill_processes(session)
-                await session_module.wait_ended(session, _END_PAUSE_S)
+    servers, group = anyio.create_task_group(), anyio.create_task_group()
+    prefix = session_module.choose_prefix()
+    session = Session(group, servers, directory, prefix, seen)
+    load, course = soak_clients.Load(session), _Course(session)
+    findings: list[soak_audit.Finding] = []
+    error = ""
+    try:
+        async with servers:
+            try:
+                async with group:
+                    await _run_course(course, load, seed, minutes, processes)
+                    group.cancel_scope.cancel()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await session_module.kill_processes(session)
                 session.stop.set()
-            group.cancel_scope.cancel()
-    links = [each.link for each in (*session.processes, *session.runners)]
-    course.counts["connection_gone"] = sum(link.gone for link in links)
+    except Exception as failure:  # noqa: BLE001 - what was seen is reported
+        error = _describe_error(failure)
     for disturbance in seen.disturbances:
         disturbance.ended = min(disturbance.ended, session_module.read_now())
     (directory / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(seen))
-    findings = soak_audit.find_faults(seen)
+    try:
+        findings = soak_audit.find_faults(seen)
+    except Exception as failure:  # noqa: BLE001 - the rest is reported
+        error = error or _describe_error(failure)
+    links = [each.link for each in (*session.processes, *session.runners)]
+    course.counts["connection_gone"] = sum(link.gone for link in links)
     report = Report(
         seed=seed,
         minutes=minutes,
@@ -149,12 +150,40 @@
         load=soak_clients.describe_load(load),
         starts=sum(event.kind == "start" for event in seen.runner_events),
         latest_s=round(session.latest_s, 3),
-        largest_bytes=max(sample.memory_bytes for sample in seen.samples),
-        most_descriptors=max(sample.descriptors for sample in seen.samples),
+        largest_bytes=max((s.memory_bytes for s in seen.samples), default=0),
+        most_descriptors=max((s.descriptors for s in seen.samples), default=0),
+        error=error,
     )
     return report, seen
 
 
+async def _run_course(
+    course: _Course,
+    load: soak_clients.Load,
+    seed: int,
+    minutes: float,
+    processes: int,
+) -> None:
+    session = course.session
+    runners = max(_MIN_RUNNERS, processes // _PROCESSES_PER_RUNNER)
+    await session_module.start_session(session, processes, runners)
+    _start_clients(load, seed)
+    await anyio.sleep(_WARM_UP_S)
+    plan = soak_faults.plan_faults(seed, 60 * minutes)
+    await _bring_faults(course, plan)
+    await _end_soak(load, seed)
+
+
+def _describe_error(error: Exception) -> str:
+    """Returns one line that names the first cause, and where it was raised."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    place = traceback.extract_tb(error.__traceback__)[-1]
+    cause = " ".join(traceback.format_exception_only(error)[-1].split())
+    name = pathlib.Path(place.filename).name
+    return f"{cause} ({place.name}, {name}:{place.lineno})"
+
+
 def _start_clients(load: soak_clients.Load, seed: int) -> None:
     session = load.session
     processes = len(session.processes)
@@ -387,7 +416,8 @@
 
 def describe_report(report: Report) -> list[str]:
     """Returns the lines of a report for a reader."""
-    lines = [
+    lines = [f"the soak itself failed: {report.error}"] if report.error else []
+    lines += [
         f"seed {report.seed}: {report.processes} processes, faults for"
         f" {report.minutes:g} min",
         "faults: " + _describe_counts(report.faults),
@@ -403,7 +433,8 @@
     ]
     for rule, text in soak_audit.RULES.items():
         number = report.counts[rule]
-        result = f"BROKEN, {number} times" if number else "kept"
+        kept = "kept until then" if report.error else "kept"
+        result = f"BROKEN, {number} times" if number else kept
         lines.append(f"{rule}: {text}: {result}")
     lines += [
         f"  {finding.at - report.began:.2f} s: {finding.rule}: {finding.text}"
@@ -437,23 +468,30 @@
 ) -> None:
     """Soaks real processes under seeded faults; exits with 1 if a rule broke.
 
-    Without a seed one is drawn; the report names it.
+    The exit status is 2 if the soak itself failed. Without a seed one is drawn;
+    the report names it.
     """
     if seed is None:
         seed = random.SystemRandom().randrange(1_000_000)
     with tempfile.TemporaryDirectory() as temporary:
         folder = directory or pathlib.Path(temporary)
-        folder.mkdir(parents=True, exist_ok=True)
-        result = anyio.run(_run_to_end, seed, minutes, processes, folder)
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            result = anyio.run(_run_to_end, seed, minutes, processes, folder)
+        except OSError as error:
+            typer.echo(f"the soak itself failed: {error}", err=True)
+            raise typer.Exit(EXIT_FAILED) from error
     if result is None:
         typer.echo(f"seed {seed}: interrupted, nothing was checked", err=True)
-        raise typer.Exit(1)
+        raise typer.Exit(EXIT_BROKEN)
     for line in describe_report(result):
         typer.echo(line)
     if report is not None:
         encoded = msgspec.json.encode(result)
         report.write_bytes(msgspec.json.format(encoded, indent=2) + b"\n")
-    raise typer.Exit(1 if result.findings else 0)
+    if result.error:
+        raise typer.Exit(EXIT_FAILED)
+    raise typer.Exit(EXIT_BROKEN if result.findings else 0)
 
 
 if __name__ == "__main__":
--- a/standins/soak_session.py
+++ b/standins/soak_session.py
@@ -42,6 +42,7 @@
 _SAMPLE_S = 1.0
 _OWN_END_RESTART_S = 1.0
 _START_LIMIT_S = 30.0
+_KILL_LIMIT_S = 5.0
 _START_PATH = "/plantainvane/run-start"
 _STORE_HOST, _RUNNERS_HOST, _LINKS_HOST = 201, 202, 203
 _ZONES = ("zone-a", "zone-b", "zone-c")
@@ -524,13 +525,16 @@
             await anyio.sleep(0.02)
 
 
-def kill_processes(session: Session) -> None:
-    """Kills all processes that still run, without a record."""
-    for process in session.processes:
-        handle = process.handle
-        if handle is not None and handle.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                handle.kill()
+async def kill_processes(session: Session) -> None:
+    """Kills all processes that still run, without a record, and waits."""
+    session.restarts = False
+    with anyio.move_on_after(_KILL_LIMIT_S):
+        for process in session.processes:
+            handle = process.handle
+            if handle is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    handle.kill()
+                await handle.wait()
 
 
 async def _take_samples(session: Session) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -230,6 +230,78 @@
     assert written["findings"][0]["text"] == "beside"
 
 
+async def fail(*arguments):
+    raise OSError(9, "Bad file descriptor")
+
+
+def fail_in_a_fault(patch):
+    patch.setitem(soak._ACTIONS, "process", fail)
+
+
+def fail_in_a_server(patch):
+    def start_clients(load, seed):
+        load.session.servers.start_soon(fail)
+
+    patch.setattr(soak, "_start_clients", start_clients)
+
+
+def fail_in_the_auditor(patch):
+    def find_faults(seen):
+        raise OSError(9, "Bad file descriptor")
+
+    patch.setattr(soak_audit, "find_faults", find_faults)
+    patch.setattr(soak, "_CALM_S", 0.1)
+    patch.setattr(soak, "_FINISH_S", 0.1)
+
+
+@pytest.mark.parametrize(
+    "change", [fail_in_a_fault, fail_in_a_server, fail_in_the_auditor]
+)
+def test_error_of_the_soak_itself_is_told_and_all_before_it_is_reported(
+    change, monkeypatch, tmp_path, caplog
+):
+    # Guards against a soak that ends in tracebacks, without a report, or with
+    # the exit status of a broken rule.
+    change(monkeypatch)
+    path = tmp_path / "report.json"
+    arguments = ["--seed", str(SEED), "--minutes", "0.05"]
+    arguments += ["--directory", str(tmp_path), "--report", str(path)]
+    finished = typer.testing.CliRunner().invoke(
+        commands.app, ["soak", *arguments]
+    )
+    assert finished.exit_code == 2, finished.output
+    lines = finished.output.splitlines()
+    assert "failed: OSError: [Errno 9] Bad file descriptor (" in lines[0]
+    written = msgspec.json.decode(path.read_bytes(), type=soak.Report)
+    assert lines == soak.describe_report(written)
+    # Nothing is said of the end, which no job has seen.
+    assert written.findings == []
+    assert written.most_descriptors > 0
+    assert (tmp_path / soak.OBSERVATIONS_FILE).exists()
+    assert [r for r in caplog.records if r.levelname == "ERROR"] == []
+    assert psutil.Process().children() == []
+
+
+def test_directory_that_cannot_be_made_is_told_in_one_line(tmp_path):
+    # Guards against a traceback in place of the cause.
+    (tmp_path / "file").touch()
+    finished = typer.testing.CliRunner().invoke(
+        commands.app, ["soak", "--directory", str(tmp_path / "file" / "soak")]
+    )
+    assert finished.exit_code == 2
+    (line,) = finished.output.splitlines()
+    assert line.startswith("the soak itself failed: [Errno 20]")
+
+
+def test_wrong_usage_starts_nothing_and_shows_the_usage():
+    # Guards against wrong usage that looks like an error of the soak itself.
+    finished = typer.testing.CliRunner().invoke(
+        commands.app, ["soak", "--processes", "5"]
+    )
+    assert finished.exit_code == 2
+    assert finished.output.startswith("Usage: ")
+
+
 @pytest.mark.anyio
 async def test_faults_at_the_same_time_are_brought_about(monkeypatch):
     # Guards against a soak that fails when a fault is due before the last one
