Judge starts after a cancel by how long their path was held up

An order that is under way when its job is cancelled may be carried out when the path carries again, and nothing reaches the runner before it.

Change: a link notes requests as they come in, and the soak notes the start orders among them. For a start whose last order came to the path before the answer of the cancel, the time for which that path was held up after the answer does not count. The bound stays 3 s. Orders that come to the path after the answer, silent paths and holds of other runners excuse nothing.

Measured: start_by_an_order_that_was_held_up was reported before; four changed courses beside it still are.

--- a/standins/soak_audit.py
+++ b/standins/soak_audit.py
@@ -293,16 +293,23 @@
     seen: Observations, histories: dict[str, _History]
 ) -> Iterable[Finding]:
     running: dict[tuple[str, str], int] = {}
+    ordered: dict[tuple[str, str, int], float] = {}
     for event in seen.runner_events:
         key = (event.task, event.runner)
-        if event.kind == "start":
+        if event.kind == "ordered":
+            ordered[*key, event.attempt] = event.at
+        elif event.kind == "start":
             running[key] = event.attempt
             history = histories.get(_find_job(event.task), _History())
-            late_s = event.at - history.cancelled
+            cancelled = history.cancelled
+            late_s = event.at - cancelled
+            # An order that was under way waits as long as its path is held up.
+            if ordered.get((*key, event.attempt), event.at) <= cancelled:
+                late_s -= _find_held_s(seen, event.runner, cancelled, event.at)
             if late_s > CANCEL_S:
                 text = (
                     f"{event.task}: {event.attempt} at {event.runner},"
-                    f" {late_s:.2f} s after the answer"
+                    f" {event.at - cancelled:.2f} s after the answer"
                 )
                 yield Finding("cancelled", event.at, text)
         elif event.kind == "end":
@@ -317,6 +324,18 @@
             yield Finding("cancelled", seen.ended, text)
 
 
+def _find_held_s(
+    seen: Observations, runner: str, began: float, ended: float
+) -> float:
+    """Returns the longest time for which the path to a runner was held up."""
+    held = (
+        min(ended, d.ended) - max(began, d.began)
+        for d in seen.disturbances
+        if (d.kind, d.target) == ("held", runner)
+    )
+    return max(0.0, max(held, default=0.0))
+
+
 def _check_waits(
     seen: Observations, histories: dict[str, _History]
 ) -> Iterable[Finding]:
--- a/standins/soak_links.py
+++ b/standins/soak_links.py
@@ -1,5 +1,6 @@
 """Loopback proxy of one path, whose connections can be held up or broken."""
 
+from collections.abc import Callable
 import dataclasses
 import socket
 import struct
@@ -34,6 +35,8 @@
       refuses: New connections are reset.
       opened: Set while the path carries bytes; they wait otherwise, as behind
         lost packets.
+      on_request: Called with the bytes of a caller as they come in, which may
+        be long before they are carried.
       gone: Number of connections that were reset after an end of theirs had
         gone by itself.
     """
@@ -43,6 +46,7 @@
     refuses: bool = False
     opened: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     connections: set[_Connection] = dataclasses.field(default_factory=set)
+    on_request: Callable[[bytes], None] = lambda data: None
     gone: int = 0
 
     def hold(self) -> None:
@@ -110,7 +114,12 @@
                 with connection.scope:
                     async with anyio.create_task_group() as group:
                         group.start_soon(
-                            _pump, link, connection, stream, target
+                            _pump,
+                            link,
+                            connection,
+                            stream,
+                            target,
+                            link.on_request,
                         )
                         group.start_soon(
                             _pump, link, connection, target, stream
@@ -124,11 +133,13 @@
     connection: _Connection,
     source: anyio.abc.SocketStream,
     sink: anyio.abc.SocketStream,
+    note: Callable[[bytes], None] = lambda data: None,
 ) -> None:
     """Carries bytes in one direction; the end of one ends both."""
     try:
         while True:
             data = await source.receive(_READ_BYTES)
+            note(data)
             if connection.silent:
                 await anyio.sleep_forever()
             await link.opened.wait()
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -64,7 +64,8 @@
 
     Attributes:
       kind: `ready` (with its `cpu`), `draining`, `gone` (crashed or left),
-        `lapsed` (its lease is over), `start`, `end`, or `noted` (an end was
+        `lapsed` (its lease is over), `ordered` (a start order has come to the
+        path to the runner), `start`, `end`, or `noted` (an end was
         acknowledged).
       how: How the run ended.
     """
--- a/standins/soak_session.py
+++ b/standins/soak_session.py
@@ -43,6 +43,7 @@
 _OWN_END_RESTART_S = 1.0
 _START_LIMIT_S = 30.0
 _KILL_LIMIT_S = 5.0
+_HEAD_END = b"\r\n\r\n"
 _START_PATH = "/plantainvane/run-start"
 _STORE_HOST, _RUNNERS_HOST, _LINKS_HOST = 201, 202, 203
 _ZONES = ("zone-a", "zone-b", "zone-c")
@@ -267,6 +268,14 @@
         )
         session.seen.runner_events.append(event)
 
+    def note_order(data: bytes) -> None:
+        head, _, body = data.partition(_HEAD_END)
+        if _START_PATH.encode() in head:
+            with contextlib.suppress(msgspec.DecodeError):
+                order = msgspec.json.decode(body)
+                note_run("ordered", order["Task"], order["Attempt"], "")
+
+    link.on_request = note_order
     state.on_run = note_run
     state.on_crash = lambda: _note_runner(session, state, "gone")
     carry_out = platform_runner.make_handler(state)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,19 @@
     assert {"process.SIGTERM", "process.SIGKILL"} <= report.faults.keys()
 
 
+def test_orders_are_seen_before_their_starts(seen):
+    # Guards against an auditor that cannot tell when a start was ordered.
+    ordered, unseen = set(), []
+    for event in seen.runner_events:
+        run = (event.runner, event.task, event.attempt)
+        if event.kind == "ordered":
+            ordered.add(run)
+        elif event.kind == "start" and run not in ordered:
+            unseen.append(run)
+    assert ordered
+    assert unseen == []
+
+
 def find_event(seen, kind, how=""):
     return next(
         event
--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -90,9 +90,9 @@
     )
 
 
-def disturb(seen, began, ended, target=P1, planned=False):
+def disturb(seen, began, ended, target=P1, planned=False, kind="pause"):
     seen.disturbances.append(
-        SEEN.Disturbance("pause", target, began, ended, planned)
+        SEEN.Disturbance(kind, target, began, ended, planned)
     )
 
 
@@ -167,6 +167,33 @@
     add_events(seen, *make_run(8.2, R1, CANCELLED, 2, 8.3, "stopped"))
 
 
+def start_on_a_held_path(seen, ordered, held, runner=R1, kind="held"):
+    """Starts a task 4.15 s after the cancel of its job was answered."""
+    task = f"{CANCELLED}.0.0.0"
+    add_events(
+        seen,
+        SEEN.RunnerEvent(ordered, R1, "ordered", task, 2),
+        *make_run(9.2, R1, CANCELLED, 2, 9.3, "stopped"),
+    )
+    disturb(seen, *held, runner, kind=kind)
+
+
+def order_after_the_cancel(seen):
+    start_on_a_held_path(seen, 5.06, (4.0, 9.2))
+
+
+def start_long_after_the_path_was_held(seen):
+    start_on_a_held_path(seen, 5.0, (4.0, 6.1))
+
+
+def start_while_another_path_is_held(seen):
+    start_on_a_held_path(seen, 5.0, (4.0, 9.2), R2)
+
+
+def start_while_the_path_is_silent(seen):
+    start_on_a_held_path(seen, 5.0, (4.0, 9.2), kind="silent")
+
+
 def keep_cancelled(seen):
     seen.runner_events = [
         e for e in seen.runner_events if (e.kind, e.how) != ("end", "stopped")
@@ -255,6 +282,10 @@
         (run_after_done_and_a_later_lapse, "twice"),
         (cut, "cut"),
         (start_cancelled, "cancelled"),
+        (order_after_the_cancel, "cancelled"),
+        (start_long_after_the_path_was_held, "cancelled"),
+        (start_while_another_path_is_held, "cancelled"),
+        (start_while_the_path_is_silent, "cancelled"),
         (keep_cancelled, "cancelled"),
         (end_lasting, "waits"),
         (restart_lasting_late, "waits"),
@@ -341,6 +372,10 @@
     add_events(seen, *make_run(7.9, R1, CANCELLED, 2, 8.0, "stopped"))
 
 
+def start_by_an_order_that_was_held_up(seen):
+    start_on_a_held_path(seen, 5.0, (4.0, 9.2))
+
+
 def restart_lasting_in_time(seen):
     end_lasting(seen)
     add_events(seen, *make_run(28.9, R1, LASTING, 2))
@@ -416,6 +451,7 @@
         cut_after_a_pause,
         cut_before_it_was_read,
         start_within_the_bound,
+        start_by_an_order_that_was_held_up,
         restart_lasting_in_time,
         restart_lasting_after_a_disturbance,
         wait_without_room,
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -98,6 +98,24 @@
             assert await stream.receive() == b"held"
 
 
+async def test_requests_are_noted_as_they_come_to_a_held_path():
+    # Guards against an order that is taken for one given when it arrives.
+    noted = []
+    async with run_link() as link:
+        link.on_request = noted.append
+        link.hold()
+        async with await connect(link) as stream:
+            await stream.send(b"order")
+            with anyio.fail_after(LIMIT_S):
+                while not noted:
+                    await anyio.sleep(0.01)
+            link.release()
+            with anyio.fail_after(LIMIT_S):
+                assert await stream.receive() == b"order"
+    # Answers are no requests.
+    assert noted == [b"order"]
+
+
 async def test_only_present_connections_go_silent():
     # Guards against a fault that is milder, or wider, than its name.
     async with (
