Withdraw a start that waits for a connection as its job is cancelled

Cause: an order to start is checked when it is made, and then waits for one of the four connections for orders to its runner, up to the time-out of a call (0.4 s), and for the connection to open. It was sent then even if its job had been cancelled meanwhile and the cancel acknowledged. On a path that is held up it starts its task whenever the path carries again.

Change: an order carries the question whether it is still wanted, which is that of each retry. The client asks it once it has a connection; if not, nothing is sent, and the order ends as one that was not sent.

Measured: test_a_start_that_is_not_wanted_any_more_is_not_sent failed before (sent once) and passes; test_an_order_that_waits_is_withdrawn_as_its_attempt_ends tests the question.

--- a/plantainvane/http_client.py
+++ b/plantainvane/http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import select
 from typing import Any
@@ -271,9 +272,19 @@
         json: Any = None,
         timeout: float | None = None,
         headers: dict[str, str] | None = None,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> Reply:
         """Sends a POST request without retries.
 
+        Args:
+          path: Path and query.
+          content: Body.
+          json: Body as a value, in place of `content`.
+          timeout: Limit in seconds, in place of that of the client.
+          headers: Further headers.
+          is_wanted: Asked once there is a connection, which may take until
+            the limit; if it returns False, nothing is sent.
+
         Raises:
           httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout: No byte
             was sent.
@@ -282,7 +293,9 @@
         """
         if json is not None:
             content = msgspec.json.encode(json)
-        return await self._call("POST", path, content, timeout, headers)
+        return await self._call(
+            "POST", path, content, timeout, headers, is_wanted
+        )
 
     async def _call(
         self,
@@ -291,6 +304,7 @@
         body: bytes,
         timeout_s: float | None,
         headers: dict[str, str] | None = None,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> Reply:
         timeout_s = timeout_s or self.timeout.read
         request = self._encode_request(method, path, body, headers)
@@ -298,6 +312,8 @@
         connection, started = None, asyncio.get_running_loop().time()
         try:
             connection = self._pop_idle() or await self._connect()
+            if not is_wanted():
+                raise httpx.PoolTimeout("not wanted any more")
             return await connection.exchange(request, timeout_s)
         except httpx.ReadTimeout:
             self._close_unused_since(started)
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -4,6 +4,8 @@
 runners report, and the progress that is stored for the next owner.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 
@@ -312,6 +314,7 @@
       token: Fencing token of the sender.
       checkpoint: Checkpoint to resume from, or empty.
       ticket: Ticket of the adviser, or empty.
+      is_wanted: Tells whether it may still be sent; asked when it is.
     """
 
     task: str
@@ -321,6 +324,7 @@
     token: int
     checkpoint: str = ""
     ticket: str = ""
+    is_wanted: Callable[[], bool] = lambda: True
 
 
 class RunProgress(msgspec.Struct, array_like=True):
--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -197,6 +197,10 @@
         token=state_module.choose_start_token(owner, runner),
         checkpoint=task.checkpoint,
         ticket=ticket,
+        # It may wait for a connection, while its job is cancelled.
+        is_wanted=lambda: (
+            not _find_obstacle(owner, runner, run, clock.read_now())
+        ),
     )
 
 
--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -1,5 +1,6 @@
 """Client of one runner."""
 
+from collections.abc import Callable
 from typing import Annotated
 from typing import Any
 
@@ -179,7 +180,7 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        reply = await self._call("run-start", body)
+        reply = await self._call("run-start", body, order.is_wanted)
         outcome = _read_outcome(reply)
         if outcome is not _OUTCOME.DONE:
             return interfaces.StartReply(outcome)
@@ -212,7 +213,10 @@
         return _read_outcome(await self._call(name, body))
 
     async def _call(
-        self, name: str, body: dict[str, Any]
+        self,
+        name: str,
+        body: dict[str, Any],
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> result.Result[http_client.Reply, outcomes.CallError]:
         return await calls.call(
             self._order_client,
@@ -220,6 +224,7 @@
             f"/plantainvane/{name}",
             msgspec.json.encode(body),
             self._timeout_s,
+            is_wanted=is_wanted,
         )
 
 
--- a/tests/test_jobs_cancels.py
+++ b/tests/test_jobs_cancels.py
@@ -56,6 +56,24 @@
         assert run not in runner.runs
 
 
+@pytest.mark.parametrize("end", [cancel, cancel_and_stop, drop])
+async def test_an_order_that_waits_is_withdrawn_as_its_attempt_ends(end):
+    # Guards against a start that is sent after the cancel of its job was
+    # acknowledged, as it had to wait for a connection.
+    owner, runner, run = capacity.make_placed(OUTCOME.UNREACHED)
+    wanted = []
+
+    def end_while_it_waits():
+        wanted.append(runner.calls.order.is_wanted())
+        end(owner, run)
+        wanted.append(runner.calls.order.is_wanted())
+
+    runner.calls.on_start = end_while_it_waits
+    await orders._start_run(owner, run)
+    assert wanted == [True, False]
+    assert run not in runner.runs
+
+
 @pytest.mark.parametrize(
     ("answered_ago_s", "repeated"),
     [(None, False), (0.5, False), (1.5, True)],
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -27,13 +27,18 @@
 
 
 class ScriptedCalls:
-    """Answers start orders from a script; `on_start` runs at each of them."""
+    """Answers start orders from a script; `on_start` runs at each of them.
+
+    `order` is the last one.
+    """
 
     def __init__(self, *outcomes):
         self.outcomes, self.starts = list(outcomes), []
         self.on_start = lambda: None
+        self.order = None
 
     async def start(self, order):
+        self.order = order
         self.starts.append((order.task, order.attempt))
         self.on_start()
         return interfaces.StartReply(self.outcomes.pop(0))
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -22,6 +22,8 @@
 pytestmark = pytest.mark.anyio
 _FAILURE = outcomes.CallFailure
 _OUTCOME = interfaces.OrderOutcome
+# Connections for orders to one runner.
+MAX_CONNECTIONS = 4
 ORDER = model.StartOrder(
     task="t", attempt=2, spec="s", lease_until_ms=900, token=7
 )
@@ -381,6 +383,40 @@
         assert len(streams) <= 8
 
 
+@pytest.mark.parametrize("is_wanted", [True, False])
+async def test_a_start_that_is_not_wanted_any_more_is_not_sent(is_wanted):
+    # Guards against a start that is sent after the cancel of its job was
+    # acknowledged, as it had to wait for a connection.
+    answers = [None] * MAX_CONNECTIONS + [reply(200, {"ClockMs": 1})]
+    async with run_service(*answers) as service:
+        settings = make_settings(call_timeout_s=0.3)
+        runner = runners_module.RunnerClient(settings, service.address, "i-1")
+        wanted, asked = [True], []
+        order = msgspec.structs.replace(
+            ORDER, task="waits", is_wanted=lambda: asked.append(0) or wanted[0]
+        )
+        with anyio.fail_after(5.0):
+            async with anyio.create_task_group() as group:
+                for _ in range(MAX_CONNECTIONS):
+                    group.start_soon(runner.start, ORDER)
+                while len(service.calls) < MAX_CONNECTIONS:
+                    await anyio.sleep(0.01)
+                runner._timeout_s = 5.0
+                group.start_soon(flip, wanted, is_wanted)
+                started = await runner.start(order)
+        await runner.aclose()
+    sent = [call for call in service.calls if b'"waits"' in call[2]]
+    assert len(sent) == is_wanted
+    # It is asked when there is a connection, not before.
+    assert len(asked) == 1
+    assert (started.outcome is _OUTCOME.DONE) == is_wanted
+    assert is_wanted or started.outcome is _OUTCOME.UNREACHED
+
+
+async def flip(wanted, is_wanted):
+    wanted[0] = is_wanted
+
+
 async def test_a_start_that_waits_for_a_connection_ends_in_its_time_out():
     # Guards against a start that waits for longer than its lease is valid.
     async with run_raw_runner(anyio.Event()) as (runner, _):
