--- a/plantainvane/platform/runners.py
+++ b/plantainvane/platform/runners.py
@@ -1,5 +1,6 @@
 """Client of one runner."""
 
+from collections.abc import Callable
 from typing import Annotated
 from typing import Any
 
@@ -179,10 +180,10 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        reply = await self._call("run-start", body)
-        clock_ms = (
-            _read_clock(reply.ok_value.content) if reply.is_ok() else None
-        )
+        reply = await self._call("run-start", body, order.is_wanted)
+        clock_ms = None
+        if reply.is_ok():
+            clock_ms = _read_clock(reply.ok_value.content)
         return interfaces.StartReply(_read_outcome(reply), clock_ms)
 
     async def stop(
@@ -210,7 +211,10 @@
         return _read_outcome(await self._call(name, body))
 
     async def _call(
-        self, name: str, body: dict[str, Any]
+        self,
+        name: str,
+        body: dict[str, Any],
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> result.Result[http_client.Reply, outcomes.CallError]:
         return await calls.call(
             self._order_client,
@@ -218,6 +222,7 @@
             f"/plantainvane/{name}",
             msgspec.json.encode(body),
             self._timeout_s,
+            is_wanted=is_wanted,
         )
 
 
--- a/standins/soak_links.py
+++ b/standins/soak_links.py
@@ -1,5 +1,6 @@
 """Loopback proxy of one path, whose connections can be held up or broken."""
 
+from collections.abc import Callable
 import dataclasses
 import socket
 import struct
@@ -10,6 +11,8 @@
 _READ_BYTES = 65_536
 # Linger of 0 s: closing resets the connection.
 _RESET = struct.pack("ii", 1, 0)
+# Descriptor of a closed socket.
+_NO_DESCRIPTOR = -1
 _Streams = tuple[anyio.abc.SocketStream, anyio.abc.SocketStream]
 
 
@@ -32,6 +35,10 @@
       refuses: New connections are reset.
       opened: Set while the path carries bytes; they wait otherwise, as behind
         lost packets.
+      on_request: Called with the bytes of a caller as they come in, which may
+        be long before they are carried.
+      gone: Number of connections that were reset after an end of theirs had
+        gone by itself.
     """
 
     address: str
@@ -39,6 +46,8 @@
     refuses: bool = False
     opened: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     connections: set[_Connection] = dataclasses.field(default_factory=set)
+    on_request: Callable[[bytes], None] = lambda data: None
+    gone: int = 0
 
     def hold(self) -> None:
         """Holds up all bytes until `release`."""
@@ -57,14 +66,19 @@
     def reset(self) -> None:
         """Resets the present connections at both ends."""
         for connection in self.connections:
-            for stream in connection.streams:
-                _set_reset(stream)
+            were_set = [_set_reset(stream) for stream in connection.streams]
+            self.gone += not all(were_set)
             connection.scope.cancel()
 
 
-def _set_reset(stream: anyio.abc.SocketStream) -> None:
+def _set_reset(stream: anyio.abc.SocketStream) -> bool:
+    """Lets a stream end by a reset; returns False if its socket is gone."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    # The socket closes once its peer is gone, before the stream is closed.
+    if raw.fileno() == _NO_DESCRIPTOR:
+        return False
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    return True
 
 
 async def serve_link(link: Link) -> None:
@@ -100,7 +114,12 @@
                 with connection.scope:
                     async with anyio.create_task_group() as group:
                         group.start_soon(
-                            _pump, link, connection, stream, target
+                            _pump,
+                            link,
+                            connection,
+                            stream,
+                            target,
+                            link.on_request,
                         )
                         group.start_soon(
                             _pump, link, connection, target, stream
@@ -114,11 +133,13 @@
     connection: _Connection,
     source: anyio.abc.SocketStream,
     sink: anyio.abc.SocketStream,
+    note: Callable[[bytes], None] = lambda data: None,
 ) -> None:
     """Carries bytes in one direction; the end of one ends both."""
     try:
         while True:
             data = await source.receive(_READ_BYTES)
+            note(data)
             if connection.silent:
                 await anyio.sleep_forever()
             await link.opened.wait()
