Run whole fleets in one process under virtual time

Change: `plantainvane explore` runs real entry processes as tasks on an event loop whose time jumps to the next timer, against a log, runners and peers in memory. No faults yet. The auditor is that of the soak.

--- a/plantainvane/commands.py
+++ b/plantainvane/commands.py
@@ -346,6 +346,21 @@
     soak_module.app(context.args, prog_name="plantainvane soak")
 
 
+@app.command(
+    context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
+    add_help_option=False,
+)
+def explore(context: typer.Context) -> None:
+    """Runs whole fleets in one process under virtual time.
+
+    Takes the options of `python -m standins.explore`; see docs/checking.md.
+    """
+    # Imported here so that the other commands load no stand-ins.
+    from standins import explore as explore_module
+
+    explore_module.main(context.args)
+
+
 @app.command()
 def schemas() -> None:
     """Prints the JSON Schemas of all documents and of the settings."""
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -67,6 +67,7 @@
         `lapsed` (its lease is over), `start`, `end`, or `noted` (an end was
         acknowledged).
       how: How the run ended.
+      late: The runner carried the order out late.
     """
 
     at: float
@@ -76,6 +77,7 @@
     attempt: int = 0
     how: str = ""
     cpu: int = 0
+    late: bool = False
 
 
 @dataclasses.dataclass(slots=True)
