--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -56,6 +56,9 @@
       is_up: The life runs.
       reaches_log: Its entry is written.
       max_hold_ms: Longest lease that it grants.
+      is_found: A call that did not come late has reached the present life.
+      stray_starts: Task, attempt and runner of each start that was carried out
+        late by a life that no other call had reached.
       entry_until: Until when the platform keeps its entry.
     """
 
@@ -79,6 +82,8 @@
     highest: dict[str, int] = dataclasses.field(default_factory=dict)
     ends: list[model.AttemptEnd] = dataclasses.field(default_factory=list)
     next_end: int = 1
+    is_found: bool = False
+    stray_starts: list[str] = dataclasses.field(default_factory=list)
     entry_until: float = 0.0
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -106,7 +111,7 @@
         self.clock_start_ms = draws.randrange(_MAX_CLOCK_MS)
         self.clock_rate = draws.uniform(_SLOWEST_RATE, 1.0)
         self.token, self.lease_until_ms, self.next_end = 0, 0, 1
-        self.has_lapsed = True
+        self.has_lapsed, self.is_found = True, False
         self.highest.clear()
         self.ends.clear()
         self._record("ready", cpu=CPU)
@@ -155,6 +160,7 @@
         if token < self.token:
             return False
         self.token = token
+        self.is_found |= not world_module.IS_LATE.get()
         return True
 
     def extend(self, until_ms: int | None) -> None:
@@ -221,6 +227,10 @@
             run.ends_by = self.world.loop.call_later(
                 work.run_s, self.end, order.task, "done"
             )
+        if world_module.IS_LATE.get() and not self.is_found:
+            self.stray_starts.append(
+                f"{order.task}: {order.attempt} at {self.id}"
+            )
         self._record(
             "start",
             order.task,
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -4,6 +4,11 @@
 import subprocess
 import sys
 
+from plantainvane.jobs import leases
+from plantainvane.jobs import runners as runners_module
+from plantainvane.jobs import sessions
+from plantainvane.jobs import state as state_module
+from plantainvane.jobs import tokens
 from standins import explore
 
 _MINUTES = 0.25
@@ -42,3 +47,41 @@
         traces.append([line for line in lines if b"of a processor" not in line])
     assert len(traces[0]) > 1000
     assert traces[0] == traces[1]
+
+
+def _choose_any_acknowledged(runner: runners_module.Runner, now: float) -> int:
+    """Acknowledges ends to any life, as before."""
+    return runner.last_stored_end
+
+
+def _issue_one_token(owner: state_module.Owner, runner: str) -> int:
+    """Gives all lives of a runner the same token, as before."""
+    return tokens.make_token(owner.epoch)
+
+
+_choose_lease = leases.choose_lease
+
+
+def _choose_lease_in_doubt(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> int | None:
+    """Requests a lease of a life in doubt, as before."""
+    is_in_doubt = runners_module.Runner.is_in_doubt
+    runners_module.Runner.is_in_doubt = lambda self: False
+    try:
+        return _choose_lease(owner, runner, now)
+    finally:
+        runners_module.Runner.is_in_doubt = is_in_doubt
+
+
+# Faults that were mended, by name: what is replaced, and by what.
+MUTANTS = {
+    "acknowledged": (
+        sessions,
+        "_choose_acknowledged",
+        _choose_any_acknowledged,
+    ),
+    "token": (state_module.Owner, "issue_token", _issue_one_token),
+    "lease": (leases, "choose_lease", _choose_lease_in_doubt),
+    "lost_ends": (sessions, "_apply_lost_end", lambda *arguments: None),
+}
