--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -85,12 +85,15 @@
             owner, runner, order.token
         ):
             outcome = _OUTCOME.OUTDATED
-        lost = lost or outcome is _OUTCOME.LOST
+        if outcome is _OUTCOME.LOST:
+            lost = True
+            state_module.outdate_call(owner, runner, order.token)
         if not lost:
             runner.late_starts.pop((run.task.name, run.attempt), None)
         if outcome not in _RETRIED:
             break
     now = clock.read_now()
+    runner.note_start_answered()
     if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
@@ -142,6 +145,8 @@
         return "not listed"
     if runner.evacuated:
         return "its domain is evacuated"
+    if runner.is_announced():
+        return "its entry tells of another life"
     if runner.foreign:
         return "an attempt runs there that is not charged"
     return ""
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -112,6 +112,8 @@
             if not _needs_poll(runner, now):
                 continue
             wait_s = min(wait_s, _choose_wait(owner, runner, now))
+        if not pending:
+            await _wait_for_starts(runner)
         pending = await _poll(owner, runner, wait_s, pending)
         if pending is not None:
             with anyio.move_on_after(_UNSTORED_POLL_GAP_S):
@@ -142,6 +144,18 @@
     )
 
 
+async def _wait_for_starts(runner: runners_module.Runner) -> None:
+    """Waits until starts have an outcome, or for a while, to acknowledge ends.
+
+    Without that, each poll would return at once, as the ends are listed.
+    """
+    if runner.silent or runner.last_stored_end <= runner.acknowledged_end:
+        return
+    with anyio.move_on_after(_UNSTORED_POLL_GAP_S):
+        while runner.has_late_start(clock.read_now()):
+            await runner.start_answered.wait()
+
+
 async def _wait_for_runs(
     owner: state_module.Owner, runner: runners_module.Runner
 ) -> None:
@@ -230,7 +244,8 @@
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if acknowledged and reply.err_value is _OUTCOME.LOST:
-            _handle_ends_in_doubt(owner, runner, acknowledged, token)
+            state_module.outdate_call(owner, runner, token)
+            _report_ends_in_doubt(owner, runner, acknowledged, token)
         if reply.err_value is interfaces.OrderOutcome.FENCED:
             if not state_module.note_outdated(owner, runner, token):
                 owner.step_down("runner")
@@ -258,18 +273,12 @@
     return pending or found
 
 
-def _handle_ends_in_doubt(
+def _report_ends_in_doubt(
     owner: state_module.Owner,
     runner: runners_module.Runner,
     acknowledged: int,
     token: int,
 ) -> None:
-    """Has a runner refuse an acknowledgement that may come late.
-
-    It does so once it has seen any later call, whichever life that reaches.
-    """
-    if runner.token == token:
-        runner.token = owner.issue_token(runner.entry.id)
     metrics.ACKNOWLEDGEMENTS_LOST.inc()
     events.log_event(
         events.ENDS_IN_DOUBT,
@@ -287,12 +296,14 @@
 
     A later life of the runner counts its ends anew, and would forget those that
     no poll has listed. So nothing is acknowledged twice, or while the present
-    life is in doubt.
+    life is in doubt. A start that was sent before may have reached a later one;
+    what is sent after has a later token.
     """
     in_doubt = (
         runner.silent
         or not runner.fenced
         or now - runner.answered_at > _SAME_LIFE_S
+        or runner.has_unsettled_start(now)
     )
     if in_doubt or runner.last_stored_end <= runner.acknowledged_end:
         return 0
@@ -363,13 +374,13 @@
         )
     lasts = now - runner.silent_since > _PROMISE_DELAY_S or not runner.listed
     if lasts and runner.runs:
-        latest = leases.find_latest_run_expiry(owner, runner)
+        latest = leases.find_latest_run_expiry(owner, runner, now)
         leases.promise_expiry(owner, runner, latest, now)
     _end_replaced(owner, runner, now)
     expired = [
         run
         for run in runner.runs
-        if now > leases.find_run_expiry(owner, runner, run)
+        if now > leases.find_run_expiry(owner, runner, run, now)
     ]
     if expired:
         _end_expired(owner, runner, expired, now)
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -16,6 +16,7 @@
 from plantainvane.jobs import model
 from plantainvane.jobs import orders
 from plantainvane.jobs import owner as owner_module
+from plantainvane.jobs import progress as progress_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
@@ -627,7 +628,52 @@
         runner_entries.announce(runner, entry, 100.2)
         sessions._handle_silence(owner, runner, lost, 100.3)
     promised = owner.expiries.expires_at["r"]
-    assert promised == leases.find_run_expiry(owner, runner, run)
+    assert promised == leases.find_run_expiry(owner, runner, run, 100.3)
+
+
+@pytest.mark.parametrize(
+    ("ordered_for", "entry_age_s", "heard", "ordered_ago_s", "waits"),
+    [
+        (1, 1.0, False, 2.0, True),
+        (1, 1.0, False, 60.0, False),
+        # A runner that is gone for good writes no entry.
+        (1, 6.0, False, 2.0, False),
+        (9, 1.0, False, 2.0, False),
+        (1, 1.0, True, 2.0, False),
+        # Written by an earlier version.
+        (0, 1.0, False, 2.0, False),
+    ],
+)
+def test_successor_waits_for_a_life_that_the_owner_before_had_not_found(
+    ordered_for, entry_age_s, heard, ordered_ago_s, waits
+):
+    # Guards against a task that runs twice: a start of an earlier owner has
+    # reached a new life of its runner, which no poll of any owner has reached.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(
+        heard=heard, silent=True, entry_read_at=100.0 - entry_age_s
+    )
+    runner.entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    run = charge_starting_run(owner, runner)
+    run.born_ms, run.inherited_at = ordered_for, 100.0 - ordered_ago_s
+    expiry = leases.find_run_expiry(owner, runner, run, 100.0)
+    assert (expiry > 100.0) is waits
+    longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
+    assert not waits or expiry > 100.0 - ordered_ago_s + longest_s
+
+
+@pytest.mark.parametrize(("ahead_s", "inherited_at"), [(-2.0, 98.0), (5, 100)])
+def test_restored_attempt_was_ordered_in_the_past(ahead_s, inherited_at):
+    # Guards against a wait without end after the time of day was set back.
+    table = table_module.JobTable()
+    state = decisions.add_job(table, decisions.make_step())
+    wall_ms = 1_000_000
+    stored = model.RunProgress(1, "r", ordered_ms=wall_ms + int(ahead_s * 1000))
+    row = model.TaskProgress(0, 0, 0, attempts.Result.OPEN, 1, 0, "", [stored])
+    progress = model.JobProgress(tasks=[row])
+    progress_module.restore_tasks(state, progress, 100.0, wall_ms)
+    (run,) = state.steps[0, 0].tasks[0].runs
+    assert run.inherited_at == inherited_at
 
 
 def list_lost_end(owner, runner, run, outcome):
@@ -777,6 +823,46 @@
     assert runner.acknowledged_end == max(acknowledged, expected)
 
 
+@pytest.mark.parametrize(
+    ("start", "acknowledged"),
+    [("none", 5), ("open", 0), ("answered", 0), ("settled", 5), ("late", 0)],
+)
+def test_no_end_is_acknowledged_beside_a_start_of_which_life_is_unknown(
+    start, acknowledged
+):
+    # Guards against an end that nobody has read: a start and a later poll that
+    # acknowledges ends are both carried out by the next life of the runner.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner, last_stored_end=5, answered_at=99.99)
+    if start != "none":
+        run.sent_at = 99.9
+    if start in ("open", "late"):
+        runner.expect_late_start(run, run.sent_at)
+    run.start_settled = start in ("settled", "late")
+    assert sessions._choose_acknowledged(runner, 100.0) == acknowledged
+    after_s = runners_module.LATE_START_S + 1.0
+    runner.answered_at += after_s
+    later = sessions._choose_acknowledged(runner, 100.0 + after_s)
+    assert later == (5 if start == "late" else acknowledged)
+    owner.table.drop_run(run, 100.0)
+    runner.charge(run, -1)
+    assert sessions._choose_acknowledged(runner, 100.0 + after_s) == 5
+
+
+async def test_poll_waits_for_open_starts_to_acknowledge_ends():
+    # Guards against two polls for each end, as the first one is sent while the
+    # start that takes the free room has no answer yet.
+    owner = scheduling.make_owner()
+    runner, run = make_running(owner, last_stored_end=5)
+    runner.expect_late_start(run, sessions.clock.read_now())
+    with anyio.fail_after(sessions._UNSTORED_POLL_GAP_S / 2):
+        async with anyio.create_task_group() as group:
+            group.start_soon(sessions._wait_for_starts, runner)
+            await anyio.wait_all_tasks_blocked()
+            runner.late_starts.clear()
+            runner.note_start_answered()
+
+
 @pytest.mark.parametrize("outcome", ["", "lost", "unreached", "unhealthy"])
 async def test_start_carries_a_later_token_than_an_open_acknowledgement(
     outcome, monkeypatch
@@ -809,6 +895,31 @@
     assert tokens.find_epoch(after) == owner.epoch
 
 
+@pytest.mark.parametrize("outcome", ["lost", "unreached", "no_room"])
+def test_call_after_a_start_without_an_answer_has_a_later_token(
+    outcome, monkeypatch
+):
+    # Guards against a start that the next life of a runner carries out late,
+    # although it was polled or has carried out a later try.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(answered_at=100.0)
+    runner.token = before = owner.issue_token("r")
+    run = charge_starting_run(owner, runner)
+    run.ordered_at = 100.0
+    sent = []
+
+    async def start(order):
+        sent.append(order.token)
+        answer = outcome if len(sent) == 1 else "done"
+        return interfaces.StartReply(interfaces.OrderOutcome(answer))
+
+    runner.calls = types.SimpleNamespace(start=start)
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    asyncio.run(orders._start_run(owner, run))
+    assert (runner.token > before) is (outcome == "lost")
+    assert sent[-1] == runner.token
+
+
 async def test_ownership_ends_with_its_last_token():
     # Guards against tokens that rise no more, so that late calls to an earlier
     # life of a runner are carried out.
