Count an end that is acknowledged after its task has started again

Cause: the auditor of the soak counted an end `done` only for starts after its acknowledgement, and told neither the life of the runner nor what had acknowledged it.

Change: an end counts from when the run ended, if it is acknowledged then or later in the same life of its runner, unless the lease was over between. Events of runners name the life and the highest token; a finding tells the life, when the end was listed and by which token it was acknowledged.

--- a/standins/soak_audit.py
+++ b/standins/soak_audit.py
@@ -84,6 +84,14 @@
     completed: float = float("inf")
 
 
+@dataclasses.dataclass(slots=True)
+class _NotedEnd:
+    """An end that was acknowledged: when the run ended, and how."""
+
+    at: float
+    text: str
+
+
 def find_faults(seen: Observations) -> list[Finding]:
     """Returns all broken rules, in the order of time."""
     histories = _collect_histories(seen)
@@ -227,9 +235,7 @@
 
 def _check_runs(seen: Observations) -> Iterable[Finding]:
     running: dict[str, set[tuple[str, int]]] = collections.defaultdict(set)
-    noted: set[str] = set()
-    # Ends that count once they are noted, by runner.
-    done: dict[str, set[str]] = collections.defaultdict(set)
+    done = _list_noted_ends(seen)
     for event in seen.runner_events:
         run = (event.runner, event.attempt)
         task, at = event.task, event.at
@@ -240,25 +246,59 @@
                     f" {attempt} at {other}"
                 )
                 yield Finding("twice", at, text)
-            if task in noted:
-                text = f"{task}: {event.attempt} at {event.runner} after done"
-                yield Finding("twice", at, text)
+            for end in done[task]:
+                if end.at < at:
+                    text = (
+                        f"{task}: {event.attempt} at {event.runner} after"
+                        f" {end.text}"
+                    )
+                    yield Finding("twice", at, text)
             running[task].add(run)
         elif event.kind == "end":
             running[task].discard(run)
-            if event.how == "done":
-                done[event.runner].add(task)
-        elif event.kind == "noted":
-            if task in done[event.runner]:
-                noted.add(task)
-        elif event.kind == "lapsed":
-            done[event.runner].clear()
         elif event.kind == "gone":
             for runs in running.values():
                 gone = {r for r in runs if r[0] == event.runner}
                 runs -= gone
 
 
+def _list_noted_ends(seen: Observations) -> dict[str, list[_NotedEnd]]:
+    """Returns the ends `done` that count, by task.
+
+    An end counts from when the run ended, if it is acknowledged then or later
+    in the same life of its runner, with no end of the lease between.
+    """
+    noted: dict[str, list[_NotedEnd]] = collections.defaultdict(list)
+    # Ends that count once they are acknowledged, and when they were listed.
+    open_ends: dict[tuple[str, int, str, int], list[float]] = {}
+    for event in seen.runner_events:
+        run = (event.runner, event.life, event.task, event.attempt)
+        if event.kind == "end" and event.how == "done":
+            open_ends[run] = [event.at]
+        elif event.kind == "listed" and run in open_ends:
+            open_ends[run].append(event.at)
+        elif event.kind == "noted" and run in open_ends:
+            ended, *listed = open_ends.pop(run)
+            listed_text = (
+                f"listed {listed[0] - ended:.2f} s later"
+                if listed
+                else "not listed"
+            )
+            text = (
+                f"{event.attempt} done at {event.runner}, life {event.life},"
+                f" {listed_text}, acknowledged"
+                f" {event.at - ended:.2f} s later by token {event.token}"
+            )
+            noted[event.task].append(_NotedEnd(ended, text))
+        elif event.kind in ("lapsed", "gone"):
+            open_ends = {
+                key: times
+                for key, times in open_ends.items()
+                if key[0] != event.runner
+            }
+    return noted
+
+
 def _check_cuts(seen: Observations) -> Iterable[Finding]:
     ends = [
         event
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -64,9 +64,13 @@
 
     Attributes:
       kind: `ready` (with its `cpu`), `draining`, `gone` (crashed or left),
-        `lapsed` (its lease is over), `start`, `end`, or `noted` (an end was
-        acknowledged).
+        `lapsed` (its lease is over), `start`, `end`, `listed` (an answer to a
+        poll was sent that lists an end for the first time), or `noted` (an end
+        was acknowledged).
       how: How the run ended.
+      life: Number of the incarnation of the runner, from 1 on.
+      token: Highest fencing token that it has seen. Of `noted`, that of the
+        poll, which tells which owner sent it, and for which life.
     """
 
     at: float
@@ -76,6 +80,8 @@
     attempt: int = 0
     how: str = ""
     cpu: int = 0
+    life: int = 1
+    token: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -14,7 +14,9 @@
 R1, R2 = "i-1", "i-2"
 
 
-def make_run(at, runner, job, attempt=1, until=None, how="done", noted=None):
+def make_run(
+    at, runner, job, attempt=1, until=None, how="done", noted=None, life=1
+):
     task = f"{job}.0.0.0"
     events = [SEEN.RunnerEvent(at, runner, "start", task, attempt)]
     if until is not None:
@@ -25,6 +27,8 @@
         events.append(
             SEEN.RunnerEvent(noted, runner, "noted", task, attempt, how)
         )
+    for event in events:
+        event.life = life
     return events
 
 
@@ -100,6 +104,15 @@
     return [finding.rule for finding in soak_audit.find_faults(seen)]
 
 
+def forget_run(seen):
+    seen.runner_events = [e for e in seen.runner_events if FINITE not in e.task]
+
+
+def note_end_at(seen, at):
+    forget_run(seen)
+    add_events(seen, *make_run(1.2, R1, FINITE, until=2.0, noted=at))
+
+
 def lose_at_end(seen):
     seen.exchanges = [
         e for e in seen.exchanges if (e.what, e.kind) != (FINITE, "state")
@@ -143,6 +156,23 @@
     run_after_done(seen)
 
 
+def run_before_the_end_is_noted(seen):
+    # The end is taken note of later, in the life in which it ended.
+    note_end_at(seen, 3.0)
+    add_events(seen, *make_run(2.5, R2, FINITE, 2, until=2.8))
+
+
+def run_after_an_end_of_a_later_life(seen):
+    forget_run(seen)
+    add_events(
+        seen,
+        SEEN.RunnerEvent(1.1, R1, "gone"),
+        SEEN.RunnerEvent(1.15, R1, "ready", cpu=16_000, life=2),
+        *make_run(1.2, R1, FINITE, until=2.0, noted=2.1, life=2),
+    )
+    run_after_done(seen)
+
+
 def end_by_hangup(seen):
     seen.process_events += [
         SEEN.ProcessEvent(30.0, P2, 1, "SIGHUP"),
@@ -253,6 +283,8 @@
         (run_beside, "twice"),
         (run_after_done, "twice"),
         (run_after_done_and_a_later_lapse, "twice"),
+        (run_before_the_end_is_noted, "twice"),
+        (run_after_an_end_of_a_later_life, "twice"),
         (cut, "cut"),
         (start_cancelled, "cancelled"),
         (keep_cancelled, "cancelled"),
@@ -318,6 +350,26 @@
     run_after_done(seen)
 
 
+def run_again_before_the_end_is_noted_after_the_lease(seen):
+    note_end_at(seen, 3.0)
+    add_events(
+        seen,
+        SEEN.RunnerEvent(2.4, R1, "lapsed"),
+        *make_run(2.5, R2, FINITE, 2, until=2.8, noted=2.9),
+    )
+
+
+def run_again_after_the_end_was_gone_with_the_life(seen):
+    forget_run(seen)
+    add_events(
+        seen,
+        *make_run(1.2, R1, FINITE, until=2.0),
+        SEEN.RunnerEvent(2.1, R1, "gone"),
+        SEEN.RunnerEvent(2.2, R1, "ready", cpu=16_000, life=2),
+        *make_run(2.3, R1, FINITE, 2, until=2.8, noted=2.9, life=2),
+    )
+
+
 def end_at_the_start_by_a_signal(seen):
     seen.process_events += [
         SEEN.ProcessEvent(30.0, P2, 2, "started"),
@@ -413,6 +465,8 @@
         run_after_a_crash,
         run_again_before_the_end_is_noted,
         run_again_after_the_lease_was_over,
+        run_again_before_the_end_is_noted_after_the_lease,
+        run_again_after_the_end_was_gone_with_the_life,
         cut_after_a_pause,
         cut_before_it_was_read,
         start_within_the_bound,
@@ -437,6 +491,20 @@
     assert soak_audit.find_faults(seen) == []
 
 
+def test_finding_tells_which_life_has_listed_an_end_and_which_call_took_it():
+    # Guards against a finding whose cause cannot be told from another one's.
+    seen = make_sound()
+    end = next(e for e in seen.runner_events if e.kind == "noted")
+    end.token = 7
+    add_events(seen, dataclasses.replace(end, kind="listed", at=2.05))
+    run_after_done(seen)
+    (finding,) = soak_audit.find_faults(seen)
+    assert finding.text == (
+        f"{FINITE}.0.0.0: 2 at {R2} after 1 done at {R1}, life 1, listed"
+        " 0.05 s later, acknowledged 0.10 s later by token 7"
+    )
+
+
 def test_findings_are_counted_by_rule():
     # Guards against a report that leaves out a rule that was not broken.
     seen = make_sound()
