--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -328,6 +328,22 @@
     seen.exchanges.append(answer("state", FINITE, 50.0, state="failed"))
 
 
+def crash_lasting_twice(seen):
+    never_start_lasting(seen)
+    lose_lasting_at_end(seen)
+    add_events(
+        seen,
+        *make_run(1.2, R1, LASTING),
+        SEEN.RunnerEvent(2.4, R1, "gone"),
+        SEEN.RunnerEvent(2.6, R1, "ready", cpu=16_000, life=2),
+        *make_run(2.7, R1, LASTING, 2, life=2),
+        SEEN.RunnerEvent(2.8, R1, "gone"),
+        SEEN.RunnerEvent(2.9, R1, "ready", cpu=16_000, life=3),
+    )
+    # Nobody asks again for a job that is known to have ended.
+    seen.exchanges.append(answer("state", LASTING, 9.0, state="failed"))
+
+
 def run_after_a_crash(seen):
     seen.runner_events = [
         e for e in seen.runner_events if e.task[:16] != FINITE
@@ -462,6 +478,7 @@
     [
         lambda seen: None,
         crash_twice,
+        crash_lasting_twice,
         run_after_a_crash,
         run_again_before_the_end_is_noted,
         run_again_after_the_lease_was_over,
