Draw new lives of runners, late orders and polls, and both longest leases

Cause: the soak crashed a runner for 0.2 to 4 s and had one start carried out late, 0.7 to 2.8 s, by the same life only. Calls meant for an earlier life, and ends in a life that nobody has found, were not drawn.

Change: a fault `lives`: a runner is back under its id after 0.05 to 3 s, up to three times in a row, and is cut off 0.05 to 3 s later, one way or both, while up to two starts and two polls are carried out 2 to 12 s late by whichever life there is, and in three of ten cases the owner is killed. Two of five finite jobs have tasks of 0.2 s. Runners grant 6 s or 10 s at most, by the seed. The stand-in carries no late call out while it is down, ends what is due first, and reports which ends an answer lists. A path is held one way. Faults of a seed are others than before, so the short soak takes a seed that has SIGTERM, SIGKILL and new lives, and requires the latter too.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -68,8 +68,11 @@
       highest: Highest attempt seen of each task.
       starts: Task and attempt of every start, in order; checked by the tests.
       delayed_starts: Delays of the next starts in seconds. Each of these starts
-        is carried out after its delay and never answered.
+        is carried out after its delay and never answered. The present life
+        carries it out, unless it is down then.
       delayed_polls: The same for the next polls, which do not wait for an end.
+      delays_acknowledgements: Only polls that acknowledge ends are delayed.
+      late_calls: Number of calls that are still to be carried out late.
       silent: No call is answered.
       ignores_orders: Polls are answered, and nothing else.
       answer_delay_s: Each call is carried out, and answered after this time.
@@ -91,8 +94,10 @@
         break a connection off.
       crashed_under: Tasks that crashed the runner, in order.
       on_crash: Called at each crash.
-      on_run: Called with `start`, `end` or `noted` (an end was acknowledged),
-        the task, its attempt and how it ended.
+      on_call: Called before a call that comes late is carried out.
+      on_run: Called with `start`, `end`, `listed` (in an answer to a poll) or
+        `noted` (an end was acknowledged), the task, its attempt and how it
+        ended.
     """
 
     id: str
@@ -115,6 +120,8 @@
     paces: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     delayed_starts: list[float] = dataclasses.field(default_factory=list)
     delayed_polls: list[float] = dataclasses.field(default_factory=list)
+    delays_acknowledgements: bool = False
+    late_calls: int = 0
     silent: bool = False
     ignores_orders: bool = False
     answer_delay_s: float = 0.0
@@ -141,6 +148,7 @@
     crashed: bool = False
     crashed_under: list[str] = dataclasses.field(default_factory=list)
     on_crash: Callable[[], None] = lambda: None
+    on_call: Callable[[], None] = lambda: None
     on_run: Callable[[str, str, int, str], None] = lambda *run: None
 
     def read_clock(self) -> int:
@@ -274,14 +282,11 @@
             return asgi.HttpReply(421)
         body = msgspec.json.decode(request.body)
         if request.path == "/plantainvane/run-start" and state.delayed_starts:
-            await anyio.sleep(state.delayed_starts.pop(0))
-            _check_token(state, body) or _start(state, body)
-            await anyio.sleep_forever()
-        if request.path == "/plantainvane/hold" and state.delayed_polls:
-            await anyio.sleep(state.delayed_polls.pop(0))
-            state.end_due_attempts()
-            _check_token(state, body) or _acknowledge(state, body)
-            await anyio.sleep_forever()
+            await _carry_out_late(state, body, _start, state.delayed_starts)
+        if request.path == "/plantainvane/hold" and _delays_poll(state, body):
+            await _carry_out_late(
+                state, body, _acknowledge, state.delayed_polls
+            )
         state.end_due_attempts()
         refusal = _check_token(state, body)
         if refusal is not None:
@@ -293,6 +298,31 @@
     return handle
 
 
+def _delays_poll(state: RunnerState, body: dict[str, Any]) -> bool:
+    acknowledges = body["LastSeen"] > 0 or not state.delays_acknowledgements
+    return bool(state.delayed_polls) and acknowledges
+
+
+async def _carry_out_late(
+    state: RunnerState,
+    body: dict[str, Any],
+    act: Callable[[RunnerState, dict[str, Any]], Any],
+    delays_s: list[float],
+) -> None:
+    """Carries a call out after the next delay, and answers nothing."""
+    state.late_calls += 1
+    try:
+        await anyio.sleep(delays_s.pop(0))
+    finally:
+        state.late_calls -= 1
+    if not state.crashed:
+        state.on_call()
+        state.end_due_attempts()
+        if _check_token(state, body) is None:
+            act(state, body)
+    await anyio.sleep_forever()
+
+
 def _answer(state: RunnerState, status: int, **fields: Any) -> asgi.HttpReply:
     return asgi.make_json_reply(
         status, {"ClockMs": state.read_clock(), **fields}
@@ -410,6 +440,8 @@
         for a in state.running.values()
     ]
     listed = state.ends[:_MAX_LISTED_ENDS]
+    for _, task, attempt, how, _ in listed:
+        state.on_run("listed", task, attempt, how)
     return _answer(
         state, 200, born=state.born_ms, Active=active, Finished=listed
     )
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import math
 import pathlib
@@ -33,8 +34,9 @@
 _CALM_S = 12.0
 _FINISH_S = 14.0
 _END_PAUSE_S = 0.15
+# Between two looks for a finding that ends the soak.
+_LOOK_S = 1.0
 _SLOW_APPEND_S = 0.25
-_LATE_ORDER_S = 0.7
 # A fault that waits for a call does not wait for longer.
 _FAULT_LIMIT_S = 10.0
 # Runners that are left at least, as a share; processes likewise.
@@ -56,6 +58,7 @@
 
     Attributes:
       began: Unix time of its start, in seconds.
+      max_hold_ms: Longest lease that the runners granted.
       faults: Number of the faults that were brought about, by name; those
         that were not, as too little would have been left, as `left_out`.
       findings: Rules that were broken.
@@ -70,6 +73,7 @@
     minutes: float
     processes: int
     began: float
+    max_hold_ms: int
     faults: dict[str, int]
     findings: list[soak_audit.Finding]
     counts: dict[str, int]
@@ -93,7 +97,13 @@
 
 
 async def run_soak(
-    seed: int, minutes: float, processes: int, directory: pathlib.Path
+    seed: int,
+    minutes: float,
+    processes: int,
+    directory: pathlib.Path,
+    command: Sequence[str] = session_module.COMMAND,
+    plan: list[Fault] | None = None,
+    ends_at: Callable[[soak_audit.Finding], bool] | None = None,
 ) -> tuple[Report, observations_module.Observations]:
     """Runs processes under load and faults, and audits what was seen.
 
@@ -102,7 +112,12 @@
       minutes: Time in which faults occur; start and end come on top.
       processes: Number of entry processes.
       directory: For their settings files, logs and what was seen.
+      command: Command of an entry process.
+      plan: Faults, in place of those drawn from the seed.
+      ends_at: Tells with which finding the soak ends early, if any.
     """
+    if plan is None:
+        plan = soak_faults.plan_faults(seed, 60 * minutes)
     seen = observations_module.Observations()
     began = session_module.read_now()
     # The servers are stopped by an event, as their library reports a
@@ -113,6 +128,8 @@
     ):
         prefix = session_module.choose_prefix()
         session = Session(group, servers, directory, prefix, seen)
+        session.max_hold_ms = soak_faults.choose_longest_lease_ms(seed)
+        session.command = command
         load = soak_clients.Load(session)
         course = _Course(session)
         runners = max(_MIN_RUNNERS, processes // _PROCESSES_PER_RUNNER)
@@ -120,9 +137,11 @@
             await session_module.start_session(session, processes, runners)
             _start_clients(load, seed)
             await anyio.sleep(_WARM_UP_S)
-            plan = soak_faults.plan_faults(seed, 60 * minutes)
-            await _bring_faults(course, plan)
-            await _end_soak(load, seed)
+            with anyio.CancelScope() as scope:
+                if ends_at:
+                    group.start_soon(_end_at_finding, seen, ends_at, scope)
+                await _bring_faults(course, plan)
+                await _end_soak(load, seed)
         finally:
             with anyio.CancelScope(shield=True):
                 session.restarts = False
@@ -139,6 +158,7 @@
         minutes=minutes,
         processes=processes,
         began=round(began, 3),
+        max_hold_ms=session.max_hold_ms,
         faults=dict(sorted(course.counts.items())),
         findings=findings,
         counts=soak_audit.count_findings(findings),
@@ -151,6 +171,16 @@
     return report, seen
 
 
+async def _end_at_finding(
+    seen: observations_module.Observations,
+    ends_at: Callable[[soak_audit.Finding], bool],
+    scope: anyio.CancelScope,
+) -> None:
+    while not any(map(ends_at, soak_audit.find_faults(seen))):
+        await anyio.sleep(_LOOK_S)
+    scope.cancel()
+
+
 def _start_clients(load: soak_clients.Load, seed: int) -> None:
     session = load.session
     processes = len(session.processes)
@@ -273,7 +303,7 @@
         await session_module.add_runner(session)
         return True
     ready = [r for r in session.runners if r.report == "ready"]
-    sound = [r for r in ready if not r.state.crashed]
+    sound = [r for r in ready if not (r.state.crashed or r.taken)]
     total = max(_MIN_RUNNERS, len(session.processes) // _PROCESSES_PER_RUNNER)
     runner = _choose(sound, fault, total)
     if runner is None:
@@ -285,6 +315,9 @@
     if fault.kind == "order_late":
         await _delay_order(session, runner, fault)
         return True
+    if fault.kind == "lives":
+        await _begin_lives(session, runner, fault)
+        return True
     disturbance = session_module.disturb(session, fault.kind, name)
     if fault.kind == "drained":
         session_module.report_runner(session, runner, "draining")
@@ -307,14 +340,46 @@
 
 async def _delay_order(session: Session, runner: Runner, fault: Fault) -> None:
     """Lets the next start at a runner be carried out late, unanswered."""
-    delay_s = fault.number * _LATE_ORDER_S
-    disturbance = session_module.disturb(session, fault.kind, runner.state.id)
-    runner.late_orders_s.append(delay_s)
+    state = runner.state
+    disturbance = session_module.disturb(session, fault.kind, state.id)
+    state.delayed_starts.append(fault.duration_s)
     with anyio.move_on_after(_FAULT_LIMIT_S):
-        while runner.late_orders_s:
+        while state.delayed_starts:
             await anyio.sleep(_END_PAUSE_S)
-    runner.late_orders_s.clear()
-    await anyio.sleep(delay_s)
+    await _end_late_calls(runner)
+    disturbance.ended = session_module.read_now()
+
+
+async def _end_late_calls(runner: Runner) -> None:
+    """Delays no further call; waits until the present ones are carried out."""
+    state = runner.state
+    state.delayed_starts.clear()
+    state.delayed_polls.clear()
+    while state.late_calls:
+        await anyio.sleep(_END_PAUSE_S)
+
+
+async def _begin_lives(session: Session, runner: Runner, fault: Fault) -> None:
+    """Has a runner begin new lives, and cuts it off in the last one."""
+    state, lives = runner.state, soak_faults.plan_lives(fault)
+    disturbance = session_module.disturb(session, fault.kind, state.id)
+    runner.taken = True
+    state.delayed_starts.extend(lives.late_starts_s)
+    state.delayed_polls.extend(lives.late_polls_s)
+    state.delays_acknowledgements = lives.acknowledging
+    await anyio.sleep(lives.lead_s)
+    for dark_s, lived_s in lives.spans_s:
+        session_module.crash_runner(runner, lives.breaks)
+        await anyio.sleep(dark_s)
+        session_module.restart_runner(
+            session, runner, lives.clock_s, lives.announces
+        )
+        await anyio.sleep(lived_s)
+    runner.link.hold(lives.ways)
+    await anyio.sleep(fault.duration_s)
+    runner.link.release()
+    runner.taken = False
+    await _end_late_calls(runner)
     disturbance.ended = session_module.read_now()
 
 
@@ -385,7 +450,7 @@
     """Returns the lines of a report for a reader."""
     lines = [
         f"seed {report.seed}: {report.processes} processes, faults for"
-        f" {report.minutes:g} min",
+        f" {report.minutes:g} min, leases of {report.max_hold_ms} ms at most",
         "faults: " + _describe_counts(report.faults),
         "jobs: " + _describe_counts(report.load["jobs"]),
     ]
--- a/standins/soak_clients.py
+++ b/standins/soak_clients.py
@@ -30,6 +30,8 @@
 _FAILING_RUN_MS = (3000, 12_000)
 _FAILING_SHARE = 0.3
 _RUN_MS = (50, 4000)
+# A task this short ends in a life of a runner that nobody has found yet.
+_SHORT_RUN_MS, _SHORT_SHARE = 200, 0.4
 _LONG_MS = 100_000_000
 
 Exchange = observations_module.Exchange
@@ -136,7 +138,10 @@
             rng.randint(*_FAILING_RUN_MS) if fields["fails"] else _LONG_MS
         )
     else:
-        fields |= {"steps": rng.randint(1, 2), "run_ms": rng.randint(*_RUN_MS)}
+        run_ms = rng.randint(*_RUN_MS)
+        if rng.random() < _SHORT_SHARE:
+            run_ms = _SHORT_RUN_MS
+        fields |= {"steps": rng.randint(1, 2), "run_ms": run_ms}
     body = platform_system.make_job(**fields)
     job = observations_module.Job(
         f"{rng.getrandbits(64):016x}",
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak, drawn from its seed."""
 
 import dataclasses
+import math
 import random
 
 _BURST_S = (3.0, 9.0)
@@ -13,6 +14,25 @@
 # Share of the ends by a signal that are followed by further signals.
 _SERIES_SHARE = 0.3
 _LAST_TARGET = 0.999
+# Share of the new lives of runners that come with the end of the owner, and
+# when it ends, from the start of the fault.
+_LOST_OWNER_SHARE = 0.3
+_LOST_OWNER_S = (0.0, 6.0)
+LONGEST_LEASES_MS = (6000, 10_000)
+# New lives of a runner: how many follow each other, the time between two, how
+# long one lasts before the next one or the cut, and what clocks begin with.
+_LIVES = (1, 1, 2, 3)
+_DARK_S = (0.05, 3.0)
+_LIVED_S = (0.05, 3.0)
+_CLOCKS_S = (0.0, 0.0, 7000.0)
+_BROKEN_SHARE = 0.25
+_ANNOUNCED_SHARE = 0.3
+# Calls that are carried out late, the first of them before the life ends.
+_LATE_LEAD_S = (0.0, 1.5)
+_LATE_CALLS = (0, 1, 2)
+_LATE_S = (2.0, 12.0)
+_ACKNOWLEDGING_SHARE = 0.7
+_WAYS = ((0, 1), (0, 1), (0,), (1,))
 
 # Faults by name: weight, and bounds of their duration in seconds. For a process
 # that ends, the duration is the time until it is started again.
@@ -34,7 +54,8 @@
     "held": (2, 0.5, 9.0),
     "reset": (2, 0.0, 0.0),
     "silent": (2, 0.0, 0.0),
-    "order_late": (1, 0.0, 0.0),
+    "order_late": (1, 0.5, 12.0),
+    "lives": (5, 0.5, 9.0),
 }
 STORE_FAULTS = {
     "outage": (2, 0.3, 5.0),
@@ -69,6 +90,70 @@
     number: int
 
 
+@dataclasses.dataclass(slots=True)
+class Lives:
+    """New lives of a runner, of which the last one is cut off.
+
+    Attributes:
+      late_starts_s, late_polls_s: Delays of the next calls, from the start on;
+        whichever life there is then carries them out.
+      acknowledging: Of the polls, only those that acknowledge ends are late.
+      lead_s: Time until the present life ends.
+      spans_s: Of each new life, the time before it and the time until the next
+        one, or the cut.
+      breaks: Connections break as a life ends; nothing is heard otherwise.
+      announces: Each life writes its entry at once.
+      clock_s: What the clock of each life begins with.
+      ways: Ways of the path that are cut, as numbered by `soak_links`.
+    """
+
+    late_starts_s: list[float]
+    late_polls_s: list[float]
+    acknowledging: bool
+    lead_s: float
+    spans_s: list[tuple[float, float]]
+    breaks: bool
+    announces: bool
+    clock_s: float
+    ways: tuple[int, ...]
+
+
+def plan_lives(fault: Fault) -> Lives:
+    """Draws the new lives of a runner; they follow from the fault alone."""
+    rng = random.Random(f"lives of {fault.at_s} {fault.target}")
+
+    def draw_delays() -> list[float]:
+        count = rng.choice(_LATE_CALLS)
+        return [_draw_time(rng, *_LATE_S) for _ in range(count)]
+
+    return Lives(
+        draw_delays(),
+        draw_delays(),
+        rng.random() < _ACKNOWLEDGING_SHARE,
+        rng.uniform(*_LATE_LEAD_S),
+        [
+            (_draw_time(rng, *_DARK_S), _draw_time(rng, *_LIVED_S))
+            for _ in range(rng.choice(_LIVES))
+        ],
+        rng.random() < _BROKEN_SHARE,
+        rng.random() < _ANNOUNCED_SHARE,
+        rng.choice(_CLOCKS_S),
+        rng.choice(_WAYS),
+    )
+
+
+def _draw_time(
+    rng: random.Random, shortest_s: float, longest_s: float
+) -> float:
+    """Draws a time whose magnitude is uniform; short ones are as frequent."""
+    return math.exp(rng.uniform(math.log(shortest_s), math.log(longest_s)))
+
+
+def choose_longest_lease_ms(seed: int) -> int:
+    """Returns the longest lease that the runners of a soak grant."""
+    return random.Random(f"lease of {seed}").choice(LONGEST_LEASES_MS)
+
+
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
     """Draws the faults of a soak: bursts that overlap, with calm between."""
     rng = random.Random(f"faults of {seed}")
@@ -102,6 +187,14 @@
         round(rng.uniform(shortest_s, longest_s), 3),
         rng.randint(1, 4),
     )
+    if kind == "lives" and rng.random() < _LOST_OWNER_SHARE:
+        lost_at_s = round(at_s + rng.uniform(*_LOST_OWNER_S), 3)
+        _, *bounds = PROCESS_FAULTS["SIGKILL"]
+        away_s = round(rng.uniform(*bounds), 3)
+        return [
+            fault,
+            Fault(lost_at_s, "process", "SIGKILL", -1.0, away_s, 1),
+        ]
     if kind not in ("SIGTERM", "SIGINT") or rng.random() >= _SERIES_SHARE:
         return [fault]
     further = rng.choices(("SIGHUP", "SIGINT", "SIGTERM"), k=rng.randint(1, 3))
--- a/standins/soak_links.py
+++ b/standins/soak_links.py
@@ -1,5 +1,6 @@
 """Loopback proxy of one path, whose connections can be held up or broken."""
 
+from collections.abc import Iterable
 import dataclasses
 import socket
 import struct
@@ -7,6 +8,7 @@
 import anyio
 import anyio.abc
 
+TO_TARGET, FROM_TARGET = 0, 1
 _READ_BYTES = 65_536
 # Linger of 0 s: closing resets the connection.
 _RESET = struct.pack("ii", 1, 0)
@@ -31,23 +33,27 @@
     Attributes:
       refuses: New connections are reset.
       opened: Set while the path carries bytes; they wait otherwise, as behind
-        lost packets.
+        lost packets. One for the way to the target, one for that from it.
     """
 
     address: str
     target: str
     refuses: bool = False
-    opened: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    opened: list[anyio.Event] = dataclasses.field(
+        default_factory=lambda: [anyio.Event(), anyio.Event()]
+    )
     connections: set[_Connection] = dataclasses.field(default_factory=set)
 
-    def hold(self) -> None:
-        """Holds up all bytes until `release`."""
-        if self.opened.is_set():
-            self.opened = anyio.Event()
+    def hold(self, ways: Iterable[int] = (TO_TARGET, FROM_TARGET)) -> None:
+        """Holds up all bytes, or those of one way, until `release`."""
+        for way in ways:
+            if self.opened[way].is_set():
+                self.opened[way] = anyio.Event()
 
     def release(self) -> None:
         """Carries bytes again, except those of silent connections."""
-        self.opened.set()
+        for opened in self.opened:
+            opened.set()
 
     def silence(self) -> None:
         """Lets the present connections carry nothing any more."""
@@ -99,33 +105,25 @@
             try:
                 with connection.scope:
                     async with anyio.create_task_group() as group:
-                        group.start_soon(
-                            _pump, link, connection, stream, target
-                        )
-                        group.start_soon(
-                            _pump, link, connection, target, stream
-                        )
+                        group.start_soon(_pump, link, connection, TO_TARGET)
+                        group.start_soon(_pump, link, connection, FROM_TARGET)
             finally:
                 link.connections.discard(connection)
 
 
-async def _pump(
-    link: Link,
-    connection: _Connection,
-    source: anyio.abc.SocketStream,
-    sink: anyio.abc.SocketStream,
-) -> None:
-    """Carries bytes in one direction; the end of one ends both."""
+async def _pump(link: Link, connection: _Connection, way: int) -> None:
+    """Carries bytes one way; the end of one ends both."""
+    source, sink = connection.streams[:: 1 if way == TO_TARGET else -1]
     try:
         while True:
             data = await source.receive(_READ_BYTES)
             if connection.silent:
                 await anyio.sleep_forever()
-            await link.opened.wait()
+            await link.opened[way].wait()
             await sink.send(data)
     except (anyio.EndOfStream, anyio.BrokenResourceError):
         # The peer hears of it by the end of the other stream.
-        await link.opened.wait()
+        await link.opened[way].wait()
         if connection.silent:
             await anyio.sleep_forever()
         connection.scope.cancel()
--- a/standins/soak_session.py
+++ b/standins/soak_session.py
@@ -5,6 +5,7 @@
 runner, by a proxied path.
 """
 
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import os
@@ -41,8 +42,8 @@
 _LATE_S = 0.4
 _SAMPLE_S = 1.0
 _OWN_END_RESTART_S = 1.0
+COMMAND = (sys.executable, "-m", "plantainvane.platform")
 _START_LIMIT_S = 30.0
-_START_PATH = "/plantainvane/run-start"
 _STORE_HOST, _RUNNERS_HOST, _LINKS_HOST = 201, 202, 203
 _ZONES = ("zone-a", "zone-b", "zone-c")
 _SHARES = (1.0, 0.7, 0.45)
@@ -62,7 +63,7 @@
 Cores = 1
 [Bounds]
 GracePeriodS = {grace_s}
-MaxHoldMs = 6000
+MaxHoldMs = {max_hold_ms}
 status_s = 120
 [platform]
 Address = "{store}"
@@ -106,14 +107,16 @@
 
     Attributes:
       report: State in its entry, or empty without one.
-      late_orders_s: Delays of its next starts, which are not answered.
+      life: Number of its incarnation, from 1 on.
+      taken: Its lives are being disturbed, which excludes other faults.
       has_lapsed: Its lease is over.
     """
 
     state: platform_runner.RunnerState
     link: soak_links.Link
     report: str = ""
-    late_orders_s: list[float] = dataclasses.field(default_factory=list)
+    life: int = 1
+    taken: bool = False
     has_lapsed: bool = True
 
 
@@ -128,6 +131,8 @@
       version: Version of the configuration.
       stop: Ends the stand-ins.
       restarts: Processes that end are started again.
+      command: Command of an entry process.
+      max_hold_ms: Longest lease that runners grant.
       latest_s: Longest time by which the soak itself was late.
     """
 
@@ -145,6 +150,8 @@
     version: int = 0
     stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     restarts: bool = True
+    command: Sequence[str] = COMMAND
+    max_hold_ms: int = 6000
     latest_s: float = 0.0
 
     def find_owner(self) -> Process | None:
@@ -253,28 +260,36 @@
 
 async def add_runner(session: Session) -> None:
     """Starts a runner under a new id."""
-    state = platform_runner.RunnerState(f"i-{len(session.runners) + 1:03}")
+    state = platform_runner.RunnerState(
+        f"i-{len(session.runners) + 1:03}", max_hold_ms=session.max_hold_ms
+    )
     address = serving.find_free_address(f"{session.prefix}{_RUNNERS_HOST}")
     state.address = serving.find_free_address(f"{session.prefix}{_LINKS_HOST}")
     link = soak_links.Link(state.address, address)
     runner = Runner(state, link)
     session.runners.append(runner)
 
+    listed: set[tuple[int, str, int]] = set()
+
     def note_run(kind: str, task: str, attempt: int, how: str) -> None:
+        if kind == "listed":
+            if (run := (runner.life, task, attempt)) in listed:
+                return
+            listed.add(run)
         event = observations_module.RunnerEvent(
             read_now(), state.id, kind, task, attempt, how
         )
+        event.life, event.token = runner.life, state.token
         session.seen.runner_events.append(event)
 
     state.on_run = note_run
-    state.on_crash = lambda: _note_runner(session, state, "gone")
+    state.on_call = lambda: _end_due_runs(session)
+    state.on_crash = lambda: _note_runner(session, runner, "gone")
     carry_out = platform_runner.make_handler(state)
 
     async def handle(request: asgi.HttpRequest) -> asgi.HttpReply:
         # A run whose lease is over ends before another is seen to start.
         _end_due_runs(session)
-        if request.path == _START_PATH and runner.late_orders_s:
-            await _carry_out_late(runner, carry_out, request)
         return await carry_out(request)
 
     await _serve(session, handle, address)
@@ -283,24 +298,11 @@
     report_runner(session, runner, "ready")
 
 
-async def _carry_out_late(
-    runner: Runner, carry_out: asgi.Handler, request: asgi.HttpRequest
-) -> None:
-    """Carries an order out late, if the runner lives on; answers nothing."""
+def _note_runner(session: Session, runner: Runner, kind: str) -> None:
     state = runner.state
-    born_ms = state.born_ms
-    await anyio.sleep(runner.late_orders_s.pop(0))
-    if state.born_ms == born_ms and not state.crashed:
-        await carry_out(request)
-    await anyio.sleep_forever()
-
-
-def _note_runner(
-    session: Session, state: platform_runner.RunnerState, kind: str
-) -> None:
     session.seen.runner_events.append(
         observations_module.RunnerEvent(
-            read_now(), state.id, kind, cpu=state.cpu
+            read_now(), state.id, kind, cpu=state.cpu, life=runner.life
         )
     )
 
@@ -309,7 +311,7 @@
     """Changes the state in the entry of a runner; empty removes the entry."""
     runner.report = report
     if report:
-        _note_runner(session, runner.state, report)
+        _note_runner(session, runner, report)
         _write_entry(session, runner)
     else:
         session.store.put("keyed.servers", runner.state.id, None)
@@ -323,18 +325,38 @@
     session.store.put("keyed.servers", state.id, entry)
 
 
-def crash_runner(runner: Runner) -> None:
-    """Ends a runner with all that runs there; nothing hears of it."""
+def crash_runner(runner: Runner, breaks: bool = True) -> None:
+    """Ends a runner with all that runs there.
+
+    Its connections break, or nothing is heard of it.
+    """
     runner.state.crash()
     runner.link.refuses = True
-    runner.link.reset()
+    if breaks:
+        runner.link.reset()
+    else:
+        runner.link.silence()
+
 
+def restart_runner(
+    session: Session,
+    runner: Runner,
+    clock_s: float = 0.0,
+    announces: bool = True,
+) -> None:
+    """Starts the next incarnation of a runner under its id.
 
-def restart_runner(session: Session, runner: Runner) -> None:
-    """Starts the next incarnation of a runner under its id."""
+    Its clock begins at `clock_s`. Unless it `announces` itself, its entry is
+    written with the next heartbeat only.
+    """
     runner.state.restart()
+    runner.state.clock_started_at -= clock_s
+    runner.life += 1
     runner.link.refuses = False
-    report_runner(session, runner, "ready")
+    if announces:
+        report_runner(session, runner, "ready")
+    else:
+        _note_runner(session, runner, "ready")
 
 
 async def _write_entries(session: Session) -> None:
@@ -353,7 +375,7 @@
         state.end_due_attempts()
         has_lapsed = state.read_clock() > state.lease_until_ms
         if has_lapsed and not runner.has_lapsed:
-            _note_runner(session, state, "lapsed")
+            _note_runner(session, runner, "lapsed")
         runner.has_lapsed = has_lapsed
 
 
@@ -396,6 +418,7 @@
             peers=PEER_PORT,
             share=_SHARES[number % len(_SHARES)],
             grace_s=GRACE_S,
+            max_hold_ms=session.max_hold_ms,
             store=link.address,
         )
     )
@@ -426,7 +449,7 @@
     }
     with (session.directory / f"{process.name}.log").open("ab") as output:
         handle = await anyio.open_process(
-            [sys.executable, "-m", "plantainvane.platform"],
+            session.command,
             stdin=subprocess.DEVNULL,
             stdout=output,
             stderr=output,
@@ -525,12 +548,9 @@
 
 
 def kill_processes(session: Session) -> None:
-    """Kills all processes that still run, without a record."""
+    """Kills all processes that still run."""
     for process in session.processes:
-        handle = process.handle
-        if handle is not None and handle.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                handle.kill()
+        send_signal(session, process, "SIGKILL")
 
 
 async def _take_samples(session: Session) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,8 @@
 from standins import soak_observations as observations_module
 from standins import soak_session
 
-SEED = 1
+# Its faults are ends of processes by each signal, and lives of runners.
+SEED = 12
 MINUTES = 0.25
 PROCESSES = 6
 # For steps whose time is not tested.
@@ -70,7 +71,11 @@
     assert sum(report.faults.values()) > 10, lines
     assert report.load["jobs"]["ended"] > 30, lines
     assert report.load["requests"]["probe"]["400"] > 200, lines
-    assert {"process.SIGTERM", "process.SIGKILL"} <= report.faults.keys()
+    assert {
+        "process.SIGTERM",
+        "process.SIGKILL",
+        "runner.lives",
+    } <= report.faults.keys()
 
 
 def find_event(seen, kind, how=""):
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -41,6 +41,44 @@
             assert fault.target == -1 or 0 <= fault.target < 1
 
 
+def test_lives_of_runners_are_drawn_in_all_variants():
+    # Guards against a soak in which no run ends in a life that nobody has
+    # found, or in which no call of an earlier life comes late.
+    faults = [
+        fault
+        for seed in range(100)
+        for fault in soak_faults.plan_faults(seed, MINUTE_S)
+    ]
+    drawn = [f for f in faults if f.kind == "lives"]
+    plans = [soak_faults.plan_lives(fault) for fault in drawn]
+    assert plans == [soak_faults.plan_lives(fault) for fault in drawn]
+    assert {len(plan.spans_s) for plan in plans} == {1, 2, 3}
+    assert {plan.ways for plan in plans} == {(0, 1), (0,), (1,)}
+    for times_s in (
+        [dark_s for plan in plans for dark_s, _ in plan.spans_s],
+        [lived_s for plan in plans for _, lived_s in plan.spans_s],
+    ):
+        assert 0.05 <= min(times_s) < 0.2 and 2.8 < max(times_s) <= 3.0
+    for delays_s in (
+        [delay_s for plan in plans for delay_s in plan.late_starts_s],
+        [delay_s for plan in plans for delay_s in plan.late_polls_s],
+    ):
+        assert 2.0 <= min(delays_s) < 2.5 and 11.5 < max(delays_s) <= 12.0
+    for values in (
+        [plan.breaks for plan in plans],
+        [plan.announces for plan in plans],
+        [plan.acknowledging for plan in plans],
+        [plan.clock_s > 0 for plan in plans],
+    ):
+        assert set(values) == {False, True}
+
+
+def test_both_longest_leases_are_drawn():
+    # Guards against a soak that keeps rules under one bound of leases only.
+    leases = [soak_faults.choose_longest_lease_ms(seed) for seed in SEEDS]
+    assert set(leases) == {6000, 10_000}
+
+
 def test_plans_leave_calm_in_which_waits_are_judged():
     # Guards against faults so dense that no wait of a task that lasts counts.
     calm = 0
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -20,8 +20,12 @@
 
 
 @contextlib.asynccontextmanager
-async def run_link():
-    """Runs a link to a server that returns what it receives."""
+async def run_link(received=None):
+    """Runs a link to a server that returns what it receives.
+
+    What it receives is added to the list `received`.
+    """
+    received = [] if received is None else received
     link = soak_links.Link(*serving.find_free_addresses("127.0.0.1", 2))
     port = int(link.target.rpartition(":")[2])
     listener = await anyio.create_tcp_listener(
@@ -34,7 +38,9 @@
                 anyio.EndOfStream, anyio.BrokenResourceError
             ):
                 while True:
-                    await stream.send(await stream.receive())
+                    data = await stream.receive()
+                    received.append(data)
+                    await stream.send(data)
 
     async with anyio.create_task_group() as group:
         group.start_soon(listener.serve, echo)
@@ -74,6 +80,21 @@
             assert await stream.receive() == b"held"
 
 
+async def test_path_is_held_one_way():
+    # Guards against a cut of one way that is one of both, or of none.
+    for way in (soak_links.TO_TARGET, soak_links.FROM_TARGET):
+        received = []
+        async with run_link(received) as link, await connect(link) as stream:
+            assert await exchange(stream) == b"x"
+            link.hold([way])
+            await stream.send(b"held")
+            assert await is_silent(stream)
+            assert (b"held" in received) == (way == soak_links.FROM_TARGET)
+            link.release()
+            with anyio.fail_after(LIMIT_S):
+                assert await stream.receive() == b"held"
+
+
 async def test_only_present_connections_go_silent():
     # Guards against a fault that is milder, or wider, than its name.
     async with (
