--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -99,7 +99,12 @@
     def _record(self, kind: str, task: str = "", **fields) -> None:
         self.world.seen.runner_events.append(
             observations_module.RunnerEvent(
-                self.world.read_now(), self.id, kind, task, **fields
+                self.world.read_now(),
+                self.id,
+                kind,
+                task,
+                life=self.life,
+                **fields,
             )
         )
         shown = " ".join(f"{k}={v}" for k, v in fields.items())
--- a/standins/soak_observations.py
+++ b/standins/soak_observations.py
@@ -65,10 +65,14 @@
     Attributes:
       kind: `ready` (with its `cpu`), `draining`, `gone` (crashed or left),
         `lapsed` (its lease is over), `ordered` (a start order has come to the
-        path to the runner), `start`, `end`, or `noted` (an end was
+        path to the runner), `start`, `end`, `listed` (an answer to a poll was
+        sent that lists an end for the first time), or `noted` (an end was
         acknowledged).
       how: How the run ended.
       late: The runner carried the order out late.
+      life: Number of the incarnation of the runner, from 1 on.
+      token: Highest fencing token that it has seen. Of `noted`, that of the
+        poll, which tells which owner sent it, and for which life.
     """
 
     at: float
@@ -79,6 +83,8 @@
     how: str = ""
     cpu: int = 0
     late: bool = False
+    life: int = 1
+    token: int = 0
 
 
 @dataclasses.dataclass(slots=True)
