--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -25,6 +25,8 @@
 # Delay of a poll that is carried out after the next life was found, and long
 # after the longest lease was granted there.
 LATE_POLL_S = 5.0
+# Longest lease where it outlasts the one that an owner requests.
+LONGEST_LEASE_S = 10.0
 # A lease may be counted as longer by this much: the clock of its runner may be
 # slow, and the end is noticed at a poll.
 LEASE_SLACK_S = 3.0
@@ -244,18 +246,19 @@
         assert TASK not in runner.running
 
 
-async def test_task_that_an_unfound_life_has_started_is_waited_for():
-    # Guards against a task that runs twice: a start reached a new life before
-    # any poll, and the life was cut off before one. It holds the longest lease,
-    # which outlasts those of the life before.
-    longest_s = 10.0
-    async with run_one_runner(max_lease_s=longest_s) as parts:
+async def check_unfound_life_is_waited_for(delayed_polls_s, limit_s):
+    """Has a task start in a life that is cut off before a poll finds it.
+
+    The task starts at another runner, within the limit, once its lease there
+    has expired.
+    """
+    async with run_one_runner(max_lease_s=LONGEST_LEASE_S) as parts:
         system, owner, runner = parts
-        runner.max_hold_ms = longest_s * 1000
+        runner.max_hold_ms = LONGEST_LEASE_S * 1000
         known = owner.owner.runners[runner.id]
         await submit(system, ID, run_ms=60_000)
         await wait_until(lambda: any(run.reported for run in known.runs))
-        runner.delayed_polls = [60.0, 60.0]
+        runner.delayed_polls = delayed_polls_s
         await wait_until(lambda: len(runner.delayed_polls) == 1)
         runner.restart()
         await submit(system, OTHER_ID, run_ms=60_000)
@@ -265,12 +268,19 @@
         assert known.restarted_at < 0
         await platform_system.add_runner(system, "i-1")
         other = system.runners["i-1"]
-        limit_s = longest_s + LEASE_SLACK_S
         await wait_until(lambda: TASK in other.running, limit_s)
         runner.end_due_attempts()
         assert TASK not in runner.running
 
 
+async def test_task_that_an_unfound_life_has_started_is_waited_for():
+    # Guards against a task that runs twice: a start reached a new life before
+    # any poll, and the life was cut off before one. It holds the longest lease,
+    # which outlasts those of the life before.
+    limit_s = LONGEST_LEASE_S + LEASE_SLACK_S
+    await check_unfound_life_is_waited_for([60.0, 60.0], limit_s)
+
+
 async def test_late_start_meant_for_the_life_before_is_refused(monkeypatch):
     # Guards against a task that runs twice: the next life of its runner carries
     # out a start that was never answered, after it was found. No stop of it is
@@ -300,36 +310,17 @@
     # Guards against a task that runs twice: a start reached a life that no poll
     # had found, and a poll meant for the life before extends the lease there
     # seconds later.
-    longest_s = 10.0
-    async with run_one_runner(max_lease_s=longest_s) as parts:
-        system, owner, runner = parts
-        runner.max_hold_ms = longest_s * 1000
-        known = owner.owner.runners[runner.id]
-        await submit(system, ID, run_ms=60_000)
-        await wait_until(lambda: any(run.reported for run in known.runs))
-        runner.delayed_polls = [4.0, 60.0]
-        await wait_until(lambda: len(runner.delayed_polls) == 1)
-        runner.restart()
-        await submit(system, OTHER_ID, run_ms=60_000)
-        await wait_until(lambda: TASK in runner.running)
-        await anyio.sleep(POLL_WAIT_S)
-        runner.silent = True
-        assert known.restarted_at < 0
-        await platform_system.add_runner(system, "i-1")
-        other = system.runners["i-1"]
-        await wait_until(lambda: TASK in other.running, 3 * longest_s)
-        runner.end_due_attempts()
-        assert TASK not in runner.running
+    limit_s = 3 * LONGEST_LEASE_S
+    await check_unfound_life_is_waited_for([4.0, 60.0], limit_s)
 
 
 async def test_task_that_an_unfound_life_ends_before_the_retry_is_waited_for():
     # Guards against a task that runs again although it is done: the first try
     # of its start is carried out by a life that no poll has found, which
     # answers the second one that the attempt is old.
-    longest_s = 10.0
-    async with run_one_runner(max_lease_s=longest_s) as parts:
+    async with run_one_runner(max_lease_s=LONGEST_LEASE_S) as parts:
         system, owner, runner = parts
-        runner.max_hold_ms = longest_s * 1000
+        runner.max_hold_ms = LONGEST_LEASE_S * 1000
         known = owner.owner.runners[runner.id]
         await submit(system, ID, run_ms=60_000)
         await wait_until(lambda: any(run.reported for run in known.runs))
@@ -350,7 +341,7 @@
         assert known.restarted_at < 0
         await platform_system.add_runner(system, "i-1")
         # The lease of the new life has not expired by then.
-        await anyio.sleep(longest_s - 1.5)
+        await anyio.sleep(LONGEST_LEASE_S - 1.5)
         runner.silent = False
         await platform_system.wait_state(system, OTHER_ID, "completed")
         assert platform_sessions.count_starts(system)[TASK] == 1
@@ -362,10 +353,9 @@
 ):
     # Guards against a long-running task that waits for longer than 9 s, as
     # another start may have reached a life that no poll has found.
-    longest_s = 10.0
-    async with run_one_runner(max_lease_s=longest_s) as parts:
+    async with run_one_runner(max_lease_s=LONGEST_LEASE_S) as parts:
         system, owner, runner = parts
-        runner.max_hold_ms = longest_s * 1000
+        runner.max_hold_ms = LONGEST_LEASE_S * 1000
         known = owner.owner.runners[runner.id]
         await submit(system, ID, run_ms=60_000)
         await wait_until(lambda: any(run.reported for run in known.runs))
