Tell which lease a lost attempt was waited for

Cause: line 814 says 'lease expired', but not which belief about the lease had ended, so the hypotheses of the incident cannot be told apart by a log. Change: 814 has the seconds to the end of each lease that the attempt may have held, whether its runner was heard, and how old its life is. Measured: tests of sessions, leases, crashes and events pass.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -3,6 +3,9 @@
 No lease may be taken for expired before it is, as its task would run twice.
 """
 
+import math
+from typing import Any
+
 from plantainvane import events
 from plantainvane.jobs import attempts
 from plantainvane.jobs import model
@@ -82,6 +85,34 @@
     )
 
 
+def describe_expiry(
+    owner: state_module.Owner, run: attempts.Run, now: float, wall_ms: int
+) -> dict[str, Any]:
+    """Returns fields that tell in how many seconds each lease has expired.
+
+    Negative values have passed; None stands for a lease that is not expected.
+    """
+    ends = {"earlier_leases_in_s": owner.find_expiry(run.runner)}
+    fields: dict[str, Any] = {}
+    runner = owner.runners.get(run.runner)
+    if runner is not None:
+        ends |= {
+            "lease_in_s": runner.find_lease_expiry(owner.settings),
+            "late_grants_in_s": runner.late_grants_until,
+            "stray_in_s": runner.find_stray_expiry(owner.settings, run, now),
+        }
+        age_s = (wall_ms - runner.entry.born_ms) / 1000
+        fields = {
+            "heard": runner.heard,
+            "fenced": runner.fenced,
+            "life_age_s": round(age_s, 1),
+        }
+    return fields | {
+        name: round(at - now, 3) if math.isfinite(at) else None
+        for name, at in ends.items()
+    }
+
+
 def find_latest_expiry(owner: state_module.Owner, now: float) -> float:
     """Returns when all leases have expired, if none is extended from now on."""
     ends = [
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -295,7 +295,7 @@
         for run in lost:
             crashes.blame_inherited(run, started_ms, False)
             owner.table.drop_run(run, now)
-            sessions.report_lost_run(owner, run, "lease expired")
+            sessions.report_lost_run(owner, run, "lease expired", now)
             crashes.count_crash(owner, run, clock.read_wall_ms())
         for run in lost:
             stops.stop_rest_of_gang(owner, run)
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -444,7 +444,7 @@
         runner.charge(run, -1)
         owner.interference_model.forget_run(run)
         owner.table.drop_run(run, now)
-        report_lost_run(owner, run, reason)
+        report_lost_run(owner, run, reason, now)
         crashes.count_crash(owner, run, clock.read_wall_ms())
     for run in runs:
         stops.stop_rest_of_gang(owner, run)
@@ -452,7 +452,7 @@
 
 
 def report_lost_run(
-    owner: state_module.Owner, run: attempts.Run, reason: str
+    owner: state_module.Owner, run: attempts.Run, reason: str, now: float
 ) -> None:
     """Reports an attempt whose end was not reported by its runner."""
     metrics.ENDS.labels("lost").inc()
@@ -464,6 +464,7 @@
         reason=reason,
         answered=run.start_answered,
         listed=run.reported,
+        **leases.describe_expiry(owner, run, now, clock.read_wall_ms()),
         epoch=owner.epoch,
     )
 
@@ -610,7 +611,7 @@
             if run.address == runner.entry.address:
                 runs.remove(run)
                 owner.table.drop_run(run, now)
-                report_lost_run(owner, run, "runner replaced")
+                report_lost_run(owner, run, "runner replaced", now)
                 crashes.count_crash(owner, run, clock.read_wall_ms())
                 stops.stop_rest_of_gang(owner, run)
                 owner.request_pass()
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -1223,3 +1223,22 @@
     for second, run in enumerate(decisions.start_all(table)):
         runner.expect_late_start(run, float(second))
     assert len(runner.late_starts) <= runners_module.LATE_START_S + 1
+
+
+def test_line_about_a_lost_attempt_tells_which_lease_was_waited_for():
+    # Guards against two runs of a task that no log can explain: the line tells
+    # that the lease has expired, but not which one was expected.
+    owner = scheduling.make_owner()
+    owner.started_at = 5.0
+    runner, run = make_running(owner, heard=True)
+    runner.late_grants_until = 12.0
+    wall_ms = runner.entry.born_ms + 2_500
+    line = leases.describe_expiry(owner, run, 10.0, wall_ms)
+    earlier_s = 5.0 + owner.settings.old_lease_limit_s - 10.0
+    assert line["late_grants_in_s"] == 2.0
+    assert line["earlier_leases_in_s"] == pytest.approx(earlier_s, abs=0.001)
+    assert (line["heard"], line["life_age_s"]) == (True, 2.5)
+    assert line["stray_in_s"] is None
+    owner.runners.clear()
+    line = leases.describe_expiry(owner, run, 10.0, wall_ms)
+    assert list(line) == ["earlier_leases_in_s"]
