Have a successor wait for the longest lease of a new life

Callers saw two runs of a task at once. Cause: an owner that has found a new life of a runner knows that calls to the life before may have left it the longest lease, in memory only. A successor that never hears the runner counted from the last renewal of the claim, 6.9 s, and started the task elsewhere. Change: an attempt is stored with the time that such a lease lasts beyond its order, also one that a life had started before it was found. A successor waits for it, on listed and on unlisted runners. Attempts in a life that was no new one wait no longer than before. Ruled out: a bound by the age of the life alone, as the first life of a runner looks the same, and long-running tasks on a runner that is gone for good would be away for longer than 9 s. The golden record of test_jobs_sizes has the new field, with its value.

--- a/plantainvane/jobs/absences.py
+++ b/plantainvane/jobs/absences.py
@@ -165,7 +165,7 @@
     if state is State.UNCHARGED:
         return None
     if state is State.ORPHAN:
-        return owner.find_expiry(run.runner)
+        return leases.find_orphan_expiry(owner, run)
     return leases.find_run_expiry(owner, owner.runners[run.runner], run, now)
 
 
--- a/plantainvane/jobs/attempts.py
+++ b/plantainvane/jobs/attempts.py
@@ -86,6 +86,9 @@
       inherited_at: That time on this process's clock, as far as times of day
         agree, if an earlier owner ordered it.
       address: Address of the runner that was ordered to start it.
+      longest_lease_s: Seconds from its order until the longest lease has
+        expired that calls to an earlier life of its runner may have left; 0
+        without one. A successor that never hears the runner waits for it.
       crash: Crash of the runner that is blamed on it, until it is counted.
       stop: Its stop, or None if none has been ordered.
     """
@@ -116,6 +119,7 @@
     ordered_ms: int = 0
     inherited_at: float = float("-inf")
     address: str = ""
+    longest_lease_s: float = 0.0
     crash: model.Crash | None = None
     stop: Stop | None = None
 
--- a/plantainvane/jobs/departures.py
+++ b/plantainvane/jobs/departures.py
@@ -37,9 +37,13 @@
             for run in runner.runs
             if _lasts(run) and (leaves or _expires(owner, runner, run, now))
         )
-    for name, runs in owner.orphans.items():
-        if owner.find_expiry(name) - now <= _AHEAD_S:
-            found.extend(run for run in runs if _lasts(run))
+    for runs in owner.orphans.values():
+        found.extend(
+            run
+            for run in runs
+            if _lasts(run)
+            and leases.find_orphan_expiry(owner, run) - now <= _AHEAD_S
+        )
     return found
 
 
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -3,6 +3,7 @@
 No lease may be taken for expired before it is, as its task would run twice.
 """
 
+from collections.abc import Iterable
 import math
 from typing import Any
 
@@ -13,6 +14,9 @@
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import state as state_module
 
+# Changes of the end of a stored lease that are not worth an append.
+_NOTED_LEASE_S = 0.3
+
 
 def choose_lease(
     owner: state_module.Owner, runner: runners_module.Runner, now: float
@@ -82,7 +86,52 @@
     return max(
         find_last_expiry(owner, runner),
         runner.find_stray_expiry(owner.settings, run, now),
+        _find_inherited_expiry(owner, run),
+    )
+
+
+def find_orphan_expiry(owner: state_module.Owner, run: attempts.Run) -> float:
+    """Returns when an attempt on a runner that is not known has ended."""
+    return max(
+        owner.find_expiry(run.runner), _find_inherited_expiry(owner, run)
+    )
+
+
+def _find_inherited_expiry(
+    owner: state_module.Owner, run: attempts.Run
+) -> float:
+    """Returns when the longest lease that was stored for an attempt ends.
+
+    Minus infinity if this owner has ordered it, or no such lease was stored.
+    """
+    if run.ordered_at or not run.longest_lease_s:
+        return float("-inf")
+    settings = owner.settings
+    ordered_by = min(
+        run.inherited_at + runners_module.CLOCK_DIFFERENCE_S, owner.started_at
     )
+    # The calls that grant it come from earlier owners.
+    granted_by = owner.started_at + runners_module.LATE_START_S
+    latest = granted_by + runners_module.find_longest_lease_s(settings)
+    return min(ordered_by + run.longest_lease_s, latest)
+
+
+def _store_longest_lease(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    runs: Iterable[attempts.Run],
+) -> None:
+    """Stores how long calls to an earlier life may have leased attempts.
+
+    A successor that never hears the runner could not tell that.
+    """
+    for run in runs:
+        ordered_at = run.ordered_at or run.inherited_at
+        lease_s = max(0.0, runner.late_grants_until - ordered_at)
+        if abs(lease_s - run.longest_lease_s) > _NOTED_LEASE_S:
+            run.longest_lease_s = lease_s
+            owner.table.mark_changed(run.task.job, run.task)
+            owner.request_pass()
 
 
 def describe_expiry(
@@ -92,7 +141,10 @@
 
     Negative values have passed; None stands for a lease that is not expected.
     """
-    ends = {"earlier_leases_in_s": owner.find_expiry(run.runner)}
+    ends = {
+        "earlier_leases_in_s": owner.find_expiry(run.runner),
+        "inherited_in_s": _find_inherited_expiry(owner, run),
+    }
     fields: dict[str, Any] = {}
     runner = owner.runners.get(run.runner)
     if runner is not None:
@@ -120,7 +172,11 @@
         for runner in owner.runners.values()
         if runner.runs
     ]
-    ends.extend(map(owner.find_expiry, owner.orphans))
+    ends.extend(
+        find_orphan_expiry(owner, run)
+        for runs in owner.orphans.values()
+        for run in runs
+    )
     if not owner.recovered:
         # What runs on each runner is not known.
         ends.extend(find_last_expiry(owner, r) for r in owner.runners.values())
@@ -168,6 +224,7 @@
     runner.record_clock(clock_ms, now, listed=True)
     runner.lease_until_ms, runner.lease_requested_at = 0, now
     runner.expect_late_grants(owner.settings, now)
+    _store_longest_lease(owner, runner, runner.runs)
 
 
 def note_fenced(
@@ -184,6 +241,9 @@
     if owner.former_renewed_at is not None:
         age_s = (wall_ms - runner.entry.born_ms) / 1000
         runner.expect_earlier_grants(owner.settings, age_s, now)
+    born_ms = runner.entry.born_ms
+    strays = [run for run in runner.runs if run.born_ms != born_ms]
+    _store_longest_lease(owner, runner, strays)
 
 
 def note_started(
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -339,6 +339,9 @@
       place: Machine or address of the runner.
       ordered_ms: When its start was ordered, Unix milliseconds.
       address: Address of the runner.
+      longest_lease_s: Seconds from the order until the longest lease has
+        expired that calls to an earlier life of the runner may have left; 0
+        without one.
     """
 
     attempt: int
@@ -347,6 +350,7 @@
     place: str = ""
     ordered_ms: int = 0
     address: str = ""
+    longest_lease_s: float = 0.0
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
--- a/plantainvane/jobs/owner.py
+++ b/plantainvane/jobs/owner.py
@@ -21,6 +21,7 @@
 from plantainvane.jobs import evacuations
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import journal as journal_module
+from plantainvane.jobs import leases
 from plantainvane.jobs import load as load_module
 from plantainvane.jobs import metrics
 from plantainvane.jobs import model
@@ -278,7 +279,11 @@
     while True:
         await anyio.sleep(_ORPHANS_INTERVAL_S)
         now = clock.read_now()
-        if any(now > owner.find_expiry(runner) for runner in owner.orphans):
+        if any(
+            now > leases.find_orphan_expiry(owner, run)
+            for runs in owner.orphans.values()
+            for run in runs
+        ):
             _expire_orphans(owner, now)
             owner.request_pass()
 
@@ -288,10 +293,13 @@
     # This owner may have extended leases there before the runner was removed.
     _promise_orphans(owner, owner.epoch + 1)
     started_ms = clock.read_wall_ms() - int((now - owner.started_at) * 1000)
-    for runner in list(owner.orphans):
+    for runner, runs in list(owner.orphans.items()):
         if now <= owner.find_expiry(runner):
             continue
-        lost = owner.orphans.pop(runner)
+        lost = [r for r in runs if now > leases.find_orphan_expiry(owner, r)]
+        runs[:] = [run for run in runs if run not in lost]
+        if not runs:
+            del owner.orphans[runner]
         for run in lost:
             crashes.blame_inherited(run, started_ms, False)
             owner.table.drop_run(run, now)
--- a/plantainvane/jobs/progress.py
+++ b/plantainvane/jobs/progress.py
@@ -129,6 +129,7 @@
                 run.place,
                 run.ordered_ms,
                 run.address,
+                round(run.longest_lease_s, 3),
             )
             for run in task.runs
         ],
@@ -218,6 +219,7 @@
                     ordered_ms=run.ordered_ms,
                     inherited_at=now - max(0, wall_ms - run.ordered_ms) / 1000,
                     address=run.address,
+                    longest_lease_s=run.longest_lease_s,
                 )
             )
 
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -20,10 +20,11 @@
 LATE_CALL_S = 6.0
 # An order to start without an answer may be carried out for this long.
 LATE_START_S = 12.0
+# Times of day of two machines differ by less than this.
+CLOCK_DIFFERENCE_S = 3.0
 # Calls of an owner that are meant for the life before reach a life within this
-# time of its start: 3 s until a poll finds it, then late ones. Another 3 s are
-# for times of day that differ.
-_STRAY_CALLS_S = 3.0 + LATE_START_S + 3.0
+# time of its start: 3 s until a poll finds it, then late ones.
+_STRAY_CALLS_S = 3.0 + LATE_START_S + CLOCK_DIFFERENCE_S
 # A clock that is behind the known one by less than this, beyond what its rate
 # explains, counts as the same. The margin of leases is larger.
 _CLOCK_BEHIND_S = 0.1
@@ -423,7 +424,7 @@
             if not self._may_stray_inherited(run, now):
                 return float("-inf")
             until = run.inherited_at + _STRAY_CALLS_S
-        return until + _find_longest_lease_s(settings)
+        return until + find_longest_lease_s(settings)
 
     def _may_have_strayed(self, run: attempts.Run) -> bool:
         """Tells whether another life may have carried out a start."""
@@ -446,7 +447,7 @@
     def expect_late_lease(self, settings: settings_module.Settings) -> None:
         """Records that the last lease may be granted late, for any time."""
         granted_by = self.lease_requested_at + LATE_CALL_S
-        self.late_lease_until = granted_by + _find_longest_lease_s(settings)
+        self.late_lease_until = granted_by + find_longest_lease_s(settings)
 
     def extend_lease(
         self,
@@ -483,7 +484,7 @@
         Starts extend leases as well, and are the calls that come latest.
         """
         granted_by = now + LATE_START_S
-        self.late_grants_until = granted_by + _find_longest_lease_s(settings)
+        self.late_grants_until = granted_by + find_longest_lease_s(settings)
 
     def note_fenced(
         self, settings: settings_module.Settings, now: float
@@ -495,7 +496,7 @@
         """
         self.fenced = True
         if self.late_grants_until > now:
-            self.late_grants_until = now + _find_longest_lease_s(settings)
+            self.late_grants_until = now + find_longest_lease_s(settings)
 
     def expect_earlier_grants(
         self, settings: settings_module.Settings, age_s: float, now: float
@@ -507,7 +508,7 @@
           age_s: Seconds since the life began, by the time of day.
           now: Present time; no call of that owner is carried out from now on.
         """
-        until_s = _find_longest_lease_s(settings)
+        until_s = find_longest_lease_s(settings)
         until_s -= max(0.0, age_s - _STRAY_CALLS_S)
         self.late_grants_until = max(self.late_grants_until, now + until_s)
 
@@ -520,7 +521,7 @@
         late = max(self.late_lease_until, self.late_grants_until)
         slowest_rate = 1 - settings.clock_rate_error
         margin_s = settings_module.LEASE_MARGIN_S
-        latest = self.lease_requested_at + _find_longest_lease_s(settings)
+        latest = self.lease_requested_at + find_longest_lease_s(settings)
         if self.clock_listed:
             return max(latest, late)
         remaining_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
@@ -528,7 +529,7 @@
         return max(min(expiry, latest), late)
 
 
-def _find_longest_lease_s(settings: settings_module.Settings) -> float:
+def find_longest_lease_s(settings: settings_module.Settings) -> float:
     """Returns the seconds after which a lease granted now has expired."""
     slowest_rate = 1 - settings.clock_rate_error
     return settings.max_lease_s / slowest_rate + settings_module.LEASE_MARGIN_S
--- a/plantainvane/jobs/scheduling.py
+++ b/plantainvane/jobs/scheduling.py
@@ -822,6 +822,7 @@
     run.place = runners_module.find_place(runner.entry)
     run.address = runner.entry.address
     run.ordered_ms = clock.read_wall_ms()
+    run.longest_lease_s = max(0.0, runner.late_grants_until - current.now)
     trials.begin_trial(runner, task, current.now)
     runner.charge(run)
     step = task.step.definition
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -1241,4 +1241,106 @@
     assert line["stray_in_s"] is None
     owner.runners.clear()
     line = leases.describe_expiry(owner, run, 10.0, wall_ms)
-    assert list(line) == ["earlier_leases_in_s"]
+    assert line["earlier_leases_in_s"] == pytest.approx(earlier_s, abs=0.001)
+    assert "heard" not in line
+
+
+def make_patient_owner():
+    """Returns an owner of runners whose longest lease is 10 s."""
+    owner = scheduling.make_owner()
+    owner.settings = msgspec.structs.replace(owner.settings, max_lease_s=10.0)
+    return owner
+
+
+def make_found_life(found_at):
+    """Returns an owner that has found and fenced a new life of a runner."""
+    owner = make_patient_owner()
+    runner, run = make_running(owner)
+    runner.entry = msgspec.structs.replace(runner.entry, clock_ms=1000)
+    status = make_status(runner, run, born_ms=9)
+    sessions._apply_reply(owner, runner, status, found_at - 0.2, found_at - 0.1)
+    runner.listed = True
+    sessions._apply_reply(owner, runner, status, found_at - 0.05, found_at)
+    assert runner.fenced
+    return owner, runner, run
+
+
+def make_successor(owner, state, passed_s, is_known):
+    """Returns an owner with the stored progress of a job, some time later."""
+    wall_ms = scheduling.clock.read_wall_ms() + int(passed_s * 1000)
+    (encoded,) = [
+        msgspec.json.encode(progress)
+        for _, progress in progress_module.take_changed(state)
+    ]
+    progress = msgspec.json.decode(encoded, type=model.JobProgress)
+    successor = make_patient_owner()
+    successor.started_at = 100.0
+    successor.former_renewed_at = 99.0
+    job = successor.table.add_job(
+        state.job, decisions.QUEUE, progress, 100.0, wall_ms
+    )
+    if is_known:
+        runner = decisions.make_runner(silent=True, heard=False, fenced=False)
+        successor.runners[runner.entry.id] = runner
+        runner.earlier_leases_until = successor.find_earlier_limit()
+    recovery._charge_restored(successor, job)
+    return successor
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+@pytest.mark.parametrize("found_ago_s", [0.3, 3.0, 60.0])
+def test_successor_that_never_hears_a_new_life_waits_for_its_longest_lease(
+    found_ago_s, is_known
+):
+    # Guards against two runs of a task: its owner had found a new life of the
+    # runner, which holds the longest lease by calls to the one before, started
+    # the task there and was lost, and its successor counted from the claim.
+    owner, runner, _ = make_found_life(100.0 - found_ago_s)
+    state = decisions.add_job(owner.table, decisions.make_step(), job_id="new")
+    current = scheduling.scheduling.Pass(100.0)
+    (task,) = state.steps[0, 0].tasks
+    run = scheduling.scheduling._begin_run(owner, task, runner, current)
+    successor = make_successor(owner, state, 0.2, is_known)
+    now = 100.2
+    while successor.table.find_run("new.0.0.0", run.attempt):
+        now += 0.1
+        if is_known:
+            sessions._handle_silence(
+                successor,
+                successor.runners["r"],
+                interfaces.OrderOutcome.LOST,
+                now,
+            )
+        else:
+            owner_module._expire_orphans(successor, now)
+    limit = successor.find_earlier_limit()
+    longest = 100.0 - found_ago_s + owner.settings.max_lease_s
+    assert now >= max(limit, longest)
+    assert now < max(limit, longest + 4.0) + 0.2
+
+
+def test_successor_waits_for_no_longer_lease_of_a_life_that_was_no_new_one():
+    # Guards against a long-running task that stays away while its runner is
+    # gone for good, as the first life of a runner looks like a young one.
+    owner = make_patient_owner()
+    runner = decisions.make_runner()
+    owner.runners["r"] = runner
+    state = decisions.add_job(owner.table, decisions.make_step(), job_id="new")
+    (task,) = state.steps[0, 0].tasks
+    current = scheduling.scheduling.Pass(100.0)
+    scheduling.scheduling._begin_run(owner, task, runner, current)
+    successor = make_successor(owner, state, 0.2, True)
+    (run,) = successor.runners["r"].runs
+    known = successor.runners["r"]
+    expiry = leases.find_run_expiry(successor, known, run, 100.3)
+    assert expiry == leases.find_last_expiry(successor, known)
+
+
+def test_lease_of_an_attempt_that_a_new_life_started_is_stored():
+    # Guards against two runs of a task: a start reached a life that no poll had
+    # found, and the owner that found it is lost, as is the runner's entry.
+    owner, runner, run = make_found_life(100.0)
+    assert run in runner.runs
+    assert run.task.job.job.id in owner.table.changed
+    longest = 100.0 - run.ordered_at + owner.settings.max_lease_s
+    assert run.longest_lease_s >= longest
--- a/tests/test_jobs_sizes.py
+++ b/tests/test_jobs_sizes.py
@@ -226,7 +226,7 @@
     table.begin_run(state.steps[0, 0].tasks[499], "r", 1.0)
     ((key, value),) = take_records(state)
     assert key == "j"
-    assert value == b'["",0,[[0,0,499,0,1,0,"",[[1,"r",0,"",0,""]],[]]]]'
+    assert value == b'["",0,[[0,0,499,0,1,0,"",[[1,"r",0,"",0,"",0.0]],[]]]]'
     assert msgspec.json.decode(value, type=EarlierProgress) == EarlierProgress(
         "", 0, [EarlierTask(0, 0, 499, 0, 1, 0, "", [EarlierRun(1, "r")])]
     )
