Expect the longest lease by late polls to a life that is not found

Cause: by the answer to a start an owner may know that it has reached a life that no poll has found. A poll that requests a lease on the known clock, sent beside that start or after it, carries the same token; carried out late it grants that life the longest lease anew. The owner counted from the start only, and requested leases even after it knew.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -83,7 +83,8 @@
         call without an answer, has expired even if it is granted late.
       strayed: An answer to a start has shown the clock of another life than the
         known one, and no poll has found that.
-      stray_grants_until: Until when such a life may have carried out a start.
+      stray_grants_until: Until when such a life may have carried out a start,
+        or a poll that requested a lease.
       late_grants_until: When leases have expired that calls to an earlier
         incarnation, or of an earlier owner, may be granted. These name a time
         on another clock.
@@ -326,7 +327,7 @@
 
     def is_in_doubt(self) -> bool:
         """Tells whether another life than the known one may answer a poll."""
-        return self.silent or self.is_announced()
+        return self.silent or self.strayed or self.is_announced()
 
     def is_announced(self) -> bool:
         """Tells whether its entry is of a life that no poll has found yet."""
@@ -399,7 +400,7 @@
         return least_s <= passed_s <= most_s
 
     def expect_stray_lease(self, until: float) -> None:
-        """Records that another life may carry out a start up to a time."""
+        """Records that another life may carry out a call up to a time."""
         self.stray_grants_until = max(self.stray_grants_until, until)
 
     def find_stray_expiry(
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -1344,3 +1344,68 @@
     assert run.task.job.job.id in owner.table.changed
     longest = 100.0 - run.ordered_at + owner.settings.max_lease_s
     assert run.longest_lease_s >= longest
+
+
+def answer_polls(runner, *answers):
+    """Has a runner answer polls; returns the leases that they request."""
+    sent, left = [], list(answers)
+
+    async def poll(token, last_seen, lease, wait_s):
+        sent.append(lease)
+        return left.pop(0)
+
+    runner.calls = types.SimpleNamespace(poll=poll)
+    return sent
+
+
+def test_poll_of_a_runner_whose_start_strayed_requests_no_lease(monkeypatch):
+    # Guards against two runs of a task: its start has reached a life that no
+    # poll has found, and a poll that names a time on the known clock may reach
+    # that life seconds later and grant it the longest lease anew.
+    owner = make_patient_owner()
+    done = interfaces.OrderOutcome.DONE
+    runner, _ = start_beside_unfound_life(owner, monkeypatch, done)
+    runner.silent, runner.clock_ms = False, 300_000
+    sent = answer_polls(runner, result.Err(interfaces.OrderOutcome.LOST))
+
+    async def wait_for_retry(*unused):
+        """Returns at once."""
+
+    monkeypatch.setattr(sessions, "_wait_for_retry", wait_for_retry)
+    asyncio.run(sessions._poll(owner, runner, 0.0, None))
+    assert sent == [None]
+
+
+def test_late_poll_extends_the_lease_of_an_unfound_life(monkeypatch):
+    # Guards against two runs of a task: a poll that was sent before its start
+    # turned out to have reached another life grants that one the longest lease
+    # when it is carried out late.
+    owner = make_patient_owner()
+    runner = decisions.make_runner(
+        clock_ms=300_000, clock_read_at=99.0, answered_at=99.0
+    )
+    run = charge_starting_run(owner, runner)
+    now = [99.5]
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: now[0])
+
+    async def poll(token, last_seen, lease, wait_s):
+        assert lease is not None
+        now[0] = 101.0
+        return result.Err(interfaces.OrderOutcome.LOST)
+
+    async def start(order):
+        return interfaces.StartReply(interfaces.OrderOutcome.DONE, 50)
+
+    async def wait_for_retry(*unused):
+        """Returns at once."""
+
+    runner.calls = types.SimpleNamespace(poll=poll, start=start)
+    monkeypatch.setattr(sessions, "_wait_for_retry", wait_for_retry)
+    run.ordered_at = 99.5
+    asyncio.run(orders._start_run(owner, run))
+    runner.strayed = False
+    asyncio.run(sessions._poll(owner, runner, 0.0, None))
+    runner.strayed = True
+    dropped_at = find_drop(owner, runner, run)
+    granted_by = 99.5 + runners_module.LATE_CALL_S
+    assert dropped_at >= granted_by + owner.settings.max_lease_s
