Expect leases by earlier owners from the first answer on

Cause: an owner that loads the jobs polls the runners to keep their leases. A runner counts as heard by that answer, but what calls of earlier owners may have left a young life was looked at only in the session that begins later. A runner that was cut off in between was given up by the leases of any runner. Change: the first answer, in whichever part of the recovery, has the owner expect them.

--- a/plantainvane/jobs/keeping.py
+++ b/plantainvane/jobs/keeping.py
@@ -153,6 +153,10 @@
         # Its lease is renewed once the withdrawal of the promise is stored.
         kept.due_at = now + _RETRY_S
         leases.withdraw_promise(owner, runner, now)
+    if not runner.heard:
+        leases.expect_earlier_grants(
+            owner, runner, reply.born_ms, now, clock.read_wall_ms()
+        )
     runner.answered_at = runner.up_at = now
     runner.heard = True
     if lease is not None:
--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -238,14 +238,29 @@
     `wall_ms` is the present time, Unix milliseconds.
     """
     runner.note_fenced(owner.settings, now)
-    if owner.former_renewed_at is not None:
-        age_s = (wall_ms - runner.entry.born_ms) / 1000
-        runner.expect_earlier_grants(owner.settings, age_s, now)
+    expect_earlier_grants(owner, runner, runner.entry.born_ms, now, wall_ms)
     born_ms = runner.entry.born_ms
     strays = [run for run in runner.runs if run.born_ms != born_ms]
     _store_longest_lease(owner, runner, strays)
 
 
+def expect_earlier_grants(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    born_ms: int,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Records what a life may hold by calls of earlier owners.
+
+    It takes none of these calls from now on. `born_ms` is the start of that
+    life, and `wall_ms` the present time, both Unix milliseconds.
+    """
+    if owner.former_renewed_at is not None:
+        age_s = (wall_ms - born_ms) / 1000
+        runner.expect_earlier_grants(owner.settings, age_s, now)
+
+
 def note_started(
     owner: state_module.Owner,
     runner: runners_module.Runner,
--- a/tests/test_jobs_keeping.py
+++ b/tests/test_jobs_keeping.py
@@ -295,3 +295,24 @@
     assert keeping._choose_due(owner, kept, 9.0) == [kept[1], kept[2]]
     owner.runners["r2"] = decisions.make_runner("r2")
     assert keeping._choose_due(owner, kept, 9.0) == [kept[1], kept[3]]
+
+
+@pytest.mark.parametrize(("age_s", "waits"), [(2.0, True), (60.0, False)])
+async def test_answer_while_jobs_load_leaves_leases_by_earlier_owners(
+    machine, monkeypatch, age_s, waits
+):
+    # Guards against two runs of a task: a young life has the longest lease by
+    # calls of an earlier owner to the one before, answers once while the jobs
+    # are loaded, and is cut off.
+    owner = make_loading_owner(machine)
+    owner.settings = msgspec.structs.replace(owner.settings, max_lease_s=10.0)
+    owner.former_renewed_at = -0.5
+    wall_ms = machine.born_ms + int(age_s * 1000)
+    monkeypatch.setattr(clock_module, "read_wall_ms", lambda: wall_ms)
+    machine.lease_until_ms = machine.offset_ms + 10_000
+    await keep_for(owner, machine, _STEP_S)
+    assert owner.runners["r"].heard
+    run = load_job(owner, machine)
+    machine.receives = False
+    dropped_at = await leases_tests.find_drop(owner, machine, run)
+    assert (dropped_at >= machine.find_true_expiry()) is waits
