Remember a life that was announced and is cut off from the log

Cause: that a runner has another life which no poll has found is known by its entry. The platform deletes the entry 4.5 s after the last one was written, so a life that is cut off from the log too was forgotten, and attempts that it may have started were given up by the leases of the life before. A successor that loads the runners after that knows nothing of it. Change: that an entry has told of another life is kept until a later poll is answered, and what this means for an attempt is stored with it. Long-running tasks wait as long as before, as their runner may be gone for good and they have 9 s; those that the answer to a start has shown in the other life wait under a successor too. Evidence: by reading, and by tests that failed before: a start with an announced life 'then unlisted', a successor of such a life without a fresh entry, and the lease that is stored (clock, entry).

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -3,7 +3,6 @@
 No lease may be taken for expired before it is, as its task would run twice.
 """
 
-from collections.abc import Iterable
 import math
 from typing import Any
 
@@ -116,22 +115,34 @@
     return min(ordered_by + run.longest_lease_s, latest)
 
 
-def _store_longest_lease(
-    owner: state_module.Owner,
-    runner: runners_module.Runner,
-    runs: Iterable[attempts.Run],
+def store_stray_leases(
+    owner: state_module.Owner, runner: runners_module.Runner, now: float
+) -> None:
+    """Stores how long a life that no poll has found may run attempts.
+
+    Without the answer to a start nothing is stored for a long-running task,
+    which is not to wait for a runner that may be gone for good.
+    """
+    for run in runner.runs:
+        lasts = run.task.step.definition.long_running
+        if run.sent_at and (runner.strayed or not lasts):
+            until = runner.find_stray_expiry(owner.settings, run, now)
+            _store_lease_end(owner, run, until)
+
+
+def _store_lease_end(
+    owner: state_module.Owner, run: attempts.Run, until: float
 ) -> None:
-    """Stores how long calls to an earlier life may have leased attempts.
+    """Stores until when calls meant for another life may have leased `run`.
 
     A successor that never hears the runner could not tell that.
     """
-    for run in runs:
-        ordered_at = run.ordered_at or run.inherited_at
-        lease_s = max(0.0, runner.late_grants_until - ordered_at)
-        if abs(lease_s - run.longest_lease_s) > _NOTED_LEASE_S:
-            run.longest_lease_s = lease_s
-            owner.table.mark_changed(run.task.job, run.task)
-            owner.request_pass()
+    ordered_at = run.ordered_at or run.inherited_at
+    lease_s = max(0.0, until - ordered_at)
+    if abs(lease_s - run.longest_lease_s) > _NOTED_LEASE_S:
+        run.longest_lease_s = lease_s
+        owner.table.mark_changed(run.task.job, run.task)
+        owner.request_pass()
 
 
 def describe_expiry(
@@ -224,7 +235,8 @@
     runner.record_clock(clock_ms, now, listed=True)
     runner.lease_until_ms, runner.lease_requested_at = 0, now
     runner.expect_late_grants(owner.settings, now)
-    _store_longest_lease(owner, runner, runner.runs)
+    for run in runner.runs:
+        _store_lease_end(owner, run, runner.late_grants_until)
 
 
 def note_fenced(
@@ -240,8 +252,9 @@
     runner.note_fenced(owner.settings, now)
     expect_earlier_grants(owner, runner, runner.entry.born_ms, now, wall_ms)
     born_ms = runner.entry.born_ms
-    strays = [run for run in runner.runs if run.born_ms != born_ms]
-    _store_longest_lease(owner, runner, strays)
+    for run in runner.runs:
+        if run.born_ms != born_ms:
+            _store_lease_end(owner, run, runner.late_grants_until)
 
 
 def expect_earlier_grants(
@@ -282,6 +295,7 @@
         return
     runner.strayed = True
     runner.require_poll()
+    store_stray_leases(owner, runner, now)
     events.log_event(
         events.START_STRAYED,
         task=run.task.name,
--- a/plantainvane/jobs/recovery.py
+++ b/plantainvane/jobs/recovery.py
@@ -14,6 +14,7 @@
 from plantainvane.jobs import early_cancels
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import keeping
+from plantainvane.jobs import leases
 from plantainvane.jobs import model
 from plantainvane.jobs import probes
 from plantainvane.jobs import progress as progress_module
@@ -330,6 +331,7 @@
         # An entry that precedes the awaited one is old, and so is its capacity.
         runner.listed = runner.listed or not runner.entry_awaited
         runner_entries.announce(runner, entry, now)
+        leases.store_stray_leases(owner, runner, now)
         return
     runner_entries.adopt(owner, runner, entry)
 
--- a/plantainvane/jobs/runner_entries.py
+++ b/plantainvane/jobs/runner_entries.py
@@ -38,12 +38,16 @@
         runner.announced_at = now
     runner.announced = entry
     if entry.born_ms != runner.refuted_born_ms:
+        runner.missed_life = True
         runner.require_poll()
 
 
 def refute(runner: runners_module.Runner, sent_at: float) -> None:
     """Records that a poll sent at a time found the incarnation unchanged."""
-    if runner.announced is not None and sent_at > runner.announced_at:
+    if sent_at <= runner.announced_at:
+        return
+    runner.missed_life = False
+    if runner.announced is not None:
         runner.refuted_born_ms = runner.announced.born_ms
 
 
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -55,6 +55,8 @@
       announced: Entry of another incarnation than the present one, or None. A
         poll tells whether that one runs.
       announced_at: When an entry of that incarnation was first read.
+      missed_life: An entry has told of an incarnation since the last answer to
+        a poll that was sent later. Unlike `announced`, this outlasts the entry.
       refuted_born_ms: Incarnation of an entry that a later poll did not find,
         or None.
       entry_read_at: When an entry under its id and address was last read.
@@ -150,6 +152,7 @@
     entry_awaited: bool = False
     announced: model.RunnerEntry | None = None
     announced_at: float = float("-inf")
+    missed_life: bool = False
     refuted_born_ms: int | None = None
     entry_read_at: float = float("-inf")
     token: int = 0
@@ -414,15 +417,21 @@
         Such a life grants the longest lease, as orders name times on another
         clock, and any of them extends it. Minus infinity if it cannot have
         started the attempt, or nothing tells that there is such a life.
+
+        A life whose entry is gone may have ended, or be cut off from the log as
+        well. A long-running task must be back before its lease would have
+        expired, so it waits only as long as the entry is there.
         """
+        lasts = run.task.step.definition.long_running
         if run.sent_at:
-            if not (self.strayed or self.is_announced()):
+            is_shown = self.strayed or self.is_announced()
+            if not is_shown and (lasts or not self.missed_life):
                 return float("-inf")
             if not self._may_have_strayed(run):
                 return float("-inf")
             until = self.stray_grants_until
         else:
-            if not self._may_stray_inherited(run, now):
+            if not self._may_stray_inherited(run, lasts, now):
                 return float("-inf")
             until = run.inherited_at + _STRAY_CALLS_S
         return until + find_longest_lease_s(settings)
@@ -432,18 +441,21 @@
         key = run.task.name, run.attempt
         return not run.start_settled or key in self.late_starts
 
-    def _may_stray_inherited(self, run: attempts.Run, now: float) -> bool:
+    def _may_stray_inherited(
+        self, run: attempts.Run, lasts: bool, now: float
+    ) -> bool:
         """Tells whether a life that the owner before had not found runs `run`.
 
-        That life writes its entry, and no poll of this owner has reached it.
+        That life has written an entry, and writes it still if the task lasts.
+        No poll of this owner has reached it.
         """
+        if self.heard or not run.born_ms:
+            return False
+        is_written = self.listed and now - self.entry_read_at <= _ENTRY_AGE_S
+        if lasts and not is_written:
+            return False
         entry = self.announced if self.is_announced() else self.entry
-        return (
-            not self.heard
-            and self.listed
-            and now - self.entry_read_at <= _ENTRY_AGE_S
-            and run.born_ms not in (0, entry.born_ms)
-        )
+        return self.missed_life or run.born_ms != entry.born_ms
 
     def expect_late_lease(self, settings: settings_module.Settings) -> None:
         """Records that the last lease may be granted late, for any time."""
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -643,7 +643,7 @@
         runner.acknowledging_end,
     )
     announced, runner.announced = runner.announced, None
-    runner.refuted_born_ms = None
+    runner.missed_life, runner.refuted_born_ms = False, None
     if announced is not None and announced.born_ms == reply.born_ms:
         runner_entries.adopt(owner, runner, announced)
         return
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -582,7 +582,7 @@
     assert find_drop(owner, runner, run) < expiry + 0.2
 
 
-@pytest.mark.parametrize("announced", [True, False])
+@pytest.mark.parametrize("announced", [True, "then unlisted", False])
 def test_start_that_another_life_may_carry_out_binds_its_attempt(
     announced, monkeypatch
 ):
@@ -599,10 +599,12 @@
     if announced:
         entry = msgspec.structs.replace(runner.entry, born_ms=9)
         runner_entries.announce(runner, entry, 100.0)
+    if announced == "then unlisted":
+        recovery._apply_entry(owner, "r", None)
     expiry = runner.find_lease_expiry(owner.settings)
     dropped_at = find_drop(owner, runner, run)
     longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
-    assert (dropped_at >= 100.0 + longest_s) is announced
+    assert (dropped_at >= 100.0 + longest_s) is bool(announced)
     # What the life before has listed ends with its leases.
     (other,) = before
     assert other not in other.task.runs
@@ -614,16 +616,16 @@
     [
         (1, 1.0, False, 2.0, True),
         (1, 1.0, False, 60.0, False),
-        # A runner that is gone for good writes no entry.
-        (1, 6.0, False, 2.0, False),
+        (1, 6.0, False, 2.0, "unless it lasts"),
         (9, 1.0, False, 2.0, False),
         (1, 1.0, True, 2.0, False),
         # Written by an earlier version.
         (0, 1.0, False, 2.0, False),
     ],
 )
+@pytest.mark.parametrize("lasts", [True, False])
 def test_successor_waits_for_a_life_that_the_owner_before_had_not_found(
-    ordered_for, entry_age_s, heard, ordered_ago_s, waits
+    ordered_for, entry_age_s, heard, ordered_ago_s, waits, lasts
 ):
     # Guards against a task that runs twice: a start of an earlier owner has
     # reached a new life of its runner, which no poll of any owner has reached.
@@ -632,8 +634,13 @@
         heard=heard, silent=True, entry_read_at=100.0 - entry_age_s
     )
     runner.entry = msgspec.structs.replace(runner.entry, born_ms=9)
-    run = charge_starting_run(owner, runner)
+    owner.runners["r"] = runner
+    step = decisions.make_step(long_running=lasts)
+    (run,) = decisions.place_runs(runner, owner.table, step)
     run.born_ms, run.inherited_at = ordered_for, 100.0 - ordered_ago_s
+    # A long-running task on a runner that is gone for good is to be back soon.
+    # Such a runner writes no entry.
+    waits = not lasts if waits == "unless it lasts" else waits
     expiry = leases.find_run_expiry(owner, runner, run, 100.0)
     assert (expiry > 100.0) is waits
     longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
@@ -1281,6 +1288,9 @@
     )
     if is_known:
         runner = decisions.make_runner(silent=True, heard=False, fenced=False)
+        (task,) = state.steps[0, 0].tasks
+        born_ms = task.runs[0].born_ms
+        runner.entry = msgspec.structs.replace(runner.entry, born_ms=born_ms)
         successor.runners[runner.entry.id] = runner
         runner.earlier_leases_until = successor.find_earlier_limit()
     recovery._charge_restored(successor, job)
@@ -1409,3 +1419,31 @@
     dropped_at = find_drop(owner, runner, run)
     granted_by = 99.5 + runners_module.LATE_CALL_S
     assert dropped_at >= granted_by + owner.settings.max_lease_s
+
+
+@pytest.mark.parametrize("lasts", [True, False])
+@pytest.mark.parametrize("shown_by", ["clock", "entry"])
+def test_lease_of_an_unfound_life_is_stored_for_a_successor(
+    shown_by, lasts, monkeypatch
+):
+    # Guards against two runs of a task: its start has reached a life that no
+    # poll has found, the entry of that life is deleted and its owner is lost.
+    owner = make_patient_owner()
+    lost = interfaces.OrderOutcome.LOST
+    answers = [lost] * (1 + owner.settings.start_retries)
+    if shown_by == "clock":
+        answers = [interfaces.OrderOutcome.DONE]
+    runner, run = start_beside_unfound_life(owner, monkeypatch, *answers)
+    definition = msgspec.structs.replace(
+        run.task.step.definition, long_running=lasts
+    )
+    run.task.step.definition = definition
+    owner.adapters = types.SimpleNamespace(
+        decode_runner=lambda key, value: value
+    )
+    entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    recovery._apply_entry(owner, "r", entry)
+    until = run.ordered_at + run.longest_lease_s
+    is_stored = until >= 100.0 + owner.settings.max_lease_s
+    assert is_stored is (shown_by == "clock" or not lasts)
+    assert not is_stored or run.task.job.job.id in owner.table.changed
