--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -126,7 +126,8 @@
     for run in runner.runs:
         lasts = run.task.step.definition.long_running
         if run.sent_at and (runner.strayed or not lasts):
-            until = runner.find_stray_expiry(owner.settings, run, now)
+            stray_until = runner.find_stray_expiry(owner.settings, run, now)
+            until = max(stray_until, runner.late_grants_until)
             _store_lease_end(owner, run, until)
 
 
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -1447,3 +1447,19 @@
     is_stored = until >= 100.0 + owner.settings.max_lease_s
     assert is_stored is (shown_by == "clock" or not lasts)
     assert not is_stored or run.task.job.job.id in owner.table.changed
+
+
+def test_entry_of_a_further_life_shortens_no_stored_lease():
+    # Guards against two runs of a task: the lease of a new life is stored with
+    # an attempt, and is forgotten as an entry tells of yet another life.
+    owner, runner, _ = make_found_life(100.0)
+    state = decisions.add_job(owner.table, decisions.make_step(), job_id="new")
+    (task,) = state.steps[0, 0].tasks
+    current = scheduling.scheduling.Pass(100.1)
+    run = scheduling.scheduling._begin_run(owner, task, runner, current)
+    run.sent_at, run.start_settled = 100.1, True
+    stored_s = run.longest_lease_s
+    entry = msgspec.structs.replace(runner.entry, born_ms=77)
+    runner_entries.announce(runner, entry, 100.2)
+    leases.store_stray_leases(owner, runner, 100.2)
+    assert run.longest_lease_s >= stored_s > owner.settings.max_lease_s
