Keep the stored lease of a new life when an earlier entry is read

Cause: when an entry names another life than the known one, the end of the lease in such a life is stored with each attempt. An attempt that the known life has certainly started has none, so 0 replaced the longest lease that this life may hold by calls to the one before. The last entry of that one is read late if the log is slow, or is written by another writer. A successor that never hears the runner then counted from the claim. Change: no less than the leases by late grants is stored.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -127,6 +127,8 @@
         lasts = run.task.step.definition.long_running
         if run.sent_at and (runner.strayed or not lasts):
             until = runner.find_stray_expiry(owner.settings, run, now)
+            # The entry may be that of an earlier life.
+            until = max(until, runner.late_grants_until)
             _store_lease_end(owner, run, until)
 
 
