Store the lease of an unfound life anew after a call without an answer

Cause: a life that no poll has found may carry out a later call as well, which extends its lease. The owner counted that, but the lease was stored only when the life was announced or a start showed its clock, so a successor that never hears it waited for 10 s where the owner waited for 24 s. Change: it is stored anew after each start that does not fit the known life, and after each poll that requested a lease and has no answer. Measured: both cases of the new test failed before (110.5 s stored, 124.5 s known), and pass. The tests of sessions, leases, recovery and keeping pass.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -291,13 +291,14 @@
     if clock_ms is not None:
         fits = runner.fits_clock(owner.settings, clock_ms, run.sent_at, now)
     run.start_settled = fits is True
+    if fits is False:
+        runner.strayed = True
+        runner.require_poll()
     if fits is not True:
         runner.expect_stray_lease(now)
+        store_stray_leases(owner, runner, now)
     if fits is not False:
         return
-    runner.strayed = True
-    runner.require_poll()
-    store_stray_leases(owner, runner, now)
     events.log_event(
         events.START_STRAYED,
         task=run.task.name,
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -253,6 +253,7 @@
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
         if lease is not None and reply.err_value is _OUTCOME.LOST:
             runner.expect_stray_lease(sent_at + _LATE_START_S)
+            leases.store_stray_leases(owner, runner, now)
         if changes and reply.err_value is _OUTCOME.LOST:
             state_module.outdate_call(owner, runner, token)
         if acknowledged and reply.err_value is _OUTCOME.LOST:
--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -1,11 +1,17 @@
 """Leases that calls to another life have left, as stored and as believed."""
 
+import asyncio
 import types
 
 import msgspec
 import pytest
+import result
 
+from plantainvane.jobs import attempts
+from plantainvane.jobs import interfaces
+from plantainvane.jobs import orders
 from plantainvane.jobs import recovery
+from plantainvane.jobs import sessions
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling
 from tests import test_jobs_sessions as sessions_tests
@@ -43,3 +49,43 @@
         runner.announced, runner.refuted_born_ms = earlier, 1
     recovery._apply_entry(owner, "r", earlier)
     assert find_stored_end(run) >= 100.0 + owner.settings.max_lease_s
+
+
+@pytest.mark.parametrize("call", ["start", "poll"])
+def test_stored_lease_follows_a_later_call_without_an_answer(call, monkeypatch):
+    # Guards against two runs of a task: a life that no poll has found has
+    # started it and may carry out another call late, which extends its lease.
+    # The owner waits for that, but its successor does not know.
+    owner = sessions_tests.make_patient_owner()
+    done, lost = interfaces.OrderOutcome.DONE, interfaces.OrderOutcome.LOST
+    runner, run = sessions_tests.start_beside_unfound_life(
+        owner, monkeypatch, done
+    )
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 102.0)
+    if call == "start":
+        (other,) = decisions.place_runs(
+            runner, owner.table, decisions.make_step(), job_id="k"
+        )
+        other.phase, other.ordered_at = attempts.Phase.STARTING, 102.0
+
+        async def start(order):
+            return interfaces.StartReply(lost)
+
+        runner.calls = types.SimpleNamespace(start=start)
+        asyncio.run(orders._start_run(owner, other))
+    else:
+
+        async def poll(*unused):
+            return result.Err(lost)
+
+        async def wait_for_retry(*unused):
+            """Returns at once."""
+
+        runner.calls = types.SimpleNamespace(poll=poll)
+        monkeypatch.setattr(sessions, "_wait_for_retry", wait_for_retry)
+        # It was sent just before the start turned out to have strayed.
+        monkeypatch.setattr(sessions.leases, "choose_lease", lambda *unused: 9)
+        asyncio.run(sessions._poll(owner, runner, 0.0, None))
+    known = runner.find_stray_expiry(owner.settings, run, 102.0)
+    assert known >= 102.0 + 12.0 + owner.settings.max_lease_s
+    assert find_stored_end(run) >= known - 0.5
