Count the late leases of a life from when it was first fenced

Cause: a life takes no call to the one before, or by an earlier owner, once it has answered a poll with a later token. Each time that such a poll was needed again (a start that was not reached, an entry of another life), the longest lease counted anew from there, so attempts were waited for longer than any lease lasts, and were stored so. Change: only the first such answer of a life counts. Measured: both cases of the new test failed before (118.5 s instead of 110.5 s), and pass. The tests of sessions, leases, keeping and takeovers pass.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -234,6 +234,7 @@
     takes for the longest lease. Those with its token name times on its own.
     """
     runner.token = owner.issue_token(runner.entry.id)
+    runner.was_fenced = False
     runner.record_clock(clock_ms, now, listed=True)
     runner.lease_until_ms, runner.lease_requested_at = 0, now
     runner.expect_late_grants(owner.settings, now)
@@ -251,9 +252,10 @@
 
     `wall_ms` is the present time, Unix milliseconds.
     """
+    was_fenced, born_ms = runner.was_fenced, runner.entry.born_ms
     runner.note_fenced(owner.settings, now)
-    expect_earlier_grants(owner, runner, runner.entry.born_ms, now, wall_ms)
-    born_ms = runner.entry.born_ms
+    if not was_fenced:
+        expect_earlier_grants(owner, runner, born_ms, now, wall_ms)
     for run in runner.runs:
         if run.born_ms != born_ms:
             _store_lease_end(owner, run, runner.late_grants_until)
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -65,6 +65,7 @@
       fenced: Its present incarnation has answered a poll that carried `token`,
         so it rejects calls of earlier owners, and calls to earlier
         incarnations.
+      was_fenced: The present incarnation has done so before.
       born_at: When this process learned of the present incarnation. An answer
         to a later poll comes from it or from one that followed; `born_ms` may
         be lower there, as the time of day may be set back.
@@ -158,6 +159,7 @@
     token: int = 0
     heard: bool = False
     fenced: bool = False
+    was_fenced: bool = False
     born_at: float = 0.0
     restarted_at: float = float("-inf")
     last_stored_end: int = 0
@@ -507,9 +509,9 @@
         What it has granted to calls to an earlier life lasts no longer than the
         longest lease.
         """
-        self.fenced = True
-        if self.late_grants_until > now:
+        if not self.was_fenced and self.late_grants_until > now:
             self.late_grants_until = now + find_longest_lease_s(settings)
+        self.fenced = self.was_fenced = True
 
     def expect_earlier_grants(
         self, settings: settings_module.Settings, age_s: float, now: float
--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -89,3 +89,27 @@
     known = runner.find_stray_expiry(owner.settings, run, 102.0)
     assert known >= 102.0 + 12.0 + owner.settings.max_lease_s
     assert find_stored_end(run) >= known - 0.5
+
+
+@pytest.mark.parametrize("is_successor", [True, False])
+def test_life_that_is_polled_anew_holds_no_further_late_lease(
+    is_successor, monkeypatch
+):
+    # Guards against a long-running task that stays away: its runner is gone for
+    # good, and the owner waits for leases by calls to an earlier life that the
+    # present one has refused for seconds.
+    owner = sessions_tests.make_patient_owner()
+    owner.former_renewed_at = 99.0 if is_successor else None
+    runner, run = sessions_tests.make_running(owner)
+    monkeypatch.setattr(sessions.clock, "read_wall_ms", lambda: 1_009)
+    status = sessions_tests.make_status(runner, run, born_ms=9)
+    sessions._apply_reply(owner, runner, status, 99.8, 99.9)
+    sessions._apply_reply(owner, runner, status, 99.95, 100.0)
+    assert runner.fenced
+    known = runner.late_grants_until
+    assert known >= 100.0 + owner.settings.max_lease_s
+    runner.require_poll()
+    monkeypatch.setattr(sessions.clock, "read_wall_ms", lambda: 9_009)
+    sessions._apply_reply(owner, runner, status, 107.9, 108.0)
+    assert runner.fenced
+    assert runner.late_grants_until == known
