Wait for an announced life when only the one before has answered

Cause: while the jobs are loaded an answer of a runner tells nothing of attempts, but it counted as heard, and then no life that no poll has found was expected to run what an earlier owner had ordered: its start may be carried out late there. Change: an attempt that no poll has listed is waited for, if an entry has told of another life since the last answer.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -449,9 +449,11 @@
         """Tells whether a life that the owner before had not found runs `run`.
 
         That life has written an entry, and writes it still if the task lasts.
-        No poll of this owner has reached it.
+        No poll of this owner has reached it. An earlier life may have answered
+        while the jobs were loaded, which tells nothing of the attempt.
         """
-        if self.heard or not run.born_ms:
+        has_answered = self.heard and (run.reported or not self.missed_life)
+        if has_answered or not run.born_ms:
             return False
         is_written = self.listed and now - self.entry_read_at <= _ENTRY_AGE_S
         if lasts and not is_written:
--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -9,8 +9,11 @@
 
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
+from plantainvane.jobs import leases
 from plantainvane.jobs import orders
 from plantainvane.jobs import recovery
+from plantainvane.jobs import runner_entries
+from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from tests import test_jobs_decisions as decisions
 from tests import test_jobs_scheduling as scheduling
@@ -113,3 +116,27 @@
     sessions._apply_reply(owner, runner, status, 107.9, 108.0)
     assert runner.fenced
     assert runner.late_grants_until == known
+
+
+@pytest.mark.parametrize("lasts", [True, False])
+def test_life_that_follows_the_first_answer_binds_an_unheard_start(lasts):
+    # Guards against two runs of a task: the life before has answered while the
+    # jobs were loaded, which tells nothing of the start that an earlier owner
+    # has sent, and the entry of a new life is read, which no poll reaches.
+    owner = sessions_tests.make_patient_owner()
+    runner = decisions.make_runner(
+        heard=True, fenced=False, silent=True, entry_read_at=100.0
+    )
+    owner.runners["r"] = runner
+    step = decisions.make_step(long_running=lasts)
+    (run,) = decisions.place_runs(runner, owner.table, step)
+    run.phase, run.born_ms, run.inherited_at = attempts.Phase.STARTING, 1, 98.0
+    entry = msgspec.structs.replace(runner.entry, born_ms=9)
+    runner_entries.announce(runner, entry, 100.0)
+    expiry = leases.find_run_expiry(owner, runner, run, 100.0)
+    longest_s = runners_module.LATE_START_S + owner.settings.max_lease_s
+    assert expiry >= 98.0 + longest_s
+    # One that a poll has listed runs in the life that has answered.
+    run.reported = True
+    expiry = leases.find_run_expiry(owner, runner, run, 100.0)
+    assert expiry == leases.find_last_expiry(owner, runner)
