Show that a jump of the time of day cuts a stored lease short (fails)

Cause: a stored lease counts from the order, whose time an attempt keeps as a time of day. Change: a test only.

--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -140,3 +140,19 @@
     run.reported = True
     expiry = leases.find_run_expiry(owner, runner, run, 100.0)
     assert expiry == leases.find_last_expiry(owner, runner)
+
+
+@pytest.mark.parametrize("ahead_s", [-5.0, 0.0, 5.0])
+def test_stored_lease_is_waited_for_by_a_successor_whose_clock_jumped(ahead_s):
+    # Guards against two runs of a task: the time of day has jumped by some
+    # seconds on the machine of the successor, which has that time and the time
+    # of the order only to tell when the stored lease has expired.
+    found_at = 99.7
+    owner, _, run = start_in_found_life(found_at)
+    successor = sessions_tests.make_successor(
+        owner, run.task.job, 0.2 + ahead_s, True
+    )
+    runner = successor.runners["r"]
+    (restored,) = runner.runs
+    expiry = leases.find_run_expiry(successor, runner, restored, 100.2)
+    assert expiry >= found_at + owner.settings.max_lease_s
