Append a lease that calls to another life may have left at once

Cause: what a new or an unfound life may hold was marked as changed, and a pass was requested. A pass appends only if it starts an attempt, and none is run by an owner that hands over. Without a start, an end or another record the lease was in memory only, and lost with its owner. Measured: the new test failed before (nothing was appended), and passes.

--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -144,7 +144,7 @@
     if abs(lease_s - run.longest_lease_s) > _NOTED_LEASE_S:
         run.longest_lease_s = lease_s
         owner.table.mark_changed(run.task.job, run.task)
-        owner.request_pass()
+        owner.journal.add([])
 
 
 def describe_expiry(
--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import anyio
 import msgspec
 import pytest
 import result
@@ -10,7 +11,9 @@
 from plantainvane.jobs import attempts
 from plantainvane.jobs import interfaces
 from plantainvane.jobs import leases
+from plantainvane.jobs import model
 from plantainvane.jobs import orders
+from plantainvane.jobs import owner as owner_module
 from plantainvane.jobs import recovery
 from plantainvane.jobs import runner_entries
 from plantainvane.jobs import runners as runners_module
@@ -20,6 +23,11 @@
 from tests import test_jobs_sessions as sessions_tests
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 def start_in_found_life(found_at):
     """Returns an owner, a new life that it has found, and a run there."""
     owner, runner, _ = sessions_tests.make_found_life(found_at)
@@ -142,6 +150,36 @@
     assert expiry == leases.find_last_expiry(owner, runner)
 
 
+class FakeStore:
+    """Records what is appended."""
+
+    def __init__(self):
+        self.records = []
+
+    async def append(self, topic, records, timeout_s, producer):
+        first = len(self.records)
+        self.records += records
+        return result.Ok(interfaces.Appended(first, len(self.records)))
+
+
+@pytest.mark.anyio
+async def test_lease_of_a_found_life_is_appended_without_another_reason():
+    # Guards against two runs of a task: an owner that starts and ends nothing
+    # finds a new life of a runner, and is lost some seconds later. What a life
+    # may hold was marked as changed, but stored with the next start or end.
+    owner, _, run = sessions_tests.make_found_life(100.0)
+    store = owner.journal.store = FakeStore()
+    owner.journal.collect = lambda: owner_module._collect_progress(owner)
+    async with anyio.create_task_group() as group:
+        group.start_soon(owner.journal.run)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    ((_, value),) = store.records
+    progress = msgspec.json.decode(value, type=model.JobProgress)
+    ((stored,),) = [row.runs for row in progress.tasks]
+    assert stored.longest_lease_s == pytest.approx(run.longest_lease_s, abs=0.1)
+
+
 @pytest.mark.parametrize("ahead_s", [-5.0, 0.0, 5.0])
 def test_stored_lease_is_waited_for_by_a_successor_whose_clock_jumped(ahead_s):
     # Guards against two runs of a task: the time of day has jumped by some
