--- a/plantainvane/jobs/leases.py
+++ b/plantainvane/jobs/leases.py
@@ -125,9 +125,13 @@
     """
     for run in runner.runs:
         lasts = run.task.step.definition.long_running
-        if run.sent_at and (runner.strayed or not lasts):
-            stray_until = runner.find_stray_expiry(owner.settings, run, now)
-            until = max(stray_until, runner.late_grants_until)
+        if runner.strayed or not lasts:
+            until = runner.find_stray_expiry(owner.settings, run, now)
+            # The entry may be that of an earlier life.
+            until = max(until, runner.late_grants_until)
+            if not run.ordered_at:
+                # The owner before may have known more.
+                until = max(until, run.inherited_at + run.longest_lease_s)
             _store_lease_end(owner, run, until)
 
 
@@ -143,7 +147,7 @@
     if abs(lease_s - run.longest_lease_s) > _NOTED_LEASE_S:
         run.longest_lease_s = lease_s
         owner.table.mark_changed(run.task.job, run.task)
-        owner.request_pass()
+        owner.journal.add([])
 
 
 def describe_expiry(
@@ -233,6 +237,7 @@
     takes for the longest lease. Those with its token name times on its own.
     """
     runner.token = owner.issue_token(runner.entry.id)
+    runner.was_fenced = False
     runner.record_clock(clock_ms, now, listed=True)
     runner.lease_until_ms, runner.lease_requested_at = 0, now
     runner.expect_late_grants(owner.settings, now)
@@ -250,9 +255,10 @@
 
     `wall_ms` is the present time, Unix milliseconds.
     """
+    was_fenced, born_ms = runner.was_fenced, runner.entry.born_ms
     runner.note_fenced(owner.settings, now)
-    expect_earlier_grants(owner, runner, runner.entry.born_ms, now, wall_ms)
-    born_ms = runner.entry.born_ms
+    if not was_fenced:
+        expect_earlier_grants(owner, runner, born_ms, now, wall_ms)
     for run in runner.runs:
         if run.born_ms != born_ms:
             _store_lease_end(owner, run, runner.late_grants_until)
@@ -290,13 +296,14 @@
     if clock_ms is not None:
         fits = runner.fits_clock(owner.settings, clock_ms, run.sent_at, now)
     run.start_settled = fits is True
+    if fits is False:
+        runner.strayed = True
+        runner.require_poll()
     if fits is not True:
         runner.expect_stray_lease(now)
+        store_stray_leases(owner, runner, now)
     if fits is not False:
         return
-    runner.strayed = True
-    runner.require_poll()
-    store_stray_leases(owner, runner, now)
     events.log_event(
         events.START_STRAYED,
         task=run.task.name,
