--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -20,8 +20,9 @@
 LATE_CALL_S = 6.0
 # An order to start without an answer may be carried out for this long.
 LATE_START_S = 12.0
-# Times of day of two machines differ by less than this.
-CLOCK_DIFFERENCE_S = 3.0
+# Times of day of two machines differ by no more than this; the platform allows
+# starts that are early by as much on days on which clocks jump.
+CLOCK_DIFFERENCE_S = 5.0
 # Calls of an owner that are meant for the life before reach a life within this
 # time of its start: 3 s until a poll finds it, then late ones.
 _STRAY_CALLS_S = 3.0 + LATE_START_S + CLOCK_DIFFERENCE_S
