Draw lives that are lost together with their owner

A kill of the owner was drawn by itself, so that a successor mostly heard that life, and was told what it ran. Change: a life that is back after a restart is reached for up to 1 or 4 s; as it is cut off, it loses the log too in half of the cases, and the owner is killed within a second in 4 of 10. Test: runs with restarts alone kill an owner at a cut; none did before.

--- a/standins/explore_faults.py
+++ b/standins/explore_faults.py
@@ -21,6 +21,11 @@
 # Share of the runners that may be in trouble at the same time.
 _MAX_HARMED_SHARE = 0.5
 _CUT_AFTER_RESTART_SHARE = 0.7
+# Longest times for which a life is reached before it is cut off.
+_MAX_REACHED_S = (1.0, 4.0)
+# Share of the lives cut off whose owner is killed, and how soon.
+_LOST_WITH_OWNER_SHARE = 0.4
+_OWNER_LOST_WITHIN_S = 1.0
 # Longest times for which a runner that restarts is down.
 _MAX_DOWN_S = (0.4, 2.5)
 _LATE_SHARE = 0.5
@@ -145,7 +150,8 @@
 async def _restart_runner(course: _Course) -> None:
     """Crashes a runner, which comes back and may be cut off then.
 
-    Calls to it may come late, to the next life.
+    Calls to it may come late, to the next life. The owner may be killed as that
+    life is cut off, so that no successor hears what its owner knew of it.
     """
     runner, fleet = _choose_runner(course), course.fleet
     if runner is None:
@@ -160,11 +166,19 @@
         if draws.random() < 0.5:
             world.fates.pop(runner.id)
         runner.begin()
-        await asyncio.sleep(draws.uniform(0.0, 4.0))
+        await asyncio.sleep(draws.uniform(0.0, draws.choice(_MAX_REACHED_S)))
         world.fates.pop(runner.id, None)
-        if draws.random() < _CUT_AFTER_RESTART_SHARE:
-            with _cut(fleet, runner.id, _choose_others(fleet)):
-                await asyncio.sleep(draws.uniform(0.5, 14.0))
+        if draws.random() >= _CUT_AFTER_RESTART_SHARE:
+            return
+        killing = None
+        if draws.random() < _LOST_WITH_OWNER_SHARE:
+            killing = world.spawn(_kill_owner(course))
+        runner.reaches_log = draws.random() < 0.5
+        with _cut(fleet, runner.id, _choose_others(fleet)):
+            await asyncio.sleep(draws.uniform(0.5, 14.0))
+        runner.reaches_log = True
+    if killing is not None:
+        await asyncio.wait([killing])
 
 
 async def _cut_runner(course: _Course) -> None:
@@ -207,9 +221,23 @@
 
 async def _kill_process(course: _Course) -> None:
     """Kills a process, and starts it again."""
-    process, fleet = _choose_process(course), course.fleet
-    if process is None:
-        return
+    process = _choose_process(course)
+    if process is not None:
+        await _kill(course, process)
+
+
+async def _kill_owner(course: _Course) -> None:
+    """Kills the owner a moment later, if it is not in trouble by then."""
+    fleet = course.fleet
+    await asyncio.sleep(fleet.world.draws.uniform(0.0, _OWNER_LOST_WITHIN_S))
+    up = fleet.list_up()
+    owners = [p for p in up if p.is_owner and p.id not in course.harmed]
+    if owners and len(up) == len(fleet.processes):
+        await _kill(course, owners[0])
+
+
+async def _kill(course: _Course, process: explore_fleet.Process) -> None:
+    fleet = course.fleet
     with _harm(course, "kill", process.id):
         fleet.kill(process)
         await asyncio.sleep(fleet.world.draws.uniform(0.5, 5.0))
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -52,6 +52,16 @@
     assert traces[0] == traces[1]
 
 
+def test_lives_are_cut_off_as_their_owner_is_killed():
+    # Guards against runs in which each owner outlives what it alone knows of a
+    # life: its successor would be told by that life.
+    trace = explore.run_seed(1, 0.5, lambda kind: kind == "restart").trace
+    kills = [at for at, line in trace if line.startswith("fault kill begins")]
+    cuts = [at for at, line in trace if line.startswith("fault cut")]
+    assert kills
+    assert all(any(0 <= k - c <= 1.0 for c in cuts) for k in kills)
+
+
 def _choose_any_acknowledged(runner: runners_module.Runner, now: float) -> int:
     """Acknowledges ends to any life, as before."""
     return runner.last_stored_end
