Draw tasks of up to 40 s in the seeded runs

Cause: tasks took 0.2 to 1 s, so that hardly any attempt outlived a lease, its owner or a wait for an expiry. Change: a run draws 1, 5, 14 or 40 s for its longest tasks; lengths are drawn evenly by their logarithm. Jobs come as often as before, or as seldom as leaves their tasks a fifth of the fleet. The time after the last fault follows from the latest call, the longest lease, the wait for a restart and the longest task. Test: calm runs of each length complete all jobs.

--- a/standins/explore.py
+++ b/standins/explore.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 import os
 import random
 import sys
@@ -26,13 +27,16 @@
 _MAX_HOLDS_MS = (6_000, 10_000)
 # Time before the first fault.
 _WARM_UP_S = 4.0
-# After the last fault: time for late calls and for what they leave behind, in
-# which jobs end, and time in which their states are asked for.
-_SETTLE_S = world_module.LATE_MAX_S + 11.0
+# Time after the end in which the states of jobs are asked for.
 _FINISH_S = 5.0
-_MEAN_REQUEST_S = 0.25
-_MIN_RUN_S, _MAX_RUN_S = 0.2, 1.0
+_MIN_REQUEST_S = 0.25
+_MIN_RUN_S = 0.2
+# Longest tasks of a run, one of which is drawn.
+_MAX_RUN_S = (1.0, 5.0, 14.0, 40.0)
 _MAX_TASKS = 4
+# Mean share of the fleet that tasks which end take up without faults: with
+# those that last, and half of the runners in trouble, there is room for them.
+_BUSY_SHARE = 0.2
 _TASK_CPU = 1_000
 _LASTING_JOBS = 3
 _CANCEL_SHARE = 0.12
@@ -57,6 +61,7 @@
       trace: Time and text of all that happened.
       starts, late_calls: Numbers of starts, and of calls carried out late.
       accepted: Number of jobs that were accepted.
+      longest_run_s: Length of the longest tasks.
     """
 
     seed: int
@@ -67,6 +72,7 @@
     starts: int
     late_calls: int
     accepted: int
+    longest_run_s: float = 0.0
 
 
 def run_seed(
@@ -96,17 +102,18 @@
     allow: Callable[[str], bool],
 ) -> Outcome:
     fleet = _make_fleet(world)
+    longest_run_s = world.draws.choice(_MAX_RUN_S)
     with world_module.replace_surroundings(world, fleet.serve_peers):
         fleet.publish_configuration()
         for runner in fleet.runners:
             runner.begin()
         for process in fleet.processes:
             fleet.start(process)
-        clients = world.spawn(_run_clients(fleet))
+        clients = world.spawn(_run_clients(fleet, longest_run_s))
         await asyncio.sleep(_WARM_UP_S)
         await explore_faults.run_faults(fleet, minutes * 60, allow)
         clients.cancel()
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(_find_settle_s(fleet, longest_run_s))
         world.seen.calm_from = world.read_now()
         await _ask_states(fleet)
         await asyncio.sleep(_FINISH_S)
@@ -132,6 +139,7 @@
         sum(event.kind == "start" for event in events),
         world.late_calls,
         sum(e.kind == "submit" and e.status == 200 for e in exchanges),
+        longest_run_s,
     )
 
 
@@ -166,18 +174,51 @@
     return fleet
 
 
-async def _run_clients(fleet: explore_fleet.Fleet) -> None:
+def _find_settle_s(fleet: explore_fleet.Fleet, longest_run_s: float) -> float:
+    """Returns the time after the last fault in which all jobs end.
+
+    A call of the last moment may come late and grant the longest lease to an
+    attempt that does not end, as it is unknown to the owner or cut off; then
+    its task starts again in time, and runs.
+    """
+    lease_s = fleet.max_hold_ms / 1000 / explore_runners.SLOWEST_RATE
+    wait_s = soak_audit.WAIT_S
+    return world_module.LATE_MAX_S + lease_s + wait_s + longest_run_s
+
+
+def _draw_run_s(draws: random.Random, longest_run_s: float) -> float:
+    """Draws the length of a task: short and long ones are as frequent."""
+    shortest, longest = math.log(_MIN_RUN_S), math.log(longest_run_s)
+    return math.exp(draws.uniform(shortest, longest))
+
+
+def _find_mean_request_s(
+    fleet: explore_fleet.Fleet, longest_run_s: float
+) -> float:
+    """Returns the mean time between two jobs, for which the fleet has room."""
+    ratio = longest_run_s / _MIN_RUN_S
+    mean_run_s = (longest_run_s - _MIN_RUN_S) / math.log(ratio)
+    mean_tasks = (1 + _MAX_TASKS) / 2
+    room = len(fleet.runners) * explore_runners.CPU / _TASK_CPU
+    needed_s = mean_run_s * mean_tasks / (room * _BUSY_SHARE)
+    return max(_MIN_REQUEST_S, needed_s)
+
+
+async def _run_clients(
+    fleet: explore_fleet.Fleet, longest_run_s: float
+) -> None:
     """Submits jobs until it is cancelled; some of them are cancelled."""
     world = fleet.world
+    mean_s = _find_mean_request_s(fleet, longest_run_s)
     draws, lasting = world.draws, 0
     await asyncio.sleep(1.0)
     while True:
         lasts = lasting < _LASTING_JOBS
         lasting += lasts
-        run_s = 0.0 if lasts else draws.uniform(_MIN_RUN_S, _MAX_RUN_S)
+        run_s = 0.0 if lasts else _draw_run_s(draws, longest_run_s)
         work = explore_runners.Work(round(run_s, 3), _TASK_CPU)
         world.spawn(_follow_job(fleet, work, draws.randint(1, _MAX_TASKS)))
-        await asyncio.sleep(draws.expovariate(1 / _MEAN_REQUEST_S))
+        await asyncio.sleep(draws.expovariate(1 / mean_s))
 
 
 async def _follow_job(
@@ -297,9 +338,9 @@
     """Returns lines about a run, with a timeline for its first finding."""
     lines = [
         f"seed {outcome.seed}: {len(outcome.findings)} findings"
-        f" ({len(outcome.unavoidable)} unavoidable), {outcome.accepted} jobs,"
-        f" {outcome.starts} starts, {outcome.late_calls} late calls, trace"
-        f" {outcome.digest}"
+        f" ({len(outcome.unavoidable)} unavoidable), {outcome.accepted} jobs"
+        f" of up to {outcome.longest_run_s:g} s, {outcome.starts} starts,"
+        f" {outcome.late_calls} late calls, trace {outcome.digest}"
     ]
     for finding in outcome.findings:
         name = finding.rule.upper()
--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -23,7 +23,7 @@
 _STOP_GRACE_S = 0.4
 # A new life may begin with any reading of its clock.
 _MAX_CLOCK_MS = 10_000_000
-_SLOWEST_RATE = 0.98
+SLOWEST_RATE = 0.98
 # Share of the connections that a crash leaves silent, and for how long, which
 # is longer than any call waits.
 _SILENT_CRASH_SHARE = 0.5
@@ -118,7 +118,7 @@
         self.born_ms = int((world_module.EPOCH_S + now) * 1000)
         self.clock_began = now
         self.clock_start_ms = draws.randrange(_MAX_CLOCK_MS)
-        self.clock_rate = draws.uniform(_SLOWEST_RATE, 1.0)
+        self.clock_rate = draws.uniform(SLOWEST_RATE, 1.0)
         self.token, self.lease_until_ms, self.next_end = 0, 0, 1
         self.has_lapsed, self.is_found = True, False
         self.highest.clear()
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -17,13 +17,22 @@
 _MAX_SEEDS = 40
 
 
-def test_calm_run_completes_all_jobs():
+def test_calm_runs_complete_all_jobs():
     # Guards against a world in which the scheduler gets no work done, so that
-    # its seeds show nothing.
-    outcome = explore.run_seed(1, _MINUTES, lambda kind: False)
-    assert not outcome.findings
-    assert outcome.accepted > 30
-    assert outcome.starts >= outcome.accepted
+    # its seeds show nothing, and against runs that end before their tasks do.
+    # Each length of tasks is drawn by one of the seeds.
+    starts = {}
+    for seed in range(1, _MAX_SEEDS):
+        outcome = explore.run_seed(seed, _MINUTES, lambda kind: False)
+        assert not outcome.findings
+        assert outcome.starts >= outcome.accepted
+        if outcome.longest_run_s == 1.0:
+            assert outcome.accepted > 30
+        starts[outcome.longest_run_s] = outcome.starts
+        if len(starts) == 4:
+            break
+    assert sorted(starts) == [1.0, 5.0, 14.0, 40.0]
+    assert min(starts.values()) > 10
 
 
 def test_seed_gives_the_same_trace_twice():
