List both orders of two runs whose first start nothing could prevent

Cause: a start that a life carries out late, before any other call has reached it, was listed apart only if it was the later one of the two runs. Change: such a pair is listed apart if no call, late or not, had reached the life before that start, and none in time by the start of the other run. The other order is now compared by its time as well as by its text. Test: which findings are listed apart, with each condition missing once, and what ends these conditions.

--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -51,6 +51,23 @@
     is_stopping: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class StrayStart:
+    """A start carried out late by a life that no call in time had reached.
+
+    Attributes:
+      is_first: No late call had reached that life either.
+      unknown_until: When a call in time reached that life, or it ended.
+    """
+
+    task: str
+    attempt: int
+    runner: str
+    at: float
+    is_first: bool
+    unknown_until: float = float("inf")
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Runner:
     """One runner and its present life.
@@ -61,8 +78,8 @@
       reaches_log: Its entry is written.
       max_hold_ms: Longest lease that it grants.
       is_found: A call that did not come late has reached the present life.
-      stray_starts: Task, attempt and runner of each start that was carried out
-        late by a life that no other call had reached.
+      is_reached: A call, late or not, has reached the present life.
+      stray_starts: Starts of all lives.
       entry_until: Until when the platform keeps its entry.
     """
 
@@ -87,7 +104,8 @@
     ends: list[model.AttemptEnd] = dataclasses.field(default_factory=list)
     next_end: int = 1
     is_found: bool = False
-    stray_starts: list[str] = dataclasses.field(default_factory=list)
+    is_reached: bool = False
+    stray_starts: list[StrayStart] = dataclasses.field(default_factory=list)
     entry_until: float = 0.0
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -120,7 +138,8 @@
         self.clock_start_ms = draws.randrange(_MAX_CLOCK_MS)
         self.clock_rate = draws.uniform(SLOWEST_RATE, 1.0)
         self.token, self.lease_until_ms, self.next_end = 0, 0, 1
-        self.has_lapsed, self.is_found = True, False
+        self.has_lapsed = True
+        self.is_found = self.is_reached = False
         self.highest.clear()
         self.ends.clear()
         self._record("ready", cpu=CPU)
@@ -129,6 +148,7 @@
     def crash(self) -> None:
         """Ends the present life and all that runs, unseen."""
         self.is_up = False
+        self._end_strays()
         for run in self.running.values():
             run.ends_by and run.ends_by.cancel()
         self.running.clear()
@@ -166,12 +186,20 @@
 
     def takes(self, token: int) -> bool:
         """Tells whether it has seen no higher token, and keeps this one."""
+        self.is_reached = True
+        if not world_module.IS_LATE.get():
+            self._end_strays()
         if token < self.token:
             return False
         self.token = token
         self.is_found |= not world_module.IS_LATE.get()
         return True
 
+    def _end_strays(self) -> None:
+        now = self.world.read_now()
+        for stray in self.stray_starts:
+            stray.unknown_until = min(stray.unknown_until, now)
+
     def extend(self, until_ms: int | None) -> None:
         """Grants a lease, shortened to the longest one."""
         if until_ms is None:
@@ -214,6 +242,7 @@
 
     def start(self, order: model.StartOrder) -> _OUTCOME:
         """Carries out an order to start."""
+        is_first = not self.is_reached
         if not self.takes(order.token):
             return _OUTCOME.FENCED
         self.extend(order.lease_until_ms)
@@ -238,7 +267,7 @@
             )
         if world_module.IS_LATE.get() and not self.is_found:
             self.stray_starts.append(
-                f"{order.task}: {order.attempt} at {self.id}"
+                StrayStart(order.task, order.attempt, self.id, now, is_first)
             )
         self._record(
             "start",
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -1,16 +1,26 @@
 """Tests of the seeded runs of whole fleets under virtual time."""
 
+import asyncio
 import operator
 import os
+import random
 import subprocess
 import sys
 
+import msgspec
+import pytest
+
 from plantainvane.jobs import leases
+from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import sessions
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import tokens
 from standins import explore
+from standins import explore_loop
+from standins import explore_runners
+from standins import explore_store
+from standins import explore_world
 from standins import soak_audit
 
 _MINUTES = 0.25
@@ -141,6 +151,75 @@
     )
 
 
+@pytest.mark.parametrize(
+    "at,is_first,unknown_until,text,expected",
+    [
+        (5.0, True, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", True),
+        (5.0, False, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", True),
+        (5.5, True, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", False),
+        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", True),
+        (6.0, False, 9.0, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
+        (6.0, True, 5.9, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
+        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 beside 3 at runner-4", False),
+        (6.0, True, 9.0, "b.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
+        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 after 1 at runner-4", False),
+    ],
+)
+def test_only_starts_that_nothing_could_prevent_are_listed_apart(
+    at, is_first, unknown_until, text, expected
+):
+    # Guards against two runs at once that are reported though the first was
+    # unknown, or passed over though its runner could have been asked.
+    stray = explore_runners.StrayStart(
+        "a.0.0.0", 1, "runner-4", 5.0, is_first, unknown_until
+    )
+    finding = soak_audit.Finding("twice", at, text)
+    assert explore.is_unavoidable(finding, [stray]) is expected
+
+
+def test_call_in_time_ends_what_is_unknown_of_a_life():
+    # Guards against a stray start that stays unavoidable once its runner was
+    # reached or gone, and against one that is not the first call of a life.
+    async def main():
+        loop = asyncio.get_running_loop()
+        world = explore_world.World(loop, random.Random(1))
+        log = explore_store.Log(world)
+        runner = explore_runners.Runner(world, log, "r", "r:1", "east", 6000)
+        runner.begin()
+        explore_world.IS_LATE.set(True)
+        for number in range(2):
+            order = _make_order(f"a.0.0.{number}", runner.read_clock() + 5000)
+            runner.start(order)
+        await asyncio.sleep(1.0)
+        explore_world.IS_LATE.set(False)
+        runner.takes(1)
+        reached = [(s.is_first, s.unknown_until) for s in runner.stray_starts]
+        runner.crash()
+        runner.begin()
+        explore_world.IS_LATE.set(True)
+        runner.start(_make_order("a.0.0.2", runner.read_clock() + 5000))
+        await asyncio.sleep(1.0)
+        runner.crash()
+        last = runner.stray_starts[-1]
+        world.close()
+        return reached, (last.is_first, last.unknown_until)
+
+    reached, ended = explore_loop.run(main)
+    assert reached == [(True, 1.0), (False, 1.0)]
+    assert ended == (True, 2.0)
+
+
+def _make_order(task: str, lease_until_ms: int) -> model.StartOrder:
+    work = explore_runners.Work(30.0, 1000)
+    return model.StartOrder(
+        task=task,
+        attempt=1,
+        spec=msgspec.json.encode(work).decode(),
+        lease_until_ms=lease_until_ms,
+        token=1,
+    )
+
+
 def test_timeline_names_faults_and_task():
     # Guards against a timeline without what led to the finding.
     trace = [
