Draw jobs whose steps wait for others

Cause: every job of the seeded runs had one step, so that an end as done that is taken for read, or lost, never decided what starts next. Change: a quarter of the jobs that end have two or three steps; each waits for some of those before it. Together their tasks take no longer than those of a job of one step, so the time at the end stays. A start before a step that it waits for is done breaks the rule 'early'.

--- a/standins/explore.py
+++ b/standins/explore.py
@@ -12,6 +12,7 @@
 
 import typer
 
+from standins import explore_audit
 from standins import explore_faults
 from standins import explore_fleet
 from standins import explore_loop
@@ -34,6 +35,8 @@
 # Longest tasks of a run, one of which is drawn.
 _MAX_RUN_S = (1.0, 5.0, 14.0, 40.0)
 _MAX_TASKS = 4
+_STEPS_SHARE = 0.25
+_MAX_STEPS = 3
 # Mean share of the fleet that tasks which end take up without faults: with
 # those that last, and half of the runners in trouble, there is room for them.
 _BUSY_SHARE = 0.2
@@ -131,6 +134,8 @@
     exchanges = world.seen.exchanges
     strays = [stray for r in fleet.runners for stray in r.stray_starts]
     findings = soak_audit.find_faults(world.seen)
+    findings += explore_audit.find_early_starts(fleet.steps, events)
+    findings.sort(key=lambda finding: finding.at)
     unavoidable = [f for f in findings if is_unavoidable(f, strays)]
     return Outcome(
         seed,
@@ -244,16 +249,37 @@
         lasts = lasting < _LASTING_JOBS
         lasting += lasts
         run_s = 0.0 if lasts else _draw_run_s(draws, longest_run_s)
-        work = explore_runners.Work(round(run_s, 3), _TASK_CPU)
-        world.spawn(_follow_job(fleet, work, draws.randint(1, _MAX_TASKS)))
+        steps = _draw_steps(draws, lasts)
+        # Its steps take as long, one after the other, as a job of one step.
+        work = explore_runners.Work(round(run_s / len(steps), 3), _TASK_CPU)
+        world.spawn(_follow_job(fleet, work, steps))
         await asyncio.sleep(draws.expovariate(1 / mean_s))
 
 
+def _draw_steps(
+    draws: random.Random, lasts: bool
+) -> tuple[explore_fleet.Step, ...]:
+    """Draws the steps of a job, each of which may depend on those before."""
+    count = 1
+    if not lasts and draws.random() < _STEPS_SHARE:
+        count = draws.randint(2, _MAX_STEPS)
+    steps = []
+    for number in range(count):
+        earlier = [n for n in range(number) if draws.random() < 0.7]
+        tasks = draws.randint(1, _MAX_TASKS)
+        steps.append(explore_fleet.Step(tasks, tuple(earlier)))
+    return tuple(steps)
+
+
 async def _follow_job(
-    fleet: explore_fleet.Fleet, work: explore_runners.Work, tasks: int
+    fleet: explore_fleet.Fleet,
+    work: explore_runners.Work,
+    steps: tuple[explore_fleet.Step, ...],
 ) -> None:
     world = fleet.world
     job_id = f"{next(fleet.numbers):016x}"
+    fleet.steps[job_id] = steps
+    tasks = sum(step.count for step in steps)
     world.seen.jobs.append(
         observations_module.Job(job_id, tasks, work.cpu, not work.run_s)
     )
@@ -264,7 +290,7 @@
             process = world.draws.choice(processes)
             if process.entry is not None and process.entry.ready:
                 tries += 1
-                answer = await fleet.submit(process, job_id, work, tasks)
+                answer = await fleet.submit(process, job_id, work)
                 if answer.status == 200:
                     break
         await asyncio.sleep(1.0)
--- a/standins/explore_fleet.py
+++ b/standins/explore_fleet.py
@@ -84,9 +84,17 @@
         return self.entry is not None and self.entry.owner is not None
 
 
+@dataclasses.dataclass(slots=True)
+class Step:
+    """A step of a job: its tasks, and numbers of the steps before it."""
+
+    count: int
+    depends_on: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Fleet:
-    """All parts of a run."""
+    """All parts of a run; `steps` has those of each job by its id."""
 
     world: world_module.World
     log: explore_store.Log
@@ -96,6 +104,7 @@
         default_factory=list
     )
     numbers: Any = dataclasses.field(default_factory=itertools.count)
+    steps: dict[str, tuple[Step, ...]] = dataclasses.field(default_factory=dict)
 
     def find_process(self, address: str) -> Process | None:
         """Returns the process with a peer address, or None."""
@@ -261,9 +270,9 @@
         return exchange
 
     async def submit(
-        self, process: Process, job_id: str, work: explore_runners.Work, count
+        self, process: Process, job_id: str, work: explore_runners.Work
     ) -> Any:
-        """Submits a job of one step."""
+        """Submits a job, whose steps are known."""
 
         async def submit() -> intake_module.Outcome:
             job = model.Job(
@@ -272,13 +281,15 @@
                 service=QUEUE.service,
                 accepted_ms=clock.read_wall_ms(),
                 spec=msgspec.json.encode(work).decode(),
-                steps=(
+                steps=tuple(
                     model.Step(
-                        count=count,
+                        count=step.count,
                         amounts=model.Amounts(work.cpu, 100),
                         estimate_ms=work.run_s * 1000,
+                        depends_on=step.depends_on,
                         long_running=not work.run_s,
-                    ),
+                    )
+                    for step in self.steps[job_id]
                 ),
                 limits=model.make_limits(QUEUE),
             )
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -17,11 +17,14 @@
 from plantainvane.jobs import state as state_module
 from plantainvane.jobs import tokens
 from standins import explore
+from standins import explore_audit
+from standins import explore_fleet
 from standins import explore_loop
 from standins import explore_runners
 from standins import explore_store
 from standins import explore_world
 from standins import soak_audit
+from standins import soak_observations
 
 _MINUTES = 0.25
 # Seeds after which a fault that is taken back counts as unseen.
@@ -93,6 +96,46 @@
         assert max(map(operator.sub, asked[1:], asked)) < soak_audit.WAIT_S
 
 
+def test_start_before_the_steps_that_it_waits_for_is_found():
+    # Guards against steps that are drawn, and whose order nothing checks.
+    steps = {"a": (explore_fleet.Step(2), explore_fleet.Step(1, (0,)))}
+    event = soak_observations.RunnerEvent
+    events = [
+        event(1.0, "r", "start", "a.0.0.0", 1),
+        event(1.0, "r", "start", "a.0.0.1", 1),
+        event(2.0, "r", "end", "a.0.0.0", 1, "done"),
+        event(3.0, "r", "end", "a.0.0.1", 1, "lapsed"),
+        event(4.0, "r", "start", "a.0.1.0", 1),
+    ]
+    findings = explore_audit.find_early_starts(steps, events)
+    assert [finding.at for finding in findings] == [4.0]
+    events.insert(4, event(3.5, "r", "end", "a.0.0.1", 2, "done"))
+    assert not explore_audit.find_early_starts(steps, events)
+
+
+def test_runs_have_jobs_in_steps():
+    # Guards against runs without steps that wait for others.
+    trace = explore.run_seed(1, _MINUTES).trace
+    starts = [
+        line.split()[2] for _, line in trace if line.split()[1:2] == ["start"]
+    ]
+    steps = {task.split(".")[2] for task in starts if task.count(".") == 3}
+    assert steps == {"0", "1", "2"}
+
+
+def test_steps_that_do_not_wait_are_found(monkeypatch):
+    # Guards against runs that would not show a scheduler that ignores the order
+    # of steps.
+    make_step = explore_fleet.model.Step
+    monkeypatch.setattr(
+        explore_fleet.model,
+        "Step",
+        lambda **fields: make_step(**{**fields, "depends_on": ()}),
+    )
+    outcome = explore.run_seed(1, _MINUTES, lambda kind: False)
+    assert {f.rule for f in outcome.findings} == {explore_audit.EARLY}
+
+
 def _choose_any_acknowledged(runner: runners_module.Runner, now: float) -> int:
     """Acknowledges ends to any life, as before."""
     return runner.last_stored_end
