Keep two runs a finding whose first start no life had denied

Change: a pair whose first start came late is listed apart only if a poll made after that start was sent had such an answer. Test: the condition missing alone, an answer from before the start was sent, and one that lists the attempt.

--- a/standins/explore.py
+++ b/standins/explore.py
@@ -156,7 +156,8 @@
     """Tells whether a finding is about a start that nothing could prevent.
 
     It is the later of two starts, or the other run starts beside it before a
-    call has reached the life that carried it out.
+    call has reached the life that carried it out, and after an earlier life had
+    denied it. Without that the owner has to wait for a lease of such a life.
     """
     return finding.rule == "twice" and any(
         _is_late_start(finding, stray) or _is_beside(finding, stray)
@@ -177,6 +178,7 @@
     task, _, text = finding.text.partition(": ")
     return (
         stray.is_first
+        and stray.was_denied
         and task == stray.task
         and text.endswith(f" beside {stray.attempt} at {stray.runner}")
         and stray.at <= finding.at < stray.unknown_until
--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -57,6 +57,8 @@
 
     Attributes:
       is_first: No late call had reached that life either.
+      was_denied: A poll since the start was sent had an answer of an earlier
+        life, and that life did not run the attempt.
       unknown_until: When a call in time reached that life, or it ended.
     """
 
@@ -65,6 +67,7 @@
     runner: str
     at: float
     is_first: bool
+    was_denied: bool
     unknown_until: float = float("inf")
 
 
@@ -80,6 +83,8 @@
       is_found: A call that did not come late has reached the present life.
       is_reached: A call, late or not, has reached the present life.
       stray_starts: Starts of all lives.
+      listed_at: When the last answer to a poll that came back was made.
+      listed: Task and number of the attempts that it listed as running.
       entry_until: Until when the platform keeps its entry.
     """
 
@@ -106,6 +111,8 @@
     is_found: bool = False
     is_reached: bool = False
     stray_starts: list[StrayStart] = dataclasses.field(default_factory=list)
+    listed_at: float = -1.0
+    listed: frozenset[tuple[str, int]] = frozenset()
     entry_until: float = 0.0
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -266,8 +273,19 @@
                 work.run_s, self.end, order.task, "done"
             )
         if world_module.IS_LATE.get() and not self.is_found:
+            was_denied = (
+                self.listed_at > world_module.SENT_AT.get()
+                and (order.task, order.attempt) not in self.listed
+            )
             self.stray_starts.append(
-                StrayStart(order.task, order.attempt, self.id, now, is_first)
+                StrayStart(
+                    order.task,
+                    order.attempt,
+                    self.id,
+                    now,
+                    is_first,
+                    was_denied,
+                )
             )
         self._record(
             "start",
@@ -304,6 +322,12 @@
                 )
         self.ends = [e for e in self.ends if e.number > last_stored_end]
 
+    def note_listed(self, status: model.RunnerStatus, at: float) -> None:
+        """Records an answer to a poll, made at a time, that came back."""
+        if at > self.listed_at:
+            self.listed_at = at
+            self.listed = frozenset((r.task, r.attempt) for r in status.running)
+
     def make_status(self) -> model.RunnerStatus:
         """Lists what runs and what has ended."""
         now = self.world.read_now()
@@ -343,9 +367,10 @@
         wait_s: float,
     ) -> result.Result[model.RunnerStatus, interfaces.OrderOutcome]:
         """Renews all leases and lists running and ended attempts."""
-        runner = self.runner
+        runner, listed_at = self.runner, 0.0
 
         async def carry_out() -> model.RunnerStatus | _OUTCOME:
+            nonlocal listed_at
             self._check_up()
             if not runner.takes(token):
                 return _OUTCOME.FENCED
@@ -362,12 +387,14 @@
                 if runner.world.draws.random() < _SILENT_CRASH_SHARE:
                     await asyncio.sleep(_SILENCE_S)
                 raise world_module.LostError("connection broken")
+            listed_at = runner.world.read_now()
             return runner.make_status()
 
         what = f"poll token={token} seen={last_stored_end}"
         what += f" lease={lease_until_ms}"
         reply = await self._call(what, carry_out, wait_s)
         if isinstance(reply, model.RunnerStatus):
+            runner.note_listed(reply, listed_at)
             return result.Ok(reply)
         return result.Err(reply)
 
--- a/standins/explore_world.py
+++ b/standins/explore_world.py
@@ -229,6 +229,7 @@
             self.late_calls += 1
             self.note(f"late {what}, sent at {began:.3f}")
             IS_LATE.set(True)
+            SENT_AT.set(began)
             await _drop_answer(carry_out)
 
         self.spawn(carry_out_late())
@@ -245,6 +246,12 @@
 )
 
 
+# When a call that is carried out late was sent.
+SENT_AT: contextvars.ContextVar[float] = contextvars.ContextVar(
+    "sent_at", default=0.0
+)
+
+
 def _time_out(answer: asyncio.Future) -> None:
     if not answer.done():
         answer.set_exception(LostError("no answer"))
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -194,27 +194,32 @@
     )
 
 
+_LATER = "a.0.0.0: 1 at runner-4 beside 2 at runner-6"
+_EARLIER = "a.0.0.0: 2 at runner-6 beside 1 at runner-4"
+
+
 @pytest.mark.parametrize(
-    "at,is_first,unknown_until,text,expected",
+    "at,is_first,was_denied,unknown_until,text,expected",
     [
-        (5.0, True, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", True),
-        (5.0, False, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", True),
-        (5.5, True, 9.0, "a.0.0.0: 1 at runner-4 beside 2 at runner-6", False),
-        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", True),
-        (6.0, False, 9.0, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
-        (6.0, True, 5.9, "a.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
-        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 beside 3 at runner-4", False),
-        (6.0, True, 9.0, "b.0.0.0: 2 at runner-6 beside 1 at runner-4", False),
-        (6.0, True, 9.0, "a.0.0.0: 2 at runner-6 after 1 at runner-4", False),
+        (5.0, True, True, 9.0, _LATER, True),
+        (5.0, False, False, 9.0, _LATER, True),
+        (5.5, True, True, 9.0, _LATER, False),
+        (6.0, True, True, 9.0, _EARLIER, True),
+        (6.0, False, True, 9.0, _EARLIER, False),
+        (6.0, True, False, 9.0, _EARLIER, False),
+        (6.0, True, True, 5.9, _EARLIER, False),
+        (6.0, True, True, 9.0, _EARLIER.replace("1 at", "3 at"), False),
+        (6.0, True, True, 9.0, _EARLIER.replace("a.", "b."), False),
+        (6.0, True, True, 9.0, _EARLIER.replace("beside", "after"), False),
     ],
 )
 def test_only_starts_that_nothing_could_prevent_are_listed_apart(
-    at, is_first, unknown_until, text, expected
+    at, is_first, was_denied, unknown_until, text, expected
 ):
     # Guards against two runs at once that are reported though the first was
-    # unknown, or passed over though its runner could have been asked.
+    # unknown, or passed over though its owner could ask or had to wait.
     stray = explore_runners.StrayStart(
-        "a.0.0.0", 1, "runner-4", 5.0, is_first, unknown_until
+        "a.0.0.0", 1, "runner-4", 5.0, is_first, was_denied, unknown_until
     )
     finding = soak_audit.Finding("twice", at, text)
     assert explore.is_unavoidable(finding, [stray]) is expected
@@ -252,6 +257,38 @@
     assert ended == (True, 2.0)
 
 
+@pytest.mark.parametrize(
+    "sent_at,runs,expected",
+    [(0.5, False, True), (1.5, False, False), (0.5, True, False)],
+)
+def test_answer_without_the_attempt_denies_a_start_sent_before(
+    sent_at, runs, expected
+):
+    # Guards against a start that counts as denied by an answer from before it
+    # was sent, or by one that lists it.
+    async def main():
+        loop = asyncio.get_running_loop()
+        world = explore_world.World(loop, random.Random(1))
+        log = explore_store.Log(world)
+        runner = explore_runners.Runner(world, log, "r", "r:1", "east", 6000)
+        client = explore_runners.Client(runner, "p", 1.0)
+        runner.begin()
+        order = _make_order("a.0.0.0", runner.read_clock() + 5000)
+        if runs:
+            runner.start(order)
+        await asyncio.sleep(1.0)
+        await client.poll(1, 0, None, 0.0)
+        runner.crash()
+        runner.begin()
+        explore_world.IS_LATE.set(True)
+        explore_world.SENT_AT.set(sent_at)
+        runner.start(_make_order("a.0.0.0", runner.read_clock() + 5000))
+        world.close()
+        return runner.stray_starts[-1].was_denied
+
+    assert explore_loop.run(main) is expected
+
+
 def _make_order(task: str, lease_until_ms: int) -> model.StartOrder:
     work = explore_runners.Work(30.0, 1000)
     return model.StartOrder(
