--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -23,7 +23,7 @@
 _STOP_GRACE_S = 0.4
 # A new life may begin with any reading of its clock.
 _MAX_CLOCK_MS = 10_000_000
-_SLOWEST_RATE = 0.98
+SLOWEST_RATE = 0.98
 # Share of the connections that a crash leaves silent, and for how long, which
 # is longer than any call waits.
 _SILENT_CRASH_SHARE = 0.5
@@ -51,6 +51,26 @@
     is_stopping: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class StrayStart:
+    """A start carried out late by a life that no call in time had reached.
+
+    Attributes:
+      is_first: No late call had reached that life either.
+      was_denied: A poll since the start was sent had an answer of an earlier
+        life, and that life did not run the attempt.
+      unknown_until: When a call in time reached that life, or it ended.
+    """
+
+    task: str
+    attempt: int
+    runner: str
+    at: float
+    is_first: bool
+    was_denied: bool
+    unknown_until: float = float("inf")
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Runner:
     """One runner and its present life.
@@ -61,8 +81,10 @@
       reaches_log: Its entry is written.
       max_hold_ms: Longest lease that it grants.
       is_found: A call that did not come late has reached the present life.
-      stray_starts: Task, attempt and runner of each start that was carried out
-        late by a life that no other call had reached.
+      is_reached: A call, late or not, has reached the present life.
+      stray_starts: Starts of all lives.
+      listed_at: When the last answer to a poll that came back was made.
+      listed: Task and number of the attempts that it listed as running.
       entry_until: Until when the platform keeps its entry.
     """
 
@@ -87,7 +109,10 @@
     ends: list[model.AttemptEnd] = dataclasses.field(default_factory=list)
     next_end: int = 1
     is_found: bool = False
-    stray_starts: list[str] = dataclasses.field(default_factory=list)
+    is_reached: bool = False
+    stray_starts: list[StrayStart] = dataclasses.field(default_factory=list)
+    listed_at: float = -1.0
+    listed: frozenset[tuple[str, int]] = frozenset()
     entry_until: float = 0.0
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -118,9 +143,10 @@
         self.born_ms = int((world_module.EPOCH_S + now) * 1000)
         self.clock_began = now
         self.clock_start_ms = draws.randrange(_MAX_CLOCK_MS)
-        self.clock_rate = draws.uniform(_SLOWEST_RATE, 1.0)
+        self.clock_rate = draws.uniform(SLOWEST_RATE, 1.0)
         self.token, self.lease_until_ms, self.next_end = 0, 0, 1
-        self.has_lapsed, self.is_found = True, False
+        self.has_lapsed = True
+        self.is_found = self.is_reached = False
         self.highest.clear()
         self.ends.clear()
         self._record("ready", cpu=CPU)
@@ -129,6 +155,7 @@
     def crash(self) -> None:
         """Ends the present life and all that runs, unseen."""
         self.is_up = False
+        self._end_strays()
         for run in self.running.values():
             run.ends_by and run.ends_by.cancel()
         self.running.clear()
@@ -166,12 +193,20 @@
 
     def takes(self, token: int) -> bool:
         """Tells whether it has seen no higher token, and keeps this one."""
+        self.is_reached = True
+        if not world_module.IS_LATE.get():
+            self._end_strays()
         if token < self.token:
             return False
         self.token = token
         self.is_found |= not world_module.IS_LATE.get()
         return True
 
+    def _end_strays(self) -> None:
+        now = self.world.read_now()
+        for stray in self.stray_starts:
+            stray.unknown_until = min(stray.unknown_until, now)
+
     def extend(self, until_ms: int | None) -> None:
         """Grants a lease, shortened to the longest one."""
         if until_ms is None:
@@ -214,6 +249,7 @@
 
     def start(self, order: model.StartOrder) -> _OUTCOME:
         """Carries out an order to start."""
+        is_first = not self.is_reached
         if not self.takes(order.token):
             return _OUTCOME.FENCED
         self.extend(order.lease_until_ms)
@@ -237,8 +273,19 @@
                 work.run_s, self.end, order.task, "done"
             )
         if world_module.IS_LATE.get() and not self.is_found:
+            was_denied = (
+                self.listed_at > world_module.SENT_AT.get()
+                and (order.task, order.attempt) not in self.listed
+            )
             self.stray_starts.append(
-                f"{order.task}: {order.attempt} at {self.id}"
+                StrayStart(
+                    order.task,
+                    order.attempt,
+                    self.id,
+                    now,
+                    is_first,
+                    was_denied,
+                )
             )
         self._record(
             "start",
@@ -275,6 +322,12 @@
                 )
         self.ends = [e for e in self.ends if e.number > last_stored_end]
 
+    def note_listed(self, status: model.RunnerStatus, at: float) -> None:
+        """Records an answer to a poll, made at a time, that came back."""
+        if at > self.listed_at:
+            self.listed_at = at
+            self.listed = frozenset((r.task, r.attempt) for r in status.running)
+
     def make_status(self) -> model.RunnerStatus:
         """Lists what runs and what has ended."""
         now = self.world.read_now()
@@ -314,9 +367,10 @@
         wait_s: float,
     ) -> result.Result[model.RunnerStatus, interfaces.OrderOutcome]:
         """Renews all leases and lists running and ended attempts."""
-        runner = self.runner
+        runner, listed_at = self.runner, 0.0
 
         async def carry_out() -> model.RunnerStatus | _OUTCOME:
+            nonlocal listed_at
             self._check_up()
             if not runner.takes(token):
                 return _OUTCOME.FENCED
@@ -333,12 +387,14 @@
                 if runner.world.draws.random() < _SILENT_CRASH_SHARE:
                     await asyncio.sleep(_SILENCE_S)
                 raise world_module.LostError("connection broken")
+            listed_at = runner.world.read_now()
             return runner.make_status()
 
         what = f"poll token={token} seen={last_stored_end}"
         what += f" lease={lease_until_ms}"
         reply = await self._call(what, carry_out, wait_s)
         if isinstance(reply, model.RunnerStatus):
+            runner.note_listed(reply, listed_at)
             return result.Ok(reply)
         return result.Err(reply)
 
