Count a crash for less where its task was not seen to run

Cause: an attempt counted as the cause of a crash whether its owner knew that it had been started there or not. A start that no life had carried out, and a stored attempt of an earlier owner that had ended unread, both counted in full: two of these, or one beside a crash by chance, showed the job as failed. Change: a crash is noted as `unseen` if the start had no answer and no poll of this owner has listed the attempt. A task of which fewer crashes were seen than prove it takes one more; the bounds of four and five crashes stay. Weighed and not kept: counting unseen crashes only among four. A task that crashes its runners before they answer was then started four times, and test_task_that_crashes_its_runners_is_given_up allows three.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -29,7 +29,7 @@
 # A runner that is polled is heard, or found silent, within this time.
 _LONGEST_LOOK_S = 3.0
 # Proved crashes after which a task is given up, if they hit two machines and it
-# was the only suspect of one of them.
+# was the only suspect of one of them. One more if it was not seen on so many.
 _LIMIT = 2
 _LONG_RUNNING_LIMIT = 3
 # While runners crash for other reasons no task is given up before this many
@@ -175,6 +175,7 @@
             alone=len(units) == 1 and run.sent_at > 0 and not shared,
             shared=shared,
             confirmed=bool(evidence),
+            unseen=not run.start_answered,
         )
     if evidence and not runner.entry.draining:
         _note_crash(owner, runner, suspects)
@@ -280,7 +281,11 @@
         return
     if _is_suspect(run, 0.0, until_ms):
         run.crash = model.Crash(
-            run.runner, run.born_ms, run.place, confirmed=confirmed
+            run.runner,
+            run.born_ms,
+            run.place,
+            confirmed=confirmed,
+            unseen=not run.start_answered,
         )
 
 
@@ -291,7 +296,7 @@
     """
     if not runner.entry.draining:
         run.crash = model.Crash(
-            run.runner, run.born_ms, run.place, confirmed=True
+            run.runner, run.born_ms, run.place, confirmed=True, unseen=True
         )
 
 
@@ -388,6 +393,10 @@
     if len(proved) >= _PROVED_LIMIT:
         return True
     limit = _LONG_RUNNING_LIMIT if long_running else _LIMIT
+    if sum(not crash.unseen for crash in proved) < limit:
+        # An attempt that was not seen there may have ended before the crash, or
+        # never have started.
+        limit += 1
     return len(proved) >= limit and any(crash.alone for crash in proved)
 
 
@@ -410,6 +419,7 @@
                 "alone": crash.alone,
                 "shared": crash.shared,
                 "confirmed": crash.confirmed,
+                "unseen": crash.unseen,
             }
             for crash in task.crashes
         ],
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -138,6 +138,14 @@
         (True, [{}, {"alone": True}], False),
         (True, [{}, {"alone": True}, {}], True),
         (True, [{}, {}, {}], False),
+        (False, [{"alone": True}, {"unseen": True}], False),
+        (False, [{"alone": True, "unseen": True}, {}], False),
+        (False, [{"alone": True}, {"unseen": True}, {}], True),
+        (False, [{"alone": True}] + 2 * [{"unseen": True}], True),
+        (False, 3 * [{"unseen": True}], False),
+        (False, 4 * [{"unseen": True}], True),
+        (True, [{"alone": True}, {}, {"unseen": True}], False),
+        (True, 4 * [{"unseen": True}], True),
     ],
 )
 def test_task_is_given_up_after_enough_crashes(long_running, found, given_up):
@@ -983,3 +991,48 @@
     assert task.job.ended == ""
     crash_at(owner, runners[0], task, NOW)
     assert task.crashes[-1].alone and task.job.ended == "failed"
+
+
+@pytest.mark.parametrize("how", ["answered", "unanswered", "refused"])
+def test_crash_counts_less_if_its_start_was_not_answered(how):
+    # Guards against a job that fails by the crash of a runner that has never
+    # carried out the start of its task.
+    runner = make_runner("r")
+    owner = passes.make_owner(runner)
+    task = add_task(owner, "t")
+    run = start(owner, runner, task, age_s=0.01, answered=how == "answered")
+    if how == "refused":
+        run.phase = attempts.Phase.STARTING
+        outcome = interfaces.OrderOutcome.OTHER_INCARNATION
+        orders._apply_start_outcome(owner, runner, run, outcome, NOW, lost=True)
+    else:
+        crash(owner, runner)
+    assert [c.unseen for c in task.crashes] == [how != "answered"]
+    owner.table.record_crash(task, make_crash(1, alone=True))
+    crashes._give_up_if_due(owner, task, WALL_MS)
+    assert task.job.ended == ("failed" if how == "answered" else "")
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_crash_under_an_inherited_attempt_counts_less_unless_it_was_listed(
+    listed,
+):
+    # Guards against a job that fails by an attempt whose end was not read
+    # before its runner crashed: a successor does not know that it ran then.
+    runner = make_runner("r", fenced=True)
+    owner = passes.make_owner(runner)
+    owner.interference_model = decisions.interference.InterferenceModel()
+    task = add_task(owner, "t")
+    run = owner.table.begin_run(task, "r", 0.0)
+    run.ordered_at, run.born_ms, run.place = 0.0, 1, "r:9"
+    run.ordered_ms, run.running_since = WALL_MS - 500, NOW
+    runner.charge(run)
+    if listed:
+        running = model.RunningAttempt(task.name, 1, "", 0.0, 0)
+        status = model.RunnerStatus(1, 1, (running,), ())
+        sessions._apply_reply(owner, runner, status, NOW, NOW + 0.1)
+    status = model.RunnerStatus(WALL_MS, 1, (), ())
+    sessions._apply_reply(owner, runner, status, NOW + 0.2, NOW + 0.3)
+    sessions._apply_reply(owner, runner, status, NOW + 0.4, NOW + 0.5)
+    assert not task.runs
+    assert [c.unseen for c in task.crashes] == [not listed]
