Draw runners that leave for good

Change: a runner crashes and does not come back; a quarter of them at most, so that the room for tasks stays. Test: runs with this fault alone lose runners, and none is back.

--- a/standins/explore_faults.py
+++ b/standins/explore_faults.py
@@ -23,6 +23,8 @@
 _CUT_AFTER_RESTART_SHARE = 0.7
 # Longest times for which a life is reached before it is cut off.
 _MAX_REACHED_S = (1.0, 4.0)
+# Share of the runners that may leave for good.
+_MAX_LEFT_SHARE = 0.25
 # Share of the lives cut off whose owner is killed, and how soon.
 _LOST_WITH_OWNER_SHARE = 0.4
 _OWNER_LOST_WITHIN_S = 1.0
@@ -93,7 +95,8 @@
 
     Every other time one with runs is preferred.
     """
-    draws, runners = course.fleet.world.draws, course.fleet.runners
+    draws = course.fleet.world.draws
+    runners = [r for r in course.fleet.runners if not r.has_left]
     sound = [r for r in runners if r.id not in course.harmed]
     if len(sound) <= len(runners) * (1 - _MAX_HARMED_SHARE):
         return None
@@ -181,6 +184,17 @@
         await asyncio.wait([killing])
 
 
+async def _remove_runner(course: _Course) -> None:
+    """Has a runner leave for good, with all that runs there."""
+    runner, fleet = _choose_runner(course), course.fleet
+    left = sum(r.has_left for r in fleet.runners)
+    if runner is None or left + 1 > len(fleet.runners) * _MAX_LEFT_SHARE:
+        return
+    with _harm(course, "leave", runner.id):
+        runner.has_left = True
+        runner.crash()
+
+
 async def _cut_runner(course: _Course) -> None:
     """Cuts a runner off from processes, and perhaps from the log."""
     runner, fleet = _choose_runner(course), course.fleet
@@ -301,6 +315,7 @@
 # Each kind of fault, and how often it is drawn compared with others.
 _KINDS: dict[str, tuple[Callable[[_Course], Awaitable[None]], int]] = {
     "restart": (_restart_runner, 8),
+    "leave": (_remove_runner, 1),
     "cut": (_cut_runner, 4),
     "late": (_delay_calls, 3),
     "lossy": (_lose_answers, 3),
--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -78,6 +78,7 @@
     Attributes:
       life: Number of its life; calls wait for an end of that life only.
       is_up: The life runs.
+      has_left: It has left for good.
       reaches_log: Its entry is written.
       max_hold_ms: Longest lease that it grants.
       is_found: A call that did not come late has reached the present life.
@@ -96,6 +97,7 @@
     max_hold_ms: int
     life: int = 0
     is_up: bool = False
+    has_left: bool = False
     reaches_log: bool = True
     born_ms: int = 0
     clock_began: float = 0.0
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -85,6 +85,17 @@
     assert all(any(0 <= k - c <= 1.0 for c in cuts) for k in kills)
 
 
+def test_runners_leave_for_good():
+    # Guards against runs in which each lost runner is back under its id.
+    trace = explore.run_seed(2, 0.5, lambda kind: kind == "leave").trace
+    lines = [line.split()[:2] for _, line in trace]
+    gone = [name for name, *what in lines if what == ["gone"]]
+    ready = [name for name, *what in lines if what == ["ready"]]
+    assert gone
+    assert len(gone) <= len(ready) / 4
+    assert len(set(ready)) == len(ready)
+
+
 def test_clients_ask_for_jobs_that_last_again_and_again():
     # Guards against a job that was given up as allowed, and counts as waiting
     # because no client has asked for it.
