--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -78,6 +78,7 @@
     Attributes:
       life: Number of its life; calls wait for an end of that life only.
       is_up: The life runs.
+      has_left: It has left for good.
       reaches_log: Its entry is written.
       max_hold_ms: Longest lease that it grants.
       is_found: A call that did not come late has reached the present life.
@@ -96,6 +97,7 @@
     max_hold_ms: int
     life: int = 0
     is_up: bool = False
+    has_left: bool = False
     reaches_log: bool = True
     born_ms: int = 0
     clock_began: float = 0.0
@@ -174,7 +176,12 @@
 
     def _expire_entry(self) -> None:
         if self.world.read_now() >= self.entry_until - 0.001:
-            self.log.put(TOPIC, [(self.id, None)])
+            self.delete_entry()
+
+    def delete_entry(self) -> None:
+        """Deletes its entry, whether it lives or not."""
+        self.world.note(f"{self.id}: entry deleted")
+        self.log.put(TOPIC, [(self.id, None)])
 
     def _make_entry(self) -> bytes:
         return msgspec.json.encode(
