Count a crash for less if an end may have been missed in a pause

Cause: while ends are being stored a runner is polled every 0.5 s. Change: such a crash is `unseen` as well, if more than 0.2 s lay between the last answer, or the start if that came later, and the poll that found the runner silent or in another life. The time of that poll is kept with the runner.

--- a/plantainvane/jobs/crashes.py
+++ b/plantainvane/jobs/crashes.py
@@ -28,6 +28,9 @@
 _COMMON_CAUSE_RUNNERS = 2
 # A runner that is polled is heard, or found silent, within this time.
 _LONGEST_LOOK_S = 3.0
+# Polls of a runner follow each other within this time, unless ends are being
+# stored. What ends in a longer pause may be lost unread with the runner.
+_LONGEST_PAUSE_S = 0.2
 # Proved crashes after which a task is given up, if they hit two machines and it
 # was the only suspect of one of them. One more if it was not seen on so many.
 _LIMIT = 2
@@ -139,6 +142,17 @@
     )
 
 
+def _was_seen(runner: runners_module.Runner, run: attempts.Run) -> bool:
+    """Tells whether an attempt is known to have run as its runner went down.
+
+    A poll that was under way would have listed its end.
+    """
+    listed_at = max(runner.answered_at, run.sent_at)
+    return (
+        run.start_answered and runner.polled_at - listed_at <= _LONGEST_PAUSE_S
+    )
+
+
 def blame_crash(
     owner: state_module.Owner,
     runner: runners_module.Runner,
@@ -175,7 +189,7 @@
             alone=len(units) == 1 and run.sent_at > 0 and not shared,
             shared=shared,
             confirmed=bool(evidence),
-            unseen=not run.start_answered,
+            unseen=not _was_seen(runner, run),
         )
     if evidence and not runner.entry.draining:
         _note_crash(owner, runner, suspects)
--- a/plantainvane/jobs/model.py
+++ b/plantainvane/jobs/model.py
@@ -363,8 +363,8 @@
       alone: The task was the only suspect.
       shared: Other runners went down at the same time for another reason.
       confirmed: A later life of the runner has shown that it crashed.
-      unseen: The owner that counted it did not know whether the task had been
-        started there.
+      unseen: The owner that counted it did not know whether the task was
+        running there.
     """
 
     runner: str
--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -98,6 +98,7 @@
         infinity once it has accepted a lease that covers them.
       moved: It was known at another address before.
       answered_at: When it last answered a poll.
+      polled_at: When the last poll was sent to it while it was not silent.
       up_at: When it was last known to be up.
       down_from, down_at: Between these times it stopped answering, the last
         time that it did.
@@ -179,6 +180,7 @@
     earlier_leases_until: float = float("-inf")
     moved: bool = False
     answered_at: float = 0.0
+    polled_at: float = 0.0
     up_at: float = 0.0
     down_from: float = 0.0
     down_at: float = 0.0
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -233,6 +233,8 @@
     pending: _PendingEnds | None,
 ) -> _PendingEnds | None:
     sent_at = clock.read_now()
+    if not runner.silent:
+        runner.polled_at = sent_at
     lease = leases.choose_lease(owner, runner, sent_at)
     extends = lease is not None and runner.lease_requested_at == sent_at
     born_ms = runner.entry.born_ms
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -1036,3 +1036,29 @@
     sessions._apply_reply(owner, runner, status, NOW + 0.4, NOW + 0.5)
     assert not task.runs
     assert [c.unseen for c in task.crashes] == [not listed]
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "age_s", "unseen"),
+    [(0.05, 0.6, False), (0.45, 0.6, True), (0.45, 0.05, False)],
+)
+def test_crash_counts_less_if_no_poll_could_list_the_end_before(
+    pause_s, age_s, unseen
+):
+    # Guards against a job that fails by an attempt which had ended on its
+    # runner before that crashed, while ends were being stored and no poll was
+    # under way. Where the attempt has just started no end can be missed.
+    runner = make_runner("r", fenced=True)
+    owner = passes.make_owner(runner)
+    owner.interference_model = decisions.interference.InterferenceModel()
+    task = add_task(owner, "t")
+    runner.answered_at = runner.up_at = NOW - pause_s
+    start(owner, runner, task, age_s=age_s).reported = True
+
+    class Calls:
+        async def poll(self, *unused):
+            return result.Ok(model.RunnerStatus(2, 1, (), ()))
+
+    runner.calls = Calls()
+    asyncio.run(sessions._poll(owner, runner, 0.0, None))
+    assert [c.unseen for c in task.crashes] == [unseen]
