Delete entries of runners that live

Cause: in the seeded runs the entry of a runner was gone only if the runner was gone, cut off from the log, or the log was down. Change: entries of runners that are in touch are deleted, up to three times in a few seconds, and are not written meanwhile in half of the cases. Test: runs with this fault alone have runners that are unlisted and live.

--- a/standins/explore_faults.py
+++ b/standins/explore_faults.py
@@ -208,6 +208,23 @@
         runner.reaches_log = True
 
 
+async def _delete_entry(course: _Course) -> None:
+    """Deletes the entry of a runner that lives and is in touch.
+
+    It may be deleted again, or be written late, as long as the fault lasts.
+    """
+    runner, fleet = _choose_runner(course), course.fleet
+    if runner is None:
+        return
+    draws = fleet.world.draws
+    with _harm(course, "entry", runner.id):
+        runner.reaches_log = draws.random() < 0.5
+        for _ in range(draws.randint(1, 3)):
+            runner.delete_entry()
+            await asyncio.sleep(draws.uniform(0.1, 4.0))
+        runner.reaches_log = True
+
+
 async def _delay_calls(course: _Course) -> None:
     """Has calls to a runner carried out late."""
     await _draw_fate(course, "late", world_module.Fate(late=_LATE_SHARE))
@@ -317,6 +334,7 @@
     "restart": (_restart_runner, 8),
     "leave": (_remove_runner, 1),
     "cut": (_cut_runner, 4),
+    "entry": (_delete_entry, 1),
     "late": (_delay_calls, 3),
     "lossy": (_lose_answers, 3),
     "kill": (_kill_process, 3),
--- a/standins/explore_runners.py
+++ b/standins/explore_runners.py
@@ -176,7 +176,12 @@
 
     def _expire_entry(self) -> None:
         if self.world.read_now() >= self.entry_until - 0.001:
-            self.log.put(TOPIC, [(self.id, None)])
+            self.delete_entry()
+
+    def delete_entry(self) -> None:
+        """Deletes its entry, whether it lives or not."""
+        self.world.note(f"{self.id}: entry deleted")
+        self.log.put(TOPIC, [(self.id, None)])
 
     def _make_entry(self) -> bytes:
         return msgspec.json.encode(
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -96,6 +96,16 @@
     assert len(set(ready)) == len(ready)
 
 
+def test_entries_of_runners_that_live_are_deleted():
+    # Guards against runs in which an entry that is gone means that its runner
+    # is gone or cut off.
+    trace = explore.run_seed(2, 0.5, lambda kind: kind == "entry").trace
+    lines = [line for _, line in trace]
+    assert any(line.endswith(": entry deleted") for line in lines)
+    assert any(" runner_unlisted " in line for line in lines)
+    assert not any(": gone" in line for line in lines)
+
+
 def test_clients_ask_for_jobs_that_last_again_and_again():
     # Guards against a job that was given up as allowed, and counts as waiting
     # because no client has asked for it.
