--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from plantainvane.jobs import attempts
 from plantainvane.jobs import leases
 from plantainvane.jobs import model
 from plantainvane.jobs import runners as runners_module
@@ -182,6 +183,11 @@
         runners_module.Runner.is_in_doubt = is_in_doubt
 
 
+def _find_no_expiry(owner: state_module.Owner, run: attempts.Run) -> float:
+    """Passes over leases that an earlier owner has stored, as before."""
+    return float("-inf")
+
+
 # Faults that were mended, by name: what is replaced, and by what.
 MUTANTS = {
     "acknowledged": (
@@ -192,6 +198,7 @@
     "token": (state_module.Owner, "issue_token", _issue_one_token),
     "lease": (leases, "choose_lease", _choose_lease_in_doubt),
     "lost_ends": (sessions, "_apply_lost_end", lambda *arguments: None),
+    "inherited": (leases, "_find_inherited_expiry", _find_no_expiry),
 }
 
 
