Wait for the end of a start that its runner has ended already

Callers saw a task run again after it was done. Cause: a start that is answered 'old' without a lost try was taken to name a later attempt on that runner, and the task started elsewhere at once. It may be this attempt, which has ended. Change: as after a lost try, the next poll decides: it lists the attempt, its end, or neither. The new test failed before. No platform page tells of a call that is answered and carried out twice; a client that sends again by itself would look the same.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -100,9 +100,9 @@
     if outcome in _RETRIED and lost:
         # An earlier try may still be carried out.
         outcome = _OUTCOME.LOST
-    if outcome is _OUTCOME.OLD and lost:
-        # The try whose reply was lost started it; the next poll reports the
-        # attempt or its end.
+    if outcome is _OUTCOME.OLD:
+        # It has been started there, perhaps by a try whose reply was lost, or
+        # the runner knows a later attempt. The next poll reports it or its end.
         outcome = _OUTCOME.DONE
     metrics.STARTS.labels(outcome.value).inc()
     events.log_event(
@@ -252,9 +252,6 @@
         runner.faults += 1
         if outcome is _OUTCOME.UNREACHED and not _is_polled(runner):
             runner.require_poll()
-    elif outcome is _OUTCOME.OLD:
-        # The runner knows a later attempt, which a poll will report.
-        run.task.attempt += 1
     elif outcome is _OUTCOME.INVALID:
         run.task.retry_at = now + _INVALID_RETRY_S
     elif outcome is _OUTCOME.NO_TICKET:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -693,6 +693,21 @@
     assert dropped_at >= 100.0 + owner.settings.max_lease_s
 
 
+def test_start_that_the_runner_has_ended_waits_for_the_end(monkeypatch):
+    # Guards against a task that runs again although it is done: its start was
+    # carried out twice, and answered once its first run had ended.
+    owner = scheduling.make_owner()
+    old = interfaces.OrderOutcome.OLD
+    runner, run = start_beside_unfound_life(
+        owner, monkeypatch, old, clock_ms=301_000
+    )
+    assert run in runner.runs
+    end = model.AttemptEnd(1, run.task.name, run.attempt, "done", "")
+    status = model.RunnerStatus(runner.entry.born_ms, 301_100, (), (end,))
+    sessions._apply_reply(owner, runner, status, 100.05, 100.1)
+    assert run.task.result is attempts.Result.DONE
+
+
 def test_ends_are_acknowledged_while_the_list_leaves_one_out():
     # Guards against a list that is cut off for good: the end of an attempt that
     # was stopped after a start without an answer is left out of it.
