Start no task beside an attempt of it that a poll lists

Callers saw two runs of a task at once. Cause: a life carries out a start late, of an attempt that was given up. The poll that finds it lists the attempt, which is stopped, and the runner takes nothing before it is gone; but the task started elsewhere meanwhile. Change: the next start waits until a poll of that runner does not list the attempt, at most for the longest lease; one that was placed is not sent. The new tests, four cases, failed before.

--- a/plantainvane/jobs/orders.py
+++ b/plantainvane/jobs/orders.py
@@ -138,6 +138,8 @@
         return "ownership is offered"
     if run not in run.task.runs or run.phase is attempts.Phase.STOPPING:
         return "attempt ended or is being stopped"
+    if run.task.retry_at > now:
+        return "another attempt runs"
     if run.task.job.ended:
         return "job ended"
     if eligibility.exceeds_capacity(runner):
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -513,6 +513,7 @@
     if not runner.silent:
         crashes.mark_down(runner, now)
     crashes.blame_crash(owner, runner, "restarted", born_ms, running)
+    _resume_starts(owner, runner, (), now)
     runner.foreign = frozenset()
     runner.born_at = runner.restarted_at = now
     runner.last_stored_end = runner.acknowledged_end = 0
@@ -798,12 +799,14 @@
         run = owner.table.find_run(running.task, running.attempt)
         if run is None or run.runner != runner.entry.id:
             foreign.add((running.task, running.attempt))
+            _put_off_start(owner, running.task, now)
             owner.group.start_soon(stops.stop_unknown, owner, runner, running)
             continue
         reported.add(run)
         _update_run(run, running, now)
         _order_due_stop(owner, run, sent_at)
         crashes.record_survival(owner, run, sent_at, wall_ms)
+    _resume_starts(owner, runner, foreign, now)
     if runner.foreign and not foreign:
         owner.request_pass()
     if foreign and not runner.foreign:
@@ -831,6 +834,31 @@
     )
 
 
+def _put_off_start(owner: state_module.Owner, name: str, now: float) -> None:
+    """Puts the next start of a task off until a foreign attempt has ended.
+
+    A poll that does not list the attempt ends the wait; without one the longest
+    lease does.
+    """
+    task = owner.table.find_task(name)
+    if task is not None:
+        lease_s = runners_module.find_longest_lease_s(owner.settings)
+        task.retry_at = max(task.retry_at, now + lease_s)
+
+
+def _resume_starts(
+    owner: state_module.Owner,
+    runner: runners_module.Runner,
+    foreign: Collection[tuple[str, int]],
+    now: float,
+) -> None:
+    """Ends the waits for foreign attempts that a runner lists no more."""
+    for attempt in runner.foreign.difference(foreign):
+        task = owner.table.find_task(attempt[0])
+        if task is not None:
+            task.retry_at = min(task.retry_at, now)
+
+
 def _order_due_stop(
     owner: state_module.Owner, run: attempts.Run, sent_at: float
 ) -> None:
--- a/tests/test_jobs_sessions.py
+++ b/tests/test_jobs_sessions.py
@@ -1478,3 +1478,49 @@
     runner_entries.announce(runner, entry, 100.2)
     leases.store_stray_leases(owner, runner, 100.2)
     assert run.longest_lease_s >= stored_s > owner.settings.max_lease_s
+
+
+def list_foreign(runner, task, attempt, **fields):
+    """Returns the answer of a runner that runs an attempt, and nothing else."""
+    running = model.RunningAttempt(task.name, attempt, "", 10.0, 0.0)
+    return model.RunnerStatus(runner.entry.born_ms, 1000, (running,), ())
+
+
+@pytest.mark.parametrize("ended_by", ["poll", "life", "lease"])
+def test_task_does_not_start_beside_an_attempt_that_a_poll_lists(ended_by):
+    # Guards against two runs of a task: a start came late to a life of its
+    # runner, the poll that finds that life lists the attempt, which was given
+    # up before, and the next one is ordered although that one still runs.
+    other = decisions.make_runner("other")
+    owner = scheduling.make_owner(other)
+    runner, run = make_running(owner, clock_read_at=10.0)
+    task = run.task
+    sessions._drop_runs(owner, runner, [run], "lease expired", 10.0)
+    status = list_foreign(runner, task, run.attempt)
+    sessions._apply_reply(owner, runner, status, 10.0, 10.1)
+    scheduling.scheduling.place_ready_tasks(owner, 10.2)
+    assert task.name in owner.table.ready
+    if ended_by == "poll":
+        ended = model.RunnerStatus(runner.entry.born_ms, 1200, (), ())
+        sessions._apply_reply(owner, runner, ended, 10.2, 10.3)
+    elif ended_by == "life":
+        ended = model.RunnerStatus(77, 1200, (), ())
+        sessions._apply_reply(owner, runner, ended, 10.2, 10.3)
+    scheduling.scheduling.place_ready_tasks(owner, 10.4)
+    assert (task.name in owner.table.ready) is (ended_by == "lease")
+    scheduling.scheduling.place_ready_tasks(
+        owner, 10.4 + 1.1 * owner.settings.max_lease_s
+    )
+    assert task.name not in owner.table.ready
+
+
+async def test_start_is_withheld_as_a_poll_lists_another_attempt(monkeypatch):
+    # Guards against the same where the start was placed just before.
+    owner = scheduling.make_owner()
+    runner = decisions.make_runner(answered_at=99.9, clock_ms=1_000)
+    run = charge_starting_run(owner, runner)
+    run.ordered_at, run.task.retry_at = 99.9, 104.0
+    monkeypatch.setattr(sessions.clock, "read_now", lambda: 100.0)
+    await orders._start_run(owner, run)
+    assert run not in runner.runs and not run.sent_at
+    assert run.task.name in owner.table.ready
