--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_lives.py
@@ -4,10 +4,13 @@
 """
 
 import contextlib
+import types
 
 import anyio
+import msgspec
 import pytest
 
+from plantainvane.jobs import interfaces
 from plantainvane.jobs import runners as runners_module
 from plantainvane.jobs import tokens
 from standins import platform_system
@@ -117,6 +120,28 @@
     await wait_until(lambda: known.fenced and known.listed)
 
 
+def lose_starts(known):
+    """Has no start reach a runner; returns the list of those that were sent."""
+    calls, orders = known.calls, []
+
+    async def lose_start(order):
+        orders.append(msgspec.structs.replace(order, is_wanted=lambda: True))
+        return interfaces.StartReply(interfaces.OrderOutcome.LOST)
+
+    known.calls = types.SimpleNamespace(
+        poll=calls.poll,
+        start=lose_start,
+        stop=calls.stop,
+        pace=calls.pace,
+        aclose=calls.aclose,
+    )
+    return orders
+
+
+async def lose_stop(*unused):
+    return interfaces.OrderOutcome.LOST
+
+
 async def test_poll_that_finds_a_new_life_does_not_acknowledge_its_ends():
     # Guards against a task that runs again although it is done: it has run in a
     # life that no poll had found, and the poll that finds it acknowledges ends
@@ -306,6 +331,32 @@
         assert tokens.find_epoch(runner.token) == owner.owner.epoch
 
 
+async def test_poll_that_finds_a_life_refuses_a_start_given_up_before_it():
+    # Guards against a task that runs twice: a start without an answer was given
+    # up, the task runs elsewhere, and the next life of the first runner carries
+    # the start out after the poll that finds it, before any stop.
+    async with run_one_runner() as (system, owner, runner):
+        known = owner.owner.runners[runner.id]
+        calls = known.calls
+        orders = lose_starts(known)
+        await submit(system, OTHER_ID, run_ms=60_000)
+        await wait_until(lambda: orders)
+        # Without room there, the task starts elsewhere.
+        runner.cpu = 1
+        platform_system.write_entry(system, runner)
+        await platform_system.add_runner(system, "i-1")
+        await wait_until(lambda: TASK in system.runners["i-1"].running)
+        assert not known.runs
+        known.calls.stop = lose_stop
+        runner.restart()
+        assert runner.token == 0
+        platform_system.write_entry(system, runner)
+        await wait_until(lambda: runner.token > 0)
+        reply = await calls.start(orders[0])
+        assert reply.outcome is interfaces.OrderOutcome.FENCED
+        assert TASK not in runner.running
+
+
 async def test_late_poll_that_extends_a_lease_of_an_unfound_life_counts():
     # Guards against a task that runs twice: a start reached a life that no poll
     # had found, and a poll meant for the life before extends the lease there
