Keep the signal that ends a process while many others wait to be read

Cause: received signals wait in a queue of 64 until the event loop reads them, and the oldest were dropped. A SIGTERM or SIGINT with 64 further signals after it was forgotten.

Change: once 64 wait, one that waits stands for later ones of its kind.

--- a/plantainvane/signals.py
+++ b/plantainvane/signals.py
@@ -17,18 +17,21 @@
 
 
 class Receiver:
-    """Signals that were received and not read yet; the oldest are dropped."""
+    """Signals that were received and not read yet.
+
+    Once `_MAX_PENDING` wait, one that waits stands for later ones of its kind.
+    """
 
     def __init__(self):
         """Creates a receiver that no signal reaches yet; see `install`."""
-        self._pending: collections.deque[signal.Signals] = collections.deque(
-            maxlen=_MAX_PENDING
-        )
+        self._pending: collections.deque[signal.Signals] = collections.deque()
         self._wake: Callable[[], object] = lambda: None
 
     def record(self, number: int, frame: types.FrameType | None = None) -> None:
         """Records a signal, in the main thread between two instructions."""
-        self._pending.append(signal.Signals(number))
+        received = signal.Signals(number)
+        if len(self._pending) < _MAX_PENDING or received not in self._pending:
+            self._pending.append(received)
         self._wake()
 
     async def receive(self) -> signal.Signals:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -69,6 +69,21 @@
     assert received == list(signals.HANDLED)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("before, after", [(0, 1000), (1000, 0), (500, 500)])
+async def test_signal_that_ends_a_process_is_read_beside_many_others(
+    number, before, after, receiver
+):
+    # Guards against a process that never drains, and is killed with requests
+    # that it has read: many signals came before its loop read the first.
+    for other in [signal.SIGHUP] * before + [number] + [signal.SIGHUP] * after:
+        os.kill(os.getpid(), other)
+    received = []
+    with anyio.fail_after(5):
+        while number not in received:
+            received.append(await receiver.receive())
+
+
 async def test_signal_ends_the_wait_for_one(receiver):
     # Guards against a drain that begins only when something else wakes the
     # event loop.
