Count a late poll only for starts that were sent before it

Cause: since each poll without an answer that requested a lease counted as one that an unfound life may carry out. One that was sent before all starts that may have reached that life has an earlier token than these, so that life refuses it; tasks waited for up to 12 s more than needed. Change: it counts if such a start was sent before it.

--- a/plantainvane/jobs/runners.py
+++ b/plantainvane/jobs/runners.py
@@ -318,6 +318,17 @@
             for run in self.runs
         )
 
+    def has_earlier_stray(self, sent_at: float) -> bool:
+        """Tells whether another life may carry out a poll sent at a time.
+
+        It has carried out a start that was sent before, with no later token
+        than that poll. What is sent after the poll has a later one.
+        """
+        return any(
+            0 < run.sent_at <= sent_at and self._may_have_strayed(run)
+            for run in self.runs
+        )
+
     def lists_stray_ends(self, now: float) -> bool:
         """Tells whether stored ends are not acknowledged, for a stray start."""
         return (
--- a/plantainvane/jobs/sessions.py
+++ b/plantainvane/jobs/sessions.py
@@ -253,7 +253,11 @@
         return None
     if reply.is_err():
         metrics.RUNNER_POLLS.labels(reply.err_value.value).inc()
-        if lease is not None and reply.err_value is _OUTCOME.LOST:
+        if (
+            lease is not None
+            and reply.err_value is _OUTCOME.LOST
+            and runner.has_earlier_stray(sent_at)
+        ):
             runner.expect_stray_lease(sent_at + _LATE_START_S)
             leases.store_stray_leases(owner, runner, now)
         if changes and reply.err_value is _OUTCOME.LOST:
