--- a/review/rig.py
+++ b/review/rig.py
@@ -36,6 +36,8 @@
 APPEND_S = 0.004
 PARTITION_BYTES_PER_S = 20_000_000
 TICK_S = 0.01
+# How long the first lives of the runners have been up as a case begins.
+FIRST_LIVES_AGE_S = 100.0
 ENDS_LISTED = 500
 MAX_RECORD_BYTES = 262_144
 ZONES = ("main-one", "main-two", "main-three")
@@ -540,7 +542,8 @@
         fault = self.world.find_fault(self, request)
         if fault is not None:
             return await fault(request)
-        return await self.carry_out(request)
+        reply = await self.carry_out(request)
+        return reply if self.heard else None
 
     async def carry_out(self, request: Request) -> Reply | None:
         """Carries a call out and answers it."""
@@ -776,6 +779,7 @@
         for number in range(runners):
             runner = Runner(self, number + 1, label(number))
             await runner.start()
+            runner.clock_from -= FIRST_LIVES_AGE_S
             runner.write_entry()
             self.runners.append(runner)
         self._tasks.append(asyncio.create_task(self._run_ticks()))
